feat(core): lay out the workspace and the checked types

Cause: nothing existed. The packages are split so that decisions, requests and state can be built side by side on one small stable core.

--- /dev/null
+++ b/crates/bronzespool-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements of bronzespool: decisions, slopes for capacity planning, requests.
--- /dev/null
+++ b/crates/bronzespool-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The bronzespool operators' command line.
--- /dev/null
+++ b/crates/bronzespool-core/src/lib.rs
@@ -0,0 +1,33 @@
+//! Checked types, result codes and time shared by all bronzespool packages.
+//!
+//! Raw input becomes a checked type by `TryFrom`; code past that point never checks again.
+//!
+//! ```
+//! use bronzespool_core::{name::Team, shape::{Level, Shape}};
+//!
+//! let team = Team::try_from("arima-flyers")?;
+//! let shape = Shape::try_from("2 x worker").unwrap();
+//! assert_eq!(shape, Shape::new(Level::Worker, 2));
+//! assert_eq!(team.as_str(), "arima-flyers");
+//! # Ok::<(), bronzespool_core::name::Error>(())
+//! ```
+
+pub mod code;
+pub mod collections;
+pub mod digest;
+pub mod name;
+pub mod place;
+pub mod shape;
+pub mod spec;
+pub mod time;
+
+pub use crate::{
+    code::{Code, Outcome},
+    collections::{HashMap, HashSet},
+    digest::Digest,
+    name::{Center, Instance, Job, Key, Kind, Rack, Region, Service, Team},
+    place::{Capacity, Place},
+    shape::{Level, Shape},
+    spec::{Config, KindSpec, Mode, Need, ServiceSpec, Target, TeamSpec, Weights},
+    time::Time,
+};
--- /dev/null
+++ b/crates/bronzespool-schedule/src/lib.rs
@@ -0,0 +1,1 @@
+//! Guarantees, placement, queues, gangs and reclaim, free of I/O.
--- /dev/null
+++ b/crates/bronzespool-wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages and connections between bronzespool processes.
--- /dev/null
+++ b/crates/bronzespool/src/lib.rs
@@ -0,0 +1,1 @@
+//! Coordination parts for multi-accelerator jobs under team guarantees.
--- /dev/null
+++ b/crates/bronzespoold/src/lib.rs
@@ -0,0 +1,1 @@
+//! The bronzespool daemon: control, entry and agent roles.
--- /dev/null
+++ b/crates/bronzespoold/src/main.rs
@@ -0,0 +1,3 @@
+//! Start of the program.
+
+fn main() {}
