--- /dev/null
+++ b/crates/bronzespool-flow/src/config/mod.rs
@@ -0,0 +1,5 @@
+//! The configuration in force, changed by compare-and-set.
+
+mod store;
+
+pub use store::{Change, Store, Verdict};
--- /dev/null
+++ b/crates/bronzespool-flow/src/config/store.rs
@@ -0,0 +1,115 @@
+//! Replicated configuration store.
+
+use {
+    bronzespool_core::{Config, Digest, Key, Service, ServiceSpec},
+    serde::{Deserialize, Serialize},
+    std::collections::{BTreeMap, VecDeque},
+};
+
+/// Operations remembered, so that a resend returns the first verdict.
+const OPERATIONS_MAX: usize = 10_000;
+
+/// A change as an operator sends it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// Revision that the operator saw.
+    pub base: u64,
+    /// Identity of the operation; a resend carries the same one.
+    pub operation: Key,
+    /// Digest of the files, to tell a resend from a misuse of the operation's identity.
+    pub digest: Digest,
+    /// Services that replace or join those in force.
+    pub services: Vec<ServiceSpec>,
+    /// Services that leave.
+    pub removed: Vec<Service>,
+}
+
+/// What became of a change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// Accepted as this revision.
+    Accepted {
+        /// Revision that the change made.
+        revision: u64,
+    },
+    /// Another change came first.
+    Conflict {
+        /// Revision in force.
+        revision: u64,
+        /// Operation that made it.
+        winner: Option<Key>,
+    },
+    /// The operation's identity was used with other content.
+    Reused,
+}
+
+/// An operation that was decided.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Decided {
+    digest: Digest,
+    verdict: Verdict,
+}
+
+/// The configuration and the operations that made it.
+///
+/// [`Store::apply`] is deterministic: every replica that applies the same changes in the same
+/// order holds the same store and returns the same verdicts.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Store {
+    config: Config,
+    decided: BTreeMap<Key, Decided>,
+    order: VecDeque<Key>,
+    last: Option<Key>,
+}
+
+impl Store {
+    /// The configuration in force.
+    pub const fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// The verdict of an operation that was decided before.
+    pub fn verdict(&self, operation: &Key, digest: &Digest) -> Option<Verdict> {
+        let decided = self.decided.get(operation)?;
+        if decided.digest != *digest {
+            return Some(Verdict::Reused);
+        }
+        Some(decided.verdict.clone())
+    }
+
+    /// Applies a change if its base is the revision in force.
+    pub fn apply(&mut self, change: &Change) -> Verdict {
+        if let Some(verdict) = self.verdict(&change.operation, &change.digest) {
+            return verdict;
+        }
+        let verdict = self.compare_and_set(change);
+        self.remember(change, verdict.clone());
+        verdict
+    }
+
+    fn compare_and_set(&mut self, change: &Change) -> Verdict {
+        if change.base != self.config.revision {
+            return Verdict::Conflict { revision: self.config.revision, winner: self.last.clone() };
+        }
+        for name in &change.removed {
+            self.config.services.remove(name);
+        }
+        for service in &change.services {
+            self.config.services.insert(service.name.clone(), service.clone());
+        }
+        self.config.revision += 1;
+        self.last = Some(change.operation.clone());
+        Verdict::Accepted { revision: self.config.revision }
+    }
+
+    fn remember(&mut self, change: &Change, verdict: Verdict) {
+        let decided = Decided { digest: change.digest, verdict };
+        self.decided.insert(change.operation.clone(), decided);
+        self.order.push_back(change.operation.clone());
+        if self.order.len() > OPERATIONS_MAX
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.decided.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-flow/src/view/delta.rs
@@ -0,0 +1,87 @@
+//! Changes of the view, numbered by the index of the log entry that made them.
+
+use {
+    crate::view::Peer,
+    bronzespool_core::{Instance, Service, ServiceSpec},
+    serde::{Deserialize, Serialize},
+    std::collections::VecDeque,
+};
+
+/// Changes kept for sessions that lag; a session further behind gets the whole view.
+const CHANGES_MAX: usize = 1_024;
+
+/// One change of the view.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Change {
+    /// A new revision of the configuration.
+    Config {
+        /// The revision.
+        revision: u64,
+        /// Services that replace or join.
+        services: Vec<ServiceSpec>,
+        /// Services that leave.
+        removed: Vec<Service>,
+    },
+    /// An endpoint was announced or changed.
+    Peer(Box<Peer>),
+    /// An endpoint's record was removed.
+    Gone(Instance),
+}
+
+impl Change {
+    /// Whether agents need it too.
+    pub const fn for_agents(&self) -> bool {
+        matches!(self, Self::Config { .. })
+    }
+}
+
+/// All changes after one index up to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Delta {
+    /// Index that the receiver must have applied.
+    pub from: u64,
+    /// Index that the receiver has applied afterwards.
+    pub to: u64,
+    /// The changes in order.
+    pub changes: Vec<Change>,
+}
+
+/// The latest changes, for making deltas.
+#[derive(Clone, Debug, Default)]
+pub struct Log {
+    first: u64,
+    changes: VecDeque<(u64, Change)>,
+}
+
+impl Log {
+    /// An empty log after `index`.
+    pub const fn after(index: u64) -> Self {
+        Self { first: index, changes: VecDeque::new() }
+    }
+
+    /// Adds the change that the entry `index` made.
+    pub fn push(&mut self, index: u64, change: Change) {
+        self.changes.push_back((index, change));
+        if self.changes.len() > CHANGES_MAX
+            && let Some((dropped, _)) = self.changes.pop_front()
+        {
+            self.first = dropped;
+        }
+    }
+
+    /// Index of the last change.
+    pub fn last(&self) -> u64 {
+        self.changes.back().map_or(self.first, |(index, _)| *index)
+    }
+
+    /// The changes after `from`, or `None` if some of them are no longer kept.
+    pub fn delta(&self, from: u64, to: u64, agent: bool) -> Option<Delta> {
+        if from < self.first {
+            return None;
+        }
+        let wanted =
+            |(index, change): &&(u64, Change)| *index > from && (!agent || change.for_agents());
+        let changes = self.changes.iter().filter(wanted).map(|(_, c)| c.clone()).collect();
+        Some(Delta { from, to, changes })
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-flow/src/view/routing.rs
@@ -0,0 +1,87 @@
+//! The view itself.
+
+use {
+    crate::view::{Change, Delta, Peer},
+    bronzespool_core::{Config, Instance},
+    displaydoc::Display,
+    serde::{Deserialize, Serialize},
+    std::collections::BTreeMap,
+};
+
+/// Result of applying a delta.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a delta cannot be applied.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Error {
+    /// the delta starts at index {from}, the view is at {index}: the whole view is needed
+    Gap {
+        /// Index that the delta starts from.
+        from: u64,
+        /// Index of the view.
+        index: u64,
+    },
+}
+
+impl std::error::Error for Error {}
+
+/// The configuration and the endpoints as of one index of the log.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct View {
+    /// Index of the last log entry in it.
+    pub index: u64,
+    /// The configuration.
+    pub config: Config,
+    /// Endpoints by instance; empty at an agent.
+    pub peers: BTreeMap<Instance, Peer>,
+}
+
+impl View {
+    /// Replaces the view unless the other one is older. Returns whether it did.
+    pub fn replace(&mut self, other: Self) -> bool {
+        if other.index < self.index || other.config.revision < self.config.revision {
+            return false;
+        }
+        *self = other;
+        true
+    }
+
+    /// Applies a delta. One that lies wholly in the past is ignored; one that would leave a gap
+    /// is refused.
+    pub fn apply(&mut self, delta: Delta) -> Result<()> {
+        if delta.to <= self.index {
+            return Ok(());
+        }
+        if delta.from > self.index {
+            return Err(Error::Gap { from: delta.from, index: self.index });
+        }
+        for change in delta.changes {
+            self.change(change);
+        }
+        self.index = delta.to;
+        Ok(())
+    }
+
+    fn change(&mut self, change: Change) {
+        match change {
+            Change::Config { revision, services, removed } => {
+                if revision <= self.config.revision {
+                    return;
+                }
+                for name in &removed {
+                    self.config.services.remove(name);
+                }
+                for service in services {
+                    self.config.services.insert(service.name.clone(), service);
+                }
+                self.config.revision = revision;
+            }
+            Change::Peer(peer) => {
+                self.peers.insert(peer.place.instance.clone(), *peer);
+            }
+            Change::Gone(instance) => {
+                self.peers.remove(&instance);
+            }
+        }
+    }
+}
