feat(wire): add frames, links and the stand-in endpoint and worker

Cause: the processes need calls that end by a deadline, and tests need an endpoint that records what was started.

Change: Cap'n Proto schema with committed code, frames with version and checksum, links that drop a silent connection; stand-ins with faults.

Not run end to end yet.

--- a/crates/bronzespool-core/src/lib.rs
+++ b/crates/bronzespool-core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod digest;
 pub mod name;
 pub mod place;
+pub mod refusal;
 pub mod shape;
 pub mod spec;
 pub mod time;
@@ -27,6 +28,7 @@
     digest::Digest,
     name::{Center, Instance, Job, Key, Kind, Rack, Region, Service, Team},
     place::{Capacity, Place},
+    refusal::Refusal,
     shape::{Level, Shape},
     spec::{Config, KindSpec, Mode, Need, ServiceSpec, Target, TeamSpec, Weights},
     time::Time,
--- /dev/null
+++ b/crates/bronzespool-fakes/src/endpoint/record.rs
@@ -0,0 +1,58 @@
+//! Every start, by key.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::collections::BTreeMap,
+};
+
+/// One start of a request at the stand-in.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Start {
+    /// Id of the request.
+    pub request: String,
+    /// Milliseconds since the stand-in began.
+    pub at: u64,
+    /// Whether the answer was made.
+    pub finished: bool,
+}
+
+/// All starts by idempotency key; requests without a key are counted only.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Starts by key.
+    pub keys: BTreeMap<String, Vec<Start>>,
+    /// Starts without a key.
+    pub others: u64,
+    /// Latest start in milliseconds since the stand-in began.
+    pub latest: u64,
+    /// Requests in progress.
+    pub running: u32,
+    /// Most requests in progress at once.
+    pub peak: u32,
+}
+
+impl Record {
+    /// Notes a start.
+    pub fn start(&mut self, key: Option<&str>, request: &str, at: u64) {
+        self.latest = at;
+        self.running += 1;
+        self.peak = self.peak.max(self.running);
+        match key {
+            Some(key) => {
+                let start = Start { request: request.to_owned(), at, finished: false };
+                self.keys.entry(key.to_owned()).or_default().push(start);
+            }
+            None => self.others += 1,
+        }
+    }
+
+    /// Notes the end of a request.
+    pub fn finish(&mut self, key: Option<&str>, request: &str) {
+        self.running -= 1;
+        let starts = key.and_then(|k| self.keys.get_mut(k));
+        let start = starts.and_then(|s| s.iter_mut().find(|s| s.request == request));
+        if let Some(start) = start {
+            start.finished = true;
+        }
+    }
+}
--- a/crates/bronzespool-fakes/src/lib.rs
+++ b/crates/bronzespool-fakes/src/lib.rs
@@ -1,1 +1,5 @@
-//! Stand-ins for endpoints and the platform, and a load generator, for tests.
+//! Stand-ins for endpoints and the platform, for tests and for trying out. Not shipped.
+
+pub mod endpoint;
+pub mod http;
+pub mod worker;
--- /dev/null
+++ b/crates/bronzespool-fakes/src/worker/task.rs
@@ -0,0 +1,54 @@
+//! A task of the stand-in worker.
+
+use serde::{Deserialize, Serialize};
+
+/// What a task does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum State {
+    /// It runs.
+    Running,
+    /// It ran to its end.
+    Done,
+    /// It failed.
+    Failed,
+    /// It was stopped by call.
+    Stopped,
+    /// Its lease ended.
+    Expired,
+}
+
+/// A task, with times in milliseconds since the stand-in began.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Task {
+    /// Name, chosen by the caller.
+    pub name: String,
+    /// Accelerators held, by number.
+    pub accels: Vec<u32>,
+    /// Run time still needed.
+    pub remaining: u64,
+    /// When it was started or last checkpointed.
+    pub since: u64,
+    /// When its lease ends.
+    pub lease: u64,
+    /// Checkpoints made.
+    pub checkpoints: u32,
+    /// Share of full speed in percent.
+    pub throttle: u32,
+    /// What it does.
+    pub state: State,
+}
+
+impl Task {
+    /// Moves the task on to `now`.
+    pub fn advance(&mut self, now: u64) {
+        if self.state != State::Running {
+            return;
+        }
+        if self.since + self.remaining <= now.min(self.lease) {
+            self.state = State::Done;
+        } else if self.lease <= now {
+            self.state = State::Expired;
+        }
+    }
+}
--- a/crates/bronzespool-wire/src/lib.rs
+++ b/crates/bronzespool-wire/src/lib.rs
@@ -1,1 +1,25 @@
 //! Messages and connections between bronzespool processes.
+//!
+//! Calls go by Cap'n Proto over TCP; what they carry is a [`frame`]: a version, a checksum and a
+//! typed [`message`]. A [`link`] keeps one connection to an address, finds it silent by deadlines
+//! and makes a new one.
+//!
+//! ```
+//! use bronzespool_wire::frame;
+//!
+//! let bytes = frame::encode(&("permit", 7_u32));
+//! let back: (String, u32) = frame::decode(&bytes).unwrap();
+//! assert_eq!(back.1, 7);
+//! ```
+
+pub mod frame;
+pub mod link;
+pub mod message;
+pub mod serve;
+
+#[allow(missing_docs, clippy::all, clippy::pedantic, unreachable_pub)]
+mod generated {
+    pub mod bronzespool_capnp;
+}
+
+pub use generated::bronzespool_capnp;
--- /dev/null
+++ b/crates/bronzespool-wire/src/link/error.rs
@@ -0,0 +1,47 @@
+//! Why a call over a link failed.
+
+use {displaydoc::Display, std::time::Duration};
+
+/// Result of a call over a link.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a call over a link failed.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// cannot connect: {0}
+    Connect(std::io::Error),
+    /// no connection within {0:?}
+    ConnectTime(Duration),
+    /// no answer within {0:?}
+    Silent(Duration),
+    /// the call failed: {0}
+    Call(capnp::Error),
+    /// the answer cannot be read: {0}
+    Frame(crate::frame::Error),
+}
+
+impl std::error::Error for Error {}
+
+impl Error {
+    /// Whether the other side certainly received nothing of the call.
+    pub const fn unsent(&self) -> bool {
+        matches!(self, Self::Connect(_) | Self::ConnectTime(_))
+    }
+
+    /// Whether the connection itself has failed.
+    pub fn disconnected(&self) -> bool {
+        matches!(self, Self::Call(error) if error.kind == capnp::ErrorKind::Disconnected)
+    }
+}
+
+impl From<capnp::Error> for Error {
+    fn from(error: capnp::Error) -> Self {
+        Self::Call(error)
+    }
+}
+
+impl From<crate::frame::Error> for Error {
+    fn from(error: crate::frame::Error) -> Self {
+        Self::Frame(error)
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-wire/src/message.rs
@@ -0,0 +1,1 @@
+//! Typed messages.
