feat(wire): type the messages between processes

Cause: hubs, agents and entries need agreed calls before they can be built. Change: typed sessions, calls, runs, tasks and views; the whole task list goes to an agent at each change, so a lost push is mended by the next one.

--- a/crates/bronzespool-wire/src/message.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Typed messages.
--- /dev/null
+++ b/crates/bronzespool-wire/src/message/call.rs
@@ -0,0 +1,136 @@
+//! Calls to control: from a session's holder to its hub, and from the hub to the leader.
+
+use {
+    crate::message::{Announce, JobView, Report, StatusView},
+    bronzespool_core::{Digest, Instance, Job, Key, Refusal, Service, ServiceSpec},
+    bronzespool_flow::{
+        claim::{ClaimId, Completion, Existing, Request},
+        view::Presence,
+    },
+    bronzespool_schedule::JobSpec,
+    serde::{Deserialize, Serialize},
+};
+
+/// A call to the leader.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Call {
+    /// Claims a key for one attempt.
+    Claim(Request),
+    /// Looks at a claim without changing it.
+    Look(ClaimId),
+    /// Tells how an attempt ended.
+    Complete {
+        /// The claim.
+        id: ClaimId,
+        /// The attempt.
+        attempt: u32,
+        /// How it ended.
+        completion: Completion,
+    },
+    /// Changes the configuration.
+    Publish {
+        /// Revision that the operator saw; the one in force if absent.
+        base: Option<u64>,
+        /// Identity of the operation.
+        operation: Key,
+        /// Digest of the files.
+        digest: Digest,
+        /// Services that replace or join.
+        services: Vec<ServiceSpec>,
+        /// Services that leave.
+        removed: Vec<Service>,
+    },
+    /// Asks whether a revision is in force everywhere.
+    InForce(u64),
+    /// Submits a job.
+    Submit(Box<JobSpec>),
+    /// Cancels jobs.
+    Cancel(Vec<Job>),
+    /// Shows one job.
+    Job(Job),
+    /// Shows all jobs.
+    Jobs,
+    /// Tells why a job waits.
+    Explain(Job),
+    /// Shows the system.
+    Status,
+    /// Starts or ends the drain of an endpoint.
+    Drain {
+        /// The instance.
+        instance: Instance,
+        /// Whether it is leaving.
+        leaving: bool,
+    },
+    /// Announces an endpoint; comes from a hub.
+    Announce(Announce),
+    /// Tells that an agent's session has ended or begun; comes from a hub.
+    Presence {
+        /// Instance of the agent.
+        instance: Instance,
+        /// Incarnation of the agent.
+        incarnation: u64,
+        /// The new state.
+        presence: Presence,
+    },
+    /// Tells the lowest index that a hub's sessions have acknowledged; comes from a hub.
+    Progress {
+        /// Instance of the hub.
+        hub: Instance,
+        /// The index.
+        acked: u64,
+    },
+    /// Tells what happened to tasks.
+    Report(Report),
+}
+
+/// Result of a claim.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Claimed {
+    /// The caller of the claim, and no one else, may send this attempt.
+    New {
+        /// The attempt.
+        attempt: u32,
+    },
+    /// The key is claimed: its target may be asked or fenced.
+    Existing(Existing),
+}
+
+/// Result of a publication.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Published {
+    /// The revision that was made.
+    pub revision: u64,
+}
+
+/// Reply to a call.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// Nothing more to tell.
+    Noted,
+    /// To a claim.
+    Claimed(Claimed),
+    /// To a look at a claim.
+    Claim(Option<Existing>),
+    /// To a publication.
+    Published(Published),
+    /// To the question whether a revision is in force.
+    InForce(bool),
+    /// To a submission or a question about one job.
+    Job(Box<JobView>),
+    /// To a question about all jobs.
+    Jobs(Vec<JobView>),
+    /// To the question why a job waits.
+    Explained(Vec<String>),
+    /// To a question about the system.
+    Status(Box<StatusView>),
+    /// To an announcement: the agent's incarnation.
+    Announced {
+        /// The incarnation.
+        incarnation: u64,
+        /// Index of the record, which the hub waits for.
+        index: u64,
+    },
+}
+
+/// A reply or the reason why there is none.
+pub type Answered = Result<Reply, Refusal>;
--- /dev/null
+++ b/crates/bronzespoold/src/http/body.rs
@@ -0,0 +1,42 @@
+//! Reading a body whole, with a bound on its size.
+
+use {
+    bytes::{Bytes, BytesMut},
+    displaydoc::Display,
+    http_body_util::BodyExt,
+    hyper::body::{Body, Incoming},
+};
+
+/// Result of reading a body.
+pub type Result<T> = std::result::Result<T, ReadError>;
+
+/// Why a body was not read whole.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum ReadError {
+    /// the body is over its limit of {0} bytes
+    Large(u64),
+    /// the body ended before its declared length
+    Short,
+}
+
+impl std::error::Error for ReadError {}
+
+/// Reads a body to its end. The length that the head declares is checked by the HTTP library,
+/// which reports a body that ends before it as an error.
+pub async fn read_whole(mut body: Incoming, limit: u64) -> Result<Bytes> {
+    if body.size_hint().lower() > limit {
+        return Err(ReadError::Large(limit));
+    }
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| ReadError::Short)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if (whole.len() + data.len()) as u64 > limit {
+            return Err(ReadError::Large(limit));
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.freeze())
+}
--- /dev/null
+++ b/crates/bronzespoold/src/http/server.rs
@@ -0,0 +1,88 @@
+//! Serves HTTP/1.1 and stops without cutting a request.
+
+use {
+    crate::http::Answer,
+    hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::{TokioIo, TokioTimer},
+    std::{convert::Infallible, rc::Rc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::watch,
+        task::{JoinSet, spawn_local},
+    },
+};
+
+/// Longest time in which a request's head must arrive.
+const HEAD_TIME: Duration = Duration::from_secs(10);
+/// Largest head in bytes.
+const HEAD_BYTES: usize = 32 * 1024;
+/// Pause after a failed accept, such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers requests.
+pub trait Handle: 'static {
+    /// Answers one request.
+    fn handle(self: Rc<Self>, request: Request<Incoming>) -> impl Future<Output = Answer>;
+}
+
+/// Accepts connections until `stop` turns true, then lets the requests in flight finish.
+///
+/// Must run inside a [`tokio::task::LocalSet`].
+pub async fn serve<H: Handle>(
+    listener: TcpListener,
+    handler: Rc<H>,
+    mut stop: watch::Receiver<bool>,
+) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    let task = connection(stream, Rc::clone(&handler), stop.clone());
+                    connections.spawn_local(task);
+                }
+                Err(error) => {
+                    log::warn!(error:%; "cannot accept a connection");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            _ = stop.wait_for(|s| *s) => break,
+            Some(_) = connections.join_next() => {}
+        }
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+async fn connection<H: Handle>(
+    stream: TcpStream,
+    handler: Rc<H>,
+    mut stop: watch::Receiver<bool>,
+) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        // A task of its own: a caller that goes away does not end the work on its request.
+        let work = spawn_local(Rc::clone(&handler).handle(request));
+        async move { Ok::<_, Infallible>(joined(work.await)) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIME)
+        .max_buf_size(HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        _ = stop.wait_for(|s| *s) => {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
+}
+
+fn joined(result: Result<Answer, tokio::task::JoinError>) -> Answer {
+    result.unwrap_or_else(|error| {
+        log::error!(error:%; "a request's task failed");
+        crate::http::refusal(&bronzespool::core::Code::Internal.into(), "")
+    })
+}
--- a/crates/bronzespoold/src/main.rs
+++ b/crates/bronzespoold/src/main.rs
@@ -1,3 +1,7 @@
-//! Start of the program.
+//! The bronzespool daemon.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    bronzespoold::run(pico_args::Arguments::from_env())
+}
