feat(flow): claims of idempotency keys and the agent's admission

Claims is a deterministic state machine over log records. Two proposals for one key may be in the log at once, so apply and not request decides who won. Admission bounds its memory by an expiry on the agent's own clock that is fixed before the attempt is claimed: a fence needs to live only until then, and a forgotten outcome raises a watermark so that it is never reported as fenced.

Ruled out: expiry stamped when the request is sent (a frozen entry could send a fresh-looking copy after its fence was dropped); keeping fences for a fixed time by the entry's clock (clocks are never compared).

--- /dev/null
+++ b/crates/bronzespool-flow/src/claim/mod.rs
@@ -0,0 +1,30 @@
+//! Durable claims of idempotency keys: the replicated part of at-most-once execution.
+//!
+//! [`Claims`] is a deterministic state machine. The leader asks [`Claims::request`] what holds
+//! for a key and, if it is new, proposes the returned [`Record`]. Only the result of
+//! [`Claims::apply`] for the committed record tells whether the claim was won: two proposals for
+//! one key may be in the log at once, and the first one wins.
+//!
+//! A key moves through these states:
+//!
+//! | state | reached by | left by |
+//! |---|---|---|
+//! | open | `Claimed` | `Settled`, `Released`, `Lost`, `Gone` |
+//! | released | `Released`: the attempt never ran and never will | `Claimed` with the next attempt |
+//! | sealed | `Lost` or `Gone`: the attempt may have run | `Settled`, when the answer turns up late |
+//! | done | `Settled` | – |
+//!
+//! Every state ends by `Expired`. A key that may have run is then remembered by its fingerprint
+//! and refused.
+
+mod id;
+mod record;
+mod state;
+mod used;
+
+pub use self::{
+    id::{ClaimId, Fingerprint, Incarnation},
+    record::{Answer, Body, Change, Completion, Record},
+    state::{Applied, Claims, Decision, Existing, Horizon, Request, State},
+    used::Used,
+};
--- a/crates/bronzespool-flow/src/lib.rs
+++ b/crates/bronzespool-flow/src/lib.rs
@@ -1,1 +1,30 @@
-//! Claims, fences, limits, retries, routing and drains, free of I/O.
+//! Request path logic, free of I/O: claims, admission, limits, retries, routing and burn reports.
+//!
+//! Every function takes the time as a parameter; nothing here reads a clock or a socket.
+//!
+//! ```
+//! use {
+//!     bronzespool_core::{Digest, Instance, Key, Kind, Service, Team, Time},
+//!     bronzespool_flow::claim::{Applied, ClaimId, Claims, Decision, Horizon, Incarnation, Request},
+//! };
+//!
+//! let id = ClaimId {
+//!     team: Team::try_from("arima")?,
+//!     service: Service::try_from("flight-desk")?,
+//!     kind: Kind::try_from("logbook")?,
+//!     key: Key::try_from("7f3a")?,
+//! };
+//! let target = Incarnation { instance: Instance::try_from("w1")?, number: 1 };
+//! let request = Request { id, digest: Digest::of(b"{}"), target, expires: Time::from_secs(60) };
+//! let mut claims = Claims::default();
+//! let Decision::New(record) = claims.request(&Horizon::default(), Time::ZERO, &request) else {
+//!     unreachable!("the key is new");
+//! };
+//! assert_eq!(claims.apply(&record), Applied::Claimed { attempt: 1 });
+//! let second = claims.request(&Horizon::default(), Time::ZERO, &request);
+//! assert!(matches!(second, Decision::Existing(_)));
+//! # Ok::<(), bronzespool_core::name::Error>(())
+//! ```
+
+pub mod admit;
+pub mod claim;
--- /dev/null
+++ b/crates/bronzespool-flow/tests/admission.rs
@@ -0,0 +1,205 @@
+//! Admission: one start per attempt, fences, outcomes, slots and bounded memory.
+
+use {
+    bronzespool_core::{Capacity, Code, Digest, Instance, Key, Kind, Service, Team, Time},
+    bronzespool_flow::{
+        admit::{Admission, Attempt, AttemptId, Lane, Limits, PeerClock, Start, Status},
+        claim::{Answer, Body, ClaimId, Completion, Incarnation},
+    },
+    std::time::Duration,
+};
+
+const NOW: Time = Time::from_secs(10);
+
+fn id(key: &str) -> ClaimId {
+    ClaimId {
+        team: Team::try_from("arima").unwrap(),
+        service: Service::try_from("flight-desk").unwrap(),
+        kind: Kind::try_from("logbook").unwrap(),
+        key: Key::try_from(key).unwrap(),
+    }
+}
+
+fn own(number: u64) -> Incarnation {
+    Incarnation { instance: Instance::try_from("w1").unwrap(), number }
+}
+
+fn copy(key: &str, attempt: u32, expires: u64) -> Attempt {
+    let expires = Time::from_secs(expires);
+    let name = AttemptId { id: id(key), attempt, target: own(1), expires };
+    Attempt { name, digest: Digest::of(b"body"), slots: 1 }
+}
+
+fn admission(slots: u32, connections: u32) -> Admission {
+    let capacity = Capacity { slots, connections, ..Capacity::default() };
+    let limits = Limits {
+        life: Duration::from_secs(100),
+        hold: Duration::from_secs(50),
+        entries: 4,
+        bytes: 10,
+    };
+    let mut admission = Admission::new(own(1), &capacity, limits);
+    admission.session(Time::MAX);
+    admission
+}
+
+fn answered(len: usize) -> Completion {
+    Completion::Answered(Answer {
+        status: 200,
+        content: "".into(),
+        body: Body::Whole(vec![1; len].into()),
+    })
+}
+
+#[test]
+fn start_second_copy_is_known() {
+    let mut agent = admission(2, 2);
+    let copy = copy("a", 1, 20);
+    assert_eq!(agent.start(NOW, &copy), Start::Run(Lane::New));
+    assert_eq!(agent.start(NOW, &copy), Start::Known(Status::Started));
+    assert!(agent.finish(NOW, &copy.name.id, 1, 1, true, &answered(2)));
+    assert!(!agent.finish(NOW, &copy.name.id, 1, 1, true, &answered(3)));
+    assert_eq!(agent.start(NOW, &copy), Start::Known(Status::Finished(answered(2))));
+    assert_eq!((agent.slots().used(), agent.slots().idle()), (0, 1));
+}
+
+#[test]
+fn start_after_fence_is_refused() {
+    let mut agent = admission(2, 2);
+    let copy = copy("a", 1, 20);
+    assert_eq!(agent.ask(NOW, &copy.name), Status::Unseen);
+    assert_eq!(agent.fence(NOW, &copy.name), Status::Fenced);
+    assert_eq!(agent.start(NOW, &copy), Start::Refused(Code::Fenced));
+    let late = Time::from_secs(20);
+    assert_eq!(agent.start(late, &copy), Start::Refused(Code::DeadlinePassed));
+}
+
+#[test]
+fn fence_after_start_tells_outcome() {
+    let mut agent = admission(2, 2);
+    let copy = copy("a", 1, 20);
+    agent.start(NOW, &copy);
+    assert_eq!(agent.fence(NOW, &copy.name), Status::Started);
+    agent.finish(NOW, &copy.name.id, 1, 1, false, &answered(1));
+    assert_eq!(agent.fence(NOW, &copy.name), Status::Finished(answered(1)));
+}
+
+#[test]
+fn start_next_attempt_runs_after_fence_only() {
+    let mut agent = admission(2, 2);
+    agent.fence(NOW, &copy("a", 1, 20).name);
+    assert_eq!(agent.start(NOW, &copy("a", 2, 30)), Start::Run(Lane::New));
+    assert_eq!(agent.start(NOW, &copy("a", 1, 20)), Start::Refused(Code::Fenced));
+    assert_eq!(agent.ask(NOW, &copy("a", 1, 20).name), Status::Fenced);
+    assert_eq!(agent.start(NOW, &copy("a", 3, 40)), Start::Refused(Code::Internal));
+    assert_eq!(agent.ask(NOW, &copy("a", 2, 30).name), Status::Started);
+}
+
+#[test]
+fn start_other_incarnation_is_refused() {
+    let mut agent = admission(2, 2);
+    let mut copy = copy("a", 1, 20);
+    copy.name.target = own(2);
+    assert_eq!(agent.start(NOW, &copy), Start::Refused(Code::IncarnationGone));
+    assert_eq!(agent.fence(NOW, &copy.name), Status::Forgotten);
+}
+
+#[test]
+fn start_refused_is_fenced() {
+    let mut agent = admission(2, 2);
+    agent.session(NOW);
+    let copy = copy("a", 1, 20);
+    assert_eq!(agent.start(NOW, &copy), Start::Refused(Code::NoSession));
+    agent.session(Time::MAX);
+    assert_eq!(agent.start(NOW, &copy), Start::Refused(Code::Fenced));
+}
+
+#[test]
+fn start_draining_is_refused() {
+    let mut agent = admission(2, 2);
+    assert_eq!(agent.enter(NOW, 1), Ok(Lane::New));
+    agent.drain();
+    assert_eq!(agent.start(NOW, &copy("a", 1, 20)), Start::Refused(Code::Draining));
+    assert_eq!(agent.enter(NOW, 1), Err(Code::Draining));
+    assert!(!agent.idle());
+    agent.leave(1, false);
+    assert!(agent.idle());
+}
+
+#[test]
+fn start_far_expiry_is_refused() {
+    let mut agent = admission(2, 2);
+    let copy = copy("a", 1, 111);
+    assert_eq!(agent.start(NOW, &copy), Start::Refused(Code::MessageCorrupt));
+    assert_eq!(agent.fence(NOW, &copy.name), Status::Forgotten);
+    assert_eq!(agent.remembered(), 0);
+}
+
+#[test]
+fn enter_never_exceeds_slots_or_connections() {
+    let mut agent = admission(3, 2);
+    assert_eq!(agent.enter(NOW, 2), Ok(Lane::New));
+    assert_eq!(agent.enter(NOW, 2), Err(Code::Overloaded));
+    assert_eq!(agent.enter(NOW, 1), Ok(Lane::New));
+    agent.leave(2, true);
+    assert_eq!(agent.enter(NOW, 1), Ok(Lane::Idle));
+    assert_eq!(agent.enter(NOW, 1), Err(Code::Overloaded));
+}
+
+#[test]
+fn fence_forgotten_outcome_is_not_fenced() {
+    let mut agent = admission(2, 2);
+    let copy = copy("a", 1, 20);
+    agent.start(NOW, &copy);
+    agent.finish(NOW, &copy.name.id, 1, 1, false, &answered(1));
+    assert_eq!(agent.fence(Time::from_secs(69), &copy.name), Status::Finished(answered(1)));
+    assert_eq!(agent.fence(Time::from_secs(70), &copy.name), Status::Forgotten);
+    assert_eq!(agent.remembered(), 0);
+}
+
+#[test]
+fn start_evicted_fence_is_refused() {
+    let mut agent = admission(2, 2);
+    for (key, expires) in [("a", 20), ("b", 21), ("c", 22), ("d", 23), ("e", 24)] {
+        agent.fence(NOW, &copy(key, 1, expires).name);
+    }
+    assert_eq!(agent.remembered(), 4);
+    assert_eq!(agent.fence(NOW, &copy("a", 1, 20).name), Status::Fenced);
+    assert_eq!(agent.start(NOW, &copy("a", 1, 20)), Start::Refused(Code::Fenced));
+}
+
+#[test]
+fn start_evicted_outcome_is_forgotten() {
+    let mut agent = admission(9, 9);
+    let first = copy("a", 1, 20);
+    agent.start(NOW, &first);
+    agent.finish(NOW, &first.name.id, 1, 1, false, &answered(1));
+    for key in ["b", "c", "d"] {
+        assert_eq!(agent.start(NOW, &copy(key, 1, 30)), Start::Run(Lane::New));
+    }
+    assert_eq!(agent.start(NOW, &copy("e", 1, 40)), Start::Run(Lane::New));
+    assert_eq!(agent.start(NOW, &first), Start::Known(Status::Forgotten));
+    assert_eq!(agent.fence(NOW, &first.name), Status::Forgotten);
+    assert_eq!(agent.start(NOW, &copy("f", 1, 50)), Start::Refused(Code::Overloaded));
+    assert_eq!(agent.start(NOW, &copy("f", 1, 50)), Start::Refused(Code::Fenced));
+}
+
+#[test]
+fn finish_answers_are_bounded() {
+    let mut agent = admission(9, 9);
+    for key in ["a", "b"] {
+        agent.start(NOW, &copy(key, 1, 20));
+        agent.finish(NOW, &id(key), 1, 1, false, &answered(8));
+    }
+    assert_eq!(agent.bytes(), 8);
+    let Status::Finished(Completion::Answered(old)) = agent.ask(NOW, &copy("a", 1, 20).name) else {
+        panic!("lost");
+    };
+    assert!(matches!(old.body, Body::Digest { len: 8, .. }));
+}
+
+#[test]
+fn peer_clock_is_never_ahead() {
+    let clock = PeerClock::new(Time::from_secs(100), Time::from_secs(5));
+    assert_eq!(clock.now(Time::from_secs(7)), Time::from_secs(102));
+}
