feat(core): read service files into a checked configuration

INI text becomes a document with lines, and a document a ServiceSpec by TryFrom. All faults of all files are listed in one run, each with file, line and key; unknown keys and sections are rejected with the nearest known name.

Ruled out: serde over the INI, since its errors lose the line and stop at the first fault.

--- a/crates/bronzespool-core/src/lib.rs
+++ b/crates/bronzespool-core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod digest;
 pub mod name;
 pub mod place;
+pub mod settings;
 pub mod shape;
 pub mod spec;
 pub mod time;
--- /dev/null
+++ b/crates/bronzespool-core/src/settings/document.rs
@@ -0,0 +1,182 @@
+//! Raw document: sections and keys with their lines.
+
+use {
+    crate::settings::{define, fault::Fault, near::nearest},
+    ini_core::{Item, Parser},
+    std::sync::Arc,
+};
+
+/// Largest settings file in bytes.
+pub const TEXT_MAX: usize = 1 << 20;
+
+/// A parsed text, before its values are checked.
+#[derive(Clone, Debug)]
+pub struct Document {
+    /// Path of the file, as faults name it.
+    pub file: Arc<str>,
+    /// Sections in the order of the file.
+    pub sections: Vec<Section>,
+    /// Lines that are no section, key or comment.
+    pub faults: Vec<Fault>,
+}
+
+/// A section of a document.
+#[derive(Clone, Debug)]
+pub struct Section {
+    /// First word of the header.
+    pub name: String,
+    /// Second word of the header; empty when there is none.
+    pub label: String,
+    /// Line of the header.
+    pub line: u32,
+    /// Keys in the order of the file.
+    pub entries: Vec<Entry>,
+}
+
+/// A key with its value.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Name of the key.
+    pub key: String,
+    /// Text of the value, trimmed.
+    pub value: String,
+    /// Line of the key.
+    pub line: u32,
+}
+
+impl Section {
+    /// The header as in the file.
+    pub fn header(&self) -> String {
+        if self.label.is_empty() {
+            return format!("[{}]", self.name);
+        }
+        format!("[{} {}]", self.name, self.label)
+    }
+
+    /// The first entry of `key`.
+    pub fn entry(&self, key: &str) -> Option<&Entry> {
+        self.entries.iter().find(|entry| entry.key == key)
+    }
+}
+
+impl Document {
+    /// Splits `text` into sections and keys; `file` is the path that faults name.
+    pub fn parse(file: &str, text: &str) -> Self {
+        let mut document = Self { file: file.into(), sections: Vec::new(), faults: Vec::new() };
+        if text.len() > TEXT_MAX {
+            document.fault(0, "file", format!("has over {TEXT_MAX} bytes: split it"));
+            return document;
+        }
+        let text = text.strip_prefix('\u{feff}').unwrap_or(text);
+        let mut parser = Parser::new(text).auto_trim(true);
+        loop {
+            let line = parser.line() + 1;
+            let Some(item) = parser.next() else { return document };
+            document.push(line, item);
+        }
+    }
+
+    fn push(&mut self, line: u32, item: Item<'_>) {
+        match item {
+            Item::Section(header) => self.open(line, header),
+            Item::Property(key, _) if key.starts_with(';') => {}
+            Item::Property(key, None) => {
+                let message = "is no key: write 'key = value', and comments after ';'";
+                self.fault(line, key, message.to_owned());
+            }
+            Item::Property(key, Some(value)) => self.add(line, key, value),
+            Item::Error(text) => {
+                let message = "is no section header: end the line with ']'";
+                self.fault(line, text, message.to_owned());
+            }
+            Item::SectionEnd | Item::Comment(_) | Item::Blank => {}
+        }
+    }
+
+    fn open(&mut self, line: u32, header: &str) {
+        let (name, label) = header.split_once(char::is_whitespace).unwrap_or((header, ""));
+        let (name, label) = (name.to_owned(), label.trim().to_owned());
+        let section = Section { name, label, line, entries: Vec::new() };
+        let known = self.sections.iter();
+        let first = known
+            .filter(|s| s.name == section.name && s.label == section.label)
+            .min_by_key(|s| s.line);
+        if let Some(first) = first {
+            let message = format!("stands twice: first on line {}, keep one", first.line);
+            self.fault(line, &section.header(), message);
+        }
+        self.sections.push(section);
+    }
+
+    fn add(&mut self, line: u32, key: &str, value: &str) {
+        let Some(section) = self.sections.last_mut() else {
+            let message = "stands before any section: put it under its '[section]'";
+            return self.fault(line, key, message.to_owned());
+        };
+        if let Some(first) = section.entry(key) {
+            let message = format!("stands twice: first on line {}, keep one", first.line);
+            let key = format!("{} {key}", section.header());
+            return self.fault(line, &key, message);
+        }
+        section.entries.push(Entry { key: key.to_owned(), value: value.to_owned(), line });
+    }
+
+    fn fault(&mut self, line: u32, key: &str, message: String) {
+        let key = key.chars().take(KEY_SHOWN).collect();
+        self.faults.push(Fault { file: self.file.clone(), line, key, message });
+    }
+
+    /// Faults of the text itself and of sections and keys that `sections` does not define.
+    pub(super) fn check(&self, sections: &[define::Section]) -> Vec<Fault> {
+        let mut faults = self.faults.clone();
+        for section in &self.sections {
+            match sections.iter().find(|def| def.name == section.name) {
+                Some(def) => self.check_section(section, def, &mut faults),
+                None => faults.push(self.unknown_section(section, sections)),
+            }
+        }
+        faults
+    }
+
+    fn check_section(&self, section: &Section, def: &define::Section, faults: &mut Vec<Fault>) {
+        let label = match def.label {
+            Some(label) if section.label.is_empty() => {
+                Some(format!("lacks a name: write '[{} {label}]'", def.name))
+            }
+            None if !section.label.is_empty() => {
+                Some(format!("takes no name: write '[{}]'", def.name))
+            }
+            _ => None,
+        };
+        faults.extend(label.map(|message| self.at(section.line, section.header(), message)));
+        for entry in section.entries.iter().filter(|entry| def.key(&entry.key).is_none()) {
+            let known = def.keys.iter().map(|key| key.name);
+            let message = unknown("key", &entry.key, known);
+            let key = format!("{} {}", section.header(), entry.key);
+            faults.push(self.at(entry.line, key, message));
+        }
+    }
+
+    fn unknown_section(&self, section: &Section, sections: &[define::Section]) -> Fault {
+        let known = sections.iter().map(|def| def.name);
+        self.at(section.line, section.header(), unknown("section", &section.name, known))
+    }
+
+    /// A fault of this file.
+    pub(super) fn at(&self, line: u32, key: String, message: String) -> Fault {
+        Fault { file: self.file.clone(), line, key, message }
+    }
+}
+
+/// Characters of a faulty line that a fault repeats.
+const KEY_SHOWN: usize = 80;
+
+fn unknown<'a>(what: &str, name: &str, known: impl Iterator<Item = &'a str> + Clone) -> String {
+    match nearest(name, known.clone()) {
+        Some(near) => format!("is no known {what}: did you mean '{near}'?"),
+        None => {
+            let known: Vec<_> = known.collect();
+            format!("is no known {what}: use one of {}", known.join(", "))
+        }
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-core/src/settings/fault.rs
@@ -0,0 +1,80 @@
+//! Faults of a settings file.
+
+use {
+    displaydoc::Display,
+    serde::{Deserialize, Serialize},
+    std::{fmt, ops::Deref, sync::Arc},
+};
+
+/// Result of reading settings.
+pub type Result<T> = std::result::Result<T, Faults>;
+
+/// {file}:{line}: {key}: {message}
+///
+/// One fault of a file and what to do about it.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[ignore_extra_doc_attributes]
+pub struct Fault {
+    /// Path of the file.
+    pub file: Arc<str>,
+    /// Line from 1; 0 when the fault is the whole file's.
+    pub line: u32,
+    /// Section and key, such as `[kind quota-check] deadline`.
+    pub key: String,
+    /// What is wrong and what to do.
+    pub message: String,
+}
+
+/// All faults found in one run, in the order of files and lines.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Faults(pub Vec<Fault>);
+
+impl Faults {
+    /// `value` if there are no faults, else the faults in the order of their lines.
+    pub fn into_result<T>(mut self, value: Option<T>) -> Result<T> {
+        match value {
+            Some(value) if self.0.is_empty() => Ok(value),
+            _ => {
+                self.0.sort_by(|a, b| (&a.file, a.line).cmp(&(&b.file, b.line)));
+                Err(self)
+            }
+        }
+    }
+}
+
+impl std::error::Error for Faults {}
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, fault) in self.0.iter().enumerate() {
+            if i > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{fault}")?;
+        }
+        Ok(())
+    }
+}
+
+impl Deref for Faults {
+    type Target = [Fault];
+
+    fn deref(&self) -> &[Fault] {
+        &self.0
+    }
+}
+
+impl IntoIterator for Faults {
+    type Item = Fault;
+    type IntoIter = std::vec::IntoIter<Fault>;
+
+    fn into_iter(self) -> Self::IntoIter {
+        self.0.into_iter()
+    }
+}
+
+impl From<Fault> for Faults {
+    fn from(fault: Fault) -> Self {
+        Self(vec![fault])
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-core/src/settings/mod.rs
@@ -0,0 +1,33 @@
+//! Settings in INI: service files, process settings and deployments.
+//!
+//! A text becomes a [`Document`] with line numbers, and a document becomes a checked type by
+//! `TryFrom`. All faults of a document are listed in one run; each names file, line and key.
+//!
+//! ```
+//! use bronzespool_core::settings::parse_service;
+//!
+//! let text = "[service]\nname = permit-desk\n[kind quota-check]\nmode = request\n";
+//! let spec = parse_service("service.ini", text).unwrap();
+//! assert_eq!(spec.name.as_str(), "permit-desk");
+//!
+//! let text = "[service]\nname = permit-desk\n[kind quota-check]\nmod = request\n";
+//! let faults = parse_service("service.ini", text).unwrap_err();
+//! assert!(faults.to_string().contains("service.ini:4: [kind quota-check] mod"));
+//! assert!(faults.to_string().contains("did you mean 'mode'?"));
+//! ```
+
+pub mod define;
+pub mod document;
+pub mod fault;
+mod near;
+mod reader;
+pub mod service;
+pub mod source;
+pub mod value;
+
+pub use self::{
+    document::Document,
+    fault::{Fault, Faults, Result},
+    service::parse_service,
+    source::{Source, merge_services, read_services},
+};
--- /dev/null
+++ b/crates/bronzespool-core/src/settings/near.rs
@@ -0,0 +1,32 @@
+//! Nearest known name to a mistyped one.
+
+/// Longest name compared, in characters.
+const LEN_MAX: usize = 64;
+
+/// The known name nearest to `text`, if a third of its characters or fewer differ.
+pub(super) fn nearest<'a>(text: &str, known: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    if text.chars().count() > LEN_MAX {
+        return None;
+    }
+    known
+        .map(|name| (distance(text, name), name))
+        .filter(|&(distance, name)| distance <= name.len().div_ceil(3))
+        .min()
+        .map(|(_, name)| name)
+}
+
+/// Levenshtein distance in characters.
+fn distance(a: &str, b: &str) -> usize {
+    let b: Vec<char> = b.chars().collect();
+    let mut row: Vec<usize> = (0..=b.len()).collect();
+    for (i, x) in a.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = i + 1;
+        for (j, &y) in b.iter().enumerate() {
+            let replaced = diagonal + usize::from(x != y);
+            diagonal = row[j + 1];
+            row[j + 1] = replaced.min(row[j] + 1).min(diagonal + 1);
+        }
+    }
+    row[b.len()]
+}
--- /dev/null
+++ b/crates/bronzespool-core/src/settings/reader.rs
@@ -0,0 +1,100 @@
+//! Reads checked values from one section, collecting faults.
+
+use {
+    crate::settings::{
+        define::{self, Absent},
+        document::{Document, Section},
+        fault::Fault,
+    },
+    std::fmt::Display,
+};
+
+/// Reads the keys of one section.
+pub(super) struct Reader<'a> {
+    document: &'a Document,
+    section: &'a Section,
+    def: &'static define::Section,
+    faults: &'a mut Vec<Fault>,
+}
+
+impl<'a> Reader<'a> {
+    pub(super) const fn new(
+        document: &'a Document,
+        section: &'a Section,
+        def: &'static define::Section,
+        faults: &'a mut Vec<Fault>,
+    ) -> Self {
+        Self { document, section, def, faults }
+    }
+
+    /// The value of `key` or its default; none after a fault.
+    pub(super) fn get<T>(&mut self, key: &str) -> Option<T>
+    where
+        T: for<'t> TryFrom<&'t str, Error: Display>,
+    {
+        if self.has(key) {
+            return self.optional(key).flatten();
+        }
+        match self.def.key(key).map(|def| def.absent) {
+            Some(Absent::Value(text)) => self.convert(key, text),
+            _ => {
+                self.fault(key, "is missing: add it to this section".to_owned());
+                None
+            }
+        }
+    }
+
+    /// The value of `key`; the inner option is none when it is left out, the outer after a fault.
+    pub(super) fn optional<T>(&mut self, key: &str) -> Option<Option<T>>
+    where
+        T: for<'t> TryFrom<&'t str, Error: Display>,
+    {
+        match self.section.entry(key) {
+            Some(entry) => self.convert(key, &entry.value).map(Some),
+            None => Some(None),
+        }
+    }
+
+    /// The name in the section's header; none after a fault.
+    pub(super) fn label<T>(&mut self) -> Option<T>
+    where
+        T: for<'t> TryFrom<&'t str, Error: Display>,
+    {
+        if self.section.label.is_empty() {
+            return None;
+        }
+        match T::try_from(&self.section.label) {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.fault("", error.to_string());
+                None
+            }
+        }
+    }
+
+    pub(super) fn has(&self, key: &str) -> bool {
+        self.section.entry(key).is_some()
+    }
+
+    /// Adds a fault at `key`, or at the header when the section has no such key.
+    pub(super) fn fault(&mut self, key: &str, message: String) {
+        let line = self.section.entry(key).map_or(self.section.line, |entry| entry.line);
+        let key = format!("{} {key}", self.section.header());
+        self.faults.push(self.document.at(line, key.trim_end().to_owned(), message));
+    }
+
+    fn convert<T>(&mut self, key: &str, text: &str) -> Option<T>
+    where
+        T: for<'t> TryFrom<&'t str, Error: Display>,
+    {
+        match T::try_from(text) {
+            Ok(value) => Some(value),
+            Err(error) => {
+                let comment = text.contains(';');
+                let hint = if comment { "; a comment stands on a line of its own" } else { "" };
+                self.fault(key, format!("{error}{hint}"));
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-core/src/settings/source.rs
@@ -0,0 +1,134 @@
+//! Service files found in folders and merged into one configuration.
+
+use {
+    crate::{
+        name::Service,
+        settings::{
+            document::TEXT_MAX,
+            fault::{Fault, Faults, Result},
+            service::parse_service,
+        },
+        spec::Config,
+    },
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::BTreeMap,
+        fs, io,
+        path::{Path, PathBuf},
+    },
+};
+
+/// Name of a service file.
+pub const SERVICE_FILE: &str = "service.ini";
+/// Depth of folders that are searched.
+const DEPTH_MAX: u32 = 32;
+
+/// Text of one service file.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Source {
+    /// Path of the file, as faults name it.
+    pub path: String,
+    /// Its text.
+    pub text: String,
+}
+
+/// Reads files, and every `service.ini` under folders, into one configuration of revision 0.
+///
+/// # Errors
+///
+/// All faults of all files, unreadable paths among them.
+pub fn read_services(paths: &[PathBuf]) -> Result<(Config, Vec<Source>)> {
+    let mut faults = Vec::new();
+    let mut files = Vec::new();
+    for path in paths {
+        let known = files.len();
+        if let Err(error) = find(path, 0, &mut files) {
+            faults.push(unreadable(path, &error));
+        } else if files.len() == known {
+            let message = format!("holds no {SERVICE_FILE}: name the folder of a service");
+            faults.push(whole(path, message));
+        }
+    }
+    files.sort();
+    files.dedup();
+    let mut sources = Vec::new();
+    for file in &files {
+        match read(file) {
+            Ok(source) => sources.push(source),
+            Err(error) => faults.push(unreadable(file, &error)),
+        }
+    }
+    let config = merge_services(&sources).map_err(|more| faults.extend(more));
+    Faults(faults).into_result(config.ok().map(|config| (config, sources)))
+}
+
+/// Merges the texts of service files into one configuration of revision 0.
+///
+/// # Errors
+///
+/// All faults of all texts; a service that two of them declare names both.
+pub fn merge_services(sources: &[Source]) -> Result<Config> {
+    let mut faults = Vec::new();
+    let mut config = Config::default();
+    let mut places: BTreeMap<Service, &str> = BTreeMap::new();
+    for source in sources {
+        let spec = match parse_service(&source.path, &source.text) {
+            Ok(spec) => spec,
+            Err(more) => {
+                faults.extend(more);
+                continue;
+            }
+        };
+        if let Some(first) = places.insert(spec.name.clone(), &source.path) {
+            faults.push(twice(source, &spec.name, first));
+        }
+        config.services.insert(spec.name.clone(), spec);
+    }
+    Faults(faults).into_result(Some(config))
+}
+
+fn twice(source: &Source, name: &Service, first: &str) -> Fault {
+    let message = format!("'{name}' is declared by {first} too: keep one file for each service");
+    let named = |line: &str| line.split('=').next().is_some_and(|key| key.trim() == "name");
+    let line = source.text.lines().position(named).map_or(0, |i| i + 1);
+    let line = u32::try_from(line).unwrap_or(0);
+    Fault { file: source.path.as_str().into(), line, key: "[service] name".to_owned(), message }
+}
+
+fn find(path: &Path, depth: u32, files: &mut Vec<PathBuf>) -> io::Result<()> {
+    if !fs::metadata(path)?.is_dir() {
+        files.push(path.to_owned());
+        return Ok(());
+    }
+    if depth == DEPTH_MAX {
+        return Ok(());
+    }
+    for entry in fs::read_dir(path)? {
+        let entry = entry?;
+        let name = entry.file_name();
+        let kind = entry.file_type()?;
+        if kind.is_dir() && !name.to_string_lossy().starts_with('.') {
+            find(&entry.path(), depth + 1, files)?;
+        } else if kind.is_file() && name == SERVICE_FILE {
+            files.push(entry.path());
+        }
+    }
+    Ok(())
+}
+
+fn read(path: &Path) -> io::Result<Source> {
+    let size = fs::metadata(path)?.len();
+    if size > TEXT_MAX as u64 {
+        return Err(io::Error::other(format!("over {TEXT_MAX} bytes")));
+    }
+    Ok(Source { path: path.display().to_string(), text: fs::read_to_string(path)? })
+}
+
+fn unreadable(path: &Path, error: &io::Error) -> Fault {
+    whole(path, format!("cannot be read ({error}): check the path and its permissions"))
+}
+
+fn whole(path: &Path, message: String) -> Fault {
+    let file = path.display().to_string();
+    Fault { file: file.into(), line: 0, key: "file".to_owned(), message }
+}
