--- a/crates/bronzespool-core/src/lib.rs
+++ b/crates/bronzespool-core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod name;
 pub mod place;
 pub mod refusal;
+pub mod settings;
 pub mod shape;
 pub mod spec;
 pub mod time;
