--- a/crates/bronzespool-consensus/src/lib.rs
+++ b/crates/bronzespool-consensus/src/lib.rs
@@ -1,1 +1,53 @@
 //! Replicated log with elections, membership and snapshots, free of I/O.
+//!
+//! A [`Node`] is one replica. Its input is a point in time and a message, a proposal or the end
+//! of a write; its output is a [`Ready`]: records to make durable, messages to send, committed
+//! entries to apply and reads that may be answered. Nothing that depends on a record leaves the
+//! node before [`Node::synced`] has reported the record durable.
+//!
+//! ```
+//! use bronzespool_consensus::{Node, Settings, Storage, fake::MemoryStorage};
+//! use bronzespool_core::{Instance, Time};
+//!
+//! let name = Instance::try_from("control-1").unwrap();
+//! let mut disk = MemoryStorage::default();
+//! let settings = Settings::new(name.clone(), vec![name], 7);
+//! let mut node = Node::open(settings, disk.load()?, Time::ZERO)?;
+//! let mut now = Time::ZERO;
+//! while !node.is_leader() {
+//!     now = node.wake().max(now);
+//!     node.tick(now);
+//!     let ready = node.ready();
+//!     disk.write(&ready.writes)?;
+//!     node.synced(now, ready.ticket);
+//! }
+//! let index = node.propose(now, b"set a 1".to_vec())?;
+//! let ready = node.ready();
+//! disk.write(&ready.writes)?;
+//! node.synced(now, ready.ticket);
+//! let applied = node.ready().committed;
+//! assert_eq!(applied.last().map(|e| e.index), Some(index));
+//! # Ok::<(), bronzespool_consensus::Error>(())
+//! ```
+
+mod entry;
+mod error;
+pub mod fake;
+mod log;
+mod members;
+mod message;
+mod node;
+mod settings;
+mod snapshot;
+mod storage;
+
+pub use crate::{
+    entry::{Change, Entry, Id, Index, Payload, Term},
+    error::{Error, Result},
+    members::{Member, Members},
+    message::{Body, MESSAGE_MAX_BYTES, Message},
+    node::{Node, Read, Ready, Replica, Role, Status, Ticket},
+    settings::Settings,
+    snapshot::{Meta, Snapshot},
+    storage::{Hard, Restored, Storage, Write},
+};
--- /dev/null
+++ b/crates/bronzespool-consensus/src/log.rs
@@ -0,0 +1,115 @@
+//! The log in memory: the entries since a snapshot and the memberships in them.
+
+use {
+    crate::{
+        entry::{Change, Entry, Index, Term},
+        members::Members,
+    },
+    std::collections::VecDeque,
+};
+
+/// Entries after `base`.
+#[derive(Debug, Default)]
+pub(crate) struct Log {
+    base: Index,
+    base_term: Term,
+    entries: VecDeque<Entry>,
+    sets: Vec<(Index, Members)>,
+}
+
+impl Log {
+    pub(crate) fn new(base: Index, base_term: Term, members: Members) -> Self {
+        Self { base, base_term, entries: VecDeque::new(), sets: vec![(base, members)] }
+    }
+
+    pub(crate) const fn base(&self) -> Index {
+        self.base
+    }
+
+    pub(crate) fn last(&self) -> Index {
+        self.base + self.entries.len() as u64
+    }
+
+    pub(crate) fn last_term(&self) -> Term {
+        self.entries.back().map_or(self.base_term, |e| e.term)
+    }
+
+    /// Term of an entry, none where the log does not hold it.
+    pub(crate) fn term(&self, index: Index) -> Option<Term> {
+        if index == self.base {
+            return Some(self.base_term);
+        }
+        self.get(index).map(|e| e.term)
+    }
+
+    pub(crate) fn get(&self, index: Index) -> Option<&Entry> {
+        let at = index.checked_sub(self.base + 1)?;
+        self.entries.get(usize::try_from(at).ok()?)
+    }
+
+    /// Entries from an index on, at least one if there is any, up to a number of bytes.
+    pub(crate) fn slice(&self, from: Index, max: usize) -> Vec<Entry> {
+        let mut size = 0;
+        let mut out = Vec::new();
+        let mut index = from;
+        while let Some(entry) = self.get(index) {
+            size += entry.size();
+            if size > max && !out.is_empty() {
+                break;
+            }
+            out.push(entry.clone());
+            index += 1;
+        }
+        out
+    }
+
+    pub(crate) fn push(&mut self, entry: Entry) {
+        debug_assert_eq!(entry.index, self.last() + 1);
+        if let Change::Members(members) = &entry.change {
+            self.sets.push((entry.index, members.clone()));
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Drops the entries from an index on.
+    pub(crate) fn truncate(&mut self, from: Index) {
+        let keep = from.saturating_sub(self.base + 1);
+        self.entries.truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+        self.sets.retain(|(index, _)| *index < from || *index <= self.base);
+    }
+
+    /// Drops the entries up to an index, which becomes the base.
+    pub(crate) fn compact(&mut self, to: Index) {
+        let Some(term) = self.term(to) else { return };
+        let count = usize::try_from(to - self.base).unwrap_or(usize::MAX);
+        self.entries.drain(..count);
+        (self.base, self.base_term) = (to, term);
+        let floor = self.sets.partition_point(|(index, _)| *index <= to);
+        self.sets.drain(..floor.saturating_sub(1));
+    }
+
+    /// Largest index up to `index` whose term is at most `term`: where two logs may agree.
+    pub(crate) fn agree(&self, index: Index, term: Term) -> (Index, Term) {
+        let mut at = index.min(self.last());
+        while at > self.base && self.term(at).is_some_and(|t| t > term) {
+            at -= 1;
+        }
+        (at, self.term(at).unwrap_or(0))
+    }
+
+    /// The newest membership, committed or not, and its index.
+    pub(crate) fn members(&self) -> &Members {
+        &self.sets[self.sets.len() - 1].1
+    }
+
+    /// Index of the newest membership.
+    pub(crate) fn members_index(&self) -> Index {
+        self.sets[self.sets.len() - 1].0
+    }
+
+    /// Membership in effect at an index.
+    pub(crate) fn members_at(&self, index: Index) -> &Members {
+        let floor = self.sets.partition_point(|(at, _)| *at <= index).max(1);
+        &self.sets[floor - 1].1
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-consensus/src/message.rs
@@ -0,0 +1,149 @@
+//! Messages between replicas.
+
+use {
+    crate::{
+        entry::{Entry, Id, Index, Payload, Term},
+        error::{Error, Result},
+        members::Members,
+        snapshot::Meta,
+    },
+    bronzespool_core::Code,
+    serde::{Deserialize, Serialize},
+};
+
+/// Version of the message format.
+const VERSION: u8 = 1;
+/// Bytes before the body: version and checksum.
+const HEADER_BYTES: usize = 5;
+/// Largest encoded message.
+pub const MESSAGE_MAX_BYTES: usize = 16 << 20;
+
+/// One message from a replica to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    /// Identity of the cluster; zero from a replica that belongs to none.
+    pub cluster: u64,
+    /// Sender.
+    pub from: Id,
+    /// Receiver; zero where the sender does not know it.
+    pub to: Id,
+    /// Sender's term, or the term asked for in a vote.
+    pub term: Term,
+    /// Contents.
+    pub body: Body,
+}
+
+/// Contents of a message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// Request of a replica outside the set: who are you, and does the cluster exist?
+    Hello,
+    /// Answer to `Hello`.
+    Welcome {
+        /// Whether the asking identity was removed from the set.
+        retired: bool,
+    },
+    /// The first membership, from the instance that founds the cluster.
+    Genesis(Members),
+    /// Request for a vote.
+    Vote {
+        /// Whether it only asks if an election could be won.
+        trial: bool,
+        /// Last index of the candidate's log.
+        last_index: Index,
+        /// Term of that entry.
+        last_term: Term,
+    },
+    /// Answer to `Vote`.
+    Voted {
+        /// As in the request.
+        trial: bool,
+        /// Whether the vote is given.
+        granted: bool,
+    },
+    /// Entries that follow an entry.
+    Append {
+        /// Index of the entry before the first.
+        prev_index: Index,
+        /// Term of that entry.
+        prev_term: Term,
+        /// Commit index of the leader.
+        commit: Index,
+        /// Entries, may be empty.
+        entries: Vec<Entry>,
+    },
+    /// The log matches the leader's up to an index, durably.
+    Matched(Index),
+    /// The entry before the first is missing or has another term.
+    Rejected {
+        /// Index that was tried.
+        prev_index: Index,
+        /// Largest index that may match.
+        hint_index: Index,
+        /// Term at that index.
+        hint_term: Term,
+    },
+    /// The leader is in contact.
+    Heartbeat {
+        /// Number of the round.
+        seq: u64,
+        /// Commit index, as far as the receiver's log matches.
+        commit: Index,
+    },
+    /// Answer to `Heartbeat`.
+    Alive {
+        /// Number of the round.
+        seq: u64,
+    },
+    /// A part of a snapshot.
+    Chunk {
+        /// The whole snapshot's description.
+        meta: Meta,
+        /// Position of the part in bytes.
+        offset: u64,
+        /// The part.
+        bytes: Payload,
+    },
+    /// The next part that is wanted.
+    Wanted {
+        /// Index of the snapshot.
+        index: Index,
+        /// Position in bytes.
+        offset: u64,
+    },
+}
+
+impl Message {
+    /// Encodes the message with version and checksum.
+    pub fn encode(&self) -> Result<Vec<u8>> {
+        let mut bytes = vec![0; HEADER_BYTES];
+        bytes[0] = VERSION;
+        bytes = postcard::to_extend(self, bytes)
+            .map_err(|e| Error::fault(Code::Internal, format!("message: {e}")))?;
+        let crc = crc32fast::hash(&bytes[HEADER_BYTES..]);
+        bytes[1..HEADER_BYTES].copy_from_slice(&crc.to_le_bytes());
+        Ok(bytes)
+    }
+
+    /// Decodes a message, all of it or nothing.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        let corrupt = |detail: &str| Error::fault(Code::MessageCorrupt, detail);
+        let Some((&version, rest)) = bytes.split_first() else { return Err(corrupt("empty")) };
+        if version != VERSION {
+            let detail = format!("message version {version}");
+            return Err(Error::fault(Code::VersionUnknown, detail));
+        }
+        if bytes.len() > MESSAGE_MAX_BYTES {
+            return Err(corrupt("too long"));
+        }
+        let Some((crc, body)) = rest.split_first_chunk::<4>() else { return Err(corrupt("short")) };
+        if u32::from_le_bytes(*crc) != crc32fast::hash(body) {
+            return Err(corrupt("checksum"));
+        }
+        match postcard::take_from_bytes(body) {
+            Ok((message, [])) => Ok(message),
+            Ok(_) => Err(corrupt("trailing bytes")),
+            Err(e) => Err(corrupt(&e.to_string())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-consensus/src/node/append.rs
@@ -0,0 +1,90 @@
+//! The follower's side of replication.
+
+use {
+    super::Node,
+    crate::{
+        entry::{Entry, Id, Index, Term},
+        message::Body,
+        storage::Write,
+    },
+    bronzespool_core::Instance,
+};
+
+impl Node {
+    pub(super) fn on_heartbeat(&mut self, from: &Instance, id: Id, seq: u64, commit: Index) {
+        if self.is_leader() {
+            return;
+        }
+        self.follow(id);
+        self.commit_to(commit);
+        self.send_to(from, id, self.hard.term, Body::Alive { seq });
+    }
+
+    pub(super) fn on_append(
+        &mut self,
+        from: &Instance,
+        id: Id,
+        prev: (Index, Term),
+        commit: Index,
+        entries: Vec<Entry>,
+    ) {
+        if self.is_leader() || !is_chain(prev, &entries, self.hard.term) {
+            return;
+        }
+        self.follow(id);
+        let (prev_index, prev_term) = prev;
+        let known = prev_index < self.log.base() || self.log.term(prev_index) == Some(prev_term);
+        if !known {
+            let (hint_index, hint_term) = self.log.agree(prev_index, prev_term);
+            let body = Body::Rejected { prev_index, hint_index, hint_term };
+            self.send_to(from, id, self.hard.term, body);
+            return;
+        }
+        let matched = prev_index + entries.len() as u64;
+        if !self.merge(entries) {
+            return;
+        }
+        let matched = matched.max(self.log.base());
+        self.commit_to(commit.min(matched));
+        self.send_synced(from, id, self.hard.term, Body::Matched(matched));
+    }
+
+    /// Adds the entries that the log does not hold; false if they contradict committed ones.
+    fn merge(&mut self, entries: Vec<Entry>) -> bool {
+        let held = |e: &Entry| e.index <= self.log.base() || self.log.term(e.index) == Some(e.term);
+        let Some(at) = entries.iter().position(|e| !held(e)) else { return true };
+        let from = entries[at].index;
+        if from <= self.commit {
+            return false;
+        }
+        if from <= self.log.last() {
+            self.truncate(from);
+        }
+        for entry in entries.into_iter().skip(at) {
+            self.log.push(entry);
+        }
+        true
+    }
+
+    fn truncate(&mut self, from: Index) {
+        self.write(Write::Truncate(from));
+        self.log.truncate(from);
+        self.out.clip(from - 1);
+    }
+
+    pub(super) fn commit_to(&mut self, index: Index) {
+        self.commit = self.commit.max(index.min(self.log.last()));
+    }
+}
+
+/// Whether entries follow each other and the entry before them.
+fn is_chain(prev: (Index, Term), entries: &[Entry], term: Term) -> bool {
+    let (mut index, mut last) = prev;
+    for entry in entries {
+        if Some(entry.index) != index.checked_add(1) || entry.term < last || entry.term > term {
+            return false;
+        }
+        (index, last) = (entry.index, entry.term);
+    }
+    true
+}
--- /dev/null
+++ b/crates/bronzespool-consensus/src/node/joining.rs
@@ -0,0 +1,207 @@
+//! Founding of a cluster, entry of fresh replicas, changes of the replica set.
+
+use {
+    super::{Node, Phase},
+    crate::{
+        entry::{Change, Id, Index, Term},
+        members::{Member, Members},
+        message::{Body, Message},
+    },
+    bronzespool_core::{Instance, Time},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// Term of the entry that founds a cluster.
+const GENESIS_TERM: Term = 1;
+/// Election times of silence after which an identity may be replaced.
+const REPLACE_ELECTIONS: u32 = 4;
+/// Heartbeats between two requests of a replica outside the set.
+const HELLO_HEARTBEATS: u32 = 4;
+
+/// State of founding and joining.
+#[derive(Debug)]
+pub(super) struct Joining {
+    /// When to ask the peers again.
+    due: Time,
+    /// Blank peers that answered this identity.
+    blank: BTreeMap<Instance, Id>,
+    /// Identities outside the set that asked this leader.
+    asking: BTreeMap<Instance, Id>,
+}
+
+impl Joining {
+    pub(super) const fn new(now: Time) -> Self {
+        Self { due: now, blank: BTreeMap::new(), asking: BTreeMap::new() }
+    }
+}
+
+impl Node {
+    /// Whether this replica's log does not name it as a member.
+    pub(super) fn is_outside(&self) -> bool {
+        self.hard.cluster == 0 || self.log.members().get(self.hard.id).is_none()
+    }
+
+    pub(super) fn joining_due(&self) -> Time {
+        if self.is_outside() && !self.retired { self.joining.due } else { Time::MAX }
+    }
+
+    pub(super) fn tick_joining(&mut self) {
+        if self.now < self.joining_due() {
+            return;
+        }
+        self.joining.due = self.now + self.settings.heartbeat * HELLO_HEARTBEATS;
+        let own = self.settings.name.clone();
+        for name in self.settings.peers.clone().iter().filter(|n| **n != own) {
+            self.send_synced(name, Id(0), self.hard.term, Body::Hello);
+        }
+        self.found();
+    }
+
+    pub(super) fn on_hello(&mut self, from: &Instance, message: &Message) {
+        let id = message.from;
+        if message.cluster != 0 && message.cluster != self.hard.cluster {
+            return;
+        }
+        let members = self.log.members();
+        let retired = members.is_retired(id);
+        let listed = members.get(id).is_some();
+        self.send_synced(from, id, self.hard.term, Body::Welcome { retired });
+        if listed && message.cluster == 0 {
+            self.send_genesis(from, id);
+        }
+        if !listed && !retired && self.is_leader() {
+            self.joining.asking.insert(from.clone(), id);
+            self.maintain_members();
+        }
+    }
+
+    pub(super) fn on_welcome(&mut self, from: &Instance, message: &Message, retired: bool) {
+        if message.to != self.hard.id {
+            return;
+        }
+        if retired && message.cluster == self.hard.cluster {
+            self.retired = true;
+            return;
+        }
+        if message.cluster != 0 {
+            self.joining.blank.remove(from);
+            return;
+        }
+        self.joining.blank.insert(from.clone(), message.from);
+        self.found();
+    }
+
+    /// Founds the cluster if this instance is the first by name and every peer is blank.
+    ///
+    /// A peer's answer names this identity, so it was given after this disk was formatted. A
+    /// cluster that had accepted anything would be known to a peer that still has its disk.
+    fn found(&mut self) {
+        let first = self.settings.peers.iter().min() == Some(&self.settings.name);
+        if self.hard.cluster != 0 || !first {
+            return;
+        }
+        let own = (self.hard.id, self.settings.name.clone());
+        let mut replicas = vec![own];
+        for name in self.settings.peers.iter().filter(|n| **n != self.settings.name) {
+            let Some(&id) = self.joining.blank.get(name) else { return };
+            replicas.push((id, name.clone()));
+        }
+        let cluster = self.hard.id.0;
+        self.start_cluster(cluster, Members::initial(replicas.clone()));
+        for (id, name) in replicas.iter().skip(1) {
+            self.send_genesis(name, *id);
+        }
+    }
+
+    fn start_cluster(&mut self, cluster: u64, members: Members) {
+        self.hard.cluster = cluster;
+        self.hard.term = self.hard.term.max(GENESIS_TERM);
+        self.save();
+        let entry = crate::Entry { index: 1, term: GENESIS_TERM, change: Change::Members(members) };
+        self.log.push(entry);
+        self.reset_deadline();
+    }
+
+    /// Repeats the founding entry to a member that does not have it.
+    fn send_genesis(&mut self, name: &Instance, id: Id) {
+        let Some(entry) = self.log.get(1) else { return };
+        let Change::Members(members) = &entry.change else { return };
+        let body = Body::Genesis(members.clone());
+        self.send_synced(name, id, GENESIS_TERM, body);
+    }
+
+    pub(super) fn on_genesis(&mut self, to: Id, cluster: u64, members: Members) {
+        let own = members.get(self.hard.id).map(|m| &m.name);
+        let named = to == self.hard.id && own == Some(&self.settings.name);
+        if named && cluster != 0 && self.hard.cluster == 0 && self.log.last() == 0 {
+            self.start_cluster(cluster, members);
+        }
+    }
+
+    /// Whether the newest membership is committed, in a term whose start is committed.
+    pub(super) fn may_change(&self) -> bool {
+        let Phase::Leader(leader) = &self.phase else { return false };
+        self.commit >= leader.start && self.commit >= self.log.members_index()
+    }
+
+    pub(super) fn change(&mut self, members: Members) -> Index {
+        let index = self.push(Change::Members(members));
+        self.align_progress();
+        index
+    }
+
+    /// Moves the replica set one step on: ends a joint set, lets a caught-up learner vote, or
+    /// takes in a replica that has asked.
+    pub(super) fn maintain_members(&mut self) {
+        if !self.may_change() {
+            return;
+        }
+        let members = self.log.members();
+        if members.is_joint() {
+            let next = members.settled();
+            self.change(next);
+        } else if members.get(self.hard.id).is_none() {
+            self.become_follower(self.hard.term);
+        } else if let Some(id) = self.caught_up() {
+            let next = self.log.members().with_voter(id);
+            self.change(next);
+        } else if let Some((name, id)) = self.next_asking() {
+            let next = self.log.members().with_learner(id, &name);
+            self.change(next);
+        }
+    }
+
+    /// A learner that holds all that is committed, in place of a silent identity.
+    fn caught_up(&self) -> Option<Id> {
+        let Phase::Leader(leader) = &self.phase else { return None };
+        let whole = |id: Id| leader.others.get(&id).is_some_and(|p| p.matched >= self.commit);
+        let learners = self.log.members().list.iter().filter(|m| !m.voter);
+        let mut ready = learners.filter(|m| whole(m.id) && !self.is_occupied(&m.name, m.id));
+        ready.next().map(|m| m.id)
+    }
+
+    fn next_asking(&mut self) -> Option<(Instance, Id)> {
+        let members = self.log.members();
+        let outside = |id: Id| members.get(id).is_none() && !members.is_retired(id);
+        self.joining.asking.retain(|_, id| outside(*id));
+        let known = |name: &Instance| {
+            self.settings.peers.contains(name) || members.list.iter().any(|m| m.name == *name)
+        };
+        let mut asking = self.joining.asking.iter();
+        let found = asking.find(|(name, id)| known(name) && !self.is_occupied(name, **id));
+        found.map(|(name, id)| (name.clone(), *id))
+    }
+
+    /// Whether another identity of the instance was heard of late.
+    fn is_occupied(&self, name: &Instance, id: Id) -> bool {
+        let Phase::Leader(leader) = &self.phase else { return true };
+        let patience: Duration = self.settings.election * REPLACE_ELECTIONS;
+        let heard = |m: &Member| match leader.others.get(&m.id) {
+            _ if m.id == self.hard.id => true,
+            Some(p) => self.now < p.contact.unwrap_or(leader.since) + patience,
+            None => false,
+        };
+        let mut rivals = self.log.members().list.iter().filter(|m| m.name == *name && m.id != id);
+        rivals.any(heard)
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-consensus/src/node/leader.rs
@@ -0,0 +1,183 @@
+//! The leader's term: rounds of heartbeats, quorum contact, commitment.
+
+use {
+    super::{Node, Phase, progress::Progress, reads::Pending},
+    crate::{
+        entry::{Id, Index},
+        message::Body,
+    },
+    bronzespool_core::Time,
+    std::collections::{BTreeMap, VecDeque},
+};
+
+/// Rounds whose time of sending is remembered.
+const ROUNDS_MAX: usize = 256;
+
+/// State of a leader.
+#[derive(Debug)]
+pub(super) struct Leader {
+    /// Start of the term.
+    pub(super) since: Time,
+    /// Index of the term's first entry.
+    pub(super) start: Index,
+    /// When the next heartbeat is due.
+    pub(super) beat: Time,
+    /// Last round of heartbeats.
+    pub(super) seq: u64,
+    /// Rounds and when they were sent.
+    rounds: VecDeque<(u64, Time)>,
+    pub(super) others: BTreeMap<Id, Progress>,
+    pub(super) reads: Vec<Pending>,
+    /// Whether a read waits for a round that is not yet sent.
+    pub(super) asked: bool,
+}
+
+impl Leader {
+    pub(super) const fn new(now: Time, start: Index) -> Self {
+        Self {
+            since: now,
+            start,
+            beat: now,
+            seq: 0,
+            rounds: VecDeque::new(),
+            others: BTreeMap::new(),
+            reads: Vec::new(),
+            asked: false,
+        }
+    }
+
+    fn sent_at(&self, seq: u64) -> Option<Time> {
+        self.rounds.iter().find(|(s, _)| *s == seq).map(|(_, at)| *at)
+    }
+}
+
+impl Node {
+    /// Makes the leader's table of replicas follow the membership.
+    pub(super) fn align_progress(&mut self) {
+        let Phase::Leader(leader) = &mut self.phase else { return };
+        let members = self.log.members();
+        leader.others.retain(|id, _| members.get(*id).is_some());
+        for member in members.list.iter().filter(|m| m.id != self.hard.id) {
+            let fresh = || Progress::new(self.log.last(), self.now);
+            leader.others.entry(member.id).or_insert_with(fresh);
+        }
+    }
+
+    /// Sends a round of heartbeats.
+    pub(super) fn begin_round(&mut self) {
+        let Phase::Leader(leader) = &mut self.phase else { return };
+        leader.seq += 1;
+        leader.asked = false;
+        leader.beat = self.now + self.settings.heartbeat;
+        leader.rounds.push_back((leader.seq, self.now));
+        if leader.rounds.len() > ROUNDS_MAX {
+            leader.rounds.pop_front();
+        }
+        let ids: Vec<Id> = leader.others.keys().copied().collect();
+        for id in ids {
+            self.send_heartbeat(id);
+        }
+        self.release_reads();
+    }
+
+    pub(super) fn send_heartbeat(&mut self, id: Id) {
+        let commit = self.commit;
+        let Phase::Leader(leader) = &mut self.phase else { return };
+        let Some(progress) = leader.others.get_mut(&id) else { return };
+        let commit = commit.min(progress.matched);
+        progress.told = progress.told.max(commit);
+        let seq = leader.seq;
+        self.send(id, Body::Heartbeat { seq, commit });
+    }
+
+    pub(super) fn on_alive(&mut self, id: Id, seq: u64) {
+        let Phase::Leader(leader) = &mut self.phase else { return };
+        let sent = leader.sent_at(seq);
+        let Some(progress) = leader.others.get_mut(&id) else { return };
+        progress.contact = Some(self.now);
+        if let Some(at) = sent.filter(|_| seq > progress.seq) {
+            progress.seq = seq;
+            progress.acked = Some(at);
+        }
+        self.release_reads();
+    }
+
+    /// Latest time at which a quorum was still bound to this leader's term.
+    pub(super) fn quorum_time(&self) -> Option<Time> {
+        let Phase::Leader(leader) = &self.phase else { return None };
+        let own = self.hard.id;
+        self.log.members().reached(|id| match leader.others.get(&id) {
+            _ if id == own => Some(self.now),
+            Some(progress) => progress.acked,
+            None => None,
+        })
+    }
+
+    /// Latest round that a quorum has answered.
+    pub(super) fn quorum_round(&self) -> u64 {
+        let Phase::Leader(leader) = &self.phase else { return 0 };
+        let own = self.hard.id;
+        self.log.members().reached(|id| match leader.others.get(&id) {
+            _ if id == own => leader.seq,
+            Some(progress) => progress.seq,
+            None => 0,
+        })
+    }
+
+    pub(super) fn tick_leader(&mut self) {
+        let Phase::Leader(leader) = &self.phase else { return };
+        let (beat, since) = (leader.beat, leader.since);
+        let heard = self.quorum_time().unwrap_or(since).max(since);
+        if self.now >= heard + self.settings.election {
+            self.become_follower(self.hard.term);
+            return;
+        }
+        if self.now >= beat {
+            self.repeat_lost();
+            self.begin_round();
+            self.maintain_members();
+        }
+    }
+
+    /// Commits what a quorum holds durably.
+    pub(super) fn advance_commit(&mut self) {
+        let Phase::Leader(leader) = &self.phase else { return };
+        let own = (self.hard.id, self.out.durable());
+        let reached = self.log.members().reached(|id| match leader.others.get(&id) {
+            _ if id == own.0 => own.1,
+            Some(progress) => progress.matched,
+            None => 0,
+        });
+        let fresh = self.log.term(reached) == Some(self.hard.term);
+        if !fresh || reached <= self.commit {
+            return;
+        }
+        let done = self.size_of(self.commit + 1..=reached);
+        self.backlog = self.backlog.saturating_sub(done);
+        self.commit = reached;
+        self.release_reads();
+        self.maintain_members();
+    }
+
+    /// Sends what has gathered since the last output.
+    pub(super) fn flush_leader(&mut self) {
+        let Phase::Leader(leader) = &self.phase else { return };
+        let ids: Vec<Id> = leader.others.keys().copied().collect();
+        if leader.asked {
+            self.begin_round();
+        }
+        for id in ids {
+            self.replicate(id);
+            self.tell_commit(id);
+        }
+    }
+
+    /// Tells a replica that entries it holds are committed.
+    fn tell_commit(&mut self, id: Id) {
+        let Phase::Leader(leader) = &self.phase else { return };
+        let Some(progress) = leader.others.get(&id) else { return };
+        if progress.told < self.commit.min(progress.matched) {
+            self.send_heartbeat(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-consensus/src/node/mod.rs
@@ -0,0 +1,351 @@
+//! One replica: input is (time, message), output is a [`Ready`].
+
+mod append;
+mod election;
+mod joining;
+mod leader;
+mod output;
+mod progress;
+mod reads;
+mod replicate;
+mod status;
+mod transfer;
+
+pub use self::{
+    output::{Ready, Ticket},
+    reads::Read,
+    status::{Replica, Role, Status},
+};
+
+use {
+    self::{joining::Joining, leader::Leader, output::Output},
+    crate::{
+        entry::{Change, Entry, Id, Index, Term},
+        error::{Error, Result},
+        log::Log,
+        members::Members,
+        message::{Body, Message},
+        settings::Settings,
+        snapshot::{Assembly, Snapshot},
+        storage::{Hard, Restored, Write},
+    },
+    bronzespool_core::{Code, Instance, Time},
+    std::sync::Arc,
+};
+
+/// What a replica is in its term.
+#[derive(Debug)]
+enum Phase {
+    Follower,
+    /// Asks whether an election could be won; the term is not raised.
+    Trial(Vec<Id>),
+    Candidate(Vec<Id>),
+    Leader(Box<Leader>),
+}
+
+/// One replica of the log.
+#[derive(Debug)]
+pub struct Node {
+    settings: Settings,
+    rng: fastrand::Rng,
+    now: Time,
+    hard: Hard,
+    log: Log,
+    commit: Index,
+    applied: Index,
+    /// Bytes of the leader's entries that are not committed.
+    backlog: usize,
+    phase: Phase,
+    leader: Option<Id>,
+    /// Last contact of a leader, or the start of this process.
+    contact: Time,
+    /// When an election starts.
+    deadline: Time,
+    out: Output,
+    snapshot: Option<Arc<Snapshot>>,
+    assembly: Option<Assembly>,
+    joining: Joining,
+    retired: bool,
+}
+
+impl Node {
+    /// Opens a replica on what its storage holds; a blank disk is given an identity.
+    pub fn open(settings: Settings, restored: Restored, now: Time) -> Result<Self> {
+        settings.check()?;
+        let snapshot = restored.snapshot;
+        let mut log = match &snapshot {
+            Some(s) => Log::new(s.meta.index, s.meta.term, s.meta.members.clone()),
+            None => Log::new(0, 0, Members::default()),
+        };
+        for entry in restored.entries {
+            if entry.index != log.last() + 1 || entry.term < log.last_term() {
+                let detail = format!("entry {} is out of order", entry.index);
+                return Err(Error::fault(Code::RecordCorrupt, detail));
+            }
+            log.push(entry);
+        }
+        if restored.hard.is_none() && log.last() > 0 {
+            return Err(Error::fault(Code::RecordCorrupt, "a log without an identity"));
+        }
+        let rng = fastrand::Rng::with_seed(settings.seed);
+        let mut node = Self {
+            rng,
+            now,
+            hard: restored.hard.unwrap_or_default(),
+            commit: log.base(),
+            applied: log.base(),
+            backlog: 0,
+            out: Output::new(log.last()),
+            log,
+            phase: Phase::Follower,
+            leader: None,
+            contact: now,
+            deadline: now,
+            snapshot,
+            assembly: None,
+            joining: Joining::new(now),
+            retired: false,
+            settings,
+        };
+        if restored.hard.is_none() {
+            node.hard.id = node.settings.identity;
+            node.save();
+        }
+        node.out.install.clone_from(&node.snapshot);
+        node.reset_deadline();
+        Ok(node)
+    }
+
+    /// Identity of this replica's disk.
+    pub const fn id(&self) -> Id {
+        self.hard.id
+    }
+
+    /// Term that this replica is in.
+    pub const fn term(&self) -> Term {
+        self.hard.term
+    }
+
+    /// Whether this replica is the leader of its term, as far as it knows.
+    pub const fn is_leader(&self) -> bool {
+        matches!(self.phase, Phase::Leader(_))
+    }
+
+    /// The leader's instance, where known.
+    pub fn leader(&self) -> Option<&Instance> {
+        let id = self.leader?;
+        self.log.members().get(id).map(|m| &m.name)
+    }
+
+    /// Adds a command to the leader's log. Commands proposed before the next [`Self::ready`] are
+    /// written and sent together.
+    ///
+    /// The index tells what was accepted only together with the term: a command is accepted once
+    /// [`Ready::committed`] holds an entry with this index and the term of the proposal.
+    pub fn propose(&mut self, now: Time, payload: impl Into<Vec<u8>>) -> Result<Index> {
+        self.advance_clock(now);
+        self.check_leader()?;
+        let limit = self.settings.backlog;
+        let payload = payload.into();
+        if self.backlog + payload.len() > limit {
+            return Err(Error::Busy);
+        }
+        Ok(self.push(Change::Data(payload.into())))
+    }
+
+    /// Takes an instance out of the replica set.
+    pub fn remove(&mut self, now: Time, name: &Instance) -> Result<Index> {
+        self.advance_clock(now);
+        self.check_leader()?;
+        if !self.may_change() || self.log.members().is_joint() {
+            return Err(Error::Changing);
+        }
+        let next = self.log.members().without(name);
+        if !next.list.iter().any(|m| m.voter) {
+            return Err(Error::fault(Code::ConfigInvalid, "the last voter cannot be removed"));
+        }
+        Ok(self.change(next))
+    }
+
+    /// Takes a message that came from an instance.
+    pub fn receive(&mut self, now: Time, from: &Instance, message: Message) {
+        self.advance_clock(now);
+        if message.to != Id(0) && message.to != self.hard.id {
+            return;
+        }
+        match message.body {
+            Body::Hello => self.on_hello(from, &message),
+            Body::Welcome { retired } => self.on_welcome(from, &message, retired),
+            Body::Genesis(members) => self.on_genesis(message.to, message.cluster, members),
+            _ => self.receive_member(from, message),
+        }
+    }
+
+    /// Lets time pass: elections, heartbeats, repeats, membership.
+    pub fn tick(&mut self, now: Time) {
+        self.advance_clock(now);
+        self.tick_joining();
+        match self.phase {
+            Phase::Leader(_) => self.tick_leader(),
+            _ if self.now >= self.deadline => self.start_trial(),
+            _ => {}
+        }
+    }
+
+    /// When [`Self::tick`] is next due.
+    pub fn wake(&self) -> Time {
+        let due = match &self.phase {
+            Phase::Leader(leader) => leader.beat,
+            _ => self.deadline,
+        };
+        due.min(self.joining_due())
+    }
+
+    /// Reports that the writes of a [`Ready`] and of all before it are durable.
+    pub fn synced(&mut self, now: Time, ticket: Ticket) {
+        self.advance_clock(now);
+        for message in self.out.release(ticket, self.hard.id) {
+            let name = self.settings.name.clone();
+            self.receive(now, &name, message);
+        }
+        if self.is_leader() {
+            self.advance_commit();
+        }
+    }
+
+    /// Takes a snapshot of the state machine after it has applied the entry at `index`.
+    pub fn compact(&mut self, index: Index, state: Vec<u8>) {
+        let done = self.snapshot.as_ref().map_or(0, |s| s.meta.index);
+        if index <= done || index > self.applied {
+            return;
+        }
+        let Some(term) = self.log.term(index) else { return };
+        let members = self.log.members_at(index).clone();
+        let snapshot = Arc::new(Snapshot::new(index, term, members, state));
+        self.write(Write::Snapshot(snapshot.clone()));
+        self.snapshot = Some(snapshot);
+        self.log.compact(index.saturating_sub(self.settings.tail).max(self.log.base()));
+    }
+
+    /// Output since the last call: see [`Ready`].
+    pub fn ready(&mut self) -> Ready {
+        if self.is_leader() {
+            self.flush_leader();
+        }
+        self.out.flush(&self.log);
+        let committed = self.take_committed();
+        self.out.take(committed)
+    }
+
+    fn take_committed(&mut self) -> Vec<Entry> {
+        let range = self.applied + 1..=self.commit;
+        self.applied = self.commit;
+        range.filter_map(|i| self.log.get(i).cloned()).collect()
+    }
+
+    fn receive_member(&mut self, from: &Instance, message: Message) {
+        if !self.check_cluster(&message) {
+            return;
+        }
+        if self.log.members().is_retired(message.from) {
+            self.send_to(from, message.from, self.hard.term, Body::Welcome { retired: true });
+            return;
+        }
+        if !self.check_term(from, &message) {
+            return;
+        }
+        let (id, term) = (message.from, message.term);
+        match message.body {
+            Body::Vote { trial, last_index, last_term } => {
+                self.on_vote(from, id, term, trial, (last_term, last_index));
+            }
+            Body::Voted { trial, granted } => self.on_voted(id, term, trial, granted),
+            Body::Append { prev_index, prev_term, commit, entries } => {
+                self.on_append(from, id, (prev_index, prev_term), commit, entries);
+            }
+            Body::Heartbeat { seq, commit } => self.on_heartbeat(from, id, seq, commit),
+            Body::Chunk { meta, offset, bytes } => self.on_chunk(from, id, meta, offset, &bytes),
+            Body::Matched(index) => self.on_matched(id, index),
+            Body::Rejected { prev_index, hint_index, hint_term } => {
+                self.on_rejected(id, prev_index, (hint_index, hint_term));
+            }
+            Body::Alive { seq } => self.on_alive(id, seq),
+            Body::Wanted { index, offset } => self.on_wanted(id, index, offset),
+            Body::Hello | Body::Welcome { .. } | Body::Genesis(_) => {}
+        }
+    }
+
+    /// Whether the message is of this cluster; a blank replica joins the one that addresses it.
+    fn check_cluster(&mut self, message: &Message) -> bool {
+        if message.cluster == self.hard.cluster && message.cluster != 0 {
+            return true;
+        }
+        let leads = matches!(
+            message.body,
+            Body::Append { .. } | Body::Heartbeat { .. } | Body::Chunk { .. }
+        );
+        let invited = message.to == self.hard.id && message.cluster != 0;
+        if self.hard.cluster != 0 || !leads || !invited {
+            return false;
+        }
+        self.hard.cluster = message.cluster;
+        self.save();
+        true
+    }
+
+    fn check_leader(&self) -> Result<()> {
+        if self.is_leader() {
+            return Ok(());
+        }
+        Err(Error::NotLeader { hint: self.leader().cloned() })
+    }
+
+    /// Bytes of the entries in a range of indices.
+    fn size_of(&self, range: std::ops::RangeInclusive<Index>) -> usize {
+        range.filter_map(|i| self.log.get(i)).map(Entry::size).sum()
+    }
+
+    fn push(&mut self, change: Change) -> Index {
+        let entry = Entry { index: self.log.last() + 1, term: self.hard.term, change };
+        self.backlog += entry.size();
+        let index = entry.index;
+        self.log.push(entry);
+        index
+    }
+
+    fn advance_clock(&mut self, now: Time) {
+        self.now = self.now.max(now);
+    }
+
+    /// Records the small state.
+    fn save(&mut self) {
+        let hard = self.hard;
+        self.write(Write::Hard(hard));
+    }
+
+    fn write(&mut self, write: Write) {
+        self.out.flush(&self.log);
+        self.out.writes.push(write);
+    }
+
+    fn message(&self, to: Id, term: Term, body: Body) -> Message {
+        Message { cluster: self.hard.cluster, from: self.hard.id, to, term, body }
+    }
+
+    /// Sends a message that depends on no record.
+    fn send_to(&mut self, name: &Instance, to: Id, term: Term, body: Body) {
+        let message = self.message(to, term, body);
+        self.out.send(name.clone(), message);
+    }
+
+    /// Sends a message once every record made so far is durable.
+    fn send_synced(&mut self, name: &Instance, to: Id, term: Term, body: Body) {
+        let message = self.message(to, term, body);
+        self.out.hold(name.clone(), message, self.log.last());
+    }
+
+    fn send(&mut self, to: Id, body: Body) {
+        let Some(name) = self.log.members().get(to).map(|m| m.name.clone()) else { return };
+        self.send_to(&name, to, self.hard.term, body);
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-consensus/src/node/status.rs
@@ -0,0 +1,119 @@
+//! What a replica tells operators.
+
+use {
+    super::{Node, Phase},
+    crate::entry::{Id, Index, Term},
+    bronzespool_core::{Code, Instance, Time},
+    serde::{Deserialize, Serialize},
+};
+
+/// Role of a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Role {
+    /// Belongs to no cluster yet.
+    Blank,
+    /// Receives the log and does not vote.
+    Learner,
+    /// Follows a leader.
+    Follower,
+    /// Tries to become the leader.
+    Candidate,
+    /// Leads its term.
+    Leader,
+    /// Its identity was replaced; it takes no part any more.
+    Retired,
+}
+
+/// One replica of the set, as the asked replica sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Replica {
+    /// Identity of its disk.
+    pub id: Id,
+    /// Instance.
+    pub name: Instance,
+    /// Whether it counts in quorums.
+    pub voter: bool,
+    /// Last index that it holds durably, as far as the leader knows.
+    pub matched: Option<Index>,
+    /// When the leader last heard of it, on the leader's clock.
+    pub contact: Option<Time>,
+}
+
+/// State of a replica.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// Identity of its disk.
+    pub id: Id,
+    /// Identity of the cluster, zero before it belongs to one.
+    pub cluster: u64,
+    /// Role.
+    pub role: Role,
+    /// Term.
+    pub term: Term,
+    /// Leader, where known.
+    pub leader: Option<Instance>,
+    /// Last committed index.
+    pub commit: Index,
+    /// Last index of the log.
+    pub last: Index,
+    /// Index of the last snapshot.
+    pub snapshot: Index,
+    /// Whether the embedder should hand in a snapshot.
+    pub snapshot_due: bool,
+    /// Whether two sets of voters are in force.
+    pub joint: bool,
+    /// The replica set.
+    pub members: Vec<Replica>,
+    /// Why the replica takes no part.
+    pub fault: Option<Code>,
+}
+
+impl Node {
+    /// State for operators.
+    pub fn status(&self) -> Status {
+        let members = self.log.members();
+        let snapshot = self.snapshot.as_ref().map_or(0, |s| s.meta.index);
+        Status {
+            id: self.hard.id,
+            cluster: self.hard.cluster,
+            role: self.role(),
+            term: self.hard.term,
+            leader: self.leader().cloned(),
+            commit: self.commit,
+            last: self.log.last(),
+            snapshot,
+            snapshot_due: self.applied - snapshot >= self.settings.threshold,
+            joint: members.is_joint(),
+            members: members.list.iter().map(|m| self.replica(m)).collect(),
+            fault: self.retired.then_some(Code::ReplicaUnknown),
+        }
+    }
+
+    fn role(&self) -> Role {
+        match &self.phase {
+            _ if self.retired => Role::Retired,
+            _ if self.hard.cluster == 0 => Role::Blank,
+            Phase::Leader(_) => Role::Leader,
+            _ if !self.log.members().is_voter(self.hard.id) => Role::Learner,
+            Phase::Follower => Role::Follower,
+            Phase::Trial(_) | Phase::Candidate(_) => Role::Candidate,
+        }
+    }
+
+    fn replica(&self, member: &crate::Member) -> Replica {
+        let progress = match &self.phase {
+            Phase::Leader(leader) => leader.others.get(&member.id),
+            _ => None,
+        };
+        let own = member.id == self.hard.id;
+        let matched = if own { Some(self.out.durable()) } else { progress.map(|p| p.matched) };
+        Replica {
+            id: member.id,
+            name: member.name.clone(),
+            voter: member.voter,
+            matched,
+            contact: progress.and_then(|p| p.contact),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-consensus/src/node/transfer.rs
@@ -0,0 +1,110 @@
+//! Snapshots from the leader to a replica, in parts.
+
+use {
+    super::{Node, Phase, progress::Flow},
+    crate::{
+        entry::{Id, Index},
+        log::Log,
+        message::Body,
+        snapshot::{Assembly, Meta, Snapshot},
+        storage::Write,
+    },
+    bronzespool_core::Instance,
+    std::sync::Arc,
+};
+
+impl Node {
+    pub(super) fn start_transfer(&mut self, id: Id) {
+        let Some(snapshot) = self.snapshot.clone() else { return };
+        let Phase::Leader(leader) = &mut self.phase else { return };
+        let Some(progress) = leader.others.get_mut(&id) else { return };
+        progress.flow = Flow::Transfer { snapshot, offset: 0, sent: false };
+        self.send_chunk(id);
+    }
+
+    pub(super) fn resume_transfers(&mut self) {
+        let Phase::Leader(leader) = &self.phase else { return };
+        let ids: Vec<Id> = leader.others.keys().copied().collect();
+        for id in ids {
+            self.send_chunk(id);
+        }
+    }
+
+    fn send_chunk(&mut self, id: Id) {
+        let max = self.settings.chunk;
+        let Phase::Leader(leader) = &mut self.phase else { return };
+        let Some(progress) = leader.others.get_mut(&id) else { return };
+        let Flow::Transfer { snapshot, offset, sent } = &mut progress.flow else { return };
+        if *sent {
+            return;
+        }
+        *sent = true;
+        let Some(bytes) = snapshot.chunk(*offset, max) else { return };
+        let body = Body::Chunk { meta: snapshot.meta.clone(), offset: *offset, bytes };
+        self.send(id, body);
+    }
+
+    pub(super) fn on_wanted(&mut self, id: Id, index: Index, wanted: u64) {
+        let now = self.now;
+        let Phase::Leader(leader) = &mut self.phase else { return };
+        let Some(progress) = leader.others.get_mut(&id) else { return };
+        progress.contact = Some(now);
+        let Flow::Transfer { snapshot, offset, sent } = &mut progress.flow else { return };
+        if snapshot.meta.index != index || *offset == wanted {
+            return;
+        }
+        (*offset, *sent) = (wanted, false);
+        progress.moved = now;
+        self.send_chunk(id);
+    }
+
+    pub(super) fn on_chunk(
+        &mut self,
+        from: &Instance,
+        id: Id,
+        meta: Meta,
+        offset: u64,
+        bytes: &[u8],
+    ) {
+        if self.is_leader() {
+            return;
+        }
+        self.follow(id);
+        if meta.index <= self.commit {
+            self.assembly = None;
+            self.send_synced(from, id, self.hard.term, Body::Matched(self.commit));
+            return;
+        }
+        if self.assembly.as_ref().is_none_or(|a| *a.meta() != meta) {
+            self.assembly = Assembly::new(meta);
+        }
+        let Some(assembly) = &mut self.assembly else { return };
+        assembly.push(offset, bytes);
+        let (index, wanted) = (assembly.meta().index, assembly.offset());
+        if !assembly.is_whole() {
+            self.send_to(from, id, self.hard.term, Body::Wanted { index, offset: wanted });
+            return;
+        }
+        let Some(Ok(snapshot)) = self.assembly.take().map(Assembly::finish) else {
+            self.send_to(from, id, self.hard.term, Body::Wanted { index, offset: 0 });
+            return;
+        };
+        self.install(snapshot);
+        self.send_synced(from, id, self.hard.term, Body::Matched(index));
+    }
+
+    fn install(&mut self, snapshot: Arc<Snapshot>) {
+        let (index, term) = (snapshot.meta.index, snapshot.meta.term);
+        self.write(Write::Snapshot(snapshot.clone()));
+        if self.log.term(index) == Some(term) {
+            self.log.compact(index);
+        } else {
+            self.log = Log::new(index, term, snapshot.meta.members.clone());
+            self.out.restart(index);
+        }
+        self.commit = index;
+        self.applied = index;
+        self.snapshot = Some(snapshot.clone());
+        self.out.install = Some(snapshot);
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-consensus/src/snapshot.rs
@@ -0,0 +1,100 @@
+//! Snapshots of the state machine.
+
+use {
+    crate::{
+        entry::{Index, Payload, Term},
+        error::{Error, Result},
+        members::Members,
+    },
+    bronzespool_core::Code,
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+/// Largest state in a snapshot.
+const STATE_MAX_BYTES: u64 = 64 << 20;
+
+/// Description of a snapshot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Meta {
+    /// Last index that the state includes.
+    pub index: Index,
+    /// Term of that entry.
+    pub term: Term,
+    /// Membership at that index.
+    pub members: Members,
+    /// Bytes of the state.
+    pub size: u64,
+    /// Checksum of the state.
+    pub crc: u32,
+}
+
+/// State of the embedder's state machine at an index.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Description.
+    pub meta: Meta,
+    /// The state's bytes.
+    pub state: Payload,
+}
+
+impl Snapshot {
+    /// Describes a state.
+    pub fn new(index: Index, term: Term, members: Members, state: Vec<u8>) -> Self {
+        let crc = crc32fast::hash(&state);
+        let meta = Meta { index, term, members, size: state.len() as u64, crc };
+        Self { meta, state: state.into() }
+    }
+
+    /// Joins a description and a state, refusing bytes that do not match.
+    pub fn verified(meta: Meta, state: Payload) -> Result<Arc<Self>> {
+        if state.len() as u64 != meta.size || crc32fast::hash(&state) != meta.crc {
+            return Err(Error::fault(Code::SnapshotCorrupt, format!("index {}", meta.index)));
+        }
+        Ok(Arc::new(Self { meta, state }))
+    }
+
+    /// The part that starts at a position.
+    pub(crate) fn chunk(&self, offset: u64, max: usize) -> Option<Payload> {
+        let start = usize::try_from(offset).ok()?;
+        let rest = self.state.get(start..)?;
+        Some(rest[..rest.len().min(max)].into())
+    }
+}
+
+/// A snapshot that is being received.
+#[derive(Debug)]
+pub(crate) struct Assembly {
+    meta: Meta,
+    bytes: Vec<u8>,
+}
+
+impl Assembly {
+    pub(crate) fn new(meta: Meta) -> Option<Self> {
+        (meta.size <= STATE_MAX_BYTES).then(|| Self { meta, bytes: Vec::new() })
+    }
+
+    pub(crate) const fn meta(&self) -> &Meta {
+        &self.meta
+    }
+
+    pub(crate) const fn offset(&self) -> u64 {
+        self.bytes.len() as u64
+    }
+
+    /// Takes a part that starts where the last one ended.
+    pub(crate) fn push(&mut self, offset: u64, bytes: &[u8]) {
+        let fits = offset + bytes.len() as u64 <= self.meta.size;
+        if offset == self.offset() && fits {
+            self.bytes.extend_from_slice(bytes);
+        }
+    }
+
+    pub(crate) const fn is_whole(&self) -> bool {
+        self.offset() == self.meta.size
+    }
+
+    pub(crate) fn finish(self) -> Result<Arc<Snapshot>> {
+        Snapshot::verified(self.meta, self.bytes.into())
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-consensus/src/storage/mod.rs
@@ -0,0 +1,86 @@
+//! Durable state of a replica.
+
+use {
+    crate::{
+        entry::{Entry, Id, Index, Term},
+        error::Result,
+        snapshot::Snapshot,
+    },
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+/// The small state that a replica must never forget.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hard {
+    /// Identity of the disk.
+    pub id: Id,
+    /// Identity of the cluster, zero before the replica belongs to one.
+    pub cluster: u64,
+    /// Highest term seen.
+    pub term: Term,
+    /// Candidate that got this replica's vote in that term.
+    pub vote: Option<Id>,
+}
+
+/// A change of the durable state.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Write {
+    /// Replaces the small state.
+    Hard(Hard),
+    /// Adds entries at the end of the log.
+    Append(Vec<Entry>),
+    /// Drops the entries from an index on.
+    Truncate(Index),
+    /// Replaces the snapshot. Entries after it are kept only where the log holds the snapshot's
+    /// last entry with the same term.
+    Snapshot(Arc<Snapshot>),
+}
+
+/// What a storage holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Restored {
+    /// The small state, none on a blank disk.
+    pub hard: Option<Hard>,
+    /// The last snapshot.
+    pub snapshot: Option<Arc<Snapshot>>,
+    /// Entries after the snapshot.
+    pub entries: Vec<Entry>,
+}
+
+impl Restored {
+    /// Applies a write in memory.
+    pub(crate) fn apply(&mut self, write: &Write) {
+        match write {
+            Write::Hard(hard) => self.hard = Some(*hard),
+            Write::Append(entries) => self.append(entries),
+            Write::Truncate(from) => self.entries.retain(|e| e.index < *from),
+            Write::Snapshot(snapshot) => self.replace(snapshot),
+        }
+    }
+
+    fn append(&mut self, entries: &[Entry]) {
+        if let Some(first) = entries.first() {
+            self.entries.retain(|e| e.index < first.index);
+        }
+        self.entries.extend_from_slice(entries);
+    }
+
+    pub(crate) fn replace(&mut self, snapshot: &Arc<Snapshot>) {
+        let meta = &snapshot.meta;
+        let held = self.entries.iter().any(|e| e.index == meta.index && e.term == meta.term);
+        self.entries.retain(|e| held && e.index > meta.index);
+        self.snapshot = Some(snapshot.clone());
+    }
+}
+
+/// Where a replica keeps its durable state.
+pub trait Storage {
+    /// Reads everything that is durable.
+    fn load(&mut self) -> Result<Restored>;
+
+    /// Makes writes durable in their order; returns when they are.
+    ///
+    /// After an error nothing is known of the last writes: the replica must stop.
+    fn write(&mut self, writes: &[Write]) -> Result<()>;
+}
--- /dev/null
+++ b/crates/bronzespool-consensus/tests/common/mod.rs
@@ -0,0 +1,193 @@
+//! A small cluster of replicas in one thread with simulated time, network and disks.
+
+#![allow(dead_code, unreachable_pub)]
+
+use {
+    bronzespool_consensus::{
+        Entry, Error, Index, Message, Node, Read, Settings, Storage, fake::MemoryStorage,
+    },
+    bronzespool_core::{Instance, Time},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+pub const STEP: Duration = Duration::from_millis(5);
+pub const SECOND: Duration = Duration::from_secs(1);
+
+pub fn name(i: usize) -> Instance {
+    Instance::try_from(format!("control-{}", i + 1)).unwrap()
+}
+
+#[derive(Default)]
+pub struct Replica {
+    pub node: Option<Node>,
+    pub disk: MemoryStorage,
+    pub applied: BTreeMap<Index, Entry>,
+    pub state: Vec<Vec<u8>>,
+    pub reads: Vec<Read>,
+}
+
+/// Replicas whose messages arrive in order and whose syncs end at once, unless cut off.
+pub struct Cluster {
+    pub now: Time,
+    pub replicas: Vec<Replica>,
+    pub cut: Vec<bool>,
+    pub mail: Vec<(usize, usize, Message)>,
+    pub starts: u64,
+    pub tune: fn(&mut Settings),
+}
+
+impl Cluster {
+    pub fn new(count: usize) -> Self {
+        Self::tuned(count, |_| {})
+    }
+
+    pub fn tuned(count: usize, tune: fn(&mut Settings)) -> Self {
+        let mut cluster = Self {
+            now: Time::from_secs(1),
+            replicas: (0..count).map(|_| Replica::default()).collect(),
+            cut: vec![false; count],
+            mail: Vec::new(),
+            starts: 0,
+            tune,
+        };
+        (0..count).for_each(|i| cluster.start(i));
+        cluster
+    }
+
+    pub fn start(&mut self, i: usize) {
+        self.starts += 1;
+        let peers = (0..self.replicas.len()).map(name).collect();
+        let mut settings = Settings::new(name(i), peers, self.starts * 7_919 + i as u64);
+        (self.tune)(&mut settings);
+        let replica = &mut self.replicas[i];
+        replica.applied.clear();
+        replica.state.clear();
+        let restored = replica.disk.load().unwrap();
+        replica.node = Some(Node::open(settings, restored, self.now).unwrap());
+    }
+
+    pub fn stop(&mut self, i: usize) {
+        self.replicas[i].node = None;
+        self.replicas[i].disk.crash(0);
+        self.mail.retain(|(_, to, _)| *to != i);
+    }
+
+    /// Loses the disk and starts anew.
+    pub fn wipe(&mut self, i: usize) {
+        self.stop(i);
+        self.replicas[i].disk.wipe();
+        self.start(i);
+    }
+
+    pub fn node(&mut self, i: usize) -> &mut Node {
+        self.replicas[i].node.as_mut().unwrap()
+    }
+
+    /// Carries out the output of a replica.
+    pub fn pump(&mut self, i: usize) {
+        let now = self.now;
+        let count = self.replicas.len();
+        let Replica { node: Some(node), disk, applied, state, reads } = &mut self.replicas[i]
+        else {
+            return;
+        };
+        loop {
+            let ready = node.ready();
+            if ready.is_empty() {
+                return;
+            }
+            if let Some(snapshot) = ready.install {
+                *state = decode(&snapshot.state);
+            }
+            for entry in ready.committed {
+                state.extend(entry.data().map(<[u8]>::to_vec));
+                applied.insert(entry.index, entry);
+            }
+            reads.extend(ready.reads);
+            let to = |to: &Instance| (0..count).find(|&k| name(k) == *to);
+            let mail = ready.messages.into_iter();
+            self.mail.extend(mail.filter_map(|(n, m)| Some((i, to(&n)?, m))));
+            if !ready.writes.is_empty() && disk.write(&ready.writes).is_ok() {
+                node.synced(now, ready.ticket);
+            }
+        }
+    }
+
+    /// Lets a step of time pass and delivers all mail.
+    pub fn step(&mut self) {
+        self.now += STEP;
+        let now = self.now;
+        for i in 0..self.replicas.len() {
+            if let Some(node) = self.replicas[i].node.as_mut().filter(|n| n.wake() <= now) {
+                node.tick(now);
+            }
+            self.pump(i);
+        }
+        for (from, to, message) in std::mem::take(&mut self.mail) {
+            if self.cut[from] || self.cut[to] {
+                continue;
+            }
+            let message = Message::decode(&message.encode().unwrap()).unwrap();
+            if let Some(node) = &mut self.replicas[to].node {
+                node.receive(now, &name(from), message);
+            }
+            self.pump(to);
+        }
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Runs until a condition holds, for at most 30 simulated seconds.
+    pub fn until(&mut self, what: &str, holds: impl Fn(&mut Self) -> bool) {
+        let end = self.now + SECOND * 30;
+        while !holds(self) {
+            assert!(self.now < end, "no {what} within 30 s");
+            self.step();
+        }
+    }
+
+    /// The leader of the highest term.
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |i: &usize| self.replicas[*i].node.as_ref().is_some_and(Node::is_leader);
+        let term = |i: &usize| self.replicas[*i].node.as_ref().map_or(0, Node::term);
+        (0..self.replicas.len()).filter(leads).max_by_key(term)
+    }
+
+    /// Runs until a leader holds a lease.
+    pub fn elect(&mut self) -> usize {
+        self.until("leader", |c| {
+            let now = c.now;
+            c.leader().is_some_and(|i| c.node(i).lease(now))
+        });
+        self.leader().unwrap()
+    }
+
+    pub fn propose(&mut self, i: usize, data: &[u8]) -> Result<Index, Error> {
+        let now = self.now;
+        self.node(i).propose(now, data)
+    }
+
+    /// Proposes at the leader and waits until it has applied the entry.
+    pub fn commit(&mut self, data: &[u8]) -> Index {
+        let leader = self.elect();
+        let index = self.propose(leader, data).unwrap();
+        self.until("commit", |c| {
+            let entry = c.replicas[leader].applied.get(&index);
+            entry.is_some_and(|e| e.data() == Some(data))
+        });
+        index
+    }
+}
+
+pub fn encode(state: &[Vec<u8>]) -> Vec<u8> {
+    postcard::to_stdvec(state).unwrap()
+}
+
+pub fn decode(bytes: &[u8]) -> Vec<Vec<u8>> {
+    postcard::from_bytes(bytes).unwrap()
+}
--- /dev/null
+++ b/crates/bronzespool-consensus/tests/election.rs
@@ -0,0 +1,102 @@
+//! Founding, elections, commitment and the return of replicas.
+
+mod common;
+
+use {
+    bronzespool_consensus::{Error, Role},
+    common::{Cluster, SECOND},
+};
+
+#[test]
+fn elect_three_founds_one_cluster() {
+    let mut c = Cluster::new(3);
+    let leader = c.elect();
+    let cluster = c.node(leader).status().cluster;
+    assert!((0..3).all(|i| c.node(i).status().cluster == cluster && cluster != 0));
+    assert_eq!((0..3).filter(|&i| c.node(i).is_leader()).count(), 1);
+}
+
+#[test]
+fn elect_one_of_three_missing_waits() {
+    let mut c = Cluster::new(3);
+    c.stop(2);
+    c.run(SECOND * 5);
+    assert!((0..2).all(|i| c.node(i).status().role == Role::Blank));
+    c.start(2);
+    c.elect();
+}
+
+#[test]
+fn propose_leader_applies_everywhere() {
+    let mut c = Cluster::new(3);
+    for i in 0..20_u8 {
+        c.commit(&[i]);
+    }
+    c.run(SECOND);
+    let state: Vec<Vec<u8>> = (0..20_u8).map(|i| vec![i]).collect();
+    assert!(c.replicas.iter().all(|r| r.state == state));
+}
+
+#[test]
+fn propose_follower_names_leader() {
+    let mut c = Cluster::new(3);
+    let leader = c.elect();
+    let other = (leader + 1) % 3;
+    let hint = Some(common::name(leader));
+    assert_eq!(c.propose(other, b"x"), Err(Error::NotLeader { hint }));
+}
+
+#[test]
+fn elect_leader_killed_keeps_accepted() {
+    let mut c = Cluster::new(3);
+    let index = c.commit(b"first");
+    let old = c.elect();
+    c.stop(old);
+    let new = c.elect();
+    assert_ne!(old, new);
+    c.commit(b"second");
+    assert_eq!(c.replicas[new].applied[&index].data(), Some(&b"first"[..]));
+    c.start(old);
+    c.run(SECOND);
+    assert_eq!(c.replicas[old].state, [b"first".to_vec(), b"second".to_vec()]);
+}
+
+#[test]
+fn receive_returning_replica_keeps_term() {
+    let mut c = Cluster::new(3);
+    let leader = c.elect();
+    c.commit(b"a");
+    let (term, other) = (c.node(leader).term(), (leader + 1) % 3);
+    c.cut[other] = true;
+    c.run(SECOND * 20);
+    assert_eq!(c.node(other).term(), term);
+    c.cut[other] = false;
+    c.run(SECOND * 2);
+    assert_eq!((c.leader(), c.node(leader).term()), (Some(leader), term));
+    let index = c.commit(b"b");
+    c.run(SECOND);
+    assert!(c.replicas[other].applied.contains_key(&index));
+}
+
+#[test]
+fn tick_leader_cut_off_steps_down() {
+    let mut c = Cluster::new(3);
+    let old = c.elect();
+    c.cut[old] = true;
+    c.run(SECOND);
+    assert!(!c.node(old).is_leader());
+    assert!(c.propose(old, b"x").is_err());
+    let new = c.elect();
+    assert_ne!(old, new);
+}
+
+#[test]
+fn propose_backlog_full_is_busy() {
+    let mut c = Cluster::tuned(3, |s| s.backlog = 100);
+    let leader = c.elect();
+    c.run(SECOND);
+    c.propose(leader, &[0; 80]).unwrap();
+    assert_eq!(c.propose(leader, &[0; 80]), Err(Error::Busy));
+    c.run(SECOND);
+    c.propose(leader, &[0; 80]).unwrap();
+}
