feat(core): read process settings and deployments

ProcessSettings, its sections by role, Timing and Deployment are read from documents by TryFrom. Faults between keys are found as well: a role that lacks its section, peers that name an instance twice, addresses that no other process can reach, heartbeats too slow for the election.

--- a/crates/bronzespool-core/src/lib.rs
+++ b/crates/bronzespool-core/src/lib.rs
@@ -26,7 +26,7 @@
     code::{Code, Outcome},
     collections::{HashMap, HashSet},
     digest::Digest,
-    name::{Center, Instance, Job, Key, Kind, Rack, Region, Service, Team},
+    name::{Center, Cluster, Instance, Job, Key, Kind, Rack, Region, Service, Team},
     place::{Capacity, Place},
     shape::{Level, Shape},
     spec::{Config, KindSpec, Mode, Need, ServiceSpec, Target, TeamSpec, Weights},
--- a/crates/bronzespool-core/src/name.rs
+++ b/crates/bronzespool-core/src/name.rs
@@ -110,6 +110,8 @@
 }
 
 names! {
+    /// A cluster: the processes that share one replicated log.
+    Cluster check_name;
     /// A region: data centres whose links fail together.
     Region check_name;
     /// A data centre.
--- a/crates/bronzespool-core/src/settings/document.rs
+++ b/crates/bronzespool-core/src/settings/document.rs
@@ -76,6 +76,18 @@
         }
     }
 
+    /// The first section `name`.
+    pub fn section(&self, name: &str) -> Option<&Section> {
+        self.sections.iter().find(|section| section.name == name)
+    }
+
+    /// A fault for each of `names` that no section has.
+    pub(super) fn missing(&self, names: &[&str]) -> Vec<Fault> {
+        let absent = names.iter().filter(|name| self.section(name).is_none());
+        let message = "is missing: add this section".to_owned();
+        absent.map(|name| self.at(0, format!("[{name}]"), message.clone())).collect()
+    }
+
     fn push(&mut self, line: u32, item: Item<'_>) {
         match item {
             Item::Section(header) => self.open(line, header),
--- a/crates/bronzespool-core/src/settings/fault.rs
+++ b/crates/bronzespool-core/src/settings/fault.rs
@@ -3,7 +3,7 @@
 use {
     displaydoc::Display,
     serde::{Deserialize, Serialize},
-    std::{fmt, ops::Deref, sync::Arc},
+    std::{fmt, io, ops::Deref, sync::Arc},
 };
 
 /// Result of reading settings.
@@ -29,6 +29,19 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Faults(pub Vec<Fault>);
 
+impl Fault {
+    /// The fault of a file that cannot be read.
+    pub fn unreadable(file: &str, error: &io::Error) -> Self {
+        let message = format!("cannot be read ({error}): check the path and its permissions");
+        Self::of_file(file, message)
+    }
+
+    /// A fault of a whole file.
+    pub fn of_file(file: &str, message: String) -> Self {
+        Self { file: file.into(), line: 0, key: "file".to_owned(), message }
+    }
+}
+
 impl Faults {
     /// `value` if there are no faults, else the faults in the order of their lines.
     pub fn into_result<T>(mut self, value: Option<T>) -> Result<T> {
--- a/crates/bronzespool-core/src/settings/mod.rs
+++ b/crates/bronzespool-core/src/settings/mod.rs
@@ -17,17 +17,26 @@
 //! ```
 
 pub mod define;
+pub mod deployment;
 pub mod document;
 pub mod fault;
 mod near;
+pub mod process;
 mod reader;
 pub mod service;
 pub mod source;
+pub mod timing;
 pub mod value;
 
 pub use self::{
+    deployment::{Deployment, read_deployment},
     document::Document,
     fault::{Fault, Faults, Result},
+    process::{
+        AgentSettings, ControlSettings, EntrySettings, LogLevel, Peer, ProcessSettings, Role,
+        parse_process, read_process,
+    },
     service::parse_service,
     source::{Source, merge_services, read_services},
+    timing::Timing,
 };
--- /dev/null
+++ b/crates/bronzespool-core/src/settings/process/define.rs
@@ -0,0 +1,100 @@
+//! Sections and keys of process settings.
+
+use crate::settings::{
+    define::{Section, optional, preset, required},
+    timing,
+};
+
+/// Largest number of control instances.
+pub const PEERS_MAX: usize = 7;
+/// Largest number of accelerators in a worker.
+pub const ACCELS_MAX: u32 = 64;
+
+/// Sections of process settings.
+pub static SECTIONS: &[Section] = &[PROCESS, CONTROL, ENTRY, AGENT, timing::SECTION];
+
+pub(super) const PROCESS: Section = Section {
+    name: "process",
+    label: None,
+    help: "What this process is and where its instance stands; required.",
+    keys: &[
+        required(
+            "role",
+            "control, entry, agent or all",
+            "Role; `all` is the three in one process.",
+        ),
+        preset("cluster", "name", "bronzespool", "Processes of another cluster are refused."),
+        required("instance", "name", "Name of this instance, its own in the cluster."),
+        required("region", "name", "Region of the data centre."),
+        required("center", "name", "Data centre of the instance."),
+        required("rack", "name", "Rack of the instance."),
+        preset("log", "error, warn, info, debug or trace", "info", "Least severe level logged."),
+        optional("data", "folder", "a fault for control and all", "Folder of the replicated log."),
+        preset("grace", "duration", "20s", "Longest time that a graceful stop takes."),
+    ],
+};
+
+pub(super) const CONTROL: Section = Section {
+    name: "control",
+    label: None,
+    help: "A control instance; required for the roles control and all.",
+    keys: &[
+        required("listen", "ip:port", "Where other processes reach this one; not 0.0.0.0 or [::]."),
+        optional(
+            "peers",
+            "list of instance@ip:port",
+            "this instance alone",
+            "Control instances of the cluster's first start, this one among them; at most 7.",
+        ),
+        preset(
+            "reserve",
+            "shape or none",
+            "1 x worker",
+            "Capacity that guarantees leave free for failures.",
+        ),
+    ],
+};
+
+pub(super) const ENTRY: Section = Section {
+    name: "entry",
+    label: None,
+    help: "An entry instance; required for the roles entry and all.",
+    keys: &[
+        required("listen", "ip:port", "Where callers reach this process over HTTP."),
+        optional(
+            "operators",
+            "ip:port",
+            "no operators' interface",
+            "Where operators reach it over HTTP.",
+        ),
+        optional(
+            "control",
+            "list of ip:port",
+            "a fault, but its own for all",
+            "Control instances.",
+        ),
+    ],
+};
+
+pub(super) const AGENT: Section = Section {
+    name: "agent",
+    label: None,
+    help: "An agent beside an endpoint instance; required for the roles agent and all.",
+    keys: &[
+        required("listen", "ip:port", "Where entries reach this process; not 0.0.0.0 or [::]."),
+        required("endpoint", "ip:port", "Where the endpoint serves HTTP."),
+        optional("worker", "ip:port", "no jobs run here", "The platform's worker interface."),
+        optional(
+            "control",
+            "list of ip:port",
+            "a fault, but its own for all",
+            "Control instances.",
+        ),
+        required("service", "list of names", "Services that the endpoint serves."),
+        preset("slots", "positive count", "8", "Requests that the endpoint serves at once."),
+        preset("connections", "positive count", "64", "Connections that the endpoint allows."),
+        required("cores", "positive count", "Processor cores of the instance."),
+        required("memory", "memory", "Memory of the instance, in whole MiB."),
+        preset("accelerators", "count up to 64", "0", "Accelerators of the instance."),
+    ],
+};
--- /dev/null
+++ b/crates/bronzespool-core/src/settings/process/mod.rs
@@ -0,0 +1,239 @@
+//! Process settings: what one daemon is, where it stands and whom it talks to.
+
+mod define;
+pub(super) mod part;
+pub(super) mod value;
+
+pub use self::define::{ACCELS_MAX, PEERS_MAX, SECTIONS};
+
+use {
+    self::{
+        define::PROCESS,
+        part::{read_agent, read_control, read_entry, read_head},
+    },
+    crate::{
+        name::{Cluster, Instance, Service},
+        place::{Capacity, Place},
+        settings::{
+            document::Document,
+            fault::{Fault, Faults, Result},
+            reader::Reader,
+            timing::{self, Timing},
+        },
+        shape::Shape,
+    },
+    std::{
+        fs,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        time::Duration,
+    },
+};
+
+/// What a process does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Role {
+    /// Replica of the log and hub of sessions.
+    Control,
+    /// HTTP for callers and operators.
+    Entry,
+    /// Process beside an endpoint instance.
+    Agent,
+    /// The three in one process.
+    All,
+}
+
+/// Least severe level that is logged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum LogLevel {
+    /// Faults.
+    Error,
+    /// Faults and warnings.
+    Warn,
+    /// Also changes of state.
+    Info,
+    /// Also decisions.
+    Debug,
+    /// Also messages.
+    Trace,
+}
+
+/// Settings of one process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ProcessSettings {
+    /// What it does.
+    pub role: Role,
+    /// Cluster that it belongs to.
+    pub cluster: Cluster,
+    /// Where its instance stands.
+    pub place: Place,
+    /// Least severe level logged.
+    pub log: LogLevel,
+    /// Folder of the replicated log; always there with `control`.
+    pub data: Option<PathBuf>,
+    /// Longest time that a graceful stop takes.
+    pub grace: Duration,
+    /// There for the roles control and all.
+    pub control: Option<ControlSettings>,
+    /// There for the roles entry and all.
+    pub entry: Option<EntrySettings>,
+    /// There for the roles agent and all.
+    pub agent: Option<AgentSettings>,
+    /// Intervals and time limits.
+    pub timing: Timing,
+}
+
+/// Settings of a control instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ControlSettings {
+    /// Where other processes reach this one.
+    pub listen: SocketAddr,
+    /// Control instances of the first start, this one among them.
+    pub peers: Vec<Peer>,
+    /// Capacity that guarantees leave free for failures.
+    pub reserve: Option<Shape>,
+}
+
+/// Settings of an entry instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntrySettings {
+    /// Where callers reach this process.
+    pub listen: SocketAddr,
+    /// Where operators reach it.
+    pub operators: Option<SocketAddr>,
+    /// Control instances, at least one.
+    pub control: Vec<SocketAddr>,
+}
+
+/// Settings of an agent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AgentSettings {
+    /// Where entries reach this process.
+    pub listen: SocketAddr,
+    /// Where the endpoint serves HTTP.
+    pub endpoint: SocketAddr,
+    /// The platform's worker interface.
+    pub worker: Option<SocketAddr>,
+    /// Control instances, at least one.
+    pub control: Vec<SocketAddr>,
+    /// Services that the endpoint serves, at least one.
+    pub services: Vec<Service>,
+    /// What the endpoint instance offers.
+    pub capacity: Capacity,
+}
+
+/// A control instance and its address.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Name of the instance.
+    pub instance: Instance,
+    /// Where other processes reach it.
+    pub addr: SocketAddr,
+}
+
+impl Role {
+    /// Whether a process of this role is also one of role `part`.
+    pub fn includes(self, part: Self) -> bool {
+        self == Self::All || self == part
+    }
+}
+
+impl LogLevel {
+    /// The level as in settings.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Error => "error",
+            Self::Warn => "warn",
+            Self::Info => "info",
+            Self::Debug => "debug",
+            Self::Trace => "trace",
+        }
+    }
+}
+
+/// Reads the process settings in the file `path`.
+///
+/// # Errors
+///
+/// All faults of the file, or that it cannot be read.
+pub fn read_process(path: &Path) -> Result<ProcessSettings> {
+    let file = path.display().to_string();
+    match fs::read_to_string(path) {
+        Ok(text) => parse_process(&file, &text),
+        Err(error) => Err(Fault::unreadable(&file, &error).into()),
+    }
+}
+
+/// Reads process settings; `file` is the path that faults name.
+///
+/// # Errors
+///
+/// All faults of the text.
+pub fn parse_process(file: &str, text: &str) -> Result<ProcessSettings> {
+    ProcessSettings::try_from(&Document::parse(file, text))
+}
+
+/// Settings read so far; none where a section is missing or has faults.
+#[derive(Default)]
+struct Parts {
+    process: Option<ProcessSettings>,
+    control: Option<ControlSettings>,
+    entry: Option<EntrySettings>,
+    agent: Option<AgentSettings>,
+    timing: Option<Timing>,
+}
+
+impl TryFrom<&Document> for ProcessSettings {
+    type Error = Faults;
+
+    fn try_from(document: &Document) -> Result<Self> {
+        let mut faults = document.check(SECTIONS);
+        let mut parts = Parts { timing: Some(Timing::default()), ..Parts::default() };
+        if let Some(section) = document.section("process") {
+            parts.process = read_head(Reader::new(document, section, &PROCESS, &mut faults));
+        }
+        faults.extend(document.missing(&["process"]));
+        let head = parts.process.as_ref().map(|p| (p.role, p.place.instance.clone()));
+        for section in &document.sections {
+            let Some(def) = SECTIONS.iter().find(|def| def.name == section.name) else { continue };
+            let reader = Reader::new(document, section, def, &mut faults);
+            match section.name.as_str() {
+                "control" => parts.control = read_control(reader, head.as_ref()),
+                "entry" => parts.entry = read_entry(reader, document),
+                "agent" => parts.agent = read_agent(reader, document),
+                "timing" => parts.timing = timing::read(reader),
+                _ => {}
+            }
+        }
+        if let Some((role, _)) = head {
+            check_roles(document, role, &mut faults);
+        }
+        Faults(faults).into_result(parts.join())
+    }
+}
+
+impl Parts {
+    fn join(self) -> Option<ProcessSettings> {
+        let Self { process, control, entry, agent, timing } = self;
+        Some(ProcessSettings { control, entry, agent, timing: timing?, ..process? })
+    }
+}
+
+/// Faults of sections that the role lacks or does not use.
+fn check_roles(document: &Document, role: Role, faults: &mut Vec<Fault>) {
+    let parts = [("control", Role::Control), ("entry", Role::Entry), ("agent", Role::Agent)];
+    for (name, part) in parts {
+        let header = format!("[{name}]");
+        match document.section(name) {
+            None if role.includes(part) => {
+                let message = "is missing: this role needs it".to_owned();
+                faults.push(document.at(0, header, message));
+            }
+            Some(section) if !role.includes(part) => {
+                let message = "is not for this role: remove it, or change 'role'".to_owned();
+                faults.push(document.at(section.line, header, message));
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-core/src/settings/process/part.rs
@@ -0,0 +1,152 @@
+//! Readers of the sections of process settings.
+
+use {
+    super::{
+        AgentSettings, ControlSettings, EntrySettings, Peer, ProcessSettings, Role,
+        define::{ACCELS_MAX, PEERS_MAX},
+        value::{Folder, Reserve},
+    },
+    crate::{
+        name::{Instance, Service},
+        place::{Capacity, Place},
+        settings::{
+            document::Document,
+            reader::Reader,
+            timing::Timing,
+            value::{Addr, Count, List, Memory, Positive, Reach, Span},
+        },
+    },
+    std::{collections::BTreeSet, net::SocketAddr},
+};
+
+pub(super) fn read_head(mut reader: Reader<'_>) -> Option<ProcessSettings> {
+    let role = reader.get::<Role>("role");
+    let cluster = reader.get("cluster");
+    let instance = reader.get("instance");
+    let region = reader.get("region");
+    let center = reader.get("center");
+    let rack = reader.get("rack");
+    let log = reader.get("log");
+    let data = reader.optional::<Folder>("data");
+    let grace = reader.get::<Span>("grace");
+    let (role, data) = (role?, data?);
+    if role.includes(Role::Control) && data.is_none() {
+        reader.fault("data", "is missing: name a folder on a disk of this instance".to_owned());
+    }
+    let place = Place { region: region?, center: center?, rack: rack?, instance: instance? };
+    Some(ProcessSettings {
+        role,
+        cluster: cluster?,
+        place,
+        log: log?,
+        data: data.map(|folder| folder.0),
+        grace: grace?.0,
+        control: None,
+        entry: None,
+        agent: None,
+        timing: Timing::default(),
+    })
+}
+
+pub(super) fn read_control(
+    mut reader: Reader<'_>,
+    head: Option<&(Role, Instance)>,
+) -> Option<ControlSettings> {
+    let listen = reader.get("listen").and_then(|addr| own(&mut reader, addr));
+    let peers = reader.optional::<List<Peer>>("peers");
+    let reserve = reader.get::<Reserve>("reserve");
+    let instance = &head?.1;
+    let (listen, peers) = (listen?, peers?);
+    let alone = || vec![Peer { instance: instance.clone(), addr: listen }];
+    let peers = peers.map_or_else(alone, |list| list.0);
+    if let Some(message) = check_peers(&peers, instance) {
+        reader.fault("peers", message);
+    }
+    Some(ControlSettings { listen, peers, reserve: reserve?.0 })
+}
+
+fn check_peers(peers: &[Peer], own: &Instance) -> Option<String> {
+    let names: BTreeSet<_> = peers.iter().map(|peer| &peer.instance).collect();
+    let addrs: BTreeSet<_> = peers.iter().map(|peer| peer.addr).collect();
+    if names.len() < peers.len() {
+        return Some("name an instance twice: keep one of each".to_owned());
+    }
+    if addrs.len() < peers.len() {
+        return Some("name an address twice: each instance has its own".to_owned());
+    }
+    if !names.contains(own) {
+        return Some(format!("do not name this instance: add '{own}@ip:port'"));
+    }
+    let many = peers.len() > PEERS_MAX;
+    many.then(|| format!("are {}: at most {PEERS_MAX} are allowed", peers.len()))
+}
+
+/// Refuses an address at which no other process can reach this one.
+fn own(reader: &mut Reader<'_>, addr: Addr) -> Option<SocketAddr> {
+    if addr.0.ip().is_unspecified() {
+        let message =
+            format!("{} is no address for others: write this instance's IP number", addr.0);
+        reader.fault("listen", message);
+        return None;
+    }
+    Some(addr.0)
+}
+
+pub(super) fn read_entry(mut reader: Reader<'_>, document: &Document) -> Option<EntrySettings> {
+    let listen = reader.get::<Addr>("listen");
+    let operators = reader.optional::<Addr>("operators");
+    let control = read_hubs(&mut reader, document);
+    let operators = operators?.map(|addr| addr.0);
+    Some(EntrySettings { listen: listen?.0, operators, control: control? })
+}
+
+pub(super) fn read_agent(mut reader: Reader<'_>, document: &Document) -> Option<AgentSettings> {
+    let listen = reader.get("listen").and_then(|addr| own(&mut reader, addr));
+    let endpoint = reader.get::<Reach>("endpoint");
+    let worker = reader.optional::<Reach>("worker");
+    let control = read_hubs(&mut reader, document);
+    let services = reader.get::<List<Service>>("service");
+    let capacity = read_capacity(&mut reader);
+    Some(AgentSettings {
+        listen: listen?,
+        endpoint: endpoint?.0,
+        worker: worker?.map(|addr| addr.0),
+        control: control?,
+        services: services?.0,
+        capacity: capacity?,
+    })
+}
+
+/// Reads what an endpoint instance offers.
+pub(in crate::settings) fn read_capacity(reader: &mut Reader<'_>) -> Option<Capacity> {
+    let slots = reader.get::<Positive>("slots");
+    let connections = reader.get::<Positive>("connections");
+    let cores = reader.get::<Positive>("cores");
+    let memory = reader.get::<Memory>("memory");
+    let accels = reader.get::<Count>("accelerators");
+    let accels = accels?.0;
+    if accels > ACCELS_MAX {
+        reader.fault("accelerators", format!("are {accels}: at most {ACCELS_MAX} are allowed"));
+    }
+    Some(Capacity {
+        slots: slots?.0,
+        connections: connections?.0,
+        cores: cores?.0,
+        memory: memory?.0,
+        accels,
+    })
+}
+
+/// The control instances that a process connects to.
+fn read_hubs(reader: &mut Reader<'_>, document: &Document) -> Option<Vec<SocketAddr>> {
+    if let Some(list) = reader.optional::<List<Reach>>("control")? {
+        return Some(list.0.into_iter().map(|addr| addr.0).collect());
+    }
+    let section = document.section("control");
+    let listen = section.and_then(|section| section.entry("listen"));
+    let own = listen.and_then(|entry| Addr::try_from(entry.value.as_str()).ok());
+    if own.is_none() {
+        reader.fault("control", "is missing: name the control instances".to_owned());
+    }
+    own.map(|addr| vec![addr.0])
+}
--- a/crates/bronzespool-core/src/settings/service.rs
+++ b/crates/bronzespool-core/src/settings/service.rs
@@ -250,7 +250,7 @@
         match text {
             "request" => Ok(Self::Request),
             "job" => Ok(Self::Job),
-            _ => Err(Error::Choice { text: text.to_owned(), choices: "request, job" }),
+            _ => Err(Error::choice(text, "request, job")),
         }
     }
 }
--- a/crates/bronzespool-core/src/settings/source.rs
+++ b/crates/bronzespool-core/src/settings/source.rs
@@ -43,10 +43,10 @@
     for path in paths {
         let known = files.len();
         if let Err(error) = find(path, 0, &mut files) {
-            faults.push(unreadable(path, &error));
+            faults.push(Fault::unreadable(&shown(path), &error));
         } else if files.len() == known {
             let message = format!("holds no {SERVICE_FILE}: name the folder of a service");
-            faults.push(whole(path, message));
+            faults.push(Fault::of_file(&shown(path), message));
         }
     }
     files.sort();
@@ -55,7 +55,7 @@
     for file in &files {
         match read(file) {
             Ok(source) => sources.push(source),
-            Err(error) => faults.push(unreadable(file, &error)),
+            Err(error) => faults.push(Fault::unreadable(&shown(file), &error)),
         }
     }
     let config = merge_services(&sources).map_err(|more| faults.extend(more));
@@ -121,14 +121,9 @@
     if size > TEXT_MAX as u64 {
         return Err(io::Error::other(format!("over {TEXT_MAX} bytes")));
     }
-    Ok(Source { path: path.display().to_string(), text: fs::read_to_string(path)? })
+    Ok(Source { path: shown(path), text: fs::read_to_string(path)? })
 }
 
-fn unreadable(path: &Path, error: &io::Error) -> Fault {
-    whole(path, format!("cannot be read ({error}): check the path and its permissions"))
-}
-
-fn whole(path: &Path, message: String) -> Fault {
-    let file = path.display().to_string();
-    Fault { file: file.into(), line: 0, key: "file".to_owned(), message }
+fn shown(path: &Path) -> String {
+    path.display().to_string()
 }
--- /dev/null
+++ b/crates/bronzespool-core/src/settings/timing.rs
@@ -0,0 +1,72 @@
+//! Intervals and time limits of a process.
+
+use {
+    crate::settings::{
+        define::{Section, preset},
+        reader::Reader,
+        service::positive,
+        value::Span,
+    },
+    std::time::Duration,
+};
+
+macro_rules! timing {
+    ($($name:ident $value:literal $help:literal;)*) => {
+        /// The section `[timing]`.
+        pub const SECTION: Section = Section {
+            name: "timing",
+            label: None,
+            help: "Intervals and time limits; the same at all processes of a cluster.",
+            keys: &[$(preset(stringify!($name), "duration", $value, $help),)*],
+        };
+
+        /// Intervals and time limits.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub struct Timing {
+            $(#[doc = $help] pub $name: Duration,)*
+        }
+
+        impl Default for Timing {
+            fn default() -> Self {
+                let span = |text| Span::try_from(text).map_or(Duration::ZERO, |span| span.0);
+                Self { $($name: span($value),)* }
+            }
+        }
+
+        fn read_all(reader: &mut Reader<'_>) -> Option<Timing> {
+            $(let $name = reader.get(stringify!($name))
+                .and_then(|span| positive(reader, stringify!($name), span));)*
+            Some(Timing { $($name: $name?,)* })
+        }
+    };
+}
+
+timing! {
+    heartbeat "200ms" "Time between two messages of the leader to a replica.";
+    election "1s" "Shortest silence of the leader before an election; the longest is twice that.";
+    renew "1s" "Time between two renewals of a session by an entry or agent.";
+    session "3s" "Lease of a session: without a renewal its process takes no new work after it.";
+    probe "1s" "Time allowed for the answer to a probe of a connection.";
+    lease "10s" "Lease of cells that a job borrows from another team's guarantee.";
+    usage "5s" "Time between two usage reports of a worker.";
+    headers "5s" "Time allowed for a caller's headers and body to arrive.";
+    answers "15m" "Time for which the answer to a protected request is kept.";
+    horizon "24h" "Age at which an Idempotency-Key is refused instead of run.";
+}
+
+/// Reads the section and checks its keys against each other.
+pub(super) fn read(mut reader: Reader<'_>) -> Option<Timing> {
+    let timing = read_all(&mut reader)?;
+    let rules = [
+        ("heartbeat", timing.heartbeat * 3, "election", timing.election, "a third"),
+        ("renew", timing.renew * 2, "session", timing.session, "half"),
+        ("answers", timing.answers, "horizon", timing.horizon, "all"),
+    ];
+    for (key, least, other, limit, part) in rules {
+        if least > limit {
+            let message = format!("is more than {part} of '{other}': lower it, or raise '{other}'");
+            reader.fault(key, message);
+        }
+    }
+    Some(timing)
+}
--- a/crates/bronzespool-core/src/settings/value.rs
+++ b/crates/bronzespool-core/src/settings/value.rs
@@ -1,6 +1,9 @@
 //! Checked values: durations, sizes, shares, numbers and lists.
 
-use {displaydoc::Display, std::time::Duration};
+use {
+    displaydoc::Display,
+    std::{net::SocketAddr, time::Duration},
+};
 
 /// Result of reading a value.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -30,6 +33,12 @@
     Accels(String),
     /// {0:?} is not an address: write an IP number and a port, such as 10.0.0.7:7100
     Addr(String),
+    /// {0:?} is not an address that others reach: write an IP number and a port, not 0.0.0.0 or port 0
+    Reach(String),
+    /// {0:?} is not a control instance: write its name and address, such as control-1@10.0.0.7:7100
+    Peer(String),
+    /// the path is empty: name a folder
+    Folder,
     /// {text:?} is not one of {choices}
     Choice {
         /// The text.
@@ -48,6 +57,13 @@
 
 impl std::error::Error for Error {}
 
+impl Error {
+    /// `text` is none of `choices`.
+    pub(super) fn choice(text: &str, choices: &'static str) -> Self {
+        Self::Choice { text: text.to_owned(), choices }
+    }
+}
+
 /// Largest weight.
 const WEIGHT_MAX: f64 = 1e6;
 /// Largest number of accelerators in a block.
@@ -100,7 +116,9 @@
     /// Adjacent accelerators: zero or a power of two up to 64.
     Accels(u32) read_accels Accels;
     /// An IP number and a port.
-    Addr(std::net::SocketAddr) read_addr Addr;
+    Addr(SocketAddr) read_addr Addr;
+    /// An IP number and a port at which others reach a process.
+    Reach(SocketAddr) read_reach Reach;
 }
 
 fn read_span(text: &str) -> Option<Duration> {
@@ -177,10 +195,14 @@
     read_count(text).filter(|&n| n == 0 || (n.is_power_of_two() && n <= ACCELS_MAX))
 }
 
-fn read_addr(text: &str) -> Option<std::net::SocketAddr> {
+fn read_addr(text: &str) -> Option<SocketAddr> {
     text.parse().ok()
 }
 
+fn read_reach(text: &str) -> Option<SocketAddr> {
+    read_addr(text).filter(|addr| addr.port() != 0 && !addr.ip().is_unspecified())
+}
+
 /// Values separated by commas.
 #[derive(Clone, Debug, PartialEq)]
 pub struct List<T>(pub Vec<T>);
