--- a/crates/bronzespool-core/src/lib.rs
+++ b/crates/bronzespool-core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod digest;
 pub mod name;
 pub mod place;
+pub mod refusal;
 pub mod settings;
 pub mod shape;
 pub mod spec;
@@ -28,6 +29,7 @@
     digest::Digest,
     name::{Center, Cluster, Instance, Job, Key, Kind, Rack, Region, Service, Team},
     place::{Capacity, Place},
+    refusal::Refusal,
     shape::{Level, Shape},
     spec::{Config, KindSpec, Mode, Need, ServiceSpec, Target, TeamSpec, Weights},
     time::Time,
