feat(core): generate the settings reference and the table of result codes

The tables of docs/operations/settings.md and docs/RESULT_CODES.md come from the definitions that the readers use; tests compare page and code. Seen failing with the default of 'heartbeat' and the help of a code changed.

--- a/crates/bronzespool-core/src/code.rs
+++ b/crates/bronzespool-core/src/code.rs
@@ -141,6 +141,16 @@
     }
 }
 
+/// All codes as a Markdown table.
+pub fn table() -> String {
+    let head = "| number | name | outcome | HTTP status | meaning |\n|---|---|---|---|---|";
+    let row = |code: &Code| {
+        let (number, name, help) = (code.number(), code.name(), code.help());
+        format!("\n| {number} | `{name}` | {} | {} | {help} |", code.outcome(), code.status())
+    };
+    Code::ALL.iter().fold(head.to_owned(), |table, code| table + &row(code))
+}
+
 impl TryFrom<u16> for Code {
     type Error = NoCode;
 
--- a/crates/bronzespool-core/src/settings/mod.rs
+++ b/crates/bronzespool-core/src/settings/mod.rs
@@ -23,6 +23,7 @@
 mod near;
 pub mod process;
 mod reader;
+pub mod reference;
 pub mod service;
 pub mod source;
 pub mod timing;
