--- a/crates/bronzespool-flow/src/lib.rs
+++ b/crates/bronzespool-flow/src/lib.rs
@@ -28,3 +28,6 @@
 
 pub mod admit;
 pub mod claim;
+pub mod config;
+pub mod session;
+pub mod view;
