--- a/crates/bronzespool-flow/src/lib.rs
+++ b/crates/bronzespool-flow/src/lib.rs
@@ -1,4 +1,5 @@
 //! Request path logic, free of I/O: claims, admission, limits, retries, routing, sessions, the configuration and burn reports.
+//! Request path logic, free of I/O: claims, admission, limits, retries, routing and burn reports.
 //!
 //! Every function takes the time as a parameter; nothing here reads a clock or a socket.
 //!
--- /dev/null
+++ b/crates/bronzespoold/src/agent/state.rs
@@ -0,0 +1,161 @@
+//! What the agent's parts share.
+
+use {
+    crate::{
+        client::{Keeper, Subscriber},
+        clock::Clock,
+    },
+    bronzespool::{
+        core::{Capacity, Instance, Place, Service, Time},
+        flow::{
+            admit::{Admission, Limits},
+            claim::Incarnation,
+            view::{self, View},
+        },
+        wire::message::{AgentState, Announce, Assignment, Hello, Role, Update, Welcome},
+    },
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+    },
+    tokio::sync::Notify,
+};
+
+/// State of the agent.
+pub(super) struct State {
+    pub(super) clock: Clock,
+    pub(super) place: Place,
+    pub(super) nonce: u64,
+    pub(super) address: SocketAddr,
+    pub(super) endpoint: SocketAddr,
+    pub(super) services: Vec<Service>,
+    pub(super) capacity: Capacity,
+    pub(super) view: RefCell<View>,
+    pub(super) admission: RefCell<Option<Admission>>,
+    pub(super) until: Cell<Time>,
+    pub(super) leaving: Cell<bool>,
+    pub(super) reports: Cell<u32>,
+    pub(super) finished: Notify,
+    pub(super) tasks: RefCell<Vec<Assignment>>,
+    pub(super) tasks_index: Cell<u64>,
+    pub(super) tasks_changed: Notify,
+    pub(super) keeper: RefCell<Option<Rc<Keeper<Self>>>>,
+}
+
+impl State {
+    /// The agent's instance.
+    pub(super) const fn instance(&self) -> &Instance {
+        &self.place.instance
+    }
+
+    /// The session's keeper, which is set before the first request arrives.
+    pub(super) fn keeper(&self) -> Option<Rc<Keeper<Self>>> {
+        self.keeper.borrow().clone()
+    }
+
+    /// Revision of the configuration here.
+    pub(super) fn revision(&self) -> u64 {
+        self.view.borrow().config.revision
+    }
+
+    /// What every reply tells.
+    pub(super) fn brief(&self) -> AgentState {
+        let now = self.clock.now();
+        let admission = self.admission.borrow();
+        let incarnation = admission.as_ref().map_or(0, |a| a.own().number);
+        let used = admission.as_ref().map_or(0, |a| a.slots().used());
+        AgentState {
+            clock: now,
+            incarnation,
+            revision: self.revision(),
+            used,
+            slots: self.capacity.slots,
+            open: !self.leaving.get() && now < self.until.get(),
+        }
+    }
+
+    /// Refuses new work from now on.
+    pub(super) fn leave(&self) {
+        self.leaving.set(true);
+        if let Some(admission) = self.admission.borrow_mut().as_mut() {
+            admission.drain();
+        }
+    }
+
+    /// Whether requests run or outcomes wait to be reported.
+    pub(super) fn busy(&self) -> bool {
+        let running = self.admission.borrow().as_ref().is_some_and(|a| !a.idle());
+        running || self.reports.get() > 0
+    }
+
+    fn admit_as(&self, incarnation: u64) {
+        let mut admission = self.admission.borrow_mut();
+        if admission.as_ref().is_some_and(|a| a.own().number == incarnation) {
+            return;
+        }
+        let own = Incarnation { instance: self.instance().clone(), number: incarnation };
+        let mut fresh = Admission::new(own, &self.capacity, Limits::default());
+        if self.leaving.get() {
+            fresh.drain();
+        }
+        *admission = Some(fresh);
+    }
+
+    fn assign(&self, index: u64, tasks: Vec<Assignment>) {
+        if index < self.tasks_index.get() {
+            return;
+        }
+        self.tasks_index.set(index);
+        *self.tasks.borrow_mut() = tasks;
+        self.tasks_changed.notify_one();
+    }
+}
+
+impl Subscriber for State {
+    fn hello(&self) -> Hello {
+        let announce = Announce {
+            place: self.place.clone(),
+            nonce: self.nonce,
+            address: self.address,
+            services: self.services.clone(),
+            capacity: self.capacity,
+            leaving: self.leaving.get(),
+        };
+        Hello {
+            role: Role::Agent,
+            instance: self.instance().clone(),
+            seen: self.acked(),
+            announce: Some(announce),
+        }
+    }
+
+    fn welcome(&self, welcome: Welcome) -> bool {
+        let index = welcome.view.index;
+        if !self.view.borrow_mut().replace(welcome.view) {
+            return false;
+        }
+        self.admit_as(welcome.incarnation);
+        self.assign(index, welcome.tasks);
+        true
+    }
+
+    fn update(&self, update: Update) -> view::Result<()> {
+        match update {
+            Update::Delta(delta) => self.view.borrow_mut().apply(delta)?,
+            Update::Tasks { index, tasks } => self.assign(index, tasks),
+        }
+        Ok(())
+    }
+
+    fn acked(&self) -> u64 {
+        self.view.borrow().index
+    }
+
+    fn valid_until(&self, until: Time) {
+        self.until.set(until);
+        if let Some(admission) = self.admission.borrow_mut().as_mut() {
+            admission.session(until);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bronzespoold/src/entry/mod.rs
@@ -0,0 +1,12 @@
+//! The entry: callers' and operators' HTTP interface.
+
+mod agents;
+mod dispatch;
+mod filter;
+mod jobs;
+mod operators;
+mod server;
+mod start;
+mod state;
+
+pub use start::{Options, run};
