feat(schedule): add the book, its records and a first policy

A book changes only by records. The policy grants guaranteed cells first, binds a guaranteed cell to a place while its team uses it, and lends the rest under short leases. A bind is made only if the guarantees that are not in use still pack into the unbound cells.

--- /dev/null
+++ b/crates/bronzespool-schedule/src/book/mod.rs
@@ -0,0 +1,258 @@
+//! All durable scheduling state, changed only by records.
+
+mod apply;
+pub mod grid;
+mod schedule;
+pub mod team;
+
+use {
+    crate::{
+        job::{Id, JobState, Phase},
+        settings::Settings,
+    },
+    bronzespool_core::{Capacity, HashMap, Instance, Job, Place, Team, Time},
+    displaydoc::Display,
+    grid::{Grid, Ledger},
+    serde::{Deserialize, Deserializer, Serialize, Serializer},
+    std::collections::{BTreeMap, BTreeSet},
+    team::TeamState,
+};
+
+/// Result of applying a record.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a record does not fit the book. The book is unchanged then.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Error {
+    /// no worker {0}
+    UnknownWorker(Instance),
+    /// no job {0}
+    UnknownJob(Job),
+    /// job {0} was submitted before
+    Duplicate(Job),
+    /// job {0} has no attempt {1}
+    Attempt(Job, u32),
+    /// job {0} is not waiting
+    NotWaiting(Job),
+    /// cell of {0} at {1} is held by other work
+    Held(Instance, u32),
+    /// worker {0} has more than 64 accelerators
+    Accels(Instance),
+}
+
+impl std::error::Error for Error {}
+
+/// State of a worker.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Worker {
+    /// Number in the order of first announcement.
+    pub slot: u32,
+    /// Where it stands.
+    pub place: Place,
+    /// What it has.
+    pub capacity: Capacity,
+    /// Number of its agent's process.
+    pub incarnation: u64,
+    /// Whether it is reachable.
+    pub up: bool,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Since when it is in quarantine.
+    pub quarantine: Option<Time>,
+    /// Whether it may have one probe while in quarantine.
+    pub probing: bool,
+    /// Jobs that failed here since the last success, with the time of the failure.
+    pub failures: BTreeMap<Id, Time>,
+}
+
+impl Worker {
+    /// Whether new work may go there.
+    pub const fn open(&self) -> bool {
+        self.up && !self.leaving && (self.quarantine.is_none() || self.probing)
+    }
+}
+
+/// Durable part of the book.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct State {
+    settings: Settings,
+    workers: BTreeMap<Instance, Worker>,
+    slots: u32,
+    teams: BTreeMap<Team, TeamState>,
+    jobs: BTreeMap<Id, JobState>,
+    next: Id,
+    estimates: BTreeMap<(Team, bronzespool_core::Kind), crate::estimate::Estimate>,
+}
+
+/// Part of the book that follows from its state.
+#[derive(Clone, Debug, Default)]
+struct Index {
+    grid: Grid,
+    names: HashMap<Job, Id>,
+    queue: BTreeMap<Team, BTreeSet<(bool, Id)>>,
+    delayed: BTreeSet<(Time, Id)>,
+    due: BTreeSet<(Time, Id)>,
+    reserved: BTreeSet<Id>,
+    ended: BTreeSet<(Time, Id)>,
+    ledger: BTreeMap<Team, Ledger>,
+    marks: HashMap<Id, schedule::Mark>,
+    epoch: u64,
+}
+
+/// All durable scheduling state.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    state: State,
+    index: Index,
+}
+
+impl Book {
+    /// An empty book with other settings than the default.
+    pub fn new(settings: Settings) -> Self {
+        Self { state: State { settings, ..State::default() }, index: Index::default() }
+    }
+
+    /// Durations and limits of the policy.
+    pub const fn settings(&self) -> &Settings {
+        &self.state.settings
+    }
+
+    /// Workers by name.
+    pub const fn workers(&self) -> &BTreeMap<Instance, Worker> {
+        &self.state.workers
+    }
+
+    /// Teams with guarantees.
+    pub const fn teams(&self) -> &BTreeMap<Team, TeamState> {
+        &self.state.teams
+    }
+
+    /// Jobs in the order of submission.
+    pub fn jobs(&self) -> impl Iterator<Item = &JobState> {
+        self.state.jobs.values()
+    }
+
+    /// The job called `name`.
+    pub fn job(&self, name: &Job) -> Option<&JobState> {
+        self.state.jobs.get(self.index.names.get(name)?)
+    }
+
+    /// The job with number `id`.
+    pub fn job_at(&self, id: Id) -> Option<&JobState> {
+        self.state.jobs.get(&id)
+    }
+
+    /// Waiting jobs of each team: urgent ones first, then in the order of submission.
+    pub fn queues(&self) -> impl Iterator<Item = (&Team, impl Iterator<Item = &JobState>)> {
+        self.index
+            .queue
+            .iter()
+            .map(|(team, ids)| (team, ids.iter().filter_map(|(_, id)| self.state.jobs.get(id))))
+    }
+
+    /// Occupancy of the workers.
+    pub const fn grid(&self) -> &Grid {
+        &self.index.grid
+    }
+
+    /// What a team holds.
+    pub fn ledger(&self, team: &Team) -> Ledger {
+        self.index.ledger.get(team).copied().unwrap_or_default()
+    }
+
+    /// Run-time estimate of a kind of a team, if any run of it has ended.
+    pub fn estimate(
+        &self,
+        team: &Team,
+        kind: &bronzespool_core::Kind,
+    ) -> Option<&crate::estimate::Estimate> {
+        self.state.estimates.get(&(team.clone(), kind.clone()))
+    }
+
+    /// Rises whenever capacity was released or added.
+    pub const fn epoch(&self) -> u64 {
+        self.index.epoch
+    }
+
+    /// Jobs that need a record at or before `now`.
+    pub(crate) fn due(&self, now: Time) -> impl Iterator<Item = &JobState> {
+        let ids = self.index.due.range(..=(now, Id::MAX));
+        ids.filter_map(|(_, id)| self.state.jobs.get(id))
+    }
+
+    /// First time at which a job needs a record.
+    pub(crate) fn next_due(&self) -> Option<Time> {
+        self.index.due.first().map(|(at, _)| *at)
+    }
+
+    /// First time after `now` at which a delayed job may be tried.
+    pub(crate) fn next_delayed(&self, now: Time) -> Option<Time> {
+        self.index.delayed.range((now, Id::MAX)..).next().map(|(at, _)| *at)
+    }
+
+    /// Jobs whose cells are being cleared.
+    pub(crate) fn reserved(&self) -> impl Iterator<Item = &JobState> {
+        self.index.reserved.iter().filter_map(|id| self.state.jobs.get(id))
+    }
+
+    /// Ended jobs, oldest end first.
+    pub(crate) fn ended(&self) -> impl Iterator<Item = (Time, &JobState)> {
+        self.index.ended.iter().filter_map(|(at, id)| Some((*at, self.state.jobs.get(id)?)))
+    }
+
+    fn rebuild(state: State) -> Self {
+        let mut book = Self { state, index: Index::default() };
+        let mut workers: Vec<_> = book.state.workers.values().cloned().collect();
+        workers.sort_by_key(|w| w.slot);
+        for worker in &workers {
+            book.index.grid.insert(worker);
+        }
+        for team in book.state.teams.values() {
+            for bind in &team.binds {
+                book.index.grid.bind(bind);
+            }
+        }
+        let ids: Vec<_> = book.state.jobs.keys().copied().collect();
+        for id in ids {
+            book.link(id);
+        }
+        book
+    }
+
+    /// Enters a job of the state into the index.
+    fn link(&mut self, id: Id) {
+        let job = &self.state.jobs[&id];
+        self.index.names.insert(job.spec.job.clone(), id);
+        if let Phase::Active(attempt) = &job.phase {
+            for (member, state) in attempt.members.iter().enumerate() {
+                if state.holds() {
+                    self.index.grid.occupy(job, attempt, member);
+                    let ledger = self.index.ledger.entry(job.spec.team.clone()).or_default();
+                    ledger.add(&attempt.cells[member], &job.spec.need, attempt.borrowed);
+                }
+            }
+        }
+        if let Phase::Reserved { cells, borrowed, .. } = &job.phase {
+            self.index.grid.hold(cells, &job.spec.need, *borrowed);
+        }
+        self.schedule(id);
+    }
+}
+
+impl PartialEq for Book {
+    fn eq(&self, other: &Self) -> bool {
+        self.state == other.state
+    }
+}
+
+impl Serialize for Book {
+    fn serialize<S: Serializer>(&self, to: S) -> std::result::Result<S::Ok, S::Error> {
+        self.state.serialize(to)
+    }
+}
+
+impl<'de> Deserialize<'de> for Book {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> std::result::Result<Self, D::Error> {
+        State::deserialize(from).map(Self::rebuild)
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-schedule/src/book/schedule.rs
@@ -0,0 +1,120 @@
+//! Which jobs need a look, and when.
+
+use {
+    super::Book,
+    crate::{
+        job::{Attempt, Id, JobState, Member, Phase},
+        record::MemberOutcome,
+    },
+    bronzespool_core::Time,
+};
+
+/// Where a job stands in the index.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Mark {
+    due: Option<Time>,
+    delayed: Option<Time>,
+    queued: Option<bool>,
+    reserved: bool,
+    ended: Option<Time>,
+}
+
+impl Book {
+    /// Enters a job into the queues and timers that its phase calls for.
+    pub(super) fn schedule(&mut self, id: Id) {
+        self.unmark(id);
+        let Some(job) = self.state.jobs.get(&id) else {
+            return;
+        };
+        let mark = self.mark(job);
+        let index = &mut self.index;
+        if let Some(due) = mark.due {
+            index.due.insert((due, id));
+        }
+        if let Some(delayed) = mark.delayed {
+            index.delayed.insert((delayed, id));
+        }
+        if let Some(rank) = mark.queued {
+            index.queue.entry(job.spec.team.clone()).or_default().insert((rank, id));
+        }
+        if mark.reserved {
+            index.reserved.insert(id);
+        }
+        if let Some(ended) = mark.ended {
+            index.ended.insert((ended, id));
+        }
+        index.marks.insert(id, mark);
+    }
+
+    fn unmark(&mut self, id: Id) {
+        let index = &mut self.index;
+        let Some(mark) = index.marks.remove(&id) else {
+            return;
+        };
+        if let Some(due) = mark.due {
+            index.due.remove(&(due, id));
+        }
+        if let Some(delayed) = mark.delayed {
+            index.delayed.remove(&(delayed, id));
+        }
+        if let Some(rank) = mark.queued {
+            let team = &self.state.jobs[&id].spec.team;
+            if let Some(queue) = index.queue.get_mut(team) {
+                queue.remove(&(rank, id));
+                if queue.is_empty() {
+                    index.queue.remove(team);
+                }
+            }
+        }
+        if mark.reserved {
+            index.reserved.remove(&id);
+        }
+        if let Some(ended) = mark.ended {
+            index.ended.remove(&(ended, id));
+        }
+    }
+
+    fn mark(&self, job: &JobState) -> Mark {
+        let mut mark = Mark::default();
+        match &job.phase {
+            Phase::Waiting { after } => {
+                mark.queued = Some(!job.spec.urgent);
+                mark.delayed = Some(*after).filter(|&at| at > Time::ZERO);
+                mark.due = job.spec.deadline;
+                if job.failed.len() >= self.state.settings.job_strikes as usize {
+                    mark.due = Some(Time::ZERO);
+                }
+            }
+            Phase::Reserved { .. } => mark.reserved = true,
+            Phase::Active(attempt) => mark.due = self.attempt_due(attempt),
+            Phase::Ended { at, .. } => mark.ended = Some(*at),
+        }
+        mark
+    }
+
+    /// When an attempt needs a record, if ever without news.
+    fn attempt_due(&self, attempt: &Attempt) -> Option<Time> {
+        let now = Some(Time::ZERO);
+        if let Some(stop) = attempt.stop {
+            let open = stop.by == Time::MAX;
+            return if open || !attempt.holds() { now } else { Some(stop.by) };
+        }
+        let failed = |m: &Member| matches!(m, Member::Stopped(o) if *o != MemberOutcome::Done);
+        if attempt.members.iter().any(failed) || !attempt.holds() || self.lost(attempt) {
+            return now;
+        }
+        if attempt.started.is_some() {
+            return None;
+        }
+        if attempt.members.iter().all(|m| *m == Member::Prepared) {
+            return now;
+        }
+        Some(attempt.granted + self.state.settings.prepare)
+    }
+
+    /// Whether a member still held is on a worker that is lost.
+    pub(crate) fn lost(&self, attempt: &Attempt) -> bool {
+        let mut held = attempt.cells.iter().zip(&attempt.members).filter(|(_, m)| m.holds());
+        held.any(|(cell, _)| !self.state.workers.get(&cell.instance).is_some_and(|w| w.up))
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-schedule/src/estimate.rs
@@ -0,0 +1,46 @@
+//! Run times learned from ended runs.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// Runs remembered for each team and kind.
+pub const SAMPLES_MAX: usize = 32;
+
+/// Run times of the last ended runs of one kind of one team.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Estimate {
+    samples: Vec<Duration>,
+    next: usize,
+}
+
+impl Estimate {
+    /// Remembers a run, in place of the oldest one when full.
+    pub fn push(&mut self, span: Duration) {
+        if self.samples.len() < SAMPLES_MAX {
+            self.samples.push(span);
+            return;
+        }
+        self.samples[self.next] = span;
+        self.next = (self.next + 1) % SAMPLES_MAX;
+    }
+
+    /// Run time that a share of `thousandths` of the remembered runs did not exceed.
+    pub fn quantile(&self, thousandths: usize) -> Option<Duration> {
+        let mut sorted = self.samples.clone();
+        sorted.sort_unstable();
+        let rank = (sorted.len() * thousandths).div_ceil(1_000).max(1);
+        sorted.get(rank - 1).copied()
+    }
+
+    /// Number of runs remembered.
+    pub fn len(&self) -> usize {
+        self.samples.len()
+    }
+
+    /// Whether no run has ended yet.
+    pub fn is_empty(&self) -> bool {
+        self.samples.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-schedule/src/policy/queue.rs
@@ -0,0 +1,174 @@
+//! Who gets cells next: guarantees first, then borrowing by dominant share.
+
+use {
+    super::{
+        GRANTS_MAX, Pass, Planner,
+        claim::{Claim, claim},
+        place::{Ask, Choice, Totals, dominant_share, free_cells, ready},
+        reclaim,
+    },
+    crate::{
+        book::Book,
+        cell::{Bind, Cell},
+        job::JobState,
+        record::{Event, Record},
+    },
+    bronzespool_core::{HashSet, Team, Time},
+    std::collections::BTreeMap,
+};
+
+/// Grants and reservations for waiting jobs.
+pub(super) fn grant(planner: &mut Planner, book: &Book, now: Time) -> Vec<Record> {
+    let mut pass = Pass { book, now, grid: book.grid().clone(), grants: 0, records: Vec::new() };
+    reclaim::finish(&mut pass);
+    if !pass.records.is_empty() {
+        return pass.records;
+    }
+    own(planner, &mut pass);
+    if pass.records.is_empty() {
+        borrow(planner, &mut pass);
+    }
+    pass.records
+}
+
+/// Grants on own guarantees. A claim changes what is bound, so one team claims once in a pass.
+fn own(planner: &mut Planner, pass: &mut Pass<'_>) {
+    let book = pass.book;
+    for (team, jobs) in book.queues() {
+        if !book.teams().contains_key(team) {
+            continue;
+        }
+        let mut tried = HashSet::default();
+        for job in jobs {
+            if !ready(job, pass.now) {
+                continue;
+            }
+            let Some(ask) = Ask::of(&pass.grid, &job.spec) else {
+                continue;
+            };
+            let Some(ask) = own_ask(pass, job, ask) else {
+                continue;
+            };
+            let class = (Some(team.clone()), ask);
+            let known = planner.failed.get(&class) == Some(&book.epoch());
+            if known || !tried.insert(ask) {
+                continue;
+            }
+            if !try_own(pass, job, &ask) {
+                planner.failed.insert(class, book.epoch());
+                continue;
+            }
+            return;
+        }
+    }
+}
+
+/// What a job asks of its guarantee; none if it needs none.
+fn own_ask(pass: &Pass<'_>, job: &JobState, ask: Ask) -> Option<Ask> {
+    if ask.order.is_some() {
+        return Some(ask);
+    }
+    if job.spec.preemptible() || free_cells(&pass.grid, &ask).is_some() {
+        return None;
+    }
+    ask.guaranteed(&pass.grid, &job.spec)
+}
+
+fn try_own(pass: &mut Pass<'_>, job: &JobState, ask: &Ask) -> bool {
+    let Some(found) = claim(pass.book, &mut pass.grid, &job.spec.team, ask) else {
+        return false;
+    };
+    if found.taken > 0 && job.spec.preemptible() && !job.spec.urgent
+        && let Some(choice) = free_cells(&pass.grid, ask) {
+            lend(pass, job, ask, &choice);
+            return true;
+        }
+    take(pass, job, ask, found);
+    true
+}
+
+/// Grants a claim, or reserves it and stops the work in its way.
+fn take(pass: &mut Pass<'_>, job: &JobState, ask: &Ask, claim: Claim) {
+    let choice = Choice { cells: claim.cells, cost: claim.split };
+    let cells = choice.named(&pass.grid, ask.accels());
+    let clear = reclaim::clear(&pass.grid, &cells, &job.spec.need);
+    if clear {
+        grant_cells(pass, job, cells, false, claim.binds);
+        return;
+    }
+    reclaim::unreserve(pass, &cells);
+    let name = job.spec.job.clone();
+    let binds = claim.binds;
+    pass.push(Event::Reserved { job: name, cells: cells.clone(), borrowed: false, binds });
+    reclaim::stop_others(pass, job, &cells);
+}
+
+fn grant_cells(
+    pass: &mut Pass<'_>,
+    job: &JobState,
+    cells: Vec<Cell>,
+    borrowed: bool,
+    binds: Vec<Bind>,
+) {
+    let settings = pass.book.settings();
+    let lease = if borrowed { settings.lease } else { settings.gang_lease };
+    let name = job.spec.job.clone();
+    let attempt = job.attempts + 1;
+    pass.grid.hold(&cells, &job.spec.need, borrowed);
+    pass.grants += 1;
+    pass.push(Event::Granted { job: name, attempt, cells, lease, borrowed, binds });
+}
+
+fn lend(pass: &mut Pass<'_>, job: &JobState, ask: &Ask, choice: &Choice) {
+    let cells = choice.named(&pass.grid, ask.accels());
+    grant_cells(pass, job, cells, job.spec.preemptible(), Vec::new());
+}
+
+/// Lends free cells, to the team with the smallest dominant share first.
+fn borrow(planner: &mut Planner, pass: &mut Pass<'_>) {
+    let book = pass.book;
+    let totals = Totals::of(&pass.grid);
+    let mut queues: BTreeMap<&Team, (u64, Vec<&JobState>)> = BTreeMap::new();
+    for (team, jobs) in book.queues() {
+        let jobs: Vec<_> = jobs.filter(|job| ready(job, pass.now)).collect();
+        queues.insert(team, (dominant_share(book, team, &totals), jobs));
+    }
+    while pass.grants < GRANTS_MAX {
+        let next = queues.iter().filter(|(_, (_, jobs))| !jobs.is_empty());
+        let Some((&team, _)) = next.min_by_key(|(_, (share, _))| *share) else {
+            return;
+        };
+        let (share, jobs) = queues.get_mut(team).expect("found above");
+        let found = jobs.iter().position(|job| try_borrow(planner, pass, job));
+        match found {
+            Some(at) => {
+                let job = jobs[at];
+                jobs.drain(..=at);
+                let part = job.spec.accels() * 1_000_000 / totals.accels.max(1);
+                let cores = u64::from(job.spec.need.cores) * u64::from(job.spec.members);
+                *share += part.max(cores * 1_000_000 / totals.cores.max(1));
+            }
+            None => jobs.clear(),
+        }
+    }
+}
+
+/// Lends cells to a job that may be stopped, or gives work without accelerators a place.
+fn try_borrow(planner: &mut Planner, pass: &mut Pass<'_>, job: &JobState) -> bool {
+    let Some(ask) = Ask::of(&pass.grid, &job.spec) else {
+        return false;
+    };
+    if ask.order.is_some() && !job.spec.preemptible() {
+        return false;
+    }
+    let class = (None, ask);
+    if planner.failed.get(&class) == Some(&pass.book.epoch()) {
+        return false;
+    }
+    let Some(choice) = free_cells(&pass.grid, &ask) else {
+        planner.failed.insert(class, pass.book.epoch());
+        return false;
+    };
+    lend(pass, job, &ask, &choice);
+    true
+}
--- /dev/null
+++ b/crates/bronzespool-schedule/src/policy/reclaim.rs
@@ -0,0 +1,159 @@
+//! Clears chosen cells of borrowed work.
+
+use {
+    super::{Pass, progress},
+    crate::{
+        book::grid::Grid,
+        cell::Cell,
+        job::{Id, JobState, Phase},
+        record::{Event, StopReason},
+    },
+    bronzespool_core::{HashMap, Need},
+    std::collections::BTreeSet,
+};
+
+/// Whether nothing else holds the cells, with room for the members' cores and memory.
+pub(super) fn clear(grid: &Grid, cells: &[Cell], need: &Need) -> bool {
+    let mut counts: HashMap<u32, u64> = HashMap::default();
+    for held in cells {
+        let Some(slot) = grid.slot(&held.instance) else {
+            return false;
+        };
+        if grid.at(slot).used & held.mask() != 0 || grid.at(slot).held & held.mask() != 0 {
+            return false;
+        }
+        *counts.entry(slot).or_default() += 1;
+    }
+    counts.iter().all(|(&slot, &count)| has_room(grid, slot, need, count))
+}
+
+fn has_room(grid: &Grid, slot: u32, need: &Need, count: u64) -> bool {
+    let at = grid.at(slot);
+    at.cores_used + at.cores_held + u64::from(need.cores) * count <= at.cores
+        && at.memory_used + at.memory_held + need.memory * count <= at.memory
+}
+
+/// Grants reservations whose cells are clear now, and gives up those on lost workers.
+pub(super) fn finish(pass: &mut Pass<'_>) {
+    let book = pass.book;
+    for job in book.reserved() {
+        let Phase::Reserved { cells, borrowed, .. } = &job.phase else {
+            continue;
+        };
+        let open = |c: &Cell| pass.grid.slot(&c.instance).is_some_and(|s| pass.grid.at(s).open);
+        if !cells.iter().all(open) {
+            pass.push(Event::Unreserved { job: job.spec.job.clone() });
+            continue;
+        }
+        pass.grid.unhold(cells, &job.spec.need, *borrowed);
+        let ready = clear(&pass.grid, cells, &job.spec.need);
+        pass.grid.hold(cells, &job.spec.need, *borrowed);
+        if ready {
+            let settings = book.settings();
+            let lease = if *borrowed { settings.lease } else { settings.gang_lease };
+            pass.push(Event::Granted {
+                job: job.spec.job.clone(),
+                attempt: job.attempts + 1,
+                cells: cells.clone(),
+                lease,
+                borrowed: *borrowed,
+                binds: Vec::new(),
+            });
+        }
+    }
+}
+
+/// Gives up borrowed reservations on the cells.
+pub(super) fn unreserve(pass: &mut Pass<'_>, wanted: &[Cell]) {
+    let book = pass.book;
+    for job in book.reserved() {
+        let Phase::Reserved { cells, borrowed: true, .. } = &job.phase else {
+            continue;
+        };
+        if cells.iter().any(|held| wanted.iter().any(|cell| overlap(held, cell))) {
+            pass.push(Event::Unreserved { job: job.spec.job.clone() });
+        }
+    }
+}
+
+fn overlap(a: &Cell, b: &Cell) -> bool {
+    a.instance == b.instance && a.mask() & b.mask() != 0
+}
+
+/// Stops the borrowed work that holds the cells, or the cores and memory that go with them.
+pub(super) fn stop_others(pass: &mut Pass<'_>, job: &JobState, cells: &[Cell]) {
+    let mut victims = BTreeSet::new();
+    let mut counts: HashMap<u32, u64> = HashMap::default();
+    for held in cells {
+        let Some(slot) = pass.grid.slot(&held.instance) else {
+            continue;
+        };
+        *counts.entry(slot).or_default() += 1;
+        for &(id, member) in &pass.grid.at(slot).tasks {
+            let attempt = pass.book.job_at(id).and_then(JobState::attempt);
+            let cell = attempt.map(|a| &a.cells[member as usize]);
+            if cell.is_some_and(|cell| cell.mask() & held.mask() != 0) {
+                victims.insert(id);
+            }
+        }
+    }
+    let mut slots: Vec<_> = counts.into_iter().collect();
+    slots.sort_unstable();
+    for (slot, count) in slots {
+        make_room(pass, job, slot, count, &mut victims);
+    }
+    for id in victims {
+        stop_one(pass, id, job);
+    }
+}
+
+/// Adds work without accelerators to the victims until cores and memory suffice, newest first.
+fn make_room(pass: &Pass<'_>, job: &JobState, slot: u32, count: u64, victims: &mut BTreeSet<Id>) {
+    let at = pass.grid.at(slot);
+    let mut cores = at.cores_used + at.cores_held + u64::from(job.spec.need.cores) * count;
+    let mut memory = at.memory_used + at.memory_held + job.spec.need.memory * count;
+    let held = |id: Id, member: u32| {
+        let victim = pass.book.job_at(id)?;
+        let attempt = victim.attempt()?;
+        let need = attempt.need(&victim.spec.need, member as usize);
+        Some((need, attempt.borrowed, attempt.cells[member as usize].accels))
+    };
+    for &(id, member) in &at.tasks {
+        if victims.contains(&id)
+            && let Some((need, _, _)) = held(id, member)
+        {
+            cores = cores.saturating_sub(u64::from(need.cores));
+            memory = memory.saturating_sub(need.memory);
+        }
+    }
+    for &(id, member) in at.tasks.iter().rev() {
+        if cores <= at.cores && memory <= at.memory {
+            return;
+        }
+        if let Some((need, true, 0)) = held(id, member)
+            && victims.insert(id)
+        {
+            cores = cores.saturating_sub(u64::from(need.cores));
+            memory = memory.saturating_sub(need.memory);
+        }
+    }
+}
+
+fn stop_one(pass: &mut Pass<'_>, id: Id, claimer: &JobState) {
+    let book = pass.book;
+    let Some(victim) = book.job_at(id) else {
+        return;
+    };
+    let Some(attempt) = victim.attempt() else {
+        return;
+    };
+    let grace =
+        if claimer.spec.urgent { book.settings().urgent_grace } else { book.settings().grace };
+    if let Some(stop) = attempt.stop
+        && stop.by <= pass.now + grace + attempt.lease + book.settings().clock_bound
+    {
+        return;
+    }
+    let event = progress::stop(book, victim, attempt, StopReason::Reclaim, grace, pass.now);
+    pass.push(event);
+}
--- /dev/null
+++ b/crates/bronzespool-schedule/tests/common/mod.rs
@@ -0,0 +1,171 @@
+//! A driver at the decision interface: applies what is decided, answers for the workers.
+#![allow(dead_code, reason = "each test binary uses a part")]
+
+use {
+    bronzespool_core::{Capacity, Instance, Level, Need, Place, Shape, Team, Time},
+    bronzespool_schedule::{
+        Book, Event, JobSpec, MemberOutcome, Phase, Planner, Record, Settings, wake,
+    },
+    std::time::Duration,
+};
+
+/// A book with its planner and a clock.
+pub(crate) struct World {
+    pub book: Book,
+    pub planner: Planner,
+    pub now: Time,
+    pub log: Vec<Record>,
+}
+
+impl World {
+    pub(crate) fn new(settings: Settings) -> Self {
+        Self {
+            book: Book::new(settings),
+            planner: Planner::default(),
+            now: Time::ZERO,
+            log: Vec::new(),
+        }
+    }
+
+    /// Workers named `r{rack}w{n}` with 8 cores and 16 GiB an accelerator.
+    pub(crate) fn racks(settings: Settings, racks: &[&[u32]]) -> Self {
+        let mut world = Self::new(settings);
+        for (r, workers) in racks.iter().enumerate() {
+            for (w, &accels) in workers.iter().enumerate() {
+                world.up(&format!("r{r}w{w}"), &format!("r{r}"), accels);
+            }
+        }
+        world
+    }
+
+    pub(crate) fn up(&mut self, instance: &str, rack: &str, accels: u32) {
+        let place = Place {
+            region: "trinidad".try_into().unwrap(),
+            center: "couva".try_into().unwrap(),
+            rack: rack.try_into().unwrap(),
+            instance: instance.try_into().unwrap(),
+        };
+        let share = accels.max(1);
+        let capacity = Capacity {
+            cores: 8 * share,
+            memory: 16_384 * u64::from(share),
+            accels,
+            ..Capacity::default()
+        };
+        self.put(Event::WorkerUp { place, capacity, incarnation: 1 });
+    }
+
+    pub(crate) fn guarantees(&mut self, all: &[(&str, &[&str])]) {
+        let shapes = all.iter().map(|(name, shapes)| {
+            let shapes = shapes.iter().map(|&s| Shape::try_from(s).unwrap()).collect();
+            (team(name), shapes)
+        });
+        let shapes = shapes.collect();
+        self.put(Event::Guarantees(shapes));
+    }
+
+    pub(crate) fn put(&mut self, event: Event) {
+        let record = Record::new(self.now, event);
+        self.book.apply(&record).unwrap();
+        self.log.push(record);
+    }
+
+    /// Applies decisions until none are left, and returns them.
+    pub(crate) fn settle(&mut self) -> Vec<Event> {
+        let mut all = Vec::new();
+        for _ in 0..10_000 {
+            let records = self.planner.decide(&self.book, self.now);
+            if records.is_empty() {
+                return all;
+            }
+            for record in records {
+                self.book.apply(&record).unwrap();
+                all.push(record.event.clone());
+                self.log.push(record);
+            }
+        }
+        panic!("decisions do not come to an end: {:?}", &all[all.len() - 4..]);
+    }
+
+    /// Reports every member of every attempt as prepared, until all have started.
+    pub(crate) fn run(&mut self) -> Vec<Event> {
+        let mut all = self.settle();
+        loop {
+            let mut ready = Vec::new();
+            for job in self.book.jobs() {
+                if let Some(attempt) = job.attempt()
+                    && attempt.started.is_none()
+                    && attempt.stop.is_none()
+                {
+                    for member in 0..attempt.cells.len() as u32 {
+                        let (job, attempt) = (job.spec.job.clone(), attempt.number);
+                        ready.push(Event::Prepared { job, attempt, member });
+                    }
+                }
+            }
+            if ready.is_empty() {
+                return all;
+            }
+            ready.into_iter().for_each(|event| self.put(event));
+            all.extend(self.settle());
+        }
+    }
+
+    /// Reports all members of a job as stopped.
+    pub(crate) fn stop(&mut self, name: &str, outcome: MemberOutcome) {
+        let job = self.book.job(&name.try_into().unwrap()).unwrap();
+        let attempt = job.attempt().unwrap();
+        let (name, number) = (job.spec.job.clone(), attempt.number);
+        for member in 0..attempt.cells.len() as u32 {
+            self.put(Event::Stopped { job: name.clone(), attempt: number, member, outcome });
+        }
+    }
+
+    pub(crate) fn advance(&mut self, span: Duration) {
+        self.now += span;
+    }
+
+    /// Moves the clock to the next time at which a decision is due.
+    pub(crate) fn wake(&mut self) {
+        self.now = wake(&self.book, self.now).max(self.now);
+    }
+
+    pub(crate) fn phase(&self, name: &str) -> &Phase {
+        &self.book.job(&name.try_into().unwrap()).unwrap().phase
+    }
+
+    pub(crate) fn is_started(&self, name: &str) -> bool {
+        matches!(self.phase(name), Phase::Active(a) if a.started.is_some() && a.stop.is_none())
+    }
+
+    pub(crate) fn is_borrowed(&self, name: &str) -> bool {
+        matches!(self.phase(name), Phase::Active(a) if a.borrowed)
+    }
+
+    pub(crate) fn is_waiting(&self, name: &str) -> bool {
+        matches!(self.phase(name), Phase::Waiting { .. })
+    }
+}
+
+pub(crate) fn team(name: &str) -> Team {
+    name.try_into().unwrap()
+}
+
+pub(crate) fn instance(name: &str) -> Instance {
+    name.try_into().unwrap()
+}
+
+/// A restartable job of `members` with `accels` each, within `adjacent`.
+pub(crate) fn job(name: &str, team: &str, members: u32, accels: u32, adjacent: Level) -> JobSpec {
+    let [name, team, desk, kind] = [name, team, "desk", "rebuild"];
+    JobSpec::new(
+        name.try_into().unwrap(),
+        team.try_into().unwrap(),
+        desk.try_into().unwrap(),
+        kind.try_into().unwrap(),
+    )
+    .members(members)
+    .need(Need { slots: 0, cores: 1_000, memory: 1_024, accels })
+    .adjacent(adjacent)
+    .restart(true)
+}
