--- a/crates/bronzespool-flow/src/session/table.rs
+++ b/crates/bronzespool-flow/src/session/table.rs
@@ -82,6 +82,18 @@
         true
     }
 
+    /// Notes that a session holds everything up to an index.
+    pub fn ack(&mut self, id: SessionId, acked: u64) {
+        if let Some(open) = self.open.get_mut(&id) {
+            open.acked = open.acked.max(acked);
+        }
+    }
+
+    /// Whether a session is open.
+    pub fn is_open(&self, id: SessionId) -> bool {
+        self.open.contains_key(&id)
+    }
+
     /// Ends a session at its holder's wish.
     pub fn close(&mut self, id: SessionId) -> Option<Ended> {
         let open = self.open.remove(&id)?;
--- a/crates/bronzespool-wire/src/message/call.rs
+++ b/crates/bronzespool-wire/src/message/call.rs
@@ -5,7 +5,6 @@
     bronzespool_core::{Digest, Instance, Job, Key, Refusal, Service, ServiceSpec},
     bronzespool_flow::{
         claim::{ClaimId, Completion, Existing, Request},
-        view::Presence,
     },
     bronzespool_schedule::JobSpec,
     serde::{Deserialize, Serialize},
@@ -63,26 +62,25 @@
     },
     /// Announces an endpoint; comes from a hub.
     Announce(Announce),
-    /// Tells that an agent's session has ended or begun; comes from a hub.
-    Presence {
-        /// Instance of the agent.
-        instance: Instance,
-        /// Incarnation of the agent.
-        incarnation: u64,
-        /// The new state.
-        presence: Presence,
-    },
-    /// Tells the lowest index that a hub's sessions have acknowledged; comes from a hub.
-    Progress {
-        /// Instance of the hub.
-        hub: Instance,
-        /// The index.
-        acked: u64,
-    },
+    /// Tells how far a hub's sessions are, and renews the hub's own lease; comes from a hub.
+    Progress(Progress),
     /// Tells what happened to tasks.
     Report(Report),
 }
 
+/// How far a hub's sessions are.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// Instance of the hub.
+    pub hub: Instance,
+    /// Lowest index that any of its sessions has acknowledged.
+    pub acked: u64,
+    /// Number of the last change of its agents' sessions.
+    pub serial: u64,
+    /// Agents with a session, by incarnation, unless the leader knows this serial.
+    pub agents: Option<Vec<(Instance, u64)>>,
+}
+
 /// Result of a claim.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Claimed {
@@ -123,6 +121,11 @@
     Explained(Vec<String>),
     /// To a question about the system.
     Status(Box<StatusView>),
+    /// To a progress: the serial of the agents' sessions that the leader knows.
+    Progressed {
+        /// The serial.
+        known: u64,
+    },
     /// To an announcement: the agent's incarnation.
     Announced {
         /// The incarnation.
--- a/crates/bronzespool-wire/src/message/mod.rs
+++ b/crates/bronzespool-wire/src/message/mod.rs
@@ -8,10 +8,10 @@
 mod task;
 
 pub use {
-    call::{Answered, Call, Claimed, Published, Reply},
+    call::{Answered, Call, Claimed, Progress, Published, Reply},
     job::JobView,
     run::{AgentState, Run, RunReply, StatusReply, Work},
-    session::{Announce, Hello, Role, Update, Welcome},
+    session::{Announce, Hello, Opened, Role, Update, Welcome},
     status::{EndpointView, ReplicaView, StatusView},
     task::{Assignment, Report, Step, TaskEvent, TaskId},
 };
--- /dev/null
+++ b/crates/bronzespoold/src/control/hub/assign.rs
@@ -0,0 +1,61 @@
+//! The tasks that an agent should hold, read off the schedule.
+
+use {
+    bronzespool::{
+        core::Instance,
+        schedule::{Attempt, Book, JobState, Member, Phase},
+        wire::message::{Assignment, Step, TaskId},
+    },
+    std::time::Duration,
+};
+
+/// Tasks of all active attempts with a member on `instance`.
+pub(super) fn assignments(book: &Book, instance: &Instance) -> Vec<Assignment> {
+    let mut list = Vec::new();
+    for job in book.jobs() {
+        if let Phase::Active(attempt) = &job.phase {
+            list.extend(members(job, attempt, instance));
+        }
+    }
+    list
+}
+
+fn members<'a>(
+    job: &'a JobState,
+    attempt: &'a Attempt,
+    instance: &'a Instance,
+) -> impl Iterator<Item = Assignment> + 'a {
+    let here = attempt.cells.iter().zip(&attempt.members).enumerate();
+    let here = here.filter(|(_, (cell, member))| cell.instance == *instance && member.holds());
+    here.map(|(number, (cell, member))| Assignment {
+        task: TaskId {
+            job: job.spec.job.clone(),
+            attempt: attempt.number,
+            member: u32::try_from(number).unwrap_or(u32::MAX),
+        },
+        step: step(attempt, *member),
+        team: job.spec.team.clone(),
+        service: job.spec.service.clone(),
+        kind: job.spec.kind.clone(),
+        accels: cell.first..cell.first + cell.accels,
+        millis: millis(job.spec.declared.saturating_sub(job.saved)),
+        checkpoints: job.spec.checkpoint.is_some(),
+        borrowed: attempt.borrowed,
+    })
+}
+
+const fn step(attempt: &Attempt, _: Member) -> Step {
+    if attempt.stop.is_some() {
+        Step::Stop
+    } else if attempt.started.is_none() {
+        Step::Prepare
+    } else if attempt.throttled.is_some() {
+        Step::Throttle
+    } else {
+        Step::Run
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/bronzespoold/src/control/hub/mod.rs
@@ -0,0 +1,7 @@
+//! The hub: sessions of the entries and agents near this control instance.
+
+mod assign;
+mod pump;
+mod sessions;
+
+pub(super) use sessions::{Hub, Spans};
--- /dev/null
+++ b/crates/bronzespoold/src/control/leader/calls.rs
@@ -0,0 +1,131 @@
+//! Answers calls, one method for each.
+
+use {
+    crate::{
+        clock::Clock,
+        control::{
+            leader::presence::Hubs,
+            replica::{Replica, Result},
+            state::{Command, Effect},
+        },
+    },
+    bronzespool::{
+        core::{Code, Instance, Refusal, Shape},
+        flow::{claim::Horizon, view::Presence},
+        wire::message::{Announce, Answered, Call, Reply},
+    },
+    std::{cell::RefCell, rc::Rc, time::Duration},
+};
+
+/// When to come back while there is no leader.
+const LEADER_RETRY: Duration = Duration::from_millis(300);
+
+/// The leader's part of a control instance; it answers only while this replica leads.
+pub(in crate::control) struct Leader {
+    pub(super) clock: Clock,
+    pub(super) replica: Rc<Replica>,
+    pub(super) hubs: RefCell<Hubs>,
+    pub(super) horizon: Horizon,
+    pub(super) reserve: Option<Shape>,
+    pub(super) lease: Duration,
+}
+
+impl Leader {
+    /// The leader's part over a replica. `lease` is the hubs' lease with its margin.
+    pub(in crate::control) fn new(
+        clock: Clock,
+        replica: Rc<Replica>,
+        horizon: Horizon,
+        reserve: Option<Shape>,
+        lease: Duration,
+    ) -> Rc<Self> {
+        let hubs = RefCell::default();
+        Rc::new(Self { clock, replica, hubs, horizon, reserve, lease })
+    }
+
+    /// Answers a call, if this replica leads.
+    pub(in crate::control) async fn answer(&self, call: Call) -> Answered {
+        if !self.replica.leads() {
+            return Err(Refusal::from(Code::NoLeader).retry_after(LEADER_RETRY));
+        }
+        match call {
+            Call::Claim(request) => self.claim(&request).await,
+            Call::Look(id) => self.look(&id).await,
+            Call::Complete { id, attempt, completion } => {
+                self.complete(&id, attempt, &completion).await
+            }
+            Call::Publish { base, operation, digest, services, removed } => {
+                self.publish(base, operation, digest, services, removed).await
+            }
+            Call::InForce(revision) => self.in_force(revision).await,
+            Call::Submit(spec) => self.submit(*spec).await,
+            Call::Cancel(jobs) => self.cancel(jobs).await,
+            Call::Job(job) => self.job(&job).await,
+            Call::Jobs => self.jobs().await,
+            Call::Explain(job) => self.explain(&job).await,
+            Call::Status => self.status().await,
+            Call::Drain { instance, leaving } => self.drain(instance, leaving).await,
+            Call::Announce(announce) => self.announce(announce).await,
+            Call::Progress(progress) => Ok(self.progress(progress)),
+            Call::Report(report) => self.report(&report).await,
+        }
+    }
+
+    async fn announce(&self, announce: Announce) -> Answered {
+        let at = self.replica.log_time();
+        let instance = announce.place.instance.clone();
+        if let Some(incarnation) = self.unchanged(&announce).await? {
+            let index = self.replica.state().index();
+            return Ok(Reply::Announced { incarnation, index });
+        }
+        match self.replica.propose(&Command::Announce { at, announce }).await? {
+            Effect::Announced(incarnation) => {
+                let index = self.replica.state().index();
+                log::info!(instance:%, incarnation; "an agent was announced");
+                Ok(Reply::Announced { incarnation, index })
+            }
+            _ => Err(Code::Internal.into()),
+        }
+    }
+
+    /// An agent that only changes its hub needs no record.
+    async fn unchanged(&self, announce: &Announce) -> Result<Option<u64>> {
+        self.replica.read().await?;
+        let state = self.replica.state();
+        let known = state.peers().get(&announce.place.instance).filter(|p| {
+            p.nonce == announce.nonce
+                && p.address == announce.address
+                && p.services == announce.services
+                && p.capacity == announce.capacity
+                && p.place == announce.place
+                && (p.presence == Presence::Draining) == announce.leaving
+        });
+        Ok(known.filter(|p| p.presence != Presence::Down).map(|p| p.incarnation))
+    }
+
+    async fn drain(&self, instance: Instance, leaving: bool) -> Answered {
+        self.replica.read().await?;
+        let incarnation = self.replica.state().peers().get(&instance).map(|p| p.incarnation);
+        let Some(incarnation) = incarnation else {
+            let message = format!("no instance {instance} is announced");
+            return Err(Refusal::new(Code::UnknownInstance, message));
+        };
+        let presence = if leaving { Presence::Draining } else { Presence::Up };
+        self.set_presence(instance, incarnation, presence).await?;
+        Ok(Reply::Noted)
+    }
+
+    pub(super) async fn set_presence(
+        &self,
+        instance: Instance,
+        incarnation: u64,
+        presence: Presence,
+    ) -> Result<()> {
+        let at = self.replica.log_time();
+        let command = Command::Presence { at, instance, incarnation, presence };
+        match self.replica.propose(&command).await? {
+            Effect::Refused(code) => Err(code.into()),
+            _ => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bronzespoold/src/control/leader/claims.rs
@@ -0,0 +1,89 @@
+//! Claims of protected requests.
+
+use {
+    crate::control::{
+        leader::calls::Leader,
+        replica::Result,
+        state::{Command, Effect},
+    },
+    bronzespool::{
+        core::{Code, Refusal},
+        flow::claim::{self, Applied, ClaimId, Completion, Decision, Request},
+        wire::message::{Answered, Claimed, Reply},
+    },
+    std::time::Duration,
+};
+
+/// When to come back if the claims are full.
+const FULL_RETRY: Duration = Duration::from_secs(5);
+
+impl Leader {
+    pub(super) async fn claim(&self, request: &Request) -> Answered {
+        let now = self.replica.log_time();
+        let decision = self.replica.state().claims().request(&self.horizon, now, request);
+        match decision {
+            Decision::New(record) => self.claimed(record).await,
+            Decision::Existing(existing) => {
+                self.replica.read().await?;
+                Ok(Reply::Claimed(Claimed::Existing(existing)))
+            }
+            Decision::Refused(code) => {
+                self.replica.read().await?;
+                Err(refusal(code))
+            }
+        }
+    }
+
+    async fn claimed(&self, record: claim::Record) -> Answered {
+        match self.commit_claim(record).await? {
+            Applied::Claimed { attempt } => Ok(Reply::Claimed(Claimed::New { attempt })),
+            Applied::Existing(existing) => Ok(Reply::Claimed(Claimed::Existing(existing))),
+            Applied::Refused(code) => Err(refusal(code)),
+            _ => Err(Code::Internal.into()),
+        }
+    }
+
+    pub(super) async fn look(&self, id: &ClaimId) -> Answered {
+        self.replica.read().await?;
+        let existing = self.replica.state().claims().get(id).cloned();
+        Ok(Reply::Claim(existing))
+    }
+
+    pub(super) async fn complete(
+        &self,
+        id: &ClaimId,
+        attempt: u32,
+        completion: &Completion,
+    ) -> Answered {
+        self.replica.read().await?;
+        let now = self.replica.log_time();
+        let record =
+            self.replica.state().claims().complete(&self.horizon, now, id, attempt, completion);
+        if let Some(record) = record {
+            self.commit_claim(record).await?;
+        }
+        Ok(Reply::Noted)
+    }
+
+    /// Expires what is past the horizon.
+    pub(super) async fn expire_claims(&self) -> Result<()> {
+        let now = self.replica.log_time();
+        let record = self.replica.state().claims().expire(&self.horizon, now);
+        if let Some(record) = record {
+            self.commit_claim(record).await?;
+        }
+        Ok(())
+    }
+
+    async fn commit_claim(&self, record: claim::Record) -> Result<Applied> {
+        match self.replica.propose(&Command::Claim(record)).await? {
+            Effect::Claim(applied) => Ok(applied),
+            _ => Err(Code::Internal.into()),
+        }
+    }
+}
+
+fn refusal(code: Code) -> Refusal {
+    let refusal = Refusal::from(code);
+    if code == Code::Overloaded { refusal.retry_after(FULL_RETRY) } else { refusal }
+}
--- /dev/null
+++ b/crates/bronzespoold/src/control/leader/config.rs
@@ -0,0 +1,50 @@
+//! Publishing the configuration.
+
+use {
+    crate::control::{
+        leader::calls::Leader,
+        state::{Command, Effect},
+    },
+    bronzespool::{
+        core::{Code, Digest, Key, Refusal, Service, ServiceSpec},
+        flow::config::{Change, Verdict},
+        wire::message::{Answered, Published, Reply},
+    },
+};
+
+impl Leader {
+    pub(super) async fn publish(
+        &self,
+        base: Option<u64>,
+        operation: Key,
+        digest: Digest,
+        services: Vec<ServiceSpec>,
+        removed: Vec<Service>,
+    ) -> Answered {
+        self.replica.read().await?;
+        let decided = self.replica.state().config().verdict(&operation, &digest);
+        if let Some(verdict) = decided {
+            return answer(verdict);
+        }
+        let base = base.unwrap_or_else(|| self.replica.state().config().config().revision);
+        let change = Change { base, operation, digest, services, removed };
+        self.check_guarantees(&change)?;
+        let at = self.replica.log_time();
+        match self.replica.propose(&Command::Config { at, change }).await? {
+            Effect::Config(verdict) => answer(verdict),
+            _ => Err(Code::Internal.into()),
+        }
+    }
+}
+
+fn answer(verdict: Verdict) -> Answered {
+    match verdict {
+        Verdict::Accepted { revision } => Ok(Reply::Published(Published { revision })),
+        Verdict::Conflict { revision, winner } => {
+            let winner = winner.map_or_else(String::new, |w| format!(" by operation {w}"));
+            let message = format!("revision {revision}{winner} is in force: publish on that base");
+            Err(Refusal::new(Code::Conflict, message))
+        }
+        Verdict::Reused => Err(Code::OperationReused.into()),
+    }
+}
--- /dev/null
+++ b/crates/bronzespoold/src/control/leader/jobs.rs
@@ -0,0 +1,157 @@
+//! Jobs: submission, cancellation, reports of their tasks, and what callers see.
+
+use {
+    crate::control::{
+        leader::calls::Leader,
+        replica::Result,
+        state::{Command, Effect},
+    },
+    bronzespool::{
+        core::{Code, Job, Refusal, Time},
+        schedule::{Event, JobOutcome, JobSpec, JobState, MemberOutcome, Phase, Record},
+        wire::message::{Answered, JobView, Reply, Report, TaskEvent, TaskId},
+    },
+};
+
+impl Leader {
+    pub(super) async fn submit(&self, spec: JobSpec) -> Answered {
+        self.replica.read().await?;
+        let job = spec.job.clone();
+        if self.replica.state().book().job(&job).is_none() {
+            self.check_feasible(&spec)?;
+            self.commit_events(vec![Event::Submitted(spec)]).await?;
+        }
+        self.view_of(&job)
+    }
+
+    pub(super) async fn cancel(&self, jobs: Vec<Job>) -> Answered {
+        self.replica.read().await?;
+        let unknown = jobs.iter().find(|j| self.replica.state().book().job(j).is_none()).cloned();
+        if let Some(job) = unknown {
+            return Err(Refusal::new(Code::UnknownJob, format!("no job {job}")));
+        }
+        self.commit_events(vec![Event::Cancelled { jobs }]).await?;
+        Ok(Reply::Noted)
+    }
+
+    pub(super) async fn job(&self, job: &Job) -> Answered {
+        self.replica.read().await?;
+        self.view_of(job)
+    }
+
+    pub(super) async fn jobs(&self) -> Answered {
+        self.replica.read().await?;
+        let now = self.replica.log_time();
+        let state = self.replica.state();
+        Ok(Reply::Jobs(state.book().jobs().map(|j| view(j, now)).collect()))
+    }
+
+    /// Takes an agent's report. Events of an attempt that is over have no effect.
+    pub(super) async fn report(&self, report: &Report) -> Answered {
+        self.replica.read().await?;
+        let mut events = Vec::new();
+        for (task, event) in &report.events {
+            if self.is_current(task) {
+                events.push(self.event(task, *event));
+            }
+        }
+        if !events.is_empty() {
+            self.commit_events(events).await?;
+        }
+        Ok(Reply::Noted)
+    }
+
+    fn is_current(&self, task: &TaskId) -> bool {
+        let state = self.replica.state();
+        let attempt = state.book().job(&task.job).and_then(JobState::attempt);
+        attempt.is_some_and(|a| a.number == task.attempt)
+    }
+
+    fn event(&self, task: &TaskId, event: TaskEvent) -> Event {
+        let (job, attempt, member) = (task.job.clone(), task.attempt, task.member);
+        let stopped = |outcome| Event::Stopped { job: job.clone(), attempt, member, outcome };
+        match event {
+            TaskEvent::Prepared => Event::Prepared { job, attempt, member },
+            TaskEvent::Checkpointed => Event::Checkpointed { job, attempt },
+            TaskEvent::Done => stopped(MemberOutcome::Done),
+            TaskEvent::Failed => stopped(MemberOutcome::Failed),
+            TaskEvent::Stopped => stopped(MemberOutcome::Stopped),
+            TaskEvent::Lost => stopped(MemberOutcome::Lost),
+        }
+    }
+
+    pub(super) async fn commit_events(&self, events: Vec<Event>) -> Result<()> {
+        let at = self.replica.log_time();
+        let records = events.into_iter().map(|event| Record::new(at, event)).collect();
+        self.commit_records(records).await
+    }
+
+    pub(super) async fn commit_records(&self, records: Vec<Record>) -> Result<()> {
+        match self.replica.propose(&Command::Schedule(records)).await? {
+            Effect::Schedule(Ok(())) => Ok(()),
+            Effect::Schedule(Err(error)) => Err(Refusal::new(Code::Conflict, error)),
+            _ => Err(Code::Internal.into()),
+        }
+    }
+
+    fn view_of(&self, job: &Job) -> Answered {
+        let now = self.replica.log_time();
+        let state = self.replica.state();
+        let Some(found) = state.book().job(job) else {
+            return Err(Refusal::new(Code::UnknownJob, format!("no job {job}")));
+        };
+        Ok(Reply::Job(Box::new(view(found, now))))
+    }
+}
+
+fn view(job: &JobState, now: Time) -> JobView {
+    let outcome = match &job.phase {
+        Phase::Ended { outcome, .. } => Some(*outcome),
+        _ => None,
+    };
+    let cells = job.attempt().map(|a| a.cells.as_slice()).unwrap_or_default();
+    JobView {
+        job: job.spec.job.clone(),
+        team: job.spec.team.clone(),
+        service: job.spec.service.clone(),
+        kind: job.spec.kind.clone(),
+        phase: phase(&job.phase).to_owned(),
+        outcome: outcome.map(|o| outcome_name(o).to_owned()),
+        code: outcome.map_or(Code::Accepted, outcome_code).number(),
+        attempts: job.attempts,
+        members: job.spec.members,
+        instances: cells.iter().map(|c| c.instance.to_string()).collect(),
+        age_ms: u64::try_from(now.since(job.submitted).as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
+const fn phase(phase: &Phase) -> &'static str {
+    match phase {
+        Phase::Waiting { .. } => "waiting",
+        Phase::Reserved { .. } => "reserved",
+        Phase::Active(attempt) if attempt.stop.is_some() => "stopping",
+        Phase::Active(attempt) if attempt.started.is_none() => "preparing",
+        Phase::Active(_) => "running",
+        Phase::Ended { .. } => "ended",
+    }
+}
+
+const fn outcome_name(outcome: JobOutcome) -> &'static str {
+    match outcome {
+        JobOutcome::Done => "done",
+        JobOutcome::Failed => "failed",
+        JobOutcome::Cancelled => "cancelled",
+        JobOutcome::Refused(_) => "refused",
+        JobOutcome::Unknown => "unknown",
+    }
+}
+
+const fn outcome_code(outcome: JobOutcome) -> Code {
+    match outcome {
+        JobOutcome::Done => Code::Done,
+        JobOutcome::Cancelled => Code::Cancelled,
+        JobOutcome::Refused(code) => code,
+        JobOutcome::Failed => Code::JobRefused,
+        JobOutcome::Unknown => Code::Sealed,
+    }
+}
--- /dev/null
+++ b/crates/bronzespoold/src/control/leader/mod.rs
@@ -0,0 +1,11 @@
+//! What only the leader does: answers calls and runs the controllers.
+
+mod calls;
+mod claims;
+mod config;
+mod jobs;
+mod presence;
+mod schedule;
+mod status;
+
+pub(super) use calls::Leader;
--- /dev/null
+++ b/crates/bronzespoold/src/control/leader/status.rs
@@ -0,0 +1,73 @@
+//! The system as operators see it.
+
+use {
+    crate::control::leader::calls::Leader,
+    bronzespool::{
+        flow::view::{Peer, Presence},
+        wire::message::{Answered, EndpointView, ReplicaView, Reply, StatusView},
+    },
+};
+
+impl Leader {
+    pub(super) async fn status(&self) -> Answered {
+        self.replica.read().await?;
+        let log = self.replica.status();
+        let now = self.clock.now();
+        let state = self.replica.state();
+        let revision = state.config().config().revision;
+        let leader = log.leader.clone().map(|l| l.to_string()).unwrap_or_default();
+        let replicas = log.members.iter().map(|member| {
+            let own = member.name.as_str() == leader;
+            let silent = member.contact.map_or(0, |at| now.since(at).as_millis());
+            ReplicaView {
+                instance: member.name.to_string(),
+                identity: member.id.0,
+                role: role(own, member.voter).to_owned(),
+                voter: member.voter,
+                matched: member.matched.unwrap_or_default(),
+                silent_ms: u64::try_from(silent).unwrap_or(u64::MAX),
+            }
+        });
+        Ok(Reply::Status(Box::new(StatusView {
+            leader: leader.clone(),
+            term: log.term,
+            commit: log.commit,
+            revision,
+            in_force: self.is_in_force(revision),
+            replicas: replicas.collect(),
+            endpoints: state.peers().values().map(endpoint).collect(),
+            claims: state.claims().len() as u64,
+            open: state.claims().open() as u64,
+            schedule: Vec::new(),
+        })))
+    }
+}
+
+const fn role(leader: bool, voter: bool) -> &'static str {
+    match (leader, voter) {
+        (true, _) => "leader",
+        (false, true) => "follower",
+        (false, false) => "learner",
+    }
+}
+
+fn endpoint(peer: &Peer) -> EndpointView {
+    EndpointView {
+        instance: peer.place.instance.to_string(),
+        center: peer.place.center.to_string(),
+        rack: peer.place.rack.to_string(),
+        incarnation: peer.incarnation,
+        presence: presence(peer.presence).to_owned(),
+        services: peer.services.iter().map(ToString::to_string).collect(),
+        slots: peer.capacity.slots,
+        accels: peer.capacity.accels,
+    }
+}
+
+const fn presence(presence: Presence) -> &'static str {
+    match presence {
+        Presence::Up => "up",
+        Presence::Draining => "draining",
+        Presence::Down => "down",
+    }
+}
--- /dev/null
+++ b/crates/bronzespoold/src/control/mod.rs
@@ -0,0 +1,12 @@
+//! A control instance: replica of the log, hub of sessions, and at the leader the controllers.
+
+mod hub;
+mod leader;
+mod peers;
+mod replica;
+mod server;
+mod start;
+mod state;
+mod storage;
+
+pub use start::{Options, run};
--- /dev/null
+++ b/crates/bronzespoold/src/control/server.rs
@@ -0,0 +1,210 @@
+//! Calls that a control instance serves.
+
+use {
+    crate::{
+        clock::Clock,
+        control::{hub::Hub, leader::Leader, replica::Replica},
+    },
+    bronzespool::{
+        core::{Code, HashMap, Instance, Refusal},
+        flow::session::SessionId,
+        wire::{
+            bronzespool_capnp::{control, session},
+            frame,
+            link::Link,
+            message::{Answered, Call, Hello, Opened, Reply},
+        },
+    },
+    std::{cell::Cell, rc::Rc, time::Duration},
+    tokio::time::{sleep, timeout},
+};
+
+type Result = std::result::Result<(), capnp::Error>;
+
+/// Longest wait for the leader's answer to a forwarded call.
+const FORWARD_TIME: Duration = Duration::from_secs(6);
+/// Longest wait for the leader's answer to a progress.
+const PROGRESS_TIME: Duration = Duration::from_millis(800);
+/// Shortest time between two progresses.
+const PROGRESS_MIN: Duration = Duration::from_millis(10);
+/// When to come back while there is no leader.
+const LEADER_RETRY: Duration = Duration::from_millis(300);
+
+/// Parts of one control instance.
+pub(super) struct Node {
+    pub(super) clock: Clock,
+    pub(super) replica: Rc<Replica>,
+    pub(super) hub: Rc<Hub>,
+    pub(super) leader: Rc<Leader>,
+    pub(super) links: HashMap<Instance, Link<control::Client>>,
+    pub(super) period: Duration,
+    pub(super) stopping: Cell<bool>,
+}
+
+impl Node {
+    /// Answers a call here or at the leader.
+    async fn call(&self, call: Call, time: Duration) -> Answered {
+        if self.replica.leads() {
+            return self.leader.answer(call).await;
+        }
+        let none = || Refusal::from(Code::NoLeader).retry_after(LEADER_RETRY);
+        let leader = self.replica.leader().ok_or_else(none)?;
+        let link = self.links.get(&leader).ok_or_else(none)?;
+        let bytes = frame::encode(&call);
+        // The limit is outside of the link: a slow answer is no sign of a silent connection.
+        let answered = link.call(FORWARD_TIME, |client| async move {
+            let mut request = client.forward_request();
+            request.get().set_call(&bytes);
+            let response = request.send().promise.await?;
+            Ok(frame::decode(response.get()?.get_reply()?)?)
+        });
+        match timeout(time, answered).await {
+            Ok(Ok(answered)) => answered,
+            Ok(Err(error)) => Err(Refusal::new(Code::NoLeader, error.to_string())),
+            Err(_) => Err(none()),
+        }
+    }
+
+    /// Tells the leader how far the sessions are, and so keeps the hub's own lease.
+    pub(super) async fn run_progress(self: Rc<Self>) {
+        let mut known = 0;
+        loop {
+            self.hub.expire();
+            let sent = self.clock.now();
+            let progress = Call::Progress(self.hub.progress(known));
+            match self.call(progress, PROGRESS_TIME).await {
+                Ok(Reply::Progressed { known: told }) => {
+                    known = told;
+                    self.hub.noted(sent);
+                }
+                Ok(_) => {}
+                Err(refusal) => log::debug!(refusal:%; "the leader has not noted the progress"),
+            }
+            sleep(PROGRESS_MIN).await;
+            tokio::select! {
+                () = sleep(self.period) => {}
+                () = self.hub.changed.notified() => {}
+            }
+        }
+    }
+
+    async fn open(&self, hello: &Hello) -> std::result::Result<u64, Refusal> {
+        if self.stopping.get() {
+            return Err(Code::Stopping.into());
+        }
+        self.hub.check(hello)?;
+        let Some(announce) = hello.announce.clone() else {
+            return Ok(0);
+        };
+        match self.call(Call::Announce(announce), FORWARD_TIME).await? {
+            Reply::Announced { incarnation, index } => {
+                self.hub.caught_up(index).await?;
+                Ok(incarnation)
+            }
+            _ => Err(Code::Internal.into()),
+        }
+    }
+}
+
+fn failed(error: &frame::Error) -> capnp::Error {
+    capnp::Error::failed(error.to_string())
+}
+
+/// Bootstrap capability of a control instance.
+pub(super) struct Server(pub(super) Rc<Node>);
+
+impl control::Server for Server {
+    async fn open(
+        self: Rc<Self>,
+        params: control::OpenParams,
+        mut results: control::OpenResults,
+    ) -> Result {
+        let params = params.get()?;
+        let hello: Hello = frame::decode(params.get_hello()?).map_err(|e| failed(&e))?;
+        let sink = params.get_sink()?;
+        let opened: Opened = match self.0.open(&hello).await {
+            Ok(incarnation) => {
+                let (id, welcome) = self.0.hub.open(&hello, incarnation, sink);
+                let server = SessionServer { node: Rc::clone(&self.0), id };
+                results.get().set_session(capnp_rpc::new_client(server));
+                Ok(welcome)
+            }
+            Err(refusal) => Err(refusal),
+        };
+        results.get().set_welcome(&frame::encode(&opened));
+        Ok(())
+    }
+
+    async fn deliver(
+        self: Rc<Self>,
+        params: control::DeliverParams,
+        _: control::DeliverResults,
+    ) -> Result {
+        let params = params.get()?;
+        let from = params.get_from()?.to_str()?;
+        let from = Instance::try_from(from).map_err(|e| capnp::Error::failed(e.to_string()))?;
+        for message in params.get_messages()? {
+            if let Err(error) = self.0.replica.receive(&from, message?) {
+                log::warn!(code = error.code().number(), error:%; "a message was refused");
+            }
+        }
+        Ok(())
+    }
+
+    async fn forward(
+        self: Rc<Self>,
+        params: control::ForwardParams,
+        mut results: control::ForwardResults,
+    ) -> Result {
+        let call: Call = frame::decode(params.get()?.get_call()?).map_err(|e| failed(&e))?;
+        let answered = self.0.leader.answer(call).await;
+        results.get().set_reply(&frame::encode(&answered));
+        Ok(())
+    }
+
+    async fn probe(
+        self: Rc<Self>,
+        _: control::ProbeParams,
+        _: control::ProbeResults,
+    ) -> Result {
+        Ok(())
+    }
+}
+
+/// Capability of one session.
+struct SessionServer {
+    node: Rc<Node>,
+    id: SessionId,
+}
+
+impl session::Server for SessionServer {
+    async fn renew(
+        self: Rc<Self>,
+        params: session::RenewParams,
+        mut results: session::RenewResults,
+    ) -> Result {
+        let acked = params.get()?.get_acked();
+        results.get().set_millis(self.node.hub.renew(self.id, acked));
+        Ok(())
+    }
+
+    async fn call(
+        self: Rc<Self>,
+        params: session::CallParams,
+        mut results: session::CallResults,
+    ) -> Result {
+        let call: Call = frame::decode(params.get()?.get_call()?).map_err(|e| failed(&e))?;
+        let answered = self.node.call(call, FORWARD_TIME).await;
+        results.get().set_reply(&frame::encode(&answered));
+        Ok(())
+    }
+
+    async fn close(
+        self: Rc<Self>,
+        _: session::CloseParams,
+        _: session::CloseResults,
+    ) -> Result {
+        self.node.hub.close(self.id);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/bronzespoold/src/control/start.rs
@@ -0,0 +1,132 @@
+//! Starts and stops a control instance.
+
+use {
+    crate::{
+        clock::Clock,
+        control::{
+            hub::{Hub, Spans},
+            leader::Leader,
+            peers::Peers,
+            replica::Replica,
+            server::{Node, Server},
+            storage::Writer,
+        },
+    },
+    bronzespool::{
+        consensus::{self, FileStorage, Settings, Storage},
+        core::{Instance, Shape},
+        flow::claim::Horizon,
+        wire::{bronzespool_capnp::control, link::Link, serve::serve},
+    },
+    displaydoc::Display,
+    std::{cell::Cell, net::SocketAddr, path::PathBuf, rc::Rc, time::Duration},
+    tokio::{net::TcpListener, sync::watch, task::spawn_local},
+};
+
+/// Result of running a control instance.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a control instance has ended.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// cannot listen on {0}: {1}
+    Listen(SocketAddr, std::io::Error),
+    /// the replicated log has failed: {0}
+    Log(consensus::Error),
+}
+
+impl std::error::Error for Error {}
+
+/// What a control instance needs to know.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Instance of this process.
+    pub instance: Instance,
+    /// Address for all other processes.
+    pub listen: SocketAddr,
+    /// All control instances of the first start.
+    pub peers: Vec<(Instance, SocketAddr)>,
+    /// Folder of the log.
+    pub data: PathBuf,
+    /// Capacity that guarantees leave free.
+    pub reserve: Option<Shape>,
+    /// Time between two messages of the leader.
+    pub heartbeat: Duration,
+    /// Shortest silence of the leader before an election.
+    pub election: Duration,
+    /// Lease of a session.
+    pub session: Duration,
+    /// Time between two renewals.
+    pub renew: Duration,
+    /// Time for which answers to protected requests are kept.
+    pub answers: Duration,
+    /// Time for which used keys are refused.
+    pub horizon: Duration,
+}
+
+/// Share of the election time in which a leader answers reads alone.
+const LEASE_PERCENT: u32 = 80;
+/// Share of a session's lease that is added before it counts as ended.
+const MARGIN_PERCENT: u32 = 10;
+
+/// Runs a control instance until `stop` turns true.
+///
+/// # Errors
+///
+/// If its address cannot be bound or its log fails.
+pub async fn run(
+    options: Options,
+    clock: Clock,
+    mut stop: watch::Receiver<bool>,
+) -> Result<()> {
+    let listener = TcpListener::bind(options.listen)
+        .await
+        .map_err(|e| Error::Listen(options.listen, e))?;
+    let mut storage = FileStorage::open(&options.data).map_err(Error::Log)?;
+    let restored = storage.load().map_err(Error::Log)?;
+    let log = consensus::Node::open(settings(&options), restored, clock.now());
+    let replica = Replica::new(clock, log.map_err(Error::Log)?);
+    let node = node(&options, clock, Rc::clone(&replica));
+    let peers = Peers::start(&options.instance, &options.peers, options.election / 2);
+    let server: control::Client = capnp_rpc::new_client(Server(Rc::clone(&node)));
+    let served = spawn_local(serve(listener, server));
+    spawn_local(Rc::clone(&node).run_progress());
+    spawn_local(Rc::clone(&node.leader).run_scheduler());
+    spawn_local(Rc::clone(&node.leader).run_rounds());
+    log::info!(instance:% = options.instance; "the control instance is up");
+    tokio::select! {
+        error = replica.run(Writer::start(storage), peers) => return Err(Error::Log(error)),
+        _ = stop.wait_for(|s| *s) => node.stopping.set(true),
+    }
+    served.abort();
+    Ok(())
+}
+
+fn settings(options: &Options) -> Settings {
+    let names = options.peers.iter().map(|(name, _)| name.clone()).collect();
+    let mut settings = Settings::new(options.instance.clone(), names, fastrand::u64(..));
+    settings.election = options.election;
+    settings.heartbeat = options.heartbeat;
+    settings.lease = options.election * LEASE_PERCENT / 100;
+    settings
+}
+
+fn node(options: &Options, clock: Clock, replica: Rc<Replica>) -> Rc<Node> {
+    let margin = options.session * MARGIN_PERCENT / 100;
+    let spans = Spans { lease: options.session, margin };
+    let hub = Hub::new(clock, options.instance.clone(), spans, Rc::clone(&replica));
+    let horizon =
+        Horizon { keep: options.answers, used: options.horizon, ..Horizon::default() };
+    let lease = options.session + margin;
+    let leader = Leader::new(clock, Rc::clone(&replica), horizon, options.reserve, lease);
+    let links = options.peers.iter().map(|(name, address)| (name.clone(), Link::new(*address)));
+    Rc::new(Node {
+        clock,
+        replica,
+        hub,
+        leader,
+        links: links.collect(),
+        period: options.renew / 2,
+        stopping: Cell::new(false),
+    })
+}
