--- a/crates/bronzespool-consensus/src/lib.rs
+++ b/crates/bronzespool-consensus/src/lib.rs
@@ -49,5 +49,5 @@
     node::{Node, Read, Ready, Replica, Role, Status, Ticket},
     settings::Settings,
     snapshot::{Meta, Snapshot},
-    storage::{Hard, Restored, Storage, Write},
+    storage::{FileStorage, Hard, Restored, Storage, Write},
 };
--- /dev/null
+++ b/crates/bronzespool-consensus/src/storage/file.rs
@@ -0,0 +1,195 @@
+//! Storage in the files of one data folder.
+//!
+//! `log` holds frames of records since the last snapshot, `snapshot` the last snapshot, `lock`
+//! keeps a second process out. Files that replace others are written under another name, synced
+//! and renamed, and the folder is synced after that.
+
+use {
+    super::{
+        Restored, Storage, Write,
+        frame::{self, Record},
+    },
+    crate::{
+        entry::Payload,
+        error::{Error, Result},
+        snapshot::{Meta, Snapshot},
+    },
+    bronzespool_core::Code,
+    std::{
+        fs::{self, File, OpenOptions},
+        io::{ErrorKind, Write as _},
+        path::{Path, PathBuf},
+        sync::Arc,
+    },
+};
+
+const LOG: &str = "log";
+const SNAPSHOT: &str = "snapshot";
+const LOCK: &str = "lock";
+/// Suffix of a file that is not yet whole.
+const PARTIAL: &str = "partial";
+
+/// Storage in one data folder.
+#[derive(Debug)]
+pub struct FileStorage {
+    folder: PathBuf,
+    log: File,
+    /// Copy of what is durable; shares the entries' bytes with the replica.
+    state: Restored,
+    /// Whether a write has failed, after which nothing is known of the files.
+    failed: bool,
+    _lock: File,
+}
+
+impl FileStorage {
+    /// Opens a data folder, creating it where missing, and cuts off an unfinished last write.
+    pub fn open(folder: impl Into<PathBuf>) -> Result<Self> {
+        let folder = folder.into();
+        fs::create_dir_all(&folder).map_err(failed)?;
+        sync_folder(folder.parent())?;
+        let lock = lock(&folder)?;
+        let snapshot = read_snapshot(&folder)?;
+        let state = read_log(&folder, snapshot)?;
+        let log = OpenOptions::new().append(true).open(folder.join(LOG)).map_err(failed)?;
+        Ok(Self { folder, log, state, failed: false, _lock: lock })
+    }
+
+    fn write_all(&mut self, writes: &[Write]) -> Result<()> {
+        let mut records = Vec::new();
+        for write in writes {
+            self.state.apply(write);
+            match write {
+                Write::Hard(hard) => records.push(Record::Hard(*hard)),
+                Write::Append(entries) => records.push(Record::Append(entries.clone())),
+                Write::Truncate(from) => records.push(Record::Truncate(*from)),
+                Write::Snapshot(snapshot) => {
+                    records.clear();
+                    self.replace(snapshot)?;
+                }
+            }
+        }
+        if records.is_empty() {
+            return Ok(());
+        }
+        self.log.write_all(&frame::encode(&records)?).map_err(failed)?;
+        self.log.sync_data().map_err(failed)
+    }
+
+    /// Writes a snapshot, then a log that starts after it.
+    fn replace(&mut self, snapshot: &Arc<Snapshot>) -> Result<()> {
+        let mut bytes = frame::encode(&snapshot.meta)?;
+        bytes.extend_from_slice(&snapshot.state);
+        write_file(&self.folder, SNAPSHOT, &bytes)?;
+        let hard = self.state.hard.map(Record::Hard);
+        let entries = Record::Append(self.state.entries.clone());
+        let records: Vec<Record> = hard.into_iter().chain([entries]).collect();
+        write_file(&self.folder, LOG, &frame::encode(&records)?)?;
+        let path = self.folder.join(LOG);
+        self.log = OpenOptions::new().append(true).open(path).map_err(failed)?;
+        Ok(())
+    }
+}
+
+impl Storage for FileStorage {
+    fn load(&mut self) -> Result<Restored> {
+        Ok(self.state.clone())
+    }
+
+    fn write(&mut self, writes: &[Write]) -> Result<()> {
+        if self.failed {
+            return Err(Error::fault(Code::StorageFailed, "an earlier write failed"));
+        }
+        let result = self.write_all(writes);
+        self.failed = result.is_err();
+        result
+    }
+}
+
+fn failed(error: std::io::Error) -> Error {
+    Error::fault(Code::StorageFailed, error.to_string())
+}
+
+fn lock(folder: &Path) -> Result<File> {
+    let lock = File::create(folder.join(LOCK)).map_err(failed)?;
+    match lock.try_lock() {
+        Ok(()) => Ok(lock),
+        Err(_) => Err(Error::fault(Code::StorageFailed, "the data folder is in use")),
+    }
+}
+
+fn sync_folder(folder: Option<&Path>) -> Result<()> {
+    let folder = match folder {
+        Some(path) if path.as_os_str().is_empty() => Path::new("."),
+        Some(path) => path,
+        None => return Ok(()),
+    };
+    File::open(folder).and_then(|f| f.sync_all()).map_err(failed)
+}
+
+/// Replaces a file whole.
+fn write_file(folder: &Path, name: &str, bytes: &[u8]) -> Result<()> {
+    let partial = folder.join(name).with_extension(PARTIAL);
+    let mut file = File::create(&partial).map_err(failed)?;
+    file.write_all(bytes).map_err(failed)?;
+    file.sync_all().map_err(failed)?;
+    fs::rename(&partial, folder.join(name)).map_err(failed)?;
+    sync_folder(Some(folder))
+}
+
+fn read_file(folder: &Path, name: &str) -> Result<Option<Vec<u8>>> {
+    match fs::read(folder.join(name)) {
+        Ok(bytes) => Ok(Some(bytes)),
+        Err(e) if e.kind() == ErrorKind::NotFound => Ok(None),
+        Err(e) => Err(failed(e)),
+    }
+}
+
+fn read_snapshot(folder: &Path) -> Result<Option<Arc<Snapshot>>> {
+    let Some(bytes) = read_file(folder, SNAPSHOT)? else { return Ok(None) };
+    let (meta, state) = frame::decode::<Meta>(&bytes, Code::SnapshotCorrupt)?;
+    Snapshot::verified(meta, Payload::from(state)).map(Some)
+}
+
+/// Reads the log after a snapshot and cuts off an unfinished last frame.
+fn read_log(folder: &Path, snapshot: Option<Arc<Snapshot>>) -> Result<Restored> {
+    let Some(bytes) = read_file(folder, LOG)? else {
+        if snapshot.is_some() {
+            return Err(Error::fault(Code::RecordCorrupt, "the log file is missing"));
+        }
+        write_file(folder, LOG, &[])?;
+        return Ok(Restored::default());
+    };
+    let (records, len) = frame::scan(&bytes)?;
+    if len < bytes.len() {
+        cut(&folder.join(LOG), len)?;
+    }
+    let mut state = Restored::default();
+    for record in records {
+        state.apply(&match record {
+            Record::Hard(hard) => Write::Hard(hard),
+            Record::Append(entries) => Write::Append(entries),
+            Record::Truncate(from) => Write::Truncate(from),
+        });
+    }
+    if let Some(snapshot) = snapshot {
+        restore(&mut state, snapshot);
+    }
+    Ok(state)
+}
+
+/// Joins a log and a snapshot; the log starts right after the snapshot unless a crash came
+/// between the two files.
+fn restore(state: &mut Restored, snapshot: Arc<Snapshot>) {
+    let next = snapshot.meta.index + 1;
+    if state.entries.first().is_some_and(|e| e.index == next) {
+        state.snapshot = Some(snapshot);
+    } else {
+        state.replace(&snapshot);
+    }
+}
+
+fn cut(path: &Path, len: usize) -> Result<()> {
+    let file = OpenOptions::new().write(true).open(path).map_err(failed)?;
+    file.set_len(len as u64).map_err(failed)?;
+    file.sync_all().map_err(failed)
+}
--- /dev/null
+++ b/crates/bronzespool-consensus/src/storage/frame.rs
@@ -0,0 +1,157 @@
+//! Frames of the log file: a batch of records with length, version and checksums.
+//!
+//! A frame is written only after the one before it is durable, so an unfinished frame is always
+//! the last one. Its missing sectors read as zeros or are beyond the end of the file.
+
+use {
+    super::Hard,
+    crate::{
+        entry::{Entry, Index},
+        error::{Error, Result},
+    },
+    bronzespool_core::Code,
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    std::ops::Range,
+};
+
+/// Version of the file format.
+const VERSION: u8 = 1;
+/// Bytes of a header: version, length of the body, checksum of the body, checksum of the header.
+const HEADER_BYTES: usize = 13;
+/// Header bytes that the header's checksum covers.
+const COVERED_BYTES: usize = 9;
+/// Bytes that a disk writes whole or not at all.
+const SECTOR_BYTES: usize = 512;
+
+/// One record of the log file.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) enum Record {
+    Hard(Hard),
+    Append(Vec<Entry>),
+    Truncate(Index),
+}
+
+struct Header {
+    version: u8,
+    len: usize,
+    crc: u32,
+}
+
+/// What stands at a position of the file.
+enum Found {
+    Frame(Range<usize>),
+    /// Unfinished, nothing follows.
+    Torn,
+    Corrupt,
+    Unknown(u8),
+}
+
+/// Encodes a value as one frame.
+pub(super) fn encode<T: Serialize + ?Sized>(value: &T) -> Result<Vec<u8>> {
+    let internal = |e: &dyn std::fmt::Display| Error::fault(Code::Internal, format!("frame: {e}"));
+    let bytes = vec![0; HEADER_BYTES];
+    let mut bytes = postcard::to_extend(value, bytes).map_err(|e| internal(&e))?;
+    let body = &bytes[HEADER_BYTES..];
+    let len = u32::try_from(body.len()).map_err(|e| internal(&e))?;
+    let crc = crc32fast::hash(body);
+    bytes[0] = VERSION;
+    bytes[1..5].copy_from_slice(&len.to_le_bytes());
+    bytes[5..COVERED_BYTES].copy_from_slice(&crc.to_le_bytes());
+    let own = crc32fast::hash(&bytes[..COVERED_BYTES]);
+    bytes[COVERED_BYTES..HEADER_BYTES].copy_from_slice(&own.to_le_bytes());
+    Ok(bytes)
+}
+
+/// Decodes one whole frame at the start; returns the value and the bytes after it.
+pub(super) fn decode<T: DeserializeOwned>(bytes: &[u8], fault: Code) -> Result<(T, &[u8])> {
+    match find(bytes, 0) {
+        Found::Frame(body) => Ok((parse(&bytes[body.clone()], fault)?, &bytes[body.end..])),
+        Found::Unknown(version) => Err(unknown(version)),
+        Found::Torn | Found::Corrupt => Err(Error::fault(fault, "checksum")),
+    }
+}
+
+/// Reads all frames; returns the records and the length without an unfinished frame at the end.
+pub(super) fn scan(bytes: &[u8]) -> Result<(Vec<Record>, usize)> {
+    let mut records = Vec::new();
+    let mut at = 0;
+    while at < bytes.len() {
+        match find(bytes, at) {
+            Found::Frame(body) => {
+                records.extend(parse::<Vec<Record>>(&bytes[body.clone()], Code::RecordCorrupt)?);
+                at = body.end;
+            }
+            Found::Torn => break,
+            Found::Unknown(version) => return Err(unknown(version)),
+            Found::Corrupt => {
+                return Err(Error::fault(Code::RecordCorrupt, format!("frame at byte {at}")));
+            }
+        }
+    }
+    Ok((records, at))
+}
+
+fn unknown(version: u8) -> Error {
+    Error::fault(Code::VersionUnknown, format!("file version {version}"))
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8], fault: Code) -> Result<T> {
+    match postcard::take_from_bytes(body) {
+        Ok((value, [])) => Ok(value),
+        Ok(_) => Err(Error::fault(fault, "trailing bytes")),
+        Err(e) => Err(Error::fault(fault, e.to_string())),
+    }
+}
+
+/// The header at a position, if its checksum is right.
+fn header(bytes: &[u8], at: usize) -> Option<Header> {
+    let header = bytes.get(at..at + HEADER_BYTES)?;
+    let word =
+        |i: usize| u32::from_le_bytes([header[i], header[i + 1], header[i + 2], header[i + 3]]);
+    if crc32fast::hash(&header[..COVERED_BYTES]) != word(COVERED_BYTES) {
+        return None;
+    }
+    Some(Header { version: header[0], len: usize::try_from(word(1)).ok()?, crc: word(5) })
+}
+
+fn find(bytes: &[u8], at: usize) -> Found {
+    let start = at + HEADER_BYTES;
+    let Some(header) = header(bytes, at) else {
+        let short = start > bytes.len();
+        let sectors_end = start.next_multiple_of(SECTOR_BYTES).min(bytes.len());
+        let torn = short || has_gap(bytes, at..sectors_end);
+        return if torn && !is_followed(bytes, at) { Found::Torn } else { Found::Corrupt };
+    };
+    if header.version != VERSION {
+        return Found::Unknown(header.version);
+    }
+    let end = start.saturating_add(header.len);
+    let Some(body) = bytes.get(start..end) else { return Found::Torn };
+    if crc32fast::hash(body) == header.crc {
+        return Found::Frame(start..end);
+    }
+    let torn = end == bytes.len() && has_gap(bytes, at..end);
+    if torn { Found::Torn } else { Found::Corrupt }
+}
+
+/// Whether a sector's share of a range holds only zeros, as where a sector was not written.
+fn has_gap(bytes: &[u8], range: Range<usize>) -> bool {
+    let first = range.start / SECTOR_BYTES;
+    let last = (range.end - 1) / SECTOR_BYTES;
+    (first..=last).any(|sector| {
+        let from = range.start.max(sector * SECTOR_BYTES);
+        let to = range.end.min((sector + 1) * SECTOR_BYTES);
+        bytes[from..to].iter().all(|&b| b == 0)
+    })
+}
+
+/// Whether a valid frame starts anywhere after a position.
+fn is_followed(bytes: &[u8], at: usize) -> bool {
+    (at + 1..bytes.len()).any(|next| match header(bytes, next) {
+        Some(h) => {
+            let start = next + HEADER_BYTES;
+            bytes.get(start..start + h.len).is_some_and(|body| crc32fast::hash(body) == h.crc)
+        }
+        None => false,
+    })
+}
--- a/crates/bronzespool-consensus/src/storage/mod.rs
+++ b/crates/bronzespool-consensus/src/storage/mod.rs
@@ -1,5 +1,10 @@
 //! Durable state of a replica.
 
+mod file;
+mod frame;
+
+pub use self::file::FileStorage;
+
 use {
     crate::{
         entry::{Entry, Id, Index, Term},
@@ -54,18 +59,22 @@
         match write {
             Write::Hard(hard) => self.hard = Some(*hard),
             Write::Append(entries) => self.append(entries),
-            Write::Truncate(from) => self.entries.retain(|e| e.index < *from),
+            Write::Truncate(from) => self.truncate(*from),
             Write::Snapshot(snapshot) => self.replace(snapshot),
         }
     }
 
     fn append(&mut self, entries: &[Entry]) {
         if let Some(first) = entries.first() {
-            self.entries.retain(|e| e.index < first.index);
+            self.truncate(first.index);
         }
         self.entries.extend_from_slice(entries);
     }
 
+    fn truncate(&mut self, from: Index) {
+        while self.entries.pop_if(|e| e.index >= from).is_some() {}
+    }
+
     pub(crate) fn replace(&mut self, snapshot: &Arc<Snapshot>) {
         let meta = &snapshot.meta;
         let held = self.entries.iter().any(|e| e.index == meta.index && e.term == meta.term);
--- /dev/null
+++ b/crates/bronzespool-consensus/tests/membership.rs
@@ -0,0 +1,191 @@
+//! Lost disks, replaced and removed instances.
+
+mod common;
+
+use {
+    bronzespool_consensus::{Error, Member, Role},
+    bronzespool_core::Code,
+    common::{Cluster, SECOND, name},
+};
+
+fn voters(c: &mut Cluster, i: usize) -> usize {
+    let status = c.node(i).status();
+    if status.joint { 0 } else { status.members.iter().filter(|m| m.voter).count() }
+}
+
+/// Runs until a replica's present identity votes and no set is joint.
+fn repaired(c: &mut Cluster, i: usize) {
+    c.until("repair", |c| {
+        let id = c.node(i).id();
+        let Some(leader) = c.leader() else { return false };
+        let status = c.node(leader).status();
+        !status.joint && status.members.iter().any(|m| m.id == id && m.voter)
+    });
+}
+
+#[test]
+fn receive_lost_disk_is_replaced() {
+    let mut c = Cluster::new(3);
+    c.commit(b"a");
+    let leader = c.elect();
+    let lost = (leader + 1) % 3;
+    let old = c.node(lost).id();
+    c.wipe(lost);
+    let new = c.node(lost).id();
+    assert_ne!(old, new);
+    repaired(&mut c, lost);
+    let status = c.node(leader).status();
+    assert_eq!(status.members.len(), 3);
+    assert!(status.members.iter().all(|m| m.id != old));
+    c.run(SECOND);
+    assert_eq!(c.replicas[lost].state, [b"a".to_vec()]);
+}
+
+#[test]
+fn receive_second_loss_after_repair_keeps_accepted() {
+    for first in 0..3 {
+        for second in (0..3).filter(|&s| s != first) {
+            let mut c = Cluster::new(3);
+            let indices: Vec<u64> = (0..30_u8).map(|i| c.commit(&[i])).collect();
+            c.wipe(first);
+            repaired(&mut c, first);
+            c.wipe(second);
+            c.commit(b"after");
+            let leader = c.elect();
+            let held = |i: &u64| c.replicas[leader].applied.contains_key(i);
+            assert!(indices.iter().all(held), "{first} {second}");
+        }
+    }
+}
+
+#[test]
+fn receive_lost_disk_does_not_vote_before_replaced() {
+    let mut c = Cluster::new(3);
+    c.commit(b"a");
+    let leader = c.elect();
+    let (lost, other) = ((leader + 1) % 3, (leader + 2) % 3);
+    c.stop(other);
+    c.commit(b"b");
+    c.stop(leader);
+    c.wipe(lost);
+    c.start(other);
+    c.run(SECOND * 20);
+    assert_eq!(c.leader(), None);
+    assert_eq!(c.node(lost).status().role, Role::Blank);
+    c.start(leader);
+    c.commit(b"c");
+    c.run(SECOND);
+    let state = [b"a".to_vec(), b"b".to_vec(), b"c".to_vec()];
+    assert_eq!(c.replicas[other].state, state);
+}
+
+#[test]
+fn receive_all_but_one_disk_lost_founds_nothing() {
+    let mut c = Cluster::new(3);
+    c.commit(b"a");
+    c.wipe(0);
+    c.wipe(1);
+    c.run(SECOND * 20);
+    assert_eq!(c.leader(), None);
+    assert!((0..2).all(|i| c.node(i).status().role == Role::Blank));
+}
+
+#[test]
+fn receive_old_disk_after_replacement_is_retired() {
+    let mut c = Cluster::new(3);
+    c.commit(b"a");
+    let leader = c.elect();
+    let lost = (leader + 1) % 3;
+    c.stop(lost);
+    let old = c.replicas[lost].disk.clone();
+    c.wipe(lost);
+    repaired(&mut c, lost);
+    let term = c.node(leader).term();
+    c.stop(lost);
+    c.replicas[lost].disk = old;
+    c.start(lost);
+    c.run(SECOND * 5);
+    let status = c.node(lost).status();
+    assert_eq!((status.role, status.fault), (Role::Retired, Some(Code::ReplicaUnknown)));
+    assert_eq!(c.node(leader).term(), term);
+    assert_eq!(voters(&mut c, leader), 3);
+}
+
+#[test]
+fn receive_rival_of_live_identity_waits() {
+    let mut c = Cluster::new(3);
+    c.commit(b"a");
+    let leader = c.elect();
+    let now = c.now;
+    let hello = bronzespool_consensus::Message {
+        cluster: 0,
+        from: bronzespool_consensus::Id(99),
+        to: bronzespool_consensus::Id(0),
+        term: 0,
+        body: bronzespool_consensus::Body::Hello,
+    };
+    c.node(leader).receive(now, &name((leader + 1) % 3), hello);
+    c.run(SECOND * 3);
+    assert_eq!(c.node(leader).status().members.len(), 3);
+}
+
+#[test]
+fn remove_follower_shrinks_set() {
+    let mut c = Cluster::new(4);
+    c.commit(b"a");
+    let leader = c.elect();
+    let gone = (leader + 1) % 4;
+    let now = c.now;
+    c.node(leader).remove(now, &name(gone)).unwrap();
+    c.until("removal", |c| voters(c, leader) == 3);
+    c.stop(gone);
+    c.commit(b"b");
+}
+
+#[test]
+fn remove_leader_hands_over() {
+    let mut c = Cluster::new(3);
+    c.commit(b"a");
+    let old = c.elect();
+    let now = c.now;
+    c.node(old).remove(now, &name(old)).unwrap();
+    c.until("other leader", |c| c.leader().is_some_and(|i| i != old));
+    c.stop(old);
+    let leader = c.elect();
+    c.commit(b"b");
+    assert_eq!(voters(&mut c, leader), 2);
+}
+
+#[test]
+fn remove_last_voter_is_refused() {
+    let mut c = Cluster::new(1);
+    c.commit(b"a");
+    let now = c.now;
+    let refused = c.node(0).remove(now, &name(0)).unwrap_err();
+    assert_eq!(refused.code(), Code::ConfigInvalid);
+}
+
+#[test]
+fn remove_during_change_is_refused() {
+    let mut c = Cluster::new(5);
+    c.commit(b"a");
+    let leader = c.elect();
+    let now = c.now;
+    c.node(leader).remove(now, &name((leader + 1) % 5)).unwrap();
+    let second = c.node(leader).remove(now, &name((leader + 2) % 5));
+    assert_eq!(second, Err(Error::Changing));
+}
+
+#[test]
+fn reached_joint_needs_both_sets() {
+    use bronzespool_consensus::{Id, Members};
+    let first = Members::initial((0..3).map(|i| (Id(i), name(i as usize))));
+    let joint = first.with_learner(Id(9), &name(2)).with_voter(Id(9));
+    assert!(joint.is_joint());
+    assert!(!joint.has_quorum(|id| id == Id(0) || id == Id(9)));
+    assert!(!joint.has_quorum(|id| id == Id(0) || id == Id(2)));
+    assert!(joint.has_quorum(|id| id == Id(0) || id == Id(1)));
+    let settled = joint.settled();
+    assert!(settled.is_retired(Id(2)) && !settled.is_joint());
+    assert!(settled.list.contains(&Member { id: Id(9), name: name(2), voter: true }));
+}
--- /dev/null
+++ b/crates/bronzespool-consensus/tests/message.rs
@@ -0,0 +1,90 @@
+//! Messages: every body survives the wire, any damage is refused.
+
+use {
+    arbtest::{arbitrary::Unstructured, arbtest},
+    bronzespool_consensus::{Body, Change, Entry, Id, Members, Message, Snapshot},
+    bronzespool_core::{Code, Instance},
+};
+
+/// Runs a property with a fixed set of seeds.
+fn cases(property: impl Fn(&mut Unstructured<'_>) -> arbtest::arbitrary::Result<()>) {
+    for case in 1..=2_000_u32 {
+        let seed = u64::from(case.wrapping_mul(0x9e37_79b9));
+        arbtest(&property).seed(seed << 32 | 512).run();
+    }
+}
+
+fn members() -> Members {
+    let name = |i: u64| Instance::try_from(format!("control-{i}")).unwrap();
+    Members::initial((1..=3).map(|i| (Id(i), name(i)))).with_learner(Id(8), &name(3))
+}
+
+fn bodies() -> Vec<Body> {
+    let meta = Snapshot::new(9, 2, members(), vec![3; 100]).meta;
+    let entries = vec![
+        Entry { index: 5, term: 2, change: Change::Noop },
+        Entry { index: 6, term: 2, change: Change::Data(vec![1, 2, 3].into()) },
+        Entry { index: 7, term: 2, change: Change::Members(members().with_voter(Id(8))) },
+    ];
+    vec![
+        Body::Hello,
+        Body::Welcome { retired: true },
+        Body::Genesis(members()),
+        Body::Vote { trial: true, last_index: 300, last_term: 4 },
+        Body::Voted { trial: false, granted: true },
+        Body::Append { prev_index: 4, prev_term: 1, commit: 3, entries },
+        Body::Matched(7),
+        Body::Rejected { prev_index: 4, hint_index: 3, hint_term: 1 },
+        Body::Heartbeat { seq: 9, commit: 3 },
+        Body::Alive { seq: 9 },
+        Body::Chunk { meta, offset: 50, bytes: vec![3; 50].into() },
+        Body::Wanted { index: 9, offset: 50 },
+    ]
+}
+
+fn message(u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<Message> {
+    let body = u.choose(&bodies())?.clone();
+    Ok(Message { cluster: u.arbitrary()?, from: Id(3), to: Id(4), term: u.arbitrary()?, body })
+}
+
+#[test]
+fn decode_encoded_is_equal() {
+    for body in bodies() {
+        let message = Message { cluster: 1, from: Id(3), to: Id(4), term: 5, body };
+        assert_eq!(Message::decode(&message.encode().unwrap()), Ok(message));
+    }
+}
+
+#[test]
+fn decode_changed_byte_is_refused() {
+    cases(|u| {
+        let mut bytes = message(u)?.encode().unwrap();
+        let at = u.choose_index(bytes.len())?;
+        bytes[at] ^= u.int_in_range(1..=255_u8)?;
+        let wanted = if at == 0 { Code::VersionUnknown } else { Code::MessageCorrupt };
+        assert_eq!(Message::decode(&bytes).unwrap_err().code(), wanted);
+        Ok(())
+    });
+}
+
+#[test]
+fn decode_other_length_is_refused() {
+    for body in bodies() {
+        let message = Message { cluster: 1, from: Id(3), to: Id(4), term: 5, body };
+        let mut bytes = message.encode().unwrap();
+        assert!((0..bytes.len()).all(|len| Message::decode(&bytes[..len]).is_err()));
+        bytes.push(0);
+        assert_eq!(Message::decode(&bytes).unwrap_err().code(), Code::MessageCorrupt);
+    }
+}
+
+#[test]
+fn decode_random_bytes_never_panics() {
+    cases(|u| {
+        let mut body: Vec<u8> = u.arbitrary()?;
+        let crc = crc32fast::hash(&body).to_le_bytes();
+        body.splice(0..0, [1].into_iter().chain(crc));
+        let _ = Message::decode(&body);
+        Ok(())
+    });
+}
