feat(daemon): add the control, entry and agent roles and a harness of processes

Cause: no request could be served yet.

Change: control drives the replicated log, holds sessions as a hub and runs the controllers at its leader; the entry checks requests in a typed filter chain, claims protected ones and follows their outcome; the agent admits, runs and reports.

--- a/crates/bronzespool-fakes/src/bin/fake-endpoint.rs
+++ b/crates/bronzespool-fakes/src/bin/fake-endpoint.rs
@@ -1,5 +1,5 @@
 //! Stand-in endpoint and worker as a process: `fake-endpoint --name N --listen A [--worker A]
-//! [--millis N] [--lag N]`. Ends at SIGTERM or SIGINT.
+//! [--millis N] [--lag N] [--speed N]`. Ends at SIGTERM or SIGINT.
 
 use {
     bronzespool_fakes::{endpoint::Endpoint, http::run, worker::Worker},
@@ -19,6 +19,7 @@
     worker: Option<SocketAddr>,
     millis: u64,
     lag: u64,
+    speed: u64,
 }
 
 fn arguments() -> Result<Arguments> {
@@ -29,6 +30,7 @@
         worker: args.opt_value_from_str("--worker")?,
         millis: args.opt_value_from_str("--millis")?.unwrap_or(1),
         lag: args.opt_value_from_str("--lag")?.unwrap_or(500),
+        speed: args.opt_value_from_str("--speed")?.unwrap_or(1),
     })
 }
 
@@ -36,7 +38,7 @@
     let endpoint = Rc::new(Endpoint::new(&args.name, args.millis));
     tokio::task::spawn_local(run(TcpListener::bind(args.listen).await?, endpoint));
     if let Some(address) = args.worker {
-        let worker = Rc::new(Worker::new(args.lag));
+        let worker = Rc::new(Worker::new(args.lag, args.speed));
         tokio::task::spawn_local(run(TcpListener::bind(address).await?, worker));
     }
     let mut term = signal(SignalKind::terminate())?;
--- /dev/null
+++ b/crates/bronzespool-fakes/src/bin/try-deployment.rs
@@ -0,0 +1,185 @@
+//! Starts a deployment as separate processes, sends requests of every kind and stops it again:
+//! `try-deployment registry|cooperative [--stay]`.
+
+use {
+    bronzespool::core::{
+        Code, KindSpec, Mode,
+        settings::{read_deployment, read_services},
+    },
+    bronzespool_fakes::{
+        call::{Answer, Call},
+        cluster::{Cluster, Plan, Result, program},
+        endpoint::expected,
+    },
+    serde_json::{Value, json},
+    std::{
+        path::{Path, PathBuf},
+        process::{Command, ExitCode},
+    },
+    tokio::signal::unix::{SignalKind, signal},
+};
+
+/// Factor by which the stand-in's tasks run faster than declared.
+const SPEED: u64 = 20_000;
+
+/// A request to send.
+struct Wish {
+    service: String,
+    kind: String,
+    team: String,
+    spec: KindSpec,
+}
+
+fn main() -> ExitCode {
+    let mut args = pico_args::Arguments::from_env();
+    let stay = args.contains("--stay");
+    let Ok(name) = args.free_from_str::<String>() else {
+        eprintln!("usage: try-deployment registry|cooperative [--stay]");
+        return ExitCode::from(2);
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let result = runtime.map_err(Into::into).and_then(|r| r.block_on(run(&name, stay)));
+    match result {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(wrong) => {
+            eprintln!("{wrong} of the steps went wrong");
+            ExitCode::FAILURE
+        }
+        Err(error) => {
+            eprintln!("try-deployment: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(name: &str, stay: bool) -> Result<u32> {
+    let folder = PathBuf::from("examples").join(name);
+    let (config, _) = read_services(std::slice::from_ref(&folder))?;
+    let deployment = read_deployment(&folder.join("deployment.ini"))?;
+    let services = config.services.keys().map(ToString::to_string).collect();
+    let plan = Plan::of(&deployment, services, &folder).speed(SPEED);
+    let mut cluster = Cluster::start(plan).await?;
+    println!("{} processes are up", cluster.ids().len());
+    let mut wrong = publish(&cluster, &folder)?;
+    for (number, wish) in wishes(&config).into_iter().enumerate() {
+        let entry = number % cluster.entries().len();
+        wrong += u32::from(!ask(&cluster, entry, &wish).await?);
+    }
+    wrong += tool(&cluster, &["status"])?;
+    wrong += tool(&cluster, &["report"])?;
+    if stay {
+        show(&cluster, &config);
+        wait().await?;
+    }
+    let failed = cluster.stop().await?;
+    for name in &failed {
+        println!("{name} did not end with success");
+    }
+    println!("all processes have been stopped");
+    Ok(wrong + u32::from(!failed.is_empty()))
+}
+
+fn publish(cluster: &Cluster, folder: &Path) -> Result<u32> {
+    let folder = folder.display().to_string();
+    tool(cluster, &["publish", &folder, "--op", "try-1", "--wait"])
+}
+
+/// Runs the operators' command line against the first entry. Returns 1 if it fails.
+fn tool(cluster: &Cluster, arguments: &[&str]) -> Result<u32> {
+    println!("\n$ bronzespool {}", arguments.join(" "));
+    let at = cluster.entry(0).to_string();
+    let status =
+        Command::new(program("bronzespool")).args(arguments).env("BRONZESPOOL_AT", at).status()?;
+    Ok(u32::from(!status.success()))
+}
+
+fn wishes(config: &bronzespool::core::Config) -> Vec<Wish> {
+    let mut wishes = Vec::new();
+    for (service, spec) in &config.services {
+        let teams: Vec<_> = spec.teams.keys().collect();
+        for (number, (kind, kind_spec)) in spec.kinds.iter().enumerate() {
+            wishes.push(Wish {
+                service: service.to_string(),
+                kind: kind.to_string(),
+                team: teams[number % teams.len()].to_string(),
+                spec: kind_spec.clone(),
+            });
+        }
+    }
+    wishes
+}
+
+/// Sends one request and checks its answer.
+async fn ask(cluster: &Cluster, entry: usize, wish: &Wish) -> Result<bool> {
+    let path = format!("/v1/services/{}/{}", wish.service, wish.kind);
+    let body = json!({ "what": wish.kind, "number": 7 });
+    let key = wish.spec.protected.then(|| format!("try-{}", wish.kind));
+    let mut call = Call::post(&path, &body).header("team", &wish.team);
+    if let Some(key) = &key {
+        call = call.header("idempotency-key", key);
+    }
+    let answer = call.send(cluster.entry(entry)).await?;
+    let right = match wish.spec.mode {
+        Mode::Request => right(&answer, wish, key.as_deref(), &body),
+        Mode::Job => job_done(cluster, entry, &answer).await?,
+    };
+    let mark = if right { "right" } else { "WRONG" };
+    println!(
+        "{mark}  {} {}  {} {}  {}",
+        wish.team,
+        path,
+        answer.code(),
+        answer.outcome(),
+        answer.json()
+    );
+    Ok(right)
+}
+
+fn right(answer: &Answer, wish: &Wish, key: Option<&str>, body: &Value) -> bool {
+    let path = format!("/{}/{}", wish.service, wish.kind);
+    let wanted = expected(&path, &wish.team, key, body);
+    let got = answer.json();
+    let same = |field: &str| got[field] == wanted[field];
+    answer.code() == Code::Done.number() && ["path", "team", "key", "body"].into_iter().all(same)
+}
+
+async fn job_done(cluster: &Cluster, entry: usize, answer: &Answer) -> Result<bool> {
+    let location = answer.headers.get("location").and_then(|v| v.to_str().ok());
+    let Some(location) = location else {
+        return Ok(false);
+    };
+    let ended = Call::get(format!("{location}?wait=60000")).send(cluster.entry(entry)).await?;
+    println!("       {}", ended.json());
+    Ok(answer.code() == Code::Accepted.number() && ended.json()["outcome"] == "done")
+}
+
+fn show(cluster: &Cluster, config: &bronzespool::core::Config) {
+    let address = cluster.entry(0);
+    println!("\nentries:");
+    for (name, address) in cluster.entries() {
+        println!("  {name} http://{address}");
+    }
+    println!("processes:");
+    for (name, id) in cluster.ids() {
+        println!("  {name} {id}");
+    }
+    println!("some lines to try:");
+    for wish in wishes(config) {
+        println!(
+            "  curl -i http://{address}/v1/services/{}/{} -H 'Team: {}' \
+             -H 'Idempotency-Key: my-1' -d '{{}}'",
+            wish.service, wish.kind, wish.team
+        );
+    }
+    println!("  curl http://{address}/v1/status");
+    println!("logs and settings: {}", cluster.folder().display());
+    println!("stop with ctrl-c");
+}
+
+async fn wait() -> Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    tokio::select! {
+        _ = term.recv() => Ok(()),
+        result = tokio::signal::ctrl_c() => Ok(result?),
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-fakes/src/cluster/plan.rs
@@ -0,0 +1,88 @@
+//! Which processes a cluster has.
+
+use {
+    bronzespool::core::{Capacity, settings::Deployment},
+    std::path::{Path, PathBuf},
+};
+
+/// One data centre: its name, its region and the number of workers in each rack.
+pub type PlannedCenter = (String, String, Vec<u32>);
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Control instances.
+    pub control: u32,
+    /// Entry instances.
+    pub entries: u32,
+    /// Data centres.
+    pub centers: Vec<PlannedCenter>,
+    /// What each endpoint offers.
+    pub capacity: Capacity,
+    /// Services that the endpoints serve.
+    pub services: Vec<String>,
+    /// Folders of the service files.
+    pub files: Vec<PathBuf>,
+    /// Time in milliseconds of one request at an endpoint.
+    pub millis: u64,
+    /// Factor by which tasks run faster than declared.
+    pub speed: u64,
+    /// Log level of the daemons.
+    pub log: String,
+    /// Lines of the section `[timing]`.
+    pub timing: String,
+}
+
+impl Plan {
+    /// A small plan of `workers` endpoints in one rack, serving `service` with files in `folder`.
+    pub fn small(service: &str, folder: &Path, workers: u32) -> Self {
+        Self {
+            control: 3,
+            entries: 2,
+            centers: vec![("c1".to_owned(), "r1".to_owned(), vec![workers])],
+            capacity: Capacity { slots: 8, connections: 64, cores: 64, memory: 131_072, accels: 8 },
+            services: vec![service.to_owned()],
+            files: vec![folder.to_owned()],
+            millis: 1,
+            speed: 1,
+            log: "info".to_owned(),
+            timing: String::new(),
+        }
+    }
+
+    /// The plan of a deployment whose endpoints serve all of `services`.
+    pub fn of(deployment: &Deployment, services: Vec<String>, folder: &Path) -> Self {
+        let centers = deployment.centers.iter();
+        let centers = centers.map(|c| (c.name.to_string(), c.region.to_string(), c.racks.clone()));
+        Self {
+            control: deployment.control,
+            entries: deployment.entries,
+            centers: centers.collect(),
+            capacity: deployment.capacity,
+            services,
+            files: vec![folder.to_owned()],
+            ..Self::small("", folder, 0)
+        }
+    }
+
+    /// Sets the time in milliseconds of one request at an endpoint.
+    #[must_use]
+    pub const fn millis(mut self, millis: u64) -> Self {
+        self.millis = millis;
+        self
+    }
+
+    /// Sets the factor by which tasks run faster than declared.
+    #[must_use]
+    pub const fn speed(mut self, speed: u64) -> Self {
+        self.speed = speed;
+        self
+    }
+
+    /// Sets the lines of the section `[timing]`.
+    #[must_use]
+    pub fn timing(mut self, lines: &str) -> Self {
+        lines.clone_into(&mut self.timing);
+        self
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-fakes/src/cluster/process.rs
@@ -0,0 +1,106 @@
+//! One process and its signals.
+
+use {
+    rustix::process::{Pid, kill_process},
+    std::{
+        fs::File,
+        io,
+        net::{SocketAddr, TcpListener},
+        path::{Path, PathBuf},
+        process::{Child, Command, ExitStatus, Stdio},
+    },
+};
+
+pub use rustix::process::Signal;
+
+/// A program beside the one that runs, as the build puts them into one folder.
+///
+/// # Panics
+///
+/// If it is not there: build the whole workspace first.
+pub fn program(name: &str) -> PathBuf {
+    let own = std::env::current_exe().expect("the running program has a path");
+    let found = own.ancestors().skip(1).take(3).map(|f| f.join(name)).find(|p| p.is_file());
+    found.unwrap_or_else(|| panic!("{name} is not built: run cargo build --workspace --bins"))
+}
+
+/// An address on the loopback interface that nothing listens on now.
+///
+/// # Panics
+///
+/// If the machine has no free port.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("a bound listener has an address")
+}
+
+/// A started process; it is killed when dropped.
+pub struct Process {
+    program: PathBuf,
+    arguments: Vec<String>,
+    log: PathBuf,
+    child: Child,
+}
+
+impl Process {
+    /// Starts `program` with its standard error appended to `log`.
+    pub fn start(program: &Path, arguments: &[String], log: &Path) -> io::Result<Self> {
+        let child = spawn(program, arguments, log)?;
+        Ok(Self {
+            program: program.to_owned(),
+            arguments: arguments.to_vec(),
+            log: log.to_owned(),
+            child,
+        })
+    }
+
+    /// Starts it again after it has ended.
+    pub fn restart(&mut self) -> io::Result<()> {
+        self.child = spawn(&self.program, &self.arguments, &self.log)?;
+        Ok(())
+    }
+
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal, if the process still runs.
+    pub fn signal(&mut self, signal: Signal) -> io::Result<()> {
+        if self.ended()?.is_some() {
+            return Ok(());
+        }
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        let pid = pid.ok_or_else(|| io::Error::other("no process id"))?;
+        kill_process(pid, signal)?;
+        Ok(())
+    }
+
+    /// Exit status, if it has ended.
+    pub fn ended(&mut self) -> io::Result<Option<ExitStatus>> {
+        self.child.try_wait()
+    }
+
+    /// Kills it and waits for its end.
+    pub fn kill(&mut self) -> io::Result<()> {
+        self.signal(Signal::KILL)?;
+        self.child.wait()?;
+        Ok(())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.kill();
+    }
+}
+
+fn spawn(program: &Path, arguments: &[String], log: &Path) -> io::Result<Child> {
+    let log = File::options().create(true).append(true).open(log)?;
+    Command::new(program)
+        .args(arguments)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone()?)
+        .stderr(log)
+        .spawn()
+}
--- /dev/null
+++ b/crates/bronzespool-fakes/src/cluster/system.rs
@@ -0,0 +1,309 @@
+//! Starts, addresses and stops the processes.
+
+use {
+    crate::{
+        call::{Answer, Call},
+        cluster::{
+            plan::Plan,
+            process::{Process, Signal, free_address, program},
+            text::{self, AgentAddresses, Stand},
+        },
+    },
+    serde_json::{Value, json},
+    std::{
+        collections::BTreeMap,
+        error::Error,
+        fs,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        time::{Duration, Instant},
+    },
+    tempfile::TempDir,
+    tokio::time::sleep,
+};
+
+/// Result of an act on the cluster.
+pub type Result<T> = std::result::Result<T, Box<dyn Error>>;
+
+/// Pause between two looks at a condition.
+const PAUSE: Duration = Duration::from_millis(25);
+/// Generous end of a wait.
+const WAIT_MAX: Duration = Duration::from_secs(60);
+
+/// One endpoint with its agent.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    /// Name of the instance.
+    pub instance: String,
+    /// Address of the agent.
+    pub agent: SocketAddr,
+    /// Address of the stand-in endpoint.
+    pub endpoint: SocketAddr,
+    /// Address of the stand-in worker interface.
+    pub worker: SocketAddr,
+}
+
+/// A running system. Its processes are killed when it is dropped.
+pub struct Cluster {
+    plan: Plan,
+    folder: TempDir,
+    processes: BTreeMap<String, Process>,
+    controls: Vec<(String, SocketAddr)>,
+    entries: Vec<(String, SocketAddr)>,
+    workers: Vec<Worker>,
+}
+
+impl Cluster {
+    /// Starts all processes and waits until every entry is ready and every agent announced.
+    pub async fn start(plan: Plan) -> Result<Self> {
+        let folder = TempDir::with_prefix("bronzespool-")?;
+        let mut cluster = Self {
+            plan,
+            folder,
+            processes: BTreeMap::new(),
+            controls: Vec::new(),
+            entries: Vec::new(),
+            workers: Vec::new(),
+        };
+        cluster.start_controls()?;
+        cluster.start_workers()?;
+        cluster.start_entries()?;
+        cluster.wait_ready().await?;
+        Ok(cluster)
+    }
+
+    /// Folder with settings, logs and data.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// Data folder of a control instance.
+    pub fn data(&self, name: &str) -> PathBuf {
+        self.folder().join(format!("{name}.data"))
+    }
+
+    /// Control instances.
+    pub fn controls(&self) -> &[(String, SocketAddr)] {
+        &self.controls
+    }
+
+    /// Entries.
+    pub fn entries(&self) -> &[(String, SocketAddr)] {
+        &self.entries
+    }
+
+    /// Address of an entry.
+    pub fn entry(&self, number: usize) -> SocketAddr {
+        self.entries[number].1
+    }
+
+    /// Endpoints with their agents.
+    pub fn workers(&self) -> &[Worker] {
+        &self.workers
+    }
+
+    /// A process: a control instance or entry by its name, `agent-N` or `endpoint-N`.
+    ///
+    /// # Panics
+    ///
+    /// If there is none of that name.
+    pub fn process(&mut self, name: &str) -> &mut Process {
+        self.processes.get_mut(name).unwrap_or_else(|| panic!("no process {name}"))
+    }
+
+    /// Names and process ids.
+    pub fn ids(&self) -> Vec<(String, u32)> {
+        self.processes.iter().map(|(name, p)| (name.clone(), p.id())).collect()
+    }
+
+    /// Publishes the plan's service files and waits until they are in force everywhere.
+    pub async fn publish(&self, operation: &str) -> Result<Answer> {
+        let (_, sources) = bronzespool::core::settings::read_services(&self.plan.files)?;
+        let body = json!({ "base": null, "op": operation, "files": sources, "wait": true });
+        Call::post("/v1/config", &body).send(self.entry(0)).await
+    }
+
+    /// Status as an entry tells it.
+    pub async fn status(&self, entry: usize) -> Result<Value> {
+        let answer = Call::get("/v1/status").send(self.entry(entry)).await?;
+        if answer.status.is_success() {
+            Ok(answer.json())
+        } else {
+            Err(format!("status: {} {}", answer.status, answer.json()).into())
+        }
+    }
+
+    /// Name of the leader of control.
+    pub async fn leader(&self, entry: usize) -> Result<String> {
+        let status = self.status(entry).await?;
+        Ok(status["leader"].as_str().unwrap_or_default().to_owned())
+    }
+
+    /// What the stand-in endpoint of a worker has recorded.
+    pub async fn record(&self, worker: usize) -> Result<crate::endpoint::Record> {
+        let answer = Call::get("/record").send(self.workers[worker].endpoint).await?;
+        Ok(serde_json::from_slice(&answer.body)?)
+    }
+
+    /// Starts of a key over all endpoints.
+    pub async fn starts(&self, key: &str) -> Result<usize> {
+        let mut starts = 0;
+        for worker in 0..self.workers.len() {
+            starts += self.record(worker).await?.keys.get(key).map_or(0, Vec::len);
+        }
+        Ok(starts)
+    }
+
+    /// Stops all processes gracefully, entries first; returns the names of those that did not
+    /// end with success.
+    pub async fn stop(&mut self) -> Result<Vec<String>> {
+        let mut failed = Vec::new();
+        for prefix in ["entry", "agent", "endpoint", "control"] {
+            let names: Vec<_> =
+                self.processes.keys().filter(|n| n.starts_with(prefix)).cloned().collect();
+            for name in &names {
+                self.process(name).signal(Signal::TERM)?;
+            }
+            for name in names {
+                if !self.ended_well(&name).await? {
+                    failed.push(name);
+                }
+            }
+        }
+        Ok(failed)
+    }
+
+    async fn ended_well(&mut self, name: &str) -> Result<bool> {
+        let end = Instant::now() + WAIT_MAX;
+        while Instant::now() < end {
+            if let Some(status) = self.process(name).ended()? {
+                return Ok(status.success());
+            }
+            sleep(PAUSE).await;
+        }
+        Ok(false)
+    }
+
+    /// Waits until every entry is ready and every agent has a session.
+    pub async fn wait_ready(&self) -> Result<()> {
+        let wanted = self.workers.len();
+        let end = Instant::now() + WAIT_MAX;
+        loop {
+            if self.ready().await && self.up().await.unwrap_or_default() == wanted {
+                return Ok(());
+            }
+            if Instant::now() > end {
+                return Err("the system was not ready in time".into());
+            }
+            sleep(PAUSE).await;
+        }
+    }
+
+    async fn ready(&self) -> bool {
+        for (_, address) in &self.entries {
+            match Call::get("/readyz").send(*address).await {
+                Ok(answer) if answer.status.is_success() => {}
+                _ => return false,
+            }
+        }
+        true
+    }
+
+    /// Endpoints that are up.
+    pub async fn up(&self) -> Result<usize> {
+        let status = self.status(0).await?;
+        let endpoints = status["endpoints"].as_array().cloned().unwrap_or_default();
+        Ok(endpoints.iter().filter(|e| e["presence"] == "up").count())
+    }
+
+    fn hubs(&self, first: usize) -> Vec<SocketAddr> {
+        let count = self.controls.len();
+        (0..count).map(|i| self.controls[(first + i) % count].1).collect()
+    }
+
+    fn settings(&self, name: &str, text: &str) -> Result<Vec<String>> {
+        let file = self.folder().join(format!("{name}.ini"));
+        fs::write(&file, text)?;
+        Ok(vec!["--settings".to_owned(), file.display().to_string()])
+    }
+
+    fn launch(&mut self, name: &str, program: &Path, arguments: &[String]) -> Result<()> {
+        let log = self.folder().join(format!("{name}.log"));
+        self.processes.insert(name.to_owned(), Process::start(program, arguments, &log)?);
+        Ok(())
+    }
+
+    fn start_controls(&mut self) -> Result<()> {
+        let daemon = program("bronzespoold");
+        let names = (1..=self.plan.control).map(|n| format!("control-{n}"));
+        self.controls = names.map(|name| (name, free_address())).collect();
+        let centers = self.plan.centers.clone();
+        for (number, (name, listen)) in self.controls.clone().into_iter().enumerate() {
+            let (center, region, _) = &centers[number % centers.len()];
+            let stand = Stand { instance: &name, region, center, rack: "control" };
+            let data = self.data(&name);
+            let data = data.display().to_string();
+            let text = text::control(&self.plan, &stand, &data, listen, &self.controls);
+            let arguments = self.settings(&name, &text)?;
+            self.launch(&name, &daemon, &arguments)?;
+        }
+        Ok(())
+    }
+
+    fn start_entries(&mut self) -> Result<()> {
+        let daemon = program("bronzespoold");
+        let centers = self.plan.centers.clone();
+        for number in 0..self.plan.entries as usize {
+            let name = format!("entry-{}", number + 1);
+            let listen = free_address();
+            let (center, region, _) = &centers[number % centers.len()];
+            let stand = Stand { instance: &name, region, center, rack: "entry" };
+            let text = text::entry(&self.plan, &stand, listen, &self.hubs(number));
+            let arguments = self.settings(&name, &text)?;
+            self.launch(&name, &daemon, &arguments)?;
+            self.entries.push((name, listen));
+        }
+        Ok(())
+    }
+
+    fn start_workers(&mut self) -> Result<()> {
+        let centers = self.plan.centers.clone();
+        for (center, region, racks) in &centers {
+            for (rack, count) in racks.iter().enumerate() {
+                for _ in 0..*count {
+                    let rack = format!("{center}-r{}", rack + 1);
+                    self.start_worker(region, center, &rack)?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn start_worker(&mut self, region: &str, center: &str, rack: &str) -> Result<()> {
+        let number = self.workers.len() + 1;
+        let instance = format!("worker-{number}");
+        let addresses = AgentAddresses {
+            listen: free_address(),
+            endpoint: free_address(),
+            worker: free_address(),
+        };
+        let arguments = [
+            ("--name", instance.clone()),
+            ("--listen", addresses.endpoint.to_string()),
+            ("--worker", addresses.worker.to_string()),
+            ("--millis", self.plan.millis.to_string()),
+            ("--speed", self.plan.speed.to_string()),
+        ];
+        let arguments: Vec<_> =
+            arguments.into_iter().flat_map(|(n, v)| [n.to_owned(), v]).collect();
+        self.launch(&format!("endpoint-{number}"), &program("fake-endpoint"), &arguments)?;
+        let stand = Stand { instance: &instance, region, center, rack };
+        let text = text::agent(&self.plan, &stand, &addresses, &self.hubs(number));
+        let name = format!("agent-{number}");
+        let arguments = self.settings(&name, &text)?;
+        self.launch(&name, &program("bronzespoold"), &arguments)?;
+        let AgentAddresses { listen, endpoint, worker } = addresses;
+        self.workers.push(Worker { instance, agent: listen, endpoint, worker });
+        Ok(())
+    }
+}
--- a/crates/bronzespool-fakes/src/worker/server.rs
+++ b/crates/bronzespool-fakes/src/worker/server.rs
@@ -55,17 +55,20 @@
 pub struct Worker {
     began: Instant,
     lag: u64,
+    speed: u64,
     tasks: RefCell<BTreeMap<String, Task>>,
     failing: Cell<bool>,
     starts: Cell<u64>,
 }
 
 impl Worker {
-    /// A worker whose usage reports lag by `lag` milliseconds.
-    pub fn new(lag: u64) -> Self {
+    /// A worker whose usage reports lag by `lag` milliseconds and
+    /// whose tasks run `speed` times as fast as asked for.
+    pub fn new(lag: u64, speed: u64) -> Self {
         Self {
             began: Instant::now(),
             lag,
+            speed: speed.max(1),
             tasks: RefCell::default(),
             failing: Cell::new(false),
             starts: Cell::new(0),
@@ -93,7 +96,7 @@
         let task = Task {
             name: call.name.clone(),
             accels: call.accels,
-            remaining: call.run_ms,
+            remaining: call.run_ms / self.speed,
             since: now,
             lease: now + call.lease_ms,
             checkpoints: 0,
--- a/crates/bronzespool-schedule/src/policy/fit.rs
+++ b/crates/bronzespool-schedule/src/policy/fit.rs
@@ -28,7 +28,8 @@
 /// Larger cells go first, each into the place whose loss hurts the smaller ones least.
 pub fn shortfall(grid: &Grid, demand: &Demand) -> Demand {
     let mut missing = Demand::new();
-    let mut open: Vec<bool> = grid.slots.iter().map(super::super::book::grid::Slot::whole).collect();
+    let mut open: Vec<bool> =
+        grid.slots.iter().map(super::super::book::grid::Slot::whole).collect();
     for (&level, &count) in demand.iter().rev() {
         let short = match level {
             Level::Region => take(&grid.regions, grid, &mut open, count),
--- a/crates/bronzespool-schedule/src/policy/queue.rs
+++ b/crates/bronzespool-schedule/src/policy/queue.rs
@@ -78,11 +78,14 @@
     let Some(found) = claim(pass.book, &mut pass.grid, &job.spec.team, ask) else {
         return false;
     };
-    if found.taken > 0 && job.spec.preemptible() && !job.spec.urgent
-        && let Some(choice) = free_cells(&pass.grid, ask) {
-            lend(pass, job, ask, &choice);
-            return true;
-        }
+    if found.taken > 0
+        && job.spec.preemptible()
+        && !job.spec.urgent
+        && let Some(choice) = free_cells(&pass.grid, ask)
+    {
+        lend(pass, job, ask, &choice);
+        return true;
+    }
     take(pass, job, ask, found);
     true
 }
--- a/crates/bronzespool-wire/src/message/call.rs
+++ b/crates/bronzespool-wire/src/message/call.rs
@@ -3,9 +3,7 @@
 use {
     crate::message::{Announce, JobView, Report, StatusView},
     bronzespool_core::{Digest, Instance, Job, Key, Refusal, Service, ServiceSpec},
-    bronzespool_flow::{
-        claim::{ClaimId, Completion, Existing, Request},
-    },
+    bronzespool_flow::claim::{ClaimId, Completion, Existing, Request},
     bronzespool_schedule::JobSpec,
     serde::{Deserialize, Serialize},
 };
--- a/crates/bronzespoold/src/agent/requests.rs
+++ b/crates/bronzespoold/src/agent/requests.rs
@@ -130,9 +130,7 @@
             Start::Known(Status::Fenced) => return Err(Code::Fenced.into()),
             Start::Known(_) => {}
         }
-        timeout(time, self.completion(&name))
-            .await
-            .unwrap_or_else(|_| Err(Code::InProgress.into()))
+        timeout(time, self.completion(&name)).await.unwrap_or_else(|_| Err(Code::InProgress.into()))
     }
 
     fn start(&self, name: &AttemptId, run: &Run) -> Result<Start, Refusal> {
--- a/crates/bronzespoold/src/agent/tasks.rs
+++ b/crates/bronzespoold/src/agent/tasks.rs
@@ -37,13 +37,7 @@
 
 impl Tasks {
     pub(super) fn new(state: Rc<State>, worker: Worker) -> Self {
-        Self {
-            state,
-            worker,
-            inherited: None,
-            reported: HashSet::default(),
-            events: Vec::new(),
-        }
+        Self { state, worker, inherited: None, reported: HashSet::default(), events: Vec::new() }
     }
 
     /// Runs rounds for as long as the agent lives.
--- /dev/null
+++ b/crates/bronzespoold/src/arguments.rs
@@ -0,0 +1,54 @@
+//! The daemon's command line.
+
+use {pico_args::Arguments, std::path::PathBuf};
+
+/// Help text.
+pub(crate) const HELP: &str = "\
+bronzespoold: one process of a bronzespool cluster
+
+Usage: bronzespoold --settings FILE [--check]
+
+  --settings FILE  settings in INI form; their role says what the process does
+  --check          read the settings, print their faults and end
+  --version        print the version
+  --help           print this text
+
+Examples:
+  bronzespoold --settings /etc/bronzespool/control.ini
+  bronzespoold --settings entry.ini --check
+
+Signals: SIGTERM and SIGINT stop gracefully; a second one ends at once.
+Exit codes: 0 stopped as told, 1 failed while running, 2 wrong arguments or settings.
+";
+
+/// What the command line asks for.
+pub(crate) enum Wish {
+    /// Print a text and end.
+    Print(String),
+    /// Read the settings and run, or only check them.
+    Settings {
+        /// The settings file.
+        file: PathBuf,
+        /// Whether to end after the check.
+        check: bool,
+    },
+}
+
+/// Reads the command line.
+pub(crate) fn read(mut args: Arguments) -> Result<Wish, pico_args::Error> {
+    if args.contains("--help") {
+        return Ok(Wish::Print(HELP.to_owned()));
+    }
+    if args.contains("--version") {
+        return Ok(Wish::Print(format!("bronzespoold {}\n", env!("CARGO_PKG_VERSION"))));
+    }
+    let check = args.contains("--check");
+    let file = args.value_from_str("--settings")?;
+    let rest = args.finish();
+    match rest.first() {
+        Some(extra) => {
+            Err(pico_args::Error::ArgumentParsingFailed { cause: format!("unknown: {extra:?}") })
+        }
+        None => Ok(Wish::Settings { file, check }),
+    }
+}
--- a/crates/bronzespoold/src/client/keeper.rs
+++ b/crates/bronzespoold/src/client/keeper.rs
@@ -154,9 +154,8 @@
         let session = timeout(left, self.current()).await.map_err(|_| Error::Silent(left))?;
         let mut request = session.call_request();
         request.get().set_call(bytes);
-        let response = timeout(left, request.send().promise)
-            .await
-            .map_err(|_| Error::Silent(left))??;
+        let response =
+            timeout(left, request.send().promise).await.map_err(|_| Error::Silent(left))??;
         Ok(frame::decode(response.get()?.get_reply()?)?)
     }
 
@@ -241,11 +240,7 @@
         self.session.borrow_mut().take();
     }
 
-    async fn renew(
-        &self,
-        link: &Link<control::Client>,
-        session: &session::Client,
-    ) -> Result<bool> {
+    async fn renew(&self, link: &Link<control::Client>, session: &session::Client) -> Result<bool> {
         let sent = self.clock.now();
         let mut request = session.renew_request();
         request.get().set_acked(self.subscriber.acked());
--- a/crates/bronzespoold/src/control/hub/sessions.rs
+++ b/crates/bronzespoold/src/control/hub/sessions.rs
@@ -97,8 +97,7 @@
         let entry = hello.role == Role::Entry;
         let state = self.replica.state();
         let view = state.view(entry);
-        let tasks =
-            if entry { Vec::new() } else { assignments(state.book(), &hello.instance) };
+        let tasks = if entry { Vec::new() } else { assignments(state.book(), &hello.instance) };
         drop(state);
         let now = self.clock.now();
         let instance = hello.instance.clone();
--- a/crates/bronzespoold/src/control/leader/schedule.rs
+++ b/crates/bronzespoold/src/control/leader/schedule.rs
@@ -1,12 +1,10 @@
 //! Controllers: loops that bring the state to what is wanted.
 
 use {
-    crate::{
-        control::{
-            leader::calls::Leader,
-            replica::Result,
-            state::{guarantees, services_after},
-        },
+    crate::control::{
+        leader::calls::Leader,
+        replica::Result,
+        state::{guarantees, services_after},
     },
     bronzespool::{
         core::{Code, Job, Refusal},
--- a/crates/bronzespoold/src/control/mod.rs
+++ b/crates/bronzespoold/src/control/mod.rs
@@ -9,4 +9,4 @@
 mod state;
 mod storage;
 
-pub use start::{Options, run};
+pub use start::{Error, Options, Result, run};
--- a/crates/bronzespoold/src/control/server.rs
+++ b/crates/bronzespoold/src/control/server.rs
@@ -162,11 +162,7 @@
         Ok(())
     }
 
-    async fn probe(
-        self: Rc<Self>,
-        _: control::ProbeParams,
-        _: control::ProbeResults,
-    ) -> Result {
+    async fn probe(self: Rc<Self>, _: control::ProbeParams, _: control::ProbeResults) -> Result {
         Ok(())
     }
 }
@@ -199,11 +195,7 @@
         Ok(())
     }
 
-    async fn close(
-        self: Rc<Self>,
-        _: session::CloseParams,
-        _: session::CloseResults,
-    ) -> Result {
+    async fn close(self: Rc<Self>, _: session::CloseParams, _: session::CloseResults) -> Result {
         self.node.hub.close(self.id);
         Ok(())
     }
--- a/crates/bronzespoold/src/control/start.rs
+++ b/crates/bronzespoold/src/control/start.rs
@@ -74,14 +74,9 @@
 /// # Errors
 ///
 /// If its address cannot be bound or its log fails.
-pub async fn run(
-    options: Options,
-    clock: Clock,
-    mut stop: watch::Receiver<bool>,
-) -> Result<()> {
-    let listener = TcpListener::bind(options.listen)
-        .await
-        .map_err(|e| Error::Listen(options.listen, e))?;
+pub async fn run(options: Options, clock: Clock, mut stop: watch::Receiver<bool>) -> Result<()> {
+    let listener =
+        TcpListener::bind(options.listen).await.map_err(|e| Error::Listen(options.listen, e))?;
     let mut storage = FileStorage::open(&options.data).map_err(Error::Log)?;
     let restored = storage.load().map_err(Error::Log)?;
     let log = consensus::Node::open(settings(&options), restored, clock.now());
@@ -115,8 +110,7 @@
     let margin = options.session * MARGIN_PERCENT / 100;
     let spans = Spans { lease: options.session, margin };
     let hub = Hub::new(clock, options.instance.clone(), spans, Rc::clone(&replica));
-    let horizon =
-        Horizon { keep: options.answers, used: options.horizon, ..Horizon::default() };
+    let horizon = Horizon { keep: options.answers, used: options.horizon, ..Horizon::default() };
     let lease = options.session + margin;
     let leader = Leader::new(clock, Rc::clone(&replica), horizon, options.reserve, lease);
     let links = options.peers.iter().map(|(name, address)| (name.clone(), Link::new(*address)));
--- a/crates/bronzespoold/src/entry/agents.rs
+++ b/crates/bronzespoold/src/entry/agents.rs
@@ -100,7 +100,12 @@
 
     /// Sends a request and waits for its completion, at most `time`. While it runs, the link is
     /// probed, so that a silent connection ends the wait within seconds.
-    pub(super) async fn run(self: &Rc<Self>, run: &Run, body: &Bytes, time: Duration) -> Result<RunReply> {
+    pub(super) async fn run(
+        self: &Rc<Self>,
+        run: &Run,
+        body: &Bytes,
+        time: Duration,
+    ) -> Result<RunReply> {
         let flight = Flight::begin(self);
         let run = frame::encode(run);
         let reply: Result<RunReply> = self
--- a/crates/bronzespoold/src/entry/filter/body.rs
+++ b/crates/bronzespoold/src/entry/filter/body.rs
@@ -91,6 +91,8 @@
     let parsed: serde_json::Result<serde::de::IgnoredAny> = serde_json::from_slice(body);
     match parsed {
         Ok(_) => Ok(()),
-        Err(error) => Err(Refusal::new(Code::BodyInvalid, format!("the body is not JSON: {error}"))),
+        Err(error) => {
+            Err(Refusal::new(Code::BodyInvalid, format!("the body is not JSON: {error}")))
+        }
     }
 }
--- /dev/null
+++ b/crates/bronzespoold/src/entry/jobs.rs
@@ -0,0 +1,90 @@
+//! Jobs over HTTP.
+
+use {
+    crate::entry::{
+        filter::{Checked, Result},
+        state::State,
+    },
+    bronzespool::{
+        core::{Code, Digest, Job, Refusal},
+        schedule::JobSpec,
+        wire::message::{Call, JobView, Reply},
+    },
+    std::time::Duration,
+    tokio::time::sleep,
+};
+
+/// Pause between two looks at a job that a caller waits for.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait for control.
+const CALL_TIME: Duration = Duration::from_secs(5);
+/// Longest time for which a caller may wait for a job.
+pub(super) const WAIT_MAX: Duration = Duration::from_secs(60);
+
+/// Submits a job. The key names it, so a resend finds the first one.
+pub(super) async fn submit(state: &State, request: &Checked) -> Result<JobView> {
+    let spec = request.spec()?;
+    let job = name(request)?;
+    let (team, service, kind) =
+        (request.team.clone(), request.service.clone(), request.kind.clone());
+    let wish = JobSpec::new(job, team, service, kind)
+        .members(spec.gang)
+        .need(spec.need)
+        .adjacent(spec.adjacent)
+        .declared(spec.runtime)
+        .checkpoint(spec.checkpoint)
+        .restart(spec.restart)
+        .protected(spec.protected);
+    let left = request.left(state.clock.now());
+    job_reply(call(state, &Call::Submit(Box::new(wish)), left).await?)
+}
+
+/// Without a key each submission is a job of its own.
+fn name(request: &Checked) -> Result<Job> {
+    let text = match &request.key {
+        Some(key) => {
+            let (team, service, kind) = (&request.team, &request.service, &request.kind);
+            format!("{team}\0{service}\0{kind}\0{key}")
+        }
+        None => format!("{}\0{}", request.id, fastrand::u64(..)),
+    };
+    let digest = Digest::of(text.as_bytes());
+    let hex: String = digest.bytes()[..10].iter().map(|b| format!("{b:02x}")).collect();
+    Job::try_from(format!("j-{hex}")).map_err(|e| Refusal::new(Code::Internal, e.to_string()))
+}
+
+/// Shows a job, waiting for its end for `wait` at most.
+pub(super) async fn show(state: &State, job: &Job, wait: Duration) -> Result<JobView> {
+    let end = state.clock.now() + wait;
+    loop {
+        let view = job_reply(call(state, &Call::Job(job.clone()), CALL_TIME).await?)?;
+        if view.ended() || state.clock.now() >= end || state.stopping.get() {
+            return Ok(view);
+        }
+        sleep(LOOK_PAUSE).await;
+    }
+}
+
+/// Cancels a job.
+pub(super) async fn cancel(state: &State, job: &Job) -> Result<JobView> {
+    call(state, &Call::Cancel(vec![job.clone()]), CALL_TIME).await?;
+    show(state, job, Duration::ZERO).await
+}
+
+/// Reads a job's name.
+pub(super) fn parse(text: &str) -> Result<Job> {
+    Job::try_from(text).map_err(|e| Refusal::new(Code::UnknownJob, format!("{text:?}: {e}")))
+}
+
+/// Calls control.
+pub(super) async fn call(state: &State, call: &Call, time: Duration) -> Result<Reply> {
+    let keeper = state.keeper().ok_or(Code::NoSession)?;
+    keeper.call(call, time).await
+}
+
+fn job_reply(reply: Reply) -> Result<JobView> {
+    match reply {
+        Reply::Job(view) => Ok(*view),
+        _ => Err(Code::Internal.into()),
+    }
+}
--- a/crates/bronzespoold/src/entry/mod.rs
+++ b/crates/bronzespoold/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod filter;
 mod jobs;
 mod operators;
+mod report;
 mod server;
 mod start;
 mod state;
--- /dev/null
+++ b/crates/bronzespoold/src/entry/operators.rs
@@ -0,0 +1,137 @@
+//! The operators' interface.
+
+use {
+    crate::{
+        entry::{
+            filter::Result,
+            jobs::{self, call},
+            state::State,
+        },
+        http::{Answer, json, read_whole},
+    },
+    bronzespool::{
+        core::{
+            Code, Digest, Instance, Key, Refusal,
+            settings::{Source, merge_services},
+        },
+        wire::message::{Call, Reply},
+    },
+    hyper::body::Incoming,
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+    tokio::time::sleep,
+};
+
+/// Largest publication in bytes.
+const PUBLISH_MAX_BYTES: u64 = 4 << 20;
+/// Longest wait for control.
+const CALL_TIME: Duration = Duration::from_secs(5);
+/// Longest wait for a revision to be in force everywhere.
+const FORCE_TIME: Duration = Duration::from_secs(30);
+/// Pause between two questions whether it is.
+const FORCE_PAUSE: Duration = Duration::from_millis(20);
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Publication {
+    base: Option<u64>,
+    op: String,
+    files: Vec<Source>,
+    #[serde(default)]
+    wait: bool,
+}
+
+#[derive(Serialize)]
+struct PublishedBody {
+    code: u16,
+    revision: u64,
+    in_force: bool,
+    op: String,
+}
+
+#[derive(Serialize)]
+struct Noted {
+    code: u16,
+}
+
+/// Publishes service files.
+pub(super) async fn publish(state: &State, body: Incoming) -> Result<Answer> {
+    let bytes = read_whole(body, PUBLISH_MAX_BYTES)
+        .await
+        .map_err(|e| Refusal::new(Code::BodyTooLarge, e.to_string()))?;
+    let publication: Publication = serde_json::from_slice(&bytes)
+        .map_err(|e| Refusal::new(Code::BodyInvalid, format!("the body cannot be read: {e}")))?;
+    let operation = Key::try_from(publication.op.as_str())
+        .map_err(|e| Refusal::new(Code::KeyInvalid, format!("op: {e}")))?;
+    let config = merge_services(&publication.files)
+        .map_err(|faults| Refusal::new(Code::ConfigInvalid, faults.to_string()))?;
+    let call_to_make = Call::Publish {
+        base: publication.base,
+        operation,
+        digest: digest(&publication),
+        services: config.services.into_values().collect(),
+        removed: Vec::new(),
+    };
+    let revision = match call(state, &call_to_make, CALL_TIME).await? {
+        Reply::Published(published) => published.revision,
+        _ => return Err(Code::Internal.into()),
+    };
+    let in_force = publication.wait && wait_in_force(state, revision).await?;
+    let body = PublishedBody { code: Code::Done.number(), revision, in_force, op: publication.op };
+    Ok(json(Code::Done, &body))
+}
+
+/// Digest of what was published, the base revision included: a resend repeats both.
+fn digest(publication: &Publication) -> Digest {
+    let mut text = format!("{:?}", publication.base);
+    for file in &publication.files {
+        text.push('\0');
+        text.push_str(&file.path);
+        text.push('\0');
+        text.push_str(&file.text);
+    }
+    Digest::of(text.as_bytes())
+}
+
+async fn wait_in_force(state: &State, revision: u64) -> Result<bool> {
+    let end = state.clock.now() + FORCE_TIME;
+    while state.clock.now() < end {
+        if let Reply::InForce(true) = call(state, &Call::InForce(revision), CALL_TIME).await? {
+            return Ok(true);
+        }
+        sleep(FORCE_PAUSE).await;
+    }
+    Ok(false)
+}
+
+/// Shows the system.
+pub(super) async fn status(state: &State) -> Result<Answer> {
+    match call(state, &Call::Status, CALL_TIME).await? {
+        Reply::Status(status) => Ok(json(Code::Done, &status)),
+        _ => Err(Code::Internal.into()),
+    }
+}
+
+/// Shows all jobs.
+pub(super) async fn list_jobs(state: &State) -> Result<Answer> {
+    match call(state, &Call::Jobs, CALL_TIME).await? {
+        Reply::Jobs(list) => Ok(json(Code::Done, &list)),
+        _ => Err(Code::Internal.into()),
+    }
+}
+
+/// Tells why a job waits.
+pub(super) async fn explain(state: &State, job: &str) -> Result<Answer> {
+    match call(state, &Call::Explain(jobs::parse(job)?), CALL_TIME).await? {
+        Reply::Explained(lines) => Ok(json(Code::Done, &lines)),
+        _ => Err(Code::Internal.into()),
+    }
+}
+
+/// Starts the drain of an endpoint.
+pub(super) async fn drain(state: &State, instance: &str) -> Result<Answer> {
+    let name = Instance::try_from(instance)
+        .map_err(|e| Refusal::new(Code::UnknownInstance, format!("{instance:?}: {e}")))?;
+    call(state, &Call::Drain { instance: name, leaving: true }, CALL_TIME).await?;
+    Ok(json(Code::Done, &Noted { code: Code::Done.number() }))
+}
--- /dev/null
+++ b/crates/bronzespoold/src/entry/start.rs
@@ -0,0 +1,99 @@
+//! Starts and stops the entry.
+
+use {
+    crate::{
+        client::{Keeper, Timing},
+        clock::Clock,
+        entry::{
+            agents::Agents,
+            report::Reporter,
+            server::{Audience, Server},
+            state::State,
+        },
+        http::serve,
+    },
+    bronzespool::core::{Center, Instance, Time},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{
+        net::TcpListener,
+        sync::watch,
+        task::spawn_local,
+        time::{sleep, timeout},
+    },
+};
+
+/// Time between failing readiness and refusing connections, for the platform's balancer.
+const READY_PAUSE: Duration = Duration::from_millis(500);
+
+/// What an entry needs to know.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Instance of this process.
+    pub instance: Instance,
+    /// Data centre of this process.
+    pub center: Center,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for operators; the callers' one if absent.
+    pub operators: Option<SocketAddr>,
+    /// Hubs, the preferred one first.
+    pub hubs: Vec<SocketAddr>,
+    /// Spans of the session.
+    pub timing: Timing,
+    /// Longest wait for requests in flight at a graceful stop.
+    pub grace: Duration,
+}
+
+/// Runs an entry until `stop` turns true and its requests in flight have ended.
+///
+/// # Errors
+///
+/// If an address cannot be bound.
+pub async fn run(
+    options: Options,
+    clock: Clock,
+    mut stop: watch::Receiver<bool>,
+) -> std::io::Result<()> {
+    let listener = TcpListener::bind(options.listen).await?;
+    let state = Rc::new(State {
+        clock,
+        instance: options.instance.clone(),
+        center: options.center.clone(),
+        view: RefCell::default(),
+        agents: Agents::new(clock),
+        until: Cell::new(Time::ZERO),
+        stopping: Cell::new(false),
+        serial: Cell::new(0),
+        prefix: fastrand::u64(..),
+        report: Reporter::default(),
+        keeper: RefCell::default(),
+    });
+    let keeper = Keeper::new(clock, options.timing, &options.hubs, Rc::clone(&state));
+    *state.keeper.borrow_mut() = Some(Rc::clone(&keeper));
+    let kept = spawn_local(Rc::clone(&keeper).run());
+    let (end, ended) = watch::channel(false);
+    let audience = if options.operators.is_some() { Audience::Callers } else { Audience::Both };
+    let server = Rc::new(Server { state: Rc::clone(&state), audience });
+    let callers = spawn_local(serve(listener, server, ended.clone()));
+    if let Some(address) = options.operators {
+        let listener = TcpListener::bind(address).await?;
+        let server = Rc::new(Server { state: Rc::clone(&state), audience: Audience::Operators });
+        spawn_local(serve(listener, server, ended));
+    }
+    log::info!(instance:% = options.instance; "the entry is up");
+    let _ = stop.wait_for(|s| *s).await;
+    state.stopping.set(true);
+    sleep(READY_PAUSE.min(options.grace)).await;
+    let _ = end.send(true);
+    if timeout(options.grace, callers).await.is_err() {
+        log::warn!("requests still run at the end of the grace time");
+    }
+    keeper.close().await;
+    kept.abort();
+    Ok(())
+}
--- a/crates/bronzespoold/src/entry/state.rs
+++ b/crates/bronzespoold/src/entry/state.rs
@@ -4,7 +4,7 @@
     crate::{
         client::{Keeper, Subscriber},
         clock::Clock,
-        entry::agents::Agents,
+        entry::{agents::Agents, report::Reporter},
     },
     bronzespool::{
         core::{Center, Instance, Time},
@@ -28,6 +28,7 @@
     pub(super) stopping: Cell<bool>,
     pub(super) serial: Cell<u64>,
     pub(super) prefix: u64,
+    pub(super) report: Reporter,
     pub(super) keeper: RefCell<Option<Rc<Keeper<Self>>>>,
 }
 
--- a/crates/bronzespoold/src/http/fetch.rs
+++ b/crates/bronzespoold/src/http/fetch.rs
@@ -60,11 +60,7 @@
     timeout(time, exchange(stream, request, limit)).await.unwrap_or(Err(Error::Time(time)))
 }
 
-async fn exchange(
-    stream: TcpStream,
-    request: Request<Full<Bytes>>,
-    limit: u64,
-) -> Result<Fetched> {
+async fn exchange(stream: TcpStream, request: Request<Full<Bytes>>, limit: u64) -> Result<Fetched> {
     let (mut sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(Error::Transfer)?;
     let answer = async {
--- a/crates/bronzespoold/src/http/server.rs
+++ b/crates/bronzespoold/src/http/server.rs
@@ -34,11 +34,12 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let mut connections = JoinSet::new();
+    let stopped = stop.clone();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    let task = connection(stream, Rc::clone(&handler), stop.clone());
+                    let task = connection(stream, Rc::clone(&handler), stopped.clone());
                     connections.spawn_local(task);
                 }
                 Err(error) => {
@@ -54,11 +55,7 @@
     while connections.join_next().await.is_some() {}
 }
 
-async fn connection<H: Handle>(
-    stream: TcpStream,
-    handler: Rc<H>,
-    mut stop: watch::Receiver<bool>,
-) {
+async fn connection<H: Handle>(stream: TcpStream, handler: Rc<H>, mut stop: watch::Receiver<bool>) {
     let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| {
         // A task of its own: a caller that goes away does not end the work on its request.
--- a/crates/bronzespoold/src/lib.rs
+++ b/crates/bronzespoold/src/lib.rs
@@ -1,1 +1,17 @@
-//! The bronzespool daemon: control, entry and agent roles.
+//! The daemon's roles, for embedding: control, entry and agent.
+//!
+//! Each role is a future for one current-thread runtime with a [`tokio::task::LocalSet`], since
+//! connections between processes are not `Send`. A [`tokio::sync::watch`] channel that turns true
+//! stops a role gracefully.
+
+pub mod agent;
+mod arguments;
+pub mod client;
+pub mod clock;
+pub mod control;
+pub mod entry;
+pub mod http;
+mod process;
+pub mod telemetry;
+
+pub use process::run;
--- /dev/null
+++ b/crates/bronzespoold/src/telemetry.rs
@@ -0,0 +1,61 @@
+//! Logs and metrics of the process.
+
+use {
+    bronzespool::core::{Code, Kind, Service},
+    metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle},
+    std::{sync::OnceLock, time::Duration},
+};
+
+static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Bounds of the latency histogram in seconds.
+const BUCKETS: [f64; 12] =
+    [0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 1.0, 5.0, 30.0];
+
+/// Starts the metrics recorder.
+///
+/// # Errors
+///
+/// If the recorder cannot be built.
+pub fn start_metrics() -> Result<(), BuildError> {
+    let builder = PrometheusBuilder::new().set_buckets(&BUCKETS)?;
+    let handle = METRICS.get_or_init(|| {
+        let recorder = builder.build_recorder();
+        let handle = recorder.handle();
+        // A second recorder in one process is refused; the first one stays.
+        let _ = metrics::set_global_recorder(recorder);
+        handle
+    });
+    handle.run_upkeep();
+    Ok(())
+}
+
+/// All metrics in Prometheus text form.
+pub fn render() -> String {
+    METRICS.get().map(PrometheusHandle::render).unwrap_or_default()
+}
+
+/// Counts one answered request.
+pub fn request(service: &Service, kind: &Kind, code: Code, took: Duration) {
+    let labels = [
+        ("service", service.to_string()),
+        ("kind", kind.to_string()),
+        ("code", code.number().to_string()),
+    ];
+    metrics::counter!("bronzespool_requests_total", &labels).increment(1);
+    metrics::histogram!("bronzespool_request_seconds", &labels[..2]).record(took.as_secs_f64());
+}
+
+/// Starts logging JSON lines to standard error.
+///
+/// # Errors
+///
+/// If a logger is set already or the level is not known.
+pub fn start_logs(
+    level: &str,
+) -> Result<flexi_logger::LoggerHandle, flexi_logger::FlexiLoggerError> {
+    flexi_logger::Logger::try_with_str(level)?
+        .log_to_stderr()
+        .format(flexi_logger::json_format)
+        .start()
+}
