--- /dev/null
+++ b/crates/bronzespool-cli/src/args/mod.rs
@@ -0,0 +1,210 @@
+//! Arguments of the command line.
+
+pub mod help;
+
+use {
+    crate::error::{Error, Result},
+    bronzespool::core::{
+        name::{Instance, Job},
+        settings::value::{Addr, Span},
+    },
+    pico_args::Arguments,
+    std::{ffi::OsString, fmt::Display, net::SocketAddr, path::PathBuf, time::Duration},
+};
+
+/// Environment variable that names the entry instance when `--at` does not.
+pub const AT_VARIABLE: &str = "BRONZESPOOL_AT";
+/// Longest wait for an answer when `--timeout` does not say.
+pub const TIME: Duration = Duration::from_secs(30);
+
+/// A checked command line.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Args {
+    /// Operators' address of an entry instance.
+    pub at: Option<SocketAddr>,
+    /// Print for a program.
+    pub json: bool,
+    /// Longest wait for an answer.
+    pub time: Duration,
+    /// What to do.
+    pub command: Command,
+}
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Print how to use the program or one command.
+    Help(Option<String>),
+    /// Check service files without the system.
+    Check {
+        /// Folders and files.
+        paths: Vec<PathBuf>,
+        /// Deployment to check against; else the one in the folders, if any.
+        deployment: Option<PathBuf>,
+    },
+    /// Put service files into force.
+    Publish(Publish),
+    /// Show what the system is doing.
+    Status,
+    /// List jobs.
+    Jobs,
+    /// Tell why a job is where it is.
+    Explain(Job),
+    /// Let an instance take no new work.
+    Drain(Instance),
+    /// Cancel jobs.
+    Cancel(Vec<Job>),
+    /// Show the burn of service-level targets.
+    Report(Option<Page>),
+}
+
+/// A change of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Publish {
+    /// Folders and files.
+    pub paths: Vec<PathBuf>,
+    /// Revision that the change is based on.
+    pub base: Option<u64>,
+    /// Operation id; a fresh one when none is given.
+    pub op: Option<String>,
+    /// Wait until the change is in force everywhere.
+    pub wait: bool,
+}
+
+/// A file for the report.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Page {
+    /// Table and plot as a page.
+    Html(PathBuf),
+    /// The plot alone.
+    Svg(PathBuf),
+}
+
+impl Args {
+    /// Reads a command line; `at` is the address from the environment.
+    ///
+    /// # Errors
+    ///
+    /// What is not understood.
+    pub fn parse(args: Vec<OsString>, at: Option<String>) -> Result<Self> {
+        let mut args = Arguments::from_vec(args);
+        let help = args.contains(["-h", "--help"]);
+        let json = args.contains("--json");
+        let time = args.opt_value_from_fn("--timeout", span).map_err(usage)?.unwrap_or(TIME);
+        let named = args.opt_value_from_fn("--at", addr).map_err(usage)?;
+        let command = args.subcommand().map_err(usage)?;
+        let command = match command.as_deref() {
+            None | Some("help") => Command::Help(args.subcommand().map_err(usage)?),
+            Some(name) if help => Command::Help(Some(name.to_owned())),
+            Some(name) => read_command(name, &mut args)?,
+        };
+        if !matches!(command, Command::Help(_)) {
+            refuse_rest(args)?;
+        }
+        let at = match at.filter(|_| named.is_none()) {
+            Some(text) => {
+                Some(addr(&text).map_err(|e| Error::Usage(format!("{AT_VARIABLE}: {e}")))?)
+            }
+            None => named,
+        };
+        Ok(Self { at, json, time, command })
+    }
+}
+
+fn read_command(name: &str, args: &mut Arguments) -> Result<Command> {
+    match name {
+        "check" => {
+            let deployment = option_path(args, "--deployment")?;
+            Ok(Command::Check { deployment, paths: paths(args, name)? })
+        }
+        "publish" => read_publish(args).map(Command::Publish),
+        "status" => Ok(Command::Status),
+        "jobs" => Ok(Command::Jobs),
+        "explain" => one(args, "explain JOB", |text| Job::try_from(text)).map(Command::Explain),
+        "drain" => one(args, "drain INSTANCE", |text| Instance::try_from(text)).map(Command::Drain),
+        "cancel" => read_cancel(args),
+        "report" => read_report(args),
+        _ => Err(help::unknown(name)),
+    }
+}
+
+fn read_publish(args: &mut Arguments) -> Result<Publish> {
+    let base = args.opt_value_from_str("--base").map_err(usage)?;
+    let op = args.opt_value_from_fn("--op", operation).map_err(usage)?;
+    let wait = args.contains("--wait");
+    Ok(Publish { base, op, wait, paths: paths(args, "publish")? })
+}
+
+fn read_cancel(args: &mut Arguments) -> Result<Command> {
+    let mut jobs = vec![one(args, "cancel JOB…", |text| Job::try_from(text))?];
+    while let Some(job) = args.opt_free_from_fn(|text| Job::try_from(text)).map_err(usage)? {
+        jobs.push(job);
+    }
+    Ok(Command::Cancel(jobs))
+}
+
+fn read_report(args: &mut Arguments) -> Result<Command> {
+    match (option_path(args, "--html")?, option_path(args, "--svg")?) {
+        (Some(_), Some(_)) => Err(Error::Usage("--html and --svg exclude each other".to_owned())),
+        (Some(path), None) => Ok(Command::Report(Some(Page::Html(path)))),
+        (None, Some(path)) => Ok(Command::Report(Some(Page::Svg(path)))),
+        (None, None) => Ok(Command::Report(None)),
+    }
+}
+
+/// The free arguments as paths, at least one.
+fn paths(args: &mut Arguments, command: &str) -> Result<Vec<PathBuf>> {
+    let mut paths = Vec::new();
+    while let Some(path) = args.opt_free_from_os_str(plain_path).map_err(usage)? {
+        paths.push(path);
+    }
+    if paths.is_empty() {
+        return Err(Error::Usage(format!("{command} needs a folder or file")));
+    }
+    Ok(paths)
+}
+
+fn option_path(args: &mut Arguments, key: &'static str) -> Result<Option<PathBuf>> {
+    args.opt_value_from_os_str(key, plain_path).map_err(usage)
+}
+
+fn plain_path(text: &std::ffi::OsStr) -> std::result::Result<PathBuf, String> {
+    if text.to_string_lossy().starts_with('-') {
+        return Err(format!("unknown option {}", text.display()));
+    }
+    Ok(text.into())
+}
+
+fn one<T, E: Display>(
+    args: &mut Arguments,
+    form: &str,
+    read: impl Fn(&str) -> std::result::Result<T, E>,
+) -> Result<T> {
+    let value = args.opt_free_from_fn(read).map_err(usage)?;
+    value.ok_or_else(|| Error::Usage(format!("write 'bronzespool {form}'")))
+}
+
+fn refuse_rest(args: Arguments) -> Result<()> {
+    match args.finish().first() {
+        Some(rest) => Err(Error::Usage(format!("'{}' is not understood here", rest.display()))),
+        None => Ok(()),
+    }
+}
+
+fn addr(text: &str) -> std::result::Result<SocketAddr, String> {
+    Addr::try_from(text).map(|addr| addr.0).map_err(|error| error.to_string())
+}
+
+fn span(text: &str) -> std::result::Result<Duration, String> {
+    Span::try_from(text).map(|span| span.0).map_err(|error| error.to_string())
+}
+
+/// An operation id has the form of a key, so that it is safe in logs and in a shell.
+fn operation(text: &str) -> std::result::Result<String, String> {
+    let job = Job::try_from(text).map_err(|error| format!("operation id: {error}"))?;
+    Ok(job.into())
+}
+
+fn usage(error: pico_args::Error) -> Error {
+    Error::Usage(error.to_string())
+}
--- /dev/null
+++ b/crates/bronzespool-cli/src/command/fit.rs
@@ -0,0 +1,111 @@
+//! Whether a deployment's workers can hold what each kind needs.
+
+use {
+    bronzespool::core::{
+        Config, KindSpec, Level, ServiceSpec,
+        settings::{Deployment, Document, Fault, Source},
+    },
+    std::collections::BTreeMap,
+};
+
+/// Thousandths of a core.
+const CORE: u64 = 1_000;
+
+/// A fault for each key that asks for more than the deployment has.
+pub(super) fn check(config: &Config, sources: &[Source], deployment: &Deployment) -> Vec<Fault> {
+    let documents: Vec<_> = sources.iter().map(|s| Document::parse(&s.path, &s.text)).collect();
+    let mut faults = Vec::new();
+    for spec in config.services.values() {
+        let Some(document) = documents.iter().find(|document| declares(document, spec)) else {
+            continue;
+        };
+        for (name, kind) in &spec.kinds {
+            for (key, message) in misfits(kind, deployment) {
+                faults.push(locate(document, name.as_str(), key, message));
+            }
+        }
+    }
+    faults
+}
+
+fn declares(document: &Document, spec: &ServiceSpec) -> bool {
+    let name = document.section("service").and_then(|section| section.entry("name"));
+    name.is_some_and(|entry| entry.value == spec.name.as_str())
+}
+
+fn locate(document: &Document, kind: &str, key: &str, message: String) -> Fault {
+    let mut sections = document.sections.iter();
+    let section = sections.find(|section| section.name == "kind" && section.label == kind);
+    let line = section.map_or(0, |s| s.entry(key).map_or(s.line, |entry| entry.line));
+    let key = format!("[kind {kind}] {key}");
+    Fault { file: document.file.clone(), line, key, message }
+}
+
+/// Keys of `kind` that no worker, or no set of workers, can hold.
+fn misfits(kind: &KindSpec, deployment: &Deployment) -> Vec<(&'static str, String)> {
+    let (need, worker) = (&kind.need, &deployment.capacity);
+    let sizes = [
+        ("slots", u64::from(need.slots), u64::from(worker.slots), ""),
+        ("cores", u64::from(need.cores), u64::from(worker.cores) * CORE, " thousandths"),
+        ("memory", need.memory, worker.memory, " MiB"),
+        ("accelerators", u64::from(need.accels), u64::from(worker.accels), ""),
+    ];
+    let name = &deployment.name;
+    let over = sizes.iter().filter(|(_, need, have, _)| need > have);
+    let mut misfits: Vec<_> = over
+        .map(|(key, need, have, unit)| {
+            (*key, format!("asks for {need}{unit}, a worker of {name} has {have}{unit}: lower it"))
+        })
+        .collect();
+    if misfits.is_empty() {
+        misfits.extend(gang_misfit(kind, deployment).map(|message| ("gang", message)));
+    }
+    misfits
+}
+
+fn gang_misfit(kind: &KindSpec, deployment: &Deployment) -> Option<String> {
+    let room = members(kind, deployment) * widest(kind.adjacent, deployment);
+    let gang = u64::from(kind.gang);
+    let (level, name) = (kind.adjacent, &deployment.name);
+    (gang > room).then(|| {
+        format!(
+            "has {gang} members, a {level} of {name} holds {room}: lower it, or widen 'adjacent'"
+        )
+    })
+}
+
+/// Members that one empty worker holds.
+fn members(kind: &KindSpec, deployment: &Deployment) -> u64 {
+    let (need, worker) = (&kind.need, &deployment.capacity);
+    let block = match kind.adjacent {
+        Level::Block(order) => (1 << order).min(worker.accels),
+        _ => worker.accels,
+    };
+    let parts = [
+        (u64::from(need.slots), u64::from(worker.slots)),
+        (u64::from(need.cores), u64::from(worker.cores) * CORE),
+        (need.memory, worker.memory),
+        (u64::from(need.accels), u64::from(block)),
+    ];
+    parts.iter().filter_map(|(need, have)| have.checked_div(*need)).min().unwrap_or(u64::MAX)
+}
+
+/// Workers of the largest domain of a level.
+fn widest(level: Level, deployment: &Deployment) -> u64 {
+    let racks = || deployment.centers.iter().flat_map(|center| &center.racks);
+    let of_center = |racks: &[u32]| racks.iter().map(|&n| u64::from(n)).sum::<u64>();
+    match level {
+        Level::Block(_) | Level::Worker => 1,
+        Level::Rack => racks().map(|&n| u64::from(n)).max().unwrap_or(0),
+        Level::Center => {
+            deployment.centers.iter().map(|center| of_center(&center.racks)).max().unwrap_or(0)
+        }
+        Level::Region => {
+            let mut regions = BTreeMap::new();
+            for center in &deployment.centers {
+                *regions.entry(&center.region).or_insert(0) += of_center(&center.racks);
+            }
+            regions.into_values().max().unwrap_or(0)
+        }
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-cli/src/command/mod.rs
@@ -0,0 +1,49 @@
+//! Commands.
+
+mod check;
+mod fit;
+mod job;
+mod publish;
+mod report;
+
+use {
+    crate::{
+        args::{AT_VARIABLE, Args, Command},
+        client::Client,
+        error::{Error, Result},
+        output::Output,
+    },
+    serde_json::json,
+    std::io::Write,
+};
+
+/// Runs a command; `notes` takes what a person should know before it ends.
+///
+/// # Errors
+///
+/// Why the command did not do what it was asked.
+pub async fn execute(args: Args, notes: &mut impl Write) -> Result<Output> {
+    let client = || client(&args);
+    match &args.command {
+        Command::Help(topic) => crate::args::help::text(topic.as_deref()).map(Output::text),
+        Command::Check { paths, deployment } => check::run(paths, deployment.as_deref()),
+        Command::Publish(publish) => publish::run(client()?, publish, notes).await,
+        Command::Status => client()?.get("/v1/status").await.map(Output::value),
+        Command::Jobs => client()?.get("/v1/jobs").await.map(Output::value),
+        Command::Explain(job) => {
+            client()?.get(&format!("/v1/jobs/{job}/explain")).await.map(Output::value)
+        }
+        Command::Drain(instance) => {
+            let path = format!("/v1/instances/{instance}/drain");
+            client()?.post(&path, &json!({})).await.map(Output::value)
+        }
+        Command::Cancel(jobs) => job::cancel(client()?, jobs).await,
+        Command::Report(page) => report::run(client()?, page.as_ref()).await,
+    }
+}
+
+fn client(args: &Args) -> Result<Client> {
+    let missing =
+        || Error::Usage(format!("name the entry instance: --at IP:PORT or {AT_VARIABLE}"));
+    Ok(Client::new(args.at.ok_or_else(missing)?, args.time))
+}
--- /dev/null
+++ b/crates/bronzespool-cli/src/command/publish.rs
@@ -0,0 +1,88 @@
+//! Publishing: one change of the configuration, sent again after a lost answer.
+
+use {
+    crate::{
+        args::Publish,
+        client::Client,
+        error::{Error, Exit, Result},
+        output::Output,
+    },
+    bronzespool::core::settings::read_services,
+    serde_json::{Value, json},
+    std::{io::Write, time::Duration},
+    tokio::time::sleep,
+};
+
+/// Largest number of times that a change is sent.
+const SENDS_MAX: u32 = 3;
+/// Pause before a change is sent again.
+const SEND_PAUSE: Duration = Duration::from_millis(300);
+
+/// Checks the files and sends them as one change.
+///
+/// Every send carries the same operation id, so that the change is made at most once.
+pub(super) async fn run(
+    client: Client,
+    publish: &Publish,
+    notes: &mut impl Write,
+) -> Result<Output> {
+    let (config, sources) = read_services(&publish.paths).map_err(Error::Faults)?;
+    let op = publish.op.clone().unwrap_or_else(fresh_id);
+    let _ = writeln!(notes, "operation {op}: {} services", config.services.len());
+    let body = json!({ "base": publish.base, "op": op, "files": sources, "wait": publish.wait });
+    match send(client, &body, notes).await {
+        Ok(value) => Ok(Output { text: show(&value), json: with_op(value, &op), exit: Exit::Done }),
+        Err(error) if error.exit() == Exit::Unknown => Err(advise(error, publish, &op)),
+        Err(error) => Err(error),
+    }
+}
+
+fn fresh_id() -> String {
+    format!("op-{:016x}", fastrand::u64(..))
+}
+
+async fn send(client: Client, body: &Value, notes: &mut impl Write) -> Result<Value> {
+    let mut unknown = None;
+    for sent in 1..=SENDS_MAX {
+        let error = match client.post("/v1/config", body).await {
+            Ok(value) => return Ok(value),
+            Err(error) => error,
+        };
+        unknown = match (error.exit(), unknown) {
+            (Exit::Unknown, _) => Some(error),
+            (Exit::Unreachable, Some(first)) => Some(first),
+            _ => return Err(error),
+        };
+        if sent < SENDS_MAX {
+            let _ = writeln!(notes, "no outcome yet: sending the same operation again");
+            sleep(SEND_PAUSE).await;
+        }
+    }
+    unknown.map_or_else(|| Err(Error::Usage("nothing was sent".to_owned())), Err)
+}
+
+fn advise(error: Error, publish: &Publish, op: &str) -> Error {
+    let base = publish.base.map_or_else(String::new, |base| format!(" --base {base}"));
+    let wait = if publish.wait { " --wait" } else { "" };
+    let paths: Vec<_> = publish.paths.iter().map(|path| path.display().to_string()).collect();
+    let paths = paths.join(" ");
+    let advice = format!(
+        "{error}\nrepeat it for its outcome: bronzespool publish {paths}{base} --op {op}{wait}"
+    );
+    Error::Advice { advice, error: Box::new(error) }
+}
+
+fn show(value: &Value) -> String {
+    let revision = &value["revision"];
+    if value["in_force"] == json!(true) {
+        return format!("revision {revision} is in force everywhere");
+    }
+    format!("revision {revision} is accepted; it is not yet in force everywhere")
+}
+
+fn with_op(mut value: Value, op: &str) -> Value {
+    if let Some(map) = value.as_object_mut() {
+        map.insert("op".to_owned(), json!(op));
+    }
+    value
+}
--- /dev/null
+++ b/crates/bronzespool-cli/src/output.rs
@@ -0,0 +1,114 @@
+//! What a command prints: a text for a person, a value for a program.
+
+use {
+    crate::error::Exit,
+    serde_json::{Map, Value},
+    std::collections::BTreeSet,
+};
+
+/// Columns that come first in a table, in this order.
+const FIRST: &[&str] = &[
+    "name", "job", "id", "instance", "member", "role", "service", "kind", "team", "state", "code",
+    "revision",
+];
+
+/// Result of a command.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Output {
+    /// Lines for a person.
+    pub text: String,
+    /// Value for a program.
+    pub json: Value,
+    /// The exit code.
+    pub exit: Exit,
+}
+
+impl Output {
+    /// A text that stands for itself.
+    pub fn text(text: String) -> Self {
+        Self { json: Value::String(text.clone()), text, exit: Exit::Done }
+    }
+
+    /// A value, also shown as lines and tables.
+    pub fn value(json: Value) -> Self {
+        Self { text: show(&json), json, exit: Exit::Done }
+    }
+
+    /// The value as JSON.
+    pub fn json_text(&self) -> String {
+        format!("{:#}", self.json)
+    }
+}
+
+/// Lines and tables of a value.
+pub fn show(value: &Value) -> String {
+    let mut text = String::new();
+    match value {
+        Value::Object(map) => show_object("", map, &mut text),
+        Value::Array(items) => text.push_str(&show_list(items)),
+        _ => text.push_str(&cell(value)),
+    }
+    text
+}
+
+fn show_object(prefix: &str, map: &Map<String, Value>, text: &mut String) {
+    let (lists, plain): (Vec<_>, Vec<_>) = map.iter().partition(|(_, v)| is_table(v));
+    for (key, value) in plain {
+        match value {
+            Value::Object(inner) => show_object(&format!("{prefix}{key}."), inner, text),
+            _ => text.push_str(&format!("{prefix}{key}: {}\n", cell(value))),
+        }
+    }
+    for (key, value) in lists {
+        let items = value.as_array().map_or(&[][..], Vec::as_slice);
+        text.push_str(&format!("\n{prefix}{key}:\n{}", show_list(items)));
+    }
+}
+
+fn is_table(value: &Value) -> bool {
+    value.as_array().is_some_and(|items| items.is_empty() || items.iter().any(Value::is_object))
+}
+
+fn show_list(items: &[Value]) -> String {
+    if items.is_empty() {
+        return "none\n".to_owned();
+    }
+    let names: BTreeSet<&str> = items
+        .iter()
+        .filter_map(Value::as_object)
+        .flat_map(|m| m.keys().map(String::as_str))
+        .collect();
+    if names.is_empty() {
+        return items.iter().map(|item| cell(item) + "\n").collect();
+    }
+    let first = FIRST.iter().copied().filter(|name| names.contains(name));
+    let rest = names.iter().copied().filter(|name| !FIRST.contains(name));
+    let columns: Vec<&str> = first.chain(rest).collect();
+    let row = |item: &Value| {
+        columns.iter().map(|&name| item.get(name).map_or_else(String::new, cell)).collect()
+    };
+    table(&columns, &items.iter().map(row).collect::<Vec<_>>())
+}
+
+/// Text of one value in a table.
+fn cell(value: &Value) -> String {
+    match value {
+        Value::Null => "-".to_owned(),
+        Value::String(text) => text.chars().map(|c| if c.is_control() { ' ' } else { c }).collect(),
+        Value::Array(items) => items.iter().map(cell).collect::<Vec<_>>().join(", "),
+        _ => value.to_string(),
+    }
+}
+
+/// Rows under their heads, in columns as wide as their widest text.
+pub fn table(heads: &[&str], rows: &[Vec<String>]) -> String {
+    let heads: Vec<String> = heads.iter().map(|head| (*head).to_owned()).collect();
+    let lines = || std::iter::once(&heads).chain(rows);
+    let width = |i: usize| lines().filter_map(|line| line.get(i)).map(|t| t.chars().count()).max();
+    let widths: Vec<usize> = (0..heads.len()).map(|i| width(i).unwrap_or(0)).collect();
+    let line = |line: &Vec<String>| {
+        let cells = line.iter().zip(&widths).map(|(text, &width)| format!("{text:<width$}"));
+        cells.collect::<Vec<_>>().join("  ").trim_end().to_owned() + "\n"
+    };
+    lines().map(line).collect()
+}
--- /dev/null
+++ b/crates/bronzespool-cli/src/report/mod.rs
@@ -0,0 +1,108 @@
+//! Burn of service-level targets: rows, table, plot and page.
+
+mod page;
+mod plot;
+
+pub use self::{page::page, plot::plot};
+
+use {
+    crate::output::table,
+    serde::{Deserialize, Serialize},
+};
+
+/// Burn of one kind's target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// Service of the kind.
+    pub service: String,
+    /// The kind.
+    pub kind: String,
+    /// Share of requests that must be good.
+    pub target: f64,
+    /// Time in milliseconds within which a good answer arrives.
+    pub within_ms: u64,
+    /// Requests in the long window.
+    pub total: u64,
+    /// Good ones among them.
+    pub good: u64,
+    /// Share of good ones; none without requests.
+    pub share: Option<f64>,
+    /// Share of the error budget that is left; negative when overspent.
+    pub budget_left: Option<f64>,
+    /// Burn rate over the short window; 1 spends the budget exactly.
+    pub burn_short: Option<f64>,
+    /// Burn rate over the long window.
+    pub burn_long: Option<f64>,
+    /// Length of the short window in seconds.
+    pub short_s: f64,
+    /// Length of the long window in seconds.
+    pub long_s: f64,
+    /// Points of time in seconds and burn rate, the oldest first.
+    #[serde(default)]
+    pub history: Vec<(f64, f64)>,
+}
+
+impl Row {
+    /// Name in the plot's legend.
+    fn label(&self) -> String {
+        format!("{}/{}", self.service, self.kind)
+    }
+}
+
+/// Heads of the table.
+const HEADS: [&str; 9] = [
+    "service",
+    "kind",
+    "target",
+    "within",
+    "good/total",
+    "share",
+    "budget left",
+    "burn short",
+    "burn long",
+];
+
+/// The rows as a table for a person.
+pub fn show(rows: &[Row]) -> String {
+    if rows.is_empty() {
+        return "no requests yet".to_owned();
+    }
+    let lines: Vec<_> = rows.iter().map(cells).collect();
+    let mut text = table(&HEADS, &lines);
+    if let Some(row) = rows.first() {
+        let (short, long) = (span(row.short_s), span(row.long_s));
+        text.push_str(&format!("burn short is over {short}, burn long over {long}"));
+    }
+    text
+}
+
+/// Texts of one row.
+fn cells(row: &Row) -> Vec<String> {
+    vec![
+        row.service.clone(),
+        row.kind.clone(),
+        percent(row.target),
+        format!("{} ms", row.within_ms),
+        format!("{}/{}", row.good, row.total),
+        row.share.map_or_else(none, percent),
+        row.budget_left.map_or_else(none, percent),
+        row.burn_short.map_or_else(none, |burn| format!("{burn:.2}")),
+        row.burn_long.map_or_else(none, |burn| format!("{burn:.2}")),
+    ]
+}
+
+fn none() -> String {
+    "-".to_owned()
+}
+
+fn percent(share: f64) -> String {
+    format!("{:.2}%", share * 100.0)
+}
+
+fn span(seconds: f64) -> String {
+    match seconds {
+        s if s >= 3_600.0 => format!("{:.1} h", s / 3_600.0),
+        s if s >= 60.0 => format!("{:.0} min", s / 60.0),
+        s => format!("{s:.0} s"),
+    }
+}
