--- a/crates/bronzespool-wire/src/message/task.rs
+++ b/crates/bronzespool-wire/src/message/task.rs
@@ -55,6 +55,8 @@
     pub millis: u64,
     /// Whether it makes checkpoints.
     pub checkpoints: bool,
+    /// Whether it must end with the agent's session, since its cells belong to another team.
+    pub borrowed: bool,
 }
 
 /// What happened to a task.
