--- a/crates/bronzespool-cli/src/args/help.rs
+++ b/crates/bronzespool-cli/src/args/help.rs
@@ -20,8 +20,8 @@
         form: "check DIR… [--deployment FILE]",
         short: "check service files without the system",
         long: "Reads every service.ini under the folders and lists all faults with file, line and \
-               key.\nWith a deployment, given or found as DIR/deployment.ini, also checks that \
-               each kind fits its workers.",
+               key.\nA deployment.ini in the nearest folder above a service.ini, or the one \
+               named, is checked as well:\neach kind must fit its workers.",
         examples: &["check examples/registry", "check services --deployment site/deployment.ini"],
     },
     Topic {
--- a/crates/bronzespool-cli/src/args/mod.rs
+++ b/crates/bronzespool-cli/src/args/mod.rs
@@ -165,7 +165,7 @@
 }
 
 fn option_path(args: &mut Arguments, key: &'static str) -> Result<Option<PathBuf>> {
-    args.opt_value_from_os_str(key, plain_path).map_err(usage)
+    args.opt_value_from_fn(key, |text| plain_path(text.as_ref())).map_err(usage)
 }
 
 fn plain_path(text: &std::ffi::OsStr) -> std::result::Result<PathBuf, String> {
@@ -178,7 +178,7 @@
 fn one<T, E: Display>(
     args: &mut Arguments,
     form: &str,
-    read: impl Fn(&str) -> std::result::Result<T, E>,
+    read: fn(&str) -> std::result::Result<T, E>,
 ) -> Result<T> {
     let value = args.opt_free_from_fn(read).map_err(usage)?;
     value.ok_or_else(|| Error::Usage(format!("write 'bronzespool {form}'")))
--- a/crates/bronzespool-cli/src/client/mod.rs
+++ b/crates/bronzespool-cli/src/client/mod.rs
@@ -101,7 +101,7 @@
             return value.map_err(|error| self.lost(format!("the answer is not JSON: {error}")));
         }
         match serde_json::from_slice::<Failure>(&answer.body) {
-            Ok(failure) => Err(Error::refused(failure)),
+            Ok(failure) => Err(Error::Refused(Box::new(failure))),
             Err(_) => Err(self.lost(format!("status {} without a result code", answer.status))),
         }
     }
--- a/crates/bronzespool-cli/src/command/check.rs
+++ b/crates/bronzespool-cli/src/command/check.rs
@@ -7,56 +7,96 @@
         output::{Output, table},
     },
     bronzespool::core::{
-        Config,
+        Config, ServiceSpec,
         settings::{
-            Deployment, Faults, deployment::DEPLOYMENT_FILE, read_deployment, read_services,
+            Deployment, Faults, Source, deployment::DEPLOYMENT_FILE, read_deployment, read_services,
         },
     },
     serde_json::json,
-    std::path::{Path, PathBuf},
+    std::{
+        collections::BTreeMap,
+        path::{Path, PathBuf},
+    },
 };
 
-/// Reads files and deployment and lists all faults.
+/// A deployment and the service files that it is to hold.
+struct Site {
+    deployment: Deployment,
+    sources: Vec<Source>,
+}
+
+/// Reads files and deployments and lists all faults.
 pub(super) fn run(paths: &[PathBuf], deployment: Option<&Path>) -> Result<Output> {
+    let (config, sources) =
+        read_services(paths).map_err(|faults| add(faults, paths, deployment))?;
     let mut faults = Vec::new();
-    let services = read_services(paths).map_err(|more| faults.extend(more)).ok();
-    let mut deployments = Vec::new();
-    for file in deployment_files(paths, deployment) {
+    let mut sites = Vec::new();
+    for (file, sources) in by_deployment(paths, deployment, sources) {
         match read_deployment(&file) {
-            Ok(deployment) => deployments.push(deployment),
+            Ok(deployment) => sites.push(Site { deployment, sources }),
             Err(more) => faults.extend(more),
         }
     }
-    if let Some((config, sources)) = &services {
-        let fit = |deployment| fit::check(config, sources, deployment);
-        faults.extend(deployments.iter().flat_map(fit));
+    for site in &sites {
+        faults.extend(site.sources.iter().flat_map(|source| fit::check(source, &site.deployment)));
     }
-    match services {
-        Some((config, _)) if faults.is_empty() => Ok(show(&config, &deployments)),
-        _ => Err(Error::Faults(Faults(faults))),
+    if faults.is_empty() {
+        return Ok(show(&config, &sites));
     }
+    Err(Error::Faults(Faults(faults)))
 }
 
-/// The deployment named, else those in the folders.
-fn deployment_files(paths: &[PathBuf], named: Option<&Path>) -> Vec<PathBuf> {
-    match named {
-        Some(path) => vec![path.to_owned()],
-        None => paths.iter().map(|dir| dir.join(DEPLOYMENT_FILE)).filter(|p| p.is_file()).collect(),
+/// Adds the faults of deployments, so that all are listed when service files have faults too.
+fn add(mut faults: Faults, paths: &[PathBuf], named: Option<&Path>) -> Error {
+    let beside = || paths.iter().map(|dir| dir.join(DEPLOYMENT_FILE)).filter(|p| p.is_file());
+    let files = named.map_or_else(|| beside().collect(), |path| vec![path.to_owned()]);
+    let more = files.iter().filter_map(|file| read_deployment(file).err());
+    faults.0.extend(more.flatten());
+    Error::Faults(faults)
+}
+
+/// Service files by the deployment that holds them: the one named, else the nearest above the file.
+fn by_deployment(
+    paths: &[PathBuf],
+    named: Option<&Path>,
+    sources: Vec<Source>,
+) -> BTreeMap<PathBuf, Vec<Source>> {
+    let mut sites: BTreeMap<PathBuf, Vec<Source>> = BTreeMap::new();
+    for source in sources {
+        let found = named.map(Path::to_owned).or_else(|| nearest(paths, Path::new(&source.path)));
+        if let Some(file) = found {
+            sites.entry(file).or_default().push(source);
+        }
+    }
+    sites
+}
+
+/// The deployment in the nearest folder above `file`, up to the folders that were named.
+fn nearest(paths: &[PathBuf], file: &Path) -> Option<PathBuf> {
+    for folder in file.ancestors().skip(1) {
+        let deployment = folder.join(DEPLOYMENT_FILE);
+        if deployment.is_file() {
+            return Some(deployment);
+        }
+        if paths.iter().any(|path| path == folder) {
+            return None;
+        }
     }
+    None
 }
 
-fn show(config: &Config, deployments: &[Deployment]) -> Output {
-    let row = |spec: &bronzespool::core::ServiceSpec| {
+fn show(config: &Config, sites: &[Site]) -> Output {
+    let row = |spec: &ServiceSpec| {
         vec![spec.name.to_string(), spec.kinds.len().to_string(), spec.teams.len().to_string()]
     };
     let rows: Vec<_> = config.services.values().map(row).collect();
     let mut text = table(&["service", "kinds", "teams"], &rows);
-    for deployment in deployments {
+    for Site { deployment, .. } in sites {
         let workers = deployment.places().len();
         text.push_str(&format!("fits the {workers} workers of {}\n", deployment.name));
     }
     text.push_str("no faults");
-    let names: Vec<_> = deployments.iter().map(|deployment| &deployment.name).collect();
+    let names: Vec<_> = sites.iter().map(|site| &site.deployment.name).collect();
     let json = json!({ "services": config.services, "deployments": names, "faults": [] });
     Output { json, ..Output::text(text) }
 }
--- a/crates/bronzespool-cli/src/command/fit.rs
+++ b/crates/bronzespool-cli/src/command/fit.rs
@@ -2,7 +2,7 @@
 
 use {
     bronzespool::core::{
-        Config, KindSpec, Level, ServiceSpec,
+        KindSpec, Level, ServiceSpec,
         settings::{Deployment, Document, Fault, Source},
     },
     std::collections::BTreeMap,
@@ -11,28 +11,19 @@
 /// Thousandths of a core.
 const CORE: u64 = 1_000;
 
-/// A fault for each key that asks for more than the deployment has.
-pub(super) fn check(config: &Config, sources: &[Source], deployment: &Deployment) -> Vec<Fault> {
-    let documents: Vec<_> = sources.iter().map(|s| Document::parse(&s.path, &s.text)).collect();
+/// A fault for each key of a service file that asks for more than the deployment has.
+pub(super) fn check(source: &Source, deployment: &Deployment) -> Vec<Fault> {
+    let document = Document::parse(&source.path, &source.text);
+    let Ok(spec) = ServiceSpec::try_from(&document) else { return Vec::new() };
     let mut faults = Vec::new();
-    for spec in config.services.values() {
-        let Some(document) = documents.iter().find(|document| declares(document, spec)) else {
-            continue;
-        };
-        for (name, kind) in &spec.kinds {
-            for (key, message) in misfits(kind, deployment) {
-                faults.push(locate(document, name.as_str(), key, message));
-            }
+    for (name, kind) in &spec.kinds {
+        for (key, message) in misfits(kind, deployment) {
+            faults.push(locate(&document, name.as_str(), key, message));
         }
     }
     faults
 }
 
-fn declares(document: &Document, spec: &ServiceSpec) -> bool {
-    let name = document.section("service").and_then(|section| section.entry("name"));
-    name.is_some_and(|entry| entry.value == spec.name.as_str())
-}
-
 fn locate(document: &Document, kind: &str, key: &str, message: String) -> Fault {
     let mut sections = document.sections.iter();
     let section = sections.find(|section| section.name == "kind" && section.label == kind);
@@ -74,18 +65,14 @@
     })
 }
 
-/// Members that one empty worker holds.
+/// Members that one empty worker holds. The reader has checked that a block holds the whole gang.
 fn members(kind: &KindSpec, deployment: &Deployment) -> u64 {
     let (need, worker) = (&kind.need, &deployment.capacity);
-    let block = match kind.adjacent {
-        Level::Block(order) => (1 << order).min(worker.accels),
-        _ => worker.accels,
-    };
     let parts = [
         (u64::from(need.slots), u64::from(worker.slots)),
         (u64::from(need.cores), u64::from(worker.cores) * CORE),
         (need.memory, worker.memory),
-        (u64::from(need.accels), u64::from(block)),
+        (u64::from(need.accels), u64::from(worker.accels)),
     ];
     parts.iter().filter_map(|(need, have)| have.checked_div(*need)).min().unwrap_or(u64::MAX)
 }
--- a/crates/bronzespool-cli/src/command/publish.rs
+++ b/crates/bronzespool-cli/src/command/publish.rs
@@ -13,6 +13,8 @@
     tokio::time::sleep,
 };
 
+/// Where the configuration is published.
+const PATH: &str = "/v1/config";
 /// Largest number of times that a change is sent.
 const SENDS_MAX: u32 = 3;
 /// Pause before a change is sent again.
@@ -42,23 +44,19 @@
 }
 
 async fn send(client: Client, body: &Value, notes: &mut impl Write) -> Result<Value> {
-    let mut unknown = None;
-    for sent in 1..=SENDS_MAX {
-        let error = match client.post("/v1/config", body).await {
-            Ok(value) => return Ok(value),
-            Err(error) => error,
-        };
-        unknown = match (error.exit(), unknown) {
-            (Exit::Unknown, _) => Some(error),
-            (Exit::Unreachable, Some(first)) => Some(first),
-            _ => return Err(error),
-        };
-        if sent < SENDS_MAX {
-            let _ = writeln!(notes, "no outcome yet: sending the same operation again");
-            sleep(SEND_PAUSE).await;
+    let unknown = match client.post(PATH, body).await {
+        Err(error) if error.exit() == Exit::Unknown => error,
+        other => return other,
+    };
+    for _ in 1..SENDS_MAX {
+        let _ = writeln!(notes, "no outcome yet: sending the same operation again");
+        sleep(SEND_PAUSE).await;
+        match client.post(PATH, body).await {
+            Err(error) if error.leaves_open() => {}
+            other => return other,
         }
     }
-    unknown.map_or_else(|| Err(Error::Usage("nothing was sent".to_owned())), Err)
+    Err(unknown)
 }
 
 fn advise(error: Error, publish: &Publish, op: &str) -> Error {
--- a/crates/bronzespool-cli/src/error.rs
+++ b/crates/bronzespool-cli/src/error.rs
@@ -52,8 +52,11 @@
     }
 }
 
+/// {code} {name} ({outcome}): {message} [request {request}]
+///
 /// An error as the operators' interface sends it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[ignore_extra_doc_attributes]
 pub struct Failure {
     /// Number of the result code.
     pub code: u16,
@@ -77,7 +80,7 @@
     /// {0}
     Faults(Faults),
     /// refused: {0}
-    Refused(String, Failure),
+    Refused(Box<Failure>),
     /// cannot reach {at}: {cause}
     Unreachable {
         /// Address of the entry instance.
@@ -117,31 +120,35 @@
 impl std::error::Error for Error {}
 
 impl Error {
-    /// The refusal in `failure`, in words.
-    pub fn refused(failure: Failure) -> Self {
-        let Failure { code, name, outcome, message, retry_after_ms, request } = &failure;
-        let retry = retry_after_ms.map_or_else(String::new, |ms| format!("; come back in {ms} ms"));
-        let text = format!("{code} {name} ({outcome}): {message}{retry} [request {request}]");
-        Self::Refused(text, failure)
-    }
-
     /// The exit code.
     pub fn exit(&self) -> Exit {
         match self {
             Self::Usage(_) => Exit::Usage,
             Self::Unreachable { .. } => Exit::Unreachable,
             Self::Lost { .. } => Exit::Unknown,
-            Self::Refused(_, failure) if failure.code == Code::Conflict.number() => Exit::Conflict,
-            Self::Refused(_, failure) if failure.outcome == "unknown" => Exit::Unknown,
+            Self::Refused(failure) if failure.code == Code::Conflict.number() => Exit::Conflict,
+            Self::Refused(failure) if failure.outcome == "unknown" => Exit::Unknown,
             Self::Advice { error, .. } => error.exit(),
             _ => Exit::Refused,
         }
     }
 
+    /// Whether a change that was sent before may still be made, or may have been made.
+    ///
+    /// An answer that is not about the change itself, such as that control has no leader, says
+    /// nothing of an earlier send.
+    pub fn leaves_open(&self) -> bool {
+        match self {
+            Self::Refused(failure) => failure.outcome == "unknown" || failure.code / 1_000 == 3,
+            Self::Unreachable { .. } | Self::Lost { .. } => true,
+            _ => false,
+        }
+    }
+
     /// The fault for a program.
     pub fn json(&self) -> Value {
         let mut value = match self {
-            Self::Refused(_, failure) => json!(failure),
+            Self::Refused(failure) => json!(failure),
             Self::Faults(faults) => json!({ "faults": faults }),
             Self::Advice { advice, error } => {
                 let mut value = error.json();
--- a/crates/bronzespool-cli/src/lib.rs
+++ b/crates/bronzespool-cli/src/lib.rs
@@ -1,7 +1,7 @@
 //! The bronzespool operators' command line.
 //!
 //! Each command reads service files, or asks the operators' interface of an entry instance, and
-//! returns an [`Output`](output::Output): a text for a person and a JSON value for a program.
+//! returns an [`Output`]: a text for a person and a JSON value for a program.
 //!
 //! ```
 //! use bronzespool_cli::{Exit, run};
--- /dev/null
+++ b/crates/bronzespool-cli/tests/check.rs
@@ -0,0 +1,106 @@
+//! Checking files without the system.
+
+mod support;
+
+use {
+    bronzespool_cli::Exit,
+    std::{fs, path::Path},
+    support::{Run, examples},
+    tempfile::TempDir,
+};
+
+const SERVICE: &str = "[service]\nname = desk\n[kind look]\nmode = job\n";
+const DEPLOYMENT: &str = "[deployment]\nname = small\n[worker]\ncores = 8\nmemory = 16GiB\n\
+                          accelerators = 4\n[center one]\nregion = here\nracks = 2, 1\n";
+
+fn write(dir: &Path, name: &str, text: &str) {
+    let path = dir.join(name);
+    fs::create_dir_all(path.parent().unwrap()).unwrap();
+    fs::write(path, text).unwrap();
+}
+
+/// A folder with a deployment and one service.
+fn site(service: &str) -> TempDir {
+    let dir = tempfile::tempdir().unwrap();
+    write(dir.path(), "deployment.ini", DEPLOYMENT);
+    write(dir.path(), "desk/service.ini", service);
+    dir
+}
+
+fn check(dir: &TempDir, options: &str) -> Run {
+    Run::new(&format!("check {} {options}", dir.path().display()), None)
+}
+
+/// Keys of the faults, as a program reads them.
+fn keys(run: &Run) -> Vec<String> {
+    let faults = run.json()["faults"].as_array().unwrap().clone();
+    faults.iter().map(|fault| fault["key"].as_str().unwrap().to_owned()).collect()
+}
+
+#[test]
+fn check_examples_fit_their_own_deployments() {
+    let run = Run::new(&format!("check {}", examples()), None);
+    assert_eq!(run.exit, Exit::Done, "{run:?}");
+    assert!(run.out.contains("fits the 10 workers of registry"), "{}", run.out);
+    assert!(run.out.contains("fits the 10 workers of cooperative"), "{}", run.out);
+}
+
+#[test]
+fn check_faults_exit_one_with_file_line_and_key() {
+    let dir = site("[service]\nname = desk\n[kind look]\nmode = job\nslot = 1\n");
+    let run = check(&dir, "");
+    assert_eq!(run.exit, Exit::Refused);
+    assert!(run.err.contains("desk/service.ini:5: [kind look] slot: "), "{}", run.err);
+    assert!(run.err.contains("did you mean 'slots'?"), "{}", run.err);
+}
+
+#[test]
+fn check_faults_of_service_and_deployment_are_listed_together() {
+    let dir = site("[service]\nname = desk\n");
+    write(dir.path(), "deployment.ini", &DEPLOYMENT.replace("cores = 8\n", ""));
+    assert_eq!(keys(&check(&dir, "--json")), ["[kind NAME]", "[worker] cores"]);
+}
+
+#[test]
+fn check_kind_larger_than_worker_names_each_key() {
+    let over = "slots = 9\ncores = 8.001\nmemory = 17GiB\naccelerators = 8\n";
+    let run = check(&site(&format!("{SERVICE}{over}")), "--json");
+    let wanted =
+        ["slots", "cores", "memory", "accelerators"].map(|key| format!("[kind look] {key}"));
+    assert_eq!(keys(&run), wanted);
+    assert_eq!(run.json()["faults"][0]["line"], 5);
+}
+
+#[test]
+fn check_kind_as_large_as_worker_fits() {
+    let whole = "slots = 8\ncores = 8\nmemory = 16GiB\naccelerators = 4\ngang = 3\n";
+    assert_eq!(check(&site(&format!("{SERVICE}{whole}")), "").exit, Exit::Done);
+}
+
+#[test]
+fn check_gang_wider_than_its_domain_is_fault() {
+    for (level, fits) in [("block-4", 1), ("worker", 1), ("rack", 2), ("center", 3), ("region", 3)]
+    {
+        for (gang, exit) in [(fits, Exit::Done), (fits + 1, Exit::Refused)] {
+            let need = format!("accelerators = 4\ngang = {gang}\nadjacent = {level}\n");
+            let run = check(&site(&format!("{SERVICE}{need}")), "");
+            assert_eq!(run.exit, exit, "{level} {gang}: {run:?}");
+        }
+    }
+}
+
+#[test]
+fn check_named_deployment_replaces_the_one_found() {
+    let dir = site(&format!("{SERVICE}accelerators = 8\n"));
+    write(dir.path(), "large.ini", &DEPLOYMENT.replace("accelerators = 4", "accelerators = 8"));
+    let large = dir.path().join("large.ini");
+    assert_eq!(check(&dir, "").exit, Exit::Refused);
+    assert_eq!(check(&dir, &format!("--deployment {}", large.display())).exit, Exit::Done);
+}
+
+#[test]
+fn check_folder_that_is_not_there_is_fault() {
+    let run = Run::new("check /no/such/folder", None);
+    assert_eq!(run.exit, Exit::Refused);
+    assert!(run.err.contains("/no/such/folder:0: file: cannot be read"), "{}", run.err);
+}
--- /dev/null
+++ b/crates/bronzespool-cli/tests/operate.rs
@@ -0,0 +1,85 @@
+//! Status, jobs, drains and cancellations.
+
+mod support;
+
+use {
+    bronzespool_cli::Exit,
+    serde_json::json,
+    support::{Reply, Server, failure, ok},
+};
+
+#[test]
+fn status_shows_lines_and_tables() {
+    let body = r#"{"revision":3,"leader":"control-1","place":{"rack":"r1"},
+                   "instances":[{"state":"ready","instance":"w1","slots":8},{"instance":"w2"}]}"#;
+    let server = Server::start([ok(body)]);
+    let run = server.run("status");
+    assert_eq!(run.exit, Exit::Done);
+    assert_eq!(
+        run.out,
+        "leader: control-1\nplace.rack: r1\nrevision: 3\n\ninstances:\n\
+         instance  state  slots\nw1        ready  8\nw2\n"
+    );
+    assert_eq!(server.seen()[0].path, "/v1/status");
+}
+
+#[test]
+fn jobs_json_is_the_value_itself() {
+    let server = Server::start([ok(r#"[{"job":"job-1"}]"#)]);
+    assert_eq!(server.run("jobs --json").json(), json!([{ "job": "job-1" }]));
+}
+
+#[test]
+fn jobs_none_says_so() {
+    assert_eq!(Server::start([ok("[]")]).run("jobs").out, "none\n");
+}
+
+#[test]
+fn explain_unknown_job_is_refused() {
+    let server = Server::start([failure(404, 2015, "not-run")]);
+    let run = server.run("explain job-9");
+    assert_eq!(run.exit, Exit::Refused);
+    assert_eq!(server.seen()[0].path, "/v1/jobs/job-9/explain");
+}
+
+#[test]
+fn drain_posts_to_the_instance() {
+    let server = Server::start([ok(r#"{"code":1000}"#)]);
+    assert_eq!(server.run("drain w-1").exit, Exit::Done);
+    let seen = &server.seen()[0];
+    assert_eq!((seen.method.as_str(), seen.path.as_str()), ("POST", "/v1/instances/w-1/drain"));
+}
+
+#[test]
+fn drain_cut_answer_exits_unknown() {
+    assert_eq!(Server::start([Reply::Cut]).run("drain w-1").exit, Exit::Unknown);
+}
+
+#[test]
+fn status_cut_answer_exits_unreachable() {
+    assert_eq!(Server::start([Reply::Cut]).run("status").exit, Exit::Unreachable);
+}
+
+#[test]
+fn status_answer_without_result_code_exits_unreachable() {
+    let server = Server::start([Reply::Answer(502, "<html>".to_owned())]);
+    let run = server.run("status");
+    assert_eq!(run.exit, Exit::Unreachable);
+    assert!(run.err.contains("status 502"), "{}", run.err);
+}
+
+#[test]
+fn cancel_goes_on_after_a_refusal() {
+    let server = Server::start([failure(404, 2015, "not-run"), ok(r#"{"code":1002}"#)]);
+    let run = server.run("cancel job-1 job-2");
+    assert_eq!(run.exit, Exit::Refused);
+    let paths: Vec<_> = server.seen().into_iter().map(|seen| seen.method + &seen.path).collect();
+    assert_eq!(paths, ["DELETE/v1/jobs/job-1", "DELETE/v1/jobs/job-2"]);
+    assert!(run.out.contains("job-2  cancelled"), "{}", run.out);
+}
+
+#[test]
+fn status_text_of_the_answer_cannot_move_the_cursor() {
+    let run = Server::start([ok(r#"{"leader":"a\u001b[2Jb"}"#)]).run("status");
+    assert_eq!(run.out, "leader: a [2Jb\n");
+}
