--- a/crates/bronzespoold/src/control/hub/sessions.rs
+++ b/crates/bronzespoold/src/control/hub/sessions.rs
@@ -148,11 +148,6 @@
         Progress { hub: self.name.clone(), acked, serial, agents }
     }
 
-    /// Number of open sessions.
-    pub(in crate::control) fn len(&self) -> usize {
-        self.table.borrow().len()
-    }
-
     /// Drops the agents whose sessions have ended or were replaced.
     fn forget(&self) {
         let table = self.table.borrow();
--- a/crates/bronzespoold/src/http/body.rs
+++ b/crates/bronzespoold/src/http/body.rs
@@ -8,7 +8,7 @@
 };
 
 /// Result of reading a body.
-pub type Result<T> = std::result::Result<T, ReadError>;
+type Result<T> = std::result::Result<T, ReadError>;
 
 /// Why a body was not read whole.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
--- a/crates/bronzespoold/src/http/fetch.rs
+++ b/crates/bronzespoold/src/http/fetch.rs
@@ -52,9 +52,9 @@
     limit: u64,
     time: Duration,
 ) -> Result<Fetched> {
-    let stream = match timeout(CONNECT_TIME.min(time), TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(_)) | Err(_) => return Err(Error::Connect(address)),
+    let connecting = timeout(CONNECT_TIME.min(time), TcpStream::connect(address)).await;
+    let Ok(Ok(stream)) = connecting else {
+        return Err(Error::Connect(address));
     };
     let _ = stream.set_nodelay(true);
     timeout(time, exchange(stream, request, limit)).await.unwrap_or(Err(Error::Time(time)))
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,6 +8,7 @@
   cat KNOWN-RED.txt
   while read -r name _; do known+=("$name"); done < <(grep -E '^[a-z0-9_:]+ ' KNOWN-RED.txt || true)
 fi
+cargo build --workspace --bins --locked
 if command -v cargo-nextest >/dev/null; then
   filter="all()"
   for name in "${known[@]}"; do filter+=" - test(=$name)"; done
