feat(entry): admit by shared limits, queue fairly, route by load, retry on a budget

Cause: every entry sent whatever came, to the endpoint with the lowest guess, three times at most; team limits were not held and overload had no honest time to return.

Change: the leader grants each entry its shares of the teams' limits; requests wait in a queue that is fair between teams and bounded by count and deadline; endpoints are chosen by the load they hold, ejected by evidence and probed; retries come out of a budget. Permits and lanes give back what they hold when dropped.

Found on the way: with one entry, all requests right after the first publication waited until their deadline. Cause: a lane that the pump gives back woke the pump itself, which then never let the runtime go on to the answer with the shares. Ruled out: missing shares at the leader (the other entry had its own), the queue's order. The pump no longer wakes itself.

--- a/crates/bronzespool-flow/src/limit/shares.rs
+++ b/crates/bronzespool-flow/src/limit/shares.rs
@@ -83,6 +83,11 @@
         self.limits.remove(team);
     }
 
+    /// Removes the limits of teams for which `keep` does not hold.
+    pub fn retain(&mut self, keep: impl Fn(&Team) -> bool) {
+        self.limits.retain(|team, _| keep(team));
+    }
+
     /// The sum of what all holders may use of `team`'s limit.
     pub fn outstanding(&self, team: &Team) -> Limit {
         let held = self.holders.values().filter_map(|h| h.parts.get(team)).map(|p| p.held);
--- a/crates/bronzespool-wire/src/message/call.rs
+++ b/crates/bronzespool-wire/src/message/call.rs
@@ -3,7 +3,10 @@
 use {
     crate::message::{Announce, JobView, Report, StatusView},
     bronzespool_core::{Digest, Instance, Job, Key, Refusal, Service, ServiceSpec},
-    bronzespool_flow::claim::{ClaimId, Completion, Existing, Request},
+    bronzespool_flow::{
+        claim::{ClaimId, Completion, Existing, Request},
+        limit,
+    },
     bronzespool_schedule::JobSpec,
     serde::{Deserialize, Serialize},
 };
@@ -64,6 +67,13 @@
     Progress(Progress),
     /// Tells what happened to tasks.
     Report(Report),
+    /// Renews an entry's shares of the teams' limits.
+    Shares {
+        /// Random number of the entry's start.
+        holder: u64,
+        /// What it holds and wants, by service.
+        reports: Vec<(Service, limit::Report)>,
+    },
 }
 
 /// How far a hub's sessions are.
@@ -117,6 +127,8 @@
     Jobs(Vec<JobView>),
     /// To the question why a job waits.
     Explained(Vec<String>),
+    /// To a report of demands: the shares by service.
+    Shares(Vec<(Service, limit::Shared)>),
     /// To a question about the system.
     Status(Box<StatusView>),
     /// To a progress: the serial of the agents' sessions that the leader knows.
--- a/crates/bronzespoold/src/control/leader/calls.rs
+++ b/crates/bronzespoold/src/control/leader/calls.rs
@@ -4,7 +4,7 @@
     crate::{
         clock::Clock,
         control::{
-            leader::presence::Hubs,
+            leader::{presence::Hubs, shares::Granter},
             replica::{Replica, Result},
             state::{Command, Effect},
         },
@@ -25,6 +25,7 @@
     pub(super) clock: Clock,
     pub(super) replica: Rc<Replica>,
     pub(super) hubs: RefCell<Hubs>,
+    pub(super) granter: RefCell<Granter>,
     pub(super) horizon: Horizon,
     pub(super) reserve: Option<Shape>,
     pub(super) lease: Duration,
@@ -39,8 +40,8 @@
         reserve: Option<Shape>,
         lease: Duration,
     ) -> Rc<Self> {
-        let hubs = RefCell::default();
-        Rc::new(Self { clock, replica, hubs, horizon, reserve, lease })
+        let (hubs, granter) = Default::default();
+        Rc::new(Self { clock, replica, hubs, granter, horizon, reserve, lease })
     }
 
     /// Answers a call, if this replica leads.
@@ -67,6 +68,7 @@
             Call::Drain { instance, leaving } => self.drain(instance, leaving).await,
             Call::Announce(announce) => self.announce(announce).await,
             Call::Progress(progress) => Ok(self.progress(progress)),
+            Call::Shares { holder, reports } => self.shares(holder, reports).await,
             Call::Report(report) => self.report(&report).await,
         }
     }
--- a/crates/bronzespoold/src/control/leader/mod.rs
+++ b/crates/bronzespoold/src/control/leader/mod.rs
@@ -6,6 +6,7 @@
 mod jobs;
 mod presence;
 mod schedule;
+mod shares;
 mod status;
 
 pub(super) use calls::Leader;
--- a/crates/bronzespoold/src/control/leader/schedule.rs
+++ b/crates/bronzespoold/src/control/leader/schedule.rs
@@ -67,6 +67,7 @@
             if !self.replica.leads() {
                 continue;
             }
+            self.begin_term();
             let result = match self.follow_presence().await {
                 Ok(()) => self.expire_claims().await,
                 Err(refusal) => Err(refusal),
--- a/crates/bronzespoold/src/entry/agents.rs
+++ b/crates/bronzespoold/src/entry/agents.rs
@@ -55,12 +55,6 @@
         let new = || Rc::new(AgentLink::new(self.clock, address));
         Rc::clone(links.entry(instance.clone()).or_insert_with(new))
     }
-
-    /// Slots in use at an agent, as far as known.
-    pub(super) fn used(&self, instance: &Instance) -> u32 {
-        let links = self.links.borrow();
-        links.get(instance).map_or(0, |l| l.used())
-    }
 }
 
 /// Link to one agent.
@@ -83,12 +77,6 @@
         }
     }
 
-    /// Slots in use: those that the agent last told, or the own requests in flight if more.
-    fn used(&self) -> u32 {
-        let told = self.state.get().map_or(0, |(state, _)| state.used);
-        told.max(self.flying.get())
-    }
-
     /// The agent's clock, asked for unless it is known.
     pub(super) async fn peer_clock(&self) -> Result<PeerClock> {
         if let Some((state, arrived)) = self.state.get() {
--- a/crates/bronzespoold/src/entry/dispatch/idempotent.rs
+++ b/crates/bronzespoold/src/entry/dispatch/idempotent.rs
@@ -2,61 +2,115 @@
 
 use {
     crate::entry::{
-        dispatch::{RETRY, completed, run, target},
+        dispatch::{completed, run},
         filter::{Checked, Result},
         state::State,
+        traffic::Lane,
     },
     bronzespool::{
-        core::{Code, HashSet, Outcome, Refusal},
-        flow::claim::{Answer, Completion},
-        wire::message::Work,
+        core::{Code, Outcome, Refusal},
+        flow::{
+            claim::{Answer, Completion},
+            eject::Sample,
+            retry::Failure,
+        },
+        wire::message::{RunReply, Work},
     },
+    std::{rc::Rc, time::Duration},
 };
 
-/// Most endpoints tried for one request.
-const TRIES_MAX: u32 = 3;
+/// Status from which an answer is the endpoint's own failure.
+const SERVER_ERROR: u16 = 500;
 
-/// Gets the answer to an idempotent request.
-pub(super) async fn serve(state: &State, request: &Checked) -> Result<Answer> {
-    let slots = request.spec()?.need.slots;
-    let mut tried = HashSet::default();
-    let mut last = Refusal::from(Code::NoEndpoint).retry_after(RETRY);
-    for _ in 0..TRIES_MAX {
-        let left = request.left(state.clock.now());
-        if left.is_zero() {
-            return Err(late(last));
-        }
-        let Some(target) = target::choose(state, request, slots, &tried) else {
-            return Err(last);
+/// An attempt that gave no good answer.
+struct Missed {
+    failure: Failure,
+    refusal: Refusal,
+    /// The endpoint's error answer, which is given to the caller if nothing better comes.
+    answer: Option<Answer>,
+}
+
+/// Gets the answer to an idempotent request; `lane` is for the first attempt.
+pub(super) async fn serve(state: &Rc<State>, request: &Checked, lane: Lane) -> Result<Answer> {
+    let spec = request.spec()?;
+    let mut tried = Vec::new();
+    let mut next = Some(lane);
+    let mut made = 0;
+    while let Some(lane) = next {
+        made += 1;
+        tried.push(lane.target.incarnation.instance.clone());
+        let missed = match attempt(state, request, lane).await? {
+            Ok(answer) => return Ok(answer),
+            Err(missed) => missed,
         };
-        let number = target.incarnation.number;
-        let message = run(request, number, Work::Idempotent, left)?;
-        match target.link.run(&message, &request.body, left).await {
-            Ok(reply) => match reply.result {
-                Ok(Completion::Answered(answer)) if answer.status < 500 => return Ok(answer),
-                Ok(completion) => match completed(completion) {
-                    Ok(answer) if request.left(state.clock.now()).is_zero() => return Ok(answer),
-                    Ok(answer) => last = failed(&answer),
-                    Err(refusal) => last = refusal,
-                },
-                Err(refusal) => last = refusal,
-            },
-            Err(error) => last = Refusal::new(Code::Unreachable, error.to_string()),
+        let Missed { failure, refusal, answer } = missed;
+        let last = refusal.clone();
+        if let Err(refusal) = state.after_failure(request, failure, made, refusal).await {
+            return answer.ok_or(refusal);
+        }
+        let (service, kind) = (&request.service, &request.kind);
+        next = state.choose(service, kind, spec.need.slots, true, &tried);
+        if next.is_none() {
+            return answer.ok_or_else(|| state.no_lane(request, last));
         }
-        tried.insert(target.incarnation.instance);
     }
-    Err(retry_hint(last))
+    Err(Code::Internal.into())
 }
 
-fn failed(answer: &Answer) -> Refusal {
-    Refusal::new(Code::AnswerShort, format!("the endpoint answered with status {}", answer.status))
+/// One attempt. The lane is given back when it ends.
+async fn attempt(
+    state: &State,
+    request: &Checked,
+    lane: Lane,
+) -> Result<std::result::Result<Answer, Missed>> {
+    let begun = state.clock.now();
+    let left = request.left(begun);
+    if left.is_zero() {
+        return Err(Code::DeadlinePassed.into());
+    }
+    let message = run(request, lane.target.incarnation.number, Work::Idempotent, left)?;
+    let reply = lane.target.link.run(&message, &request.body, left).await;
+    let took = state.clock.now().since(begun);
+    let (result, sample) = match reply {
+        Ok(reply) => {
+            state.heard(&lane.target.incarnation.instance, reply.state.used);
+            judge(reply, took)
+        }
+        Err(error) => {
+            let refusal = Refusal::new(Code::Unreachable, error.to_string());
+            (Err(missed(refusal, None)), Some(Sample::Failed))
+        }
+    };
+    if let Some(sample) = sample {
+        state.sample(request, &lane, sample);
+    }
+    Ok(result)
 }
 
-/// The deadline has passed. If an attempt was sent it may have run.
-fn late(last: Refusal) -> Refusal {
-    if last.code.outcome() == Outcome::Unknown { last } else { Code::DeadlinePassed.into() }
+/// What a reply is to the caller, and what it says of the endpoint.
+fn judge(reply: RunReply, took: Duration) -> (std::result::Result<Answer, Missed>, Option<Sample>) {
+    match reply.result {
+        Ok(Completion::Answered(answer)) if answer.status < SERVER_ERROR => {
+            (Ok(answer), Some(Sample::Answered(took)))
+        }
+        Ok(Completion::Answered(answer)) => {
+            let message = format!("the endpoint answered with status {}", answer.status);
+            let refusal = Refusal::new(Code::AnswerShort, message);
+            (Err(missed(refusal, Some(answer))), Some(Sample::Failed))
+        }
+        Ok(completion) => {
+            let refusal = completed(completion).err().unwrap_or_else(|| Code::Internal.into());
+            (Err(missed(refusal, None)), Some(Sample::Failed))
+        }
+        // The agent refused: that says nothing of its endpoint.
+        Err(refusal) => (Err(missed(refusal, None)), None),
+    }
 }
 
-fn retry_hint(refusal: Refusal) -> Refusal {
-    if refusal.retry.is_some() { refusal } else { refusal.retry_after(RETRY) }
+fn missed(refusal: Refusal, answer: Option<Answer>) -> Missed {
+    let failure = match refusal.code.outcome() {
+        Outcome::NotRun => Failure::NotRun(refusal.code),
+        _ => Failure::Unknown(refusal.code),
+    };
+    Missed { failure, refusal, answer }
 }
--- a/crates/bronzespoold/src/entry/dispatch/mod.rs
+++ b/crates/bronzespoold/src/entry/dispatch/mod.rs
@@ -9,6 +9,7 @@
     crate::entry::{
         filter::{Checked, Filter, Result},
         state::State,
+        traffic::Admitted,
     },
     bronzespool::{
         core::{Code, Refusal},
@@ -19,23 +20,26 @@
     std::{rc::Rc, time::Duration},
 };
 
+pub(super) use target::Target;
+
 /// When to come back if no endpoint can take the request now.
 const RETRY: Duration = Duration::from_millis(250);
 
 /// The last filter: gets the endpoint's answer.
 pub(super) struct Dispatch(pub(super) Rc<State>);
 
-impl Filter<Checked> for Dispatch {
+impl Filter<Admitted> for Dispatch {
     type Out = Served;
 
-    async fn apply(&self, request: Checked) -> Result<Served> {
-        let protected = request.spec()?.protected;
-        let answer = if protected {
-            protected::serve(&self.0, &request).await?
+    async fn apply(&self, admitted: Admitted) -> Result<Served> {
+        let Admitted { request, lane, permit } = admitted;
+        let answer = if request.spec()?.protected {
+            protected::serve(&self.0, &request, lane).await
         } else {
-            idempotent::serve(&self.0, &request).await?
+            idempotent::serve(&self.0, &request, lane).await
         };
-        whole(&answer)
+        drop(permit);
+        whole(&answer?)
     }
 }
 
--- a/crates/bronzespoold/src/entry/dispatch/protected.rs
+++ b/crates/bronzespoold/src/entry/dispatch/protected.rs
@@ -6,29 +6,30 @@
             RETRY, completed,
             follow::{self, Ended},
             run,
-            target::{self, Target},
         },
         filter::{Checked, Result},
         state::State,
+        traffic::Lane,
     },
     bronzespool::{
-        core::{Code, HashSet, Instance, Outcome, Refusal},
+        core::{Code, Outcome, Refusal, Time},
         flow::{
             admit::AttemptId,
             claim::{Answer, ClaimId, Completion, Request},
+            eject::Sample,
+            retry::Failure,
         },
-        wire::message::{Call, Claimed, Reply, Work},
+        wire::message::{Call, Claimed, Reply, RunReply, Work},
     },
-    std::time::Duration,
+    std::{rc::Rc, time::Duration},
 };
 
-/// Most attempts for one request; each but the last has been proved not to have run.
-const ATTEMPTS_MAX: u32 = 3;
 /// Time added to the caller's deadline in which the agent accepts copies.
 const EXPIRY_MARGIN: Duration = Duration::from_secs(1);
 
-/// Gets the answer to a protected request.
-pub(super) async fn serve(state: &State, request: &Checked) -> Result<Answer> {
+/// Gets the answer to a protected request; `lane` is for the first attempt.
+pub(super) async fn serve(state: &Rc<State>, request: &Checked, lane: Lane) -> Result<Answer> {
+    let spec = request.spec()?;
     let key = request.key.clone().ok_or(Code::KeyMissing)?;
     let id = ClaimId {
         team: request.team.clone(),
@@ -36,35 +37,34 @@
         kind: request.kind.clone(),
         key,
     };
-    let mut tried = HashSet::default();
-    let mut last = Refusal::from(Code::NoEndpoint).retry_after(RETRY);
-    for _ in 0..ATTEMPTS_MAX {
-        if request.left(state.clock.now()).is_zero() {
-            return Err(late(last));
-        }
-        match attempt(state, request, &id, &mut tried).await? {
+    let mut tried = Vec::new();
+    let mut next = Some(lane);
+    let mut made = 0;
+    loop {
+        made += 1;
+        let ended = match next {
+            Some(lane) => {
+                tried.push(lane.target.incarnation.instance.clone());
+                attempt(state, request, &id, &lane).await?
+            }
+            None => look(state, request, &id).await?,
+        };
+        let refusal = match ended {
             Ended::Answered(answer) => return Ok(answer),
-            Ended::NotRun(refusal) => last = refusal,
-        }
+            Ended::NotRun(refusal) => refusal,
+        };
+        let failure = Failure::NotRun(refusal.code);
+        state.after_failure(request, failure, made, refusal).await?;
+        next = state.choose(&request.service, &request.kind, spec.need.slots, false, &tried);
     }
-    Err(last)
 }
 
 /// One attempt. An error is final; [`Ended::NotRun`] leaves the key free for another attempt.
-async fn attempt(
-    state: &State,
-    request: &Checked,
-    id: &ClaimId,
-    tried: &mut HashSet<Instance>,
-) -> Result<Ended> {
-    let slots = request.spec()?.need.slots;
-    let Some(target) = target::choose(state, request, slots, tried) else {
-        return look(state, request, id).await;
-    };
-    tried.insert(target.incarnation.instance.clone());
-    let now = state.clock.now();
-    let left = request.left(now);
+async fn attempt(state: &State, request: &Checked, id: &ClaimId, lane: &Lane) -> Result<Ended> {
+    let target = &lane.target;
+    let left = request.left(state.clock.now());
     let Ok(clock) = target.link.peer_clock().await else {
+        state.sample(request, lane, Sample::Failed);
         return Ok(Ended::NotRun(Refusal::from(Code::NoEndpoint).retry_after(RETRY)));
     };
     let expires = clock.now(state.clock.now()) + left + EXPIRY_MARGIN;
@@ -76,9 +76,9 @@
     };
     match call(state, request, &Call::Claim(wish)).await? {
         Reply::Claimed(Claimed::New { attempt }) => {
-            let target_id = target.incarnation.clone();
-            let name = AttemptId { id: id.clone(), attempt, target: target_id, expires };
-            send(state, request, &target, &name).await
+            let target = target.incarnation.clone();
+            let name = AttemptId { id: id.clone(), attempt, target, expires };
+            send(state, request, lane, &name).await
         }
         Reply::Claimed(Claimed::Existing(existing)) => {
             follow::existing(state, request, id, &existing).await
@@ -99,13 +99,10 @@
 }
 
 /// Sends a claimed attempt. Only the process that won the claim comes here.
-async fn send(
-    state: &State,
-    request: &Checked,
-    target: &Target,
-    name: &AttemptId,
-) -> Result<Ended> {
-    let left = request.left(state.clock.now());
+async fn send(state: &State, request: &Checked, lane: &Lane, name: &AttemptId) -> Result<Ended> {
+    let target = &lane.target;
+    let begun = state.clock.now();
+    let left = request.left(begun);
     if left.is_zero() {
         // Nothing was sent, and no other process may send this attempt.
         follow::release(state, name, Code::DeadlinePassed).await;
@@ -113,16 +110,13 @@
     }
     let message = run(request, name.target.number, Work::Protected(name.clone()), left)?;
     match target.link.run(&message, &request.body, left).await {
-        Ok(reply) => match reply.result {
-            Ok(Completion::NotRun(code)) => Ok(Ended::NotRun(code.into())),
-            Ok(completion) => completed(completion).map(Ended::Answered),
-            Err(refusal) if refusal.code.outcome() == Outcome::NotRun => {
-                follow::release(state, name, refusal.code).await;
-                Ok(Ended::NotRun(refusal))
-            }
-            Err(refusal) => Err(refusal),
-        },
+        Ok(reply) => {
+            state.heard(&target.incarnation.instance, reply.state.used);
+            sample(state, request, lane, &reply, begun);
+            replied(state, name, reply).await
+        }
         Err(error) if error.unsent() => {
+            state.sample(request, lane, Sample::Failed);
             follow::release(state, name, Code::NoEndpoint).await;
             let refusal = Refusal::new(Code::NoEndpoint, error.to_string());
             Ok(Ended::NotRun(refusal.retry_after(RETRY)))
@@ -134,6 +128,31 @@
     }
 }
 
+/// What a reply to the only copy of an attempt means.
+async fn replied(state: &State, name: &AttemptId, reply: RunReply) -> Result<Ended> {
+    match reply.result {
+        Ok(Completion::NotRun(code)) => Ok(Ended::NotRun(code.into())),
+        Ok(completion) => completed(completion).map(Ended::Answered),
+        Err(refusal) if refusal.code.outcome() == Outcome::NotRun => {
+            follow::release(state, name, refusal.code).await;
+            Ok(Ended::NotRun(refusal))
+        }
+        Err(refusal) => Err(refusal),
+    }
+}
+
+/// Notes what a reply says of the endpoint; a refusal of the agent says nothing.
+fn sample(state: &State, request: &Checked, lane: &Lane, reply: &RunReply, begun: Time) {
+    let sample = match &reply.result {
+        Ok(Completion::Answered(answer)) if answer.status < 500 => {
+            Sample::Answered(state.clock.now().since(begun))
+        }
+        Ok(_) => Sample::Failed,
+        Err(_) => return,
+    };
+    state.sample(request, lane, sample);
+}
+
 /// Calls control until the caller's deadline. A call that gives no answer has started nothing.
 pub(super) async fn call(state: &State, request: &Checked, call: &Call) -> Result<Reply> {
     let keeper = state.keeper().ok_or(Code::NoSession)?;
@@ -146,7 +165,3 @@
         _ => refusal,
     })
 }
-
-fn late(last: Refusal) -> Refusal {
-    if last.code == Code::NoEndpoint { last } else { Code::DeadlinePassed.into() }
-}
--- a/crates/bronzespoold/src/entry/mod.rs
+++ b/crates/bronzespoold/src/entry/mod.rs
@@ -9,5 +9,6 @@
 mod server;
 mod start;
 mod state;
+mod traffic;
 
 pub use start::{Options, run};
--- a/crates/bronzespoold/src/entry/server.rs
+++ b/crates/bronzespoold/src/entry/server.rs
@@ -7,6 +7,7 @@
             filter::{Caller, Checked, Filter, Raw, ReadBody, Result, Route, Then},
             jobs, operators,
             state::State,
+            traffic::Admit,
         },
         http::{Answer, Handle, headers, json, mark, refusal, text, with_body},
         telemetry,
@@ -147,7 +148,8 @@
         let result = match checked.spec()?.mode {
             Mode::Job => self.submit(&checked).await,
             Mode::Request => {
-                Dispatch(Rc::clone(state)).apply(checked.clone()).await.map(|s| served(&s))
+                let chain = Then(Admit(Rc::clone(state)), Dispatch(Rc::clone(state)));
+                chain.apply(checked.clone()).await.map(|s| served(&s))
             }
         };
         self.note(&checked, &result);
--- a/crates/bronzespoold/src/entry/start.rs
+++ b/crates/bronzespoold/src/entry/start.rs
@@ -9,6 +9,7 @@
             report::Reporter,
             server::{Audience, Server},
             state::State,
+            traffic::Traffic,
         },
         http::serve,
     },
@@ -21,7 +22,7 @@
     },
     tokio::{
         net::TcpListener,
-        sync::watch,
+        sync::{Notify, watch},
         task::spawn_local,
         time::{sleep, timeout},
     },
@@ -63,7 +64,6 @@
     let state = Rc::new(State {
         clock,
         instance: options.instance.clone(),
-        center: options.center.clone(),
         view: RefCell::default(),
         agents: Agents::new(clock),
         until: Cell::new(Time::ZERO),
@@ -71,11 +71,16 @@
         serial: Cell::new(0),
         prefix: fastrand::u64(..),
         report: Reporter::default(),
+        traffic: RefCell::new(Traffic::new(options.center.clone(), fastrand::u64(..))),
+        pumping: Notify::new(),
+        in_pump: Cell::new(false),
+        view_changed: Notify::new(),
         keeper: RefCell::default(),
     });
     let keeper = Keeper::new(clock, options.timing, &options.hubs, Rc::clone(&state));
     *state.keeper.borrow_mut() = Some(Rc::clone(&keeper));
     let kept = spawn_local(Rc::clone(&keeper).run());
+    state.start_traffic();
     let (end, ended) = watch::channel(false);
     let audience = if options.operators.is_some() { Audience::Callers } else { Audience::Both };
     let server = Rc::new(Server { state: Rc::clone(&state), audience });
--- a/crates/bronzespoold/src/entry/state.rs
+++ b/crates/bronzespoold/src/entry/state.rs
@@ -4,10 +4,10 @@
     crate::{
         client::{Keeper, Subscriber},
         clock::Clock,
-        entry::{agents::Agents, report::Reporter},
+        entry::{agents::Agents, report::Reporter, traffic::Traffic},
     },
     bronzespool::{
-        core::{Center, Instance, Time},
+        core::{Instance, Time},
         flow::view::{self, View},
         wire::message::{Hello, Role, Update, Welcome},
     },
@@ -15,13 +15,13 @@
         cell::{Cell, RefCell},
         rc::Rc,
     },
+    tokio::sync::Notify,
 };
 
 /// State of the entry.
 pub(super) struct State {
     pub(super) clock: Clock,
     pub(super) instance: Instance,
-    pub(super) center: Center,
     pub(super) view: RefCell<Rc<View>>,
     pub(super) agents: Agents,
     pub(super) until: Cell<Time>,
@@ -29,6 +29,10 @@
     pub(super) serial: Cell<u64>,
     pub(super) prefix: u64,
     pub(super) report: Reporter,
+    pub(super) traffic: RefCell<Traffic>,
+    pub(super) pumping: Notify,
+    pub(super) in_pump: Cell<bool>,
+    pub(super) view_changed: Notify,
     pub(super) keeper: RefCell<Option<Rc<Keeper<Self>>>>,
 }
 
@@ -59,6 +63,9 @@
         let mut view = self.view.borrow_mut();
         let result = f(Rc::make_mut(&mut view));
         self.agents.update(&view);
+        self.traffic.borrow_mut().follow(&view);
+        self.view_changed.notify_one();
+        self.pumping.notify_one();
         result
     }
 }
--- /dev/null
+++ b/crates/bronzespoold/src/entry/traffic/lane.rs
@@ -0,0 +1,36 @@
+//! What an admitted request holds until it ends.
+
+use {
+    crate::entry::{dispatch::Target, state::State},
+    bronzespool::core::{Service, Team},
+    std::rc::Rc,
+};
+
+/// A request counts against its team's limit for as long as its permit lives.
+pub(in crate::entry) struct Permit {
+    pub(super) state: Rc<State>,
+    pub(super) service: Service,
+    pub(super) team: Team,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.state.traffic.borrow_mut().service(&self.service).buckets.give(&self.team);
+        self.state.pump_soon();
+    }
+}
+
+/// Slots of an endpoint that this entry counts as taken for as long as the lane lives.
+pub(in crate::entry) struct Lane {
+    pub(super) state: Rc<State>,
+    pub(super) slots: u32,
+    pub(in crate::entry) target: Target,
+}
+
+impl Drop for Lane {
+    fn drop(&mut self) {
+        let instance = &self.target.incarnation.instance;
+        self.state.traffic.borrow_mut().loads.ended(instance, self.slots);
+        self.state.pump_soon();
+    }
+}
--- /dev/null
+++ b/crates/bronzespoold/src/entry/traffic/state.rs
@@ -0,0 +1,117 @@
+//! What the entry keeps for each service.
+
+use {
+    crate::entry::traffic::lane::{Lane, Permit},
+    bronzespool::{
+        core::{Center, HashMap, Instance, Kind, Refusal, Service},
+        flow::{
+            eject::{Ejector, Rules},
+            limit::{Buckets, Queue, QueueLimits},
+            retry::{Budget, Policy},
+            route::{Loads, Router, Spill},
+            view::View,
+        },
+    },
+    std::time::Duration,
+    tokio::sync::oneshot,
+};
+
+/// Requests that wait in this entry for one service.
+const QUEUE_MAX: usize = 1_024;
+/// Requests of one team that wait in this entry for one service.
+const QUEUE_TEAM_MAX: usize = 256;
+/// Extra time of a request to another data centre.
+const FAR: Duration = Duration::from_millis(1);
+/// Mean time of a request before the first answer.
+const SERVICE_TIME: Duration = Duration::from_millis(20);
+/// Weight of the newest answer in the mean time of a request.
+const NEW_WEIGHT: f64 = 0.05;
+
+/// A request that waits in the queue.
+pub(super) struct Waiting {
+    pub(super) slots: u32,
+    pub(super) grant: oneshot::Sender<Granted>,
+}
+
+/// What ends the wait.
+pub(super) type Granted = Result<(Permit, Lane), Refusal>;
+
+/// What is kept for one service.
+pub(super) struct ServiceTraffic {
+    pub(super) buckets: Buckets,
+    pub(super) queue: Queue<Waiting>,
+    pub(super) budget: Budget,
+}
+
+impl ServiceTraffic {
+    fn new(seed: u64) -> Self {
+        let limits = QueueLimits { total: QUEUE_MAX, team: QUEUE_TEAM_MAX };
+        Self {
+            buckets: Buckets::default(),
+            queue: Queue::new(limits, seed),
+            budget: Budget::default(),
+        }
+    }
+}
+
+/// All that the entry keeps about traffic.
+pub(in crate::entry) struct Traffic {
+    pub(super) services: HashMap<Service, ServiceTraffic>,
+    pub(super) ejectors: HashMap<(Service, Kind), Ejector>,
+    pub(super) loads: Loads,
+    pub(super) router: Router,
+    pub(super) policy: Policy,
+    pub(super) random: fastrand::Rng,
+    mean: f64,
+}
+
+impl Traffic {
+    /// Nothing known yet, for an entry in `center`.
+    pub(in crate::entry) fn new(center: Center, seed: u64) -> Self {
+        Self {
+            services: HashMap::default(),
+            ejectors: HashMap::default(),
+            loads: Loads::default(),
+            router: Router::new(center, seed),
+            policy: Policy::default(),
+            random: fastrand::Rng::with_seed(seed),
+            mean: SERVICE_TIME.as_secs_f64(),
+        }
+    }
+
+    /// What is kept for a service, new if there is nothing yet.
+    pub(super) fn service(&mut self, service: &Service) -> &mut ServiceTraffic {
+        let random = &mut self.random;
+        let new = || ServiceTraffic::new(random.u64(..));
+        self.services.entry(service.clone()).or_insert_with(new)
+    }
+
+    /// Evidence about the endpoints of a kind.
+    pub(super) fn ejector(&mut self, service: &Service, kind: &Kind) -> &mut Ejector {
+        let key = (service.clone(), kind.clone());
+        self.ejectors.entry(key).or_insert_with(|| Ejector::new(Rules::default()))
+    }
+
+    /// When a request leaves its data centre.
+    pub(super) fn spill(&self) -> Spill {
+        Spill { far: FAR, service: Duration::from_secs_f64(self.mean) }
+    }
+
+    /// Notes the time of an answered request.
+    pub(super) fn took(&mut self, span: Duration) {
+        self.mean += NEW_WEIGHT * (span.as_secs_f64() - self.mean);
+    }
+
+    /// Follows the view: teams get their buckets before their first request, and what has left
+    /// is forgotten.
+    pub(in crate::entry) fn follow(&mut self, view: &View) {
+        for (name, spec) in &view.config.services {
+            let service = self.service(name);
+            spec.teams.keys().for_each(|team| service.buckets.expect(team));
+            service.buckets.retain(|team| spec.teams.contains_key(team));
+        }
+        let here = |instance: &Instance| view.peers.contains_key(instance);
+        self.loads.retain(here);
+        self.ejectors.values_mut().for_each(|e| e.retain(here));
+    }
+}
