test(consensus): draw faults against an oracle, mend three faults that stopped the log

Checked after every step: one leader a term, one entry an index, equal states, no stale read; at the end the cluster accepts again and every disk is repaired.

Replicas now ask after a silence.

--- a/crates/bronzespool-consensus/src/message.rs
+++ b/crates/bronzespool-consensus/src/message.rs
@@ -42,6 +42,8 @@
     Welcome {
         /// Whether the asking identity was removed from the set.
         retired: bool,
+        /// Whether it is in the set and the founding entry is no longer held.
+        listed: bool,
     },
     /// The first membership, from the instance that founds the cluster.
     Genesis(Members),
--- a/crates/bronzespool-consensus/src/node/joining.rs
+++ b/crates/bronzespool-consensus/src/node/joining.rs
@@ -15,6 +15,8 @@
 const GENESIS_TERM: Term = 1;
 /// Election times of silence after which an identity may be replaced.
 const REPLACE_ELECTIONS: u32 = 4;
+/// Election times without a leader after which a replica of the set asks its peers.
+const SILENT_ELECTIONS: u32 = 3;
 /// Heartbeats between two requests of a replica outside the set.
 const HELLO_HEARTBEATS: u32 = 4;
 
@@ -37,12 +39,20 @@
 
 impl Node {
     /// Whether this replica's log does not name it as a member.
-    pub(super) fn is_outside(&self) -> bool {
+    fn is_outside(&self) -> bool {
         self.hard.cluster == 0 || self.log.members().get(self.hard.id).is_none()
     }
 
+    /// When to ask the peers. A replica in the set asks once no leader is in contact: the entry
+    /// that names it may never be committed.
     pub(super) fn joining_due(&self) -> Time {
-        if self.is_outside() && !self.retired { self.joining.due } else { Time::MAX }
+        if self.retired || self.is_leader() {
+            return Time::MAX;
+        }
+        if self.is_outside() {
+            return self.joining.due;
+        }
+        self.joining.due.max(self.contact + self.settings.election * SILENT_ELECTIONS)
     }
 
     pub(super) fn tick_joining(&mut self) {
@@ -65,7 +75,8 @@
         let members = self.log.members();
         let retired = members.is_retired(id);
         let listed = members.get(id).is_some();
-        self.send_synced(from, id, self.hard.term, Body::Welcome { retired });
+        let moved = listed && self.log.get(1).is_none();
+        self.send_synced(from, id, self.hard.term, Body::Welcome { retired, listed: moved });
         if listed && message.cluster == 0 {
             self.send_genesis(from, id);
         }
@@ -75,7 +86,13 @@
         }
     }
 
-    pub(super) fn on_welcome(&mut self, from: &Instance, message: &Message, retired: bool) {
+    pub(super) fn on_welcome(
+        &mut self,
+        from: &Instance,
+        message: &Message,
+        retired: bool,
+        listed: bool,
+    ) {
         if message.to != self.hard.id {
             return;
         }
@@ -85,6 +102,9 @@
         }
         if message.cluster != 0 {
             self.joining.blank.remove(from);
+            if listed && self.hard.cluster == 0 {
+                self.enter(message.cluster);
+            }
             return;
         }
         self.joining.blank.insert(from.clone(), message.from);
@@ -113,6 +133,15 @@
         }
     }
 
+    /// Becomes a replica of a cluster whose log comes later.
+    ///
+    /// A member that is still blank has neither voted nor acknowledged, so its empty log may take
+    /// part in elections.
+    pub(super) fn enter(&mut self, cluster: u64) {
+        self.hard.cluster = cluster;
+        self.save();
+    }
+
     fn start_cluster(&mut self, cluster: u64, members: Members) {
         self.hard.cluster = cluster;
         self.hard.term = self.hard.term.max(GENESIS_TERM);
--- a/crates/bronzespool-consensus/src/node/mod.rs
+++ b/crates/bronzespool-consensus/src/node/mod.rs
@@ -111,6 +111,10 @@
             node.hard.id = node.settings.identity;
             node.save();
         }
+        if node.hard.cluster == node.hard.id.0 && node.log.last() == 0 {
+            // The founding entry did not become durable, so nobody was told of it.
+            node.hard.cluster = 0;
+        }
         node.out.install.clone_from(&node.snapshot);
         node.reset_deadline();
         Ok(node)
@@ -175,7 +179,9 @@
         }
         match message.body {
             Body::Hello => self.on_hello(from, &message),
-            Body::Welcome { retired } => self.on_welcome(from, &message, retired),
+            Body::Welcome { retired, listed } => {
+                self.on_welcome(from, &message, retired, listed);
+            }
             Body::Genesis(members) => self.on_genesis(message.to, message.cluster, members),
             _ => self.receive_member(from, message),
         }
@@ -248,7 +254,8 @@
             return;
         }
         if self.log.members().is_retired(message.from) {
-            self.send_to(from, message.from, self.hard.term, Body::Welcome { retired: true });
+            let body = Body::Welcome { retired: true, listed: false };
+            self.send_to(from, message.from, self.hard.term, body);
             return;
         }
         if !self.check_term(from, &message) {
@@ -288,8 +295,7 @@
         if self.hard.cluster != 0 || !leads || !invited {
             return false;
         }
-        self.hard.cluster = message.cluster;
-        self.save();
+        self.enter(message.cluster);
         true
     }
 
--- /dev/null
+++ b/crates/bronzespool-consensus/tests/chaos/oracle.rs
@@ -0,0 +1,95 @@
+//! What must hold whatever fails.
+
+use {
+    bronzespool_consensus::{Change, Entry, Id, Index, Members, Term},
+    std::collections::BTreeMap,
+};
+
+/// State of the replicated state machine: a digest of all commands in order.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Machine {
+    pub index: Index,
+    pub digest: u32,
+}
+
+impl Machine {
+    pub fn apply(&mut self, entry: &Entry) {
+        assert_eq!(entry.index, self.index + 1, "gap before an applied entry");
+        self.index = entry.index;
+        if let Some(data) = entry.data() {
+            let mut hasher = crc32fast::Hasher::new_with_initial(self.digest);
+            hasher.update(data);
+            self.digest = hasher.finalize();
+        }
+    }
+
+    pub fn encode(self) -> Vec<u8> {
+        let (index, digest) = (self.index.to_le_bytes(), self.digest.to_le_bytes());
+        index.into_iter().chain(digest).collect()
+    }
+
+    pub fn decode(bytes: &[u8]) -> Self {
+        let index = Index::from_le_bytes(bytes[..8].try_into().unwrap());
+        let digest = u32::from_le_bytes(bytes[8..].try_into().unwrap());
+        Self { index, digest }
+    }
+}
+
+/// All that any replica has reported as committed.
+#[derive(Default)]
+pub struct Oracle {
+    entries: Vec<Entry>,
+    states: Vec<Machine>,
+    leaders: BTreeMap<Term, Id>,
+    /// Commit index known to anyone when a read was asked.
+    reads: BTreeMap<u64, Index>,
+}
+
+impl Oracle {
+    /// Last index that anyone has reported as committed.
+    pub fn commit(&self) -> Index {
+        self.entries.len() as Index
+    }
+
+    pub fn applied(&mut self, entry: &Entry, machine: Machine) {
+        let at = usize::try_from(entry.index).unwrap() - 1;
+        if at == self.entries.len() {
+            self.entries.push(entry.clone());
+            self.states.push(machine);
+        }
+        assert_eq!(&self.entries[at], entry, "two entries committed at one index");
+        assert_eq!(self.states[at], machine, "states differ after one index");
+    }
+
+    pub fn installed(&self, machine: Machine) {
+        let at = usize::try_from(machine.index).unwrap() - 1;
+        assert_eq!(self.states[at], machine, "a snapshot differs from the state at its index");
+    }
+
+    pub fn leads(&mut self, term: Term, id: Id) {
+        let leader = *self.leaders.entry(term).or_insert(id);
+        assert_eq!(leader, id, "two leaders in term {term}");
+    }
+
+    pub fn asked(&mut self, ctx: u64) {
+        self.reads.insert(ctx, self.commit());
+    }
+
+    pub fn answered(&self, ctx: u64, index: Index) {
+        assert!(index >= self.reads[&ctx], "stale read: {index} < {}", self.reads[&ctx]);
+    }
+
+    /// Index of the first command committed after an index.
+    pub fn first_data(&self, after: Index) -> Option<Index> {
+        let entries = self.entries.iter().find(|e| e.index > after && e.data().is_some());
+        entries.map(|e| e.index)
+    }
+
+    /// The last committed membership.
+    pub fn members(&self) -> Option<&Members> {
+        self.entries.iter().rev().find_map(|e| match &e.change {
+            Change::Members(members) => Some(members),
+            Change::Noop | Change::Data(_) => None,
+        })
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-consensus/tests/chaos/world.rs
@@ -0,0 +1,317 @@
+//! Replicas with clocks that drift, disks that lose writes and a network that does its worst.
+
+use {
+    super::oracle::{Machine, Oracle},
+    arbtest::arbitrary::{Result, Unstructured},
+    bronzespool_consensus::{
+        Change, Entry, Hard, Id, Members, Message, Node, Ready, Settings, Storage, Ticket, Write,
+        fake::MemoryStorage,
+    },
+    bronzespool_core::{Instance, Time},
+    std::{collections::VecDeque, time::Duration},
+};
+
+/// Clocks run at most this share of a thousand faster or slower than time.
+const DRIFT_PERMILLE: u64 = 100;
+/// Messages that may be under way.
+const MAIL_MAX: usize = 150;
+/// Length of a calm round.
+const ROUND: Duration = Duration::from_millis(30);
+/// Calm rounds after which the cluster must work again.
+const SETTLE_ROUNDS: usize = 400;
+
+/// Which faults a set of cases draws.
+#[derive(Clone, Copy)]
+pub struct Faults {
+    pub count: usize,
+    /// Whether the replicas start blank.
+    pub blank: bool,
+    /// Whether disks are lost, one at a time until it is repaired.
+    pub lost: bool,
+}
+
+struct Machinery {
+    node: Option<Node>,
+    disk: MemoryStorage,
+    queue: VecDeque<(Ticket, Vec<Write>)>,
+    machine: Machine,
+    clock: Time,
+    rate: u64,
+    cut: bool,
+    starts: u64,
+}
+
+pub struct World {
+    faults: Faults,
+    replicas: Vec<Machinery>,
+    mail: Vec<(usize, usize, Message)>,
+    oracle: Oracle,
+    /// Replica whose lost disk is not yet repaired.
+    lost: Option<usize>,
+    next: u64,
+}
+
+fn name(i: usize) -> Instance {
+    Instance::try_from(format!("c{i}")).unwrap()
+}
+
+fn founded(count: usize, i: usize) -> MemoryStorage {
+    let members = Members::initial((0..count).map(|k| (Id(k as u64 + 1), name(k))));
+    let hard = Hard { id: Id(i as u64 + 1), cluster: 1, term: 1, vote: None };
+    let entry = Entry { index: 1, term: 1, change: Change::Members(members) };
+    let mut disk = MemoryStorage::default();
+    disk.write(&[Write::Hard(hard), Write::Append(vec![entry])]).unwrap();
+    disk
+}
+
+impl World {
+    pub fn new(faults: Faults, u: &mut Unstructured<'_>) -> Result<Self> {
+        let (mail, oracle) = (Vec::new(), Oracle::default());
+        let mut world = Self { faults, replicas: Vec::new(), mail, oracle, lost: None, next: 0 };
+        for i in 0..faults.count {
+            let blank = faults.blank;
+            world.replicas.push(Machinery {
+                node: None,
+                disk: if blank { MemoryStorage::default() } else { founded(faults.count, i) },
+                queue: VecDeque::new(),
+                machine: Machine::default(),
+                clock: Time::from_secs(10),
+                rate: u.int_in_range(1_000 - DRIFT_PERMILLE..=1_000 + DRIFT_PERMILLE)?,
+                cut: false,
+                starts: 0,
+            });
+            world.start(i);
+        }
+        Ok(world)
+    }
+
+    /// Draws one fault or lets a calm round pass.
+    pub fn act(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let i = u.choose_index(self.replicas.len())?;
+        match u.int_in_range(0..=31)? {
+            0..=8 => self.round(),
+            9..=12 => self.advance(Duration::from_millis(u.int_in_range(1..=120)?)),
+            13..=15 => self.deliver_some(u)?,
+            16..=17 => self.sync(i, 1),
+            18..=21 => self.propose(),
+            22..=24 => self.read(),
+            25 => self.mail.retain(|(_, to, _)| *to != i),
+            26 => self.replicas[i].cut = !self.replicas[i].cut,
+            27 => self.compact(i),
+            28 => self.crash(i, u.int_in_range(0..=3)?),
+            29 => self.fail_sync(i, u.int_in_range(0..=3)?),
+            30 => self.start(i),
+            _ => self.lose(i),
+        }
+        Ok(())
+    }
+
+    pub fn check(&mut self) {
+        for replica in &self.replicas {
+            let Some(node) = &replica.node else { continue };
+            if node.is_leader() {
+                self.oracle.leads(node.term(), node.id());
+            }
+        }
+        self.note_repair();
+    }
+
+    /// Ends all faults: the cluster must accept again and hold all it ever accepted.
+    pub fn settle(&mut self) {
+        for i in 0..self.replicas.len() {
+            self.replicas[i].cut = false;
+            self.start(i);
+        }
+        let before = self.oracle.commit();
+        for _ in 0..SETTLE_ROUNDS {
+            self.propose();
+            self.round();
+            self.check();
+            let accepted = self.oracle.first_data(before);
+            let done = |r: &Machinery| accepted.is_some_and(|index| r.machine.index >= index);
+            if self.lost.is_none() && self.replicas.iter().all(done) {
+                return;
+            }
+        }
+        let status = self.replicas.iter().filter_map(|r| r.node.as_ref()).map(Node::status);
+        panic!("not settled: {:#?}", status.collect::<Vec<_>>());
+    }
+
+    fn start(&mut self, i: usize) {
+        let peers = (0..self.faults.count).map(name).collect();
+        let replica = &mut self.replicas[i];
+        if replica.node.is_some() {
+            return;
+        }
+        replica.starts += 1;
+        let seed = replica.starts * 1_000 + i as u64;
+        let mut settings = Settings::new(name(i), peers, seed);
+        (settings.tail, settings.chunk, settings.batch) = (2, 5, 200);
+        replica.machine = Machine::default();
+        let restored = replica.disk.load().unwrap();
+        replica.node = Some(Node::open(settings, restored, replica.clock).unwrap());
+        self.pump(i);
+    }
+
+    fn crash(&mut self, i: usize, torn: usize) {
+        let replica = &mut self.replicas[i];
+        replica.node = None;
+        for (_, writes) in replica.queue.drain(..) {
+            replica.disk.stage(&writes);
+        }
+        replica.disk.crash(torn);
+    }
+
+    fn fail_sync(&mut self, i: usize, torn: usize) {
+        let replica = &mut self.replicas[i];
+        let Some((_, writes)) = replica.queue.pop_front() else { return };
+        replica.disk.fail(true);
+        assert!(replica.disk.write(&writes).is_err());
+        replica.disk.fail(false);
+        self.crash(i, torn);
+    }
+
+    fn lose(&mut self, i: usize) {
+        let founded = self.oracle.members().is_some();
+        if !self.faults.lost || self.lost.is_some() || !founded {
+            return;
+        }
+        self.crash(i, 0);
+        self.replicas[i].disk.wipe();
+        self.start(i);
+        self.lost = Some(i);
+    }
+
+    /// Notes that the log has replaced the lost identity.
+    fn note_repair(&mut self) {
+        let Some(i) = self.lost else { return };
+        let Some(node) = &self.replicas[i].node else { return };
+        let Some(members) = self.oracle.members() else { return };
+        if !members.is_joint() && members.get(node.id()).is_some_and(|m| m.voter) {
+            self.lost = None;
+        }
+    }
+
+    fn advance(&mut self, span: Duration) {
+        for i in 0..self.replicas.len() {
+            let replica = &mut self.replicas[i];
+            let rate = u32::try_from(replica.rate).unwrap();
+            replica.clock += span * rate / 1_000;
+            let now = replica.clock;
+            if let Some(node) = replica.node.as_mut().filter(|n| n.wake() <= now) {
+                node.tick(now);
+            }
+            self.pump(i);
+        }
+    }
+
+    /// Time passes, all syncs end, all messages arrive in order.
+    fn round(&mut self) {
+        self.advance(ROUND);
+        (0..self.replicas.len()).for_each(|i| self.sync(i, usize::MAX));
+        for (from, to, message) in std::mem::take(&mut self.mail) {
+            self.deliver(from, to, message);
+        }
+        (0..self.replicas.len()).for_each(|i| self.sync(i, usize::MAX));
+    }
+
+    /// Delivers a few messages out of order, some of them twice.
+    fn deliver_some(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        for _ in 0..u.int_in_range(1..=6)? {
+            if self.mail.is_empty() {
+                break;
+            }
+            let at = u.choose_index(self.mail.len())?;
+            let (from, to, message) = match u.ratio(1, 4)? {
+                true => self.mail[at].clone(),
+                false => self.mail.swap_remove(at),
+            };
+            self.deliver(from, to, message);
+        }
+        Ok(())
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, message: Message) {
+        let silent = self.replicas[from].cut || self.replicas[to].cut;
+        let replica = &mut self.replicas[to];
+        if let Some(node) = replica.node.as_mut().filter(|_| !silent) {
+            node.receive(replica.clock, &name(from), message);
+            self.pump(to);
+        }
+    }
+
+    fn sync(&mut self, i: usize, count: usize) {
+        for _ in 0..count {
+            let replica = &mut self.replicas[i];
+            let Some((ticket, writes)) = replica.queue.pop_front() else { return };
+            replica.disk.write(&writes).unwrap();
+            if let Some(node) = &mut replica.node {
+                node.synced(replica.clock, ticket);
+            }
+            self.pump(i);
+        }
+    }
+
+    fn propose(&mut self) {
+        self.next += 1;
+        let data = self.next.to_le_bytes();
+        for i in 0..self.replicas.len() {
+            let replica = &mut self.replicas[i];
+            let now = replica.clock;
+            if let Some(node) = &mut replica.node {
+                let _ = node.propose(now, [&data[..], &[i as u8]].concat());
+            }
+            self.pump(i);
+        }
+    }
+
+    fn read(&mut self) {
+        for i in 0..self.replicas.len() {
+            self.next += 1;
+            let ctx = self.next;
+            let replica = &mut self.replicas[i];
+            let now = replica.clock;
+            if let Some(node) = &mut replica.node {
+                self.oracle.asked(ctx);
+                let _ = node.read(now, ctx);
+            }
+            self.pump(i);
+        }
+    }
+
+    fn compact(&mut self, i: usize) {
+        let replica = &mut self.replicas[i];
+        if let Some(node) = &mut replica.node {
+            node.compact(replica.machine.index, replica.machine.encode());
+        }
+        self.pump(i);
+    }
+
+    fn pump(&mut self, i: usize) {
+        let Some(node) = &mut self.replicas[i].node else { return };
+        let Ready { writes, messages, ticket, install, committed, reads } = node.ready();
+        let replica = &mut self.replicas[i];
+        if let Some(snapshot) = install {
+            replica.machine = Machine::decode(&snapshot.state);
+            self.oracle.installed(replica.machine);
+        }
+        for entry in &committed {
+            replica.machine.apply(entry);
+            self.oracle.applied(entry, replica.machine);
+        }
+        for read in reads {
+            if let Some(index) = read.index {
+                assert!(replica.machine.index >= index, "a read before its entries");
+                self.oracle.answered(read.ctx, index);
+            }
+        }
+        if !writes.is_empty() {
+            replica.queue.push_back((ticket, writes));
+        }
+        let to = |to: &Instance| (0..self.faults.count).find(|&k| name(k) == *to);
+        let mail = messages.into_iter().filter_map(|(n, m)| Some((i, to(&n)?, m)));
+        self.mail.extend(mail);
+        let excess = self.mail.len().saturating_sub(MAIL_MAX);
+        self.mail.drain(..excess);
+    }
+}
--- a/crates/bronzespool-consensus/tests/membership.rs
+++ b/crates/bronzespool-consensus/tests/membership.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use {
-    bronzespool_consensus::{Error, Member, Role},
+    bronzespool_consensus::{Error, Hard, Member, Role, Storage, Write},
     bronzespool_core::Code,
     common::{Cluster, SECOND, name},
 };
@@ -111,6 +111,61 @@
     assert_eq!(voters(&mut c, leader), 3);
 }
 
+#[test]
+fn receive_learner_of_lost_leader_asks_again() {
+    let mut c = Cluster::new(3);
+    c.commit(b"a");
+    let old = c.elect();
+    let (lost, other) = ((old + 1) % 3, (old + 2) % 3);
+    c.wipe(lost);
+    // The learner's entry reaches the learner alone; its leader crashes before its own sync.
+    let disk = c.replicas[old].disk.clone();
+    c.run(SECOND * 11 / 10);
+    c.cut[other] = true;
+    c.until("learner", |c| c.node(lost).status().role == Role::Learner);
+    c.stop(old);
+    c.replicas[old].disk = disk;
+    c.start(old);
+    c.cut[other] = false;
+    repaired(&mut c, lost);
+}
+
+#[test]
+fn receive_blank_member_after_compaction_takes_part() {
+    let mut c = Cluster::new(3);
+    // The founding entry reaches the first two only, and is compacted away.
+    c.until("founding", |c| {
+        c.cut[2] = c.node(0).status().cluster != 0;
+        c.mail.retain(|(_, to, _)| *to != 2 || !c.cut[2]);
+        c.cut[2]
+    });
+    assert_eq!(c.node(2).status().role, Role::Blank);
+    let index = c.commit(b"a");
+    c.run(SECOND);
+    for i in 0..2 {
+        let state = common::encode(&c.replicas[i].state);
+        c.node(i).compact(index, state);
+        c.pump(i);
+        c.stop(i);
+        c.start(i);
+    }
+    c.wipe(1);
+    c.cut[2] = false;
+    c.commit(b"b");
+    repaired(&mut c, 1);
+}
+
+#[test]
+fn open_torn_founding_starts_again() {
+    let mut c = Cluster::new(3);
+    let id = c.node(0).id();
+    c.stop(0);
+    let torn = Hard { id, cluster: id.0, term: 1, vote: None };
+    c.replicas[0].disk.write(&[Write::Hard(torn)]).unwrap();
+    c.start(0);
+    c.commit(b"a");
+}
+
 #[test]
 fn receive_rival_of_live_identity_waits() {
     let mut c = Cluster::new(3);
--- a/crates/bronzespool-consensus/tests/message.rs
+++ b/crates/bronzespool-consensus/tests/message.rs
@@ -28,7 +28,7 @@
     ];
     vec![
         Body::Hello,
-        Body::Welcome { retired: true },
+        Body::Welcome { retired: true, listed: false },
         Body::Genesis(members()),
         Body::Vote { trial: true, last_index: 300, last_term: 4 },
         Body::Voted { trial: false, granted: true },
