--- a/crates/bronzespool-consensus/tests/common/mod.rs
+++ b/crates/bronzespool-consensus/tests/common/mod.rs
@@ -4,7 +4,8 @@
 
 use {
     bronzespool_consensus::{
-        Entry, Error, Index, Message, Node, Read, Settings, Storage, fake::MemoryStorage,
+        Body, Change, Entry, Error, Hard, Id, Index, Members, Message, Node, Read, Ready, Settings,
+        Storage, Write, fake::MemoryStorage,
     },
     bronzespool_core::{Instance, Time},
     std::{collections::BTreeMap, time::Duration},
@@ -32,6 +33,8 @@
     pub replicas: Vec<Replica>,
     pub cut: Vec<bool>,
     pub mail: Vec<(usize, usize, Message)>,
+    /// Appends that were refused.
+    pub rejected: usize,
     pub starts: u64,
     pub tune: fn(&mut Settings),
 }
@@ -47,6 +50,7 @@
             replicas: (0..count).map(|_| Replica::default()).collect(),
             cut: vec![false; count],
             mail: Vec::new(),
+            rejected: 0,
             starts: 0,
             tune,
         };
@@ -127,6 +131,7 @@
             if self.cut[from] || self.cut[to] {
                 continue;
             }
+            self.rejected += usize::from(matches!(message.body, Body::Rejected { .. }));
             let message = Message::decode(&message.encode().unwrap()).unwrap();
             if let Some(node) = &mut self.replicas[to].node {
                 node.receive(now, &name(from), message);
@@ -184,6 +189,30 @@
     }
 }
 
+pub const OWN: Id = Id(1);
+pub const OTHER: Id = Id(2);
+
+/// The first of three replicas of a founded cluster, past the time in which it may not vote.
+pub fn follower() -> (Node, Time) {
+    let members = Members::initial((0..3).map(|i| (Id(i as u64 + 1), name(i))));
+    let entry = Entry { index: 1, term: 1, change: Change::Members(members) };
+    let hard = Hard { id: OWN, cluster: 9, term: 1, vote: None };
+    let mut disk = MemoryStorage::default();
+    disk.write(&[Write::Hard(hard), Write::Append(vec![entry])]).unwrap();
+    let settings = Settings::new(name(0), (0..3).map(name).collect(), 1);
+    let node = Node::open(settings, disk.load().unwrap(), Time::ZERO).unwrap();
+    (node, Time::ZERO + SECOND)
+}
+
+/// A message from the second replica to the first.
+pub fn message(term: u64, body: Body) -> Message {
+    Message { cluster: 9, from: OTHER, to: OWN, term, body }
+}
+
+pub fn bodies(ready: Ready) -> Vec<Body> {
+    ready.messages.into_iter().map(|(_, m)| m.body).collect()
+}
+
 pub fn encode(state: &[Vec<u8>]) -> Vec<u8> {
     postcard::to_stdvec(state).unwrap()
 }
--- a/crates/bronzespool-consensus/tests/durability.rs
+++ b/crates/bronzespool-consensus/tests/durability.rs
@@ -4,36 +4,12 @@
 
 use {
     bronzespool_consensus::{
-        Body, Change, Entry, Hard, Id, Members, Message, Node, Ready, Settings, Storage, Write,
-        fake::MemoryStorage,
+        Body, Change, Entry, Hard, Node, Settings, Storage, Write, fake::MemoryStorage,
     },
     bronzespool_core::Time,
-    common::{SECOND, name},
+    common::{OTHER, OWN, bodies, follower, message, name},
 };
 
-const OWN: Id = Id(1);
-const OTHER: Id = Id(2);
-
-/// The first of three replicas of a founded cluster, past the time in which it may not vote.
-fn follower() -> (Node, Time) {
-    let members = Members::initial((0..3).map(|i| (Id(i as u64 + 1), name(i))));
-    let entry = Entry { index: 1, term: 1, change: Change::Members(members) };
-    let hard = Hard { id: OWN, cluster: 9, term: 1, vote: None };
-    let mut disk = MemoryStorage::default();
-    disk.write(&[Write::Hard(hard), Write::Append(vec![entry])]).unwrap();
-    let settings = Settings::new(name(0), (0..3).map(name).collect(), 1);
-    let node = Node::open(settings, disk.load().unwrap(), Time::ZERO).unwrap();
-    (node, Time::ZERO + SECOND)
-}
-
-fn message(term: u64, body: Body) -> Message {
-    Message { cluster: 9, from: OTHER, to: OWN, term, body }
-}
-
-fn bodies(ready: Ready) -> Vec<Body> {
-    ready.messages.into_iter().map(|(_, m)| m.body).collect()
-}
-
 #[test]
 fn receive_vote_waits_for_sync() {
     let (mut node, now) = follower();
