feat(consensus): hand leadership over for a planned stop

A planned stop cost the cluster an election time without a leader. The leader now gives up its lease, then asks a voter that holds the whole log to start an election at once; votes for that election need not wait for the lease.

--- a/crates/bronzespool-consensus/src/lib.rs
+++ b/crates/bronzespool-consensus/src/lib.rs
@@ -45,7 +45,7 @@
     entry::{Change, Entry, Id, Index, Payload, Term},
     error::{Error, Result},
     members::{Member, Members},
-    message::{Body, MESSAGE_MAX_BYTES, Message},
+    message::{Ballot, Body, MESSAGE_MAX_BYTES, Message},
     node::{Node, Read, Ready, Replica, Role, Status, Ticket},
     settings::Settings,
     snapshot::{Meta, Snapshot},
--- a/crates/bronzespool-consensus/src/message.rs
+++ b/crates/bronzespool-consensus/src/message.rs
@@ -33,6 +33,17 @@
     pub body: Body,
 }
 
+/// Kind of election.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ballot {
+    /// Asks only whether an election could be won.
+    Trial,
+    /// Follows a leader's silence.
+    Regular,
+    /// Follows a leader's request, who has given up its lease.
+    HandOver,
+}
+
 /// Contents of a message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
@@ -49,8 +60,8 @@
     Genesis(Members),
     /// Request for a vote.
     Vote {
-        /// Whether it only asks if an election could be won.
-        trial: bool,
+        /// Kind of election.
+        ballot: Ballot,
         /// Last index of the candidate's log.
         last_index: Index,
         /// Term of that entry.
@@ -59,7 +70,7 @@
     /// Answer to `Vote`.
     Voted {
         /// As in the request.
-        trial: bool,
+        ballot: Ballot,
         /// Whether the vote is given.
         granted: bool,
     },
@@ -97,6 +108,8 @@
         /// Number of the round.
         seq: u64,
     },
+    /// The leader has given up its lease and asks the receiver to take over.
+    TakeOver,
     /// A part of a snapshot.
     Chunk {
         /// The whole snapshot's description.
--- a/crates/bronzespool-consensus/src/node/election.rs
+++ b/crates/bronzespool-consensus/src/node/election.rs
@@ -4,7 +4,7 @@
     super::{Node, Phase, leader::Leader},
     crate::{
         entry::{Change, Id, Index, Term},
-        message::{Body, Message},
+        message::{Ballot, Body, Message},
     },
     bronzespool_core::Instance,
     std::time::Duration,
@@ -32,8 +32,9 @@
             return true;
         }
         match message.body {
-            Body::Vote { trial: true, .. } | Body::Voted { trial: true, granted: true } => true,
-            Body::Vote { .. } if self.is_bound() => false,
+            Body::Vote { ballot: Ballot::Trial, .. } => true,
+            Body::Voted { ballot: Ballot::Trial, granted: true } => true,
+            Body::Vote { ballot: Ballot::Regular, .. } if self.is_bound() => false,
             _ => {
                 self.become_follower(message.term);
                 true
@@ -44,7 +45,7 @@
     /// Tells a sender of a former term about the present one.
     fn answer_old(&mut self, from: &Instance, message: &Message) {
         let body = match message.body {
-            Body::Vote { trial, .. } => Body::Voted { trial, granted: false },
+            Body::Vote { ballot, .. } => Body::Voted { ballot, granted: false },
             Body::Append { .. } | Body::Heartbeat { .. } | Body::Chunk { .. } => {
                 Body::Alive { seq: 0 }
             }
@@ -83,29 +84,30 @@
             return;
         }
         self.phase = Phase::Trial(Vec::new());
-        self.ask_votes(true);
-        self.on_voted(self.hard.id, self.hard.term + 1, true, true);
+        self.ask_votes(Ballot::Trial);
+        self.on_voted(self.hard.id, self.hard.term + 1, Ballot::Trial, true);
     }
 
-    fn start_vote(&mut self) {
+    pub(super) fn start_vote(&mut self, ballot: Ballot) {
         self.hard.term += 1;
         self.hard.vote = Some(self.hard.id);
         self.save();
         self.phase = Phase::Candidate(Vec::new());
         self.reset_deadline();
-        self.ask_votes(false);
+        self.ask_votes(ballot);
         let name = self.settings.name.clone();
-        let own = Body::Voted { trial: false, granted: true };
+        let own = Body::Voted { ballot, granted: true };
         self.send_synced(&name, self.hard.id, self.hard.term, own);
     }
 
-    fn ask_votes(&mut self, trial: bool) {
+    fn ask_votes(&mut self, ballot: Ballot) {
+        let trial = ballot == Ballot::Trial;
         let (last_index, last_term) = (self.log.last(), self.log.last_term());
         let term = self.hard.term + u64::from(trial);
         let (members, own) = (self.log.members().clone(), self.hard.id);
         let asked = |id: Id| id != own && members.is_voter(id);
         for member in members.list.iter().filter(|m| asked(m.id)) {
-            let body = Body::Vote { trial, last_index, last_term };
+            let body = Body::Vote { ballot, last_index, last_term };
             if trial {
                 self.send_to(&member.name, member.id, term, body);
             } else {
@@ -117,17 +119,16 @@
     pub(super) fn on_vote(
         &mut self,
         from: &Instance,
-        id: Id,
-        term: Term,
-        trial: bool,
+        (id, term): (Id, Term),
+        ballot: Ballot,
         last: (Term, Index),
     ) {
         let current = last >= (self.log.last_term(), self.log.last());
         let free = term > self.hard.term || self.hard.vote.is_none_or(|vote| vote == id);
-        let granted = current && free && !self.is_bound();
-        if trial {
+        let granted = current && free && (ballot == Ballot::HandOver || !self.is_bound());
+        if ballot == Ballot::Trial {
             let term = if granted { term } else { self.hard.term };
-            self.send_to(from, id, term, Body::Voted { trial, granted });
+            self.send_to(from, id, term, Body::Voted { ballot, granted });
             return;
         }
         if granted {
@@ -135,10 +136,11 @@
             self.save();
             self.reset_deadline();
         }
-        self.send_synced(from, id, self.hard.term, Body::Voted { trial, granted });
+        self.send_synced(from, id, self.hard.term, Body::Voted { ballot, granted });
     }
 
-    pub(super) fn on_voted(&mut self, id: Id, term: Term, trial: bool, granted: bool) {
+    pub(super) fn on_voted(&mut self, id: Id, term: Term, ballot: Ballot, granted: bool) {
+        let trial = ballot == Ballot::Trial;
         let wanted = self.hard.term + u64::from(trial);
         if !granted || term != wanted {
             return;
@@ -155,7 +157,7 @@
             return;
         }
         if trial {
-            self.start_vote();
+            self.start_vote(Ballot::Regular);
         } else {
             self.become_leader();
         }
--- a/crates/bronzespool-consensus/src/node/mod.rs
+++ b/crates/bronzespool-consensus/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod append;
 mod election;
+mod handover;
 mod joining;
 mod leader;
 mod output;
@@ -263,10 +264,11 @@
         }
         let (id, term) = (message.from, message.term);
         match message.body {
-            Body::Vote { trial, last_index, last_term } => {
-                self.on_vote(from, id, term, trial, (last_term, last_index));
+            Body::Vote { ballot, last_index, last_term } => {
+                self.on_vote(from, (id, term), ballot, (last_term, last_index));
             }
-            Body::Voted { trial, granted } => self.on_voted(id, term, trial, granted),
+            Body::Voted { ballot, granted } => self.on_voted(id, term, ballot, granted),
+            Body::TakeOver => self.on_take_over(id),
             Body::Append { prev_index, prev_term, commit, entries } => {
                 self.on_append(from, id, (prev_index, prev_term), commit, entries);
             }
--- a/crates/bronzespool-consensus/tests/chaos/world.rs
+++ b/crates/bronzespool-consensus/tests/chaos/world.rs
@@ -92,7 +92,7 @@
     /// Draws one fault or lets a calm round pass.
     pub fn act(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
         let i = u.choose_index(self.replicas.len())?;
-        match u.int_in_range(0..=33)? {
+        match u.int_in_range(0..=34)? {
             0..=8 => self.round(),
             9..=12 => self.advance(Duration::from_millis(u.int_in_range(1..=120)?)),
             13..=15 => self.deliver_some(u)?,
@@ -106,6 +106,7 @@
             29 => self.fail_sync(i, u.int_in_range(0..=3)?),
             30 => self.start(i),
             31 => self.lose(i),
+            32 => self.hand_over(i),
             _ => self.replicas[i].stalled = !self.replicas[i].stalled,
         }
         Ok(())
@@ -293,6 +294,14 @@
         }
     }
 
+    fn hand_over(&mut self, i: usize) {
+        let replica = &mut self.replicas[i];
+        if let Some(node) = &mut replica.node {
+            let _ = node.hand_over(replica.clock);
+        }
+        self.pump(i);
+    }
+
     fn compact(&mut self, i: usize) {
         let replica = &mut self.replicas[i];
         if let Some(node) = &mut replica.node {
--- a/crates/bronzespool-consensus/tests/durability.rs
+++ b/crates/bronzespool-consensus/tests/durability.rs
@@ -4,7 +4,7 @@
 
 use {
     bronzespool_consensus::{
-        Body, Change, Entry, Hard, Node, Settings, Storage, Write, fake::MemoryStorage,
+        Ballot, Body, Change, Entry, Hard, Node, Settings, Storage, Write, fake::MemoryStorage,
     },
     bronzespool_core::Time,
     common::{OTHER, OWN, bodies, follower, message, name},
@@ -13,7 +13,7 @@
 #[test]
 fn receive_vote_waits_for_sync() {
     let (mut node, now) = follower();
-    let vote = Body::Vote { trial: false, last_index: 1, last_term: 1 };
+    let vote = Body::Vote { ballot: Ballot::Regular, last_index: 1, last_term: 1 };
     node.receive(now, &name(1), message(2, vote));
     let ready = node.ready();
     let hard = Hard { id: OWN, cluster: 9, term: 2, vote: Some(OTHER) };
@@ -22,7 +22,7 @@
     assert_eq!(bodies(ready), []);
     assert_eq!(bodies(node.ready()), []);
     node.synced(now, ticket);
-    assert_eq!(bodies(node.ready()), [Body::Voted { trial: false, granted: true }]);
+    assert_eq!(bodies(node.ready()), [Body::Voted { ballot: Ballot::Regular, granted: true }]);
 }
 
 #[test]
@@ -51,13 +51,13 @@
 fn tick_own_vote_waits_for_sync() {
     let (mut node, now) = follower();
     node.tick(now);
-    let trial = Body::Voted { trial: true, granted: true };
+    let trial = Body::Voted { ballot: Ballot::Trial, granted: true };
     node.receive(now, &name(1), message(2, trial));
     let ready = node.ready();
     let ticket = ready.ticket;
     let asked = bodies(ready);
-    assert!(!asked.iter().any(|b| matches!(b, Body::Vote { trial: false, .. })));
-    node.receive(now, &name(1), message(2, Body::Voted { trial: false, granted: true }));
+    assert!(!asked.iter().any(|b| matches!(b, Body::Vote { ballot: Ballot::Regular, .. })));
+    node.receive(now, &name(1), message(2, Body::Voted { ballot: Ballot::Regular, granted: true }));
     assert!(!node.is_leader());
     node.synced(now, ticket);
     assert!(node.is_leader());
--- a/crates/bronzespool-consensus/tests/election.rs
+++ b/crates/bronzespool-consensus/tests/election.rs
@@ -90,6 +90,35 @@
     assert_ne!(old, new);
 }
 
+#[test]
+fn hand_over_is_faster_than_an_election() {
+    let mut c = Cluster::new(3);
+    c.commit(b"a");
+    let old = c.elect();
+    c.run(SECOND);
+    let now = c.now;
+    let next = c.node(old).hand_over(now).unwrap();
+    assert!(!c.node(old).lease(now) && c.propose(old, b"x").is_err());
+    c.until("next leader", |c| c.leader().is_some_and(|i| common::name(i) == next));
+    assert!(c.now.since(now) <= common::STEP * 6);
+    c.commit(b"b");
+    c.run(SECOND);
+    assert!(c.replicas.iter().all(|r| r.state == [b"a".to_vec(), b"b".to_vec()]));
+}
+
+#[test]
+fn hand_over_without_whole_follower_waits() {
+    let mut c = Cluster::new(3);
+    c.commit(b"a");
+    let leader = c.elect();
+    c.propose(leader, b"b").unwrap();
+    let now = c.now;
+    assert_eq!(c.node(leader).hand_over(now), Err(Error::Busy));
+    c.run(SECOND);
+    let now = c.now;
+    assert!(c.node(leader).hand_over(now).is_ok());
+}
+
 #[test]
 fn propose_backlog_full_is_busy() {
     let mut c = Cluster::tuned(3, |s| s.backlog = 100);
--- a/crates/bronzespool-consensus/tests/message.rs
+++ b/crates/bronzespool-consensus/tests/message.rs
@@ -2,7 +2,7 @@
 
 use {
     arbtest::{arbitrary::Unstructured, arbtest},
-    bronzespool_consensus::{Body, Change, Entry, Id, Members, Message, Snapshot},
+    bronzespool_consensus::{Ballot, Body, Change, Entry, Id, Members, Message, Snapshot},
     bronzespool_core::{Code, Instance},
 };
 
@@ -30,13 +30,14 @@
         Body::Hello,
         Body::Welcome { retired: true, listed: false },
         Body::Genesis(members()),
-        Body::Vote { trial: true, last_index: 300, last_term: 4 },
-        Body::Voted { trial: false, granted: true },
+        Body::Vote { ballot: Ballot::Trial, last_index: 300, last_term: 4 },
+        Body::Voted { ballot: Ballot::Regular, granted: true },
         Body::Append { prev_index: 4, prev_term: 1, commit: 3, entries },
         Body::Matched(7),
         Body::Rejected { prev_index: 4, hint_index: 3, hint_term: 1 },
         Body::Heartbeat { seq: 9, commit: 3 },
         Body::Alive { seq: 9 },
+        Body::TakeOver,
         Body::Chunk { meta, offset: 50, bytes: vec![3; 50].into() },
         Body::Wanted { index: 9, offset: 50 },
     ]
--- a/crates/bronzespool-consensus/tests/replication.rs
+++ b/crates/bronzespool-consensus/tests/replication.rs
@@ -4,7 +4,7 @@
 
 use {
     bronzespool_consensus::{
-        Body, Change, Entry, Id, Members, Message, Node, Role, Settings, Snapshot, Storage,
+        Ballot, Body, Change, Entry, Id, Members, Message, Node, Role, Settings, Snapshot, Storage,
         fake::MemoryStorage,
     },
     bronzespool_core::Time,
@@ -20,8 +20,8 @@
 /// Makes a follower the leader of a term by the second replica's votes.
 fn elect(node: &mut Node, now: Time, term: u64) {
     node.tick(now);
-    for trial in [true, false] {
-        node.receive(now, &name(1), message(term, Body::Voted { trial, granted: true }));
+    for ballot in [Ballot::Trial, Ballot::Regular] {
+        node.receive(now, &name(1), message(term, Body::Voted { ballot, granted: true }));
         sync(node, now);
     }
     sync(node, now);
