--- a/crates/bronzespool-consensus/src/log.rs
+++ b/crates/bronzespool-consensus/src/log.rs
@@ -15,11 +15,13 @@
     base_term: Term,
     entries: VecDeque<Entry>,
     sets: Vec<(Index, Members)>,
+    /// Bytes of the entries added since the last snapshot.
+    bytes: usize,
 }
 
 impl Log {
     pub(crate) fn new(base: Index, base_term: Term, members: Members) -> Self {
-        Self { base, base_term, entries: VecDeque::new(), sets: vec![(base, members)] }
+        Self { base, base_term, entries: VecDeque::new(), sets: vec![(base, members)], bytes: 0 }
     }
 
     pub(crate) const fn base(&self) -> Index {
@@ -68,9 +70,19 @@
         if let Change::Members(members) = &entry.change {
             self.sets.push((entry.index, members.clone()));
         }
+        self.bytes += entry.size();
         self.entries.push_back(entry);
     }
 
+    /// Bytes of the entries added since [`Self::restart_count`].
+    pub(crate) const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    pub(crate) const fn restart_count(&mut self) {
+        self.bytes = 0;
+    }
+
     /// Drops the entries from an index on.
     pub(crate) fn truncate(&mut self, from: Index) {
         let keep = from.saturating_sub(self.base + 1);
--- a/crates/bronzespool-consensus/src/node/joining.rs
+++ b/crates/bronzespool-consensus/src/node/joining.rs
@@ -200,10 +200,12 @@
         }
     }
 
-    /// A learner that holds all that is committed, in place of a silent identity.
+    /// A learner that holds all that was committed a heartbeat ago, in place of a silent identity.
+    /// Under load a learner never holds what is committed at the very moment.
     fn caught_up(&self) -> Option<Id> {
         let Phase::Leader(leader) = &self.phase else { return None };
-        let whole = |id: Id| leader.others.get(&id).is_some_and(|p| p.matched >= self.commit);
+        let mark = leader.marks[1];
+        let whole = |id: Id| leader.others.get(&id).is_some_and(|p| p.matched >= mark);
         let learners = self.log.members().list.iter().filter(|m| !m.voter);
         let mut ready = learners.filter(|m| whole(m.id) && !self.is_occupied(&m.name, m.id));
         ready.next().map(|m| m.id)
--- a/crates/bronzespool-consensus/src/node/leader.rs
+++ b/crates/bronzespool-consensus/src/node/leader.rs
@@ -24,6 +24,8 @@
     pub(super) beat: Time,
     /// Last round of heartbeats.
     pub(super) seq: u64,
+    /// Commit index at the last heartbeat and at the one before.
+    pub(super) marks: [Index; 2],
     /// Rounds and when they were sent.
     rounds: VecDeque<(u64, Time)>,
     pub(super) others: BTreeMap<Id, Progress>,
@@ -39,6 +41,7 @@
             start,
             beat: now,
             seq: 0,
+            marks: [Index::MAX; 2],
             rounds: VecDeque::new(),
             others: BTreeMap::new(),
             reads: Vec::new(),
@@ -135,10 +138,17 @@
         if self.now >= beat {
             self.repeat_lost();
             self.begin_round();
+            self.mark_commit();
             self.maintain_members();
         }
     }
 
+    fn mark_commit(&mut self) {
+        let commit = self.commit;
+        let Phase::Leader(leader) = &mut self.phase else { return };
+        leader.marks = [commit, leader.marks[0]];
+    }
+
     /// Commits what a quorum holds durably.
     pub(super) fn advance_commit(&mut self) {
         let Phase::Leader(leader) = &self.phase else { return };
--- a/crates/bronzespool-consensus/src/node/mod.rs
+++ b/crates/bronzespool-consensus/src/node/mod.rs
@@ -194,7 +194,7 @@
         self.tick_joining();
         match self.phase {
             Phase::Leader(_) => self.tick_leader(),
-            _ if self.now >= self.deadline => self.start_trial(),
+            _ if self.now >= self.deadline && !self.retired => self.start_trial(),
             _ => {}
         }
     }
@@ -203,6 +203,7 @@
     pub fn wake(&self) -> Time {
         let due = match &self.phase {
             Phase::Leader(leader) => leader.beat,
+            _ if self.retired => Time::MAX,
             _ => self.deadline,
         };
         due.min(self.joining_due())
@@ -231,6 +232,7 @@
         let snapshot = Arc::new(Snapshot::new(index, term, members, state));
         self.write(Write::Snapshot(snapshot.clone()));
         self.snapshot = Some(snapshot);
+        self.log.restart_count();
         self.log.compact(index.saturating_sub(self.settings.tail).max(self.log.base()));
     }
 
--- a/crates/bronzespool-consensus/src/node/status.rs
+++ b/crates/bronzespool-consensus/src/node/status.rs
@@ -83,13 +83,20 @@
             commit: self.commit,
             last: self.log.last(),
             snapshot,
-            snapshot_due: self.applied - snapshot >= self.settings.threshold,
+            snapshot_due: self.is_snapshot_due(),
             joint: members.is_joint(),
             members: members.list.iter().map(|m| self.replica(m)).collect(),
             fault: self.retired.then_some(Code::ReplicaUnknown),
         }
     }
 
+    /// Whether the log since the last snapshot is long enough to take another.
+    pub fn is_snapshot_due(&self) -> bool {
+        let done = self.snapshot.as_ref().map_or(0, |s| s.meta.index);
+        let many = self.applied - done >= self.settings.threshold;
+        self.applied > done && (many || self.log.bytes() >= self.settings.log_bytes)
+    }
+
     fn role(&self) -> Role {
         match &self.phase {
             _ if self.retired => Role::Retired,
--- a/crates/bronzespool-consensus/src/settings.rs
+++ b/crates/bronzespool-consensus/src/settings.rs
@@ -32,6 +32,8 @@
     pub backlog: usize,
     /// Entries since the last snapshot after which [`crate::Status::snapshot_due`] is set.
     pub threshold: u64,
+    /// Bytes of entries since the last snapshot after which it is set as well.
+    pub log_bytes: usize,
     /// Entries kept in memory before a snapshot for followers that lag a little.
     pub tail: u64,
     /// Bytes of one part of a snapshot.
@@ -57,6 +59,7 @@
             inflight: 16,
             backlog: 16 * KIB * KIB,
             threshold: 10_000,
+            log_bytes: 16 * KIB * KIB,
             tail: 1_000,
             chunk: 128 * KIB,
             seed,
--- a/crates/bronzespool-consensus/src/snapshot.rs
+++ b/crates/bronzespool-consensus/src/snapshot.rs
@@ -12,7 +12,7 @@
 };
 
 /// Largest state in a snapshot.
-const STATE_MAX_BYTES: u64 = 64 << 20;
+const STATE_MAX_BYTES: u64 = 256 << 20;
 
 /// Description of a snapshot.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/bronzespool-consensus/tests/membership.rs
+++ b/crates/bronzespool-consensus/tests/membership.rs
@@ -90,6 +90,21 @@
     assert!((0..2).all(|i| c.node(i).status().role == Role::Blank));
 }
 
+#[test]
+fn receive_lost_disk_under_load_is_replaced() {
+    let mut c = Cluster::new(3);
+    c.commit(b"a");
+    let leader = c.elect();
+    let lost = (leader + 1) % 3;
+    c.wipe(lost);
+    let id = c.node(lost).id();
+    c.until("repair under load", |c| {
+        let _ = c.propose(leader, &[0; 100]);
+        let status = c.node(leader).status();
+        !status.joint && status.members.iter().any(|m| m.id == id && m.voter)
+    });
+}
+
 #[test]
 fn receive_old_disk_after_replacement_is_retired() {
     let mut c = Cluster::new(3);
--- a/crates/bronzespool-consensus/tests/snapshot.rs
+++ b/crates/bronzespool-consensus/tests/snapshot.rs
@@ -95,6 +95,17 @@
     assert_eq!(c.replicas[other].state.len(), 101);
 }
 
+#[test]
+fn is_snapshot_due_follows_bytes() {
+    let mut c = Cluster::tuned(1, |s| s.log_bytes = 1_000);
+    c.commit(&[1; 800]);
+    assert!(!c.node(0).is_snapshot_due());
+    c.commit(&[2; 800]);
+    assert!(c.node(0).is_snapshot_due());
+    compact(&mut c, 0);
+    assert!(!c.node(0).is_snapshot_due());
+}
+
 #[test]
 fn compact_beyond_applied_is_ignored() {
     let mut c = Cluster::new(1);
