--- a/crates/bronzespool-cli/src/args/help.rs
+++ b/crates/bronzespool-cli/src/args/help.rs
@@ -91,7 +91,7 @@
 const OPTIONS: &str = "
 options:
   --at IP:PORT        operators' address of an entry instance (else $BRONZESPOOL_AT)
-  --timeout DURATION  longest wait for an answer, such as 500ms or 30s (30s when left out)
+  --timeout DURATION  longest wait for an answer, such as 500ms (30s when left out, 60s with --wait)
   --json              print for a program
   -h, --help          print this, or the help of a command
 ";
--- a/crates/bronzespool-cli/src/args/mod.rs
+++ b/crates/bronzespool-cli/src/args/mod.rs
@@ -16,6 +16,8 @@
 pub const AT_VARIABLE: &str = "BRONZESPOOL_AT";
 /// Longest wait for an answer when `--timeout` does not say.
 pub const TIME: Duration = Duration::from_secs(30);
+/// The same for `publish --wait`, which the entry answers only once the change is in force.
+pub const WAIT_TIME: Duration = Duration::from_secs(60);
 
 /// A checked command line.
 #[derive(Clone, Debug, PartialEq)]
@@ -58,6 +60,16 @@
     Report(Option<Page>),
 }
 
+impl Command {
+    /// Longest wait for an answer when the arguments do not say.
+    const fn time(&self) -> Duration {
+        match self {
+            Self::Publish(Publish { wait: true, .. }) => WAIT_TIME,
+            _ => TIME,
+        }
+    }
+}
+
 /// A change of the configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Publish {
@@ -90,7 +102,7 @@
         let mut args = Arguments::from_vec(args);
         let help = args.contains(["-h", "--help"]);
         let json = args.contains("--json");
-        let time = args.opt_value_from_fn("--timeout", span).map_err(usage)?.unwrap_or(TIME);
+        let time = args.opt_value_from_fn("--timeout", span).map_err(usage)?;
         let named = args.opt_value_from_fn("--at", addr).map_err(usage)?;
         let command = args.subcommand().map_err(usage)?;
         let command = match command.as_deref() {
@@ -107,6 +119,7 @@
             }
             None => named,
         };
+        let time = time.unwrap_or_else(|| command.time());
         Ok(Self { at, json, time, command })
     }
 }
--- a/crates/bronzespool-cli/src/report/mod.rs
+++ b/crates/bronzespool-cli/src/report/mod.rs
@@ -21,7 +21,7 @@
     pub target: f64,
     /// Time in milliseconds within which a good answer arrives.
     pub within_ms: u64,
-    /// Requests in the long window.
+    /// Requests in the window of the budget.
     pub total: u64,
     /// Good ones among them.
     pub good: u64,
@@ -37,7 +37,7 @@
     pub short_s: f64,
     /// Length of the long window in seconds.
     pub long_s: f64,
-    /// Points of time in seconds and burn rate, the oldest first.
+    /// Points of time in seconds and burn rate, the oldest first; may be empty.
     #[serde(default)]
     pub history: Vec<(f64, f64)>,
 }
--- a/crates/bronzespool-cli/src/report/plot.rs
+++ b/crates/bronzespool-cli/src/report/plot.rs
@@ -21,6 +21,8 @@
 const BURN_MIN: f64 = 2.0;
 /// Largest burn rate drawn; higher ones are cut off.
 const BURN_MAX: f64 = 1_000.0;
+/// Earliest time drawn, in minutes before now: 30 days.
+const TIME_MIN: f64 = -43_200.0;
 /// Seconds in a minute.
 const MINUTE: f64 = 60.0;
 
@@ -29,6 +31,8 @@
 
 /// The history of each row's burn rate as a line in an SVG document.
 ///
+/// A row without history is drawn as two steps: its burn rates over the long and the short window.
+///
 /// # Errors
 ///
 /// The plot cannot be drawn.
@@ -42,23 +46,24 @@
 
 fn draw(area: &Area<'_>, rows: &[Row]) -> Drawn {
     area.fill(&WHITE)?;
-    let (start, end) = bounds(rows);
-    let top = rows.iter().flat_map(points).map(|(_, burn)| burn).fold(BURN_MIN, f64::max);
+    let lines: Vec<_> = lines(rows);
+    let all = || lines.iter().flatten();
+    let start = all().map(|&(time, _)| time).fold(-1.0, f64::min);
+    let top = all().map(|&(_, burn)| burn).fold(BURN_MIN, f64::max);
     let mut chart = ChartBuilder::on(area)
         .caption("Burn rate of service-level targets", ("sans-serif", 20).into_font())
         .margin(10)
         .x_label_area_size(40)
         .y_label_area_size(50)
-        .build_cartesian_2d((start - end) / MINUTE..0.0, 0.0..top * 1.1)?;
+        .build_cartesian_2d(start..0.0, 0.0..top * 1.1)?;
     chart.configure_mesh().x_desc("minutes before now").y_desc("burn rate").draw()?;
-    let limit = [((start - end) / MINUTE, 1.0), (0.0, 1.0)];
+    let limit = [(start, 1.0), (0.0, 1.0)];
     chart
         .draw_series(LineSeries::new(limit, RED))?
         .label("budget spent exactly")
         .legend(|(x, y)| PathElement::new([(x, y), (x + 16, y)], RED));
-    for (i, row) in rows.iter().enumerate() {
+    for (i, (row, line)) in rows.iter().zip(lines).enumerate() {
         let style = Palette99::pick(i).stroke_width(2);
-        let line = points(row).map(|(time, burn)| ((time - end) / MINUTE, burn));
         chart
             .draw_series(LineSeries::new(line, style))?
             .label(row.label())
@@ -69,16 +74,25 @@
     Ok(())
 }
 
-/// The points that can be drawn.
-fn points(row: &Row) -> impl Iterator<Item = (f64, f64)> + '_ {
-    let finite = row.history.iter().filter(|(time, burn)| time.is_finite() && burn.is_finite());
-    finite.map(|&(time, burn)| (time, burn.clamp(0.0, BURN_MAX)))
+/// The points of each row: minutes before now and burn rate.
+fn lines(rows: &[Row]) -> Vec<Vec<(f64, f64)>> {
+    let times = rows.iter().flat_map(|row| &row.history).map(|&(time, _)| time);
+    let end = times.filter(|time| time.is_finite()).reduce(f64::max).unwrap_or(0.0);
+    rows.iter().map(|row| line(row, end)).collect()
+}
+
+fn line(row: &Row, end: f64) -> Vec<(f64, f64)> {
+    let points = match row.history.is_empty() {
+        true => steps(row),
+        false => row.history.iter().map(|&(time, burn)| ((time - end) / MINUTE, burn)).collect(),
+    };
+    let finite = points.into_iter().filter(|(time, burn)| time.is_finite() && burn.is_finite());
+    finite.map(|(time, burn)| (time.clamp(TIME_MIN, 0.0), burn.clamp(0.0, BURN_MAX))).collect()
 }
 
-/// First and last time of all rows, at least a minute apart.
-fn bounds(rows: &[Row]) -> (f64, f64) {
-    let times = || rows.iter().flat_map(points).map(|(time, _)| time);
-    let end = times().reduce(f64::max).unwrap_or(0.0);
-    let start = times().reduce(f64::min).unwrap_or(0.0);
-    (start.min(end - MINUTE), end)
+/// Burn rates over the long and the short window as a line with one step.
+fn steps(row: &Row) -> Vec<(f64, f64)> {
+    let (Some(long), Some(short)) = (row.burn_long, row.burn_short) else { return Vec::new() };
+    let (start, step) = (-row.long_s / MINUTE, -row.short_s / MINUTE);
+    vec![(start, long), (step, long), (step, short), (0.0, short)]
 }
--- a/crates/bronzespool-cli/tests/report.rs
+++ b/crates/bronzespool-cli/tests/report.rs
@@ -24,6 +24,13 @@
     serde_json::from_str(ROWS).unwrap()
 }
 
+/// Lines of rows in a plot: wider than those of the mesh, with more points than the legend's.
+fn lines(svg: &str) -> usize {
+    let polylines = svg.split("<polyline").skip(1).filter_map(|rest| rest.split("/>").next());
+    let points = |line: &str| line.matches(',').count();
+    polylines.filter(|line| line.contains("stroke-width=\"2\"") && points(line) > 2).count()
+}
+
 #[test]
 fn report_prints_a_table() {
     let run = Server::start([ok(ROWS)]).run("report");
@@ -76,7 +83,17 @@
 fn plot_draws_a_line_for_each_row_and_the_limit() {
     let svg = plot(&rows()).unwrap();
     assert!(svg.contains("permit-desk/permit-issue") && svg.contains("budget spent exactly"));
-    assert!(svg.matches("<polyline").count() >= 2, "{svg}");
+    assert_eq!(lines(&svg), 1, "only the first row has points");
+}
+
+#[test]
+fn plot_row_without_history_draws_its_windows() {
+    let mut rows = rows();
+    rows.truncate(1);
+    rows[0].history.clear();
+    assert_eq!(lines(&plot(&rows).unwrap()), 1);
+    rows[0].burn_long = None;
+    assert_eq!(lines(&plot(&rows).unwrap()), 0);
 }
 
 #[test]
--- a/crates/bronzespool-core/src/settings/process/define.rs
+++ b/crates/bronzespool-core/src/settings/process/define.rs
@@ -64,7 +64,7 @@
         optional(
             "operators",
             "ip:port",
-            "no operators' interface",
+            "at `listen` as well",
             "Where operators reach it over HTTP.",
         ),
         optional(
--- a/crates/bronzespool-core/src/settings/process/mod.rs
+++ b/crates/bronzespool-core/src/settings/process/mod.rs
@@ -99,7 +99,7 @@
 pub struct EntrySettings {
     /// Where callers reach this process.
     pub listen: SocketAddr,
-    /// Where operators reach it.
+    /// Where operators reach it; `listen` serves them as well when this is none.
     pub operators: Option<SocketAddr>,
     /// Control instances, at least one.
     pub control: Vec<SocketAddr>,
