--- a/crates/bronzespool-core/src/code.rs
+++ b/crates/bronzespool-core/src/code.rs
@@ -127,9 +127,8 @@
     9001 Internal Unknown 500 "a fault of this program: report it with the request id";
 }
 
-/// A number that is no result code.
-#[derive(Clone, Copy, Debug, displaydoc::Display, PartialEq, Eq)]
 /// {0} is no result code
+#[derive(Clone, Copy, Debug, displaydoc::Display, PartialEq, Eq)]
 pub struct NoCode(pub u16);
 
 impl std::error::Error for NoCode {}
--- a/crates/bronzespool-core/tests/code.rs
+++ b/crates/bronzespool-core/tests/code.rs
@@ -25,3 +25,8 @@
         }
     }
 }
+
+#[test]
+fn try_from_other_number_names_it() {
+    assert_eq!(Code::try_from(7).unwrap_err().to_string(), "7 is no result code");
+}
