--- a/crates/bronzespool-core/tests/settings_service.rs
+++ b/crates/bronzespool-core/tests/settings_service.rs
@@ -190,3 +190,19 @@
     fs::write(dir.path().join("service.ini"), [0xff, 0xfe, 0x00]).unwrap();
     assert!(read_services(&[dir.path().to_owned()]).is_err());
 }
+
+#[test]
+fn read_services_hidden_folders_are_left_out() {
+    let dir = tempfile::tempdir().unwrap();
+    for (name, text) in [("a", HEAD), (".cache", "nonsense")] {
+        fs::create_dir(dir.path().join(name)).unwrap();
+        fs::write(dir.path().join(name).join("service.ini"), text).unwrap();
+    }
+    assert_eq!(read_services(&[dir.path().to_owned()]).unwrap().1.len(), 1);
+}
+
+#[test]
+fn read_services_same_folder_twice_is_read_once() {
+    let (_, sources) = read_services(&[examples(), examples().join("registry")]).unwrap();
+    assert_eq!(sources.len(), 2);
+}
