--- a/crates/bronzespool-cli/src/command/job.rs
+++ b/crates/bronzespool-cli/src/command/job.rs
@@ -6,7 +6,7 @@
         error::{Exit, Result},
         output::Output,
     },
-    bronzespool::core::name::Job,
+    bronzespool::core::{Code, name::Job},
     serde_json::{Value, json},
 };
 
@@ -16,7 +16,7 @@
     let mut rows = Vec::new();
     for job in jobs {
         let state = match client.delete(&format!("/v1/jobs/{job}")).await {
-            Ok(_) => "cancelled".to_owned(),
+            Ok(view) => state(&view),
             Err(error) => {
                 if exit == Exit::Done {
                     exit = error.exit();
@@ -28,3 +28,13 @@
     }
     Ok(Output { exit, ..Output::value(Value::Array(rows)) })
 }
+
+/// What holds of a job after its cancellation, which may have come after its end.
+fn state(view: &Value) -> String {
+    let code = view["code"].as_u64().and_then(|number| u16::try_from(number).ok());
+    match code.map(Code::try_from) {
+        Some(Ok(Code::Cancelled)) => "cancelled".to_owned(),
+        Some(Ok(code)) => format!("ended before: {code}"),
+        _ => view["phase"].as_str().unwrap_or("unknown").to_owned(),
+    }
+}
--- a/crates/bronzespool-cli/src/command/publish.rs
+++ b/crates/bronzespool-cli/src/command/publish.rs
@@ -7,7 +7,7 @@
         error::{Error, Exit, Result},
         output::Output,
     },
-    bronzespool::core::settings::read_services,
+    bronzespool::core::{Service, settings::read_services},
     serde_json::{Value, json},
     std::{io::Write, time::Duration},
     tokio::time::sleep,
@@ -30,10 +30,11 @@
 ) -> Result<Output> {
     let (config, sources) = read_services(&publish.paths).map_err(Error::Faults)?;
     let op = publish.op.clone().unwrap_or_else(fresh_id);
-    let _ = writeln!(notes, "operation {op}: {} services", config.services.len());
+    let names: Vec<_> = config.services.keys().map(Service::as_str).collect();
+    let _ = writeln!(notes, "operation {op}: {}", names.join(", "));
     let body = json!({ "base": publish.base, "op": op, "files": sources, "wait": publish.wait });
     match send(client, &body, notes).await {
-        Ok(value) => Ok(Output { text: show(&value), json: with_op(value, &op), exit: Exit::Done }),
+        Ok(value) => Ok(accepted(value, publish.wait, &op)),
         Err(error) if error.exit() == Exit::Unknown => Err(advise(error, publish, &op)),
         Err(error) => Err(error),
     }
@@ -70,12 +71,15 @@
     Error::Advice { advice, error: Box::new(error) }
 }
 
-fn show(value: &Value) -> String {
+/// What to print of an accepted change.
+fn accepted(value: Value, wait: bool, op: &str) -> Output {
     let revision = &value["revision"];
-    if value["in_force"] == json!(true) {
-        return format!("revision {revision} is in force everywhere");
-    }
-    format!("revision {revision} is accepted; it is not yet in force everywhere")
+    let (exit, text) = match (value["in_force"] == json!(true), wait) {
+        (true, _) => (Exit::Done, "is in force everywhere"),
+        (false, false) => (Exit::Done, "is accepted; --wait returns when it is in force"),
+        (false, true) => (Exit::Pending, "is accepted, but not yet in force everywhere"),
+    };
+    Output { text: format!("revision {revision} {text}"), json: with_op(value, op), exit }
 }
 
 fn with_op(mut value: Value, op: &str) -> Value {
--- a/crates/bronzespool-cli/src/error.rs
+++ b/crates/bronzespool-cli/src/error.rs
@@ -27,12 +27,21 @@
     Conflict = 4,
     /// The change may have been made: repeat it with the same operation id.
     Unknown = 5,
+    /// The change is accepted for good, but some processes have not acknowledged it in time.
+    Pending = 6,
 }
 
 impl Exit {
     /// Every exit code.
-    pub const ALL: [Self; 6] =
-        [Self::Done, Self::Refused, Self::Usage, Self::Unreachable, Self::Conflict, Self::Unknown];
+    pub const ALL: [Self; 7] = [
+        Self::Done,
+        Self::Refused,
+        Self::Usage,
+        Self::Unreachable,
+        Self::Conflict,
+        Self::Unknown,
+        Self::Pending,
+    ];
 
     /// The number that the process returns.
     pub const fn number(self) -> u8 {
@@ -48,6 +57,7 @@
             Self::Unreachable => "the entry instance cannot be reached; nothing was changed",
             Self::Conflict => "another change came first; nothing was changed",
             Self::Unknown => "the outcome is unknown: repeat with the same operation id",
+            Self::Pending => "accepted, but not in force everywhere in time (publish --wait)",
         }
     }
 }
--- a/crates/bronzespool-cli/src/output.rs
+++ b/crates/bronzespool-cli/src/output.rs
@@ -8,8 +8,8 @@
 
 /// Columns that come first in a table, in this order.
 const FIRST: &[&str] = &[
-    "name", "job", "id", "instance", "member", "role", "service", "kind", "team", "state", "code",
-    "revision",
+    "name", "job", "id", "instance", "member", "role", "presence", "center", "rack", "service",
+    "kind", "team", "phase", "state", "code", "revision",
 ];
 
 /// Result of a command.
