--- a/crates/bronzespool-core/src/settings/service.rs
+++ b/crates/bronzespool-core/src/settings/service.rs
@@ -81,6 +81,13 @@
     ],
 };
 
+/// Largest request body in bytes.
+pub const BODY_MAX: u64 = 32 << 20;
+/// Largest number of members of a gang.
+pub const GANG_MAX: u32 = 4_096;
+/// Largest number of cells that one service guarantees to all its teams.
+pub const CELLS_MAX: u64 = 100_000;
+
 /// Keys that only a job has.
 const JOB_KEYS: &[&str] = &["gang", "adjacent", "runtime", "checkpoint", "restart"];
 
@@ -111,6 +118,7 @@
                 _ => {}
             }
         }
+        faults.extend(too_many_cells(document, &teams));
         if service.is_none() {
             faults.push(missing(document, "[service]", "add '[service]' with 'name = …'"));
         }
@@ -127,6 +135,18 @@
     }
 }
 
+/// A fault at the first guarantee if all of them ask for too many cells.
+fn too_many_cells(document: &Document, teams: &BTreeMap<Team, TeamSpec>) -> Option<Fault> {
+    let shapes = teams.values().flat_map(|team| &team.guarantees);
+    let cells: u64 = shapes.map(|shape| u64::from(shape.count)).sum();
+    let mut sections = document.sections.iter().filter(|section| section.name == "team");
+    let (section, entry) = sections.find_map(|s| Some((s, s.entry("guarantee")?)))?;
+    let message =
+        format!("and those of the other teams are {cells} cells: at most {CELLS_MAX} are allowed");
+    let key = format!("{} guarantee", section.header());
+    (cells > CELLS_MAX).then(|| document.at(entry.line, key, message))
+}
+
 fn missing(document: &Document, section: &str, todo: &str) -> Fault {
     document.at(0, section.to_owned(), format!("is missing: {todo}"))
 }
@@ -219,9 +239,19 @@
             reader.fault("restart", message.to_owned());
         }
     }
+    check_limits(reader, kind);
     check_adjacent(reader, kind);
 }
 
+fn check_limits(reader: &mut Reader<'_>, kind: &KindSpec) {
+    if kind.body > BODY_MAX {
+        reader.fault("body", format!("is over {} MiB: lower it", BODY_MAX >> 20));
+    }
+    if kind.gang > GANG_MAX {
+        reader.fault("gang", format!("is over {GANG_MAX}: lower it"));
+    }
+}
+
 fn check_adjacent(reader: &mut Reader<'_>, kind: &KindSpec) {
     let Level::Block(order) = kind.adjacent else { return };
     let wanted = u64::from(kind.gang) * u64::from(kind.need.accels);
--- a/crates/bronzespool-core/tests/settings_service.rs
+++ b/crates/bronzespool-core/tests/settings_service.rs
@@ -155,6 +155,17 @@
     assert!(fault.starts_with("a/service.ini:9:") && fault.contains("8 accelerators"), "{fault}");
 }
 
+#[test]
+fn parse_service_sizes_over_their_limits_are_faults() {
+    assert!(only(&format!("{HEAD}body = 33MiB\n")).contains("over 32 MiB"));
+    assert!(only(&format!("{HEAD}[kind b]\nmode = job\ngang = 4097\n")).contains("over 4096"));
+    let teams = "[team a]\n[team b]\nguarantee = 60000 x worker\n\
+                 [team c]\nguarantee = 40000 x block-1, 1 x rack\n";
+    let fault = only(&format!("{HEAD}{teams}"));
+    assert!(fault.starts_with("a/service.ini:7: [team b] guarantee"), "{fault}");
+    assert!(fault.contains("100001 cells"), "{fault}");
+}
+
 #[test]
 fn merge_services_same_service_names_both_files() {
     let source = |path: &str| Source { path: path.to_owned(), text: HEAD.to_owned() };
