--- a/crates/bronzespool-schedule/src/book/apply.rs
+++ b/crates/bronzespool-schedule/src/book/apply.rs
@@ -5,6 +5,7 @@
     crate::{
         cell::{ACCELS_MAX, Bind, Cell},
         job::{Attempt, Id, JobSpec, JobState, Member, Phase, Stop, Usage},
+        mix::GangShape,
         record::{Event, JobOutcome, MemberOutcome, Record, StopReason},
     },
     bronzespool_core::{Capacity, Instance, Job, Place, Shape, Team, Time},
@@ -43,7 +44,7 @@
             Event::Reserved { job, cells, borrowed, binds } => {
                 self.reserve(job, cells, *borrowed, binds, at)
             }
-            Event::Unreserved { job } => self.unreserve(job, at),
+            Event::Unreserved { job, after } => self.unreserve(job, *after),
             Event::Granted { job, attempt, cells, lease, borrowed, binds } => {
                 let fresh = attempt_of(*attempt, cells, *lease, *borrowed, at);
                 self.grant(job, fresh, binds)
@@ -177,6 +178,11 @@
             failed: BTreeSet::new(),
             phase: Phase::Waiting { after: at },
         };
+        self.state.mix.push(GangShape {
+            members: spec.members,
+            accels: spec.need.accels,
+            adjacent: spec.adjacent,
+        });
         self.state.jobs.insert(id, job);
         self.index.names.insert(spec.job.clone(), id);
         self.schedule(id);
@@ -231,11 +237,11 @@
         }
     }
 
-    fn unreserve(&mut self, name: &Job, at: Time) -> Result<()> {
+    fn unreserve(&mut self, name: &Job, after: Time) -> Result<()> {
         let id = self.waiting(name)?;
         self.release(id);
         let job = self.state.jobs.get_mut(&id).expect("id is of a job");
-        job.phase = Phase::Waiting { after: at };
+        job.phase = Phase::Waiting { after };
         self.schedule(id);
         Ok(())
     }
@@ -462,8 +468,10 @@
         };
         let since = job.attempt().and_then(|a| a.checkpointed).unwrap_or(started);
         let span = job.saved + at.since(since);
-        let key = (job.spec.team.clone(), job.spec.kind.clone());
-        self.state.estimates.entry(key).or_default().push(span);
+        for team in [Some(job.spec.team.clone()), None] {
+            let key = (team, job.spec.service.clone(), job.spec.kind.clone());
+            self.state.estimates.entry(key).or_default().push(span);
+        }
     }
 
     /// Ends a job that holds nothing; marks an active one for its stop.
--- a/crates/bronzespool-schedule/src/book/grid.rs
+++ b/crates/bronzespool-schedule/src/book/grid.rs
@@ -6,7 +6,7 @@
         cell::{self, Bind, Cell},
         job::{Attempt, Id, JobState},
     },
-    bronzespool_core::{Center, HashMap, Instance, Level, Need, Rack, Region},
+    bronzespool_core::{Capacity, Center, HashMap, Instance, Level, Need, Place, Rack, Region},
 };
 
 /// What a team holds.
@@ -200,8 +200,20 @@
         self.around(bind.level, slot).iter().map(|&s| (s, self.at(s).all)).collect()
     }
 
+    /// Idle workers of a topology, with slots in its order.
+    pub fn of(topology: &[(Place, Capacity)]) -> Self {
+        let mut grid = Self::default();
+        for (place, capacity) in topology {
+            grid.enter(place, *capacity, true);
+        }
+        grid
+    }
+
     pub(super) fn insert(&mut self, worker: &Worker) {
-        let place = &worker.place;
+        self.enter(&worker.place, worker.capacity, worker.open());
+    }
+
+    fn enter(&mut self, place: &Place, capacity: Capacity, open: bool) {
         let region = domain(&mut self.region_names, &mut self.regions, place.region.clone(), 0);
         let key = (place.region.clone(), place.center.clone());
         let center = domain(&mut self.center_names, &mut self.centers, key, region);
@@ -214,14 +226,14 @@
         self.names.insert(place.instance.clone(), slot);
         self.slots.push(Slot {
             instance: place.instance.clone(),
-            all: cell::mask(0, worker.capacity.accels),
+            all: cell::mask(0, capacity.accels),
             used: 0,
             own: 0,
             held: 0,
             bound: 0,
-            open: worker.open(),
-            cores: u64::from(worker.capacity.cores) * 1_000,
-            memory: worker.capacity.memory,
+            open,
+            cores: u64::from(capacity.cores) * 1_000,
+            memory: capacity.memory,
             cores_used: 0,
             memory_used: 0,
             cores_held: 0,
--- a/crates/bronzespool-schedule/src/book/mod.rs
+++ b/crates/bronzespool-schedule/src/book/mod.rs
@@ -7,10 +7,12 @@
 
 use {
     crate::{
+        estimate::Estimate,
         job::{Id, JobState, Phase},
+        mix::Mix,
         settings::Settings,
     },
-    bronzespool_core::{Capacity, HashMap, Instance, Job, Place, Team, Time},
+    bronzespool_core::{Capacity, HashMap, Instance, Job, Kind, Place, Service, Team, Time},
     displaydoc::Display,
     grid::{Grid, Ledger},
     serde::{Deserialize, Deserializer, Serialize, Serializer},
@@ -81,7 +83,8 @@
     teams: BTreeMap<Team, TeamState>,
     jobs: BTreeMap<Id, JobState>,
     next: Id,
-    estimates: BTreeMap<(Team, bronzespool_core::Kind), crate::estimate::Estimate>,
+    mix: Mix,
+    estimates: BTreeMap<(Option<Team>, Service, Kind), Estimate>,
 }
 
 /// Part of the book that follows from its state.
@@ -150,6 +153,17 @@
             .map(|(team, ids)| (team, ids.iter().filter_map(|(_, id)| self.state.jobs.get(id))))
     }
 
+    /// Waiting jobs of one team, as in [`Book::queues`].
+    pub fn queue(&self, team: &Team) -> impl Iterator<Item = &JobState> {
+        let ids = self.index.queue.get(team).into_iter().flatten();
+        ids.filter_map(|(_, id)| self.state.jobs.get(id))
+    }
+
+    /// What each team holds.
+    pub fn ledgers(&self) -> impl Iterator<Item = (&Team, &Ledger)> {
+        self.index.ledger.iter()
+    }
+
     /// Occupancy of the workers.
     pub const fn grid(&self) -> &Grid {
         &self.index.grid
@@ -160,13 +174,20 @@
         self.index.ledger.get(team).copied().unwrap_or_default()
     }
 
-    /// Run-time estimate of a kind of a team, if any run of it has ended.
+    /// Run times of a kind, of one team or of all together, if any run of it has ended.
     pub fn estimate(
         &self,
-        team: &Team,
-        kind: &bronzespool_core::Kind,
-    ) -> Option<&crate::estimate::Estimate> {
-        self.state.estimates.get(&(team.clone(), kind.clone()))
+        team: Option<&Team>,
+        service: &Service,
+        kind: &Kind,
+    ) -> Option<&Estimate> {
+        let key = (team.cloned(), service.clone(), kind.clone());
+        self.state.estimates.get(&key)
+    }
+
+    /// Shapes of the gangs submitted so far.
+    pub const fn mix(&self) -> &Mix {
+        &self.state.mix
     }
 
     /// Rises whenever capacity was released or added.
--- a/crates/bronzespool-schedule/src/estimate.rs
+++ b/crates/bronzespool-schedule/src/estimate.rs
@@ -8,10 +8,11 @@
 /// Runs remembered for each team and kind.
 pub const SAMPLES_MAX: usize = 32;
 
-/// Run times of the last ended runs of one kind of one team.
+/// Run times of the last ended runs of one kind.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Estimate {
     samples: Vec<Duration>,
+    sorted: Vec<Duration>,
     next: usize,
 }
 
@@ -20,18 +21,21 @@
     pub fn push(&mut self, span: Duration) {
         if self.samples.len() < SAMPLES_MAX {
             self.samples.push(span);
-            return;
+        } else {
+            let oldest = std::mem::replace(&mut self.samples[self.next], span);
+            self.next = (self.next + 1) % SAMPLES_MAX;
+            if let Ok(at) = self.sorted.binary_search(&oldest) {
+                self.sorted.remove(at);
+            }
         }
-        self.samples[self.next] = span;
-        self.next = (self.next + 1) % SAMPLES_MAX;
+        let at = self.sorted.partition_point(|s| *s < span);
+        self.sorted.insert(at, span);
     }
 
     /// Run time that a share of `thousandths` of the remembered runs did not exceed.
     pub fn quantile(&self, thousandths: usize) -> Option<Duration> {
-        let mut sorted = self.samples.clone();
-        sorted.sort_unstable();
-        let rank = (sorted.len() * thousandths).div_ceil(1_000).max(1);
-        sorted.get(rank - 1).copied()
+        let rank = (self.sorted.len() * thousandths).div_ceil(1_000).max(1);
+        self.sorted.get(rank - 1).copied()
     }
 
     /// Number of runs remembered.
--- a/crates/bronzespool-schedule/src/lib.rs
+++ b/crates/bronzespool-schedule/src/lib.rs
@@ -28,19 +28,29 @@
 //! # Ok::<(), bronzespool_core::name::Error>(())
 //! ```
 
+pub mod admit;
 pub mod book;
 pub mod cell;
 pub mod estimate;
+pub mod explain;
 pub mod job;
+pub mod mix;
+pub mod pack;
 pub mod policy;
 pub mod record;
 pub mod settings;
+pub mod summary;
 
 pub use crate::{
+    admit::{Refusal, admit},
     book::Book,
     cell::{Bind, Cell},
+    explain::{Explanation, Holder, Reason, explain},
     job::{Attempt, JobSpec, JobState, Member, Phase},
+    mix::{GangShape, Mix, fragmentation},
+    pack::{Clash, Packing, Reserve, pack},
     policy::{Planner, decide, wake},
     record::{Event, JobOutcome, MemberOutcome, Record, StopReason},
     settings::Settings,
+    summary::{Summary, TeamSummary, summary},
 };
--- /dev/null
+++ b/crates/bronzespool-schedule/src/pack.rs
@@ -0,0 +1,161 @@
+//! Whether guarantees can all be met at once, before they are put into force.
+
+use {
+    crate::{
+        book::grid::Grid,
+        policy::fit::{Demand, shortfall, weight},
+    },
+    bronzespool_core::{Capacity, Level, Place, Shape, Team},
+    displaydoc::Display,
+    std::collections::BTreeSet,
+};
+
+/// Result of the check.
+pub type Result<T> = std::result::Result<T, Clash>;
+
+/// Most sets of lost domains that are tried one by one.
+const LOSSES_MAX: usize = 4_000;
+
+/// What may be lost while every guarantee still holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reserve {
+    /// Level of what may be lost: a worker, a rack, a data centre or a region.
+    pub level: Level,
+    /// How many of them at once.
+    pub count: u32,
+}
+
+/// Guarantees that fit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Packing {
+    /// Accelerators of all workers.
+    pub total: u64,
+    /// Accelerators that all guarantees take together.
+    pub guaranteed: u64,
+}
+
+/// Guarantees that do not fit at once.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+/// guarantees of {teams:?} cannot all be packed: {shapes:?} do not fit after the loss of {lost:?}
+pub struct Clash {
+    /// Teams that hold a guarantee of a level that does not fit.
+    pub teams: Vec<Team>,
+    /// Cells that do not fit.
+    pub shapes: Vec<Shape>,
+    /// What was taken away as the reserve: one worker of each lost domain.
+    pub lost: Vec<Place>,
+}
+
+impl std::error::Error for Clash {}
+
+/// Packs all guarantees into the workers that are left after any loss that `reserve` names.
+///
+/// # Errors
+///
+/// [`Clash`] names the teams and the cells that do not fit, for the first loss that breaks them.
+pub fn pack(
+    topology: &[(Place, Capacity)],
+    guarantees: &[(Team, Vec<Shape>)],
+    reserve: Option<Reserve>,
+) -> Result<Packing> {
+    let grid = Grid::of(topology);
+    let mut demand = Demand::new();
+    for shape in guarantees.iter().flat_map(|(_, shapes)| shapes) {
+        *demand.entry(shape.level).or_default() += shape.count;
+    }
+    for lost in losses(&grid, reserve) {
+        let mut left = grid.clone();
+        for &slot in lost.iter().flatten() {
+            left.at_mut(slot).open = false;
+        }
+        let missing = shortfall(&left, &demand);
+        if weight(&missing) > 0 {
+            return Err(clash(&missing, guarantees, topology, &lost));
+        }
+    }
+    let total = grid.slots.iter().map(|s| u64::from(s.accels())).sum();
+    Ok(Packing { total, guaranteed: guaranteed(&grid, &demand) })
+}
+
+/// Accelerators of the smallest cells that the guarantees could take.
+fn guaranteed(grid: &Grid, demand: &Demand) -> u64 {
+    let mut total = 0;
+    for (&level, &count) in demand {
+        let mut sizes: Vec<u64> = match level {
+            Level::Block(order) => vec![1 << order; count as usize],
+            Level::Worker => grid.slots.iter().map(|s| u64::from(s.accels())).collect(),
+            _ => domains(grid, level)
+                .iter()
+                .map(|slots| slots.iter().map(|&s| u64::from(grid.at(s).accels())).sum())
+                .collect(),
+        };
+        sizes.retain(|&accels| accels > 0);
+        sizes.sort_unstable();
+        total += sizes.iter().take(count as usize).sum::<u64>();
+    }
+    total
+}
+
+fn domains(grid: &Grid, level: Level) -> Vec<Vec<u32>> {
+    match level {
+        Level::Region => grid.regions.iter().map(|d| d.slots.clone()).collect(),
+        Level::Center => grid.centers.iter().map(|d| d.slots.clone()).collect(),
+        Level::Rack => grid.racks.iter().map(|d| d.slots.clone()).collect(),
+        Level::Worker | Level::Block(_) => (0..grid.slots.len()).map(|s| vec![s as u32]).collect(),
+    }
+}
+
+/// Sets of domains that may be lost together. Where there are too many, only the sets of the
+/// largest domains.
+fn losses(grid: &Grid, reserve: Option<Reserve>) -> Vec<Vec<Vec<u32>>> {
+    let Some(reserve) = reserve.filter(|r| r.count > 0) else {
+        return vec![Vec::new()];
+    };
+    let accels = |slots: &Vec<u32>| slots.iter().map(|&s| grid.at(s).accels()).sum::<u32>();
+    let mut all = domains(grid, reserve.level);
+    all.retain(|slots| accels(slots) > 0);
+    all.sort_by_key(|slots| std::cmp::Reverse(accels(slots)));
+    let count = (reserve.count as usize).min(all.len());
+    let mut sets = Vec::new();
+    subsets(&all, count, &mut Vec::new(), &mut sets);
+    sets
+}
+
+fn subsets(
+    all: &[Vec<u32>],
+    count: usize,
+    taken: &mut Vec<Vec<u32>>,
+    sets: &mut Vec<Vec<Vec<u32>>>,
+) {
+    if count == 0 {
+        sets.push(taken.clone());
+        return;
+    }
+    for (at, domain) in all.iter().enumerate() {
+        if sets.len() >= LOSSES_MAX || all.len() - at < count {
+            return;
+        }
+        taken.push(domain.clone());
+        subsets(&all[at + 1..], count - 1, taken, sets);
+        taken.pop();
+    }
+}
+
+fn clash(
+    missing: &Demand,
+    guarantees: &[(Team, Vec<Shape>)],
+    topology: &[(Place, Capacity)],
+    lost: &[Vec<u32>],
+) -> Clash {
+    let short = |shape: &Shape| missing.contains_key(&shape.level);
+    let teams: BTreeSet<Team> = guarantees
+        .iter()
+        .filter(|(_, shapes)| shapes.iter().any(short))
+        .map(|(team, _)| team.clone())
+        .collect();
+    Clash {
+        teams: teams.into_iter().collect(),
+        shapes: missing.iter().map(|(&level, &count)| Shape::new(level, count)).collect(),
+        lost: lost.iter().map(|slots| topology[slots[0] as usize].0.clone()).collect(),
+    }
+}
--- a/crates/bronzespool-schedule/src/policy/claim.rs
+++ b/crates/bronzespool-schedule/src/policy/claim.rs
@@ -6,7 +6,7 @@
 
 use {
     super::{
-        fit::{self, Demand},
+        fit::Checker,
         place::{Ask, Scope, best_block, scopes},
     },
     crate::{
@@ -38,8 +38,7 @@
     state: &'a TeamState,
     cells: Vec<Vec<(u32, u64)>>,
     unbound: BTreeMap<Level, u32>,
-    demand: Demand,
-    short: u64,
+    checker: &'a mut Checker,
     undo: Vec<(u32, u64, u64)>,
 }
 
@@ -47,15 +46,13 @@
 pub fn claim(book: &Book, grid: &mut Grid, team: &Team, ask: &Ask) -> Option<Claim> {
     let state = book.teams().get(team)?;
     let order = ask.order?;
-    let level = if ask.adjacent < Level::Block(order) { Level::Block(order) } else { ask.adjacent };
     let bounds: Vec<(Vec<u32>, u64)> =
-        scopes(grid, level).into_iter().map(|s| (s.slots.to_vec(), s.mask)).collect();
-    let demand = fit::demand(book);
-    let short = accels_of(grid, &fit::shortfall(grid, &demand));
+        scopes(grid, ask.level()).into_iter().map(|s| (s.slots.to_vec(), s.mask)).collect();
+    let mut checker = Checker::new(book, grid);
     let cells = state.binds.iter().map(|bind| grid.covers(bind)).collect();
     let unbound = state.shapes.keys().map(|&l| (l, state.unbound(l))).collect();
     let mut trial =
-        Trial { grid, ask, order, state, cells, unbound, demand, short, undo: Vec::new() };
+        Trial { grid, ask, order, state, cells, unbound, checker: &mut checker, undo: Vec::new() };
     let mut best: Option<Claim> = None;
     for (slots, mask) in &bounds {
         let scope = Scope { slots, mask: *mask };
@@ -74,35 +71,18 @@
     best
 }
 
-/// Accelerators of missing cells; larger levels count as many, so that one is never traded away.
-fn accels_of(grid: &Grid, missing: &Demand) -> u64 {
-    let worker = grid.slots.iter().map(|s| u64::from(s.accels())).max().unwrap_or(1);
-    let weight = |level: &Level| match level {
-        Level::Block(order) => 1_u64 << order,
-        Level::Worker => worker,
-        Level::Rack => worker * 64,
-        Level::Center => worker * 4_096,
-        Level::Region => worker * 262_144,
-    };
-    missing.iter().map(|(level, &count)| weight(level) * u64::from(count)).sum()
-}
-
 impl Trial<'_> {
     /// Places all members within a scope, then takes the changes back.
     fn gang(&mut self, scope: Scope<'_>) -> Option<Claim> {
         let cells = self.cells.clone();
         let unbound = self.unbound.clone();
-        let demand = self.demand.clone();
+        let demand = self.checker.demand.clone();
         let mut claim = Claim { cells: Vec::new(), binds: Vec::new(), taken: 0, split: 0 };
         let whole = (0..self.ask.members).all(|_| self.member(scope, &mut claim));
-        while let Some((slot, bound, own)) = self.undo.pop() {
-            let at = self.grid.at_mut(slot);
-            at.bound = bound;
-            at.own = own;
-        }
+        self.back(0);
         self.cells = cells;
         self.unbound = unbound;
-        self.demand = demand;
+        self.checker.demand = demand;
         whole.then_some(claim)
     }
 
@@ -113,8 +93,23 @@
     fn mark(&mut self, slot: u32, bound: u64, own: u64) {
         let at = self.grid.at_mut(slot);
         self.undo.push((slot, at.bound, at.own));
+        self.checker.before(at);
         at.bound |= bound;
         at.own |= own;
+        self.checker.after(at);
+    }
+
+    /// Takes changes back until `depth` are left.
+    fn back(&mut self, depth: usize) {
+        while self.undo.len() > depth
+            && let Some((slot, bound, own)) = self.undo.pop()
+        {
+            let at = self.grid.at_mut(slot);
+            self.checker.before(at);
+            at.bound = bound;
+            at.own = own;
+            self.checker.after(at);
+        }
     }
 
     /// Places a member in a guaranteed cell in use.
@@ -161,26 +156,21 @@
             _ => self.domain_offers(level, scope),
         };
         offers.sort_unstable();
-        *self.demand.get_mut(&level).expect("a level of a guarantee is demanded") -= 1;
+        *self.checker.demand.get_mut(&level).expect("a level of a guarantee is demanded") -= 1;
         for (_, slot, first) in offers {
             let bind = Bind { level, instance: self.grid.at(slot).instance.clone(), first };
             let depth = self.undo.len();
             let covers = self.grid.covers(&bind);
             covers.iter().for_each(|&(s, mask)| self.mark(s, mask, 0));
-            let short = accels_of(self.grid, &fit::shortfall(self.grid, &self.demand));
-            if short <= self.short {
+            if self.checker.holds(self.grid) {
                 *self.unbound.get_mut(&level).expect("checked by the caller") -= 1;
                 self.cells.push(covers);
                 claim.binds.push(bind);
                 return true;
             }
-            for (s, bound, own) in self.undo.drain(depth..).rev() {
-                let at = self.grid.at_mut(s);
-                at.bound = bound;
-                at.own = own;
-            }
+            self.back(depth);
         }
-        *self.demand.get_mut(&level).expect("a level of a guarantee is demanded") += 1;
+        *self.checker.demand.get_mut(&level).expect("a level of a guarantee is demanded") += 1;
         false
     }
 
--- a/crates/bronzespool-schedule/src/policy/fit.rs
+++ b/crates/bronzespool-schedule/src/policy/fit.rs
@@ -1,14 +1,29 @@
 //! Whether guaranteed cells that are not in use can all be packed at once.
+//!
+//! Blocks are powers of two and aligned, so that taking the largest first, each out of the
+//! smallest place that holds it, is exact. The same holds for whole workers, since the blocks of a
+//! smaller worker fit into those of a larger one. Racks and larger domains may differ in ways that
+//! cannot be ordered: there the fewest accelerators go first, and a bounded search tries other
+//! choices before it says no.
 
 use {
     crate::{
-        book::{Book, grid::Grid},
+        book::{
+            Book,
+            grid::{Domain, Grid, Slot},
+        },
         cell::census,
     },
     bronzespool_core::Level,
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
+/// Most choices of domains that the search tries.
+const SEARCH_MAX: usize = 2_000;
+
+/// Levels of whole domains, largest first.
+const LEVELS: [Level; 3] = [Level::Region, Level::Center, Level::Rack];
+
 /// Guaranteed cells of all teams that are not in use, by level.
 pub type Demand = BTreeMap<Level, u32>;
 
@@ -23,57 +38,59 @@
     all
 }
 
-/// Cells of `demand` that do not fit into the unbound part of the grid, by level.
-///
-/// Larger cells go first, each into the place whose loss hurts the smaller ones least.
-pub fn shortfall(grid: &Grid, demand: &Demand) -> Demand {
-    let mut missing = Demand::new();
-    let mut open: Vec<bool> = grid.slots.iter().map(super::super::book::grid::Slot::whole).collect();
-    for (&level, &count) in demand.iter().rev() {
-        let short = match level {
-            Level::Region => take(&grid.regions, grid, &mut open, count),
-            Level::Center => take(&grid.centers, grid, &mut open, count),
-            Level::Rack => take(&grid.racks, grid, &mut open, count),
-            Level::Worker => take_workers(grid, &mut open, count),
-            Level::Block(_) => 0,
-        };
-        if short > 0 {
-            missing.insert(level, short);
-        }
+/// Unbound cells by size: enough to pack blocks and workers.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Supply {
+    blocks: [u32; 7],
+    workers: BTreeMap<u32, u32>,
+}
+
+impl Supply {
+    /// Supply of the whole grid.
+    pub fn of(grid: &Grid) -> Self {
+        let mut supply = Self::default();
+        grid.slots.iter().for_each(|slot| supply.add(slot));
+        supply
     }
-    let taken = |i: usize| grid.slots[i].whole() && !open[i];
-    let mut blocks = [0; 7];
-    for (i, slot) in grid.slots.iter().enumerate() {
-        if !taken(i) {
-            let counts = census(slot.unbound());
-            blocks.iter_mut().zip(counts).for_each(|(all, count)| *all += count);
+
+    /// Adds the unbound cells of a slot.
+    pub fn add(&mut self, slot: &Slot) {
+        let counts = census(slot.unbound());
+        self.blocks.iter_mut().zip(counts).for_each(|(all, count)| *all += count);
+        if slot.whole() {
+            *self.workers.entry(slot.accels()).or_default() += 1;
         }
     }
-    take_blocks(blocks, demand, &mut missing);
-    missing
-}
 
-/// Takes `count` whole domains, those with the fewest accelerators first.
-fn take(domains: &[crate::book::grid::Domain], grid: &Grid, open: &mut [bool], count: u32) -> u32 {
-    let accels = |slots: &[u32]| slots.iter().map(|&s| grid.at(s).accels()).sum::<u32>();
-    let usable = |slots: &[u32], open: &[bool]| {
-        slots.iter().all(|&s| open[s as usize] || grid.at(s).all == 0) && accels(slots) > 0
-    };
-    let mut found: Vec<_> = domains.iter().filter(|d| usable(&d.slots, open)).collect();
-    found.sort_by_key(|d| accels(&d.slots));
-    let mut short = count;
-    for domain in found.into_iter().take(count as usize) {
-        domain.slots.iter().for_each(|&s| open[s as usize] = false);
-        short -= 1;
-    }
-    short
-}
+    /// Takes the unbound cells of a slot away.
+    pub fn remove(&mut self, slot: &Slot) {
+        let counts = census(slot.unbound());
+        self.blocks.iter_mut().zip(counts).for_each(|(all, count)| *all -= count);
+        if slot.whole()
+            && let Some(count) = self.workers.get_mut(&slot.accels())
+        {
+            *count -= 1;
+        }
+    }
 
-fn take_workers(grid: &Grid, open: &mut [bool], count: u32) -> u32 {
-    let mut found: Vec<_> = (0..open.len()).filter(|&i| open[i]).collect();
-    found.sort_by_key(|&i| grid.slots[i].accels());
-    found.iter().take(count as usize).for_each(|&i| open[i] = false);
-    count.saturating_sub(u32::try_from(found.len()).unwrap_or(u32::MAX))
+    /// Cells of workers and blocks that do not fit.
+    fn shortfall(&self, demand: &Demand) -> Demand {
+        let mut missing = Demand::new();
+        let mut free = self.blocks;
+        let wanted = demand.get(&Level::Worker).copied().unwrap_or(0);
+        let mut left = wanted;
+        for (&accels, &count) in &self.workers {
+            let taken = count.min(left);
+            left -= taken;
+            let counts = census(crate::cell::mask(0, accels));
+            free.iter_mut().zip(counts).for_each(|(all, one)| *all -= one * taken);
+        }
+        if left > 0 {
+            missing.insert(Level::Worker, left);
+        }
+        take_blocks(free, demand, &mut missing);
+        missing
+    }
 }
 
 /// Takes blocks from the largest to the smallest, splitting larger ones at need.
@@ -91,3 +108,188 @@
         }
     }
 }
+
+/// Whether any cell larger than a worker is demanded.
+pub fn has_domains(demand: &Demand) -> bool {
+    demand.iter().any(|(level, &count)| *level > Level::Worker && count > 0)
+}
+
+/// Cells of `demand` that do not fit into the unbound part of the grid, by level.
+pub fn shortfall(grid: &Grid, demand: &Demand) -> Demand {
+    let mut search = Search { grid, demand, tried: 0, best: None };
+    search.levels(&LEVELS, &mut BTreeSet::new(), Demand::new());
+    search.best.map(|(_, missing)| missing).unwrap_or_default()
+}
+
+/// Weight of missing cells in accelerators; larger levels weigh so much that one is never traded
+/// away for smaller ones.
+pub fn weight(missing: &Demand) -> u64 {
+    let one = |level: &Level| match level {
+        Level::Block(order) => 1_u64 << order,
+        Level::Worker => 64,
+        Level::Rack => 1 << 12,
+        Level::Center => 1 << 18,
+        Level::Region => 1 << 24,
+    };
+    missing.iter().map(|(level, &count)| one(level) * u64::from(count)).sum()
+}
+
+/// Search over which whole domains to take.
+struct Search<'a> {
+    grid: &'a Grid,
+    demand: &'a Demand,
+    tried: usize,
+    best: Option<(u64, Demand)>,
+}
+
+impl Search<'_> {
+    fn is_over(&self) -> bool {
+        self.tried >= SEARCH_MAX || self.best.as_ref().is_some_and(|(cost, _)| *cost == 0)
+    }
+
+    fn levels(&mut self, levels: &[Level], taken: &mut BTreeSet<u32>, missing: Demand) {
+        let Some((&level, rest)) = levels.split_first() else {
+            self.leaf(taken, missing);
+            return;
+        };
+        let wanted = self.demand.get(&level).copied().unwrap_or(0);
+        if wanted == 0 {
+            self.levels(rest, taken, missing);
+            return;
+        }
+        let groups = self.groups(level, taken);
+        let usable = groups.iter().map(Vec::len).sum::<usize>();
+        let count = usable.min(wanted as usize);
+        let mut missing = missing;
+        if count < wanted as usize {
+            missing.insert(level, wanted - u32::try_from(count).unwrap_or(wanted));
+        }
+        self.choose(&groups, count, rest, taken, &missing);
+    }
+
+    /// Usable domains in groups that are alike, those with the fewest accelerators first.
+    fn groups(&self, level: Level, taken: &BTreeSet<u32>) -> Vec<Vec<u32>> {
+        let domains = match level {
+            Level::Region => &self.grid.regions,
+            Level::Center => &self.grid.centers,
+            _ => &self.grid.racks,
+        };
+        let mut groups: BTreeMap<(u32, Vec<Vec<u32>>), Vec<u32>> = BTreeMap::new();
+        for domain in domains {
+            if self.usable(domain, taken) {
+                let key = self.profile(level, domain);
+                groups.entry(key).or_default().push(domain.slots[0]);
+            }
+        }
+        groups.into_values().collect()
+    }
+
+    fn usable(&self, domain: &Domain, taken: &BTreeSet<u32>) -> bool {
+        let whole = |&s: &u32| {
+            let slot = self.grid.at(s);
+            slot.all == 0 || (slot.whole() && !taken.contains(&s))
+        };
+        domain.slots.iter().all(whole) && domain.slots.iter().any(|&s| self.grid.at(s).all != 0)
+    }
+
+    /// Accelerators of a domain, and the sizes of its workers by rack.
+    fn profile(&self, level: Level, domain: &Domain) -> (u32, Vec<Vec<u32>>) {
+        let total = domain.slots.iter().map(|&s| self.grid.at(s).accels()).sum();
+        let mut racks: BTreeMap<(u32, u32), Vec<u32>> = BTreeMap::new();
+        for &s in &domain.slots {
+            let slot = self.grid.at(s);
+            let center = if level == Level::Region { slot.center } else { 0 };
+            racks.entry((center, slot.rack)).or_default().push(slot.accels());
+        }
+        let mut sizes: Vec<Vec<u32>> = racks.into_values().collect();
+        sizes.iter_mut().for_each(|workers| workers.sort_unstable());
+        sizes.sort_unstable();
+        (total, sizes)
+    }
+
+    /// Takes `count` domains out of the groups in every way, smallest first.
+    fn choose(
+        &mut self,
+        groups: &[Vec<u32>],
+        count: usize,
+        rest: &[Level],
+        taken: &mut BTreeSet<u32>,
+        missing: &Demand,
+    ) {
+        if self.is_over() {
+            return;
+        }
+        let level = LEVELS[2 - rest.len()];
+        let Some((group, others)) = groups.split_first() else {
+            if count == 0 {
+                self.levels(rest, taken, missing.clone());
+            }
+            return;
+        };
+        let left: usize = others.iter().map(Vec::len).sum();
+        let most = count.min(group.len());
+        let least = count.saturating_sub(left);
+        for here in (least..=most).rev() {
+            let slots: Vec<u32> = group[..here]
+                .iter()
+                .flat_map(|&first| self.grid.around(level, first).iter().copied())
+                .collect();
+            taken.extend(slots.iter().copied());
+            self.choose(others, count - here, rest, taken, missing);
+            slots.iter().for_each(|s| _ = taken.remove(s));
+        }
+    }
+
+    fn leaf(&mut self, taken: &BTreeSet<u32>, mut missing: Demand) {
+        self.tried += 1;
+        let mut supply = Supply::default();
+        for (slot, number) in self.grid.slots.iter().zip(0_u32..) {
+            if !taken.contains(&number) {
+                supply.add(slot);
+            }
+        }
+        missing.extend(supply.shortfall(self.demand));
+        let cost = weight(&missing);
+        if self.best.as_ref().is_none_or(|(least, _)| cost < *least) {
+            self.best = Some((cost, missing));
+        }
+    }
+}
+
+/// Shortfall that follows binds as they are tried.
+#[derive(Clone, Debug)]
+pub struct Checker {
+    supply: Supply,
+    /// Guaranteed cells not in use.
+    pub demand: Demand,
+    base: u64,
+}
+
+impl Checker {
+    /// Checker that holds the grid to its present shortfall, which is none in health.
+    pub fn new(book: &Book, grid: &Grid) -> Self {
+        let demand = demand(book);
+        let base = weight(&shortfall(grid, &demand));
+        Self { supply: Supply::of(grid), demand, base }
+    }
+
+    /// Takes a slot out before its bound cells change.
+    pub fn before(&mut self, slot: &Slot) {
+        self.supply.remove(slot);
+    }
+
+    /// Enters a slot after its bound cells changed.
+    pub fn after(&mut self, slot: &Slot) {
+        self.supply.add(slot);
+    }
+
+    /// Whether the guarantees pack as well as before.
+    pub fn holds(&self, grid: &Grid) -> bool {
+        let missing = if has_domains(&self.demand) {
+            shortfall(grid, &self.demand)
+        } else {
+            self.supply.shortfall(&self.demand)
+        };
+        weight(&missing) <= self.base
+    }
+}
--- a/crates/bronzespool-schedule/src/policy/mod.rs
+++ b/crates/bronzespool-schedule/src/policy/mod.rs
@@ -4,15 +4,19 @@
 //! on a copy of the occupancy, so that all its records together fit the book.
 
 pub mod claim;
+pub mod evict;
 pub mod fit;
 pub mod place;
+pub mod predict;
 mod progress;
 mod queue;
 mod reclaim;
+mod reserve;
 
 use {
     crate::{
         book::{Book, grid::Grid},
+        job::Id,
         record::{Event, Record},
     },
     bronzespool_core::{HashMap, Time},
@@ -29,6 +33,8 @@
 pub struct Planner {
     /// Classes of jobs that found no cells, with the book's epoch then.
     failed: HashMap<Class, u64>,
+    /// Gangs for which no other work may be stopped, with the book's epoch then.
+    evicted: HashMap<(Id, bool), u64>,
 }
 
 /// One pass over a book.
@@ -67,5 +73,6 @@
 pub fn wake(book: &Book, now: Time) -> Time {
     let due = book.next_due().unwrap_or(Time::MAX);
     let delayed = book.next_delayed(now).unwrap_or(Time::MAX);
-    due.min(delayed)
+    let exclusive = reserve::next(book, now).unwrap_or(Time::MAX);
+    due.min(delayed).min(exclusive)
 }
--- a/crates/bronzespool-schedule/src/policy/place.rs
+++ b/crates/bronzespool-schedule/src/policy/place.rs
@@ -57,6 +57,11 @@
         Some(self)
     }
 
+    /// Level within which all members lie: no less than a member's own block.
+    pub fn level(&self) -> Level {
+        self.order.map_or(self.adjacent, |order| self.adjacent.max(Level::Block(order)))
+    }
+
     /// Accelerators of each member.
     pub fn accels(&self) -> u32 {
         self.order.map_or(0, |order| 1 << order)
@@ -155,9 +160,12 @@
     }
 }
 
-/// Cheapest free cells for a gang, if any.
-pub fn free_cells(grid: &Grid, ask: &Ask) -> Option<Choice> {
-    let found = scopes(grid, ask.adjacent).into_iter().filter_map(|s| fill(grid, s, ask));
+/// Cheapest free cells for a gang outside the accelerators in `kept`, by slot, if any.
+pub fn free_cells(grid: &Grid, ask: &Ask, kept: &[u64]) -> Option<Choice> {
+    let found = scopes(grid, ask.level()).into_iter().filter_map(|scope| {
+        let room = Room { grid, scope, kept };
+        room.fill(ask)
+    });
     found.min_by_key(|choice| choice.cost)
 }
 
@@ -170,24 +178,6 @@
     u32::try_from(by_cores.min(by_memory)).unwrap_or(u32::MAX)
 }
 
-fn fill(grid: &Grid, scope: Scope<'_>, ask: &Ask) -> Option<Choice> {
-    let mut offers: Vec<_> =
-        scope.slots.iter().filter_map(|&s| offer(grid, s, &scope, ask)).collect();
-    let total: u64 = offers.iter().map(|o| u64::from(o.count)).sum();
-    if total < u64::from(ask.members) {
-        return None;
-    }
-    offers.sort_unstable_by_key(|o| (o.rank, o.slot));
-    let mut choice = Choice { cells: Vec::with_capacity(ask.members as usize), cost: 0 };
-    for offer in &offers {
-        take(grid, offer, &scope, ask, &mut choice);
-        if choice.cells.len() == ask.members as usize {
-            break;
-        }
-    }
-    (choice.cells.len() == ask.members as usize).then_some(choice)
-}
-
 /// What a slot offers to a gang.
 struct Offer {
     slot: u32,
@@ -195,42 +185,71 @@
     rank: (u32, u32),
 }
 
-fn offer(grid: &Grid, number: u32, scope: &Scope<'_>, ask: &Ask) -> Option<Offer> {
-    let slot = grid.at(number);
-    if !slot.open {
-        return None;
+/// A scope without the accelerators kept for others.
+struct Room<'a> {
+    grid: &'a Grid,
+    scope: Scope<'a>,
+    kept: &'a [u64],
+}
+
+impl Room<'_> {
+    fn bits(&self, slot: u32) -> u64 {
+        let kept = self.kept.get(slot as usize).copied().unwrap_or(0);
+        self.grid.at(slot).free() & self.scope.mask & !kept
     }
-    let room = room_for(slot, ask);
-    let Some(order) = ask.order else {
-        let allowed = slot.all == 0 || ask.roams;
-        let rank = (slot.accels(), room);
-        return (allowed && room > 0).then_some(Offer { slot: number, count: room, rank });
-    };
-    let bits = slot.free() & scope.mask;
-    let (outer, _) = best_block(bits, order)?;
-    if room == 0 || !slot.slice_fits(&ask.need(), ask.accels()) {
-        return None;
+
+    fn fill(&self, ask: &Ask) -> Option<Choice> {
+        let slots = self.scope.slots.iter();
+        let mut offers: Vec<_> = slots.filter_map(|&s| self.offer(s, ask)).collect();
+        let total: u64 = offers.iter().map(|o| u64::from(o.count)).sum();
+        if total < u64::from(ask.members) {
+            return None;
+        }
+        offers.sort_unstable_by_key(|o| (o.rank, o.slot));
+        let mut choice = Choice { cells: Vec::with_capacity(ask.members as usize), cost: 0 };
+        for offer in &offers {
+            self.take(offer, ask, &mut choice);
+        }
+        (choice.cells.len() == ask.members as usize).then_some(choice)
     }
-    let count = blocks(bits, order).count_ones().min(room);
-    Some(Offer { slot: number, count, rank: (u32::from(outer), bits.count_ones()) })
-}
 
-fn take(grid: &Grid, offer: &Offer, scope: &Scope<'_>, ask: &Ask, choice: &mut Choice) {
-    let mut bits = grid.at(offer.slot).free() & scope.mask;
-    for _ in 0..offer.count {
-        if choice.cells.len() == ask.members as usize {
-            return;
+    fn offer(&self, number: u32, ask: &Ask) -> Option<Offer> {
+        let slot = self.grid.at(number);
+        if !slot.open {
+            return None;
         }
+        let room = room_for(slot, ask);
         let Some(order) = ask.order else {
-            choice.cells.push((offer.slot, 0));
-            continue;
-        };
-        let Some((outer, first)) = best_block(bits, order) else {
-            return;
+            let allowed = slot.all == 0 || ask.roams;
+            let rank = (slot.accels(), room);
+            return (allowed && room > 0).then_some(Offer { slot: number, count: room, rank });
         };
-        bits &= !cell::mask(first, 1 << order);
-        choice.cost += (1_u64 << outer) - (1_u64 << order);
-        choice.cells.push((offer.slot, first));
+        let bits = self.bits(number);
+        let (outer, _) = best_block(bits, order)?;
+        if room == 0 || !slot.slice_fits(&ask.need(), ask.accels()) {
+            return None;
+        }
+        let count = blocks(bits, order).count_ones().min(room);
+        Some(Offer { slot: number, count, rank: (u32::from(outer), bits.count_ones()) })
+    }
+
+    fn take(&self, offer: &Offer, ask: &Ask, choice: &mut Choice) {
+        let mut bits = self.bits(offer.slot);
+        for _ in 0..offer.count {
+            if choice.cells.len() == ask.members as usize {
+                return;
+            }
+            let Some(order) = ask.order else {
+                choice.cells.push((offer.slot, 0));
+                continue;
+            };
+            let Some((outer, first)) = best_block(bits, order) else {
+                return;
+            };
+            bits &= !cell::mask(first, 1 << order);
+            choice.cost += (1_u64 << outer) - (1_u64 << order);
+            choice.cells.push((offer.slot, first));
+        }
     }
 }
 
--- a/crates/bronzespool-schedule/src/policy/queue.rs
+++ b/crates/bronzespool-schedule/src/policy/queue.rs
@@ -6,12 +6,13 @@
         claim::{Claim, claim},
         place::{Ask, Choice, Totals, dominant_share, free_cells, ready},
         reclaim,
+        reserve::{self, Shadow},
     },
     crate::{
         book::Book,
         cell::{Bind, Cell},
         job::JobState,
-        record::{Event, Record},
+        record::{Event, Record, StopReason},
     },
     bronzespool_core::{HashSet, Team, Time},
     std::collections::BTreeMap,
@@ -28,6 +29,9 @@
     if pass.records.is_empty() {
         borrow(planner, &mut pass);
     }
+    if pass.records.is_empty() {
+        reserve::exclusive(planner, &mut pass);
+    }
     pass.records
 }
 
@@ -68,7 +72,7 @@
     if ask.order.is_some() {
         return Some(ask);
     }
-    if job.spec.preemptible() || free_cells(&pass.grid, &ask).is_some() {
+    if job.spec.preemptible() || free_cells(&pass.grid, &ask, &[]).is_some() {
         return None;
     }
     ask.guaranteed(&pass.grid, &job.spec)
@@ -78,11 +82,14 @@
     let Some(found) = claim(pass.book, &mut pass.grid, &job.spec.team, ask) else {
         return false;
     };
-    if found.taken > 0 && job.spec.preemptible() && !job.spec.urgent
-        && let Some(choice) = free_cells(&pass.grid, ask) {
-            lend(pass, job, ask, &choice);
-            return true;
-        }
+    if found.taken > 0
+        && job.spec.preemptible()
+        && !job.spec.urgent
+        && let Some(choice) = free_cells(&pass.grid, ask, &[])
+    {
+        lend(pass, job, ask, &choice);
+        return true;
+    }
     take(pass, job, ask, found);
     true
 }
@@ -100,7 +107,7 @@
     let name = job.spec.job.clone();
     let binds = claim.binds;
     pass.push(Event::Reserved { job: name, cells: cells.clone(), borrowed: false, binds });
-    reclaim::stop_others(pass, job, &cells);
+    reclaim::stop_others(pass, job, &cells, StopReason::Reclaim);
 }
 
 fn grant_cells(
@@ -133,13 +140,14 @@
         let jobs: Vec<_> = jobs.filter(|job| ready(job, pass.now)).collect();
         queues.insert(team, (dominant_share(book, team, &totals), jobs));
     }
+    let mut shadow = None;
     while pass.grants < GRANTS_MAX {
         let next = queues.iter().filter(|(_, (_, jobs))| !jobs.is_empty());
         let Some((&team, _)) = next.min_by_key(|(_, (share, _))| *share) else {
             return;
         };
         let (share, jobs) = queues.get_mut(team).expect("found above");
-        let found = jobs.iter().position(|job| try_borrow(planner, pass, job));
+        let found = jobs.iter().position(|job| try_borrow(planner, pass, &mut shadow, job));
         match found {
             Some(at) => {
                 let job = jobs[at];
@@ -154,7 +162,12 @@
 }
 
 /// Lends cells to a job that may be stopped, or gives work without accelerators a place.
-fn try_borrow(planner: &mut Planner, pass: &mut Pass<'_>, job: &JobState) -> bool {
+fn try_borrow(
+    planner: &mut Planner,
+    pass: &mut Pass<'_>,
+    shadow: &mut Option<Shadow>,
+    job: &JobState,
+) -> bool {
     let Some(ask) = Ask::of(&pass.grid, &job.spec) else {
         return false;
     };
@@ -165,10 +178,26 @@
     if planner.failed.get(&class) == Some(&pass.book.epoch()) {
         return false;
     }
-    let Some(choice) = free_cells(&pass.grid, &ask) else {
+    let Some(choice) = free_cells(&pass.grid, &ask, &[]) else {
         planner.failed.insert(class, pass.book.epoch());
         return false;
     };
+    if ask.order.is_none() {
+        lend(pass, job, &ask, &choice);
+        return true;
+    }
+    if shadow.is_none() {
+        *shadow = Some(reserve::shadow(pass));
+    }
+    let Some(kept) = shadow.as_ref().filter(|s| s.until.is_some()) else {
+        lend(pass, job, &ask, &choice);
+        return true;
+    };
+    let beside = free_cells(&pass.grid, &ask, &kept.masks);
+    let allowed = beside.or_else(|| reserve::backfills(pass, job, kept).then_some(choice));
+    let Some(choice) = allowed else {
+        return false;
+    };
     lend(pass, job, &ask, &choice);
     true
 }
--- a/crates/bronzespool-schedule/src/policy/reclaim.rs
+++ b/crates/bronzespool-schedule/src/policy/reclaim.rs
@@ -8,7 +8,7 @@
         job::{Id, JobState, Phase},
         record::{Event, StopReason},
     },
-    bronzespool_core::{HashMap, Need},
+    bronzespool_core::{HashMap, Need, Time},
     std::collections::BTreeSet,
 };
 
@@ -33,7 +33,8 @@
         && at.memory_used + at.memory_held + need.memory * count <= at.memory
 }
 
-/// Grants reservations whose cells are clear now, and gives up those on lost workers.
+/// Grants reservations whose cells are clear now, stops what still holds the others, and gives up
+/// those that cannot be cleared.
 pub(super) fn finish(pass: &mut Pass<'_>) {
     let book = pass.book;
     for job in book.reserved() {
@@ -42,27 +43,53 @@
         };
         let open = |c: &Cell| pass.grid.slot(&c.instance).is_some_and(|s| pass.grid.at(s).open);
         if !cells.iter().all(open) {
-            pass.push(Event::Unreserved { job: job.spec.job.clone() });
+            give_up(pass, job, pass.now);
             continue;
         }
         pass.grid.unhold(cells, &job.spec.need, *borrowed);
         let ready = clear(&pass.grid, cells, &job.spec.need);
         pass.grid.hold(cells, &job.spec.need, *borrowed);
         if ready {
-            let settings = book.settings();
-            let lease = if *borrowed { settings.lease } else { settings.gang_lease };
-            pass.push(Event::Granted {
-                job: job.spec.job.clone(),
-                attempt: job.attempts + 1,
-                cells: cells.clone(),
-                lease,
-                borrowed: *borrowed,
-                binds: Vec::new(),
-            });
+            grant(pass, job, cells, *borrowed);
+        } else {
+            urge(pass, job, cells, *borrowed);
         }
     }
 }
 
+fn grant(pass: &mut Pass<'_>, job: &JobState, cells: &[Cell], borrowed: bool) {
+    let settings = pass.book.settings();
+    let lease = if borrowed { settings.lease } else { settings.gang_lease };
+    pass.push(Event::Granted {
+        job: job.spec.job.clone(),
+        attempt: job.attempts + 1,
+        cells: cells.to_vec(),
+        lease,
+        borrowed,
+        binds: Vec::new(),
+    });
+}
+
+/// Stops work that came into the way since, or gives up if nothing there is stopping.
+fn urge(pass: &mut Pass<'_>, job: &JobState, cells: &[Cell], borrowed: bool) {
+    let reason = if borrowed { StopReason::Reservation } else { StopReason::Reclaim };
+    let before = pass.records.len();
+    stop_others(pass, job, cells, reason);
+    let leaves = |id: &Id| {
+        let attempt = pass.book.job_at(*id).and_then(JobState::attempt);
+        attempt.is_some_and(|a| a.stop.is_some())
+    };
+    let slots = cells.iter().filter_map(|c| pass.grid.slot(&c.instance));
+    let mut tasks = slots.flat_map(|s| pass.grid.at(s).tasks.iter());
+    if pass.records.len() == before && !tasks.any(|(id, _)| leaves(id)) {
+        give_up(pass, job, pass.now + pass.book.settings().backoff);
+    }
+}
+
+fn give_up(pass: &mut Pass<'_>, job: &JobState, after: Time) {
+    pass.push(Event::Unreserved { job: job.spec.job.clone(), after });
+}
+
 /// Gives up borrowed reservations on the cells.
 pub(super) fn unreserve(pass: &mut Pass<'_>, wanted: &[Cell]) {
     let book = pass.book;
@@ -71,7 +98,7 @@
             continue;
         };
         if cells.iter().any(|held| wanted.iter().any(|cell| overlap(held, cell))) {
-            pass.push(Event::Unreserved { job: job.spec.job.clone() });
+            give_up(pass, job, pass.now);
         }
     }
 }
@@ -81,7 +108,7 @@
 }
 
 /// Stops the borrowed work that holds the cells, or the cores and memory that go with them.
-pub(super) fn stop_others(pass: &mut Pass<'_>, job: &JobState, cells: &[Cell]) {
+pub(super) fn stop_others(pass: &mut Pass<'_>, job: &JobState, cells: &[Cell], reason: StopReason) {
     let mut victims = BTreeSet::new();
     let mut counts: HashMap<u32, u64> = HashMap::default();
     for held in cells {
@@ -103,7 +130,7 @@
         make_room(pass, job, slot, count, &mut victims);
     }
     for id in victims {
-        stop_one(pass, id, job);
+        stop_one(pass, id, job, reason);
     }
 }
 
@@ -139,7 +166,7 @@
     }
 }
 
-fn stop_one(pass: &mut Pass<'_>, id: Id, claimer: &JobState) {
+fn stop_one(pass: &mut Pass<'_>, id: Id, claimer: &JobState, reason: StopReason) {
     let book = pass.book;
     let Some(victim) = book.job_at(id) else {
         return;
@@ -149,11 +176,14 @@
     };
     let grace =
         if claimer.spec.urgent { book.settings().urgent_grace } else { book.settings().grace };
+    if !attempt.borrowed && reason != StopReason::Move {
+        return;
+    }
     if let Some(stop) = attempt.stop
         && stop.by <= pass.now + grace + attempt.lease + book.settings().clock_bound
     {
         return;
     }
-    let event = progress::stop(book, victim, attempt, StopReason::Reclaim, grace, pass.now);
+    let event = progress::stop(book, victim, attempt, reason, grace, pass.now);
     pass.push(event);
 }
--- /dev/null
+++ b/crates/bronzespool-schedule/src/policy/reserve.rs
@@ -0,0 +1,154 @@
+//! Reservations for borrowing gangs that find no cells.
+//!
+//! The oldest gangs that wait get a *shadow*: the cells that are expected to be free first. Other
+//! work may borrow these only if it is sure to end before. From a set age on, a gang's reservation
+//! is exclusive: it takes cells from borrowed work that was submitted later.
+
+use {
+    super::{
+        Pass, Planner,
+        evict::{Eviction, Total, evict},
+        place::{Ask, free_cells, ready},
+        predict, reclaim,
+    },
+    crate::{
+        book::Book,
+        cell,
+        job::JobState,
+        record::{Event, StopReason},
+    },
+    bronzespool_core::Time,
+};
+
+/// Gangs that get a shadow at once.
+const SHADOWS_MAX: usize = 2;
+
+/// Cells kept for gangs that wait.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Shadow {
+    /// Accelerators kept, by slot.
+    pub(super) masks: Vec<u64>,
+    /// When the first of the gangs is expected to start.
+    pub(super) until: Option<Time>,
+}
+
+/// Oldest waiting jobs that may borrow accelerators and find none free, oldest first.
+pub(super) fn blocked<'a>(pass: &Pass<'a>, most: usize) -> Vec<(&'a JobState, Ask)> {
+    let book = pass.book;
+    let mut heads: Vec<&JobState> = Vec::new();
+    for (_, jobs) in book.queues() {
+        let able = |job: &&JobState| {
+            ready(job, pass.now) && job.spec.accels() > 0 && job.spec.preemptible()
+        };
+        heads.extend(jobs.filter(able));
+    }
+    heads.sort_unstable_by_key(|job| job.id);
+    let mut found = Vec::new();
+    for job in heads {
+        if found.len() == most {
+            break;
+        }
+        if let Some(ask) = Ask::of(&pass.grid, &job.spec)
+            && free_cells(&pass.grid, &ask, &[]).is_none()
+        {
+            found.push((job, ask));
+        }
+    }
+    found
+}
+
+/// Shadows of the oldest blocked gangs.
+pub(super) fn shadow(pass: &Pass<'_>) -> Shadow {
+    let mut shadow = Shadow { masks: vec![0; pass.grid.slots.len()], until: None };
+    for (_, ask) in blocked(pass, SHADOWS_MAX) {
+        let found = evict(pass.book, &pass.grid, &ask, Total::Max, |job| {
+            let attempt = job.attempt()?;
+            Some(predict::end(pass.book, job, attempt, pass.now).as_micros())
+        });
+        let Some(found) = found else {
+            continue;
+        };
+        for (slot, first) in &found.choice.cells {
+            shadow.masks[*slot as usize] |= cell::mask(*first, ask.accels());
+        }
+        let start = Time::from_micros(found.cost);
+        shadow.until = Some(shadow.until.map_or(start, |until| until.min(start)));
+    }
+    shadow
+}
+
+/// Whether a job is sure to end before the shadows' gangs are expected to start.
+pub(super) fn backfills(pass: &Pass<'_>, job: &JobState, shadow: &Shadow) -> bool {
+    let left = predict::pessimistic(pass.book, job).saturating_sub(job.saved);
+    shadow.until.is_none_or(|until| pass.now + left <= until)
+}
+
+/// Makes the reservation of the oldest gang past the exclusive age, if any may have one.
+pub(super) fn exclusive(planner: &mut Planner, pass: &mut Pass<'_>) {
+    let book = pass.book;
+    let span = book.settings().exclusive;
+    let overdue_only = |job: &JobState| pass.now < job.submitted + span;
+    for (job, ask) in blocked(pass, SHADOWS_MAX) {
+        let soft = overdue_only(job);
+        let key = (job.id, soft);
+        if planner.evicted.get(&key) == Some(&book.epoch()) {
+            continue;
+        }
+        let found =
+            evict(book, &pass.grid, &ask, Total::Sum, |victim| price(pass, job, victim, soft));
+        match found {
+            Some(found) => {
+                reserve(pass, job, &ask, &found, StopReason::Reservation);
+                return;
+            }
+            None => _ = planner.evicted.insert(key, book.epoch()),
+        }
+    }
+}
+
+/// What it costs to stop `victim` for `job`; none if it must not be.
+fn price(pass: &Pass<'_>, job: &JobState, victim: &JobState, soft: bool) -> Option<u64> {
+    let attempt = victim.attempt()?;
+    if !attempt.borrowed || victim.id < job.id || !victim.spec.preemptible() {
+        return None;
+    }
+    if attempt.stop.is_some() {
+        return Some(0);
+    }
+    if soft && !predict::is_overdue(pass.book, victim, pass.now) {
+        return None;
+    }
+    let lost = predict::at_stake(victim, pass.now).as_secs() + STOP_COST;
+    Some(lost * victim.spec.accels().max(1))
+}
+
+/// Price of any stop, in seconds of each accelerator.
+const STOP_COST: u64 = 60;
+
+/// Chooses the cells for a borrowing job and stops what holds them.
+pub(super) fn reserve(
+    pass: &mut Pass<'_>,
+    job: &JobState,
+    ask: &Ask,
+    found: &Eviction,
+    reason: StopReason,
+) {
+    let cells = found.choice.named(&pass.grid, ask.accels());
+    let name = job.spec.job.clone();
+    pass.push(Event::Reserved {
+        job: name,
+        cells: cells.clone(),
+        borrowed: true,
+        binds: Vec::new(),
+    });
+    reclaim::stop_others(pass, job, &cells, reason);
+}
+
+/// Next time after `now` at which a waiting job reaches the exclusive age.
+pub(super) fn next(book: &Book, now: Time) -> Option<Time> {
+    let span = book.settings().exclusive;
+    let heads = book.queues().filter_map(|(_, mut jobs)| {
+        jobs.find(|job| job.submitted + span > now && job.spec.accels() > 0)
+    });
+    heads.map(|job| job.submitted + span).min()
+}
--- a/crates/bronzespool-schedule/src/record.rs
+++ b/crates/bronzespool-schedule/src/record.rs
@@ -123,6 +123,8 @@
     Unreserved {
         /// The job.
         job: Job,
+        /// Not to be tried before.
+        after: Time,
     },
     /// A job holds cells: prepare every member.
     Granted {
--- /dev/null
+++ b/crates/bronzespool-schedule/tests/exhaustive.rs
@@ -0,0 +1,327 @@
+//! Every small topology, set of guarantees and sequence of jobs, against a packer by brute force.
+
+mod common;
+
+use {
+    bronzespool_core::{Capacity, Level, Place, Shape, Team},
+    bronzespool_schedule::{Book, Event, JobSpec, Phase, Settings, admit, pack},
+    common::{World, job, team},
+    std::collections::BTreeSet,
+};
+
+/// Workers of a rack, by accelerators.
+type Topology = Vec<Vec<u32>>;
+
+fn racks() -> Vec<Vec<u32>> {
+    let sizes = [1, 2, 4];
+    let mut all: Vec<Vec<u32>> = sizes.iter().map(|&a| vec![a]).collect();
+    for (i, &a) in sizes.iter().enumerate() {
+        all.extend(sizes[i..].iter().map(|&b| vec![a, b]));
+    }
+    all
+}
+
+/// One or two racks of one or two workers, with up to `most` accelerators.
+fn topologies(most: u32) -> Vec<Topology> {
+    let racks = racks();
+    let mut all: Vec<Topology> = racks.iter().map(|r| vec![r.clone()]).collect();
+    for (i, a) in racks.iter().enumerate() {
+        all.extend(racks[i..].iter().map(|b| vec![a.clone(), b.clone()]));
+    }
+    all.retain(|t| t.iter().flatten().sum::<u32>() <= most);
+    all
+}
+
+const LEVELS: [Level; 5] =
+    [Level::Block(0), Level::Block(1), Level::Block(2), Level::Worker, Level::Rack];
+
+/// Sets of one to `most` levels, with repetition.
+fn sets(most: usize) -> Vec<Vec<Level>> {
+    let mut all: Vec<Vec<Level>> = LEVELS.iter().map(|&l| vec![l]).collect();
+    let mut last = all.clone();
+    for _ in 1..most {
+        let mut next = Vec::new();
+        for set in &last {
+            for &level in LEVELS.iter().filter(|l| *l >= set.last().unwrap()) {
+                next.push([set.as_slice(), &[level]].concat());
+            }
+        }
+        all.extend(next.iter().cloned());
+        last = next;
+    }
+    all
+}
+
+/// Accelerators of every worker as bits of one number, rack by rack.
+struct Bits {
+    racks: Vec<Vec<(u32, u32)>>,
+}
+
+impl Bits {
+    fn of(topology: &Topology) -> Self {
+        let mut next = 0;
+        let mut rack = |workers: &Vec<u32>| {
+            let mut place = |&accels: &u32| {
+                next += accels;
+                (next - accels, accels)
+            };
+            workers.iter().map(&mut place).collect()
+        };
+        Self { racks: topology.iter().map(&mut rack).collect() }
+    }
+
+    fn all(&self) -> u32 {
+        self.racks.iter().flatten().map(|&(first, n)| mask(first, n)).sum()
+    }
+
+    fn worker(&self, name: &str) -> (u32, u32) {
+        let (r, w) = name[1..].split_once('w').unwrap();
+        self.racks[r.parse::<usize>().unwrap()][w.parse::<usize>().unwrap()]
+    }
+
+    /// Every place of a cell of `level`.
+    fn places(&self, level: Level) -> Vec<u32> {
+        match level {
+            Level::Block(order) => {
+                let size = 1 << order;
+                let starts = |&(first, n): &(u32, u32)| {
+                    (0..n / size).map(move |i| mask(first + i * size, size)).collect::<Vec<_>>()
+                };
+                self.racks.iter().flatten().flat_map(starts).collect()
+            }
+            Level::Worker => self.racks.iter().flatten().map(|&(f, n)| mask(f, n)).collect(),
+            _ => self.racks.iter().map(|r| r.iter().map(|&(f, n)| mask(f, n)).sum()).collect(),
+        }
+    }
+
+    /// Whether cells of all levels find disjoint places in `free`, by trying every place.
+    fn packs(&self, levels: &[Level], free: u32) -> bool {
+        let Some((&level, rest)) = levels.split_last() else {
+            return true;
+        };
+        let places = self.places(level);
+        places.into_iter().any(|place| place & !free == 0 && self.packs(rest, free & !place))
+    }
+
+    /// Whether `members` blocks of `accels` find places within one cell of `adjacent`.
+    fn holds(&self, members: u32, accels: u32, adjacent: Level) -> bool {
+        let scopes = match adjacent {
+            Level::Region => vec![self.all()],
+            level => self.places(level),
+        };
+        let blocks = vec![Level::block(accels).unwrap(); members as usize];
+        scopes.into_iter().any(|scope| self.packs(&blocks, scope))
+    }
+}
+
+fn mask(first: u32, count: u32) -> u32 {
+    ((1 << count) - 1) << first
+}
+
+fn names(levels: &[Level]) -> Vec<(Team, Vec<Shape>)> {
+    let each = |(i, &level): (usize, &Level)| (team(&format!("t{i}")), vec![Shape::new(level, 1)]);
+    levels.iter().enumerate().map(each).collect()
+}
+
+fn places(topology: &Topology) -> Vec<(Place, Capacity)> {
+    let mut all = Vec::new();
+    for (r, workers) in topology.iter().enumerate() {
+        for (w, &accels) in workers.iter().enumerate() {
+            let place = Place {
+                region: "trinidad".try_into().unwrap(),
+                center: "couva".try_into().unwrap(),
+                rack: format!("r{r}").try_into().unwrap(),
+                instance: format!("r{r}w{w}").try_into().unwrap(),
+            };
+            all.push((place, Capacity { accels, cores: 8, memory: 8, ..Capacity::default() }));
+        }
+    }
+    all
+}
+
+#[test]
+fn pack_small_agrees_with_brute_force() {
+    let mut fits = 0;
+    let mut clashes = 0;
+    for topology in topologies(16) {
+        let bits = Bits::of(&topology);
+        for levels in sets(4) {
+            let expected = bits.packs(&levels, bits.all());
+            let found = pack(&places(&topology), &names(&levels), None);
+            assert_eq!(found.is_ok(), expected, "{topology:?} {levels:?} {found:?}");
+            if expected { fits += 1 } else { clashes += 1 }
+        }
+    }
+    assert!(fits > 1_000 && clashes > 1_000, "{fits} {clashes}");
+}
+
+/// Bits of the cells that jobs of a team hold or have reserved, by whether they may be stopped.
+fn held(book: &Book, bits: &Bits, pick: impl Fn(&JobSpec, bool) -> bool) -> u32 {
+    let mut all = 0;
+    for job in book.jobs() {
+        let (cells, borrowed) = match &job.phase {
+            Phase::Active(attempt) => (&attempt.cells, attempt.borrowed),
+            Phase::Reserved { cells, borrowed, .. } => (cells, *borrowed),
+            _ => continue,
+        };
+        for cell in cells.iter().filter(|_| pick(&job.spec, borrowed)) {
+            let (first, _) = bits.worker(cell.instance.as_str());
+            all |= mask(first + cell.first, cell.accels);
+        }
+    }
+    all
+}
+
+/// The invariant: what no team uses of its guarantees packs into cells that are free or held by
+/// work that may be stopped, and what a team uses of a cell leaves the rest of it to the team.
+fn check(book: &Book, bits: &Bits, context: &dyn Fn() -> String) {
+    let mut bound = 0;
+    let mut unused = Vec::new();
+    for (name, state) in book.teams() {
+        for bind in &state.binds {
+            let (first, accels) = bits.worker(bind.instance.as_str());
+            let place = match bind.level {
+                Level::Block(order) => mask(first + bind.first, 1 << order),
+                Level::Worker => mask(first, accels),
+                level => {
+                    let racks = bits.places(level);
+                    racks.into_iter().find(|r| r & mask(first, accels) != 0).unwrap()
+                }
+            };
+            assert_eq!(bound & place, 0, "cells of two guarantees overlap: {}", context());
+            bound |= place;
+            let fixed = held(book, bits, |s, borrowed| !borrowed && s.team != *name);
+            assert_eq!(place & fixed, 0, "a foreign guarantee lies in the cell: {}", context());
+        }
+        for &level in state.shapes.keys() {
+            unused.extend(vec![level; state.unbound(level) as usize]);
+        }
+    }
+    unused.sort_unstable();
+    let fixed = held(book, bits, |spec, borrowed| !borrowed || !spec.preemptible());
+    assert_eq!(fixed & !bound, 0, "fixed work outside a guarantee: {}", context());
+    assert!(bits.packs(&unused, bits.all() & !bound), "{unused:?} do not pack: {}", context());
+}
+
+fn job_kinds(teams: usize) -> Vec<JobSpec> {
+    let mut all = Vec::new();
+    for t in 0..teams {
+        for (members, accels) in [(1, 1), (1, 2), (1, 4), (2, 1), (2, 2)] {
+            for restart in [true, false] {
+                let spec = job("j", &format!("t{t}"), members, accels, Level::Region);
+                all.push(spec.restart(restart));
+            }
+        }
+    }
+    all
+}
+
+/// Whether the job is let in; what is refused must be infeasible: no place holds the gang, or it
+/// may not be interrupted and the team's guarantee is too small.
+fn is_admitted(book: &Book, spec: &JobSpec, bits: &Bits) -> bool {
+    let admitted = admit(book, spec).is_ok();
+    let possible = bits.holds(spec.members, spec.need.accels, spec.adjacent);
+    assert!(!admitted || possible, "let in though infeasible: {spec:?}");
+    if !admitted && possible {
+        assert!(!spec.preemptible(), "refused though feasible: {spec:?}");
+        let shapes = &book.teams()[&spec.team].shapes;
+        let size =
+            |level: &Level| bits.places(*level).into_iter().map(u32::count_ones).max().unwrap_or(0);
+        let held: u32 = shapes.iter().map(|(level, count)| size(level) * count).sum();
+        let whole = spec.members * spec.need.accels;
+        let largest = shapes.keys().map(size).max().unwrap_or(0);
+        assert!(held < whole || largest < spec.need.accels, "refused though guaranteed: {spec:?}");
+    }
+    admitted
+}
+
+/// Runs all jobs as they are granted, and checks after every record.
+fn play(world: &mut World, bits: &Bits, jobs: &[&JobSpec], context: &dyn Fn() -> String) {
+    for (i, spec) in jobs.iter().enumerate() {
+        let mut spec = (*spec).clone();
+        spec.job = format!("j{i}").try_into().unwrap();
+        world.put(Event::Submitted(spec));
+        loop {
+            let records = world.planner.decide(&world.book, world.now);
+            if records.is_empty() {
+                break;
+            }
+            for record in records {
+                world.book.apply(&record).unwrap();
+                check(&world.book, bits, context);
+            }
+        }
+    }
+}
+
+#[test]
+fn decide_small_keeps_guarantees_reclaimable() {
+    let mut worlds = 0;
+    for topology in topologies(6) {
+        let bits = Bits::of(&topology);
+        for levels in sets(2) {
+            if !bits.packs(&levels, bits.all()) {
+                continue;
+            }
+            let racks: Vec<&[u32]> = topology.iter().map(Vec::as_slice).collect();
+            let mut base = World::racks(Settings::default(), &racks);
+            base.put(Event::Guarantees(names(&levels)));
+            let mut kinds = job_kinds(levels.len());
+            kinds.retain(|spec| is_admitted(&base.book, spec, &bits));
+            for (i, a) in kinds.iter().enumerate() {
+                for b in &kinds[i..] {
+                    let context = || format!("{topology:?} {levels:?} {a:?} {b:?}");
+                    let mut world = World::new(Settings::default());
+                    world.book = base.book.clone();
+                    play(&mut world, &bits, &[a, b], &context);
+                    claim_all(&mut world, &bits, &levels, &context);
+                    worlds += 1;
+                }
+            }
+        }
+    }
+    assert!(worlds > 10_000, "{worlds}");
+}
+
+/// Every team that uses nothing claims its whole guarantee at once, with work that may not be
+/// interrupted, and gets it in spite of all that runs, unless older work of its own takes it.
+fn claim_all(world: &mut World, bits: &Bits, levels: &[Level], context: &dyn Fn() -> String) {
+    let using: BTreeSet<Team> = world
+        .book
+        .teams()
+        .iter()
+        .filter(|(_, t)| !t.binds.is_empty())
+        .map(|(n, _)| n.clone())
+        .collect();
+    let mut claims = Vec::new();
+    for (i, &level) in levels.iter().enumerate() {
+        let Level::Block(order) = level else {
+            continue;
+        };
+        let name = format!("t{i}");
+        if using.contains(&team(&name)) {
+            continue;
+        }
+        let claim = format!("claim{i}");
+        world
+            .put(Event::Submitted(job(&claim, &name, 1, 1 << order, Level::Region).restart(false)));
+        claims.push(claim);
+    }
+    world.settle();
+    check(&world.book, bits, context);
+    let own = |t: &str| !world.book.teams()[&team(t)].binds.is_empty();
+    claims.retain(|claim| {
+        let name = claim.replace("claim", "t");
+        assert!(!world.is_waiting(claim) || own(&name), "{claim} waits: {}", context());
+        !world.is_waiting(claim)
+    });
+    for _ in 0..10 {
+        world.wake();
+        world.settle();
+    }
+    for claim in claims {
+        let held = matches!(world.phase(&claim), Phase::Active(a) if !a.borrowed)
+            || world.book.job(&claim.as_str().try_into().unwrap()).unwrap().attempts > 0;
+        assert!(held, "{claim} never held its cells: {}", context());
+    }
+}
