--- a/crates/bronzespool-schedule/src/admit.rs
+++ b/crates/bronzespool-schedule/src/admit.rs
@@ -5,10 +5,13 @@
 
 use {
     crate::{
-        book::{Book, grid::Grid},
-        cell::{ACCELS_MAX, blocks},
+        book::Book,
+        cell::ACCELS_MAX,
         job::JobSpec,
-        policy::place::{Ask, Scope, scopes},
+        policy::{
+            claim::claim,
+            place::{Ask, fits_idle, idle_capacity, scopes},
+        },
     },
     bronzespool_core::{Code, Level},
     displaydoc::Display,
@@ -47,7 +50,7 @@
             spec.need.accels, spec.need.cores, spec.need.memory
         ));
     };
-    let plain = fits_empty(grid, &ask);
+    let plain = fits_idle(grid, &ask, &[]);
     if ask.order.is_none() && plain {
         return Ok(());
     }
@@ -65,7 +68,7 @@
     let Some(ask) = ask.guaranteed(grid, spec) else {
         return refuse(too_large(spec));
     };
-    if !fits_empty(grid, &ask) {
+    if !fits_idle(grid, &ask, &[]) {
         return refuse(too_large(spec));
     }
     check_guarantee(book, spec, &ask)
@@ -89,36 +92,14 @@
     )
 }
 
-/// Whether some scope would hold all members if all its workers were idle.
-fn fits_empty(grid: &Grid, ask: &Ask) -> bool {
-    let level = ask.level();
-    scopes(grid, level).iter().any(|scope| {
-        let sum: u64 = scope.slots.iter().map(|&s| capacity(grid, s, scope, ask)).sum();
-        sum >= u64::from(ask.members)
-    })
-}
-
-/// Members that an idle slot holds.
-fn capacity(grid: &Grid, number: u32, scope: &Scope<'_>, ask: &Ask) -> u64 {
-    let slot = grid.at(number);
-    let by = |all: u64, one: u64| all.checked_div(one).unwrap_or(u64::from(u32::MAX));
-    let room = by(slot.cores, u64::from(ask.cores)).min(by(slot.memory, ask.memory));
-    match ask.order {
-        None if slot.all == 0 || ask.roams => room,
-        None => 0,
-        Some(_) if !slot.slice_fits(&ask.need(), ask.accels()) => 0,
-        Some(order) => u64::from(blocks(slot.all & scope.mask, order).count_ones()).min(room),
-    }
-}
-
 /// Whether the team's guarantee has enough cells for work that may not be interrupted.
 fn check_guarantee(book: &Book, spec: &JobSpec, ask: &Ask) -> Result<()> {
     let order = ask.order.unwrap_or(0);
     let grid = book.grid();
     let most = |level: Level| {
-        let sums = scopes(grid, level)
-            .into_iter()
-            .map(|scope| scope.slots.iter().map(|&s| capacity(grid, s, &scope, ask)).sum::<u64>());
+        let sums = scopes(grid, level).into_iter().map(|scope| {
+            scope.slots.iter().map(|&s| idle_capacity(grid, s, &scope, ask)).sum::<u64>()
+        });
         sums.max().unwrap_or(0)
     };
     let shapes = book.teams().get(&spec.team).map(|team| &team.shapes);
@@ -135,10 +116,30 @@
         })
         .sum();
     if held >= u64::from(ask.members) {
-        return Ok(());
+        return check_single(book, spec, ask);
     }
     refuse(format!(
         "the job may not be interrupted, so it needs the guarantee of team {}, which holds {} of {} members",
         spec.team, held, ask.members
     ))
 }
+
+/// Whether the only guaranteed cell of a team could hold the job while all others still pack.
+///
+/// With several cells the places depend on each other, and the job is let in.
+fn check_single(book: &Book, spec: &JobSpec, ask: &Ask) -> Result<()> {
+    let cells: u32 = book.teams()[&spec.team].shapes.values().sum();
+    if cells != 1 {
+        return Ok(());
+    }
+    let idle = book.idle();
+    let found = claim(&idle, &mut idle.grid().clone(), &spec.team, ask, &[]);
+    if found.is_some() {
+        return Ok(());
+    }
+    refuse(format!(
+        "the job may not be interrupted, and no cell of the guarantee of team {} holds it while the \
+         guarantees of all teams pack",
+        spec.team
+    ))
+}
--- a/crates/bronzespool-schedule/src/book/apply.rs
+++ b/crates/bronzespool-schedule/src/book/apply.rs
@@ -72,12 +72,12 @@
             Event::Refused { job, code, .. } => self.end(job, JobOutcome::Refused(*code), at),
             Event::Quarantined { instance } => self.worker(instance, |w| {
                 w.quarantine = Some(at);
-                w.probing = false;
+                w.probing = None;
             }),
-            Event::Probing { instance } => self.worker(instance, |w| w.probing = true),
+            Event::Probing { instance } => self.worker(instance, |w| w.probing = Some(at)),
             Event::Healthy { instance } => self.worker(instance, |w| {
                 w.quarantine = None;
-                w.probing = false;
+                w.probing = None;
                 w.failures.clear();
             }),
             Event::Usage { job, attempt, member, cores, memory, seen } => {
@@ -113,7 +113,7 @@
             up: true,
             leaving: false,
             quarantine: None,
-            probing: false,
+            probing: None,
             failures: BTreeMap::new(),
         };
         self.state.slots += 1;
@@ -139,8 +139,9 @@
         let worker = worker.clone();
         self.index.grid.update(&worker);
         self.index.epoch += 1;
+        self.suspect(instance);
         let tasks = self.index.grid.at(worker.slot).tasks.clone();
-        for (id, _) in tasks {
+        for id in tasks.into_iter().map(|(id, _)| id).chain(worker.failures.into_keys()) {
             self.schedule(id);
         }
         Ok(())
@@ -176,6 +177,7 @@
             preemptions: 0,
             moves: 0,
             failed: BTreeSet::new(),
+            failures: 0,
             phase: Phase::Waiting { after: at },
         };
         self.state.mix.push(GangShape {
@@ -387,6 +389,7 @@
         ledger.sub(&held, &job.spec.need, attempt.borrowed);
         if outcome == MemberOutcome::Failed {
             job.failed.insert(held.instance.clone());
+            job.failures += 1;
         }
         let borrowed = attempt.borrowed;
         job.phase = Phase::Active(attempt);
@@ -397,6 +400,7 @@
                 MemberOutcome::Stopped | MemberOutcome::Lost => {}
             }
         }
+        self.suspect(&held.instance);
         if !borrowed {
             self.unbind(&team);
         }
@@ -443,6 +447,10 @@
         let id = self.id(name)?;
         self.close(id, at);
         let job = self.state.jobs.get_mut(&id).expect("id is of a job");
+        let overuse = |a: &Attempt| a.stop.is_some_and(|s| s.reason == StopReason::Overuse);
+        if job.attempt().is_some_and(overuse) {
+            job.spec = job.grown();
+        }
         job.phase = Phase::Waiting { after };
         self.schedule(id);
         Ok(())
--- a/crates/bronzespool-schedule/src/book/grid.rs
+++ b/crates/bronzespool-schedule/src/book/grid.rs
@@ -59,6 +59,8 @@
     pub bound: u64,
     /// Whether new work may go here.
     pub open: bool,
+    /// Whether it is in quarantine and may have one job that may be repeated.
+    pub probe: bool,
     /// Thousandths of cores in all.
     pub cores: u64,
     /// Memory in MiB in all.
@@ -97,6 +99,11 @@
         if self.open { self.all & !self.bound } else { 0 }
     }
 
+    /// Whether the worker may have a probe now.
+    pub const fn probes(&self) -> bool {
+        self.probe && self.tasks.is_empty() && self.cores_held == 0 && self.held == 0
+    }
+
     /// Whether the worker is reachable and wholly outside guaranteed cells in use.
     pub const fn whole(&self) -> bool {
         self.open && self.all != 0 && self.bound == 0
@@ -211,6 +218,7 @@
 
     pub(super) fn insert(&mut self, worker: &Worker) {
         self.enter(&worker.place, worker.capacity, worker.open());
+        self.update(worker);
     }
 
     fn enter(&mut self, place: &Place, capacity: Capacity, open: bool) {
@@ -232,6 +240,7 @@
             held: 0,
             bound: 0,
             open,
+            probe: false,
             cores: u64::from(capacity.cores) * 1_000,
             memory: capacity.memory,
             cores_used: 0,
@@ -251,6 +260,7 @@
         slot.cores = u64::from(worker.capacity.cores) * 1_000;
         slot.memory = worker.capacity.memory;
         slot.open = worker.open();
+        slot.probe = worker.probes();
     }
 
     pub(crate) fn bind(&mut self, bind: &Bind) {
--- a/crates/bronzespool-schedule/src/book/mod.rs
+++ b/crates/bronzespool-schedule/src/book/mod.rs
@@ -2,9 +2,11 @@
 
 mod apply;
 pub mod grid;
+mod overuse;
 mod schedule;
 pub mod team;
 
+pub(crate) use overuse::Overuse;
 use {
     crate::{
         estimate::Estimate,
@@ -61,8 +63,8 @@
     pub leaving: bool,
     /// Since when it is in quarantine.
     pub quarantine: Option<Time>,
-    /// Whether it may have one probe while in quarantine.
-    pub probing: bool,
+    /// Since when it may have one probe while in quarantine.
+    pub probing: Option<Time>,
     /// Jobs that failed here since the last success, with the time of the failure.
     pub failures: BTreeMap<Id, Time>,
 }
@@ -70,7 +72,12 @@
 impl Worker {
     /// Whether new work may go there.
     pub const fn open(&self) -> bool {
-        self.up && !self.leaving && (self.quarantine.is_none() || self.probing)
+        self.up && !self.leaving && self.quarantine.is_none()
+    }
+
+    /// Whether one job that may be repeated may go there.
+    pub const fn probes(&self) -> bool {
+        self.up && !self.leaving && self.probing.is_some()
     }
 }
 
@@ -97,6 +104,7 @@
     due: BTreeSet<(Time, Id)>,
     reserved: BTreeSet<Id>,
     ended: BTreeSet<(Time, Id)>,
+    suspects: BTreeSet<Instance>,
     ledger: BTreeMap<Team, Ledger>,
     marks: HashMap<Id, schedule::Mark>,
     epoch: u64,
@@ -185,6 +193,20 @@
         self.state.estimates.get(&key)
     }
 
+    /// The same workers and guarantees with all workers reachable and no work.
+    pub fn idle(&self) -> Self {
+        let mut state = State { settings: self.state.settings.clone(), ..State::default() };
+        state.workers = self.state.workers.clone();
+        for worker in state.workers.values_mut() {
+            worker.up = true;
+            worker.quarantine = None;
+        }
+        state.teams = self.state.teams.clone();
+        state.teams.values_mut().for_each(|team| team.binds.clear());
+        state.teams.retain(|_, team| !team.shapes.is_empty());
+        Self::rebuild(state)
+    }
+
     /// Shapes of the gangs submitted so far.
     pub const fn mix(&self) -> &Mix {
         &self.state.mix
@@ -216,6 +238,11 @@
         self.index.reserved.iter().filter_map(|id| self.state.jobs.get(id))
     }
 
+    /// Workers with failures since their last success, and those in quarantine.
+    pub(crate) fn suspects(&self) -> impl Iterator<Item = &Worker> {
+        self.index.suspects.iter().filter_map(|name| self.state.workers.get(name))
+    }
+
     /// Ended jobs, oldest end first.
     pub(crate) fn ended(&self) -> impl Iterator<Item = (Time, &JobState)> {
         self.index.ended.iter().filter_map(|(at, id)| Some((*at, self.state.jobs.get(id)?)))
@@ -227,6 +254,7 @@
         workers.sort_by_key(|w| w.slot);
         for worker in &workers {
             book.index.grid.insert(worker);
+            book.suspect(&worker.place.instance);
         }
         for team in book.state.teams.values() {
             for bind in &team.binds {
--- a/crates/bronzespool-schedule/src/book/schedule.rs
+++ b/crates/bronzespool-schedule/src/book/schedule.rs
@@ -6,7 +6,7 @@
         job::{Attempt, Id, JobState, Member, Phase},
         record::MemberOutcome,
     },
-    bronzespool_core::Time,
+    bronzespool_core::{Instance, Time},
 };
 
 /// Where a job stands in the index.
@@ -81,19 +81,19 @@
                 mark.queued = Some(!job.spec.urgent);
                 mark.delayed = Some(*after).filter(|&at| at > Time::ZERO);
                 mark.due = job.spec.deadline;
-                if job.failed.len() >= self.state.settings.job_strikes as usize {
+                if self.is_hopeless(job) {
                     mark.due = Some(Time::ZERO);
                 }
             }
             Phase::Reserved { .. } => mark.reserved = true,
-            Phase::Active(attempt) => mark.due = self.attempt_due(attempt),
+            Phase::Active(attempt) => mark.due = self.attempt_due(job, attempt),
             Phase::Ended { at, .. } => mark.ended = Some(*at),
         }
         mark
     }
 
     /// When an attempt needs a record, if ever without news.
-    fn attempt_due(&self, attempt: &Attempt) -> Option<Time> {
+    fn attempt_due(&self, job: &JobState, attempt: &Attempt) -> Option<Time> {
         let now = Some(Time::ZERO);
         if let Some(stop) = attempt.stop {
             let open = stop.by == Time::MAX;
@@ -104,7 +104,7 @@
             return now;
         }
         if attempt.started.is_some() {
-            return None;
+            return self.overuse(job, attempt).and(now);
         }
         if attempt.members.iter().all(|m| *m == Member::Prepared) {
             return now;
@@ -112,6 +112,29 @@
         Some(attempt.granted + self.state.settings.prepare)
     }
 
+    /// Whether a job has failed on so many workers in good standing, or so often, that the job is
+    /// at fault.
+    pub(crate) fn is_hopeless(&self, job: &JobState) -> bool {
+        let good = |name: &&Instance| {
+            self.state.workers.get(*name).is_some_and(|w| w.quarantine.is_none())
+        };
+        let workers = job.failed.iter().filter(good).count();
+        let strikes = self.state.settings.job_strikes;
+        workers >= strikes as usize || (workers > 0 && job.failures >= 2 * strikes)
+    }
+
+    /// Enters a worker among the suspects, or takes it off.
+    pub(super) fn suspect(&mut self, instance: &Instance) {
+        let Some(worker) = self.state.workers.get(instance) else {
+            return;
+        };
+        if worker.failures.is_empty() && worker.quarantine.is_none() {
+            self.index.suspects.remove(instance);
+        } else {
+            self.index.suspects.insert(instance.clone());
+        }
+    }
+
     /// Whether a member still held is on a worker that is lost.
     pub(crate) fn lost(&self, attempt: &Attempt) -> bool {
         let mut held = attempt.cells.iter().zip(&attempt.members).filter(|(_, m)| m.holds());
--- a/crates/bronzespool-schedule/src/job.rs
+++ b/crates/bronzespool-schedule/src/job.rs
@@ -270,11 +270,23 @@
     pub moves: u32,
     /// Workers on which it failed.
     pub failed: BTreeSet<Instance>,
+    /// Failures of its members.
+    pub failures: u32,
     /// Where it stands.
     pub phase: Phase,
 }
 
 impl JobState {
+    /// What the job asks for, with the need of its members raised to what they were seen to use.
+    pub fn grown(&self) -> JobSpec {
+        let mut spec = self.spec.clone();
+        for usage in self.attempt().into_iter().flat_map(|a| &a.usage).flatten() {
+            spec.need.cores = spec.need.cores.max(usage.cores);
+            spec.need.memory = spec.need.memory.max(usage.memory);
+        }
+        spec
+    }
+
     /// The current attempt, if the job holds cells.
     pub const fn attempt(&self) -> Option<&Attempt> {
         match &self.phase {
--- a/crates/bronzespool-schedule/src/policy/claim.rs
+++ b/crates/bronzespool-schedule/src/policy/claim.rs
@@ -30,6 +30,9 @@
     pub split: u64,
 }
 
+/// Cost of a place for a guaranteed cell: members left over, accelerators taken, size broken up.
+type Rank = (u32, u32, u32);
+
 /// One attempt to place a gang, with what it changed.
 struct Trial<'a> {
     grid: &'a mut Grid,
@@ -39,11 +42,16 @@
     cells: Vec<Vec<(u32, u64)>>,
     unbound: BTreeMap<Level, u32>,
     checker: &'a mut Checker,
+    avoid: &'a [u32],
+    /// Whether cells that hold more of the members left go first, in place of the smallest.
+    roomy: bool,
     undo: Vec<(u32, u64, u64)>,
 }
 
 /// Cheapest place for a gang on the guarantee of `team`, if any.
-pub fn claim(book: &Book, grid: &mut Grid, team: &Team, ask: &Ask) -> Option<Claim> {
+///
+/// Slots in `avoid` are not used.
+pub fn claim(book: &Book, grid: &mut Grid, team: &Team, ask: &Ask, avoid: &[u32]) -> Option<Claim> {
     let state = book.teams().get(team)?;
     let order = ask.order?;
     let bounds: Vec<(Vec<u32>, u64)> =
@@ -51,27 +59,46 @@
     let mut checker = Checker::new(book, grid);
     let cells = state.binds.iter().map(|bind| grid.covers(bind)).collect();
     let unbound = state.shapes.keys().map(|&l| (l, state.unbound(l))).collect();
-    let mut trial =
-        Trial { grid, ask, order, state, cells, unbound, checker: &mut checker, undo: Vec::new() };
-    let mut best: Option<Claim> = None;
-    for (slots, mask) in &bounds {
-        let scope = Scope { slots, mask: *mask };
-        let found = trial.gang(scope);
-        let better = |f: &Claim, b: &Claim| (f.taken, f.split) < (b.taken, b.split);
-        if let Some(found) = found
-            && best.as_ref().is_none_or(|b| better(&found, b))
-        {
+    let mut trial = Trial {
+        grid,
+        ask,
+        order,
+        state,
+        cells,
+        unbound,
+        checker: &mut checker,
+        avoid,
+        roomy: false,
+        undo: Vec::new(),
+    };
+    let best = trial.best(&bounds);
+    if best.is_some() || ask.members == 1 {
+        return best;
+    }
+    trial.roomy = true;
+    trial.best(&bounds)
+}
+
+impl Trial<'_> {
+    /// Cheapest claim in any of the scopes.
+    fn best(&mut self, scopes: &[(Vec<u32>, u64)]) -> Option<Claim> {
+        let mut best: Option<Claim> = None;
+        for (slots, mask) in scopes {
+            let Some(found) = self.gang(Scope { slots, mask: *mask }) else {
+                continue;
+            };
             let ideal = found.taken == 0 && found.split == 0;
-            best = Some(found);
+            let cost = |claim: &Claim| (claim.taken, claim.split);
+            if best.as_ref().is_none_or(|best| cost(&found) < cost(best)) {
+                best = Some(found);
+            }
             if ideal {
                 break;
             }
         }
+        best
     }
-    best
-}
 
-impl Trial<'_> {
     /// Places all members within a scope, then takes the changes back.
     fn gang(&mut self, scope: Scope<'_>) -> Option<Claim> {
         let cells = self.cells.clone();
@@ -116,7 +143,7 @@
     fn inside(&mut self, scope: Scope<'_>, claim: &mut Claim) -> bool {
         let mut best: Option<((u32, u8), u32, u32)> = None;
         for &(slot, cover) in self.cells.iter().flatten() {
-            if !scope.slots.contains(&slot) {
+            if !scope.slots.contains(&slot) || self.avoid.contains(&slot) {
                 continue;
             }
             let at = self.grid.at(slot);
@@ -143,7 +170,10 @@
 
     /// Binds one more guaranteed cell, the smallest level that holds a member first.
     fn extend(&mut self, scope: Scope<'_>, claim: &mut Claim) -> bool {
-        let levels: Vec<Level> = self.state.shapes.keys().copied().collect();
+        let mut levels: Vec<Level> = self.state.shapes.keys().copied().collect();
+        if self.roomy {
+            levels.reverse();
+        }
         levels.into_iter().any(|level| {
             let left = self.unbound.get(&level).copied().unwrap_or(0);
             level >= Level::Block(self.order) && left > 0 && self.bind(level, scope, claim)
@@ -153,7 +183,10 @@
     fn bind(&mut self, level: Level, scope: Scope<'_>, claim: &mut Claim) -> bool {
         let mut offers = match level {
             Level::Block(order) => self.block_offers(order, scope),
-            _ => self.domain_offers(level, scope),
+            _ => {
+                let placed = u32::try_from(claim.cells.len()).unwrap_or(u32::MAX);
+                self.domain_offers(level, scope, self.ask.members - placed)
+            }
         };
         offers.sort_unstable();
         *self.checker.demand.get_mut(&level).expect("a level of a guarantee is demanded") -= 1;
@@ -174,12 +207,18 @@
         false
     }
 
+    /// Whether a member may be placed on the slot.
+    fn suits(&self, slot: u32) -> bool {
+        let fits = self.grid.at(slot).slice_fits(&self.ask.need(), self.ask.accels());
+        fits && !self.avoid.contains(&slot)
+    }
+
     /// Places for a block: cost, slot, first accelerator.
-    fn block_offers(&self, order: u8, scope: Scope<'_>) -> Vec<((u32, u32), u32, u32)> {
+    fn block_offers(&self, order: u8, scope: Scope<'_>) -> Vec<(Rank, u32, u32)> {
         let mut found = Vec::new();
         for &slot in scope.slots {
             let at = self.grid.at(slot);
-            if !at.slice_fits(&self.ask.need(), self.ask.accels()) {
+            if !self.suits(slot) {
                 continue;
             }
             let mut starts = blocks(at.unbound(), order);
@@ -191,15 +230,23 @@
                 let busy = at.used | at.held;
                 if let Some((taken, _, _)) = cheapest(inner, busy, self.order) {
                     let outer = outer_order(at.unbound(), first, order);
-                    found.push(((taken, u32::from(outer)), slot, first));
+                    found.push(((0, taken, u32::from(outer)), slot, first));
                 }
             }
         }
         found
     }
 
+    /// Members out of `left` that find no place in a cell of several workers.
+    fn lacks(&self, around: &[u32], scope: Scope<'_>, left: u32) -> u32 {
+        let inside = around.iter().filter(|&&s| scope.slots.contains(&s) && self.suits(s));
+        let places =
+            inside.map(|&s| blocks(self.grid.at(s).all & scope.mask, self.order).count_ones());
+        left.saturating_sub(places.sum())
+    }
+
     /// Places for a worker or a larger cell: cost, slot, zero.
-    fn domain_offers(&self, level: Level, scope: Scope<'_>) -> Vec<((u32, u32), u32, u32)> {
+    fn domain_offers(&self, level: Level, scope: Scope<'_>, left: u32) -> Vec<(Rank, u32, u32)> {
         let mut found = Vec::new();
         let mut seen: Vec<u32> = Vec::new();
         for &slot in scope.slots {
@@ -212,15 +259,17 @@
             seen.push(around[0]);
             let offers = around.iter().filter(|s| scope.slots.contains(s)).filter_map(|&s| {
                 let at = self.grid.at(s);
-                if !at.slice_fits(&self.ask.need(), self.ask.accels()) {
+                if !self.suits(s) {
                     return None;
                 }
                 cheapest(at.all & scope.mask, at.used | at.held, self.order).map(|(t, _, _)| t)
             });
+            let Some(taken) = offers.min() else {
+                continue;
+            };
             let accels: u32 = around.iter().map(|&s| self.grid.at(s).accels()).sum();
-            if let Some(taken) = offers.min() {
-                found.push(((taken, accels), slot, 0));
-            }
+            let short = if self.roomy { self.lacks(around, scope, left) } else { 0 };
+            found.push(((short, taken, accels), slot, 0));
         }
         found
     }
--- a/crates/bronzespool-schedule/src/policy/mod.rs
+++ b/crates/bronzespool-schedule/src/policy/mod.rs
@@ -6,6 +6,7 @@
 pub mod claim;
 pub mod evict;
 pub mod fit;
+mod health;
 pub mod place;
 pub mod predict;
 mod progress;
@@ -74,5 +75,6 @@
     let due = book.next_due().unwrap_or(Time::MAX);
     let delayed = book.next_delayed(now).unwrap_or(Time::MAX);
     let exclusive = reserve::next(book, now).unwrap_or(Time::MAX);
-    due.min(delayed).min(exclusive)
+    let probe = health::next(book).unwrap_or(Time::MAX);
+    due.min(delayed).min(exclusive).min(probe)
 }
--- a/crates/bronzespool-schedule/src/policy/place.rs
+++ b/crates/bronzespool-schedule/src/policy/place.rs
@@ -169,6 +169,30 @@
     found.min_by_key(|choice| choice.cost)
 }
 
+/// Whether some scope would hold all members if its workers were idle, without those that are kept
+/// whole.
+pub fn fits_idle(grid: &Grid, ask: &Ask, kept: &[u64]) -> bool {
+    let is_kept = |slot: u32| kept.get(slot as usize) == Some(&u64::MAX);
+    scopes(grid, ask.level()).iter().any(|scope| {
+        let slots = scope.slots.iter().filter(|&&s| !is_kept(s));
+        let sum: u64 = slots.map(|&s| idle_capacity(grid, s, scope, ask)).sum();
+        sum >= u64::from(ask.members)
+    })
+}
+
+/// Members that a slot holds if it is idle.
+pub fn idle_capacity(grid: &Grid, number: u32, scope: &Scope<'_>, ask: &Ask) -> u64 {
+    let slot = grid.at(number);
+    let by = |all: u64, one: u64| all.checked_div(one).unwrap_or(u64::from(u32::MAX));
+    let room = by(slot.cores, u64::from(ask.cores)).min(by(slot.memory, ask.memory));
+    match ask.order {
+        None if slot.all == 0 || ask.roams => room,
+        None => 0,
+        Some(_) if !slot.slice_fits(&ask.need(), ask.accels()) => 0,
+        Some(order) => u64::from(blocks(slot.all & scope.mask, order).count_ones()).min(room),
+    }
+}
+
 /// Members that a slot can take now, limited by cores and memory.
 fn room_for(slot: &Slot, ask: &Ask) -> u32 {
     let cores = slot.cores.saturating_sub(slot.cores_used + slot.cores_held);
@@ -195,7 +219,9 @@
 impl Room<'_> {
     fn bits(&self, slot: u32) -> u64 {
         let kept = self.kept.get(slot as usize).copied().unwrap_or(0);
-        self.grid.at(slot).free() & self.scope.mask & !kept
+        let at = self.grid.at(slot);
+        let free = if at.probes() { at.all } else { at.free() };
+        free & self.scope.mask & !kept
     }
 
     fn fill(&self, ask: &Ask) -> Option<Choice> {
@@ -215,7 +241,8 @@
 
     fn offer(&self, number: u32, ask: &Ask) -> Option<Offer> {
         let slot = self.grid.at(number);
-        if !slot.open {
+        let probe = slot.probes() && ask.members == 1 && ask.roams;
+        if (!slot.open && !probe) || self.kept.get(number as usize) == Some(&u64::MAX) {
             return None;
         }
         let room = room_for(slot, ask);
--- a/crates/bronzespool-schedule/src/policy/progress.rs
+++ b/crates/bronzespool-schedule/src/policy/progress.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        book::Book,
+        admit::admit,
+        book::{Book, Overuse},
         job::{Attempt, JobState, Member, Phase, Stop},
         record::{Event, JobOutcome, MemberOutcome, Record, StopReason},
     },
@@ -10,6 +11,9 @@
     std::time::Duration,
 };
 
+/// Most doublings of the pause after failures.
+const BACKOFF_DOUBLINGS: u32 = 6;
+
 /// Most jobs dropped by one record.
 const FORGET_MAX: usize = 256;
 
@@ -32,7 +36,7 @@
 
 fn waiting(book: &Book, job: &JobState, now: Time) -> Option<Event> {
     let name = job.spec.job.clone();
-    if job.failed.len() >= book.settings().job_strikes as usize {
+    if book.is_hopeless(job) {
         let reason = format!("failed on {} workers", job.failed.len());
         return Some(Event::Refused { job: name, code: Code::JobRefused, reason });
     }
@@ -55,6 +59,13 @@
     if attempt.members.iter().any(failed) || book.lost(attempt) {
         return stop(book, job, attempt, StopReason::MemberLost, Duration::ZERO, now);
     }
+    match book.overuse(job, attempt) {
+        Some(Overuse::Throttle) => return Event::Throttled { job: name, attempt: number },
+        Some(Overuse::Stop(reason)) => {
+            return stop(book, job, attempt, reason, book.settings().grace, now);
+        }
+        None => {}
+    }
     if attempt.members.iter().all(|m| *m == Member::Prepared) {
         return Event::Go { job: name, attempt: number };
     }
@@ -107,8 +118,14 @@
             if attempt.members.contains(&lost) { JobOutcome::Unknown } else { JobOutcome::Failed };
         return Event::Ended { job: name, outcome };
     }
+    if reason == StopReason::Overuse
+        && let Err(refusal) = admit(book, &job.grown())
+    {
+        return Event::Refused { job: name, code: refusal.code, reason: refusal.reason };
+    }
     let retry = matches!(reason, StopReason::MemberLost | StopReason::Prepare);
-    let after = if retry { now + book.settings().backoff } else { now };
+    let pause = book.settings().backoff * (1 << job.failures.min(BACKOFF_DOUBLINGS));
+    let after = if retry { now + pause } else { now };
     Event::Requeued { job: name, after }
 }
 
--- a/crates/bronzespool-schedule/src/policy/queue.rs
+++ b/crates/bronzespool-schedule/src/policy/queue.rs
@@ -4,7 +4,8 @@
     super::{
         GRANTS_MAX, Pass, Planner,
         claim::{Claim, claim},
-        place::{Ask, Choice, Totals, dominant_share, free_cells, ready},
+        health,
+        place::{Ask, Choice, Totals, dominant_share, fits_idle, free_cells, ready},
         reclaim,
         reserve::{self, Shadow},
     },
@@ -21,6 +22,7 @@
 /// Grants and reservations for waiting jobs.
 pub(super) fn grant(planner: &mut Planner, book: &Book, now: Time) -> Vec<Record> {
     let mut pass = Pass { book, now, grid: book.grid().clone(), grants: 0, records: Vec::new() };
+    health::health(&mut pass);
     reclaim::finish(&mut pass);
     if !pass.records.is_empty() {
         return pass.records;
@@ -54,15 +56,17 @@
                 continue;
             };
             let class = (Some(team.clone()), ask);
+            let fresh = job.failed.is_empty();
             let known = planner.failed.get(&class) == Some(&book.epoch());
-            if known || !tried.insert(ask) {
+            if fresh && (known || !tried.insert(ask)) {
                 continue;
             }
-            if !try_own(pass, job, &ask) {
+            if try_own(pass, job, &ask) {
+                return;
+            }
+            if fresh {
                 planner.failed.insert(class, book.epoch());
-                continue;
             }
-            return;
         }
     }
 }
@@ -79,13 +83,14 @@
 }
 
 fn try_own(pass: &mut Pass<'_>, job: &JobState, ask: &Ask) -> bool {
-    let Some(found) = claim(pass.book, &mut pass.grid, &job.spec.team, ask) else {
+    let Some(found) = claim_for(pass, job, ask) else {
         return false;
     };
+    let kept = avoided(pass, job, ask);
     if found.taken > 0
         && job.spec.preemptible()
         && !job.spec.urgent
-        && let Some(choice) = free_cells(&pass.grid, ask, &[])
+        && let Some(choice) = free_cells(&pass.grid, ask, &kept)
     {
         lend(pass, job, ask, &choice);
         return true;
@@ -94,6 +99,30 @@
     true
 }
 
+/// Claims cells on other workers than those on which the job failed, if there are any.
+fn claim_for(pass: &mut Pass<'_>, job: &JobState, ask: &Ask) -> Option<Claim> {
+    let team = &job.spec.team;
+    let avoid: Vec<u32> = job.failed.iter().filter_map(|name| pass.grid.slot(name)).collect();
+    let found = claim(pass.book, &mut pass.grid, team, ask, &avoid);
+    if found.is_none() && !avoid.is_empty() {
+        return claim(pass.book, &mut pass.grid, team, ask, &[]);
+    }
+    found
+}
+
+/// Whole workers on which the job failed, by slot; none if the others could
+/// not hold it.
+fn avoided(pass: &Pass<'_>, job: &JobState, ask: &Ask) -> Vec<u64> {
+    if job.failed.is_empty() {
+        return Vec::new();
+    }
+    let mut kept = vec![0; pass.grid.slots.len()];
+    for slot in job.failed.iter().filter_map(|name| pass.grid.slot(name)) {
+        kept[slot as usize] = u64::MAX;
+    }
+    if fits_idle(&pass.grid, ask, &kept) { kept } else { Vec::new() }
+}
+
 /// Grants a claim, or reserves it and stops the work in its way.
 fn take(pass: &mut Pass<'_>, job: &JobState, ask: &Ask, claim: Claim) {
     let choice = Choice { cells: claim.cells, cost: claim.split };
@@ -178,8 +207,11 @@
     if planner.failed.get(&class) == Some(&pass.book.epoch()) {
         return false;
     }
-    let Some(choice) = free_cells(&pass.grid, &ask, &[]) else {
-        planner.failed.insert(class, pass.book.epoch());
+    let avoid = avoided(pass, job, &ask);
+    let Some(choice) = free_cells(&pass.grid, &ask, &avoid) else {
+        if avoid.is_empty() {
+            planner.failed.insert(class, pass.book.epoch());
+        }
         return false;
     };
     if ask.order.is_none() {
@@ -193,7 +225,7 @@
         lend(pass, job, &ask, &choice);
         return true;
     };
-    let beside = free_cells(&pass.grid, &ask, &kept.masks);
+    let beside = free_cells(&pass.grid, &ask, &merged(&kept.masks, &avoid));
     let allowed = beside.or_else(|| reserve::backfills(pass, job, kept).then_some(choice));
     let Some(choice) = allowed else {
         return false;
@@ -201,3 +233,8 @@
     lend(pass, job, &ask, &choice);
     true
 }
+
+/// Accelerators kept by either.
+fn merged(a: &[u64], b: &[u64]) -> Vec<u64> {
+    a.iter().zip(0..).map(|(mask, i): (&u64, usize)| mask | b.get(i).unwrap_or(&0)).collect()
+}
--- a/crates/bronzespool-schedule/src/policy/reclaim.rs
+++ b/crates/bronzespool-schedule/src/policy/reclaim.rs
@@ -47,13 +47,12 @@
             continue;
         }
         pass.grid.unhold(cells, &job.spec.need, *borrowed);
-        let ready = clear(&pass.grid, cells, &job.spec.need);
-        pass.grid.hold(cells, &job.spec.need, *borrowed);
-        if ready {
+        if clear(&pass.grid, cells, &job.spec.need) {
             grant(pass, job, cells, *borrowed);
         } else {
             urge(pass, job, cells, *borrowed);
         }
+        pass.grid.hold(cells, &job.spec.need, *borrowed);
     }
 }
 
--- a/crates/bronzespool-schedule/src/settings.rs
+++ b/crates/bronzespool-schedule/src/settings.rs
@@ -24,6 +24,8 @@
     pub exclusive: Duration,
     /// Wait before a job whose start failed is tried again.
     pub backoff: Duration,
+    /// Time for a throttle to take effect before overuse stops a job.
+    pub throttle: Duration,
     /// Distinct healthy workers on which a job fails before it is refused.
     pub job_strikes: u32,
     /// Distinct jobs that fail on a worker, and succeed elsewhere, before it is quarantined.
@@ -47,6 +49,7 @@
             prepare: Duration::from_secs(10),
             exclusive: Duration::from_secs(1_800),
             backoff: Duration::from_secs(5),
+            throttle: Duration::from_secs(60),
             job_strikes: 3,
             worker_strikes: 3,
             quarantine: 100,
--- /dev/null
+++ b/crates/bronzespool-schedule/tests/random.rs
@@ -0,0 +1,526 @@
+//! Long random runs with every fault, with workers that run on when they are cut off.
+
+mod common;
+
+use {
+    arbtest::arbtest,
+    bronzespool_core::{HashMap, Instance, Job, Level, Shape, Time},
+    bronzespool_schedule::{
+        Book, Event, JobOutcome, JobSpec, MemberOutcome, Phase, Record, Settings, admit, pack,
+        policy::fit::{Demand, demand, shortfall, weight},
+        wake,
+    },
+    common::{World, instance, job, team},
+    fastrand::Rng,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+/// What happens later.
+#[derive(Clone, Debug)]
+enum Act {
+    Prepared { job: Job, attempt: u32, member: u32 },
+    Ended { job: Job, attempt: u32, member: u32, outcome: MemberOutcome },
+    Detected(Instance),
+    Back(Instance),
+}
+
+/// A process that runs on a worker.
+#[derive(Clone, Debug)]
+struct Process {
+    instance: Instance,
+    mask: u64,
+    /// When its lease ends unless it is renewed.
+    lease: Option<Time>,
+    span: Duration,
+}
+
+/// Workers of a random run.
+struct Run {
+    world: World,
+    rng: Rng,
+    acts: BTreeMap<(Time, u64), Act>,
+    next: u64,
+    processes: HashMap<(Job, u32, u32), Process>,
+    cut: BTreeSet<Instance>,
+    bad: BTreeSet<Instance>,
+    /// Jobs that fail wherever they run.
+    hopeless: BTreeSet<Job>,
+    jobs: u32,
+    prepared: BTreeSet<(Job, u32, u32)>,
+}
+
+const WORKERS: usize = 8;
+
+impl Run {
+    fn new(seed: u64) -> Self {
+        let settings = Settings {
+            exclusive: Duration::from_secs(300),
+            probation: Duration::from_secs(60),
+            history: Duration::from_secs(900),
+            ..Settings::default()
+        };
+        let mut world = World::racks(settings, &[&[8, 8], &[8, 4], &[4, 2], &[0, 0]]);
+        world.guarantees(&[
+            ("arima", &["1 x block-8", "2 x block-1"]),
+            ("couva", &["1 x worker", "1 x block-2"]),
+            ("talparo", &["1 x rack"]),
+        ]);
+        Self {
+            world,
+            rng: Rng::with_seed(seed),
+            acts: BTreeMap::new(),
+            next: 0,
+            processes: HashMap::default(),
+            cut: BTreeSet::new(),
+            bad: BTreeSet::new(),
+            hopeless: BTreeSet::new(),
+            jobs: 0,
+            prepared: BTreeSet::new(),
+        }
+    }
+
+    fn later(&mut self, span: Duration, act: Act) {
+        self.next += 1;
+        self.acts.insert((self.world.now + span, self.next), act);
+    }
+
+    fn millis(&mut self, most: u64) -> Duration {
+        Duration::from_millis(self.rng.u64(1..=most))
+    }
+
+    fn name(&mut self) -> Instance {
+        let all: Vec<Instance> = self.world.book.workers().keys().cloned().collect();
+        assert_eq!(all.len(), WORKERS);
+        all[self.rng.usize(..all.len())].clone()
+    }
+
+    /// Decides until nothing is left, checks every record and lets the workers act on it.
+    fn decide(&mut self) {
+        for round in 0.. {
+            let last = self.world.log.len().saturating_sub(6);
+            assert!(round < 2_000, "decisions do not end: {:#?}", &self.world.log[last..]);
+            let records = self.world.planner.decide(&self.world.book, self.world.now);
+            if records.is_empty() {
+                return;
+            }
+            for record in records {
+                self.apply(record);
+            }
+        }
+    }
+
+    fn apply(&mut self, record: Record) {
+        let before = self.short();
+        let result = self.world.book.apply(&record);
+        result.unwrap_or_else(|error| panic!("{error}: {record:?}"));
+        let supply = matches!(
+            record.event,
+            Event::Quarantined { .. } | Event::Probing { .. } | Event::Healthy { .. }
+        );
+        assert!(supply || self.short() <= before, "a guarantee broke by {record:?}");
+        self.check_fixed();
+        self.act(&record.event);
+        self.world.log.push(record);
+    }
+
+    /// Weight of the guaranteed cells that cannot be claimed, or are in use on a closed worker.
+    fn short(&self) -> u64 {
+        let book = &self.world.book;
+        let grid = book.grid();
+        let binds = book.teams().values().flat_map(|team| &team.binds);
+        let closed = |(slot, mask): &(u32, u64)| *mask != 0 && !grid.at(*slot).open;
+        let broken = binds.filter(|bind| grid.covers(bind).iter().any(closed));
+        let broken = broken.map(|bind| weight(&Demand::from([(bind.level, 1)])));
+        broken.sum::<u64>() + weight(&shortfall(grid, &demand(book)))
+    }
+
+    /// Work that may not be stopped lies in its own team's guarantee.
+    fn check_fixed(&self) {
+        let book = &self.world.book;
+        for job in book.jobs() {
+            let Some(attempt) = job.attempt() else {
+                continue;
+            };
+            assert!(!attempt.borrowed || job.spec.preemptible(), "{:?} borrows", job.spec);
+            let bound = |cell: &bronzespool_schedule::Cell| {
+                let slot = book.grid().slot(&cell.instance).unwrap();
+                let binds = book.teams().get(&job.spec.team).into_iter().flat_map(|t| &t.binds);
+                let mut covers = binds.flat_map(|bind| book.grid().covers(bind));
+                covers.any(|(s, mask)| s == slot && cell.mask() & !mask == 0)
+            };
+            let mut held = attempt.cells.iter().zip(&attempt.members).filter(|(_, m)| m.holds());
+            let whole = held.all(|(cell, _)| cell.accels == 0 || bound(cell));
+            assert!(attempt.borrowed || whole, "{:?} lies outside its guarantee", job.spec.job);
+        }
+    }
+
+    /// What the workers do on a record.
+    fn act(&mut self, event: &Event) {
+        match event {
+            Event::Granted { job, attempt, cells, .. } => {
+                for (member, cell) in (0..).zip(cells) {
+                    if !self.cut.contains(&cell.instance) && self.rng.u32(..50) > 0 {
+                        let span = self.millis(500);
+                        let (job, attempt) = (job.clone(), *attempt);
+                        self.later(span, Act::Prepared { job, attempt, member });
+                    }
+                }
+            }
+            Event::Go { job, attempt } => self.start(job, *attempt),
+            Event::Stopping { job, attempt, by, .. } => {
+                let members: Vec<u32> = self.members(job, *attempt);
+                for member in members {
+                    let span = self.millis(300).min(by.since(self.world.now));
+                    let outcome = MemberOutcome::Stopped;
+                    let (job, attempt) = (job.clone(), *attempt);
+                    self.later(span, Act::Ended { job, attempt, member, outcome });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn members(&self, job: &Job, attempt: u32) -> Vec<u32> {
+        let mut found: Vec<u32> = self
+            .processes
+            .keys()
+            .filter(|(j, a, _)| j == job && *a == attempt)
+            .map(|(_, _, m)| *m)
+            .collect();
+        found.sort_unstable();
+        found
+    }
+
+    fn start(&mut self, name: &Job, number: u32) {
+        let job = self.world.book.job(name).unwrap();
+        let attempt = job.attempt().unwrap().clone();
+        let declared = job.spec.declared;
+        for member in 0..job.spec.members {
+            let key = (name.clone(), number, member);
+            assert!(self.prepared.contains(&key), "{key:?} starts unprepared");
+        }
+        for (member, cell) in (0..).zip(&attempt.cells) {
+            let twice = |p: &Process| p.instance == cell.instance && p.mask & cell.mask() != 0;
+            let other = self.processes.iter().find(|(_, p)| twice(p));
+            assert!(other.is_none(), "{name} starts on {cell:?} beside {other:?}");
+            if self.cut.contains(&cell.instance) {
+                continue;
+            }
+            let fails = self.bad.contains(&cell.instance) || self.hopeless.contains(name);
+            let outcome = if fails { MemberOutcome::Failed } else { MemberOutcome::Done };
+            let span = if fails { self.millis(2_000) } else { declared };
+            let process = Process {
+                instance: cell.instance.clone(),
+                mask: cell.mask(),
+                lease: None,
+                span: attempt.lease,
+            };
+            self.processes.insert((name.clone(), number, member), process);
+            let (job, attempt) = (name.clone(), number);
+            self.later(span, Act::Ended { job, attempt, member, outcome });
+        }
+    }
+
+    /// Ends processes on cut-off workers whose leases have run out on their own clocks.
+    fn end_leases(&mut self) {
+        let now = self.world.now;
+        self.processes.retain(|_, p| p.lease.is_none_or(|end| end > now));
+    }
+
+    fn step(&mut self) {
+        self.end_leases();
+        while let Some(entry) = self.acts.first_entry() {
+            if entry.key().0 > self.world.now {
+                break;
+            }
+            let act = entry.remove();
+            self.happen(act);
+            self.decide();
+        }
+        self.decide();
+    }
+
+    fn put(&mut self, event: Event) {
+        let record = Record::new(self.world.now, event);
+        if self.world.book.apply(&record).is_ok() {
+            self.world.log.push(record);
+        }
+    }
+
+    fn happen(&mut self, act: Act) {
+        match act {
+            Act::Prepared { job, attempt, member } => {
+                let known = self.world.book.job(&job).and_then(|j| j.attempt());
+                let cell = known.filter(|a| a.number == attempt).map(|a| &a.cells[member as usize]);
+                if cell.is_some_and(|cell| !self.cut.contains(&cell.instance)) {
+                    self.prepared.insert((job.clone(), attempt, member));
+                    self.put(Event::Prepared { job, attempt, member });
+                }
+            }
+            Act::Ended { job, attempt, member, outcome } => {
+                let key = (job.clone(), attempt, member);
+                let here = self.processes.get(&key).map(|p| p.instance.clone());
+                if here.is_some_and(|name| !self.cut.contains(&name)) {
+                    self.processes.remove(&key);
+                    self.put(Event::Stopped { job, attempt, member, outcome });
+                }
+            }
+            Act::Detected(instance) => {
+                if self.cut.contains(&instance) {
+                    self.put(Event::WorkerDown { instance });
+                }
+            }
+            Act::Back(instance) => self.back(&instance),
+        }
+    }
+
+    /// A cut-off worker is reached again: what has ended there is reported.
+    fn back(&mut self, name: &Instance) {
+        if !self.cut.remove(name) {
+            return;
+        }
+        self.end_leases();
+        let book = &self.world.book;
+        let slot = book.grid().slot(name).unwrap();
+        let tasks = book.grid().at(slot).tasks.clone();
+        for (id, member) in tasks {
+            let job = self.world.book.job_at(id).unwrap();
+            let stop = job.attempt().unwrap().stop;
+            let (job, attempt) = (job.spec.job.clone(), job.attempt().unwrap().number);
+            match self.processes.get_mut(&(job.clone(), attempt, member)) {
+                // A lease is renewed only where no stop is under way; the stop is sent again.
+                Some(process) if stop.is_none() => process.lease = None,
+                Some(_) => {
+                    let span = self.millis(300).min(stop.unwrap().by.since(self.world.now));
+                    let outcome = MemberOutcome::Stopped;
+                    self.later(span, Act::Ended { job, attempt, member, outcome });
+                }
+                None => {
+                    let outcome = MemberOutcome::Lost;
+                    self.put(Event::Stopped { job, attempt, member, outcome });
+                }
+            }
+        }
+        let orphans = |book: &Book, key: &(Job, u32, u32)| {
+            let attempt = book.job(&key.0).and_then(|j| j.attempt());
+            !attempt.is_some_and(|a| a.number == key.1 && a.members[key.2 as usize].holds())
+        };
+        let book = &self.world.book;
+        self.processes.retain(|key, p| p.instance != *name || !orphans(book, key));
+        let worker = &self.world.book.workers()[name];
+        let (place, capacity) = (worker.place.clone(), worker.capacity);
+        self.put(Event::WorkerUp { place, capacity, incarnation: 2 });
+        self.resume(name);
+    }
+
+    /// Processes that outlived the cut go on to their ends.
+    fn resume(&mut self, name: &Instance) {
+        let mut keys: Vec<_> = self
+            .processes
+            .iter()
+            .filter(|(_, p)| p.instance == *name)
+            .map(|(k, _)| k.clone())
+            .collect();
+        keys.sort_unstable();
+        for (job, attempt, member) in keys {
+            let span = self.millis(5_000);
+            let outcome = MemberOutcome::Done;
+            self.later(span, Act::Ended { job, attempt, member, outcome });
+        }
+    }
+
+    fn sever(&mut self, name: &Instance) {
+        let now = self.world.now;
+        self.cut.insert(name.clone());
+        for process in self.processes.values_mut().filter(|p| p.instance == *name) {
+            process.lease = Some(now + process.span);
+        }
+        let span = self.millis(5_000);
+        self.later(span, Act::Detected(name.clone()));
+        let span = self.millis(60_000);
+        self.later(span, Act::Back(name.clone()));
+    }
+
+    fn submit(&mut self) {
+        self.jobs += 1;
+        let teams = ["arima", "couva", "talparo", "chaguanas"];
+        let owner = teams[self.rng.usize(..teams.len())];
+        let accels = [0, 1, 1, 2, 4, 8][self.rng.usize(..6)];
+        let members = [1, 1, 1, 2, 3][self.rng.usize(..5)];
+        let levels = [Level::Region, Level::Region, Level::Rack, Level::Worker];
+        let adjacent = levels[self.rng.usize(..levels.len())];
+        let declared = self.millis(120_000);
+        let spec: JobSpec = job(&format!("j{}", self.jobs), owner, members, accels, adjacent)
+            .restart(self.rng.u32(..4) > 0)
+            .checkpoint(self.rng.bool().then_some(Duration::from_secs(10)))
+            .protected(self.rng.u32(..10) == 0)
+            .urgent(self.rng.u32(..10) == 0)
+            .declared(declared);
+        if admit(&self.world.book, &spec).is_ok() {
+            if self.rng.u32(..25) == 0 {
+                self.hopeless.insert(spec.job.clone());
+            }
+            self.put(Event::Submitted(spec));
+        }
+    }
+
+    fn report_usage(&mut self) {
+        let mut keys: Vec<_> = self.processes.keys().cloned().collect();
+        keys.sort_unstable();
+        let Some((job, attempt, member)) = self.rng.choice(keys) else {
+            return;
+        };
+        let cores = self.rng.u32(..20_000);
+        let memory = self.rng.u64(..40_000);
+        let seen = self.world.now - self.millis(3_000);
+        self.put(Event::Usage { job, attempt, member, cores, memory, seen });
+    }
+
+    fn checkpoint(&mut self) {
+        let mut keys: Vec<_> = self.processes.keys().cloned().collect();
+        keys.sort_unstable();
+        if let Some((job, attempt, _)) = self.rng.choice(keys) {
+            self.put(Event::Checkpointed { job, attempt });
+        }
+    }
+
+    fn cancel(&mut self) {
+        let count = self.rng.usize(1..6);
+        let all: Vec<Job> = self.world.book.jobs().map(|j| j.spec.job.clone()).collect();
+        let jobs = (0..count).filter_map(|_| self.rng.choice(&all).cloned()).collect();
+        self.put(Event::Cancelled { jobs });
+    }
+
+    /// Other guarantees that pack, while work is running.
+    fn reconfigure(&mut self) {
+        let options = ["1 x worker", "2 x block-4", "1 x rack", "3 x block-1", "1 x block-8"];
+        let mut shapes = Vec::new();
+        for name in ["arima", "couva", "talparo"] {
+            let shape = Shape::try_from(options[self.rng.usize(..options.len())]).unwrap();
+            shapes.push((team(name), vec![shape]));
+        }
+        let book = &self.world.book;
+        let places = book.workers().values().map(|w| (w.place.clone(), w.capacity));
+        if pack(&places.collect::<Vec<_>>(), &shapes, None).is_ok() {
+            self.put(Event::Guarantees(shapes));
+        }
+    }
+
+    fn fault(&mut self) {
+        match self.rng.u32(..100) {
+            0..50 => self.submit(),
+            50..56 => {
+                let name = self.name();
+                if !self.cut.contains(&name) {
+                    self.sever(&name);
+                }
+            }
+            56..62 => self.cancel(),
+            62..75 => self.report_usage(),
+            75..90 => self.checkpoint(),
+            90..92 => {
+                let name = self.name();
+                if !self.bad.remove(&name) && self.bad.is_empty() {
+                    self.bad.insert(name);
+                }
+            }
+            92..94 => self.reconfigure(),
+            94..96 => {
+                let instance = self.name();
+                let leaving = self.rng.bool();
+                self.put(Event::Drained { instance, leaving });
+            }
+            96..98 => (0..10).for_each(|_| self.submit()),
+            _ => self.check_copy(),
+        }
+    }
+
+    /// A replica that applies the log, and one that loads a snapshot, hold the same book.
+    fn check_copy(&self) {
+        let bytes = postcard::to_stdvec(&self.world.book).unwrap();
+        let copy: Book = postcard::from_bytes(&bytes).unwrap();
+        assert!(copy == self.world.book);
+        for (a, b) in copy.grid().slots.iter().zip(&self.world.book.grid().slots) {
+            let mut a = a.clone();
+            let mut b = b.clone();
+            a.tasks.sort_unstable();
+            b.tasks.sort_unstable();
+            assert_eq!(a, b, "the index differs from one built anew");
+        }
+        assert_eq!(wake(&copy, self.world.now), wake(&self.world.book, self.world.now));
+    }
+
+    /// Faults end; every job comes to its end, unless the guarantee that it needs was withdrawn.
+    fn finish(&mut self) {
+        self.bad.clear();
+        for name in self.cut.clone() {
+            self.back(&name);
+        }
+        let names: Vec<Instance> = self.world.book.workers().keys().cloned().collect();
+        for instance in names {
+            self.put(Event::Drained { instance, leaving: false });
+        }
+        self.step();
+        for _ in 0..20_000 {
+            let act = self.acts.first_key_value().map_or(Time::MAX, |((at, _), _)| *at);
+            let next = act.min(wake(&self.world.book, self.world.now));
+            if next == Time::MAX {
+                break;
+            }
+            self.world.now = next.max(self.world.now + Duration::from_micros(1));
+            self.step();
+        }
+        for job in self.world.book.jobs() {
+            let withdrawn = admit(&self.world.book, &job.spec).is_err();
+            let ended = matches!(job.phase, Phase::Ended { .. });
+            let teams = self.world.book.teams();
+            assert!(ended || withdrawn, "{} hangs: {job:?} {teams:?}", job.spec.job);
+        }
+    }
+}
+
+/// One run of `steps` faults.
+fn run(seed: u64, steps: u32) {
+    println!("seed {seed}");
+    let mut run = Run::new(seed);
+    for _ in 0..steps {
+        run.fault();
+        run.step();
+        run.world.now += Duration::from_millis(run.rng.u64(..3_000));
+        run.step();
+    }
+    run.finish();
+    let mut replica = Book::new(run.world.book.settings().clone());
+    for record in &run.world.log {
+        replica.apply(record).unwrap();
+    }
+    assert!(replica == run.world.book, "replay of the log differs");
+    let done = run
+        .world
+        .log
+        .iter()
+        .filter(|r| matches!(r.event, Event::Ended { outcome: JobOutcome::Done, .. }));
+    assert!(done.count() * 4 > run.jobs as usize, "hardly any job came to its end");
+    let _ = instance("w");
+}
+
+#[test]
+fn decide_random_faults_keeps_invariants() {
+    for seed in 0..40_u64 {
+        run(seed, 300);
+    }
+}
+
+#[test]
+fn decide_arbitrary_faults_keeps_invariants() {
+    for seed in [0x2a_0000_0040_u64, 0x51_0000_0040, 0x77_0000_0040, 0x93_0000_0040] {
+        arbtest(|u| {
+            run(u.arbitrary()?, u.int_in_range(50..=400)?);
+            Ok(())
+        })
+        .seed(seed);
+    }
+}
