--- a/crates/bronzespool-schedule/src/book/grid.rs
+++ b/crates/bronzespool-schedule/src/book/grid.rs
@@ -6,7 +6,7 @@
         cell::{self, Bind, Cell},
         job::{Attempt, Id, JobState},
     },
-    bronzespool_core::{Center, HashMap, Instance, Level, Need, Rack, Region},
+    bronzespool_core::{Capacity, Center, HashMap, Instance, Level, Need, Place, Rack, Region},
 };
 
 /// What a team holds.
@@ -59,6 +59,8 @@
     pub bound: u64,
     /// Whether new work may go here.
     pub open: bool,
+    /// Whether it is in quarantine and may have one job that may be repeated.
+    pub probe: bool,
     /// Thousandths of cores in all.
     pub cores: u64,
     /// Memory in MiB in all.
@@ -97,6 +99,11 @@
         if self.open { self.all & !self.bound } else { 0 }
     }
 
+    /// Whether the worker may have a probe now.
+    pub const fn probes(&self) -> bool {
+        self.probe && self.tasks.is_empty() && self.cores_held == 0 && self.held == 0
+    }
+
     /// Whether the worker is reachable and wholly outside guaranteed cells in use.
     pub const fn whole(&self) -> bool {
         self.open && self.all != 0 && self.bound == 0
@@ -200,8 +207,21 @@
         self.around(bind.level, slot).iter().map(|&s| (s, self.at(s).all)).collect()
     }
 
+    /// Idle workers of a topology, with slots in its order.
+    pub fn of(topology: &[(Place, Capacity)]) -> Self {
+        let mut grid = Self::default();
+        for (place, capacity) in topology {
+            grid.enter(place, *capacity, true);
+        }
+        grid
+    }
+
     pub(super) fn insert(&mut self, worker: &Worker) {
-        let place = &worker.place;
+        self.enter(&worker.place, worker.capacity, worker.open());
+        self.update(worker);
+    }
+
+    fn enter(&mut self, place: &Place, capacity: Capacity, open: bool) {
         let region = domain(&mut self.region_names, &mut self.regions, place.region.clone(), 0);
         let key = (place.region.clone(), place.center.clone());
         let center = domain(&mut self.center_names, &mut self.centers, key, region);
@@ -214,14 +234,15 @@
         self.names.insert(place.instance.clone(), slot);
         self.slots.push(Slot {
             instance: place.instance.clone(),
-            all: cell::mask(0, worker.capacity.accels),
+            all: cell::mask(0, capacity.accels),
             used: 0,
             own: 0,
             held: 0,
             bound: 0,
-            open: worker.open(),
-            cores: u64::from(worker.capacity.cores) * 1_000,
-            memory: worker.capacity.memory,
+            open,
+            probe: false,
+            cores: u64::from(capacity.cores) * 1_000,
+            memory: capacity.memory,
             cores_used: 0,
             memory_used: 0,
             cores_held: 0,
@@ -239,6 +260,7 @@
         slot.cores = u64::from(worker.capacity.cores) * 1_000;
         slot.memory = worker.capacity.memory;
         slot.open = worker.open();
+        slot.probe = worker.probes();
     }
 
     pub(crate) fn bind(&mut self, bind: &Bind) {
