--- /dev/null
+++ b/crates/bronzespool-bench/src/decisions/cluster.rs
@@ -0,0 +1,265 @@
+//! The deployments: today's two and the size expected in two years.
+
+use {
+    bronzespool_core::{Level, Shape},
+    std::time::Duration,
+};
+
+const HOUR: u64 = 3_600;
+const MINUTE: u64 = 60;
+
+/// A worker and where it stands.
+#[derive(Clone, Copy, Debug)]
+pub struct WorkerPlan {
+    /// Index of the region.
+    pub region: usize,
+    /// Index of the data centre, over all regions.
+    pub center: usize,
+    /// Index of the rack, over all data centres.
+    pub rack: usize,
+    /// Accelerators, adjacent in the order of their numbers.
+    pub accels: u32,
+    /// Thousandths of a core.
+    pub cores: u32,
+    /// Memory in MiB.
+    pub memory: u64,
+}
+
+/// A team and what it is promised.
+#[derive(Clone, Debug)]
+pub struct TeamPlan {
+    /// Guaranteed shapes.
+    pub guarantees: Vec<Shape>,
+    /// Kinds that the team submits, with the share of its load in each.
+    pub mix: Vec<(usize, f64)>,
+}
+
+impl TeamPlan {
+    /// Accelerators of all guaranteed cells, for a rack of `rack` accelerators.
+    pub fn accels(&self, worker: u32, rack: u32) -> u32 {
+        let cell = |level| match level {
+            Level::Block(order) => 1 << order,
+            Level::Worker => worker,
+            _ => rack,
+        };
+        self.guarantees.iter().map(|s| s.count * cell(s.level)).sum()
+    }
+}
+
+/// A kind of job.
+#[derive(Clone, Copy, Debug)]
+pub struct KindPlan {
+    /// Name of the kind.
+    pub name: &'static str,
+    /// Members of the gang.
+    pub gang: u32,
+    /// Adjacent accelerators of a member.
+    pub accels: u32,
+    /// Thousandths of a core of a member.
+    pub cores: u32,
+    /// Memory of a member in MiB.
+    pub memory: u64,
+    /// Level within which all members lie.
+    pub adjacent: Level,
+    /// Median of the true run times.
+    pub median: Duration,
+    /// Declared run time.
+    pub declared: Duration,
+    /// Time between two checkpoints, if any.
+    pub checkpoint: Option<Duration>,
+    /// Runs at most once, so it may never be stopped for another job.
+    pub protected: bool,
+}
+
+impl KindPlan {
+    const fn new(name: &'static str, gang: u32, accels: u32, adjacent: Level, secs: u64) -> Self {
+        Self {
+            name,
+            gang,
+            accels,
+            cores: 2_000,
+            memory: 4_096,
+            adjacent,
+            median: Duration::from_secs(secs),
+            declared: Duration::from_secs(secs * 2),
+            checkpoint: Some(Duration::from_secs(600)),
+            protected: false,
+        }
+    }
+
+    const fn restarted(mut self) -> Self {
+        self.checkpoint = None;
+        self
+    }
+
+    const fn protected(mut self) -> Self {
+        self.checkpoint = None;
+        self.protected = true;
+        self
+    }
+}
+
+/// Which deployment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scale {
+    /// The registry's permit desk: small jobs, completion time weighs more.
+    Registry,
+    /// The cooperative's flight desk: large adjacent jobs, fragmentation weighs more.
+    Cooperative,
+    /// 890 workers, 1,600 accelerators, 350 teams.
+    TwoYear,
+}
+
+impl Scale {
+    /// Every deployment.
+    pub const ALL: [Self; 3] = [Self::Registry, Self::Cooperative, Self::TwoYear];
+
+    /// Name in tables.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Registry => "registry",
+            Self::Cooperative => "cooperative",
+            Self::TwoYear => "two-year",
+        }
+    }
+
+    /// The deployment's cluster.
+    pub fn cluster(self) -> Cluster {
+        match self {
+            Self::Registry => registry(),
+            Self::Cooperative => cooperative(),
+            Self::TwoYear => two_year(1),
+        }
+    }
+}
+
+/// Workers, teams and kinds of a deployment.
+#[derive(Clone, Debug)]
+pub struct Cluster {
+    /// Workers by index.
+    pub workers: Vec<WorkerPlan>,
+    /// Teams by index.
+    pub teams: Vec<TeamPlan>,
+    /// Kinds by index.
+    pub kinds: Vec<KindPlan>,
+    /// Accelerators of the largest worker.
+    pub worker: u32,
+    /// Accelerators of the largest rack.
+    pub rack: u32,
+    /// Weight of completion time and of fragmentation in placement.
+    pub weights: (f64, f64),
+}
+
+impl Cluster {
+    /// Accelerators of all workers.
+    pub fn accels(&self) -> u32 {
+        self.workers.iter().map(|w| w.accels).sum()
+    }
+
+    /// Guaranteed accelerators of each team.
+    pub fn guaranteed(&self) -> Vec<u32> {
+        self.teams.iter().map(|t| t.accels(self.worker, self.rack)).collect()
+    }
+
+    /// The two-year deployment with `factor` times its workers and teams.
+    pub fn two_year(factor: usize) -> Self {
+        two_year(factor)
+    }
+}
+
+/// Ten workers of 8 accelerators, three to a rack: racks of 3 + 1, 3 and 3 in three centres.
+fn ten_workers(cores: u32, memory: u64) -> Vec<WorkerPlan> {
+    let spot = |i: usize| match i {
+        0..3 => (0, 0),
+        3 => (0, 1),
+        4..7 => (1, 2),
+        _ => (2, 3),
+    };
+    let worker = |i| {
+        let (center, rack) = spot(i);
+        WorkerPlan { region: 0, center, rack, accels: 8, cores, memory }
+    };
+    (0..10).map(worker).collect()
+}
+
+const fn team(guarantees: Vec<Shape>, mix: Vec<(usize, f64)>) -> TeamPlan {
+    TeamPlan { guarantees, mix }
+}
+
+const fn blocks(count: u32, order: u8) -> Shape {
+    Shape::new(Level::Block(order), count)
+}
+
+fn registry() -> Cluster {
+    let kinds = vec![
+        KindPlan::new("quota-batch", 1, 1, Level::Worker, 6 * MINUTE).restarted(),
+        KindPlan::new("season-plan", 1, 2, Level::Worker, 20 * MINUTE),
+        KindPlan::new("load-match", 1, 4, Level::Worker, 30 * MINUTE),
+        KindPlan::new("permit-audit", 2, 8, Level::Rack, 90 * MINUTE),
+        KindPlan::new("permit-print", 1, 1, Level::Worker, 2 * MINUTE).protected(),
+    ];
+    let teams = vec![
+        team(vec![blocks(2, 2), blocks(2, 1)], vec![(0, 0.4), (1, 0.4), (4, 0.2)]),
+        team(vec![blocks(2, 2)], vec![(0, 0.3), (1, 0.4), (2, 0.3)]),
+        team(vec![blocks(2, 2)], vec![(0, 0.4), (2, 0.6)]),
+        team(vec![Shape::new(Level::Rack, 1)], vec![(1, 0.2), (3, 0.8)]),
+    ];
+    let workers = ten_workers(64_000, 128 * 1_024);
+    Cluster { workers, teams, kinds, worker: 8, rack: 24, weights: (2.0, 1.0) }
+}
+
+fn cooperative() -> Cluster {
+    let kinds = vec![
+        KindPlan::new("telemetry", 1, 1, Level::Worker, 8 * MINUTE).restarted(),
+        KindPlan::new("airworthiness", 1, 2, Level::Worker, 15 * MINUTE).protected(),
+        KindPlan::new("log-replay", 1, 4, Level::Worker, 40 * MINUTE),
+        KindPlan::new("reconstruction", 1, 8, Level::Worker, 2 * HOUR),
+        KindPlan::new("history", 3, 8, Level::Rack, 3 * HOUR),
+    ];
+    let club = || vec![(0, 0.2), (1, 0.1), (2, 0.3), (3, 0.4)];
+    let teams = vec![
+        team(vec![Shape::new(Level::Worker, 1), blocks(1, 2)], club()),
+        team(vec![Shape::new(Level::Worker, 1), blocks(1, 2)], club()),
+        team(vec![blocks(1, 2)], vec![(0, 0.3), (1, 0.2), (2, 0.5)]),
+        team(vec![Shape::new(Level::Rack, 1)], vec![(2, 0.1), (3, 0.2), (4, 0.7)]),
+    ];
+    let workers = ten_workers(32_000, 64 * 1_024);
+    Cluster { workers, teams, kinds, worker: 8, rack: 24, weights: (1.0, 2.0) }
+}
+
+/// Accelerators of the worker at `i` of 890: 140 of 8, 100 of 4, 80 of 1, the others none.
+const fn mixed(i: usize) -> u32 {
+    match i * 7 % 890 {
+        0..140 => 8,
+        140..240 => 4,
+        240..320 => 1,
+        _ => 0,
+    }
+}
+
+fn two_year(factor: usize) -> Cluster {
+    let kinds = vec![
+        KindPlan::new("single", 1, 1, Level::Worker, 3 * HOUR),
+        KindPlan::new("pair", 2, 1, Level::Center, 4 * HOUR),
+        KindPlan::new("quad", 1, 4, Level::Worker, 4 * HOUR),
+        KindPlan::new("worker", 1, 8, Level::Worker, 5 * HOUR),
+        KindPlan::new("gang-64", 64, 1, Level::Center, 4 * HOUR),
+        KindPlan::new("cores-16", 16, 0, Level::Center, 8 * HOUR),
+        KindPlan::new("cores-32", 32, 0, Level::Region, 8 * HOUR),
+    ];
+    let plan = |i: usize| match i % 350 {
+        0..4 => team(vec![blocks(64, 0)], vec![(0, 0.1), (4, 0.9)]),
+        4..44 => team(vec![blocks(1, 3)], vec![(0, 0.1), (2, 0.3), (3, 0.6)]),
+        _ => team(vec![blocks(1, 1)], vec![(0, 0.6), (1, 0.4)]),
+    };
+    let count = 890 * factor;
+    let worker = |i: usize| {
+        let center = i * 8 / count;
+        let region = [0, 0, 0, 1, 1, 1, 2, 2][center];
+        let accels = mixed(i % 890);
+        WorkerPlan { region, center, rack: i / 10, accels, cores: 64_000, memory: 131_072 }
+    };
+    let workers: Vec<_> = (0..count).map(worker).collect();
+    let teams = (0..350 * factor).map(plan).collect();
+    Cluster { workers, teams, kinds, worker: 8, rack: 80, weights: (1.0, 1.0) }
+}
--- /dev/null
+++ b/crates/bronzespool-bench/src/decisions/job.rs
@@ -0,0 +1,50 @@
+//! One job of a stream.
+
+use {crate::decisions::KindPlan, bronzespool_core::Time, std::time::Duration};
+
+/// Index of a job in its stream.
+pub type JobId = usize;
+
+/// What the stream has in store for a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// Completes when it has run for its time.
+    Normal,
+    /// Fails on every worker.
+    Poison,
+    /// Needs more than the cluster has.
+    Infeasible,
+    /// Is cancelled at this time.
+    Cancelled(Time),
+}
+
+/// A job of a stream.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Index in the stream.
+    pub id: JobId,
+    /// Index of the team.
+    pub team: usize,
+    /// Index of the kind.
+    pub kind: usize,
+    /// What the kind declares.
+    pub plan: KindPlan,
+    /// Time of submission.
+    pub submit: Time,
+    /// True run time, known to the driver and the oracle only.
+    pub actual: Duration,
+    /// What becomes of it.
+    pub fate: Fate,
+}
+
+impl Job {
+    /// Accelerators of all members.
+    pub const fn accels(&self) -> u32 {
+        self.plan.gang * self.plan.accels
+    }
+
+    /// Whether its completion time counts: it is meant to complete under every policy.
+    pub fn counts(&self) -> bool {
+        self.fate == Fate::Normal
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-bench/src/decisions/scenario.rs
@@ -0,0 +1,310 @@
+//! Seeded job streams and the faults that go with them.
+
+use {
+    crate::decisions::{Cluster, Fate, Job, KindPlan, Scale},
+    bronzespool_core::Time,
+    fastrand::Rng,
+    std::time::Duration,
+};
+
+const HOUR: f64 = 3_600.0;
+/// Span in which a team is busy, and then idle.
+const PHASE: f64 = 4.0 * HOUR;
+/// Share of a team's load that falls into its busy phases.
+const BUSY: f64 = 0.8;
+/// Spread of the true run times: the standard deviation of their logarithm.
+const SPREAD: f64 = 0.8;
+/// Jobs of two-year core-only kinds in an hour, for 350 teams.
+const CORE_JOBS: f64 = 49.6;
+
+/// Which stream of jobs and faults.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stream {
+    /// Steady load; each team has busy and idle phases.
+    Steady,
+    /// Half the load, and bursts of small jobs from one team.
+    BurstSmall,
+    /// Half the load, and bursts of the largest gangs.
+    BurstLarge,
+    /// Declared run times ten times too long or too short.
+    WrongSizes,
+    /// Waves that cancel most of a team's jobs at once.
+    Cancellations,
+    /// Workers that fail everything they start, and jobs that fail everywhere.
+    BadWorkers,
+    /// A rack is lost for two hours.
+    RackLoss,
+}
+
+/// A fault of the cluster.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    /// Workers are lost.
+    Down(Vec<usize>),
+    /// Workers are back.
+    Up(Vec<usize>),
+    /// Workers fail everything they start from now on.
+    Bad(Vec<usize>),
+    /// Workers are well again.
+    Well(Vec<usize>),
+}
+
+/// A cluster, its jobs and its faults.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    /// Name of the deployment.
+    pub scale: Scale,
+    /// Name of the stream.
+    pub stream: Stream,
+    /// The deployment.
+    pub cluster: Cluster,
+    /// Jobs by index, in the order of submission.
+    pub jobs: Vec<Job>,
+    /// Faults by time.
+    pub faults: Vec<(Time, Fault)>,
+    /// End of the submissions: utilisation and fragmentation are taken up to here.
+    pub horizon: Time,
+    /// Share of each kind in the declared accelerators.
+    pub mix: Vec<f64>,
+}
+
+impl Stream {
+    /// Every stream.
+    pub const ALL: [Self; 7] = [
+        Self::Steady,
+        Self::BurstSmall,
+        Self::BurstLarge,
+        Self::WrongSizes,
+        Self::Cancellations,
+        Self::BadWorkers,
+        Self::RackLoss,
+    ];
+
+    /// Name in tables.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Steady => "steady",
+            Self::BurstSmall => "burst-small",
+            Self::BurstLarge => "burst-large",
+            Self::WrongSizes => "wrong-sizes",
+            Self::Cancellations => "cancellations",
+            Self::BadWorkers => "bad-workers",
+            Self::RackLoss => "rack-loss",
+        }
+    }
+
+    /// The stream on a deployment: the same seed gives the same jobs. Submissions end after
+    /// `hours`.
+    pub fn scenario(self, scale: Scale, seed: u64, hours: u64) -> Scenario {
+        Maker::new(self, scale, seed, hours).make()
+    }
+
+    const fn load(self) -> f64 {
+        match self {
+            Self::BurstSmall | Self::BurstLarge => 0.5,
+            _ => 0.7,
+        }
+    }
+}
+
+struct Maker {
+    stream: Stream,
+    scale: Scale,
+    cluster: Cluster,
+    rng: Rng,
+    hours: u64,
+    jobs: Vec<Job>,
+}
+
+fn secs(time: f64) -> Time {
+    Time::from_micros((time * 1e6) as u64)
+}
+
+impl Maker {
+    fn new(stream: Stream, scale: Scale, seed: u64, hours: u64) -> Self {
+        let mut cluster = scale.cluster();
+        if stream == Stream::WrongSizes {
+            for (i, kind) in cluster.kinds.iter_mut().enumerate() {
+                kind.declared = if i % 2 == 0 { kind.declared * 10 } else { kind.declared / 10 };
+            }
+        }
+        Self { stream, scale, cluster, rng: Rng::with_seed(seed), hours, jobs: Vec::new() }
+    }
+
+    fn make(mut self) -> Scenario {
+        for team in 0..self.cluster.teams.len() {
+            self.team(team);
+        }
+        match self.stream {
+            Stream::BurstSmall => self.burst(0, self.cluster.accels() as usize * 5 / 2),
+            Stream::BurstLarge => self.burst_large(),
+            Stream::Cancellations => self.cancel(),
+            Stream::BadWorkers => self.spoil(),
+            _ => {}
+        }
+        if self.scale == Scale::TwoYear {
+            self.cores();
+        }
+        self.jobs.sort_by_key(|j| j.submit);
+        self.jobs.iter_mut().enumerate().for_each(|(i, j)| j.id = i);
+        let faults = self.faults();
+        let mix = mix(&self.cluster);
+        Scenario {
+            scale: self.scale,
+            stream: self.stream,
+            cluster: self.cluster,
+            jobs: self.jobs,
+            faults,
+            horizon: Time::from_secs(self.hours * 3_600),
+            mix,
+        }
+    }
+
+    /// Submissions of one team: its load is its share of the guaranteed accelerators.
+    fn team(&mut self, team: usize) {
+        let guaranteed = self.cluster.guaranteed();
+        let share = f64::from(guaranteed[team]) / f64::from(guaranteed.iter().sum::<u32>());
+        let load = share * self.stream.load() * f64::from(self.cluster.accels());
+        for (kind, part) in self.cluster.teams[team].mix.clone() {
+            let plan = self.cluster.kinds[kind];
+            let mean = plan.median.as_secs_f64() * (SPREAD * SPREAD / 2.0).exp();
+            let rate = load * part / (mean * f64::from(plan.gang * plan.accels));
+            self.arrivals(team, kind, rate);
+        }
+    }
+
+    fn arrivals(&mut self, team: usize, kind: usize, rate: f64) {
+        let end = self.hours as f64 * HOUR;
+        let mut time = 0.0;
+        loop {
+            let busy = ((time / PHASE) as usize + team).is_multiple_of(2);
+            let rate = rate * 2.0 * if busy { BUSY } else { 1.0 - BUSY };
+            time += -self.rng.f64().max(1e-12).ln() / rate;
+            if time >= end {
+                return;
+            }
+            self.job(team, kind, time);
+        }
+    }
+
+    fn job(&mut self, team: usize, kind: usize, time: f64) {
+        let plan = self.cluster.kinds[kind];
+        let (u, v) = (self.rng.f64().max(1e-12), self.rng.f64());
+        let normal = (-2.0 * u.ln()).sqrt() * (std::f64::consts::TAU * v).cos();
+        let actual = plan.median.as_secs_f64() * (SPREAD * normal).exp();
+        self.jobs.push(Job {
+            id: self.jobs.len(),
+            team,
+            kind,
+            plan,
+            submit: secs(time),
+            actual: Duration::from_secs_f64(actual),
+            fate: Fate::Normal,
+        });
+    }
+
+    /// Three bursts of `count` jobs of the first kind from one team, each within a minute.
+    fn burst(&mut self, kind: usize, count: usize) {
+        for part in 1..4 {
+            let start = self.hours as f64 * HOUR * f64::from(part) / 4.0;
+            let teams = self.cluster.teams.len();
+            let sends = |c: &Cluster, t: usize| c.teams[t].mix.iter().any(|m| m.0 == kind);
+            let Some(team) = (0..teams).rev().find(|&t| sends(&self.cluster, t)) else { return };
+            for _ in 0..count {
+                let time = start + self.rng.f64() * 60.0;
+                self.job(team, kind, time);
+            }
+        }
+    }
+
+    /// Three bursts of twice as many of the largest gangs as the cluster holds.
+    fn burst_large(&mut self) {
+        let size = |k: &KindPlan| k.gang * k.accels;
+        let kinds = &self.cluster.kinds;
+        let Some(kind) = (0..kinds.len()).max_by_key(|&k| size(&kinds[k])) else { return };
+        let count = (self.cluster.accels() / size(&kinds[kind]) * 2).min(24);
+        self.burst(kind, count as usize);
+    }
+
+    /// Four waves: each cancels 60 % of the jobs that one team submitted in the last four hours.
+    fn cancel(&mut self) {
+        for wave in 1..5 {
+            let at = self.hours as f64 * HOUR * f64::from(wave) / 5.0;
+            let (from, to) = (secs(at - PHASE), secs(at));
+            let team = wave as usize % self.cluster.teams.len();
+            let large = self.cluster.teams.len() > 4;
+            for job in &mut self.jobs {
+                let hit = if large { job.team % 4 == team } else { job.team == team };
+                if hit && job.submit >= from && job.submit < to && self.rng.f64() < 0.6 {
+                    job.fate = Fate::Cancelled(to);
+                }
+            }
+        }
+    }
+
+    /// One job in 50 fails everywhere; a few need more than there is.
+    fn spoil(&mut self) {
+        for job in &mut self.jobs {
+            if !job.plan.protected && self.rng.usize(0..50) == 0 {
+                job.fate = Fate::Poison;
+            }
+        }
+    }
+
+    /// Jobs of cores and memory only, from all teams.
+    fn cores(&mut self) {
+        let end = self.hours as f64 * HOUR;
+        let mut time = 0.0;
+        loop {
+            time += -self.rng.f64().max(1e-12).ln() / (CORE_JOBS / HOUR);
+            if time >= end {
+                return;
+            }
+            let team = self.rng.usize(0..self.cluster.teams.len());
+            let kind = 5 + self.rng.usize(0..2);
+            self.job(team, kind, time);
+        }
+    }
+
+    fn faults(&self) -> Vec<(Time, Fault)> {
+        let span = self.hours as f64 * HOUR;
+        let racked = |rack| {
+            let workers = &self.cluster.workers;
+            (0..workers.len()).filter(|&w| workers[w].rack == rack).collect::<Vec<_>>()
+        };
+        match self.stream {
+            Stream::RackLoss => vec![
+                (secs(span / 3.0), Fault::Down(racked(2))),
+                (secs(span / 3.0 + 2.0 * HOUR), Fault::Up(racked(2))),
+            ],
+            Stream::BadWorkers => {
+                let bad = self.bad();
+                vec![
+                    (secs(span / 4.0), Fault::Bad(bad.clone())),
+                    (secs(span * 3.0 / 4.0), Fault::Well(bad)),
+                ]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// One worker of ten, or one in 50 of those with accelerators.
+    fn bad(&self) -> Vec<usize> {
+        let workers = &self.cluster.workers;
+        let fitted = (0..workers.len()).filter(|&w| workers[w].accels > 0);
+        fitted.skip(1).step_by(50).collect()
+    }
+}
+
+/// Share of each kind in the accelerators that all teams declare.
+fn mix(cluster: &Cluster) -> Vec<f64> {
+    let guaranteed = cluster.guaranteed();
+    let total: u32 = guaranteed.iter().sum();
+    let mut mix = vec![0.0; cluster.kinds.len()];
+    for (team, accels) in cluster.teams.iter().zip(guaranteed) {
+        for (kind, part) in &team.mix {
+            mix[*kind] += part * f64::from(accels) / f64::from(total);
+        }
+    }
+    mix
+}
--- /dev/null
+++ b/crates/bronzespool-bench/src/policies/mod.rs
@@ -0,0 +1,8 @@
+//! Policies under measurement: the baselines and the scheduler itself.
+
+mod backfill;
+mod fifo;
+mod oracle;
+mod pool;
+
+pub use self::{backfill::Backfill, fifo::Fifo, oracle::Oracle};
