feat(control): refuse infeasible jobs and clashing guarantees; bound work that is cut off

Cause: the book counted on borrowed cells being free 700 ms after a stop, but an agent that is cut off keeps its session for up to 3 s, and the stand-in platform kept a task for 10 s after its agent's death. A cell could have been handed on while its borrower still ran. The publishing step checked no packing and explain told nothing.

Change: the book counts on 6 s for borrowed and 300 s for own cells; an agent stops a task, and asks the platform for no lease, past its session's end plus the rest of that span; settings with a longer session are refused. Preparation waits until the accelerators are free at the worker. Admission, packing, explanations and the summary are wired to the calls.

The cut itself is not tested here yet. Conclusion: reachable borrowers stop at once; the 6 s hold only for those cut off.

--- a/crates/bronzespool-wire/src/message/call.rs
+++ b/crates/bronzespool-wire/src/message/call.rs
@@ -1,7 +1,7 @@
 //! Calls to control: from a session's holder to its hub, and from the hub to the leader.
 
 use {
-    crate::message::{Announce, JobView, Report, StatusView},
+    crate::message::{Announce, ExplainView, JobView, Report, StatusView},
     bronzespool_core::{Digest, Instance, Job, Key, Refusal, Service, ServiceSpec},
     bronzespool_flow::{
         claim::{ClaimId, Completion, Existing, Request},
@@ -126,7 +126,7 @@
     /// To a question about all jobs.
     Jobs(Vec<JobView>),
     /// To the question why a job waits.
-    Explained(Vec<String>),
+    Explained(Box<ExplainView>),
     /// To a report of demands: the shares by service.
     Shares(Vec<(Service, limit::Shared)>),
     /// To a question about the system.
--- a/crates/bronzespool-wire/src/message/job.rs
+++ b/crates/bronzespool-wire/src/message/job.rs
@@ -38,3 +38,31 @@
         self.outcome.is_some()
     }
 }
+
+/// Work that holds what a job could use.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HolderView {
+    /// The job.
+    pub job: Job,
+    /// Its team.
+    pub team: Team,
+    /// Instances on which it holds cells.
+    pub instances: Vec<String>,
+    /// Whether it borrows them.
+    pub borrowed: bool,
+    /// Milliseconds until it is expected to leave them.
+    pub until_ms: u64,
+}
+
+/// Why a job stands where it stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExplainView {
+    /// The job.
+    pub job: Job,
+    /// The reason.
+    pub reason: String,
+    /// Milliseconds until it starts at the latest, if that is bounded.
+    pub latest_ms: Option<u64>,
+    /// Who holds what it could use, those expected to leave first in front.
+    pub holders: Vec<HolderView>,
+}
--- a/crates/bronzespool-wire/src/message/mod.rs
+++ b/crates/bronzespool-wire/src/message/mod.rs
@@ -9,7 +9,7 @@
 
 pub use {
     call::{Answered, Call, Claimed, Progress, Published, Reply},
-    job::JobView,
+    job::{ExplainView, HolderView, JobView},
     run::{AgentState, Run, RunReply, StatusReply, Work},
     session::{Announce, Hello, Opened, Role, Update, Welcome},
     status::{EndpointView, ReplicaView, StatusView},
--- a/crates/bronzespool-wire/src/message/status.rs
+++ b/crates/bronzespool-wire/src/message/status.rs
@@ -1,6 +1,9 @@
 //! What operators see of the system.
 
-use serde::{Deserialize, Serialize};
+use {
+    bronzespool_schedule::Summary,
+    serde::{Deserialize, Serialize},
+};
 
 /// State of one control replica.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -41,7 +44,7 @@
 }
 
 /// State of the system as its leader sees it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StatusView {
     /// Leader of control.
     pub leader: String,
@@ -62,5 +65,5 @@
     /// Claims without an outcome.
     pub open: u64,
     /// Guarantees, lending and fragmentation.
-    pub schedule: Vec<String>,
+    pub schedule: Summary,
 }
--- a/crates/bronzespool-wire/src/message/task.rs
+++ b/crates/bronzespool-wire/src/message/task.rs
@@ -55,8 +55,8 @@
     pub millis: u64,
     /// Whether it makes checkpoints.
     pub checkpoints: bool,
-    /// Whether it must end with the agent's session, since its cells belong to another team.
-    pub borrowed: bool,
+    /// Milliseconds for which it may run on after the agent's session has ended.
+    pub grace: u64,
 }
 
 /// What happened to a task.
--- a/crates/bronzespoold/src/agent/tasks.rs
+++ b/crates/bronzespoold/src/agent/tasks.rs
@@ -7,7 +7,7 @@
 use {
     crate::agent::{
         state::State,
-        worker::{Result, TaskState, Worker},
+        worker::{Known, Result, TaskState, Worker},
     },
     bronzespool::{
         core::{HashMap, HashSet},
@@ -19,8 +19,9 @@
 
 /// Time between two rounds without a change.
 const ROUND: Duration = Duration::from_millis(500);
-/// Lease of a task at the worker; renewed each round.
-const TASK_LEASE: Duration = Duration::from_secs(10);
+/// Longest lease of a task at the worker, renewed each round: the time in which a restarted agent
+/// can adopt it.
+const TASK_LEASE: Duration = Duration::from_secs(60);
 /// Speed in percent of a throttled task.
 const THROTTLE_PERCENT: u32 = 50;
 /// Longest wait for a report.
@@ -83,12 +84,16 @@
     async fn bring(
         &mut self,
         assignment: &Assignment,
-        known: &HashMap<String, TaskState>,
+        known: &HashMap<String, Known>,
     ) -> Result<()> {
         let name = assignment.task.to_string();
-        let state = known.get(&name).copied();
+        let state = known.get(&name).map(|k| k.state);
         match (assignment.step, state) {
-            (Step::Prepare, None) => self.note(assignment, TaskEvent::Prepared),
+            (Step::Prepare, None) if is_free(assignment, known) => {
+                self.note(assignment, TaskEvent::Prepared);
+            }
+            // Other work still leaves these accelerators: a later round looks again.
+            (Step::Prepare, None) => {}
             (Step::Run | Step::Throttle, None) => self.begin(assignment, &name).await?,
             (Step::Run, Some(TaskState::Running)) => self.keep(assignment, &name).await?,
             (Step::Throttle, Some(TaskState::Running)) => {
@@ -108,28 +113,33 @@
             self.note(assignment, TaskEvent::Lost);
             return Ok(());
         }
-        if self.session_over(assignment) {
+        let lease = self.lease(assignment);
+        if lease.is_zero() {
             return Ok(());
         }
         let run = Duration::from_millis(assignment.millis);
         let accels = assignment.accels.clone();
-        let state = self.worker.start(name, accels, run, TASK_LEASE).await?;
+        let state = self.worker.start(name, accels, run, lease).await?;
         self.reported.insert((assignment.task.clone(), RUNNING));
         self.note_state(assignment, state);
         Ok(())
     }
 
-    /// Renews the lease; a borrowed task ends with the session instead.
+    /// Renews the lease, or stops the task when it may not run on.
     async fn keep(&mut self, assignment: &Assignment, name: &str) -> Result<()> {
-        if self.session_over(assignment) {
+        let lease = self.lease(assignment);
+        if lease.is_zero() {
             return self.stop(assignment, name).await;
         }
-        self.worker.renew(name, TASK_LEASE).await?;
+        self.worker.renew(name, lease).await?;
         Ok(())
     }
 
-    fn session_over(&self, assignment: &Assignment) -> bool {
-        assignment.borrowed && self.state.clock.now() >= self.state.until.get()
+    /// What the worker may be granted: it never outlives the session by more than the grace, also
+    /// if this process ends.
+    fn lease(&self, assignment: &Assignment) -> Duration {
+        let end = self.state.until.get() + Duration::from_millis(assignment.grace);
+        end.since(self.state.clock.now()).min(TASK_LEASE)
     }
 
     async fn stop(&mut self, assignment: &Assignment, name: &str) -> Result<()> {
@@ -145,11 +155,11 @@
     async fn stop_others(
         &self,
         assigned: &[Assignment],
-        known: &HashMap<String, TaskState>,
+        known: &HashMap<String, Known>,
     ) -> Result<()> {
         let wanted: HashSet<_> = assigned.iter().map(|a| a.task.to_string()).collect();
-        for (name, state) in known {
-            if *state == TaskState::Running && !wanted.contains(name) {
+        for (name, task) in known {
+            if task.state == TaskState::Running && !wanted.contains(name) {
                 self.worker.stop(name).await?;
             }
         }
@@ -196,5 +206,11 @@
     }
 }
 
+/// Whether no other task runs on the accelerators.
+fn is_free(assignment: &Assignment, known: &HashMap<String, Known>) -> bool {
+    let overlaps = |task: &Known| task.accels.iter().any(|a| assignment.accels.contains(a));
+    !known.values().any(|task| task.state == TaskState::Running && overlaps(task))
+}
+
 /// Mark of a task that was started, beside the marks of the events.
 const RUNNING: u8 = u8::MAX;
--- a/crates/bronzespoold/src/agent/worker.rs
+++ b/crates/bronzespoold/src/agent/worker.rs
@@ -56,9 +56,20 @@
 #[derive(Deserialize)]
 struct ListedTask {
     name: String,
+    #[serde(default)]
+    accels: Vec<u32>,
     state: TaskState,
 }
 
+/// A task as the worker lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Known {
+    /// Accelerators held, by number.
+    pub(super) accels: Vec<u32>,
+    /// What it does.
+    pub(super) state: TaskState,
+}
+
 #[derive(Serialize)]
 struct StartBody<'a> {
     name: &'a str,
@@ -79,9 +90,10 @@
     }
 
     /// All tasks that the worker knows.
-    pub(super) async fn list(&self) -> Result<HashMap<String, TaskState>> {
+    pub(super) async fn list(&self) -> Result<HashMap<String, Known>> {
         let listed: Listed = self.call(Method::GET, "/tasks", Bytes::new()).await?;
-        Ok(listed.tasks.into_iter().map(|t| (t.name, t.state)).collect())
+        let known = |t: ListedTask| (t.name, Known { accels: t.accels, state: t.state });
+        Ok(listed.tasks.into_iter().map(known).collect())
     }
 
     /// Starts a task under a lease. A task that the worker knows is not started again.
--- a/crates/bronzespoold/src/control/hub/assign.rs
+++ b/crates/bronzespoold/src/control/hub/assign.rs
@@ -9,6 +9,9 @@
     std::time::Duration,
 };
 
+/// Longest time from a decision to the end of the session of an agent that does not hear of it.
+pub(in crate::control) const SESSION_SPAN: Duration = Duration::from_secs(6);
+
 /// Tasks of all active attempts with a member on `instance`.
 pub(super) fn assignments(book: &Book, instance: &Instance) -> Vec<Assignment> {
     let mut list = Vec::new();
@@ -40,7 +43,7 @@
         accels: cell.first..cell.first + cell.accels,
         millis: millis(job.spec.declared.saturating_sub(job.saved)),
         checkpoints: job.spec.checkpoint.is_some(),
-        borrowed: attempt.borrowed,
+        grace: millis(attempt.lease.saturating_sub(SESSION_SPAN)),
     })
 }
 
--- a/crates/bronzespoold/src/control/hub/mod.rs
+++ b/crates/bronzespoold/src/control/hub/mod.rs
@@ -4,4 +4,8 @@
 mod pump;
 mod sessions;
 
-pub(super) use sessions::{Hub, Spans};
+pub(super) use {
+    assign::SESSION_SPAN,
+    pump::PUSH_TIME,
+    sessions::{Hub, Spans},
+};
--- a/crates/bronzespoold/src/control/hub/pump.rs
+++ b/crates/bronzespoold/src/control/hub/pump.rs
@@ -22,7 +22,7 @@
 };
 
 /// Longest wait for an acknowledgement; the session ends after it.
-const PUSH_TIME: Duration = Duration::from_secs(2);
+pub(in crate::control) const PUSH_TIME: Duration = Duration::from_secs(2);
 
 /// The pushing task of a session.
 pub(super) struct Pump {
--- a/crates/bronzespoold/src/control/leader/calls.rs
+++ b/crates/bronzespoold/src/control/leader/calls.rs
@@ -12,6 +12,7 @@
     bronzespool::{
         core::{Code, Instance, Refusal, Shape},
         flow::{claim::Horizon, view::Presence},
+        schedule::Planner,
         wire::message::{Announce, Answered, Call, Reply},
     },
     std::{cell::RefCell, rc::Rc, time::Duration},
@@ -26,6 +27,7 @@
     pub(super) replica: Rc<Replica>,
     pub(super) hubs: RefCell<Hubs>,
     pub(super) granter: RefCell<Granter>,
+    pub(super) planner: RefCell<(u64, Planner)>,
     pub(super) horizon: Horizon,
     pub(super) reserve: Option<Shape>,
     pub(super) lease: Duration,
@@ -40,8 +42,8 @@
         reserve: Option<Shape>,
         lease: Duration,
     ) -> Rc<Self> {
-        let (hubs, granter) = Default::default();
-        Rc::new(Self { clock, replica, hubs, granter, horizon, reserve, lease })
+        let (hubs, granter, planner) = Default::default();
+        Rc::new(Self { clock, replica, hubs, granter, planner, horizon, reserve, lease })
     }
 
     /// Answers a call, if this replica leads.
--- a/crates/bronzespoold/src/control/leader/schedule.rs
+++ b/crates/bronzespoold/src/control/leader/schedule.rs
@@ -7,10 +7,10 @@
         state::{guarantees, services_after},
     },
     bronzespool::{
-        core::{Code, Job, Refusal},
+        core::{Code, Job, Refusal, Time},
         flow::config::Change,
-        schedule::{JobSpec, decide, wake},
-        wire::message::{Answered, Reply},
+        schedule::{Explanation, JobSpec, Planner, Record, Reserve, admit, explain, pack, wake},
+        wire::message::{Answered, ExplainView, HolderView, Reply},
     },
     std::{rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
@@ -51,7 +51,7 @@
         self.replica.read().await?;
         loop {
             let now = self.replica.log_time();
-            let records = decide(self.replica.state().book(), now);
+            let records = self.decide(now);
             if records.is_empty() {
                 let next = wake(self.replica.state().book(), now);
                 return Ok(next.since(now).clamp(LOOK_MIN, LOOK_MAX));
@@ -60,6 +60,16 @@
         }
     }
 
+    /// Asks the policy. Its memory is of one book, so it ends with the term.
+    fn decide(&self, now: Time) -> Vec<Record> {
+        let term = self.replica.status().term;
+        let mut planner = self.planner.borrow_mut();
+        if planner.0 != term {
+            *planner = (term, Planner::default());
+        }
+        planner.1.decide(self.replica.state().book(), now)
+    }
+
     /// Follows sessions and expires claims, for as long as this process lives.
     pub(in crate::control) async fn run_rounds(self: Rc<Self>) {
         loop {
@@ -80,26 +90,51 @@
 
     /// Refuses a job that no set of workers could ever hold.
     pub(super) fn check_feasible(&self, spec: &JobSpec) -> Result<()> {
-        if spec.members == 0 {
-            return Err(Refusal::new(Code::Infeasible, "a gang needs at least one member"));
-        }
-        Ok(())
+        admit(self.replica.state().book(), spec).map_err(|r| Refusal::new(r.code, r.reason))
     }
 
     /// Refuses guarantees that cannot all be held at once.
     pub(super) fn check_guarantees(&self, change: &Change) -> Result<()> {
         let state = self.replica.state();
-        let services = services_after(state.config(), change);
-        let _ = (guarantees(services.values()), self.reserve);
-        Ok(())
+        let before = guarantees(state.config().config().services.values());
+        let after = guarantees(services_after(state.config(), change).values());
+        if before == after {
+            return Ok(());
+        }
+        // Workers that are down count: an outage does not shrink what was bought.
+        let workers: Vec<_> =
+            state.peers().values().map(|p| (p.place.clone(), p.capacity)).collect();
+        let reserve = self.reserve.map(|s| Reserve { level: s.level, count: s.count });
+        match pack(&workers, &after, reserve) {
+            Ok(_) => Ok(()),
+            Err(clash) => Err(Refusal::new(Code::GuaranteesClash, clash.to_string())),
+        }
     }
 
     pub(super) async fn explain(&self, job: &Job) -> Answered {
         self.replica.read().await?;
+        let now = self.replica.log_time();
         let state = self.replica.state();
-        let Some(found) = state.book().job(job) else {
-            return Err(Refusal::new(Code::UnknownJob, format!("no job {job}")));
-        };
-        Ok(Reply::Explained(vec![format!("job {job}: attempt {}", found.attempts)]))
+        match explain(state.book(), job, now) {
+            Some(explanation) => Ok(Reply::Explained(Box::new(shown(explanation, now)))),
+            None => Err(Refusal::new(Code::UnknownJob, format!("no job {job}"))),
+        }
+    }
+}
+
+fn shown(explanation: Explanation, now: Time) -> ExplainView {
+    let millis = |at: Time| u64::try_from(at.since(now).as_millis()).unwrap_or(u64::MAX);
+    let holders = explanation.holders.into_iter().map(|holder| HolderView {
+        job: holder.job,
+        team: holder.team,
+        instances: holder.cells.iter().map(|c| c.instance.to_string()).collect(),
+        borrowed: holder.borrowed,
+        until_ms: millis(holder.until),
+    });
+    ExplainView {
+        job: explanation.job,
+        reason: explanation.reason.to_string(),
+        latest_ms: explanation.latest.map(millis),
+        holders: holders.collect(),
     }
 }
--- a/crates/bronzespoold/src/control/leader/status.rs
+++ b/crates/bronzespoold/src/control/leader/status.rs
@@ -4,6 +4,7 @@
     crate::control::leader::calls::Leader,
     bronzespool::{
         flow::view::{Peer, Presence},
+        schedule::summary,
         wire::message::{Answered, EndpointView, ReplicaView, Reply, StatusView},
     },
 };
@@ -38,7 +39,7 @@
             endpoints: state.peers().values().map(endpoint).collect(),
             claims: state.claims().len() as u64,
             open: state.claims().open() as u64,
-            schedule: Vec::new(),
+            schedule: summary(state.book()),
         })))
     }
 }
--- a/crates/bronzespoold/src/control/start.rs
+++ b/crates/bronzespoold/src/control/start.rs
@@ -4,7 +4,7 @@
     crate::{
         clock::Clock,
         control::{
-            hub::{Hub, Spans},
+            hub::{Hub, PUSH_TIME, SESSION_SPAN, Spans},
             leader::Leader,
             peers::Peers,
             replica::Replica,
@@ -33,6 +33,8 @@
     Listen(SocketAddr, std::io::Error),
     /// the replicated log has failed: {0}
     Log(consensus::Error),
+    /// [timing] session = {0:?} is too long: borrowed work must end within {1:?}, use at most {2:?}
+    Session(Duration, Duration, Duration),
 }
 
 impl std::error::Error for Error {}
@@ -75,6 +77,7 @@
 ///
 /// If its address cannot be bound or its log fails.
 pub async fn run(options: Options, clock: Clock, mut stop: watch::Receiver<bool>) -> Result<()> {
+    check_session(&options)?;
     let listener =
         TcpListener::bind(options.listen).await.map_err(|e| Error::Listen(options.listen, e))?;
     let mut storage = FileStorage::open(&options.data).map_err(Error::Log)?;
@@ -97,6 +100,16 @@
     Ok(())
 }
 
+/// The span that the schedule counts on must cover a push without an answer, a whole session and
+/// the drift of the clocks.
+fn check_session(options: &Options) -> Result<()> {
+    let most = SESSION_SPAN.saturating_sub(PUSH_TIME) * 100 / (100 + MARGIN_PERCENT);
+    if options.session > most {
+        return Err(Error::Session(options.session, SESSION_SPAN, most));
+    }
+    Ok(())
+}
+
 fn settings(options: &Options) -> Settings {
     let names = options.peers.iter().map(|(name, _)| name.clone()).collect();
     let mut settings = Settings::new(options.instance.clone(), names, fastrand::u64(..));
--- a/crates/bronzespoold/src/control/state.rs
+++ b/crates/bronzespoold/src/control/state.rs
@@ -1,6 +1,7 @@
 //! The replicated state machine.
 
 use {
+    crate::control::hub::SESSION_SPAN,
     bronzespool::{
         core::{Code, Instance, Service, Shape, Team, Time},
         flow::{
@@ -8,11 +9,11 @@
             config,
             view::{self, Change, Peer, Presence, View},
         },
-        schedule::{Book, Event, Record},
+        schedule::{Book, Event, Record, Settings},
         wire::message::Announce,
     },
     serde::{Deserialize, Serialize},
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// One command of the log.
@@ -66,8 +67,12 @@
     Refused(Code),
 }
 
+/// Lease of gang members and other work on its team's own guarantee: longer than most cuts
+/// between regions, since no one else may have the cells in the meantime.
+const OWN_LEASE: Duration = Duration::from_secs(300);
+
 /// State after an entry of the log.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct State {
     index: u64,
     clock: Time,
@@ -92,6 +97,23 @@
     }
 }
 
+impl Default for State {
+    /// The state before the first entry: the same at every replica, whatever its settings.
+    fn default() -> Self {
+        let settings =
+            Settings { lease: SESSION_SPAN, gang_lease: OWN_LEASE, ..Settings::default() };
+        Self {
+            index: 0,
+            clock: Time::ZERO,
+            config: config::Store::default(),
+            config_index: 0,
+            peers: BTreeMap::new(),
+            claims: Claims::default(),
+            book: Book::new(settings),
+        }
+    }
+}
+
 impl State {
     /// Index of the last entry applied.
     pub(super) const fn index(&self) -> u64 {
