--- a/crates/bronzespool-cli/src/args/help.rs
+++ b/crates/bronzespool-cli/src/args/help.rs
@@ -21,7 +21,8 @@
         short: "check service files without the system",
         long: "Reads every service.ini under the folders and lists all faults with file, line and \
                key.\nA deployment.ini in the nearest folder above a service.ini, or the one \
-               named, is checked as well:\neach kind must fit its workers.",
+               named, is checked as well:\neach kind must fit its workers, and \
+               all guarantees must fit at once, less the reserve.",
         examples: &["check examples/registry", "check services --deployment site/deployment.ini"],
     },
     Topic {
--- a/crates/bronzespool-cli/src/command/check.rs
+++ b/crates/bronzespool-cli/src/command/check.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        command::fit,
+        command::{fit, pack},
         error::{Error, Result},
         output::{Output, table},
     },
@@ -39,6 +39,7 @@
     }
     for site in &sites {
         faults.extend(site.sources.iter().flat_map(|source| fit::check(source, &site.deployment)));
+        faults.extend(pack::check(&site.sources, &site.deployment));
     }
     if faults.is_empty() {
         return Ok(show(&config, &sites));
--- a/crates/bronzespool-cli/src/command/mod.rs
+++ b/crates/bronzespool-cli/src/command/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod fit;
 mod job;
+mod pack;
 mod publish;
 mod report;
 
--- a/crates/bronzespool-cli/tests/check.rs
+++ b/crates/bronzespool-cli/tests/check.rs
@@ -89,6 +89,27 @@
     }
 }
 
+#[test]
+fn check_guarantees_leave_the_reserve_free() {
+    let teams =
+        |shape: &str| format!("{SERVICE}[team a]\nguarantee = 1 x worker\n[team b]\n{shape}\n");
+    assert_eq!(check(&site(&teams("guarantee = 2 x block-2")), "").exit, Exit::Done);
+    let run = check(&site(&teams("guarantee = 3 x block-2")), "--json");
+    assert_eq!(keys(&run), ["[team b] guarantee"]);
+    assert_eq!(run.json()["faults"][0]["line"], 8);
+    let text = run.json()["faults"][0]["message"].as_str().unwrap().to_owned();
+    assert!(text.contains("lacks 1 x block-2 on small less 1 x worker"), "{text}");
+}
+
+#[test]
+fn check_guarantees_of_all_services_are_added() {
+    let dir = site(&format!("{SERVICE}[team a]\nguarantee = 2 x worker\n"));
+    assert_eq!(check(&dir, "").exit, Exit::Done);
+    let other = SERVICE.replace("desk", "yard");
+    write(dir.path(), "yard/service.ini", &format!("{other}[team b]\nguarantee = 1 x worker\n"));
+    assert_eq!(keys(&check(&dir, "--json")).len(), 2);
+}
+
 #[test]
 fn check_named_deployment_replaces_the_one_found() {
     let dir = site(&format!("{SERVICE}accelerators = 8\n"));
