--- a/crates/bronzespool-cli/src/report/mod.rs
+++ b/crates/bronzespool-cli/src/report/mod.rs
@@ -82,7 +82,7 @@
         row.service.clone(),
         row.kind.clone(),
         percent(row.target),
-        format!("{} ms", row.within_ms),
+        span(row.within_ms as f64 / 1_000.0),
         format!("{}/{}", row.good, row.total),
         row.share.map_or_else(none, percent),
         row.budget_left.map_or_else(none, percent),
@@ -103,6 +103,7 @@
     match seconds {
         s if s >= 3_600.0 => format!("{:.1} h", s / 3_600.0),
         s if s >= 60.0 => format!("{:.0} min", s / 60.0),
-        s => format!("{s:.0} s"),
+        s if s >= 1.0 => format!("{s:.1} s"),
+        s => format!("{:.0} ms", s * 1_000.0),
     }
 }
--- a/crates/bronzespool-cli/tests/report.rs
+++ b/crates/bronzespool-cli/tests/report.rs
@@ -35,7 +35,9 @@
 fn report_prints_a_table() {
     let run = Server::start([ok(ROWS)]).run("report");
     assert_eq!(run.exit, Exit::Done, "{run:?}");
-    for text in ["quota-check", "99.50%", "200 ms", "990/1000", "99.00%", "-100.00%", "2.00"] {
+    for text in
+        ["quota-check", "99.50%", "200 ms", "2.0 s", "990/1000", "99.00%", "-100.00%", "2.00"]
+    {
         assert!(run.out.contains(text), "{text}: {}", run.out);
     }
     assert!(run.out.contains("burn short is over 5 min, burn long over 1.0 h"), "{}", run.out);
