--- a/crates/bronzespool-bench/src/decisions/driver.rs
+++ b/crates/bronzespool-bench/src/decisions/driver.rs
@@ -25,6 +25,8 @@
 const ATTEMPTS: u32 = 10;
 /// A run ends at this multiple of the horizon at the latest.
 const DRAIN: u64 = 4;
+/// Broken guarantees that are kept with their circumstances.
+const BROKEN_KEPT: usize = 10;
 /// Spacing of the samples for plots.
 const SAMPLE: Duration = Duration::from_secs(600);
 
@@ -172,7 +174,7 @@
     }
 
     fn rouse(&mut self, policy: &impl Policy) {
-        let Some(at) = policy.wake() else { return };
+        let Some(at) = policy.wake(self.now) else { return };
         if at > self.now && (at < self.wake || self.wake <= self.now) {
             self.wake = at;
             self.push(at, Event::Wake);
@@ -455,6 +457,7 @@
         let grouped = self.grouped();
         let mut figures = self.figures;
         figures.unfinished = unfinished;
+        figures.invalid += policy.faults();
         figures.scale = self.scenario.scale.name().to_owned();
         figures.stream = self.scenario.stream.name().to_owned();
         figures.policy = policy.name().to_owned();
@@ -468,9 +471,9 @@
         figures.due = Summary::of(&self.judge.waits);
         let delayed: Vec<_> = self.judge.waits.iter().copied().filter(|w| !w.is_zero()).collect();
         figures.reclaim = Summary::of(&delayed);
-        figures.broken = self.judge.broken;
-        figures.broken_kinds =
-            self.judge.kinds.iter().map(|(k, n)| ((*k).to_owned(), *n)).collect();
+        figures.broken = self.judge.broken.len() as u64;
+        self.judge.broken.truncate(BROKEN_KEPT);
+        figures.broken_first = self.judge.broken;
         figures.end = self.now.as_micros() as f64 / 1e6;
         figures
     }
--- a/crates/bronzespool-bench/src/decisions/figures.rs
+++ b/crates/bronzespool-bench/src/decisions/figures.rs
@@ -1,6 +1,7 @@
 //! What one run of a policy measured.
 
 use {
+    crate::decisions::Broken,
     serde::Serialize,
     std::{collections::BTreeMap, time::Duration},
 };
@@ -82,8 +83,8 @@
     pub failed: f64,
     /// Guarantees broken.
     pub broken: u64,
-    /// Guarantees broken by kind.
-    pub broken_kinds: BTreeMap<String, u64>,
+    /// The first of them.
+    pub broken_first: Vec<Broken>,
     /// Gangs that were started in part or ran on in part past the bound.
     pub gang_violations: u64,
     /// Orders that cannot be carried out: a taken slot, a job that may not be stopped.
--- a/crates/bronzespool-bench/src/decisions/mod.rs
+++ b/crates/bronzespool-bench/src/decisions/mod.rs
@@ -16,7 +16,7 @@
     figures::{Figures, Summary},
     fragmentation::fragmentation,
     job::{Fate, Job, JobId},
-    judge::{Judge, RECLAIM_BOUND},
+    judge::{Broken, Judge, RECLAIM_BOUND},
     policy::{Action, Input, Policy},
     scenario::{Fault, Scenario, Stream},
     space::{Fit, Slot, Space},
--- a/crates/bronzespool-bench/src/decisions/policy.rs
+++ b/crates/bronzespool-bench/src/decisions/policy.rs
@@ -59,7 +59,12 @@
     fn decide(&mut self, now: Time) -> Vec<Action>;
 
     /// When to be asked again without an event, if at all.
-    fn wake(&self) -> Option<Time> {
+    fn wake(&self, _now: Time) -> Option<Time> {
         None
     }
+
+    /// Faults of its own that it has met, such as orders that its state refuses.
+    fn faults(&self) -> u64 {
+        0
+    }
 }
--- a/crates/bronzespool-bench/src/lib.rs
+++ b/crates/bronzespool-bench/src/lib.rs
@@ -17,3 +17,5 @@
 
 pub mod decisions;
 pub mod policies;
+pub mod report;
+pub mod suite;
--- a/crates/bronzespool-bench/src/policies/mod.rs
+++ b/crates/bronzespool-bench/src/policies/mod.rs
@@ -4,5 +4,6 @@
 mod fifo;
 mod oracle;
 mod pool;
+mod scheduler;
 
-pub use self::{backfill::Backfill, fifo::Fifo, oracle::Oracle};
+pub use self::{backfill::Backfill, fifo::Fifo, oracle::Oracle, scheduler::Scheduler};
--- a/crates/bronzespool-bench/src/policies/pool.rs
+++ b/crates/bronzespool-bench/src/policies/pool.rs
@@ -6,6 +6,9 @@
     std::collections::BTreeMap,
 };
 
+/// Workers that a job avoids after failures on them.
+const AVOID_MAX: usize = 2;
+
 /// A running job.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
@@ -27,7 +30,7 @@
     /// Waiting jobs in the order of their identities, which is that of submission.
     pub(crate) waiting: BTreeMap<JobId, Job>,
     pub(crate) running: BTreeMap<JobId, Run>,
-    /// Workers on which a job has failed: it is not placed there again.
+    /// Workers on which a job has failed last: it is not placed there.
     failed: HashMap<JobId, Vec<usize>>,
     /// Running accelerators by team, those being stopped left out.
     pub(crate) used: Vec<u32>,
@@ -60,7 +63,11 @@
             Input::Cancelled(jobs) => jobs.iter().for_each(|&j| self.forget(j)),
             Input::Completed(job) | Input::Dropped(job) => self.forget(job),
             Input::Failed { job, worker } => {
-                self.failed.entry(job).or_default().push(worker);
+                let failed = self.failed.entry(job).or_default();
+                failed.push(worker);
+                if failed.len() > AVOID_MAX {
+                    failed.remove(0);
+                }
                 self.requeue(job);
             }
             Input::Stopped(job) => self.requeue(job),
