--- /dev/null
+++ b/crates/bronzespool-cli/src/command/publish.rs
@@ -0,0 +1,90 @@
+//! Publishing: one change of the configuration, sent again after a lost answer.
+
+use {
+    crate::{
+        args::Publish,
+        client::Client,
+        error::{Error, Exit, Result},
+        output::Output,
+    },
+    bronzespool::core::{Service, settings::read_services},
+    serde_json::{Value, json},
+    std::{io::Write, time::Duration},
+    tokio::time::sleep,
+};
+
+/// Where the configuration is published.
+const PATH: &str = "/v1/config";
+/// Largest number of times that a change is sent.
+const SENDS_MAX: u32 = 3;
+/// Pause before a change is sent again.
+const SEND_PAUSE: Duration = Duration::from_millis(300);
+
+/// Checks the files and sends them as one change.
+///
+/// Every send carries the same operation id, so that the change is made at most once.
+pub(super) async fn run(
+    client: Client,
+    publish: &Publish,
+    notes: &mut impl Write,
+) -> Result<Output> {
+    let (config, sources) = read_services(&publish.paths).map_err(Error::Faults)?;
+    let op = publish.op.clone().unwrap_or_else(fresh_id);
+    let names: Vec<_> = config.services.keys().map(Service::as_str).collect();
+    let _ = writeln!(notes, "operation {op}: {}", names.join(", "));
+    let body = json!({ "base": publish.base, "op": op, "files": sources, "wait": publish.wait });
+    match send(client, &body, notes).await {
+        Ok(value) => Ok(accepted(value, publish.wait, &op)),
+        Err(error) if error.exit() == Exit::Unknown => Err(advise(error, publish, &op)),
+        Err(error) => Err(error),
+    }
+}
+
+fn fresh_id() -> String {
+    format!("op-{:016x}", fastrand::u64(..))
+}
+
+async fn send(client: Client, body: &Value, notes: &mut impl Write) -> Result<Value> {
+    let unknown = match client.post(PATH, body).await {
+        Err(error) if error.exit() == Exit::Unknown => error,
+        other => return other,
+    };
+    for _ in 1..SENDS_MAX {
+        let _ = writeln!(notes, "no outcome yet: sending the same operation again");
+        sleep(SEND_PAUSE).await;
+        match client.post(PATH, body).await {
+            Err(error) if error.leaves_open() => {}
+            other => return other,
+        }
+    }
+    Err(unknown)
+}
+
+fn advise(error: Error, publish: &Publish, op: &str) -> Error {
+    let base = publish.base.map_or_else(String::new, |base| format!(" --base {base}"));
+    let wait = if publish.wait { " --wait" } else { "" };
+    let paths: Vec<_> = publish.paths.iter().map(|path| path.display().to_string()).collect();
+    let paths = paths.join(" ");
+    let advice = format!(
+        "{error}\nrepeat it for its outcome: bronzespool publish {paths}{base} --op {op}{wait}"
+    );
+    Error::Advice { advice, error: Box::new(error) }
+}
+
+/// What to print of an accepted change.
+fn accepted(value: Value, wait: bool, op: &str) -> Output {
+    let revision = &value["revision"];
+    let (exit, text) = match (value["in_force"] == json!(true), wait) {
+        (true, _) => (Exit::Done, "is in force everywhere"),
+        (false, false) => (Exit::Done, "is accepted; --wait returns when it is in force"),
+        (false, true) => (Exit::Pending, "is accepted, but not yet in force everywhere"),
+    };
+    Output { text: format!("revision {revision} {text}"), json: with_op(value, op), exit }
+}
+
+fn with_op(mut value: Value, op: &str) -> Value {
+    if let Some(map) = value.as_object_mut() {
+        map.insert("op".to_owned(), json!(op));
+    }
+    value
+}
--- a/crates/bronzespool-core/src/code.rs
+++ b/crates/bronzespool-core/src/code.rs
@@ -106,6 +106,7 @@
     3010 Stopping NotRun 503 "this process is stopping: try another entry";
     3011 QueueFull NotRun 503 "the queue is full: come back after Retry-After";
     3012 IncarnationGone NotRun 503 "the addressed incarnation of the agent is not this one";
+    3013 RevisionBehind NotRun 503 "entry and agent hold different revisions of the configuration: come back after Retry-After";
     4001 Sealed Unknown 502 "the endpoint was lost before its outcome was known: it is never run again, ask with the same key";
     4002 InProgress Unknown 504 "started and not finished in time: ask again with the same key for the outcome";
     4003 AnswerShort Unknown 502 "the endpoint's answer was cut short: ask again with the same key";
@@ -126,9 +127,8 @@
     9001 Internal Unknown 500 "a fault of this program: report it with the request id";
 }
 
-/// A number that is no result code.
-#[derive(Clone, Copy, Debug, displaydoc::Display, PartialEq, Eq)]
 /// {0} is no result code
+#[derive(Clone, Copy, Debug, displaydoc::Display, PartialEq, Eq)]
 pub struct NoCode(pub u16);
 
 impl std::error::Error for NoCode {}
@@ -140,6 +140,16 @@
     }
 }
 
+/// All codes as a Markdown table.
+pub fn table() -> String {
+    let head = "| number | name | outcome | HTTP status | meaning |\n|---|---|---|---|---|";
+    let row = |code: &Code| {
+        let (number, name, help) = (code.number(), code.name(), code.help());
+        format!("\n| {number} | `{name}` | {} | {} | {help} |", code.outcome(), code.status())
+    };
+    Code::ALL.iter().fold(head.to_owned(), |table, code| table + &row(code))
+}
+
 impl TryFrom<u16> for Code {
     type Error = NoCode;
 
--- a/crates/bronzespool-core/src/lib.rs
+++ b/crates/bronzespool-core/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod digest;
 pub mod name;
 pub mod place;
+pub mod refusal;
+pub mod settings;
 pub mod shape;
 pub mod spec;
 pub mod time;
@@ -25,8 +27,9 @@
     code::{Code, Outcome},
     collections::{HashMap, HashSet},
     digest::Digest,
-    name::{Center, Instance, Job, Key, Kind, Rack, Region, Service, Team},
+    name::{Center, Cluster, Instance, Job, Key, Kind, Rack, Region, Service, Team},
     place::{Capacity, Place},
+    refusal::Refusal,
     shape::{Level, Shape},
     spec::{Config, KindSpec, Mode, Need, ServiceSpec, Target, TeamSpec, Weights},
     time::Time,
--- /dev/null
+++ b/crates/bronzespoold/src/entry/dispatch/mod.rs
@@ -0,0 +1,90 @@
+//! Sends checked requests to agents and learns what became of them.
+
+mod follow;
+mod idempotent;
+mod protected;
+mod target;
+
+use {
+    crate::entry::{
+        filter::{Checked, Filter, Result},
+        state::State,
+        traffic::Admitted,
+    },
+    bronzespool::{
+        core::{Code, Refusal},
+        flow::claim::{Answer, Body, Completion},
+        wire::message::{Run, Work},
+    },
+    bytes::Bytes,
+    std::{rc::Rc, time::Duration},
+};
+
+pub(super) use target::Target;
+
+/// When to come back if no endpoint can take the request now.
+const RETRY: Duration = Duration::from_millis(250);
+
+/// The last filter: gets the endpoint's answer.
+pub(super) struct Dispatch(pub(super) Rc<State>);
+
+impl Filter<Admitted> for Dispatch {
+    type Out = Served;
+
+    async fn apply(&self, admitted: Admitted) -> Result<Served> {
+        let Admitted { request, lane, permit } = admitted;
+        let answer = if request.spec()?.protected {
+            protected::serve(&self.0, &request, lane).await
+        } else {
+            idempotent::serve(&self.0, &request, lane).await
+        };
+        drop(permit);
+        whole(&answer?)
+    }
+}
+
+/// A whole answer of an endpoint.
+pub(super) struct Served {
+    pub(super) status: u16,
+    pub(super) content: String,
+    pub(super) body: Bytes,
+}
+
+/// An answer of which only the digest is left cannot be given to the caller.
+fn whole(answer: &Answer) -> Result<Served> {
+    match &answer.body {
+        Body::Whole(bytes) => Ok(Served {
+            status: answer.status,
+            content: answer.content.to_string(),
+            body: Bytes::copy_from_slice(bytes),
+        }),
+        Body::Digest { len, .. } => {
+            let message = format!("the request ran; its answer of {len} bytes is no longer kept");
+            Err(Refusal::new(Code::AnswerTooLarge, message))
+        }
+    }
+}
+
+fn run(request: &Checked, incarnation: u64, work: Work, time: Duration) -> Result<Run> {
+    Ok(Run {
+        request: request.id.clone(),
+        revision: request.view.config.revision,
+        incarnation,
+        work,
+        team: request.team.clone(),
+        service: request.service.clone(),
+        kind: request.kind.clone(),
+        key: request.key.as_ref().map(ToString::to_string),
+        digest: request.digest,
+        slots: request.spec()?.need.slots,
+        millis: u64::try_from(time.as_millis()).unwrap_or(u64::MAX),
+    })
+}
+
+/// What a completion is to the caller.
+fn completed(completion: Completion) -> Result<Answer> {
+    match completion {
+        Completion::Answered(answer) => Ok(answer),
+        Completion::NotRun(code) | Completion::Lost(code) => Err(code.into()),
+    }
+}
--- /dev/null
+++ b/crates/bronzespoold/src/entry/filter/route.rs
@@ -0,0 +1,77 @@
+//! Finds the kind that a path names, in the configuration in force.
+
+use {
+    crate::entry::{
+        filter::{Filter, Result},
+        state::State,
+    },
+    bronzespool::{
+        core::{Code, Kind, KindSpec, Refusal, Service, ServiceSpec, Time},
+        flow::view::View,
+    },
+    hyper::{Request, body::Incoming},
+    std::rc::Rc,
+};
+
+/// A request as it arrived.
+pub(in crate::entry) struct Raw {
+    pub(in crate::entry) id: String,
+    pub(in crate::entry) arrived: Time,
+    pub(in crate::entry) service: String,
+    pub(in crate::entry) kind: String,
+    pub(in crate::entry) request: Request<Incoming>,
+}
+
+/// A request whose kind is known.
+pub(in crate::entry) struct Routed {
+    pub(in crate::entry) raw: Raw,
+    pub(in crate::entry) view: Rc<View>,
+    pub(in crate::entry) service: Service,
+    pub(in crate::entry) kind: Kind,
+}
+
+impl Routed {
+    /// The service's declaration. The view is held, so it cannot have gone.
+    pub(in crate::entry) fn service_spec(&self) -> Result<&ServiceSpec> {
+        self.view.config.services.get(&self.service).ok_or_else(|| Code::UnknownService.into())
+    }
+
+    /// The kind's declaration.
+    pub(in crate::entry) fn spec(&self) -> Result<&KindSpec> {
+        self.view.config.kind(&self.service, &self.kind).ok_or_else(|| Code::UnknownKind.into())
+    }
+}
+
+/// The filter.
+pub(in crate::entry) struct Route(pub(in crate::entry) Rc<State>);
+
+impl Filter<Raw> for Route {
+    type Out = Routed;
+
+    async fn apply(&self, raw: Raw) -> Result<Routed> {
+        if self.0.stopping.get() {
+            return Err(Code::Stopping.into());
+        }
+        if !self.0.open() {
+            return Err(Refusal::from(Code::NoSession).retry_after(super::caller::RETRY));
+        }
+        let view = self.0.view();
+        let service = Service::try_from(raw.service.as_str())
+            .map_err(|e| unknown(Code::UnknownService, &raw.service, &e))?;
+        if !view.config.services.contains_key(&service) {
+            let message = format!("service {service} is not in revision {}", view.config.revision);
+            return Err(Refusal::new(Code::UnknownService, message));
+        }
+        let kind = Kind::try_from(raw.kind.as_str())
+            .map_err(|e| unknown(Code::UnknownKind, &raw.kind, &e))?;
+        if view.config.kind(&service, &kind).is_none() {
+            let message = format!("service {service} has no kind {kind}");
+            return Err(Refusal::new(Code::UnknownKind, message));
+        }
+        Ok(Routed { raw, view, service, kind })
+    }
+}
+
+fn unknown(code: Code, text: &str, error: &bronzespool::core::name::Error) -> Refusal {
+    Refusal::new(code, format!("{text:?}: {error}"))
+}
--- /dev/null
+++ b/crates/bronzespoold/src/entry/mod.rs
@@ -0,0 +1,14 @@
+//! The entry: callers' and operators' HTTP interface.
+
+mod agents;
+mod dispatch;
+mod filter;
+mod jobs;
+mod operators;
+mod report;
+mod server;
+mod start;
+mod state;
+mod traffic;
+
+pub use start::{Options, run};
--- /dev/null
+++ b/crates/bronzespoold/src/entry/state.rs
@@ -0,0 +1,101 @@
+//! What the entry's parts share.
+
+use {
+    crate::{
+        client::{Keeper, Subscriber},
+        clock::Clock,
+        entry::{agents::Agents, report::Reporter, traffic::Traffic},
+    },
+    bronzespool::{
+        core::{Instance, Time},
+        flow::view::{self, View},
+        wire::message::{Hello, Role, Update, Welcome},
+    },
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+    },
+    tokio::sync::Notify,
+};
+
+/// State of the entry.
+pub(super) struct State {
+    pub(super) clock: Clock,
+    pub(super) instance: Instance,
+    pub(super) view: RefCell<Rc<View>>,
+    pub(super) agents: Agents,
+    pub(super) until: Cell<Time>,
+    pub(super) stopping: Cell<bool>,
+    pub(super) serial: Cell<u64>,
+    pub(super) prefix: u64,
+    pub(super) report: Reporter,
+    pub(super) traffic: RefCell<Traffic>,
+    pub(super) pumping: Notify,
+    pub(super) in_pump: Cell<bool>,
+    pub(super) view_changed: Notify,
+    pub(super) keeper: RefCell<Option<Rc<Keeper<Self>>>>,
+}
+
+impl State {
+    /// The view as it is now; it stays as it is for whoever holds it.
+    pub(super) fn view(&self) -> Rc<View> {
+        Rc::clone(&self.view.borrow())
+    }
+
+    /// The session's keeper, which is set before the first request arrives.
+    pub(super) fn keeper(&self) -> Option<Rc<Keeper<Self>>> {
+        self.keeper.borrow().clone()
+    }
+
+    /// Whether new work may be taken.
+    pub(super) fn open(&self) -> bool {
+        !self.stopping.get() && self.clock.now() < self.until.get()
+    }
+
+    /// A new request id.
+    pub(super) fn request_id(&self) -> String {
+        let serial = self.serial.get() + 1;
+        self.serial.set(serial);
+        format!("{:016x}-{serial}", self.prefix)
+    }
+
+    fn change<T>(&self, f: impl FnOnce(&mut View) -> T) -> T {
+        let mut view = self.view.borrow_mut();
+        let result = f(Rc::make_mut(&mut view));
+        self.agents.update(&view);
+        self.traffic.borrow_mut().follow(&view);
+        self.view_changed.notify_one();
+        self.pumping.notify_one();
+        result
+    }
+}
+
+impl Subscriber for State {
+    fn hello(&self) -> Hello {
+        Hello {
+            role: Role::Entry,
+            instance: self.instance.clone(),
+            seen: self.acked(),
+            announce: None,
+        }
+    }
+
+    fn welcome(&self, welcome: Welcome) -> bool {
+        self.change(|view| view.replace(welcome.view))
+    }
+
+    fn update(&self, update: Update) -> view::Result<()> {
+        match update {
+            Update::Delta(delta) => self.change(|view| view.apply(delta)),
+            Update::Tasks { .. } => Ok(()),
+        }
+    }
+
+    fn acked(&self) -> u64 {
+        self.view.borrow().index
+    }
+
+    fn valid_until(&self, until: Time) {
+        self.until.set(until);
+    }
+}
