feat(bench): tell retry and lease waits from broken guarantees, add the packing floor

A job that failed is due again after 5 s and one whose worker was lost after its lease of 10.05 s and 5 s: until then nobody owes it cells, under any policy.

--- a/crates/bronzespool-bench/src/decisions/figures.rs
+++ b/crates/bronzespool-bench/src/decisions/figures.rs
@@ -65,6 +65,8 @@
     pub dropped: usize,
     /// Unusable share of the free accelerators, over the time up to the horizon.
     pub fragmentation: f64,
+    /// The same if as many free accelerators lay side by side, worker by worker.
+    pub floor: f64,
     /// Mean number of free accelerators that the mix cannot use.
     pub unusable: f64,
     /// Share of the accelerator time up to the horizon that did work which was kept.
--- a/crates/bronzespool-bench/src/decisions/fragmentation.rs
+++ b/crates/bronzespool-bench/src/decisions/fragmentation.rs
@@ -16,6 +16,12 @@
     cluster.kinds.iter().zip(mix).filter(|(k, s)| k.accels > 0 && **s > 0.0).map(unusable).sum()
 }
 
+/// The same if the `free` accelerators lay side by side: in the largest workers, rack by rack.
+pub fn floor(cluster: &Cluster, mix: &[f64], free: u32) -> f64 {
+    let space = Space::packed(cluster, free);
+    fragmentation(&space, cluster, mix)
+}
+
 /// Free accelerators on which whole gangs of `kind` can run.
 fn usable(space: &Space, kind: &KindPlan) -> u32 {
     let mut rooms: Vec<u32> = Vec::new();
--- a/crates/bronzespool-bench/src/decisions/judge.rs
+++ b/crates/bronzespool-bench/src/decisions/judge.rs
@@ -14,12 +14,18 @@
 /// Longest time from the claim of a guaranteed shape to the start on it.
 pub const RECLAIM_BOUND: Duration = Duration::from_millis(1_100);
 
+/// Wait before a failed job is due again.
+pub const RETRY: Duration = Duration::from_secs(5);
+/// Lease of a gang's members, with the clock bound.
+pub const LEASE: Duration = Duration::from_millis(10_050);
+
 #[derive(Clone, Debug)]
 struct Live {
     job: JobId,
     kind: KindPlan,
     running: bool,
     due: Option<Time>,
+    after: Time,
     broken: bool,
 }
 
@@ -106,7 +112,14 @@
             return;
         }
         self.teams.insert(job.id, job.team);
-        let live = Live { job: job.id, kind: job.plan, running: false, due: None, broken: false };
+        let live = Live {
+            job: job.id,
+            kind: job.plan,
+            running: false,
+            due: None,
+            after: now,
+            broken: false,
+        };
         self.live[job.team].push(live);
         self.update(now, job.team);
     }
@@ -123,11 +136,12 @@
         self.update(now, team);
     }
 
-    /// A running job waits again.
-    pub fn stopped(&mut self, now: Time, job: JobId) {
+    /// A running job waits again and is not due before `after`.
+    pub fn stopped(&mut self, now: Time, job: JobId, after: Time) {
         let Some(&team) = self.teams.get(&job) else { return };
         let Some(i) = self.live[team].iter().position(|l| l.job == job) else { return };
         self.live[team][i].running = false;
+        self.live[team][i].after = after;
         self.update(now, team);
     }
 
@@ -175,7 +189,7 @@
                 continue;
             }
             match (whole && pack(&mut cells, &live.kind), live.due) {
-                (true, None) => self.live[team][i].due = Some(now),
+                (true, None) => self.live[team][i].due = Some(now.max(live.after)),
                 (false, Some(_)) => self.settle(now, team, i),
                 _ => {}
             }
--- a/crates/bronzespool-bench/src/decisions/space.rs
+++ b/crates/bronzespool-bench/src/decisions/space.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::decisions::{Cluster, KindPlan, WorkerPlan},
-    bronzespool_core::Level,
+    bronzespool_core::{HashMap, Level},
+    std::cmp::Reverse,
 };
 
 /// Where one member runs.
@@ -107,6 +108,29 @@
         Self { nodes: cluster.workers.iter().map(node).collect() }
     }
 
+    /// `free` accelerators side by side, in the racks and workers with the most; the others taken.
+    pub fn packed(cluster: &Cluster, free: u32) -> Self {
+        let mut space = Self::new(cluster);
+        let mut racks: HashMap<usize, u32> = HashMap::default();
+        for worker in &cluster.workers {
+            *racks.entry(worker.rack).or_default() += worker.accels;
+        }
+        let key = |n: &Node| {
+            let rack = n.plan.rack;
+            (n.plan.center, Reverse(racks[&rack]), rack, Reverse(n.plan.accels))
+        };
+        let mut order: Vec<usize> = (0..space.nodes.len()).collect();
+        order.sort_by_key(|&w| key(&space.nodes[w]));
+        let mut left = free;
+        for worker in order {
+            let node = &mut space.nodes[worker];
+            let part = node.plan.accels.min(left);
+            node.free = full(part);
+            left -= part;
+        }
+        space
+    }
+
     /// Marks a worker as lost or as back; what it held must have been given back before.
     pub fn set_up(&mut self, worker: usize, up: bool) {
         self.nodes[worker].up = up;
