--- a/crates/bronzespool-bench/src/decisions/figures.rs
+++ b/crates/bronzespool-bench/src/decisions/figures.rs
@@ -1,6 +1,7 @@
 //! What one run of a policy measured.
 
 use {
+    crate::decisions::Broken,
     serde::Serialize,
     std::{collections::BTreeMap, time::Duration},
 };
@@ -64,6 +65,8 @@
     pub dropped: usize,
     /// Unusable share of the free accelerators, over the time up to the horizon.
     pub fragmentation: f64,
+    /// The same if as many free accelerators lay side by side, worker by worker.
+    pub floor: f64,
     /// Mean number of free accelerators that the mix cannot use.
     pub unusable: f64,
     /// Share of the accelerator time up to the horizon that did work which was kept.
@@ -82,8 +85,8 @@
     pub failed: f64,
     /// Guarantees broken.
     pub broken: u64,
-    /// Guarantees broken by kind.
-    pub broken_kinds: BTreeMap<String, u64>,
+    /// The first of them.
+    pub broken_first: Vec<Broken>,
     /// Gangs that were started in part or ran on in part past the bound.
     pub gang_violations: u64,
     /// Orders that cannot be carried out: a taken slot, a job that may not be stopped.
