--- /dev/null
+++ b/crates/bronzespool-load/src/generate/tally.rs
@@ -0,0 +1,192 @@
+//! What became of the requests.
+
+use {
+    hdrhistogram::Histogram,
+    serde::Serialize,
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// Significant digits of the histograms.
+const DIGITS: u8 = 3;
+
+/// What came back for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    /// The whole answer to this very request.
+    Good,
+    /// A refusal: not run.
+    NotRun,
+    /// An answer that leaves the outcome unknown.
+    Unknown,
+    /// A failure of the endpoint, of the connection, or no answer in time.
+    Failed,
+    /// An answer to another request, or a part of one.
+    Wrong,
+}
+
+/// Numbers of requests by what came back.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Counts {
+    /// Whole answers within the deadline.
+    pub good: u64,
+    /// Whole answers after the deadline.
+    pub late: u64,
+    /// Refusals.
+    pub not_run: u64,
+    /// Unknown outcomes.
+    pub unknown: u64,
+    /// Failures.
+    pub failed: u64,
+    /// Wrong answers.
+    pub wrong: u64,
+}
+
+impl Counts {
+    /// All requests.
+    pub const fn total(&self) -> u64 {
+        self.good + self.late + self.not_run + self.unknown + self.failed + self.wrong
+    }
+}
+
+/// Quantiles of a span in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Quantiles {
+    /// Median.
+    pub p50: f64,
+    /// 90th percentile.
+    pub p90: f64,
+    /// 99th percentile.
+    pub p99: f64,
+    /// 99.9th percentile.
+    pub p999: f64,
+}
+
+impl From<&Histogram<u64>> for Quantiles {
+    fn from(histogram: &Histogram<u64>) -> Self {
+        let at = |q| Duration::from_micros(histogram.value_at_quantile(q)).as_secs_f64() * 1e3;
+        Self { p50: at(0.5), p90: at(0.9), p99: at(0.99), p999: at(0.999) }
+    }
+}
+
+/// Times in microseconds and counts, by group.
+#[derive(Clone, Debug)]
+pub struct Tally {
+    groups: BTreeMap<(String, String), (Counts, Histogram<u64>)>,
+    refusals: Histogram<u64>,
+    sent: Histogram<u64>,
+    lag: Histogram<u64>,
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        Self { groups: BTreeMap::new(), refusals: empty(), sent: empty(), lag: empty() }
+    }
+}
+
+impl Tally {
+    /// Notes a request of a kind and team, `took` after its scheduled arrival and sent `lag`
+    /// after it.
+    pub fn note(
+        &mut self,
+        group: (&str, &str),
+        class: Class,
+        took: Duration,
+        lag: Duration,
+        deadline: Duration,
+    ) {
+        let group = (group.0.to_owned(), group.1.to_owned());
+        let (counts, times) =
+            self.groups.entry(group).or_insert_with(|| (Counts::default(), empty()));
+        match class {
+            Class::Good if took <= deadline => counts.good += 1,
+            Class::Good => counts.late += 1,
+            Class::NotRun => counts.not_run += 1,
+            Class::Unknown => counts.unknown += 1,
+            Class::Failed => counts.failed += 1,
+            Class::Wrong => counts.wrong += 1,
+        }
+        match class {
+            Class::Good => {
+                record(times, took);
+                record(&mut self.sent, took.saturating_sub(lag));
+            }
+            Class::NotRun => record(&mut self.refusals, took),
+            _ => {}
+        }
+        record(&mut self.lag, lag);
+    }
+
+    /// Adds another tally.
+    ///
+    /// # Panics
+    ///
+    /// Never: the histograms grow to what is added.
+    pub fn add(&mut self, other: &Self) {
+        for (group, (counts, times)) in &other.groups {
+            let own =
+                self.groups.entry(group.clone()).or_insert_with(|| (Counts::default(), empty()));
+            own.0.good += counts.good;
+            own.0.late += counts.late;
+            own.0.not_run += counts.not_run;
+            own.0.unknown += counts.unknown;
+            own.0.failed += counts.failed;
+            own.0.wrong += counts.wrong;
+            own.1.add(times).expect("the histogram resizes itself");
+        }
+        self.refusals.add(&other.refusals).expect("the histogram resizes itself");
+        self.sent.add(&other.sent).expect("the histogram resizes itself");
+        self.lag.add(&other.lag).expect("the histogram resizes itself");
+    }
+
+    /// The groups whose kind and team pass the filter, taken together.
+    pub fn select(&self, filter: impl Fn(&str, &str) -> bool) -> (Counts, Quantiles) {
+        let mut part = Self::default();
+        let chosen = self.groups.iter().filter(|((kind, team), _)| filter(kind, team));
+        for (_, value) in chosen {
+            let groups = BTreeMap::from([((String::new(), String::new()), value.clone())]);
+            part.add(&Self { groups, ..Self::default() });
+        }
+        let whole = part.groups.into_values().next().unwrap_or((Counts::default(), empty()));
+        (whole.0, Quantiles::from(&whole.1))
+    }
+
+    /// Everything taken together.
+    pub fn whole(&self) -> (Counts, Quantiles) {
+        self.select(|_, _| true)
+    }
+
+    /// Names of the kinds.
+    pub fn kinds(&self) -> Vec<String> {
+        let mut kinds: Vec<_> = self.groups.keys().map(|(kind, _)| kind.clone()).collect();
+        kinds.dedup();
+        kinds
+    }
+
+    /// Time to a refusal.
+    pub fn refusals(&self) -> Quantiles {
+        Quantiles::from(&self.refusals)
+    }
+
+    /// Time to a whole answer from when the request was sent, without the generator's own lag.
+    pub fn sent(&self) -> Quantiles {
+        Quantiles::from(&self.sent)
+    }
+
+    /// How late the generator itself was.
+    pub fn lag(&self) -> Quantiles {
+        Quantiles::from(&self.lag)
+    }
+}
+
+fn empty() -> Histogram<u64> {
+    Histogram::new(DIGITS).expect("the digits are in range")
+}
+
+/// Records a span. The histogram resizes itself, so that no span is out of its range.
+fn record(histogram: &mut Histogram<u64>, span: Duration) {
+    histogram.record(micros(span)).expect("the histogram resizes itself");
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX).max(1)
+}
--- /dev/null
+++ b/crates/bronzespool-load/src/report/table.rs
@@ -0,0 +1,34 @@
+//! Tables in Markdown.
+
+use std::fmt::Write;
+
+/// A table with a head.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Table {
+    head: Vec<String>,
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// An empty table with these columns.
+    pub fn new(head: &[&str]) -> Self {
+        Self { head: head.iter().map(ToString::to_string).collect(), rows: Vec::new() }
+    }
+
+    /// Adds a row.
+    pub fn row(&mut self, cells: Vec<String>) {
+        self.rows.push(cells);
+    }
+
+    /// The table's text.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        let mut line = |cells: &[String]| {
+            let _ = writeln!(text, "| {} |", cells.join(" | "));
+        };
+        line(&self.head);
+        line(&vec!["---".to_owned(); self.head.len()]);
+        self.rows.iter().for_each(|row| line(row));
+        text
+    }
+}
