feat(load): measure completion and goodput under load and faults

Phases at percentages of capacity with a failing, a slow and a killed endpoint, against a round robin with naive retries in the same run, a burst of one team, and the cost of claims as slopes.

--- a/crates/bronzespool-load/src/generate/baseline.rs
+++ b/crates/bronzespool-load/src/generate/baseline.rs
@@ -44,6 +44,13 @@
     }
 }
 
+impl Baseline {
+    /// Drops what waits in the endpoints' queues.
+    pub fn close(&self) {
+        self.endpoints.iter().for_each(|e| e.slots.close());
+    }
+}
+
 impl Endpoint {
     async fn work(&self, wish: &Wish) -> Class {
         let Ok(_slot) = self.slots.acquire().await else {
--- /dev/null
+++ b/crates/bronzespool-load/src/service/figures.rs
@@ -0,0 +1,152 @@
+//! Figures of one deployment and what follows from them.
+
+use {
+    crate::{
+        generate::{Counts, Load, Quantiles, Tally},
+        report::{Machine, Verdict},
+        service::{Fault, burst::Burst, claims::Claims},
+    },
+    serde::Serialize,
+};
+
+/// Least goodput at 300 % of capacity as a share of that at 100 %.
+const GOODPUT_MIN: f64 = 0.9;
+/// Largest factor by which one team's burst may raise the others' 99th percentile.
+const BURST_MAX: f64 = 1.2;
+
+/// One phase against the system or the baseline.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Phase {
+    /// Percent of capacity.
+    pub(super) load: u32,
+    /// What goes wrong.
+    pub(super) fault: Fault,
+    /// The system, else the baseline.
+    pub(super) system: bool,
+    /// Requests a second that were sent.
+    pub(super) offered: f64,
+    /// Whole answers in time a second.
+    pub(super) goodput: f64,
+    /// What came back.
+    pub(super) counts: Counts,
+    /// Time to a whole answer in milliseconds.
+    pub(super) times: Quantiles,
+    /// Time to a refusal in milliseconds.
+    pub(super) refusals: Quantiles,
+    /// How late the generator was in milliseconds.
+    pub(super) lag: Quantiles,
+    /// By kind.
+    pub(super) kinds: Vec<KindPart>,
+}
+
+/// One kind's part of a phase.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct KindPart {
+    pub(super) kind: String,
+    pub(super) counts: Counts,
+    pub(super) times: Quantiles,
+}
+
+impl Phase {
+    pub(super) fn new(load: u32, fault: Fault, system: bool, wish: &Load, tally: &Tally) -> Self {
+        let (counts, times) = tally.whole();
+        let part = |kind: String| {
+            let (counts, times) = tally.select(|k, _| k == kind);
+            KindPart { kind, counts, times }
+        };
+        let span = wish.span.as_secs_f64();
+        Self {
+            load,
+            fault,
+            system,
+            offered: counts.total() as f64 / span,
+            goodput: counts.good as f64 / span,
+            counts,
+            times,
+            refusals: tally.refusals(),
+            lag: tally.lag(),
+            kinds: tally.kinds().into_iter().map(part).collect(),
+        }
+    }
+
+    /// Name of what was measured.
+    pub(super) const fn way(&self) -> &'static str {
+        if self.system { "system" } else { "baseline" }
+    }
+
+    /// A line for those who watch.
+    pub(super) fn line(&self) -> String {
+        format!(
+            "{} % {} {}: {:.0}/s good of {:.0}/s, p50 {:.0} ms, p99 {:.0} ms",
+            self.load,
+            self.fault.name(),
+            self.way(),
+            self.goodput,
+            self.offered,
+            self.times.p50,
+            self.times.p99
+        )
+    }
+}
+
+/// All figures of one deployment.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Figures {
+    pub(super) deployment: String,
+    pub(super) capacity: f64,
+    pub(super) before: Machine,
+    pub(super) after: Machine,
+    pub(super) phases: Vec<Phase>,
+    pub(super) bursts: Vec<Burst>,
+    pub(super) claims: Claims,
+    pub(super) verdicts: Vec<Verdict>,
+}
+
+impl Figures {
+    pub(super) fn new(deployment: &str, capacity: f64, before: Machine) -> Self {
+        Self {
+            deployment: deployment.to_owned(),
+            capacity,
+            before,
+            after: Machine::default(),
+            phases: Vec::new(),
+            bursts: Vec::new(),
+            claims: Claims::default(),
+            verdicts: Vec::new(),
+        }
+    }
+
+    fn phase(&self, load: u32) -> Option<&Phase> {
+        self.phases.iter().find(|p| p.system && p.load == load && p.fault == Fault::None)
+    }
+}
+
+pub(super) fn verdicts(figures: &Figures) -> Vec<Verdict> {
+    let mut verdicts = Vec::new();
+    if let (Some(full), Some(over)) = (figures.phase(100), figures.phase(300)) {
+        let share = over.goodput / full.goodput;
+        verdicts.push(Verdict {
+            target: "goodput at 300 % ≥ 90 % of that at 100 %".to_owned(),
+            measured: format!("{:.0} of {:.0}/s, {:.0} %", over.goodput, full.goodput, share * 1e2),
+            met: share >= GOODPUT_MIN,
+        });
+    }
+    for burst in figures.bursts.iter().filter(|b| b.system) {
+        let factor = burst.during.p99 / burst.without.p99;
+        verdicts.push(Verdict {
+            target: "a burst of one team leaves the others' p99 within 20 %".to_owned(),
+            measured: format!(
+                "{:.1} ms without, {:.1} ms with, factor {factor:.2}",
+                burst.without.p99, burst.during.p99
+            ),
+            met: factor <= BURST_MAX,
+        });
+    }
+    let wrong: u64 = figures.phases.iter().filter(|p| p.system).map(|p| p.counts.wrong).sum();
+    verdicts.push(Verdict {
+        target: "no answer is short or another request's".to_owned(),
+        measured: wrong.to_string(),
+        met: wrong == 0,
+    });
+    verdicts
+}
--- a/crates/bronzespool-load/src/service/mod.rs
+++ b/crates/bronzespool-load/src/service/mod.rs
@@ -1,12 +1,22 @@
 //! Completion times and goodput of the deployments under load and faults.
 
+mod burst;
+mod claims;
+mod figures;
+mod page;
+mod rig;
+
 use {
-    crate::Result,
+    crate::{Result, report::Machine},
+    figures::{Figures, Phase},
+    rig::Rig,
+    serde::Serialize,
     std::{path::PathBuf, time::Duration},
 };
 
 /// What goes wrong while the load runs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
 pub enum Fault {
     /// Nothing.
     None,
@@ -76,11 +86,71 @@
     }
 }
 
+/// Pause between two phases.
+const PAUSE: Duration = Duration::from_millis(300);
+
 /// Measures and writes the page.
 ///
 /// # Errors
 ///
 /// If the system cannot be started or the page not written.
-pub async fn run(_: &Options) -> Result<()> {
-    Err("not there yet".into())
+pub async fn run(options: &Options) -> Result<()> {
+    let mut all = Vec::new();
+    for name in &options.deployments {
+        all.push(deployment(name, options).await?);
+    }
+    page::page(options, &all).write(&options.out, "service", &all)
+}
+
+async fn deployment(name: &str, options: &Options) -> Result<Figures> {
+    let mut rig = Rig::start(name, options).await?;
+    let mut figures = Figures::new(name, rig.capacity(), Machine::now());
+    for (load, fault) in phases(options) {
+        for system in [true, false] {
+            let phase = phase(&mut rig, options, load, fault, system).await?;
+            eprintln!("{}", phase.line());
+            figures.phases.push(phase);
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+    figures.bursts = burst::measure(&mut rig, options).await?;
+    figures.claims = claims::measure(&rig, options).await?;
+    figures.after = Machine::now();
+    rig.stop().await?;
+    figures.verdicts = figures::verdicts(&figures);
+    Ok(figures)
+}
+
+/// All loads without a fault, 100 % among them, then those asked for with each fault.
+fn phases(options: &Options) -> Vec<(u32, Fault)> {
+    let mut loads = options.loads.clone();
+    loads.push(100);
+    loads.sort_unstable();
+    loads.dedup();
+    let mut phases: Vec<_> = loads.iter().map(|load| (*load, Fault::None)).collect();
+    for fault in options.faults.iter().filter(|f| **f != Fault::None) {
+        phases.extend(options.loads.iter().map(|load| (*load, *fault)));
+    }
+    phases
+}
+
+async fn phase(
+    rig: &mut Rig,
+    options: &Options,
+    load: u32,
+    fault: Fault,
+    system: bool,
+) -> Result<Phase> {
+    let rate = rig.capacity() * f64::from(load) / 100.0;
+    let wish = rig.load(rate, options);
+    let tally = if system {
+        let target = rig.entries();
+        rig.under(fault, &target, &wish).await?
+    } else {
+        let target = rig.baseline();
+        let tally = rig.under(fault, &target, &wish).await?;
+        target.close();
+        tally
+    };
+    Ok(Phase::new(load, fault, system, &wish, &tally))
 }
--- a/crates/bronzespool-load/src/usage.rs
+++ b/crates/bronzespool-load/src/usage.rs
@@ -14,7 +14,9 @@
     pub wait: Duration,
     /// Resident memory in bytes.
     pub memory: u64,
-    /// Bytes that it had written to storage.
+    /// Bytes that it wrote to files; what goes through sockets is not counted.
+    pub appended: u64,
+    /// Bytes that the system wrote to storage for it, in whole pages.
     pub written: u64,
 }
 
@@ -36,7 +38,8 @@
         let status = fs::read_to_string(format!("/proc/{process}/status"))?;
         let io = fs::read_to_string(format!("/proc/{process}/io")).unwrap_or_default();
         let memory = field(&status, "VmRSS:") * 1024;
-        Ok(Self { cpu, wait, memory, written: field(&io, "write_bytes:") })
+        let (appended, written) = (field(&io, "wchar:"), field(&io, "write_bytes:"));
+        Ok(Self { cpu, wait, memory, appended, written })
     }
 }
 
