--- a/crates/bronzespool-schedule/src/book/apply.rs
+++ b/crates/bronzespool-schedule/src/book/apply.rs
@@ -5,6 +5,7 @@
     crate::{
         cell::{ACCELS_MAX, Bind, Cell},
         job::{Attempt, Id, JobSpec, JobState, Member, Phase, Stop, Usage},
+        mix::GangShape,
         record::{Event, JobOutcome, MemberOutcome, Record, StopReason},
     },
     bronzespool_core::{Capacity, Instance, Job, Place, Shape, Team, Time},
@@ -43,7 +44,7 @@
             Event::Reserved { job, cells, borrowed, binds } => {
                 self.reserve(job, cells, *borrowed, binds, at)
             }
-            Event::Unreserved { job } => self.unreserve(job, at),
+            Event::Unreserved { job, after } => self.unreserve(job, *after),
             Event::Granted { job, attempt, cells, lease, borrowed, binds } => {
                 let fresh = attempt_of(*attempt, cells, *lease, *borrowed, at);
                 self.grant(job, fresh, binds)
@@ -71,12 +72,12 @@
             Event::Refused { job, code, .. } => self.end(job, JobOutcome::Refused(*code), at),
             Event::Quarantined { instance } => self.worker(instance, |w| {
                 w.quarantine = Some(at);
-                w.probing = false;
+                w.probing = None;
             }),
-            Event::Probing { instance } => self.worker(instance, |w| w.probing = true),
+            Event::Probing { instance } => self.worker(instance, |w| w.probing = Some(at)),
             Event::Healthy { instance } => self.worker(instance, |w| {
                 w.quarantine = None;
-                w.probing = false;
+                w.probing = None;
                 w.failures.clear();
             }),
             Event::Usage { job, attempt, member, cores, memory, seen } => {
@@ -112,7 +113,7 @@
             up: true,
             leaving: false,
             quarantine: None,
-            probing: false,
+            probing: None,
             failures: BTreeMap::new(),
         };
         self.state.slots += 1;
@@ -138,8 +139,9 @@
         let worker = worker.clone();
         self.index.grid.update(&worker);
         self.index.epoch += 1;
+        self.suspect(instance);
         let tasks = self.index.grid.at(worker.slot).tasks.clone();
-        for (id, _) in tasks {
+        for id in tasks.into_iter().map(|(id, _)| id).chain(worker.failures.into_keys()) {
             self.schedule(id);
         }
         Ok(())
@@ -175,8 +177,14 @@
             preemptions: 0,
             moves: 0,
             failed: BTreeSet::new(),
+            failures: 0,
             phase: Phase::Waiting { after: at },
         };
+        self.state.mix.push(GangShape {
+            members: spec.members,
+            accels: spec.need.accels,
+            adjacent: spec.adjacent,
+        });
         self.state.jobs.insert(id, job);
         self.index.names.insert(spec.job.clone(), id);
         self.schedule(id);
@@ -231,11 +239,11 @@
         }
     }
 
-    fn unreserve(&mut self, name: &Job, at: Time) -> Result<()> {
+    fn unreserve(&mut self, name: &Job, after: Time) -> Result<()> {
         let id = self.waiting(name)?;
         self.release(id);
         let job = self.state.jobs.get_mut(&id).expect("id is of a job");
-        job.phase = Phase::Waiting { after: at };
+        job.phase = Phase::Waiting { after };
         self.schedule(id);
         Ok(())
     }
@@ -381,6 +389,7 @@
         ledger.sub(&held, &job.spec.need, attempt.borrowed);
         if outcome == MemberOutcome::Failed {
             job.failed.insert(held.instance.clone());
+            job.failures += 1;
         }
         let borrowed = attempt.borrowed;
         job.phase = Phase::Active(attempt);
@@ -391,6 +400,7 @@
                 MemberOutcome::Stopped | MemberOutcome::Lost => {}
             }
         }
+        self.suspect(&held.instance);
         if !borrowed {
             self.unbind(&team);
         }
@@ -437,6 +447,10 @@
         let id = self.id(name)?;
         self.close(id, at);
         let job = self.state.jobs.get_mut(&id).expect("id is of a job");
+        let overuse = |a: &Attempt| a.stop.is_some_and(|s| s.reason == StopReason::Overuse);
+        if job.attempt().is_some_and(overuse) {
+            job.spec = job.grown();
+        }
         job.phase = Phase::Waiting { after };
         self.schedule(id);
         Ok(())
@@ -462,8 +476,10 @@
         };
         let since = job.attempt().and_then(|a| a.checkpointed).unwrap_or(started);
         let span = job.saved + at.since(since);
-        let key = (job.spec.team.clone(), job.spec.kind.clone());
-        self.state.estimates.entry(key).or_default().push(span);
+        for team in [Some(job.spec.team.clone()), None] {
+            let key = (team, job.spec.service.clone(), job.spec.kind.clone());
+            self.state.estimates.entry(key).or_default().push(span);
+        }
     }
 
     /// Ends a job that holds nothing; marks an active one for its stop.
