feat(control): count service-level burn over all entries; withdraw services; check the cluster

Cause: each entry reported its own answers only, a job counted as good when it was accepted, an accepted publication could be answered 'not run' when the question whether it was in force failed, no service could be withdrawn, and the settings cluster, headers and lease had no effect.

Left: a request on the second entry right after a publication waits 2 to 3 s for its share.

--- a/crates/bronzespool-cli/src/args/help.rs
+++ b/crates/bronzespool-cli/src/args/help.rs
@@ -27,9 +27,10 @@
     },
     Topic {
         name: "publish",
-        form: "publish DIR… [--base REV] [--op ID] [--wait]",
+        form: "publish DIR… [--remove SERVICE] [--base REV] [--op ID] [--wait]",
         short: "put service files into force",
         long: "Checks the files, then sends them as one change.\n\
+               --remove SERVICE  take a service out; may be repeated, also without a folder\n\
                --base REV  refuse the change if the revision in force is another one\n\
                --op ID     operation id; the same id never makes the change twice\n\
                --wait      return when every process has the change in force",
--- a/crates/bronzespool-cli/src/args/mod.rs
+++ b/crates/bronzespool-cli/src/args/mod.rs
@@ -5,7 +5,7 @@
 use {
     crate::error::{Error, Result},
     bronzespool::core::{
-        name::{Instance, Job},
+        name::{Instance, Job, Service},
         settings::value::{Addr, Span},
     },
     pico_args::Arguments,
@@ -79,6 +79,8 @@
     pub base: Option<u64>,
     /// Operation id; a fresh one when none is given.
     pub op: Option<String>,
+    /// Services that leave.
+    pub remove: Vec<Service>,
     /// Wait until the change is in force everywhere.
     pub wait: bool,
 }
@@ -145,7 +147,16 @@
     let base = args.opt_value_from_str("--base").map_err(usage)?;
     let op = args.opt_value_from_fn("--op", operation).map_err(usage)?;
     let wait = args.contains("--wait");
-    Ok(Publish { base, op, wait, paths: paths(args, "publish")? })
+    let mut remove = Vec::new();
+    let service = |text: &str| Service::try_from(text);
+    while let Some(name) = args.opt_value_from_fn("--remove", service).map_err(usage)? {
+        remove.push(name);
+    }
+    let paths = match paths(args, "publish") {
+        Err(_) if !remove.is_empty() => Vec::new(),
+        paths => paths?,
+    };
+    Ok(Publish { base, op, remove, wait, paths })
 }
 
 fn read_cancel(args: &mut Arguments) -> Result<Command> {
--- a/crates/bronzespool-cli/src/command/publish.rs
+++ b/crates/bronzespool-cli/src/command/publish.rs
@@ -7,7 +7,7 @@
         error::{Error, Exit, Result},
         output::Output,
     },
-    bronzespool::core::{Service, settings::read_services},
+    bronzespool::core::settings::read_services,
     serde_json::{Value, json},
     std::{io::Write, time::Duration},
     tokio::time::sleep,
@@ -28,11 +28,20 @@
     publish: &Publish,
     notes: &mut impl Write,
 ) -> Result<Output> {
-    let (config, sources) = read_services(&publish.paths).map_err(Error::Faults)?;
+    let (config, sources) = if publish.paths.is_empty() {
+        Default::default()
+    } else {
+        read_services(&publish.paths).map_err(Error::Faults)?
+    };
     let op = publish.op.clone().unwrap_or_else(fresh_id);
-    let names: Vec<_> = config.services.keys().map(Service::as_str).collect();
+    let mut names: Vec<_> = config.services.keys().map(ToString::to_string).collect();
+    names.extend(publish.remove.iter().map(|name| format!("remove {name}")));
     let _ = writeln!(notes, "operation {op}: {}", names.join(", "));
-    let body = json!({ "base": publish.base, "op": op, "files": sources, "wait": publish.wait });
+    let mut body =
+        json!({ "base": publish.base, "op": op, "files": sources, "wait": publish.wait });
+    if !publish.remove.is_empty() {
+        body["removed"] = json!(publish.remove);
+    }
     match send(client, &body, notes).await {
         Ok(value) => Ok(accepted(value, publish.wait, &op)),
         Err(error) if error.exit() == Exit::Unknown => Err(advise(error, publish, &op)),
@@ -64,7 +73,10 @@
     let base = publish.base.map_or_else(String::new, |base| format!(" --base {base}"));
     let wait = if publish.wait { " --wait" } else { "" };
     let paths: Vec<_> = publish.paths.iter().map(|path| path.display().to_string()).collect();
-    let paths = paths.join(" ");
+    let mut paths = paths.join(" ");
+    for name in &publish.remove {
+        paths.push_str(&format!(" --remove {name}"));
+    }
     let advice = format!(
         "{error}\nrepeat it for its outcome: bronzespool publish {paths}{base} --op {op}{wait}"
     );
--- a/crates/bronzespool-core/src/settings/timing.rs
+++ b/crates/bronzespool-core/src/settings/timing.rs
@@ -47,7 +47,6 @@
     renew "1s" "Time between two renewals of a session by an entry or agent.";
     session "3s" "Lease of a session: without a renewal its process takes no new work after it.";
     probe "1s" "Time allowed for the answer to a probe of a connection.";
-    lease "10s" "Lease of cells that a job borrows from another team's guarantee.";
     usage "5s" "Time between two usage reports of a worker.";
     headers "5s" "Time allowed for a caller's headers and body to arrive.";
     answers "15m" "Time for which the answer to a protected request is kept.";
--- a/crates/bronzespool-flow/src/burn/mod.rs
+++ b/crates/bronzespool-flow/src/burn/mod.rs
@@ -4,6 +4,6 @@
 mod ring;
 
 pub use self::{
-    report::{Burn, Burns, Line},
+    report::{Burn, Burns, Line, Windows},
     ring::{Counts, Ring},
 };
--- a/crates/bronzespool-flow/src/burn/report.rs
+++ b/crates/bronzespool-flow/src/burn/report.rs
@@ -25,6 +25,29 @@
     ring: Ring,
 }
 
+/// Answers over the windows of the report.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Windows {
+    /// Answers of the last day.
+    pub day: Counts,
+    /// Answers of the last hour.
+    pub long: Counts,
+    /// Answers of the last five minutes.
+    pub short: Counts,
+}
+
+impl Windows {
+    /// The sum of both.
+    #[must_use]
+    pub const fn plus(self, other: Self) -> Self {
+        Self {
+            day: self.day.plus(other.day),
+            long: self.long.plus(other.long),
+            short: self.short.plus(other.short),
+        }
+    }
+}
+
 /// A line of the report.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Line {
@@ -71,25 +94,42 @@
         self.ring.add(now, counts);
     }
 
+    /// The target.
+    pub const fn target(&self) -> Target {
+        self.target
+    }
+
+    /// Answers over the windows of the report.
+    pub fn windows(&self, now: Time) -> Windows {
+        Windows {
+            day: self.ring.sum(now, WINDOW),
+            long: self.ring.sum(now, LONG),
+            short: self.ring.sum(now, SHORT),
+        }
+    }
+
     /// The line of the report for `service` and `kind`.
     pub fn line(&self, now: Time, service: &Service, kind: &Kind) -> Line {
-        let counts = self.ring.sum(now, WINDOW);
-        Line {
-            service: service.clone(),
-            kind: kind.clone(),
-            target: self.target,
-            counts,
-            share: 1.0 - counts.bad_share(),
-            left: 1.0 - self.rate(counts),
-            short: self.rate(self.ring.sum(now, SHORT)),
-            long: self.rate(self.ring.sum(now, LONG)),
-        }
+        Line::new(service.clone(), kind.clone(), self.target, self.windows(now))
     }
+}
 
-    /// Share of bad answers as a multiple of the share that the target allows.
-    fn rate(&self, counts: Counts) -> f64 {
-        let allowed = (1.0 - self.target.share).max(f64::EPSILON);
-        counts.bad_share() / allowed
+impl Line {
+    /// The line of a kind, from the answers of any number of processes.
+    pub fn new(service: Service, kind: Kind, target: Target, windows: Windows) -> Self {
+        // Share of bad answers as a multiple of the share that the target allows.
+        let allowed = (1.0 - target.share).max(f64::EPSILON);
+        let rate = |counts: Counts| counts.bad_share() / allowed;
+        Self {
+            service,
+            kind,
+            target,
+            counts: windows.day,
+            share: 1.0 - windows.day.bad_share(),
+            left: 1.0 - rate(windows.day),
+            short: rate(windows.short),
+            long: rate(windows.long),
+        }
     }
 }
 
@@ -106,6 +146,15 @@
         self.burns.entry(key).or_insert_with(|| Burn::new(target))
     }
 
+    /// Answers of every service and kind over the windows, with their targets.
+    pub fn windows(&self, now: Time) -> Vec<(Service, Kind, Target, Windows)> {
+        let burns = self.burns.iter();
+        let windows = burns.map(|((service, kind), burn)| {
+            (service.clone(), kind.clone(), burn.target(), burn.windows(now))
+        });
+        windows.collect()
+    }
+
     /// All lines, in the order of the names.
     pub fn lines(&self, now: Time) -> Vec<Line> {
         self.burns.iter().map(|((service, kind), burn)| burn.line(now, service, kind)).collect()
--- a/crates/bronzespool-wire/src/message/call.rs
+++ b/crates/bronzespool-wire/src/message/call.rs
@@ -1,9 +1,10 @@
 //! Calls to control: from a session's holder to its hub, and from the hub to the leader.
 
 use {
-    crate::message::{Announce, ExplainView, JobView, Report, StatusView},
-    bronzespool_core::{Digest, Instance, Job, Key, Refusal, Service, ServiceSpec},
+    crate::message::{Announce, BurnView, ExplainView, JobView, Report, StatusView},
+    bronzespool_core::{Digest, Instance, Job, Key, Kind, Refusal, Service, ServiceSpec, Target},
     bronzespool_flow::{
+        burn::Windows,
         claim::{ClaimId, Completion, Existing, Request},
         limit,
     },
@@ -67,6 +68,15 @@
     Progress(Progress),
     /// Tells what happened to tasks.
     Report(Report),
+    /// Tells what an entry has answered.
+    Answers {
+        /// Random number of the entry's start.
+        holder: u64,
+        /// Answers by kind.
+        counts: Vec<KindCounts>,
+    },
+    /// Asks for the service-level burn of the whole system.
+    Burn,
     /// Renews an entry's shares of the teams' limits.
     Shares {
         /// Random number of the entry's start.
@@ -89,6 +99,9 @@
     pub agents: Option<Vec<(Instance, u64)>>,
 }
 
+/// Answers of one kind over the windows of the report, with the kind's target.
+pub type KindCounts = (Service, Kind, Target, Windows);
+
 /// Result of a claim.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Claimed {
@@ -127,6 +140,8 @@
     Jobs(Vec<JobView>),
     /// To the question why a job waits.
     Explained(Box<ExplainView>),
+    /// To the question for the service-level burn.
+    Burn(Vec<BurnView>),
     /// To a report of demands: the shares by service.
     Shares(Vec<(Service, limit::Shared)>),
     /// To a question about the system.
--- a/crates/bronzespool-wire/src/message/mod.rs
+++ b/crates/bronzespool-wire/src/message/mod.rs
@@ -1,5 +1,6 @@
 //! Typed messages, by the call that carries them.
 
+mod burn;
 mod call;
 mod job;
 mod run;
@@ -8,7 +9,8 @@
 mod task;
 
 pub use {
-    call::{Answered, Call, Claimed, Progress, Published, Reply},
+    burn::BurnView,
+    call::{Answered, Call, Claimed, KindCounts, Progress, Published, Reply},
     job::{ExplainView, HolderView, JobView},
     run::{AgentState, Run, RunReply, StatusReply, Work},
     session::{Announce, Hello, Opened, Role, Update, Welcome},
--- a/crates/bronzespool-wire/src/message/session.rs
+++ b/crates/bronzespool-wire/src/message/session.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::message::Assignment,
-    bronzespool_core::{Capacity, Instance, Place, Refusal, Service},
+    bronzespool_core::{Capacity, Instance, Place, Refusal, Service, name::Cluster},
     bronzespool_flow::view::{Delta, View},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -37,6 +37,8 @@
 /// Asks for a session.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
+    /// Name of the cluster that the holder belongs to.
+    pub cluster: Cluster,
     /// Role of the holder.
     pub role: Role,
     /// Instance of the holder.
--- a/crates/bronzespoold/src/agent/start.rs
+++ b/crates/bronzespoold/src/agent/start.rs
@@ -7,7 +7,7 @@
         clock::Clock,
     },
     bronzespool::{
-        core::{Capacity, Place, Service, Time},
+        core::{Capacity, Place, Service, Time, name::Cluster},
         flow::view::View,
         wire::{bronzespool_capnp::agent, serve::serve},
     },
@@ -31,6 +31,8 @@
 /// What an agent needs to know.
 #[derive(Clone, Debug)]
 pub struct Options {
+    /// Cluster that it belongs to.
+    pub cluster: Cluster,
     /// Where it stands.
     pub place: Place,
     /// Address for entries.
@@ -84,6 +86,7 @@
 fn state(options: &Options, clock: Clock, address: SocketAddr) -> State {
     State {
         clock,
+        cluster: options.cluster.clone(),
         place: options.place.clone(),
         nonce: fastrand::u64(1..),
         address,
--- a/crates/bronzespoold/src/agent/state.rs
+++ b/crates/bronzespoold/src/agent/state.rs
@@ -6,7 +6,7 @@
         clock::Clock,
     },
     bronzespool::{
-        core::{Capacity, Instance, Place, Service, Time},
+        core::{Capacity, Instance, Place, Service, Time, name::Cluster},
         flow::{
             admit::{Admission, Limits},
             claim::Incarnation,
@@ -25,6 +25,7 @@
 /// State of the agent.
 pub(super) struct State {
     pub(super) clock: Clock,
+    pub(super) cluster: Cluster,
     pub(super) place: Place,
     pub(super) nonce: u64,
     pub(super) address: SocketAddr,
@@ -123,6 +124,7 @@
             leaving: self.leaving.get(),
         };
         Hello {
+            cluster: self.cluster.clone(),
             role: Role::Agent,
             instance: self.instance().clone(),
             seen: self.acked(),
--- a/crates/bronzespoold/src/control/hub/sessions.rs
+++ b/crates/bronzespoold/src/control/hub/sessions.rs
@@ -9,7 +9,7 @@
         },
     },
     bronzespool::{
-        core::{Code, Instance, Refusal, Time},
+        core::{Code, Instance, Refusal, Time, name::Cluster},
         flow::session::{SessionId, Table},
         wire::{
             bronzespool_capnp::sink,
@@ -40,6 +40,7 @@
 /// The sessions of this control instance.
 pub(in crate::control) struct Hub {
     clock: Clock,
+    cluster: Cluster,
     pub(in crate::control) name: Instance,
     spans: Spans,
     pub(super) replica: Rc<Replica>,
@@ -53,12 +54,14 @@
 impl Hub {
     pub(in crate::control) fn new(
         clock: Clock,
+        cluster: Cluster,
         name: Instance,
         spans: Spans,
         replica: Rc<Replica>,
     ) -> Rc<Self> {
         Rc::new(Self {
             clock,
+            cluster,
             name,
             spans,
             replica,
@@ -73,6 +76,10 @@
     /// Checks that a session may be opened here: the hub is in contact with a leader and not
     /// behind what the holder has seen.
     pub(in crate::control) fn check(&self, hello: &Hello) -> Result<()> {
+        if hello.cluster != self.cluster {
+            let message = format!("cluster {} is not {}", hello.cluster, self.cluster);
+            return Err(Refusal::new(Code::ConfigInvalid, message));
+        }
         if self.lease_left().is_zero() {
             return Err(Refusal::new(Code::NoLeader, "this hub has no contact with a leader"));
         }
--- a/crates/bronzespoold/src/control/leader/calls.rs
+++ b/crates/bronzespoold/src/control/leader/calls.rs
@@ -4,7 +4,7 @@
     crate::{
         clock::Clock,
         control::{
-            leader::{presence::Hubs, shares::Granter},
+            leader::{burn::Counted, presence::Hubs, shares::Granter},
             replica::{Replica, Result},
             state::{Command, Effect},
         },
@@ -26,6 +26,7 @@
     pub(super) clock: Clock,
     pub(super) replica: Rc<Replica>,
     pub(super) hubs: RefCell<Hubs>,
+    pub(super) counted: RefCell<Counted>,
     pub(super) granter: RefCell<Granter>,
     pub(super) planner: RefCell<(u64, Planner)>,
     pub(super) horizon: Horizon,
@@ -42,8 +43,8 @@
         reserve: Option<Shape>,
         lease: Duration,
     ) -> Rc<Self> {
-        let (hubs, granter, planner) = Default::default();
-        Rc::new(Self { clock, replica, hubs, granter, planner, horizon, reserve, lease })
+        let (hubs, counted, granter, planner) = Default::default();
+        Rc::new(Self { clock, replica, hubs, counted, granter, planner, horizon, reserve, lease })
     }
 
     /// Answers a call, if this replica leads.
@@ -70,6 +71,8 @@
             Call::Drain { instance, leaving } => self.drain(instance, leaving).await,
             Call::Announce(announce) => self.announce(announce).await,
             Call::Progress(progress) => Ok(self.progress(progress)),
+            Call::Answers { holder, counts } => Ok(self.answers(holder, counts)),
+            Call::Burn => self.burn(),
             Call::Shares { holder, reports } => self.shares(holder, reports).await,
             Call::Report(report) => self.report(&report).await,
         }
--- a/crates/bronzespoold/src/control/leader/mod.rs
+++ b/crates/bronzespoold/src/control/leader/mod.rs
@@ -1,5 +1,6 @@
 //! What only the leader does: answers calls and runs the controllers.
 
+mod burn;
 mod calls;
 mod claims;
 mod config;
--- a/crates/bronzespoold/src/control/leader/schedule.rs
+++ b/crates/bronzespoold/src/control/leader/schedule.rs
@@ -78,6 +78,7 @@
                 continue;
             }
             self.begin_term();
+            self.count_jobs();
             let result = match self.follow_presence().await {
                 Ok(()) => self.expire_claims().await,
                 Err(refusal) => Err(refusal),
--- a/crates/bronzespoold/src/control/start.rs
+++ b/crates/bronzespoold/src/control/start.rs
@@ -14,7 +14,7 @@
     },
     bronzespool::{
         consensus::{self, FileStorage, Settings, Storage},
-        core::{Instance, Shape},
+        core::{Instance, Shape, name::Cluster},
         flow::claim::Horizon,
         wire::{bronzespool_capnp::control, link::Link, serve::serve},
     },
@@ -42,6 +42,8 @@
 /// What a control instance needs to know.
 #[derive(Clone, Debug)]
 pub struct Options {
+    /// Cluster that it belongs to.
+    pub cluster: Cluster,
     /// Instance of this process.
     pub instance: Instance,
     /// Address for all other processes.
@@ -122,7 +124,13 @@
 fn node(options: &Options, clock: Clock, replica: Rc<Replica>) -> Rc<Node> {
     let margin = options.session * MARGIN_PERCENT / 100;
     let spans = Spans { lease: options.session, margin };
-    let hub = Hub::new(clock, options.instance.clone(), spans, Rc::clone(&replica));
+    let hub = Hub::new(
+        clock,
+        options.cluster.clone(),
+        options.instance.clone(),
+        spans,
+        Rc::clone(&replica),
+    );
     let horizon = Horizon { keep: options.answers, used: options.horizon, ..Horizon::default() };
     let lease = options.session + margin;
     let leader = Leader::new(clock, Rc::clone(&replica), horizon, options.reserve, lease);
--- a/crates/bronzespoold/src/entry/filter/body.rs
+++ b/crates/bronzespoold/src/entry/filter/body.rs
@@ -17,9 +17,6 @@
     tokio::time::timeout,
 };
 
-/// Longest time in which a body must arrive.
-const BODY_TIME: Duration = Duration::from_secs(10);
-
 /// A request that has passed every check of its form.
 #[derive(Clone)]
 pub(in crate::entry) struct Checked {
@@ -56,7 +53,7 @@
     async fn apply(&self, called: Called) -> Result<Checked> {
         let limit = called.routed.spec()?.body;
         let Called { routed, team, deadline, key } = called;
-        let time = deadline.since(self.0.clock.now()).min(BODY_TIME);
+        let time = deadline.since(self.0.clock.now()).min(self.0.headers);
         let reading = read_whole(routed.raw.request.into_body(), limit);
         let body = match timeout(time, reading).await {
             Ok(Ok(body)) => body,
--- a/crates/bronzespoold/src/entry/operators.rs
+++ b/crates/bronzespoold/src/entry/operators.rs
@@ -11,7 +11,7 @@
     },
     bronzespool::{
         core::{
-            Code, Digest, Instance, Key, Refusal,
+            Code, Digest, Instance, Key, Refusal, Service,
             settings::{Source, merge_services},
         },
         wire::message::{Call, Reply},
@@ -38,6 +38,8 @@
     op: String,
     files: Vec<Source>,
     #[serde(default)]
+    removed: Vec<Service>,
+    #[serde(default)]
     wait: bool,
 }
 
@@ -70,13 +72,13 @@
         operation,
         digest: digest(&publication),
         services: config.services.into_values().collect(),
-        removed: Vec::new(),
+        removed: publication.removed.clone(),
     };
     let revision = match call(state, &call_to_make, CALL_TIME).await? {
         Reply::Published(published) => published.revision,
         _ => return Err(Code::Internal.into()),
     };
-    let in_force = publication.wait && wait_in_force(state, revision).await?;
+    let in_force = publication.wait && wait_in_force(state, revision).await;
     let body = PublishedBody { code: Code::Done.number(), revision, in_force, op: publication.op };
     Ok(json(Code::Done, &body))
 }
@@ -84,6 +86,10 @@
 /// Digest of what was published, the base revision included: a resend repeats both.
 fn digest(publication: &Publication) -> Digest {
     let mut text = format!("{:?}", publication.base);
+    for name in &publication.removed {
+        text.push('\0');
+        text.push_str(name.as_str());
+    }
     for file in &publication.files {
         text.push('\0');
         text.push_str(&file.path);
@@ -93,15 +99,17 @@
     Digest::of(text.as_bytes())
 }
 
-async fn wait_in_force(state: &State, revision: u64) -> Result<bool> {
+/// Waits until an accepted revision is in force. A question without an answer is asked again: the
+/// change is accepted, so no refusal may follow.
+async fn wait_in_force(state: &State, revision: u64) -> bool {
     let end = state.clock.now() + FORCE_TIME;
     while state.clock.now() < end {
-        if let Reply::InForce(true) = call(state, &Call::InForce(revision), CALL_TIME).await? {
-            return Ok(true);
+        if let Ok(Reply::InForce(true)) = call(state, &Call::InForce(revision), CALL_TIME).await {
+            return true;
         }
         sleep(FORCE_PAUSE).await;
     }
-    Ok(false)
+    false
 }
 
 /// Shows the system.
@@ -112,6 +120,16 @@
     }
 }
 
+/// Shows the service-level burn of the whole system. Other entries' latest answers are in it as
+/// of their last report.
+pub(super) async fn report(state: &State) -> Result<Answer> {
+    state.tell_answers().await;
+    match call(state, &Call::Burn, CALL_TIME).await? {
+        Reply::Burn(rows) => Ok(json(Code::Done, &rows)),
+        _ => Err(Code::Internal.into()),
+    }
+}
+
 /// Shows all jobs.
 pub(super) async fn list_jobs(state: &State) -> Result<Answer> {
     match call(state, &Call::Jobs, CALL_TIME).await? {
--- a/crates/bronzespoold/src/entry/report.rs
+++ b/crates/bronzespoold/src/entry/report.rs
@@ -1,75 +1,61 @@
-//! Service-level burn as this entry has seen it.
+//! Counts answers and tells control of them.
 
 use {
-    crate::entry::filter::Checked,
+    crate::entry::{filter::Checked, state::State},
     bronzespool::{
-        core::{Code, Time},
-        flow::burn::{Burns, Line},
+        core::{Code, Mode, Time},
+        flow::burn::Burns,
+        wire::message::{Call, KindCounts},
     },
-    serde::Serialize,
-    std::{cell::RefCell, time::Duration},
+    std::{cell::RefCell, rc::Rc, time::Duration},
+    tokio::time::sleep,
 };
 
-/// Short window in seconds, as the burn counts it.
-const SHORT_SECONDS: u64 = 5 * 60;
-/// Long window in seconds, as the burn counts it.
-const LONG_SECONDS: u64 = 60 * 60;
+/// Time between two reports to control.
+const PERIOD: Duration = Duration::from_secs(5);
 
-/// One line of the report.
-#[derive(Clone, Debug, Serialize)]
-pub(super) struct Row {
-    service: String,
-    kind: String,
-    target: f64,
-    within_ms: u64,
-    total: u64,
-    good: u64,
-    share: f64,
-    budget_left: f64,
-    burn_short: f64,
-    burn_long: f64,
-    short_s: u64,
-    long_s: u64,
-    history: Vec<(u64, f64)>,
-}
-
-/// Counts answers and makes the report.
+/// Counts answers.
 #[derive(Default)]
 pub(super) struct Reporter(RefCell<Burns>);
 
 impl Reporter {
-    /// Notes an answer.
+    /// Notes an answer. Jobs are counted by control when they end.
     pub(super) fn note(&self, now: Time, request: &Checked, took: Duration, code: Code) {
-        if let Ok(spec) = request.spec() {
-            let mut burns = self.0.borrow_mut();
-            let burn = burns.entry(&request.service, &request.kind, spec.target);
-            burn.retarget(spec.target);
-            burn.answer(now, code, took);
+        let Ok(spec) = request.spec() else {
+            return;
+        };
+        if spec.mode == Mode::Job {
+            return;
         }
+        let mut burns = self.0.borrow_mut();
+        let burn = burns.entry(&request.service, &request.kind, spec.target);
+        burn.retarget(spec.target);
+        burn.answer(now, code, took);
     }
 
-    /// All lines.
-    pub(super) fn rows(&self, now: Time) -> Vec<Row> {
-        self.0.borrow().lines(now).into_iter().map(Row::from).collect()
+    fn counts(&self, now: Time) -> Vec<KindCounts> {
+        self.0.borrow().windows(now)
     }
 }
 
-impl From<Line> for Row {
-    fn from(line: Line) -> Self {
-        Self {
-            service: line.service.to_string(),
-            kind: line.kind.to_string(),
-            target: line.target.share,
-            within_ms: u64::try_from(line.target.within.as_millis()).unwrap_or(u64::MAX),
-            total: line.counts.total(),
-            good: line.counts.good,
-            share: line.share,
-            budget_left: line.left,
-            burn_short: line.short,
-            burn_long: line.long,
-            short_s: SHORT_SECONDS,
-            long_s: LONG_SECONDS,
-            history: Vec::new(),
+impl State {
+    /// Tells control what this entry has answered.
+    pub(super) async fn tell_answers(&self) {
+        let counts = self.report.counts(self.clock.now());
+        let Some(keeper) = self.keeper().filter(|_| !counts.is_empty()) else {
+            return;
+        };
+        let call = Call::Answers { holder: self.prefix, counts };
+        if let Err(refusal) = keeper.call(&call, PERIOD).await {
+            log::info!(refusal:%; "control was not told of the answers");
+        }
+    }
+
+    /// Tells control again and again, for as long as the entry lives.
+    pub(super) async fn run_report(self: Rc<Self>) {
+        loop {
+            sleep(PERIOD).await;
+            self.tell_answers().await;
         }
     }
 }
--- a/crates/bronzespoold/src/entry/server.rs
+++ b/crates/bronzespoold/src/entry/server.rs
@@ -110,7 +110,7 @@
             (&Method::POST, ["instances", name, "drain"]) if operators => {
                 operators::drain(state, name).await
             }
-            (&Method::GET, ["report"]) if operators => Ok(self.report()),
+            (&Method::GET, ["report"]) if operators => operators::report(state).await,
             _ => Err(unknown(method, request.uri().path())),
         }
     }
@@ -122,11 +122,6 @@
         text(503, "not ready\n".to_owned())
     }
 
-    fn report(&self) -> Answer {
-        let now = self.state.clock.now();
-        json(Code::Done, &self.state.report.rows(now))
-    }
-
     /// A caller's request, through the filter chain.
     async fn serve(
         &self,
--- a/crates/bronzespoold/src/entry/start.rs
+++ b/crates/bronzespoold/src/entry/start.rs
@@ -13,7 +13,7 @@
         },
         http::serve,
     },
-    bronzespool::core::{Center, Instance, Time},
+    bronzespool::core::{Center, Instance, Time, name::Cluster},
     std::{
         cell::{Cell, RefCell},
         net::SocketAddr,
@@ -34,8 +34,12 @@
 /// What an entry needs to know.
 #[derive(Clone, Debug)]
 pub struct Options {
+    /// Cluster that it belongs to.
+    pub cluster: Cluster,
     /// Instance of this process.
     pub instance: Instance,
+    /// Longest time in which a request's head, and then its body, must arrive.
+    pub headers: Duration,
     /// Data centre of this process.
     pub center: Center,
     /// Address for callers.
@@ -63,6 +67,8 @@
     let listener = TcpListener::bind(options.listen).await?;
     let state = Rc::new(State {
         clock,
+        cluster: options.cluster.clone(),
+        headers: options.headers,
         instance: options.instance.clone(),
         view: RefCell::default(),
         agents: Agents::new(clock),
@@ -81,14 +87,15 @@
     *state.keeper.borrow_mut() = Some(Rc::clone(&keeper));
     let kept = spawn_local(Rc::clone(&keeper).run());
     state.start_traffic();
+    spawn_local(Rc::clone(&state).run_report());
     let (end, ended) = watch::channel(false);
     let audience = if options.operators.is_some() { Audience::Callers } else { Audience::Both };
     let server = Rc::new(Server { state: Rc::clone(&state), audience });
-    let callers = spawn_local(serve(listener, server, ended.clone()));
+    let callers = spawn_local(serve(listener, server, options.headers, ended.clone()));
     if let Some(address) = options.operators {
         let listener = TcpListener::bind(address).await?;
         let server = Rc::new(Server { state: Rc::clone(&state), audience: Audience::Operators });
-        spawn_local(serve(listener, server, ended));
+        spawn_local(serve(listener, server, options.headers, ended));
     }
     log::info!(instance:% = options.instance; "the entry is up");
     let _ = stop.wait_for(|s| *s).await;
--- a/crates/bronzespoold/src/entry/state.rs
+++ b/crates/bronzespoold/src/entry/state.rs
@@ -7,13 +7,14 @@
         entry::{agents::Agents, report::Reporter, traffic::Traffic},
     },
     bronzespool::{
-        core::{Instance, Time},
+        core::{Instance, Time, name::Cluster},
         flow::view::{self, View},
         wire::message::{Hello, Role, Update, Welcome},
     },
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
+        time::Duration,
     },
     tokio::sync::Notify,
 };
@@ -21,6 +22,8 @@
 /// State of the entry.
 pub(super) struct State {
     pub(super) clock: Clock,
+    pub(super) cluster: Cluster,
+    pub(super) headers: Duration,
     pub(super) instance: Instance,
     pub(super) view: RefCell<Rc<View>>,
     pub(super) agents: Agents,
@@ -73,6 +76,7 @@
 impl Subscriber for State {
     fn hello(&self) -> Hello {
         Hello {
+            cluster: self.cluster.clone(),
             role: Role::Entry,
             instance: self.instance.clone(),
             seen: self.acked(),
--- a/crates/bronzespoold/src/http/server.rs
+++ b/crates/bronzespoold/src/http/server.rs
@@ -12,8 +12,6 @@
     },
 };
 
-/// Longest time in which a request's head must arrive.
-const HEAD_TIME: Duration = Duration::from_secs(10);
 /// Largest head in bytes.
 const HEAD_BYTES: usize = 32 * 1024;
 /// Pause after a failed accept, such as too many open files.
@@ -25,12 +23,14 @@
     fn handle(self: Rc<Self>, request: Request<Incoming>) -> impl Future<Output = Answer>;
 }
 
-/// Accepts connections until `stop` turns true, then lets the requests in flight finish.
+/// Accepts connections until `stop` turns true, then lets the requests in flight finish. A
+/// request's head must arrive within `head`.
 ///
 /// Must run inside a [`tokio::task::LocalSet`].
 pub async fn serve<H: Handle>(
     listener: TcpListener,
     handler: Rc<H>,
+    head: Duration,
     mut stop: watch::Receiver<bool>,
 ) {
     let mut connections = JoinSet::new();
@@ -39,7 +39,7 @@
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    let task = connection(stream, Rc::clone(&handler), stopped.clone());
+                    let task = connection(stream, Rc::clone(&handler), head, stopped.clone());
                     connections.spawn_local(task);
                 }
                 Err(error) => {
@@ -55,7 +55,12 @@
     while connections.join_next().await.is_some() {}
 }
 
-async fn connection<H: Handle>(stream: TcpStream, handler: Rc<H>, mut stop: watch::Receiver<bool>) {
+async fn connection<H: Handle>(
+    stream: TcpStream,
+    handler: Rc<H>,
+    head: Duration,
+    mut stop: watch::Receiver<bool>,
+) {
     let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| {
         // A task of its own: a caller that goes away does not end the work on its request.
@@ -64,7 +69,7 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIME)
+        .header_read_timeout(head)
         .max_buf_size(HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
--- a/crates/bronzespoold/src/process.rs
+++ b/crates/bronzespoold/src/process.rs
@@ -170,6 +170,7 @@
     let control = settings.control.as_ref()?;
     let timing = &settings.timing;
     Some(control::Options {
+        cluster: settings.cluster.clone(),
         instance: settings.place.instance.clone(),
         listen: control.listen,
         peers: control.peers.iter().map(|p| (p.instance.clone(), p.addr)).collect(),
@@ -187,6 +188,8 @@
 fn entry_options(settings: &ProcessSettings) -> Option<entry::Options> {
     let entry = settings.entry.as_ref()?;
     Some(entry::Options {
+        cluster: settings.cluster.clone(),
+        headers: settings.timing.headers,
         instance: settings.place.instance.clone(),
         center: settings.place.center.clone(),
         listen: entry.listen,
@@ -200,6 +203,7 @@
 fn agent_options(settings: &ProcessSettings) -> Option<agent::Options> {
     let agent = settings.agent.as_ref()?;
     Some(agent::Options {
+        cluster: settings.cluster.clone(),
         place: settings.place.clone(),
         listen: agent.listen,
         endpoint: agent.endpoint,
