--- a/crates/bronzespool-consensus/tests/chaos/world.rs
+++ b/crates/bronzespool-consensus/tests/chaos/world.rs
@@ -17,6 +17,8 @@
 const MAIL_MAX: usize = 150;
 /// Length of a calm round.
 const ROUND: Duration = Duration::from_millis(30);
+/// Answers to messages that arrive within one calm round, where only links are cut.
+const LINK_HOPS: usize = 10;
 /// Calm rounds after which the cluster must work again.
 const SETTLE_ROUNDS: usize = 400;
 
@@ -28,6 +30,8 @@
     pub blank: bool,
     /// Whether disks are lost: fewer than half may be lost and not yet repaired.
     pub lost: bool,
+    /// Whether only links are cut and processes restarted, with reads and commands throughout.
+    pub links: bool,
 }
 
 struct Machinery {
@@ -38,6 +42,8 @@
     clock: Time,
     rate: u64,
     cut: bool,
+    /// Replicas whose messages do not arrive here.
+    deaf: Vec<usize>,
     /// Whether syncs do not end.
     stalled: bool,
     starts: u64,
@@ -81,6 +87,7 @@
                 clock: Time::from_secs(10),
                 rate: u.int_in_range(1_000 - DRIFT_PERMILLE..=1_000 + DRIFT_PERMILLE)?,
                 cut: false,
+                deaf: Vec::new(),
                 stalled: false,
                 starts: 0,
             });
@@ -92,7 +99,10 @@
     /// Draws one fault or lets a calm round pass.
     pub fn act(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
         let i = u.choose_index(self.replicas.len())?;
-        match u.int_in_range(0..=34)? {
+        if self.faults.links {
+            return self.act_on_links(i, u);
+        }
+        match u.int_in_range(0..=36)? {
             0..=8 => self.round(),
             9..=12 => self.advance(Duration::from_millis(u.int_in_range(1..=120)?)),
             13..=15 => self.deliver_some(u)?,
@@ -107,11 +117,29 @@
             30 => self.start(i),
             31 => self.lose(i),
             32 => self.hand_over(i),
+            33..=34 => self.cut_link(i, u.choose_index(self.faults.count)?, u.arbitrary()?),
             _ => self.replicas[i].stalled = !self.replicas[i].stalled,
         }
         Ok(())
     }
 
+    fn act_on_links(&mut self, i: usize, u: &mut Unstructured<'_>) -> Result<()> {
+        match u.int_in_range(0..=9)? {
+            0..=7 => {
+                self.propose();
+                self.read();
+                self.round();
+            }
+            8 => self.cut_link(i, u.choose_index(self.faults.count)?, u.ratio(3, 4)?),
+            _ if u.ratio(1, 4)? => {
+                self.crash(i, 0);
+                self.start(i);
+            }
+            _ => self.replicas[i].cut = !self.replicas[i].cut,
+        }
+        Ok(())
+    }
+
     pub fn check(&mut self) {
         for replica in &self.replicas {
             let Some(node) = &replica.node else { continue };
@@ -126,6 +154,7 @@
     pub fn settle(&mut self) {
         for i in 0..self.replicas.len() {
             (self.replicas[i].cut, self.replicas[i].stalled) = (false, false);
+            self.replicas[i].deaf.clear();
             self.start(i);
         }
         let before = self.oracle.commit();
@@ -215,9 +244,12 @@
     /// Time passes, syncs end where not stalled, all messages arrive in order.
     fn round(&mut self) {
         self.advance(ROUND);
-        self.sync_all();
-        for (from, to, message) in std::mem::take(&mut self.mail) {
-            self.deliver(from, to, message);
+        let hops = if self.faults.links { LINK_HOPS } else { 1 };
+        for _ in 0..hops {
+            self.sync_all();
+            for (from, to, message) in std::mem::take(&mut self.mail) {
+                self.deliver(from, to, message);
+            }
         }
         self.sync_all();
     }
@@ -247,7 +279,8 @@
     }
 
     fn deliver(&mut self, from: usize, to: usize, message: Message) {
-        let silent = self.replicas[from].cut || self.replicas[to].cut;
+        let deaf = self.replicas[to].deaf.contains(&from);
+        let silent = deaf || self.replicas[from].cut || self.replicas[to].cut;
         let replica = &mut self.replicas[to];
         if let Some(node) = replica.node.as_mut().filter(|_| !silent) {
             node.receive(replica.clock, &name(from), message);
@@ -294,6 +327,17 @@
         }
     }
 
+    /// Cuts a link, in one direction or both, or mends it.
+    fn cut_link(&mut self, i: usize, other: usize, both: bool) {
+        let mends = self.replicas[i].deaf.contains(&other);
+        for (to, from) in [(i, other), (other, i)].into_iter().take(1 + usize::from(both)) {
+            self.replicas[to].deaf.retain(|&k| k != from);
+            if !mends && to != from {
+                self.replicas[to].deaf.push(from);
+            }
+        }
+    }
+
     fn hand_over(&mut self, i: usize) {
         let replica = &mut self.replicas[i];
         if let Some(node) = &mut replica.node {
--- a/crates/bronzespool-consensus/tests/common/mod.rs
+++ b/crates/bronzespool-consensus/tests/common/mod.rs
@@ -32,6 +32,8 @@
     pub now: Time,
     pub replicas: Vec<Replica>,
     pub cut: Vec<bool>,
+    /// Pairs that do not hear each other.
+    pub links: Vec<(usize, usize)>,
     pub mail: Vec<(usize, usize, Message)>,
     /// Appends that were refused.
     pub rejected: usize,
@@ -49,6 +51,7 @@
             now: Time::from_secs(1),
             replicas: (0..count).map(|_| Replica::default()).collect(),
             cut: vec![false; count],
+            links: Vec::new(),
             mail: Vec::new(),
             rejected: 0,
             starts: 0,
@@ -128,7 +131,8 @@
             self.pump(i);
         }
         for (from, to, message) in std::mem::take(&mut self.mail) {
-            if self.cut[from] || self.cut[to] {
+            let link = (from.min(to), from.max(to));
+            if self.cut[from] || self.cut[to] || self.links.contains(&link) {
                 continue;
             }
             self.rejected += usize::from(matches!(message.body, Body::Rejected { .. }));
--- a/crates/bronzespool-consensus/tests/election.rs
+++ b/crates/bronzespool-consensus/tests/election.rs
@@ -4,7 +4,8 @@
 
 use {
     bronzespool_consensus::{Error, Role},
-    common::{Cluster, SECOND},
+    common::{Cluster, SECOND, STEP},
+    std::time::Duration,
 };
 
 #[test]
@@ -78,6 +79,55 @@
     assert!(c.replicas[other].applied.contains_key(&index));
 }
 
+#[test]
+fn receive_replica_without_link_to_leader_keeps_term() {
+    let mut c = Cluster::new(3);
+    c.commit(b"a");
+    let leader = c.elect();
+    let (term, other) = (c.node(leader).term(), (leader + 1) % 3);
+    c.links.push((leader.min(other), leader.max(other)));
+    for _ in 0..100 {
+        c.run(SECOND / 10);
+        let now = c.now;
+        assert!(c.node(leader).lease(now));
+        assert_eq!(c.node(leader).term(), term);
+    }
+}
+
+/// Cuts the leader off when another replica is about to ask the third, and watches the leases.
+fn lease_meets_election(wait: Duration, restart: bool) {
+    let mut c = Cluster::new(3);
+    c.commit(b"a");
+    let leader = c.elect();
+    let (other, voter) = ((leader + 1) % 3, (leader + 2) % 3);
+    c.links.push((leader.min(other), leader.max(other)));
+    c.links.push((other.min(voter), other.max(voter)));
+    c.run(SECOND + wait);
+    if restart {
+        // The voter forgets the leader's contact.
+        c.stop(voter);
+        c.start(voter);
+    }
+    c.links.pop();
+    c.cut[leader] = true;
+    c.until("other leader", |c| {
+        let now = c.now;
+        let new = (0..3).any(|i| i != leader && c.node(i).lease(now));
+        assert!(!(new && c.node(leader).lease(now)), "two leases after {wait:?}");
+        new
+    });
+}
+
+#[test]
+fn lease_of_cut_off_leader_ends_first() {
+    (0..60).for_each(|i| lease_meets_election(STEP * i, false));
+}
+
+#[test]
+fn lease_before_voter_restart_ends_first() {
+    (0..60).for_each(|i| lease_meets_election(STEP * i, true));
+}
+
 #[test]
 fn tick_leader_cut_off_steps_down() {
     let mut c = Cluster::new(3);
@@ -100,7 +150,7 @@
     let next = c.node(old).hand_over(now).unwrap();
     assert!(!c.node(old).lease(now) && c.propose(old, b"x").is_err());
     c.until("next leader", |c| c.leader().is_some_and(|i| common::name(i) == next));
-    assert!(c.now.since(now) <= common::STEP * 6);
+    assert!(c.now.since(now) <= STEP * 6);
     c.commit(b"b");
     c.run(SECOND);
     assert!(c.replicas.iter().all(|r| r.state == [b"a".to_vec(), b"b".to_vec()]));
