--- /dev/null
+++ b/crates/bronzespoold/src/agent/requests.rs
@@ -0,0 +1,184 @@
+//! Runs requests that the admission lets through.
+
+use {
+    crate::agent::{endpoint, state::State},
+    bronzespool::{
+        core::{Code, Refusal},
+        flow::{
+            admit::{Attempt, AttemptId, Start, Status},
+            claim::Completion,
+        },
+        wire::message::{Call, Run, RunReply, StatusReply, Work},
+    },
+    bytes::Bytes,
+    std::{rc::Rc, time::Duration},
+    tokio::{
+        task::spawn_local,
+        time::{sleep, timeout},
+    },
+};
+
+/// Time for which the agent still waits for the endpoint after the caller's deadline, so that a
+/// late answer is kept for the caller who asks again.
+const LINGER: Duration = Duration::from_secs(60);
+/// Longest wait for one report of an outcome.
+const REPORT_TIME: Duration = Duration::from_secs(5);
+/// Pause between two reports of one outcome.
+const REPORT_PAUSE: Duration = Duration::from_millis(200);
+/// Longest time in which an outcome is reported.
+const REPORTS: u32 = 600;
+/// Longest wait for the configuration's revision that a request names.
+const CATCH_UP: Duration = Duration::from_millis(500);
+/// Pause between two looks at the own revision.
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(5);
+
+impl State {
+    /// Runs a request, if it is admitted, and waits for its completion.
+    pub(super) async fn run(self: &Rc<Self>, run: Run, body: Bytes) -> RunReply {
+        let result = match self.check(&run).await {
+            Ok(()) => self.admitted(run, body).await,
+            Err(code) => {
+                self.fence_refused(&run);
+                Err(code.into())
+            }
+        };
+        RunReply { state: self.brief(), result }
+    }
+
+    /// What is known of an attempt.
+    pub(super) fn ask(&self, name: &AttemptId) -> StatusReply {
+        let admission = self.admission.borrow();
+        let now = self.clock.now();
+        let status = admission.as_ref().map_or(Status::Forgotten, |a| a.ask(now, name));
+        StatusReply { state: self.brief(), status }
+    }
+
+    /// Makes sure that an attempt which has not started never will.
+    pub(super) fn fence(&self, name: &AttemptId) -> StatusReply {
+        let now = self.clock.now();
+        let status = match self.admission.borrow_mut().as_mut() {
+            Some(admission) => admission.fence(now, name),
+            None => Status::Forgotten,
+        };
+        StatusReply { state: self.brief(), status }
+    }
+
+    async fn check(&self, run: &Run) -> Result<(), Code> {
+        let own = self.admission.borrow().as_ref().map(|a| a.own().number);
+        match own {
+            None => return Err(Code::NoSession),
+            Some(number) if number != run.incarnation => return Err(Code::IncarnationGone),
+            Some(_) => {}
+        }
+        let end = self.clock.now() + CATCH_UP;
+        while self.revision() < run.revision && self.clock.now() < end {
+            sleep(CATCH_UP_PAUSE).await;
+        }
+        if self.revision() == run.revision { Ok(()) } else { Err(Code::RevisionBehind) }
+    }
+
+    /// A refusal of a protected request says that it never runs, so no other copy may either.
+    fn fence_refused(&self, run: &Run) {
+        if let Work::Protected(name) = &run.work {
+            self.fence(name);
+        }
+    }
+
+    async fn admitted(self: &Rc<Self>, run: Run, body: Bytes) -> Result<Completion, Refusal> {
+        match run.work.clone() {
+            Work::Protected(name) => self.protected(name, run, body).await,
+            Work::Idempotent => self.idempotent(run, body).await,
+        }
+    }
+
+    async fn idempotent(self: &Rc<Self>, run: Run, body: Bytes) -> Result<Completion, Refusal> {
+        let now = self.clock.now();
+        let slots = run.slots;
+        self.enter(now, slots)?;
+        let state = Rc::clone(self);
+        // A task of its own: the slot stays taken for as long as the endpoint works.
+        let work = spawn_local(async move {
+            let time = Duration::from_millis(run.millis);
+            let completion = endpoint::serve(state.endpoint, &run, body, time).await;
+            if let Some(admission) = state.admission.borrow_mut().as_mut() {
+                admission.leave(slots, false);
+            }
+            completion
+        });
+        work.await.map_err(|_| Refusal::from(Code::Internal))
+    }
+
+    fn enter(&self, now: bronzespool::core::Time, slots: u32) -> Result<(), Refusal> {
+        let mut admission = self.admission.borrow_mut();
+        let admission = admission.as_mut().ok_or(Code::NoSession)?;
+        admission.enter(now, slots)?;
+        Ok(())
+    }
+
+    async fn protected(
+        self: &Rc<Self>,
+        name: AttemptId,
+        run: Run,
+        body: Bytes,
+    ) -> Result<Completion, Refusal> {
+        let time = Duration::from_millis(run.millis);
+        match self.start(&name, &run)? {
+            Start::Run(_) => {
+                spawn_local(Rc::clone(self).work(name.clone(), run, body));
+            }
+            Start::Refused(code) => return Err(code.into()),
+            Start::Known(Status::Fenced) => return Err(Code::Fenced.into()),
+            Start::Known(_) => {}
+        }
+        timeout(time, self.completion(&name)).await.unwrap_or_else(|_| Err(Code::InProgress.into()))
+    }
+
+    fn start(&self, name: &AttemptId, run: &Run) -> Result<Start, Refusal> {
+        let mut admission = self.admission.borrow_mut();
+        let admission = admission.as_mut().ok_or(Code::NoSession)?;
+        let attempt = Attempt { name: name.clone(), digest: run.digest, slots: run.slots };
+        Ok(admission.start(self.clock.now(), &attempt))
+    }
+
+    /// Waits until the attempt has ended.
+    async fn completion(&self, name: &AttemptId) -> Result<Completion, Refusal> {
+        loop {
+            let finished = self.finished.notified();
+            match self.ask(name).status {
+                Status::Finished(completion) => return Ok(completion),
+                Status::Started => finished.await,
+                Status::Fenced | Status::Unseen => return Err(Code::Fenced.into()),
+                Status::Forgotten => return Err(Code::Sealed.into()),
+            }
+        }
+    }
+
+    /// Runs a started attempt to its end, keeps its outcome and reports it.
+    async fn work(self: Rc<Self>, name: AttemptId, run: Run, body: Bytes) {
+        let time = Duration::from_millis(run.millis) + LINGER;
+        let completion = endpoint::serve(self.endpoint, &run, body, time).await;
+        let now = self.clock.now();
+        if let Some(admission) = self.admission.borrow_mut().as_mut() {
+            admission.finish(now, &name.id, name.attempt, run.slots, false, &completion);
+        }
+        self.finished.notify_waiters();
+        self.reports.set(self.reports.get() + 1);
+        self.report(name, completion).await;
+        self.reports.set(self.reports.get() - 1);
+    }
+
+    /// Reports an outcome to control until control has noted it.
+    async fn report(&self, name: AttemptId, completion: Completion) {
+        let call = Call::Complete { id: name.id, attempt: name.attempt, completion };
+        for _ in 0..REPORTS {
+            let Some(keeper) = self.keeper() else {
+                return;
+            };
+            match keeper.call(&call, REPORT_TIME).await {
+                Ok(_) => return,
+                Err(refusal) => log::warn!(refusal:%; "an outcome was not reported yet"),
+            }
+            sleep(REPORT_PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/bronzespoold/src/client/keeper.rs
@@ -0,0 +1,258 @@
+//! Keeps a session open, moving from hub to hub.
+
+use {
+    crate::{client::sink::SinkServer, clock::Clock},
+    bronzespool::{
+        core::{Code, Refusal, Time},
+        flow::{session::Holder, view},
+        wire::{
+            bronzespool_capnp::{control, session},
+            frame,
+            link::{Error, Link, Result},
+            message::{Answered, Call, Hello, Opened, Update, Welcome},
+        },
+    },
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{
+        sync::Notify,
+        time::{sleep, timeout},
+    },
+};
+
+/// First pause after a failed attempt to open a session.
+const PAUSE_MIN: Duration = Duration::from_millis(20);
+/// Longest pause between attempts to open a session.
+const PAUSE_MAX: Duration = Duration::from_millis(500);
+/// Pause before a call is sent again.
+const CALL_PAUSE: Duration = Duration::from_millis(15);
+
+/// What the holder of a session does with it.
+pub trait Subscriber: 'static {
+    /// The request for a session, as of now.
+    fn hello(&self) -> Hello;
+    /// A session is open. Returns false if the view in it is older than the own one.
+    fn welcome(&self, welcome: Welcome) -> bool;
+    /// The hub pushed an update.
+    fn update(&self, update: Update) -> view::Result<()>;
+    /// Index of the own view.
+    fn acked(&self) -> u64;
+    /// The session is valid until then on the own clock.
+    fn valid_until(&self, until: Time);
+}
+
+/// Spans that govern a session.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// Time between two renewals.
+    pub period: Duration,
+    /// Longest wait for the answer to a renewal.
+    pub silence: Duration,
+}
+
+/// Keeps one session with one of several hubs.
+pub struct Keeper<S> {
+    clock: Clock,
+    timing: Timing,
+    subscriber: Rc<S>,
+    links: Vec<Link<control::Client>>,
+    holder: RefCell<Holder>,
+    session: RefCell<Option<session::Client>>,
+    opened: Notify,
+    probe: Notify,
+    closing: Cell<bool>,
+}
+
+impl<S: Subscriber> Keeper<S> {
+    /// A keeper for `hubs`, the preferred one first.
+    pub fn new(clock: Clock, timing: Timing, hubs: &[SocketAddr], subscriber: Rc<S>) -> Rc<Self> {
+        Rc::new(Self {
+            clock,
+            timing,
+            subscriber,
+            links: hubs.iter().copied().map(Link::new).collect(),
+            holder: RefCell::default(),
+            session: RefCell::default(),
+            opened: Notify::new(),
+            probe: Notify::new(),
+            closing: Cell::new(false),
+        })
+    }
+
+    /// Whether the session is valid, so that new work may be taken.
+    pub fn valid(&self) -> bool {
+        self.holder.borrow().valid(self.clock.now())
+    }
+
+    /// Opens and renews sessions until [`Keeper::close`].
+    pub async fn run(self: Rc<Self>) {
+        let mut pause = PAUSE_MIN;
+        for link in self.links.iter().cycle() {
+            if self.closing.get() {
+                return;
+            }
+            match self.open(link).await {
+                Ok(Ok(session)) => {
+                    pause = PAUSE_MIN;
+                    self.hold(link, session).await;
+                }
+                Ok(Err(refusal)) => {
+                    log::info!(hub:% = link.address(), refusal:%; "the hub opens no session");
+                    sleep(pause).await;
+                    pause = (pause * 2).min(PAUSE_MAX);
+                }
+                Err(error) => {
+                    log::info!(hub:% = link.address(), error:%; "cannot open a session");
+                    sleep(pause).await;
+                    pause = (pause * 2).min(PAUSE_MAX);
+                }
+            }
+        }
+    }
+
+    /// Ends the session: the hub is told, so that it doesn't wait for the lease.
+    pub async fn close(&self) {
+        self.closing.set(true);
+        let session = self.session.borrow_mut().take();
+        if let Some(session) = session {
+            let request = session.close_request();
+            let _ = timeout(self.timing.silence, request.send().promise).await;
+        }
+        self.holder.borrow_mut().end();
+        self.probe.notify_one();
+    }
+
+    /// Calls the leader through the hub, asking again until `time` has passed. Every call names
+    /// what it is about, so asking again is safe.
+    pub async fn call(&self, call: &Call, time: Duration) -> Answered {
+        let end = self.clock.now() + time;
+        let bytes = frame::encode(call);
+        let mut last = Refusal::from(Code::NoSession);
+        loop {
+            let left = end.since(self.clock.now());
+            if left.is_zero() {
+                return Err(last);
+            }
+            match self.call_once(&bytes, left).await {
+                Ok(Err(refusal)) if refusal.code == Code::NoLeader => last = refusal,
+                Ok(answered) => return answered,
+                Err(error) => {
+                    log::debug!(error:%; "a call to control failed");
+                    last = Refusal::new(Code::NoLeader, error.to_string());
+                    self.probe.notify_one();
+                }
+            }
+            sleep(CALL_PAUSE.min(left)).await;
+        }
+    }
+
+    async fn call_once(&self, bytes: &[u8], left: Duration) -> Result<Answered> {
+        let session = timeout(left, self.current()).await.map_err(|_| Error::Silent(left))?;
+        let mut request = session.call_request();
+        request.get().set_call(bytes);
+        let response =
+            timeout(left, request.send().promise).await.map_err(|_| Error::Silent(left))??;
+        Ok(frame::decode(response.get()?.get_reply()?)?)
+    }
+
+    async fn current(&self) -> session::Client {
+        loop {
+            let opened = self.opened.notified();
+            if let Some(session) = self.session.borrow().as_ref() {
+                return session.clone();
+            }
+            opened.await;
+        }
+    }
+
+    async fn open(
+        &self,
+        link: &Link<control::Client>,
+    ) -> Result<std::result::Result<session::Client, Refusal>> {
+        let sent = self.clock.now();
+        let hello = frame::encode(&self.subscriber.hello());
+        let sink = SinkServer { subscriber: Rc::clone(&self.subscriber) };
+        let (opened, session) = link
+            .call(self.timing.silence, |client| async move {
+                let mut request = client.open_request();
+                request.get().set_hello(&hello);
+                request.get().set_sink(capnp_rpc::new_client(sink));
+                let response = request.send().promise.await?;
+                let results = response.get()?;
+                let opened: Opened = frame::decode(results.get_welcome()?)?;
+                let session = if opened.is_ok() { Some(results.get_session()?) } else { None };
+                Ok((opened, session))
+            })
+            .await?;
+        Ok(match (opened, session) {
+            (Ok(welcome), Some(session)) => self.install(sent, welcome, session),
+            (Err(refusal), _) => Err(refusal),
+            (Ok(_), None) => Err(Code::Internal.into()),
+        })
+    }
+
+    fn install(
+        &self,
+        sent: Time,
+        welcome: Welcome,
+        session: session::Client,
+    ) -> std::result::Result<session::Client, Refusal> {
+        let lease = Duration::from_millis(welcome.millis.into());
+        if !self.subscriber.welcome(welcome) {
+            return Err(Refusal::new(Code::RevisionBehind, "the hub is behind this process"));
+        }
+        self.extend(sent, lease);
+        *self.session.borrow_mut() = Some(session.clone());
+        self.opened.notify_waiters();
+        Ok(session)
+    }
+
+    fn extend(&self, sent: Time, lease: Duration) {
+        let mut holder = self.holder.borrow_mut();
+        holder.renewed(sent, lease);
+        self.subscriber.valid_until(holder.until());
+    }
+
+    /// Renews until a renewal fails or the hub has ended the session.
+    async fn hold(&self, link: &Link<control::Client>, session: session::Client) {
+        loop {
+            tokio::select! {
+                () = sleep(self.timing.period) => {}
+                () = self.probe.notified() => {}
+            }
+            if self.closing.get() {
+                return;
+            }
+            match self.renew(link, &session).await {
+                Ok(true) => {}
+                Ok(false) => break,
+                Err(error) => {
+                    log::info!(hub:% = link.address(), error:%; "the session's renewal failed");
+                    link.reset();
+                    break;
+                }
+            }
+        }
+        self.session.borrow_mut().take();
+    }
+
+    async fn renew(&self, link: &Link<control::Client>, session: &session::Client) -> Result<bool> {
+        let sent = self.clock.now();
+        let mut request = session.renew_request();
+        request.get().set_acked(self.subscriber.acked());
+        let millis = link
+            .call(self.timing.silence, |_| async move {
+                let response = request.send().promise.await?;
+                Ok(response.get()?.get_millis())
+            })
+            .await?;
+        if millis > 0 {
+            self.extend(sent, Duration::from_millis(millis.into()));
+        }
+        Ok(millis > 0)
+    }
+}
--- /dev/null
+++ b/crates/bronzespoold/src/entry/filter/body.rs
@@ -0,0 +1,98 @@
+//! Reads the body whole and checks it.
+
+use {
+    crate::{
+        entry::{
+            filter::{Filter, Result, caller::Called},
+            state::State,
+        },
+        http::{ReadError, read_whole},
+    },
+    bronzespool::{
+        core::{Code, Digest, Key, Kind, KindSpec, Refusal, Service, Team, Time},
+        flow::view::View,
+    },
+    bytes::Bytes,
+    std::{rc::Rc, time::Duration},
+    tokio::time::timeout,
+};
+
+/// Longest time in which a body must arrive.
+const BODY_TIME: Duration = Duration::from_secs(10);
+
+/// A request that has passed every check of its form.
+#[derive(Clone)]
+pub(in crate::entry) struct Checked {
+    pub(in crate::entry) id: String,
+    pub(in crate::entry) arrived: Time,
+    pub(in crate::entry) deadline: Time,
+    pub(in crate::entry) view: Rc<View>,
+    pub(in crate::entry) service: Service,
+    pub(in crate::entry) kind: Kind,
+    pub(in crate::entry) team: Team,
+    pub(in crate::entry) key: Option<Key>,
+    pub(in crate::entry) digest: Digest,
+    pub(in crate::entry) body: Bytes,
+}
+
+impl Checked {
+    /// The kind's declaration.
+    pub(in crate::entry) fn spec(&self) -> Result<&KindSpec> {
+        self.view.config.kind(&self.service, &self.kind).ok_or_else(|| Code::UnknownKind.into())
+    }
+
+    /// The time that the caller still waits.
+    pub(in crate::entry) const fn left(&self, now: Time) -> Duration {
+        self.deadline.since(now)
+    }
+}
+
+/// The filter.
+pub(in crate::entry) struct ReadBody(pub(in crate::entry) Rc<State>);
+
+impl Filter<Called> for ReadBody {
+    type Out = Checked;
+
+    async fn apply(&self, called: Called) -> Result<Checked> {
+        let limit = called.routed.spec()?.body;
+        let Called { routed, team, deadline, key } = called;
+        let time = deadline.since(self.0.clock.now()).min(BODY_TIME);
+        let reading = read_whole(routed.raw.request.into_body(), limit);
+        let body = match timeout(time, reading).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(error @ ReadError::Large(_))) => {
+                return Err(Refusal::new(Code::BodyTooLarge, error.to_string()));
+            }
+            Ok(Err(error @ ReadError::Short)) => {
+                return Err(Refusal::new(Code::LengthMismatch, error.to_string()));
+            }
+            Err(_) => return Err(Code::HeadersSlow.into()),
+        };
+        check_json(&body)?;
+        Ok(Checked {
+            id: routed.raw.id,
+            arrived: routed.raw.arrived,
+            deadline,
+            view: routed.view,
+            service: routed.service,
+            kind: routed.kind,
+            team,
+            key,
+            digest: Digest::of(&body),
+            body,
+        })
+    }
+}
+
+fn check_json(body: &[u8]) -> Result<()> {
+    if body.is_empty() {
+        return Ok(());
+    }
+    let parsed: serde_json::Result<serde::de::IgnoredAny> = serde_json::from_slice(body);
+    match parsed {
+        Ok(_) => Ok(()),
+        Err(error) => {
+            Err(Refusal::new(Code::BodyInvalid, format!("the body is not JSON: {error}")))
+        }
+    }
+}
