--- a/crates/bronzespool-fakes/src/cluster/mod.rs
+++ b/crates/bronzespool-fakes/src/cluster/mod.rs
@@ -2,11 +2,12 @@
 
 mod plan;
 mod process;
+mod relays;
 mod system;
 mod text;
 
 pub use {
     plan::{Plan, PlannedCenter},
-    process::{Process, Signal, free_address, program},
+    process::{Process, Signal, free_address, program, send_signal},
     system::{Cluster, Result, Worker},
 };
--- a/crates/bronzespool-fakes/src/cluster/plan.rs
+++ b/crates/bronzespool-fakes/src/cluster/plan.rs
@@ -31,6 +31,8 @@
     pub log: String,
     /// Lines of the section `[timing]`.
     pub timing: String,
+    /// Whether the links to and between control instances pass through relays.
+    pub relayed: bool,
 }
 
 impl Plan {
@@ -47,6 +49,7 @@
             speed: 1,
             log: "info".to_owned(),
             timing: String::new(),
+            relayed: false,
         }
     }
 
@@ -85,4 +88,11 @@
         lines.clone_into(&mut self.timing);
         self
     }
+
+    /// Puts a relay into every link to a control instance; see [`crate::cluster::Cluster::isolate`].
+    #[must_use]
+    pub const fn relayed(mut self) -> Self {
+        self.relayed = true;
+        self
+    }
 }
--- a/crates/bronzespool-fakes/src/cluster/process.rs
+++ b/crates/bronzespool-fakes/src/cluster/process.rs
@@ -34,6 +34,15 @@
     listener.local_addr().expect("a bound listener has an address")
 }
 
+/// Sends a signal to a process of a cluster by its id, which is not reused before the cluster has
+/// waited for the process.
+pub fn send_signal(id: u32, signal: Signal) -> io::Result<()> {
+    let pid = i32::try_from(id).ok().and_then(Pid::from_raw);
+    let pid = pid.ok_or_else(|| io::Error::other("no process id"))?;
+    kill_process(pid, signal)?;
+    Ok(())
+}
+
 /// A started process; it is killed when dropped.
 pub struct Process {
     program: PathBuf,
@@ -70,10 +79,7 @@
         if self.ended()?.is_some() {
             return Ok(());
         }
-        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
-        let pid = pid.ok_or_else(|| io::Error::other("no process id"))?;
-        kill_process(pid, signal)?;
-        Ok(())
+        send_signal(self.child.id(), signal)
     }
 
     /// Exit status, if it has ended.
--- /dev/null
+++ b/crates/bronzespool-fakes/src/cluster/relays.rs
@@ -0,0 +1,58 @@
+//! Relays in the links to and between control instances.
+
+use {
+    crate::relay::{Mode, Relay},
+    std::{collections::BTreeMap, io, net::SocketAddr},
+};
+
+/// Source of the links from entries and agents.
+const OUTSIDE: &str = "";
+
+/// One relay for each pair of control instances and direction, and one in front of each for the
+/// entries and agents.
+#[derive(Debug, Default)]
+pub(super) struct Relays {
+    links: BTreeMap<(String, String), Relay>,
+}
+
+impl Relays {
+    pub(super) async fn start(controls: &[(String, SocketAddr)]) -> io::Result<Self> {
+        let mut links = BTreeMap::new();
+        for (to, address) in controls {
+            let from = controls.iter().map(|(name, _)| name.as_str()).filter(|n| n != to);
+            for from in from.chain([OUTSIDE]) {
+                links.insert((from.to_owned(), to.clone()), Relay::start(*address).await?);
+            }
+        }
+        Ok(Self { links })
+    }
+
+    /// Address of a control instance for entries and agents.
+    pub(super) fn outside(&self, to: &str) -> Option<SocketAddr> {
+        self.address(OUTSIDE, to)
+    }
+
+    /// Addresses of all control instances as `from` reaches them.
+    pub(super) fn peers(
+        &self,
+        from: &str,
+        controls: &[(String, SocketAddr)],
+    ) -> Vec<(String, SocketAddr)> {
+        let reached = controls.iter().map(|(to, address)| {
+            let address = self.address(from, to).unwrap_or(*address);
+            (to.clone(), address)
+        });
+        reached.collect()
+    }
+
+    /// Sets the mode of every relay to and from a control instance.
+    pub(super) fn set(&self, control: &str, mode: Mode) {
+        let own = |(from, to): &(String, String)| from == control || to == control;
+        let relays = self.links.iter().filter(|(link, _)| own(link));
+        relays.for_each(|(_, relay)| relay.set(mode));
+    }
+
+    fn address(&self, from: &str, to: &str) -> Option<SocketAddr> {
+        self.links.get(&(from.to_owned(), to.to_owned())).map(Relay::address)
+    }
+}
--- a/crates/bronzespool-fakes/src/cluster/system.rs
+++ b/crates/bronzespool-fakes/src/cluster/system.rs
@@ -6,8 +6,10 @@
         cluster::{
             plan::Plan,
             process::{Process, Signal, free_address, program},
+            relays::Relays,
             text::{self, AgentAddresses, Stand},
         },
+        relay::Mode,
     },
     serde_json::{Value, json},
     std::{
@@ -51,6 +53,7 @@
     controls: Vec<(String, SocketAddr)>,
     entries: Vec<(String, SocketAddr)>,
     workers: Vec<Worker>,
+    relays: Relays,
 }
 
 impl Cluster {
@@ -64,8 +67,9 @@
             controls: Vec::new(),
             entries: Vec::new(),
             workers: Vec::new(),
+            relays: Relays::default(),
         };
-        cluster.start_controls()?;
+        cluster.start_controls().await?;
         cluster.start_workers()?;
         cluster.start_entries()?;
         cluster.wait_ready().await?;
@@ -111,6 +115,15 @@
         self.processes.get_mut(name).unwrap_or_else(|| panic!("no process {name}"))
     }
 
+    /// Process id of a process, by the names of [`Cluster::process`].
+    ///
+    /// # Panics
+    ///
+    /// If there is none of that name.
+    pub fn id(&self, name: &str) -> u32 {
+        self.processes.get(name).unwrap_or_else(|| panic!("no process {name}")).id()
+    }
+
     /// Names and process ids.
     pub fn ids(&self) -> Vec<(String, u32)> {
         self.processes.iter().map(|(name, p)| (name.clone(), p.id())).collect()
@@ -216,9 +229,20 @@
         Ok(endpoints.iter().filter(|e| e["presence"] == "up").count())
     }
 
+    /// Sets the mode of every relay between a control instance and all other processes.
+    ///
+    /// # Panics
+    ///
+    /// If the plan has no relays.
+    pub fn isolate(&self, control: &str, mode: Mode) {
+        assert!(self.plan.relayed, "the plan has no relays");
+        self.relays.set(control, mode);
+    }
+
     fn hubs(&self, first: usize) -> Vec<SocketAddr> {
         let count = self.controls.len();
-        (0..count).map(|i| self.controls[(first + i) % count].1).collect()
+        let hubs = (0..count).map(|i| &self.controls[(first + i) % count]);
+        hubs.map(|(name, address)| self.relays.outside(name).unwrap_or(*address)).collect()
     }
 
     fn settings(&self, name: &str, text: &str) -> Result<Vec<String>> {
@@ -233,17 +257,21 @@
         Ok(())
     }
 
-    fn start_controls(&mut self) -> Result<()> {
+    async fn start_controls(&mut self) -> Result<()> {
         let daemon = program("bronzespoold");
         let names = (1..=self.plan.control).map(|n| format!("control-{n}"));
         self.controls = names.map(|name| (name, free_address())).collect();
+        if self.plan.relayed {
+            self.relays = Relays::start(&self.controls).await?;
+        }
         let centers = self.plan.centers.clone();
         for (number, (name, listen)) in self.controls.clone().into_iter().enumerate() {
             let (center, region, _) = &centers[number % centers.len()];
             let stand = Stand { instance: &name, region, center, rack: "control" };
             let data = self.data(&name);
             let data = data.display().to_string();
-            let text = text::control(&self.plan, &stand, &data, listen, &self.controls);
+            let peers = self.relays.peers(&name, &self.controls);
+            let text = text::control(&self.plan, &stand, &data, listen, &peers);
             let arguments = self.settings(&name, &text)?;
             self.launch(&name, &daemon, &arguments)?;
         }
--- a/crates/bronzespool-fakes/src/lib.rs
+++ b/crates/bronzespool-fakes/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod cluster;
 pub mod endpoint;
 pub mod http;
+pub mod relay;
 pub mod worker;
--- /dev/null
+++ b/crates/bronzespool-fakes/src/relay/server.rs
@@ -0,0 +1,142 @@
+//! Accepts connections and copies their bytes.
+
+use {
+    crate::relay::Mode,
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{
+            TcpListener, TcpStream,
+            tcp::{OwnedReadHalf, OwnedWriteHalf},
+        },
+        sync::watch,
+        task::{JoinHandle, JoinSet},
+        time::sleep,
+    },
+};
+
+/// Largest chunk in bytes that is copied at once.
+const CHUNK_BYTES: usize = 16 << 10;
+
+/// Payload bytes that have passed in each direction.
+#[derive(Debug, Default)]
+struct Counters {
+    up: AtomicU64,
+    down: AtomicU64,
+}
+
+/// A relay in front of one address. It ends when dropped.
+#[derive(Debug)]
+pub struct Relay {
+    address: SocketAddr,
+    mode: watch::Sender<Mode>,
+    counters: Arc<Counters>,
+    task: JoinHandle<()>,
+}
+
+impl Relay {
+    /// Starts a relay on a free loopback port in front of `target`.
+    pub async fn start(target: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let mode = watch::Sender::default();
+        let counters = Arc::new(Counters::default());
+        let accept = accept(listener, target, mode.subscribe(), Arc::clone(&counters));
+        let task = tokio::spawn(accept);
+        Ok(Self { address, mode, counters, task })
+    }
+
+    /// Address to connect to.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes the mode, for open connections too.
+    pub fn set(&self, mode: Mode) {
+        self.mode.send_replace(mode);
+    }
+
+    /// Payload bytes passed on to the target and back from it.
+    pub fn bytes(&self) -> (u64, u64) {
+        let Counters { up, down } = &*self.counters;
+        (up.load(Ordering::Relaxed), down.load(Ordering::Relaxed))
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    mode: watch::Receiver<Mode>,
+    counters: Arc<Counters>,
+) {
+    let mut connections = JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        connections.spawn(relay(stream, target, mode.clone(), Arc::clone(&counters)));
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+async fn relay(
+    near: TcpStream,
+    target: SocketAddr,
+    mut mode: watch::Receiver<Mode>,
+    counters: Arc<Counters>,
+) {
+    let mut closing = mode.clone();
+    let copied = async {
+        passing(&mut mode).await;
+        let far = TcpStream::connect(target).await?;
+        near.set_nodelay(true)?;
+        far.set_nodelay(true)?;
+        let (near_in, near_out) = near.into_split();
+        let (far_in, far_out) = far.into_split();
+        let up = copy(near_in, far_out, mode.clone(), &counters.up);
+        let down = copy(far_in, near_out, mode, &counters.down);
+        tokio::try_join!(up, down).map(|_| ())
+    };
+    tokio::select! {
+        _ = copied => {}
+        _ = closing.wait_for(|m| *m == Mode::Cut) => {}
+    }
+}
+
+/// Waits until bytes may pass.
+async fn passing(mode: &mut watch::Receiver<Mode>) -> Mode {
+    match mode.wait_for(|m| *m != Mode::Freeze).await {
+        Ok(mode) => *mode,
+        Err(_) => Mode::Cut,
+    }
+}
+
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut mode: watch::Receiver<Mode>,
+    bytes: &AtomicU64,
+) -> io::Result<()> {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    loop {
+        let length = from.read(&mut chunk).await?;
+        if let Mode::Delay(time) = passing(&mut mode).await {
+            sleep(time).await;
+        }
+        if length == 0 {
+            return to.shutdown().await;
+        }
+        to.write_all(&chunk[..length]).await?;
+        bytes.fetch_add(length as u64, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/bronzespoold/tests/common/mod.rs
@@ -0,0 +1,182 @@
+//! A small desk on a cluster of processes, and what the tests of control ask of it.
+
+#![allow(dead_code, reason = "each test binary uses its own part")]
+
+use {
+    bronzespool_fakes::{
+        call::{Answer, Call},
+        cluster::{Cluster, Plan, Result},
+    },
+    serde_json::{Value, json},
+    std::{
+        path::Path,
+        time::{Duration, Instant},
+    },
+    tokio::time::{sleep, timeout},
+};
+
+/// Pause between two looks at a condition.
+const PAUSE: Duration = Duration::from_millis(20);
+/// Generous end of a wait.
+const WAIT_MAX: Duration = Duration::from_secs(60);
+/// Longest wait for one answer of an entry that may be stopped.
+const TRY_TIME: Duration = Duration::from_secs(35);
+/// The same for the status.
+const STATUS_TIME: Duration = Duration::from_secs(8);
+/// Code of a publication on an old base.
+pub const CONFLICT: u16 = 5001;
+/// Code of a whole answer.
+pub const DONE: u16 = 1000;
+
+/// A plan of three control instances, two entries and `workers` endpoints.
+pub fn plan(workers: u32) -> Plan {
+    let mut plan = Plan::small("desk", Path::new("."), workers);
+    plan.files.clear();
+    plan
+}
+
+/// Service file of the desk with these kinds of requests; `ledger` is protected.
+pub fn desk(kinds: &[&str]) -> Value {
+    let mut text = String::from("[service]\nname = desk\n");
+    for kind in kinds {
+        let protected = if *kind == "ledger" { "protected = yes\n" } else { "" };
+        text += &format!("\n[kind {kind}]\nmode = request\n{protected}deadline = 10s\n");
+    }
+    text += "\n[team club]\nguarantee = 1 x block-1\n";
+    json!([{ "path": "desk/service.ini", "text": text }])
+}
+
+/// Publishes the desk through an entry.
+pub async fn publish(
+    cluster: &Cluster,
+    entry: usize,
+    base: Option<u64>,
+    op: &str,
+    kinds: &[&str],
+    wait: bool,
+) -> Result<Answer> {
+    let body = json!({ "base": base, "op": op, "files": desk(kinds), "wait": wait });
+    Call::post("/v1/config", &body).send(cluster.entry(entry)).await
+}
+
+/// Publishes and resends, through the entries in turn, until control has answered.
+pub async fn publish_sure(
+    cluster: &Cluster,
+    base: Option<u64>,
+    op: &str,
+    kinds: &[&str],
+    wait: bool,
+) -> Answer {
+    let end = Instant::now() + WAIT_MAX;
+    for turn in 0.. {
+        let entry = turn % cluster.entries().len();
+        let tried = timeout(TRY_TIME, publish(cluster, entry, base, op, kinds, wait)).await;
+        match tried.map_err(Into::into).flatten() {
+            Ok(answer) if matches!(answer.code(), DONE | CONFLICT) => return answer,
+            other => assert!(Instant::now() < end, "{op} has no verdict: {other:?}"),
+        }
+        sleep(PAUSE).await;
+    }
+    unreachable!()
+}
+
+/// Revision that a publication made.
+pub fn revision(answer: &Answer) -> u64 {
+    assert_eq!(answer.code(), DONE, "{}", answer.json());
+    answer.json()["revision"].as_u64().expect("a revision")
+}
+
+/// Sends one request of a kind through an entry.
+pub async fn ask(cluster: &Cluster, entry: usize, kind: &str, key: Option<&str>) -> Result<Answer> {
+    let body = json!({ "number": 7 });
+    let mut call = Call::post(format!("/v1/services/desk/{kind}"), &body).header("team", "club");
+    if let Some(key) = key {
+        call = call.header("idempotency-key", key);
+    }
+    call.send(cluster.entry(entry)).await
+}
+
+/// Waits until a condition holds.
+pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> Result<bool>) {
+    let end = Instant::now() + WAIT_MAX;
+    loop {
+        let held = holds().await;
+        if matches!(held, Ok(true)) {
+            return;
+        }
+        assert!(Instant::now() < end, "not in time: {what}: {held:?}");
+        sleep(PAUSE).await;
+    }
+}
+
+/// Status as any entry tells it.
+pub async fn status(cluster: &Cluster) -> Value {
+    let end = Instant::now() + WAIT_MAX;
+    for turn in 0.. {
+        let tried = timeout(STATUS_TIME, cluster.status(turn % cluster.entries().len())).await;
+        match tried.map_err(Into::into).flatten() {
+            Ok(status) => return status,
+            Err(error) => assert!(Instant::now() < end, "no status: {error}"),
+        }
+        sleep(PAUSE).await;
+    }
+    unreachable!()
+}
+
+/// Name of the leader.
+pub async fn leader(cluster: &Cluster) -> String {
+    status(cluster).await["leader"].as_str().unwrap_or_default().to_owned()
+}
+
+/// A control instance that does not lead.
+pub async fn follower(cluster: &Cluster) -> String {
+    let leader = leader(cluster).await;
+    let mut names = cluster.controls().iter().map(|(name, _)| name.clone());
+    names.find(|name| *name != leader).expect("a follower")
+}
+
+/// The row of a replica in the status.
+pub fn replica(status: &Value, name: &str) -> Value {
+    let rows = status["replicas"].as_array().cloned().unwrap_or_default();
+    rows.into_iter().rfind(|row| row["instance"] == name).unwrap_or_default()
+}
+
+/// Waits until each control instance is one voter that holds all that is committed.
+pub async fn whole(cluster: &Cluster) {
+    until("all replicas vote and are current", async || {
+        let status = status(cluster).await;
+        let rows = status["replicas"].as_array().cloned().unwrap_or_default();
+        let commit = status["commit"].as_u64();
+        let current = |row: &Value| {
+            let own = row["instance"] == status["leader"];
+            row["voter"] == true && (own || row["matched"].as_u64() >= commit)
+        };
+        Ok(rows.len() == cluster.controls().len() && rows.iter().all(current))
+    })
+    .await;
+}
+
+/// Runs a scenario while every entry's configuration is sampled: its revision never falls, also
+/// over a restart.
+pub async fn monotone<T>(
+    entries: &[(String, std::net::SocketAddr)],
+    scenario: impl Future<Output = T>,
+) -> T {
+    let samples = entries.iter().map(|(name, address)| async move {
+        let mut highest = 0;
+        loop {
+            if let Ok(answer) = Call::get("/v1/config").send(*address).await
+                && answer.code() == DONE
+            {
+                let now = answer.json()["revision"].as_u64().expect("a revision");
+                assert!(now >= highest, "{name} went from revision {highest} back to {now}");
+                highest = now;
+            }
+            sleep(PAUSE).await;
+        }
+    });
+    tokio::select! {
+        result = scenario => result,
+        _ = futures::future::join_all(samples) => unreachable!(),
+    }
+}
--- /dev/null
+++ b/crates/bronzespoold/tests/control_in_force.rs
@@ -0,0 +1,107 @@
+//! What holds when a publication is reported as in force.
+
+mod common;
+
+use {
+    bronzespool::core::Code,
+    bronzespool_fakes::{
+        call::Call,
+        cluster::{Cluster, Result, Signal},
+    },
+    common::{DONE, ask, monotone, plan, publish, publish_sure, revision, until},
+    std::time::{Duration, Instant},
+    tokio::time::sleep,
+};
+
+/// Publications that alternate between two kinds.
+const CHANGES: u64 = 40;
+/// A long lease, so that a session that is passed over too early shows.
+const LONG_LEASE: &str = "session = 12s\nrenew = 1s\n";
+/// Least time that the session of a stopped entry lasts: the lease, less the time since the last
+/// renewal and a generous delay of it.
+const LEASE_LEAST: Duration = Duration::from_secs(6);
+/// Time in which a continued entry is watched.
+const WATCHED: Duration = Duration::from_secs(2);
+
+/// At the return of a waiting publication every entry refuses a kind that it removed and serves
+/// one that it added.
+#[tokio::test]
+async fn in_force_at_once() -> Result<()> {
+    let cluster = Cluster::start(plan(1)).await?;
+    let kinds = ["even", "odd"];
+    for base in 0..CHANGES {
+        let (new, old) = (kinds[base as usize % 2], kinds[(base as usize + 1) % 2]);
+        let answer = publish(&cluster, 0, Some(base), &format!("op-{base}"), &[new], true).await?;
+        assert_eq!((revision(&answer), &answer.json()["in_force"]), (base + 1, &true.into()));
+        for entry in [1, 0] {
+            let gone = ask(&cluster, entry, old, None).await?;
+            assert_eq!(gone.code(), Code::UnknownKind.number(), "{}", gone.json());
+            let come = ask(&cluster, entry, new, None).await?;
+            assert_eq!(come.code(), DONE, "{}", come.json());
+        }
+    }
+    Ok(())
+}
+
+/// A stopped entry holds a publication back no longer than its session, and no shorter; when it
+/// goes on it takes no work before it has caught up.
+#[tokio::test]
+async fn in_force_entry_stopped() -> Result<()> {
+    let mut cluster = Cluster::start(plan(1).timing(LONG_LEASE)).await?;
+    publish_sure(&cluster, Some(0), "op-0", &["old"], true).await;
+    let begun = Instant::now();
+    cluster.process("entry-2").signal(Signal::STOP)?;
+    released(&mut cluster, begun).await
+}
+
+/// The same if the hub that held the session is killed and comes back without it.
+#[tokio::test]
+async fn in_force_hub_restarted() -> Result<()> {
+    let mut cluster = Cluster::start(plan(1).timing(LONG_LEASE)).await?;
+    publish_sure(&cluster, Some(0), "op-0", &["old"], true).await;
+    let begun = Instant::now();
+    cluster.process("entry-2").signal(Signal::STOP)?;
+    let hubs: Vec<_> = cluster.controls().iter().map(|(name, _)| name.clone()).collect();
+    for name in &hubs {
+        cluster.process(name).kill()?;
+        cluster.process(name).restart()?;
+    }
+    released(&mut cluster, begun).await
+}
+
+/// Publishes while `entry-2` is stopped, then lets it go on.
+async fn released(cluster: &mut Cluster, begun: Instant) -> Result<()> {
+    let entries = cluster.entries().to_vec();
+    let answer = publish_sure(cluster, Some(1), "op-1", &["new"], true).await;
+    assert_eq!((revision(&answer), &answer.json()["in_force"]), (2, &true.into()));
+    let took = begun.elapsed();
+    assert!(took >= LEASE_LEAST, "in force {took:?} after the entry was stopped");
+    let early = ask(cluster, 1, "old", None);
+    let id = cluster.id("entry-2");
+    let scenario = async {
+        let (early, ()) = tokio::join!(early, async {
+            // The request waits in the stopped entry's socket.
+            sleep(Duration::from_millis(200)).await;
+            bronzespool_fakes::cluster::send_signal(id, Signal::CONT).unwrap();
+        });
+        assert_ne!(early.unwrap().code(), DONE);
+        behind(entries[1].1).await;
+        until("the entry serves again", async || {
+            Ok(ask(cluster, 1, "new", None).await?.code() == DONE)
+        })
+        .await;
+    };
+    monotone(&entries[..1], scenario).await;
+    Ok(())
+}
+
+/// Watches that the entry is never ready while its configuration is behind.
+async fn behind(address: std::net::SocketAddr) {
+    let end = Instant::now() + WATCHED;
+    while Instant::now() < end {
+        let ready = Call::get("/readyz").send(address).await.unwrap().status.is_success();
+        let config = Call::get("/v1/config").send(address).await.unwrap();
+        let revision = config.json()["revision"].as_u64();
+        assert!(!ready || revision == Some(2), "ready on revision {revision:?}");
+    }
+}
--- /dev/null
+++ b/crates/bronzespoold/tests/control_leader.rs
@@ -0,0 +1,85 @@
+//! A leader that is stopped past its lease and then goes on.
+
+mod common;
+
+use {
+    bronzespool::{
+        core::Code,
+        wire::{
+            bronzespool_capnp::control,
+            frame,
+            link::{self, Link},
+            message::{Answered, Call, Reply},
+        },
+    },
+    bronzespool_fakes::cluster::{Cluster, Result, Signal},
+    common::{ask, leader, monotone, plan, publish_sure, replica, revision, status, until, whole},
+    std::{net::SocketAddr, time::Duration},
+    tokio::{task::LocalSet, time::sleep},
+};
+
+/// Longest wait for a direct call.
+const CALL_TIME: Duration = Duration::from_secs(30);
+/// Time in which the returned leader could depose the new one.
+const QUIET: Duration = Duration::from_secs(5);
+
+/// The stopped leader's entries move to other hubs; when it goes on it answers no read from its
+/// old state and deposes no one.
+#[tokio::test]
+async fn leader_stopped_past_lease() -> Result<()> {
+    LocalSet::new().run_until(stopped()).await
+}
+
+async fn stopped() -> Result<()> {
+    let mut cluster = Cluster::start(plan(1)).await?;
+    let entries = cluster.entries().to_vec();
+    let scenario = async {
+        publish_sure(&cluster, Some(0), "op-0", &["check"], true).await;
+        whole(&cluster).await;
+        let old = leader(&cluster).await;
+        let old_address = cluster.controls().iter().find(|(n, _)| *n == old).unwrap().1;
+        cluster.process(&old).signal(Signal::STOP).unwrap();
+        let answer = publish_sure(&cluster, Some(1), "op-1", &["check", "audit"], true).await;
+        assert_eq!(revision(&answer), 2);
+        assert_eq!(answer.json()["in_force"], true);
+        for entry in 0..entries.len() {
+            until("the entry has moved and serves", async || {
+                Ok(ask(&cluster, entry, "audit", None).await?.code() == Code::Done.number())
+            })
+            .await;
+        }
+        let before = status(&cluster).await;
+        assert_ne!(before["leader"], old.as_str());
+        // The question waits in the stopped process's socket, so it is the first thing there.
+        let question = tokio::task::spawn_local(forward(old_address, Call::Status));
+        sleep(Duration::from_millis(200)).await;
+        cluster.process(&old).signal(Signal::CONT).unwrap();
+        match question.await.unwrap() {
+            Ok(Ok(Reply::Status(told))) => assert_eq!(told.revision, 2, "a stale read"),
+            Ok(Ok(other)) => panic!("{other:?}"),
+            Ok(Err(refusal)) => assert_eq!(refusal.code, Code::NoLeader),
+            Err(error) => panic!("no answer: {error}"),
+        }
+        whole(&cluster).await;
+        sleep(QUIET).await;
+        let after = status(&cluster).await;
+        assert_eq!(after["term"], before["term"], "the returned leader has deposed the new one");
+        assert_eq!(after["leader"], before["leader"]);
+        assert_eq!(replica(&after, &old)["role"], "follower");
+    };
+    monotone(&entries, scenario).await;
+    Ok(())
+}
+
+/// A call of the kind that hubs forward to the leader.
+async fn forward(address: SocketAddr, call: Call) -> link::Result<Answered> {
+    let bytes = frame::encode(&call);
+    let link: Link<control::Client> = Link::new(address);
+    link.call(CALL_TIME, |client| async move {
+        let mut request = client.forward_request();
+        request.get().set_call(&bytes);
+        let response = request.send().promise.await?;
+        Ok(frame::decode(response.get()?.get_reply()?)?)
+    })
+    .await
+}
