fix(control): count a session until its holder's lease has ended

Cause: three ways in which a revision was reported as in force while an entry could still take work under the former one. (1) A push without an answer closed the session, although its holder counts it as valid until its lease ends. (2) A hub that was restarted reported no sessions at once. (3) A session counted as holding the welcome's view before the holder had received it. Besides, GET /v1/config of a process without a session showed revision 0 or an old one. Ruled out: ending a session when its connection closes (a cut looks the same to the hub); keeping sessions on disk (a sync for each). The first waiting publication after a start of a hub takes up to one lease longer.

--- a/crates/bronzespool-flow/src/session/table.rs
+++ b/crates/bronzespool-flow/src/session/table.rs
@@ -26,6 +26,7 @@
     incarnation: u64,
     acked: u64,
     ends: Time,
+    retired: bool,
 }
 
 /// All sessions of one hub with the index that each has acknowledged.
@@ -65,16 +66,16 @@
         self.next += 1;
         let ends = now + self.lease + self.margin;
         self.holders.insert(instance.clone(), id);
-        self.open.insert(id, Open { instance, incarnation, acked, ends });
+        self.open.insert(id, Open { instance, incarnation, acked, ends, retired: false });
         id
     }
 
-    /// Renews a session. Returns whether it was still open.
+    /// Renews a session. Returns whether it was still open and not retired.
     pub fn renew(&mut self, now: Time, id: SessionId, acked: u64) -> bool {
         let Some(open) = self.open.get_mut(&id) else {
             return false;
         };
-        if open.ends <= now {
+        if open.retired || open.ends <= now {
             return false;
         }
         open.ends = now + self.lease + self.margin;
@@ -89,6 +90,19 @@
         }
     }
 
+    /// Grants no further renewal of a session. Until its time has passed its holder may still
+    /// take work, so it is counted as open and its acknowledgement stands.
+    pub fn retire(&mut self, id: SessionId) {
+        if let Some(open) = self.open.get_mut(&id) {
+            open.retired = true;
+        }
+    }
+
+    /// The index that an open session has acknowledged.
+    pub fn acked_by(&self, id: SessionId) -> Option<u64> {
+        self.open.get(&id).map(|o| o.acked)
+    }
+
     /// Whether a session is open.
     pub fn is_open(&self, id: SessionId) -> bool {
         self.open.contains_key(&id)
--- a/crates/bronzespoold/src/client/keeper.rs
+++ b/crates/bronzespoold/src/client/keeper.rs
@@ -217,13 +217,10 @@
         self.subscriber.valid_until(holder.until());
     }
 
-    /// Renews until a renewal fails or the hub has ended the session.
+    /// Renews until a renewal fails or the hub has ended the session. The first renewal follows at
+    /// once and tells the hub that the view of the welcome is in use.
     async fn hold(&self, link: &Link<control::Client>, session: session::Client) {
         loop {
-            tokio::select! {
-                () = sleep(self.timing.period) => {}
-                () = self.probe.notified() => {}
-            }
             if self.closing.get() {
                 return;
             }
@@ -236,6 +233,10 @@
                     break;
                 }
             }
+            tokio::select! {
+                () = sleep(self.timing.period) => {}
+                () = self.probe.notified() => {}
+            }
         }
         self.session.borrow_mut().take();
     }
--- a/crates/bronzespoold/src/control/hub/pump.rs
+++ b/crates/bronzespoold/src/control/hub/pump.rs
@@ -18,12 +18,15 @@
         rc::{Rc, Weak},
         time::Duration,
     },
-    tokio::time::timeout,
+    tokio::time::{Instant, timeout, timeout_at},
 };
 
 /// Longest wait for an acknowledgement; the session ends after it.
 const PUSH_TIME: Duration = Duration::from_secs(2);
 
+/// Longest wait for the holder's first renewal, which tells that it holds the view of the welcome.
+const CONFIRM_TIME: Duration = Duration::from_secs(2);
+
 /// The pushing task of a session.
 pub(super) struct Pump {
     hub: Weak<Hub>,
@@ -62,9 +65,12 @@
         Self { hub: Rc::downgrade(hub), id, role, instance, sink, sent, held: sent, tasks }
     }
 
-    /// Runs until the session ends or a push fails. After a failure the session is closed, so
-    /// that its holder opens another one and starts from the whole view.
+    /// Runs until the session ends or a push fails. After a failure the session is not renewed
+    /// any more, so that its holder opens another one and starts from the whole view.
     pub(super) async fn run(mut self) {
+        if !self.confirmed().await {
+            return;
+        }
         let Some(mut watch) = self.hub.upgrade().map(|h| h.replica.watch()) else {
             return;
         };
@@ -79,8 +85,8 @@
                 Next::Lost => None,
             };
             let Some(index) = done else {
-                log::info!(instance:% = self.instance; "a push failed, the session is ended");
-                hub.close(self.id);
+                log::info!(instance:% = self.instance; "a push failed, the session is not renewed");
+                hub.retire(self.id);
                 return;
             };
             self.sent = index;
@@ -95,6 +101,28 @@
         }
     }
 
+    /// Waits until the holder has acknowledged the view that it was welcomed with. Before that its
+    /// former view may still be in use.
+    async fn confirmed(&self) -> bool {
+        let end = Instant::now() + CONFIRM_TIME;
+        loop {
+            let Some(hub) = self.hub.upgrade() else {
+                return false;
+            };
+            let renewed = hub.renewed.notified();
+            match hub.table.borrow().acked_by(self.id) {
+                Some(acked) if acked >= self.sent => return true,
+                Some(_) => {}
+                None => return false,
+            }
+            if timeout_at(end, renewed).await.is_err() {
+                log::info!(instance:% = self.instance; "a session was not confirmed");
+                hub.retire(self.id);
+                return false;
+            }
+        }
+    }
+
     fn next(&mut self, hub: &Hub) -> Next {
         let agent = self.role == Role::Agent;
         let state = hub.replica.state();
--- a/crates/bronzespoold/src/control/hub/sessions.rs
+++ b/crates/bronzespoold/src/control/hub/sessions.rs
@@ -47,7 +47,11 @@
     agents: RefCell<BTreeMap<SessionId, (Instance, u64)>>,
     serial: Cell<u64>,
     until: Cell<Time>,
+    /// When every session that a former process of this instance granted has ended.
+    settled: Time,
     pub(in crate::control) changed: Notify,
+    /// A session was renewed.
+    pub(super) renewed: Notify,
 }
 
 impl Hub {
@@ -66,7 +70,9 @@
             agents: RefCell::default(),
             serial: Cell::new(1),
             until: Cell::new(Time::ZERO),
+            settled: clock.now() + spans.lease + spans.margin,
             changed: Notify::new(),
+            renewed: Notify::new(),
         })
     }
 
@@ -116,6 +122,7 @@
     pub(in crate::control) fn renew(&self, id: SessionId, acked: u64) -> u32 {
         let millis = self.millis();
         let open = self.table.borrow_mut().renew(self.clock.now(), id, acked);
+        self.renewed.notify_waiters();
         if open { millis } else { 0 }
     }
 
@@ -125,6 +132,12 @@
         self.forget();
     }
 
+    /// Grants no further renewal of a session that cannot be pushed to. Its holder may take work
+    /// until the lease ends, so it counts as open until then.
+    pub(super) fn retire(&self, id: SessionId) {
+        self.table.borrow_mut().retire(id);
+    }
+
     /// Ends the sessions whose time has passed.
     pub(in crate::control) fn expire(&self) {
         let ended = self.table.borrow_mut().expire(self.clock.now());
@@ -142,12 +155,20 @@
     /// What the leader is told; the agents are left out if it knows them.
     pub(in crate::control) fn progress(&self, known: u64) -> Progress {
         let applied = self.replica.state().index();
-        let acked = self.table.borrow().acked().map_or(applied, |a| a.min(applied));
+        let acked = self.acked(applied);
         let serial = self.serial.get();
         let agents = (known != serial).then(|| self.agents.borrow().values().cloned().collect());
         Progress { hub: self.name.clone(), acked, serial, agents }
     }
 
+    /// The lowest index that a session of this instance may still be at.
+    fn acked(&self, applied: u64) -> u64 {
+        if self.clock.now() < self.settled {
+            return 0;
+        }
+        self.table.borrow().acked().map_or(applied, |a| a.min(applied))
+    }
+
     /// Number of open sessions.
     pub(in crate::control) fn len(&self) -> usize {
         self.table.borrow().len()
--- a/crates/bronzespoold/src/entry/operators.rs
+++ b/crates/bronzespoold/src/entry/operators.rs
@@ -104,6 +104,15 @@
     Ok(false)
 }
 
+/// Shows the configuration that this entry applies. Without a session it may be an old one, or
+/// none yet.
+pub(super) fn config(state: &State) -> Result<Answer> {
+    if !state.open() {
+        return Err(Code::NoSession.into());
+    }
+    Ok(json(Code::Done, &state.view().config))
+}
+
 /// Shows the system.
 pub(super) async fn status(state: &State) -> Result<Answer> {
     match call(state, &Call::Status, CALL_TIME).await? {
--- a/crates/bronzespoold/src/entry/server.rs
+++ b/crates/bronzespoold/src/entry/server.rs
@@ -102,7 +102,7 @@
                 operators::explain(state, job).await
             }
             (&Method::GET, ["status"]) if operators => operators::status(state).await,
-            (&Method::GET, ["config"]) if operators => Ok(json(Code::Done, &state.view().config)),
+            (&Method::GET, ["config"]) if operators => operators::config(state),
             (&Method::POST, ["config"]) if operators => {
                 operators::publish(state, request.into_body()).await
             }
