--- /dev/null
+++ b/crates/bronzespoold/tests/control_partition.rs
@@ -0,0 +1,97 @@
+//! A control instance that is cut off in silence for a long time and then returns.
+
+mod common;
+
+use {
+    bronzespool::{
+        core::Code,
+        wire::message::{Call, Reply},
+    },
+    bronzespool_fakes::{
+        cluster::{Cluster, Result},
+        relay::Mode,
+    },
+    common::{
+        follower, forward, leader, monotone, plan, publish_sure, replica, revision, status, whole,
+    },
+    std::{cell::Cell, net::SocketAddr, time::Duration},
+    tokio::{task::LocalSet, time::sleep},
+};
+
+/// Pause between two direct reads.
+const READ_PAUSE: Duration = Duration::from_millis(5);
+/// Changes made while an instance is cut off.
+const CHANGES: u64 = 150;
+/// Time of a cut beyond every lease and election time.
+const CUT: Duration = Duration::from_secs(8);
+/// Time in which the returned instance could depose the leader.
+const QUIET: Duration = Duration::from_secs(5);
+
+/// A follower returns: the leader stays, the follower catches up.
+#[tokio::test]
+async fn partition_follower_returns() -> Result<()> {
+    let cluster = Cluster::start(plan(1).relayed()).await?;
+    let name = follower(&cluster).await;
+    LocalSet::new().run_until(isolated(&cluster, &name)).await;
+    Ok(())
+}
+
+/// The leader returns: the instance elected meanwhile stays the leader.
+#[tokio::test]
+async fn partition_leader_returns() -> Result<()> {
+    let cluster = Cluster::start(plan(1).relayed()).await?;
+    let name = leader(&cluster).await;
+    LocalSet::new().run_until(isolated(&cluster, &name)).await;
+    Ok(())
+}
+
+async fn isolated(cluster: &Cluster, name: &str) {
+    let entries = cluster.entries().to_vec();
+    let address = cluster.controls().iter().find(|(n, _)| n == name).unwrap().1;
+    let accepted = Cell::new(0);
+    let scenario = async {
+        publish_sure(cluster, Some(0), "op-0", &["check"], true).await;
+        cluster.isolate(name, Mode::Freeze);
+        for base in 1..=CHANGES {
+            let op = format!("op-{base}");
+            let answer = publish_sure(cluster, Some(base), &op, &["check"], false).await;
+            assert_eq!(revision(&answer), base + 1);
+            accepted.set(base + 1);
+        }
+        sleep(CUT).await;
+        let last = publish_sure(cluster, None, "last", &["check", "audit"], true).await;
+        assert_eq!(last.json()["in_force"], true, "a cut-off hub holds the change back for ever");
+        let before = status(cluster).await;
+        assert_ne!(before["leader"], name);
+        cluster.isolate(name, Mode::Pass);
+        whole(cluster).await;
+        sleep(QUIET).await;
+        let after = status(cluster).await;
+        assert_eq!(after["term"], before["term"], "the returned instance has deposed the leader");
+        assert_eq!(after["leader"], before["leader"]);
+        assert_eq!(replica(&after, name)["role"], "follower");
+        assert_eq!(after["revision"], CHANGES + 2);
+    };
+    let reads = current(address, &accepted);
+    tokio::select! {
+        () = monotone(&entries, scenario) => {}
+        () = reads => unreachable!(),
+    }
+}
+
+/// Asks the instance directly, past the cut: whatever it answers is no older than what had been
+/// accepted when it was asked.
+async fn current(address: SocketAddr, accepted: &Cell<u64>) {
+    loop {
+        let least = accepted.get();
+        match forward(address, Call::Status).await {
+            Ok(Ok(Reply::Status(told))) => {
+                assert!(told.revision >= least, "a stale read: {} of {least}", told.revision);
+            }
+            Ok(Ok(other)) => panic!("{other:?}"),
+            Ok(Err(refusal)) => assert_eq!(refusal.code, Code::NoLeader),
+            Err(error) => panic!("no answer: {error}"),
+        }
+        sleep(READ_PAUSE).await;
+    }
+}
