fix(control): derive the span of borrowed work from the sessions' lease

Change: the span is the session's lease, a push without an answer and a tenth; a hub with a longer lease than the leader's gets none; the harness names the reserve; the message of a clash names teams and shapes as in the files.

--- a/crates/bronzespool-fakes/src/cluster/plan.rs
+++ b/crates/bronzespool-fakes/src/cluster/plan.rs
@@ -31,6 +31,8 @@
     pub log: String,
     /// Lines of the section `[timing]`.
     pub timing: String,
+    /// Capacity that guarantees leave free: a shape, or `none`.
+    pub reserve: String,
     /// Whether the links to and between control instances pass through relays.
     pub relayed: bool,
 }
@@ -49,6 +51,7 @@
             speed: 1,
             log: "info".to_owned(),
             timing: String::new(),
+            reserve: "none".to_owned(),
             relayed: false,
         }
     }
@@ -64,6 +67,7 @@
             capacity: deployment.capacity,
             services,
             files: vec![folder.to_owned()],
+            reserve: deployment.reserve.map_or_else(|| "none".to_owned(), |s| s.to_string()),
             ..Self::small("", folder, 0)
         }
     }
--- a/crates/bronzespool-fakes/src/cluster/text.rs
+++ b/crates/bronzespool-fakes/src/cluster/text.rs
@@ -39,7 +39,11 @@
     let peers = peers.join(", ");
     let head = head(plan, "control", stand);
     let tail = tail(plan);
-    format!("{head}data = {data}\n\n[control]\nlisten = {listen}\npeers = {peers}\n{tail}")
+    let reserve = &plan.reserve;
+    format!(
+        "{head}data = {data}\n\n[control]\nlisten = {listen}\npeers = {peers}\n\
+         reserve = {reserve}\n{tail}"
+    )
 }
 
 pub(super) fn entry(
--- a/crates/bronzespool-wire/src/message/call.rs
+++ b/crates/bronzespool-wire/src/message/call.rs
@@ -93,6 +93,8 @@
     pub hub: Instance,
     /// Lowest index that any of its sessions has acknowledged.
     pub acked: u64,
+    /// Milliseconds for which it grants sessions.
+    pub lease: u64,
     /// Number of the last change of its agents' sessions.
     pub serial: u64,
     /// Agents with a session, by incarnation, unless the leader knows this serial.
--- a/crates/bronzespoold/examples/hub_sessions.rs
+++ b/crates/bronzespoold/examples/hub_sessions.rs
@@ -10,7 +10,10 @@
 
 use {
     bronzespool::{
-        core::{Capacity, Center, Instance, Place, Rack, Region, Service, Time},
+        core::{
+            Capacity, Center, Instance, Place, Rack, Region, Service, Time,
+            name::Cluster as ClusterName,
+        },
         flow::view::{self, View},
         wire::message::{Announce, Hello, Role, Update, Welcome},
     },
@@ -81,7 +84,13 @@
             leaving: false,
         };
         let instance = self.place.instance.clone();
-        Hello { role: Role::Agent, instance, seen: self.acked(), announce: Some(announce) }
+        Hello {
+            cluster: cluster(),
+            role: Role::Agent,
+            instance,
+            seen: self.acked(),
+            announce: Some(announce),
+        }
     }
 
     fn welcome(&self, welcome: Welcome) -> bool {
@@ -246,3 +255,8 @@
     }
     json!([{ "path": "desk/service.ini", "text": text }])
 }
+
+/// The cluster that settings name when they say nothing.
+fn cluster() -> ClusterName {
+    ClusterName::try_from("bronzespool").expect("a valid name")
+}
--- a/crates/bronzespoold/src/control/hub/assign.rs
+++ b/crates/bronzespoold/src/control/hub/assign.rs
@@ -9,15 +9,13 @@
     std::time::Duration,
 };
 
-/// Longest time from a decision to the end of the session of an agent that does not hear of it.
-pub(in crate::control) const SESSION_SPAN: Duration = Duration::from_secs(6);
-
 /// Tasks of all active attempts with a member on `instance`.
 pub(super) fn assignments(book: &Book, instance: &Instance) -> Vec<Assignment> {
+    let span = book.settings().lease;
     let mut list = Vec::new();
     for job in book.jobs() {
         if let Phase::Active(attempt) = &job.phase {
-            list.extend(members(job, attempt, instance));
+            list.extend(members(job, attempt, instance, span));
         }
     }
     list
@@ -27,10 +25,11 @@
     job: &'a JobState,
     attempt: &'a Attempt,
     instance: &'a Instance,
+    span: Duration,
 ) -> impl Iterator<Item = Assignment> + 'a {
     let here = attempt.cells.iter().zip(&attempt.members).enumerate();
     let here = here.filter(|(_, (cell, member))| cell.instance == *instance && member.holds());
-    here.map(|(number, (cell, member))| Assignment {
+    here.map(move |(number, (cell, member))| Assignment {
         task: TaskId {
             job: job.spec.job.clone(),
             attempt: attempt.number,
@@ -43,7 +42,7 @@
         accels: cell.first..cell.first + cell.accels,
         millis: millis(job.spec.declared.saturating_sub(job.saved)),
         checkpoints: job.spec.checkpoint.is_some(),
-        grace: millis(attempt.lease.saturating_sub(SESSION_SPAN)),
+        grace: millis(attempt.lease.saturating_sub(span)),
     })
 }
 
--- a/crates/bronzespoold/src/control/hub/mod.rs
+++ b/crates/bronzespoold/src/control/hub/mod.rs
@@ -5,7 +5,6 @@
 mod sessions;
 
 pub(super) use {
-    assign::SESSION_SPAN,
     pump::PUSH_TIME,
     sessions::{Hub, Spans},
 };
--- a/crates/bronzespoold/src/control/hub/sessions.rs
+++ b/crates/bronzespoold/src/control/hub/sessions.rs
@@ -165,7 +165,8 @@
         let acked = self.acked(applied);
         let serial = self.serial.get();
         let agents = (known != serial).then(|| self.agents.borrow().values().cloned().collect());
-        Progress { hub: self.name.clone(), acked, serial, agents }
+        let lease = u64::try_from(self.spans.lease.as_millis()).unwrap_or(u64::MAX);
+        Progress { hub: self.name.clone(), acked, lease, serial, agents }
     }
 
     /// The lowest index that a session of this instance may still be at.
--- a/crates/bronzespoold/src/control/leader/calls.rs
+++ b/crates/bronzespoold/src/control/leader/calls.rs
@@ -70,7 +70,7 @@
             Call::Status => self.status().await,
             Call::Drain { instance, leaving } => self.drain(instance, leaving).await,
             Call::Announce(announce) => self.announce(announce).await,
-            Call::Progress(progress) => Ok(self.progress(progress)),
+            Call::Progress(progress) => self.progress(progress),
             Call::Answers { holder, counts } => Ok(self.answers(holder, counts)),
             Call::Burn => self.burn(),
             Call::Shares { holder, reports } => self.shares(holder, reports).await,
--- a/crates/bronzespoold/src/control/leader/presence.rs
+++ b/crates/bronzespoold/src/control/leader/presence.rs
@@ -3,11 +3,11 @@
 use {
     crate::control::{leader::calls::Leader, replica::Result},
     bronzespool::{
-        core::{Instance, Time},
+        core::{Code, Instance, Refusal, Time},
         flow::view::Presence,
         wire::message::{Answered, Progress, Reply},
     },
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// What the leader knows of one hub.
@@ -43,8 +43,13 @@
 }
 
 impl Leader {
-    pub(super) fn progress(&self, progress: Progress) -> Reply {
+    pub(super) fn progress(&self, progress: Progress) -> Answered {
         let now = self.clock.now();
+        if Duration::from_millis(progress.lease) > self.lease {
+            let message =
+                format!("[timing] session of {} is longer than the leader's", progress.hub);
+            return Err(Refusal::new(Code::ConfigInvalid, message));
+        }
         let mut hubs = self.hubs.borrow_mut();
         hubs.begin(self.replica.status().term, now);
         let new = || HubState { heard: now, acked: 0, serial: 0, agents: Vec::new() };
@@ -55,7 +60,7 @@
             hub.serial = progress.serial;
             hub.agents = agents;
         }
-        Reply::Progressed { known: hub.serial }
+        Ok(Reply::Progressed { known: hub.serial })
     }
 
     /// Whether the entry that made `revision` is acknowledged by every session that may be open.
--- a/crates/bronzespoold/src/control/leader/schedule.rs
+++ b/crates/bronzespoold/src/control/leader/schedule.rs
@@ -9,7 +9,9 @@
     bronzespool::{
         core::{Code, Job, Refusal, Time},
         flow::config::Change,
-        schedule::{Explanation, JobSpec, Planner, Record, Reserve, admit, explain, pack, wake},
+        schedule::{
+            Clash, Explanation, JobSpec, Planner, Record, Reserve, admit, explain, pack, wake,
+        },
         wire::message::{Answered, ExplainView, HolderView, Reply},
     },
     std::{rc::Rc, time::Duration},
@@ -108,7 +110,7 @@
         let reserve = self.reserve.map(|s| Reserve { level: s.level, count: s.count });
         match pack(&workers, &after, reserve) {
             Ok(_) => Ok(()),
-            Err(clash) => Err(Refusal::new(Code::GuaranteesClash, clash.to_string())),
+            Err(clash) => Err(Refusal::new(Code::GuaranteesClash, told(&clash))),
         }
     }
 
@@ -123,6 +125,18 @@
     }
 }
 
+fn told(clash: &Clash) -> String {
+    let teams: Vec<_> = clash.teams.iter().map(ToString::to_string).collect();
+    let shapes: Vec<_> = clash.shapes.iter().map(ToString::to_string).collect();
+    let lost: Vec<_> = clash.lost.iter().map(|place| place.instance.to_string()).collect();
+    let (teams, shapes) = (teams.join(", "), shapes.join(", "));
+    let after = match lost.is_empty() {
+        true => String::new(),
+        false => format!(" after the loss of {}, which the reserve allows for", lost.join(", ")),
+    };
+    format!("the guarantees of {teams} cannot all be held at once: {shapes} do not fit{after}")
+}
+
 fn shown(explanation: Explanation, now: Time) -> ExplainView {
     let millis = |at: Time| u64::try_from(at.since(now).as_millis()).unwrap_or(u64::MAX);
     let holders = explanation.holders.into_iter().map(|holder| HolderView {
--- a/crates/bronzespoold/src/control/replica.rs
+++ b/crates/bronzespoold/src/control/replica.rs
@@ -79,8 +79,8 @@
 }
 
 impl Replica {
-    pub(super) fn new(clock: Clock, node: Node) -> Rc<Self> {
-        let state = State::default();
+    pub(super) fn new(clock: Clock, node: Node, span: Duration) -> Rc<Self> {
+        let state = State::new(span);
         let view = RefCell::new(view_log(&state));
         Rc::new(Self {
             clock,
--- a/crates/bronzespoold/src/control/server.rs
+++ b/crates/bronzespoold/src/control/server.rs
@@ -78,6 +78,9 @@
                     self.hub.noted(sent);
                 }
                 Ok(_) => {}
+                Err(refusal) if refusal.code == Code::ConfigInvalid => {
+                    log::error!(refusal:%; "the leader grants this hub no lease");
+                }
                 Err(refusal) => log::debug!(refusal:%; "the leader has not noted the progress"),
             }
             sleep(PROGRESS_MIN).await;
--- a/crates/bronzespoold/src/control/start.rs
+++ b/crates/bronzespoold/src/control/start.rs
@@ -4,7 +4,7 @@
     crate::{
         clock::Clock,
         control::{
-            hub::{Hub, PUSH_TIME, SESSION_SPAN, Spans},
+            hub::{Hub, PUSH_TIME, Spans},
             leader::Leader,
             peers::Peers,
             replica::Replica,
@@ -33,8 +33,6 @@
     Listen(SocketAddr, std::io::Error),
     /// the replicated log has failed: {0}
     Log(consensus::Error),
-    /// [timing] session = {0:?} is too long: borrowed work must end within {1:?}, use at most {2:?}
-    Session(Duration, Duration, Duration),
 }
 
 impl std::error::Error for Error {}
@@ -79,13 +77,12 @@
 ///
 /// If its address cannot be bound or its log fails.
 pub async fn run(options: Options, clock: Clock, mut stop: watch::Receiver<bool>) -> Result<()> {
-    check_session(&options)?;
     let listener =
         TcpListener::bind(options.listen).await.map_err(|e| Error::Listen(options.listen, e))?;
     let mut storage = FileStorage::open(&options.data).map_err(Error::Log)?;
     let restored = storage.load().map_err(Error::Log)?;
     let log = consensus::Node::open(settings(&options), restored, clock.now());
-    let replica = Replica::new(clock, log.map_err(Error::Log)?);
+    let replica = Replica::new(clock, log.map_err(Error::Log)?, session_span(&options));
     let node = node(&options, clock, Rc::clone(&replica));
     let peers = Peers::start(&options.instance, &options.peers, options.election / 2);
     let server: control::Client = capnp_rpc::new_client(Server(Rc::clone(&node)));
@@ -102,14 +99,10 @@
     Ok(())
 }
 
-/// The span that the schedule counts on must cover a push without an answer, a whole session and
-/// the drift of the clocks.
-fn check_session(options: &Options) -> Result<()> {
-    let most = SESSION_SPAN.saturating_sub(PUSH_TIME) * 100 / (100 + MARGIN_PERCENT);
-    if options.session > most {
-        return Err(Error::Session(options.session, SESSION_SPAN, most));
-    }
-    Ok(())
+/// Longest time from a decision to the end of the session of an agent that does not hear of it: a
+/// push without an answer, a whole session and the drift of the clocks.
+fn session_span(options: &Options) -> Duration {
+    (options.session + PUSH_TIME) * (100 + MARGIN_PERCENT) / 100
 }
 
 fn settings(options: &Options) -> Settings {
--- a/crates/bronzespoold/src/control/state.rs
+++ b/crates/bronzespoold/src/control/state.rs
@@ -1,7 +1,6 @@
 //! The replicated state machine.
 
 use {
-    crate::control::hub::SESSION_SPAN,
     bronzespool::{
         core::{Code, Instance, Service, Shape, Team, Time},
         flow::{
@@ -97,11 +96,11 @@
     }
 }
 
-impl Default for State {
-    /// The state before the first entry: the same at every replica, whatever its settings.
-    fn default() -> Self {
-        let settings =
-            Settings { lease: SESSION_SPAN, gang_lease: OWN_LEASE, ..Settings::default() };
+impl State {
+    /// The state before the first entry. `span` is the longest time from a decision to the end of
+    /// the session of an agent that does not hear of it; only the policy reads it.
+    pub(super) fn new(span: Duration) -> Self {
+        let settings = Settings { lease: span, gang_lease: OWN_LEASE, ..Settings::default() };
         Self {
             index: 0,
             clock: Time::ZERO,
@@ -112,9 +111,7 @@
             book: Book::new(settings),
         }
     }
-}
 
-impl State {
     /// Index of the last entry applied.
     pub(super) const fn index(&self) -> u64 {
         self.index
