--- a/crates/bronzespool-consensus/tests/common/mod.rs
+++ b/crates/bronzespool-consensus/tests/common/mod.rs
@@ -35,6 +35,9 @@
     /// Pairs that do not hear each other.
     pub links: Vec<(usize, usize)>,
     pub mail: Vec<(usize, usize, Message)>,
+    /// Replicas whose mail takes a step longer, and that mail.
+    pub slow: Vec<usize>,
+    pub late: Vec<(usize, usize, Message)>,
     /// Appends that were refused.
     pub rejected: usize,
     pub starts: u64,
@@ -53,6 +56,8 @@
             cut: vec![false; count],
             links: Vec::new(),
             mail: Vec::new(),
+            slow: Vec::new(),
+            late: Vec::new(),
             rejected: 0,
             starts: 0,
             tune,
@@ -130,7 +135,11 @@
             }
             self.pump(i);
         }
-        for (from, to, message) in std::mem::take(&mut self.mail) {
+        let late = std::mem::take(&mut self.late);
+        let mail = std::mem::take(&mut self.mail).into_iter();
+        let (slow, fast): (Vec<_>, Vec<_>) = mail.partition(|(_, to, _)| self.slow.contains(to));
+        self.late = slow;
+        for (from, to, message) in late.into_iter().chain(fast) {
             let link = (from.min(to), from.max(to));
             if self.cut[from] || self.cut[to] || self.links.contains(&link) {
                 continue;
--- a/crates/bronzespool-consensus/tests/membership.rs
+++ b/crates/bronzespool-consensus/tests/membership.rs
@@ -97,6 +97,7 @@
     let leader = c.elect();
     let lost = (leader + 1) % 3;
     c.wipe(lost);
+    c.slow.push(lost);
     let id = c.node(lost).id();
     c.until("repair under load", |c| {
         let _ = c.propose(leader, &[0; 100]);
@@ -105,6 +106,23 @@
     });
 }
 
+#[test]
+fn receive_learner_that_lags_does_not_vote() {
+    let mut c = Cluster::new(3);
+    c.commit(b"a");
+    let leader = c.elect();
+    let lost = (leader + 1) % 3;
+    c.wipe(lost);
+    c.until("learner", |c| c.node(leader).status().members.len() == 4);
+    c.cut[lost] = true;
+    c.run(SECOND * 5);
+    let id = c.node(lost).id();
+    let status = c.node(leader).status();
+    assert!(status.members.iter().any(|m| m.id == id && !m.voter));
+    c.cut[lost] = false;
+    repaired(&mut c, lost);
+}
+
 #[test]
 fn receive_old_disk_after_replacement_is_retired() {
     let mut c = Cluster::new(3);
