--- a/crates/bronzespool-consensus/src/storage/file.rs
+++ b/crates/bronzespool-consensus/src/storage/file.rs
@@ -16,7 +16,7 @@
     },
     bronzespool_core::Code,
     std::{
-        fs::{self, File, OpenOptions},
+        fs::{self, File, OpenOptions, TryLockError},
         io::{ErrorKind, Write as _},
         path::{Path, PathBuf},
         sync::Arc,
@@ -113,7 +113,10 @@
     let lock = File::create(folder.join(LOCK)).map_err(failed)?;
     match lock.try_lock() {
         Ok(()) => Ok(lock),
-        Err(_) => Err(Error::fault(Code::StorageFailed, "the data folder is in use")),
+        Err(TryLockError::Error(error)) => Err(failed(error)),
+        Err(TryLockError::WouldBlock) => {
+            Err(Error::fault(Code::StorageFailed, "the data folder is in use"))
+        }
     }
 }
 
