fix(consensus): refuse messages whose numbers could overflow

receive_any_numbers_never_panics drew a term of 2^64-1 and a candidate's next term overflowed: a panic in debug, a term of zero in release. Numbers above 2^62 are refused at decode with MessageCorrupt and dropped by a replica. Seen failing before the change at election.rs, start_trial.

--- a/crates/bronzespool-consensus/src/message.rs
+++ b/crates/bronzespool-consensus/src/message.rs
@@ -15,6 +15,8 @@
 const VERSION: u8 = 1;
 /// Bytes before the body: version and checksum.
 const HEADER_BYTES: usize = 5;
+/// Largest index, term, round or position in a message.
+const NUMBER_MAX: u64 = 1 << 62;
 /// Largest encoded message.
 pub const MESSAGE_MAX_BYTES: usize = 16 << 20;
 
@@ -140,6 +142,31 @@
         Ok(bytes)
     }
 
+    /// Whether sums of the message's numbers cannot overflow.
+    pub(crate) fn is_bounded(&self) -> bool {
+        let largest = match &self.body {
+            Body::Vote { last_index, last_term, .. } => *last_index.max(last_term),
+            Body::Append { prev_index, prev_term, commit, entries } => {
+                let last = entries.iter().map(|e| e.index.max(e.term)).max();
+                *prev_index.max(prev_term).max(commit).max(&last.unwrap_or(0))
+            }
+            Body::Matched(index) => *index,
+            Body::Rejected { prev_index, hint_index, hint_term } => {
+                *prev_index.max(hint_index).max(hint_term)
+            }
+            Body::Heartbeat { seq, commit } => *seq.max(commit),
+            Body::Alive { seq } => *seq,
+            Body::Chunk { meta, offset, .. } => meta.index.max(meta.term).max(*offset),
+            Body::Wanted { index, offset } => *index.max(offset),
+            Body::Hello
+            | Body::Welcome { .. }
+            | Body::Genesis(_)
+            | Body::Voted { .. }
+            | Body::TakeOver => 0,
+        };
+        self.term.max(largest) <= NUMBER_MAX
+    }
+
     /// Decodes a message, all of it or nothing.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
         let corrupt = |detail: &str| Error::fault(Code::MessageCorrupt, detail);
@@ -156,7 +183,8 @@
             return Err(corrupt("checksum"));
         }
         match postcard::take_from_bytes(body) {
-            Ok((message, [])) => Ok(message),
+            Ok((message, [])) if Self::is_bounded(&message) => Ok(message),
+            Ok((_, [])) => Err(corrupt("a number out of bounds")),
             Ok(_) => Err(corrupt("trailing bytes")),
             Err(e) => Err(corrupt(&e.to_string())),
         }
--- a/crates/bronzespool-consensus/src/node/mod.rs
+++ b/crates/bronzespool-consensus/src/node/mod.rs
@@ -175,7 +175,8 @@
     /// Takes a message that came from an instance.
     pub fn receive(&mut self, now: Time, from: &Instance, message: Message) {
         self.advance_clock(now);
-        if message.to != Id(0) && message.to != self.hard.id {
+        let addressed = message.to == Id(0) || message.to == self.hard.id;
+        if !addressed || !message.is_bounded() {
             return;
         }
         match message.body {
