--- a/crates/bronzespool-consensus/tests/stray.rs
+++ b/crates/bronzespool-consensus/tests/stray.rs
@@ -55,7 +55,7 @@
     while !u.is_empty() {
         let message = Message { cluster: 9, from: OTHER, to: OWN, term: term(u)?, body: body(u)? };
         node.receive(now, &name(1), message);
-        now = now + SECOND / u.int_in_range(1..=20)?;
+        now += SECOND / u.int_in_range(1..=20)?;
         node.tick(now);
         let ready = node.ready();
         node.synced(now, ready.ticket);
