perf(schedule): place guaranteed cells where they break up the least free space

Cause: a small job on a worker or larger guaranteed cell took any worker whose own blocks were free, also one that was wholly free, since the cost of a place knew nothing of the free blocks around it. Change: the block and the free accelerators of the worker are part of the cost, after what is taken from others.

--- a/crates/bronzespool-schedule/src/policy/claim.rs
+++ b/crates/bronzespool-schedule/src/policy/claim.rs
@@ -30,8 +30,9 @@
     pub split: u64,
 }
 
-/// Cost of a place for a guaranteed cell: members left over, accelerators taken, size broken up.
-type Rank = (u32, u32, u32);
+/// Cost of a place for a guaranteed cell: members left over, accelerators taken, size of the cell
+/// broken up, size of the free block broken up, free accelerators of the worker.
+type Rank = (u32, u32, u32, u32, u32);
 
 /// One attempt to place a gang, with what it changed.
 struct Trial<'a> {
@@ -228,9 +229,12 @@
                 let block = cell::mask(first, 1 << order);
                 let inner = block & scope.mask;
                 let busy = at.used | at.held;
-                if let Some((taken, _, _)) = cheapest(inner, busy, self.order) {
+                if let Some((taken, _, start)) = cheapest(inner, busy, self.order) {
                     let outer = outer_order(at.unbound(), first, order);
-                    found.push(((0, taken, u32::from(outer)), slot, first));
+                    let split = outer_order(at.all & !busy, start, self.order);
+                    let free = (at.all & !busy).count_ones();
+                    let rank = (0, taken, u32::from(outer), u32::from(split), free);
+                    found.push((rank, slot, first));
                 }
             }
         }
@@ -262,14 +266,16 @@
                 if !self.suits(s) {
                     return None;
                 }
-                cheapest(at.all & scope.mask, at.used | at.held, self.order).map(|(t, _, _)| t)
+                let free = (at.all & !(at.used | at.held)).count_ones();
+                let place = cheapest(at.all & scope.mask, at.used | at.held, self.order);
+                place.map(|(taken, outer, _)| (taken, u32::from(outer), free))
             });
-            let Some(taken) = offers.min() else {
+            let Some((taken, split, free)) = offers.min() else {
                 continue;
             };
             let accels: u32 = around.iter().map(|&s| self.grid.at(s).accels()).sum();
             let short = if self.roomy { self.lacks(around, scope, left) } else { 0 };
-            found.push(((short, taken, accels), slot, 0));
+            found.push(((short, taken, accels, split, free), slot, 0));
         }
         found
     }
