feat(schedule): let scattered work of a team run on as borrowed

Cause: three one-accelerator jobs of a team in two of its block-4 cells left no cell for its job of four, though the guarantee has room by number; the job waited up to 305 s (reclaim p99) and counted as broken. Ruled out: stopping the small jobs, which loses work while free workers stand beside them. Change: a claim that fails, but fits by number beside the running work of its team, makes the team's preemptible work borrowed (record Demoted). It runs on where it is, under short leases, and the claim binds other cells.

--- a/crates/bronzespool-schedule/src/book/apply.rs
+++ b/crates/bronzespool-schedule/src/book/apply.rs
@@ -49,6 +49,10 @@
                 let fresh = attempt_of(*attempt, cells, *lease, *borrowed, at);
                 self.grant(job, fresh, binds)
             }
+            Event::Demoted { jobs } => {
+                jobs.iter().for_each(|job| self.demote(job, at));
+                Ok(())
+            }
             Event::Prepared { job, attempt, member } => self.prepared(job, *attempt, *member),
             Event::Go { job, attempt } => self.change(job, *attempt, |a| a.started = Some(at)),
             Event::Checkpointed { job, attempt } => self.checkpoint(job, *attempt, at),
@@ -298,6 +302,39 @@
         }
     }
 
+    /// Takes an attempt off its team's guarantee; it runs on as borrowed.
+    pub(super) fn demote(&mut self, name: &Job, at: Time) {
+        let Ok(id) = self.id(name) else {
+            return;
+        };
+        let lease = self.state.settings.lease;
+        let job = self.state.jobs.get_mut(&id).expect("id is of a job");
+        let Phase::Active(attempt) = &mut job.phase else {
+            return;
+        };
+        if attempt.borrowed {
+            return;
+        }
+        let held = |a: &Attempt| (0..a.cells.len()).filter(|&m| a.members[m].holds()).collect();
+        let members: Vec<usize> = held(attempt);
+        let before = attempt.clone();
+        attempt.borrowed = true;
+        attempt.lease = lease;
+        attempt.demoted = Some(at);
+        let after = attempt.clone();
+        let team = job.spec.team.clone();
+        for member in members {
+            self.index.grid.vacate(job, &before, member);
+            self.index.grid.occupy(job, &after, member);
+            let ledger = self.index.ledger.entry(team.clone()).or_default();
+            ledger.sub(&before.cells[member], &job.spec.need, false);
+            ledger.add(&after.cells[member], &job.spec.need, true);
+        }
+        self.index.epoch += 1;
+        self.unbind(&team);
+        self.schedule(id);
+    }
+
     /// Frees guaranteed cells in which no work of the team is left.
     fn unbind(&mut self, team: &Team) {
         let Some(state) = self.state.teams.get(team) else {
@@ -544,6 +581,7 @@
         members: vec![Member::Granted; cells.len()],
         borrowed,
         lease,
+        demoted: None,
         granted: at,
         started: None,
         checkpointed: None,
--- a/crates/bronzespool-schedule/src/book/mod.rs
+++ b/crates/bronzespool-schedule/src/book/mod.rs
@@ -105,11 +105,26 @@
     reserved: BTreeSet<Id>,
     ended: BTreeSet<(Time, Id)>,
     suspects: BTreeSet<Instance>,
+    active: BTreeMap<Team, BTreeSet<Id>>,
     ledger: BTreeMap<Team, Ledger>,
     marks: HashMap<Id, schedule::Mark>,
     epoch: u64,
 }
 
+impl State {
+    /// Teams without workers, jobs and estimates.
+    fn shell(&self) -> Self {
+        Self { settings: self.settings.clone(), teams: self.teams.clone(), ..Self::default() }
+    }
+}
+
+impl Index {
+    /// Occupancy without queues and timers.
+    fn shell(&self) -> Self {
+        Self { grid: self.grid.clone(), ledger: self.ledger.clone(), ..Self::default() }
+    }
+}
+
 /// All durable scheduling state.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
@@ -167,6 +182,25 @@
         ids.filter_map(|(_, id)| self.state.jobs.get(id))
     }
 
+    /// Jobs of a team that hold cells, in the order of submission.
+    pub fn running(&self, team: &Team) -> impl Iterator<Item = &JobState> {
+        let ids = self.index.active.get(team).into_iter().flatten();
+        ids.filter_map(|id| self.state.jobs.get(id))
+    }
+
+    /// The workers and guarantees as they would be with `jobs` borrowed.
+    pub(crate) fn demoted(&self, jobs: &[Job]) -> Self {
+        let mut book = Self { state: self.state.shell(), index: self.index.shell() };
+        for job in jobs {
+            if let Some(state) = self.job(job) {
+                book.index.names.insert(job.clone(), state.id);
+                book.state.jobs.insert(state.id, state.clone());
+            }
+        }
+        jobs.iter().for_each(|job| book.demote(job, Time::ZERO));
+        book
+    }
+
     /// What each team holds.
     pub fn ledgers(&self) -> impl Iterator<Item = (&Team, &Ledger)> {
         self.index.ledger.iter()
--- a/crates/bronzespool-schedule/src/book/schedule.rs
+++ b/crates/bronzespool-schedule/src/book/schedule.rs
@@ -16,6 +16,7 @@
     delayed: Option<Time>,
     queued: Option<bool>,
     reserved: bool,
+    active: bool,
     ended: Option<Time>,
 }
 
@@ -40,6 +41,9 @@
         if mark.reserved {
             index.reserved.insert(id);
         }
+        if mark.active {
+            index.active.entry(job.spec.team.clone()).or_default().insert(id);
+        }
         if let Some(ended) = mark.ended {
             index.ended.insert((ended, id));
         }
@@ -69,6 +73,11 @@
         if mark.reserved {
             index.reserved.remove(&id);
         }
+        if mark.active
+            && let Some(active) = index.active.get_mut(&self.state.jobs[&id].spec.team)
+        {
+            active.remove(&id);
+        }
         if let Some(ended) = mark.ended {
             index.ended.remove(&(ended, id));
         }
@@ -86,7 +95,10 @@
                 }
             }
             Phase::Reserved { .. } => mark.reserved = true,
-            Phase::Active(attempt) => mark.due = self.attempt_due(job, attempt),
+            Phase::Active(attempt) => {
+                mark.active = true;
+                mark.due = self.attempt_due(job, attempt);
+            }
             Phase::Ended { at, .. } => mark.ended = Some(*at),
         }
         mark
--- a/crates/bronzespool-schedule/src/job.rs
+++ b/crates/bronzespool-schedule/src/job.rs
@@ -4,6 +4,7 @@
     crate::{
         cell::Cell,
         record::{JobOutcome, MemberOutcome, StopReason},
+        settings::Settings,
     },
     bronzespool_core::{Instance, Job, Kind, Level, Need, Service, Team, Time},
     serde::{Deserialize, Serialize},
@@ -180,6 +181,8 @@
     pub borrowed: bool,
     /// Span of the members' leases.
     pub lease: Duration,
+    /// Since when it is borrowed, if it was granted on its guarantee.
+    pub demoted: Option<Time>,
     /// When the cells were granted.
     pub granted: Time,
     /// When all members were told to start.
@@ -204,6 +207,15 @@
         Need { cores, memory: granted.memory.max(usage.memory), ..*granted }
     }
 
+    /// When the last lease has ended after a stop at `at` with `grace`, at the latest.
+    ///
+    /// A lease from before the attempt was made borrowed may still run.
+    pub fn leases_end(&self, at: Time, grace: Duration, settings: &Settings) -> Time {
+        let last = at + grace + self.lease;
+        let before = self.demoted.map_or(last, |since| since + settings.gang_lease);
+        last.max(before) + settings.clock_bound
+    }
+
     /// Whether any member still holds its cell.
     pub fn holds(&self) -> bool {
         self.members.iter().any(|m| m.holds())
--- a/crates/bronzespool-schedule/src/policy/mod.rs
+++ b/crates/bronzespool-schedule/src/policy/mod.rs
@@ -4,6 +4,7 @@
 //! on a copy of the occupancy, so that all its records together fit the book.
 
 pub mod claim;
+mod due;
 pub mod evict;
 pub mod fit;
 mod health;
@@ -36,6 +37,8 @@
     failed: HashMap<Class, u64>,
     /// Gangs for which no other work may be stopped, with the book's epoch then.
     evicted: HashMap<(Id, bool), u64>,
+    /// Jobs for which work of their team was last made borrowed.
+    demoted: HashMap<Id, Time>,
 }
 
 /// One pass over a book.
--- a/crates/bronzespool-schedule/src/policy/progress.rs
+++ b/crates/bronzespool-schedule/src/policy/progress.rs
@@ -84,7 +84,7 @@
     now: Time,
 ) -> Event {
     let by = match attempt.started {
-        Some(_) => now + grace + attempt.lease + book.settings().clock_bound,
+        Some(_) => attempt.leases_end(now, grace, book.settings()),
         None => now,
     };
     Event::Stopping { job: job.spec.job.clone(), attempt: attempt.number, reason, by }
--- a/crates/bronzespool-schedule/src/policy/queue.rs
+++ b/crates/bronzespool-schedule/src/policy/queue.rs
@@ -4,7 +4,7 @@
     super::{
         GRANTS_MAX, Pass, Planner,
         claim::{Claim, claim},
-        health,
+        due, health,
         place::{Ask, Choice, Totals, dominant_share, fits_idle, free_cells, ready},
         reclaim,
         reserve::{self, Shadow},
@@ -16,9 +16,12 @@
         record::{Event, Record, StopReason},
     },
     bronzespool_core::{HashSet, Team, Time},
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, time::Duration},
 };
 
+/// Pause before work of a team is made borrowed again for the same job.
+const DEMOTE_PAUSE: Duration = Duration::from_secs(1);
+
 /// Grants and reservations for waiting jobs.
 pub(super) fn grant(planner: &mut Planner, book: &Book, now: Time) -> Vec<Record> {
     let mut pass = Pass { book, now, grid: book.grid().clone(), grants: 0, records: Vec::new() };
@@ -61,7 +64,7 @@
             if fresh && (known || !tried.insert(ask)) {
                 continue;
             }
-            if try_own(pass, job, &ask) {
+            if try_own(pass, job, &ask) || demote(planner, pass, job, &ask) {
                 return;
             }
             if fresh {
@@ -99,6 +102,20 @@
     true
 }
 
+/// Makes scattered work of the job's team borrowed, if that lets the job claim its cells.
+fn demote(planner: &mut Planner, pass: &mut Pass<'_>, job: &JobState, ask: &Ask) -> bool {
+    let lately = planner.demoted.get(&job.id).is_some_and(|at| *at + DEMOTE_PAUSE > pass.now);
+    if lately || (job.spec.preemptible() && free_cells(&pass.grid, ask, &[]).is_some()) {
+        return false;
+    }
+    let Some(jobs) = due::demotable(pass.book, job, ask) else {
+        return false;
+    };
+    planner.demoted.insert(job.id, pass.now);
+    pass.push(Event::Demoted { jobs });
+    true
+}
+
 /// Claims cells on other workers than those on which the job failed, if there are any.
 fn claim_for(pass: &mut Pass<'_>, job: &JobState, ask: &Ask) -> Option<Claim> {
     let team = &job.spec.team;
--- a/crates/bronzespool-schedule/src/policy/reclaim.rs
+++ b/crates/bronzespool-schedule/src/policy/reclaim.rs
@@ -179,7 +179,7 @@
         return;
     }
     if let Some(stop) = attempt.stop
-        && stop.by <= pass.now + grace + attempt.lease + book.settings().clock_bound
+        && stop.by <= attempt.leases_end(pass.now, grace, book.settings())
     {
         return;
     }
--- a/crates/bronzespool-schedule/src/record.rs
+++ b/crates/bronzespool-schedule/src/record.rs
@@ -141,6 +141,11 @@
         /// Guaranteed cells that the team starts to use.
         binds: Vec<Bind>,
     },
+    /// Jobs on their team's guarantee run on as borrowed; their next leases are short ones.
+    Demoted {
+        /// The jobs.
+        jobs: Vec<Job>,
+    },
     /// A member is ready to start.
     Prepared {
         /// The job.
