test(schedule): make the check of refusals exact

The former check took a refusal for wrong where a team's only cell could hold the job only at the cost of another team's guarantee. Now a job that may not be interrupted must be let in just if brute force finds a place for its cell that holds it while all other guarantees pack: both directions.

--- a/crates/bronzespool-schedule/tests/exhaustive.rs
+++ b/crates/bronzespool-schedule/tests/exhaustive.rs
@@ -216,22 +216,29 @@
     all
 }
 
-/// Whether the job is let in; what is refused must be infeasible: no place holds the gang, or it
-/// may not be interrupted and the team's guarantee is too small.
+/// Whether the job is let in: just if some place holds the gang, and if it may not be interrupted,
+/// some place of its team's only cell holds it while all other guarantees pack.
 fn is_admitted(book: &Book, spec: &JobSpec, bits: &Bits) -> bool {
     let admitted = admit(book, spec).is_ok();
     let possible = bits.holds(spec.members, spec.need.accels, spec.adjacent);
     assert!(!admitted || possible, "let in though infeasible: {spec:?}");
-    if !admitted && possible {
-        assert!(!spec.preemptible(), "refused though feasible: {spec:?}");
-        let shapes = &book.teams()[&spec.team].shapes;
-        let size =
-            |level: &Level| bits.places(*level).into_iter().map(u32::count_ones).max().unwrap_or(0);
-        let held: u32 = shapes.iter().map(|(level, count)| size(level) * count).sum();
-        let whole = spec.members * spec.need.accels;
-        let largest = shapes.keys().map(size).max().unwrap_or(0);
-        assert!(held < whole || largest < spec.need.accels, "refused though guaranteed: {spec:?}");
+    if spec.preemptible() {
+        assert_eq!(admitted, possible, "refused though feasible: {spec:?}");
+        return admitted;
     }
+    let mut others = Vec::new();
+    for (name, state) in book.teams().iter().filter(|(name, _)| **name != spec.team) {
+        assert_eq!(state.shapes.values().sum::<u32>(), 1, "{name} has one cell");
+        others.extend(state.shapes.keys().copied());
+    }
+    others.sort_unstable();
+    let level = *book.teams()[&spec.team].shapes.keys().next().unwrap();
+    let blocks = vec![Level::block(spec.need.accels).unwrap(); spec.members as usize];
+    let guaranteed = bits
+        .places(level)
+        .into_iter()
+        .any(|place| bits.packs(&blocks, place) && bits.packs(&others, bits.all() & !place));
+    assert_eq!(admitted, guaranteed, "{spec:?} in {:?}", book.teams());
     admitted
 }
 
