--- a/crates/bronzespool-schedule/src/policy/queue.rs
+++ b/crates/bronzespool-schedule/src/policy/queue.rs
@@ -189,7 +189,7 @@
     let mut shadow = None;
     while pass.grants < GRANTS_MAX {
         let next = queues.iter().filter(|(_, (_, jobs))| !jobs.is_empty());
-        let Some((&team, _)) = next.min_by_key(|(_, (share, _))| *share) else {
+        let Some((&team, _)) = next.min_by_key(|(_, (share, jobs))| (*share, jobs[0].id)) else {
             return;
         };
         let (share, jobs) = queues.get_mut(team).expect("found above");
--- a/crates/bronzespool-schedule/tests/random.rs
+++ b/crates/bronzespool-schedule/tests/random.rs
@@ -170,6 +170,13 @@
                 }
             }
             Event::Go { job, attempt } => self.start(job, *attempt),
+            Event::Demoted { jobs } => {
+                // The next renewal is a short one; a worker that is cut off never hears of it.
+                let lease = self.world.book.settings().lease;
+                let reached = |p: &&mut Process| p.lease.is_none();
+                let found = self.processes.iter_mut().filter(|((job, _, _), _)| jobs.contains(job));
+                found.map(|(_, p)| p).filter(reached).for_each(|p| p.span = lease);
+            }
             Event::Stopping { job, attempt, by, .. } => {
                 let members: Vec<u32> = self.members(job, *attempt);
                 for member in members {
