test(flow): check claims and fences over every interleaving

The model explores one key, two entries, two agents (up to two incarnations each) and control with the shipped Claims and Admission. Messages stay in the network for ever, so delay, reordering, duplicates and loss are all covered.

Released keys are now refused after the horizon like all others; expire_released_key_is_forgotten became expire_released_key_is_refused, which is stricter.

--- a/crates/bronzespool-flow/src/admit/admission.rs
+++ b/crates/bronzespool-flow/src/admit/admission.rs
@@ -11,7 +11,7 @@
 };
 
 /// Bounds of an [`Admission`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Limits {
     /// Longest span from now to an attempt's `expires`. Entries use a shorter one, so that the
     /// drift between two clocks doesn't matter.
@@ -36,7 +36,7 @@
 }
 
 /// What happens to a copy of a protected request.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Start {
     /// It is started now, here, for the only time.
     Run(Lane),
@@ -48,7 +48,7 @@
 }
 
 /// The check before one endpoint, in one incarnation of its agent.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Admission {
     own: Incarnation,
     limits: Limits,
--- a/crates/bronzespool-flow/src/admit/memory.rs
+++ b/crates/bronzespool-flow/src/admit/memory.rs
@@ -35,7 +35,7 @@
 }
 
 /// What an agent knows of an attempt.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Status {
     /// It has not started; it may start if a copy arrives.
     Unseen,
@@ -49,7 +49,7 @@
     Forgotten,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Entry {
     attempt: u32,
     expires: Time,
@@ -58,7 +58,7 @@
 }
 
 /// Attempts by claim, bounded in number and in bytes.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(super) struct Memory {
     entries: BTreeMap<ClaimId, Entry>,
     ends: BTreeSet<(Time, ClaimId)>,
--- a/crates/bronzespool-flow/src/admit/slots.rs
+++ b/crates/bronzespool-flow/src/admit/slots.rs
@@ -6,7 +6,7 @@
 pub(super) type Result<T> = std::result::Result<T, Code>;
 
 /// Which connection a request takes to the endpoint. A connection carries one request at a time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Lane {
     /// An idle connection that is open already.
     Idle,
@@ -15,7 +15,7 @@
 }
 
 /// Counts of what is in use; never above the endpoint's capacity.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Slots {
     slots: u32,
     connections: u32,
--- a/crates/bronzespool-flow/src/claim/mod.rs
+++ b/crates/bronzespool-flow/src/claim/mod.rs
@@ -14,8 +14,9 @@
 //! | sealed | `Lost` or `Gone`: the attempt may have run | `Settled`, when the answer turns up late |
 //! | done | `Settled` | – |
 //!
-//! Every state ends by `Expired`. A key that may have run is then remembered by its fingerprint
-//! and refused.
+//! Every state ends by `Expired`. The key is then remembered by its fingerprint and refused, also
+//! after a release: if attempts were counted from 1 again, a late release of the first count
+//! would free an attempt of the second one that runs.
 
 mod id;
 mod record;
--- a/crates/bronzespool-flow/src/claim/record.rs
+++ b/crates/bronzespool-flow/src/claim/record.rs
@@ -8,7 +8,7 @@
 };
 
 /// One committed change of the claims.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Record {
     /// Log time: see [`super::Claims::clock`].
     pub at: Time,
@@ -17,7 +17,7 @@
 }
 
 /// What a [`Record`] changes.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Change {
     /// The key is taken for one attempt at one incarnation.
     Claimed {
@@ -70,7 +70,7 @@
 }
 
 /// An endpoint's whole answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Answer {
     /// HTTP status.
     pub status: u16,
@@ -81,7 +81,7 @@
 }
 
 /// Body of an [`Answer`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Body {
     /// Every byte.
     Whole(Arc<[u8]>),
@@ -117,7 +117,7 @@
 }
 
 /// How a started attempt ended at its agent.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Completion {
     /// The endpoint answered whole.
     Answered(Answer),
--- a/crates/bronzespool-flow/src/claim/state.rs
+++ b/crates/bronzespool-flow/src/claim/state.rs
@@ -14,7 +14,7 @@
 
 /// How much is remembered and for how long. Only the leader reads it: limits reach the other
 /// replicas as records, so replicas may differ in their settings.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Horizon {
     /// Time for which a claim's record and answer are kept after its last change.
     pub keep: Duration,
@@ -44,7 +44,7 @@
 }
 
 /// A wish to claim a key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Request {
     /// Claim.
     pub id: ClaimId,
@@ -58,7 +58,7 @@
 }
 
 /// Where a claim stands.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum State {
     /// One attempt may be under way: only its target can tell.
     Open,
@@ -71,7 +71,7 @@
 }
 
 /// A claim that exists.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Existing {
     /// Digest of the request's body.
     pub digest: Digest,
@@ -87,7 +87,7 @@
 }
 
 /// What the leader does with a [`Request`].
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Decision {
     /// Commit this record; the key is claimed only if [`Claims::apply`] says so.
     New(Record),
@@ -98,7 +98,7 @@
 }
 
 /// Effect of a committed record.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Applied {
     /// The record won the key: its proposer, and no one else, may send the attempt.
     Claimed {
@@ -120,7 +120,7 @@
 }
 
 /// All claims of protected requests.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Claims {
     clock: Time,
     claims: BTreeMap<ClaimId, Existing>,
@@ -379,10 +379,8 @@
             return;
         };
         self.open.remove(id);
-        match claim.state {
-            State::Released => return,
-            State::Done(answer) => self.bytes -= answer.held(),
-            State::Open | State::Sealed(_) => {}
+        if let State::Done(answer) = claim.state {
+            self.bytes -= answer.held();
         }
         self.used.insert(self.clock, id.fingerprint());
     }
--- a/crates/bronzespool-flow/src/claim/used.rs
+++ b/crates/bronzespool-flow/src/claim/used.rs
@@ -14,7 +14,7 @@
 const GENERATION: Duration = Duration::from_secs(24 * 60 * 60);
 
 /// Keys whose records have expired, in generations by the day of expiry.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Used {
     generations: BTreeMap<u64, BTreeSet<Fingerprint>>,
     count: usize,
--- a/crates/bronzespool-flow/tests/claim.rs
+++ b/crates/bronzespool-flow/tests/claim.rs
@@ -203,12 +203,15 @@
 }
 
 #[test]
-fn expire_released_key_is_forgotten() {
+fn expire_released_key_is_refused() {
     let mut claims = claimed("a");
     complete(&mut claims, "a", 1, &Completion::NotRun(Code::Fenced));
-    let expired = claims.expire(&small(), Time::from_secs(101)).unwrap();
+    let late = Time::from_secs(101);
+    let expired = claims.expire(&small(), late).unwrap();
     claims.apply(&expired);
-    assert_eq!((claims.len(), claims.used()), (0, 0));
+    assert_eq!((claims.len(), claims.used()), (0, 1));
+    let refused = Decision::Refused(Code::KeyExpired);
+    assert_eq!(claims.request(&small(), late, &ask("a", 1)), refused);
 }
 
 #[test]
--- /dev/null
+++ b/crates/bronzespool-flow/tests/model.rs
@@ -0,0 +1,92 @@
+//! Exhaustive check of claims, admission and fences: every interleaving of one key, two entries,
+//! two agents with two incarnations each, and control.
+//!
+//! Messages are never removed once sent: each may be delivered at any later time, any number of
+//! times or never, which covers delay, reordering, duplicates and loss. See `model/world.rs`.
+
+#[path = "model/world.rs"]
+mod world;
+
+use {
+    bronzespool_core::HashSet,
+    std::hash::{BuildHasher, RandomState},
+    world::{Bounds, World},
+};
+
+/// Explores every state that is reachable from `first`, and returns their number.
+fn explore(first: World) -> usize {
+    let hasher = RandomState::new();
+    let mut seen = HashSet::default();
+    let mut open = vec![first];
+    while let Some(world) = open.pop() {
+        world.check();
+        for next in world.successors() {
+            if seen.insert(hasher.hash_one(&next)) {
+                open.push(next);
+            }
+        }
+    }
+    seen.len()
+}
+
+#[test]
+fn model_crash_of_first_agent() {
+    explore(World::new(Bounds {
+        crashes: [1, 0],
+        times: &[1],
+        sessions: 0,
+        proposals: 2,
+        requests: [1, 1],
+    }));
+}
+
+#[test]
+fn model_crash_of_second_agent() {
+    explore(World::new(Bounds {
+        crashes: [0, 1],
+        times: &[1],
+        sessions: 0,
+        proposals: 2,
+        requests: [1, 1],
+    }));
+}
+
+#[test]
+fn model_expiry_of_attempts() {
+    explore(World::new(Bounds {
+        crashes: [0, 0],
+        times: &[1, 31],
+        sessions: 0,
+        proposals: 2,
+        requests: [1, 1],
+    }));
+}
+
+#[test]
+fn model_expiry_of_records() {
+    let bounds =
+        Bounds { crashes: [0, 0], times: &[1, 200], sessions: 0, proposals: 3, requests: [2, 0] };
+    explore(World::after_release(bounds));
+}
+
+#[test]
+fn model_session_ends_and_returns() {
+    explore(World::new(Bounds {
+        crashes: [0, 0],
+        times: &[1],
+        sessions: 2,
+        proposals: 2,
+        requests: [1, 1],
+    }));
+}
+
+#[test]
+fn model_caller_resends() {
+    explore(World::new(Bounds {
+        crashes: [0, 0],
+        times: &[1],
+        sessions: 0,
+        proposals: 3,
+        requests: [2, 1],
+    }));
+}
