--- /dev/null
+++ b/crates/bronzespool-consensus/tests/election.rs
@@ -0,0 +1,181 @@
+//! Founding, elections, commitment and the return of replicas.
+
+mod common;
+
+use {
+    bronzespool_consensus::{Error, Role},
+    common::{Cluster, SECOND, STEP},
+    std::time::Duration,
+};
+
+#[test]
+fn elect_three_founds_one_cluster() {
+    let mut c = Cluster::new(3);
+    let leader = c.elect();
+    let cluster = c.node(leader).status().cluster;
+    assert!((0..3).all(|i| c.node(i).status().cluster == cluster && cluster != 0));
+    assert_eq!((0..3).filter(|&i| c.node(i).is_leader()).count(), 1);
+}
+
+#[test]
+fn elect_one_of_three_missing_waits() {
+    let mut c = Cluster::new(3);
+    c.stop(2);
+    c.run(SECOND * 5);
+    assert!((0..2).all(|i| c.node(i).status().role == Role::Blank));
+    c.start(2);
+    c.elect();
+}
+
+#[test]
+fn propose_leader_applies_everywhere() {
+    let mut c = Cluster::new(3);
+    for i in 0..20_u8 {
+        c.commit(&[i]);
+    }
+    c.run(SECOND);
+    let state: Vec<Vec<u8>> = (0..20_u8).map(|i| vec![i]).collect();
+    assert!(c.replicas.iter().all(|r| r.state == state));
+}
+
+#[test]
+fn propose_follower_names_leader() {
+    let mut c = Cluster::new(3);
+    let leader = c.elect();
+    let other = (leader + 1) % 3;
+    let hint = Some(common::name(leader));
+    assert_eq!(c.propose(other, b"x"), Err(Error::NotLeader { hint }));
+}
+
+#[test]
+fn elect_leader_killed_keeps_accepted() {
+    let mut c = Cluster::new(3);
+    let index = c.commit(b"first");
+    let old = c.elect();
+    c.stop(old);
+    let new = c.elect();
+    assert_ne!(old, new);
+    c.commit(b"second");
+    assert_eq!(c.replicas[new].applied[&index].data(), Some(&b"first"[..]));
+    c.start(old);
+    c.run(SECOND);
+    assert_eq!(c.replicas[old].state, [b"first".to_vec(), b"second".to_vec()]);
+}
+
+#[test]
+fn receive_returning_replica_keeps_term() {
+    let mut c = Cluster::new(3);
+    let leader = c.elect();
+    c.commit(b"a");
+    let (term, other) = (c.node(leader).term(), (leader + 1) % 3);
+    c.cut[other] = true;
+    c.run(SECOND * 20);
+    assert_eq!(c.node(other).term(), term);
+    c.cut[other] = false;
+    c.run(SECOND * 2);
+    assert_eq!((c.leader(), c.node(leader).term()), (Some(leader), term));
+    let index = c.commit(b"b");
+    c.run(SECOND);
+    assert!(c.replicas[other].applied.contains_key(&index));
+}
+
+#[test]
+fn receive_replica_without_link_to_leader_keeps_term() {
+    let mut c = Cluster::new(3);
+    c.commit(b"a");
+    let leader = c.elect();
+    let (term, other) = (c.node(leader).term(), (leader + 1) % 3);
+    c.links.push((leader.min(other), leader.max(other)));
+    for _ in 0..100 {
+        c.run(SECOND / 10);
+        let now = c.now;
+        assert!(c.node(leader).lease(now));
+        assert_eq!(c.node(leader).term(), term);
+    }
+}
+
+/// Cuts the leader off when another replica is about to ask the third, and watches the leases.
+fn lease_meets_election(wait: Duration, restart: bool) {
+    let mut c = Cluster::new(3);
+    c.commit(b"a");
+    let leader = c.elect();
+    let (other, voter) = ((leader + 1) % 3, (leader + 2) % 3);
+    c.links.push((leader.min(other), leader.max(other)));
+    c.links.push((other.min(voter), other.max(voter)));
+    c.run(SECOND + wait);
+    if restart {
+        // The voter forgets the leader's contact.
+        c.stop(voter);
+        c.start(voter);
+    }
+    c.links.pop();
+    c.cut[leader] = true;
+    c.until("other leader", |c| {
+        let now = c.now;
+        let new = (0..3).any(|i| i != leader && c.node(i).lease(now));
+        assert!(!(new && c.node(leader).lease(now)), "two leases after {wait:?}");
+        new
+    });
+}
+
+#[test]
+fn lease_of_cut_off_leader_ends_first() {
+    (0..60).for_each(|i| lease_meets_election(STEP * i, false));
+}
+
+#[test]
+fn lease_before_voter_restart_ends_first() {
+    (0..60).for_each(|i| lease_meets_election(STEP * i, true));
+}
+
+#[test]
+fn tick_leader_cut_off_steps_down() {
+    let mut c = Cluster::new(3);
+    let old = c.elect();
+    c.cut[old] = true;
+    c.run(SECOND);
+    assert!(!c.node(old).is_leader());
+    assert!(c.propose(old, b"x").is_err());
+    let new = c.elect();
+    assert_ne!(old, new);
+}
+
+#[test]
+fn hand_over_is_faster_than_an_election() {
+    let mut c = Cluster::new(3);
+    c.commit(b"a");
+    let old = c.elect();
+    c.run(SECOND);
+    let now = c.now;
+    let next = c.node(old).hand_over(now).unwrap();
+    assert!(!c.node(old).lease(now) && c.propose(old, b"x").is_err());
+    c.until("next leader", |c| c.leader().is_some_and(|i| common::name(i) == next));
+    assert!(c.now.since(now) <= STEP * 6);
+    c.commit(b"b");
+    c.run(SECOND);
+    assert!(c.replicas.iter().all(|r| r.state == [b"a".to_vec(), b"b".to_vec()]));
+}
+
+#[test]
+fn hand_over_without_whole_follower_waits() {
+    let mut c = Cluster::new(3);
+    c.commit(b"a");
+    let leader = c.elect();
+    c.propose(leader, b"b").unwrap();
+    let now = c.now;
+    assert_eq!(c.node(leader).hand_over(now), Err(Error::Busy));
+    c.run(SECOND);
+    let now = c.now;
+    assert!(c.node(leader).hand_over(now).is_ok());
+}
+
+#[test]
+fn propose_backlog_full_is_busy() {
+    let mut c = Cluster::tuned(3, |s| s.backlog = 100);
+    let leader = c.elect();
+    c.run(SECOND);
+    c.propose(leader, &[0; 80]).unwrap();
+    assert_eq!(c.propose(leader, &[0; 80]), Err(Error::Busy));
+    c.run(SECOND);
+    c.propose(leader, &[0; 80]).unwrap();
+}
--- a/crates/bronzespool-core/src/code.rs
+++ b/crates/bronzespool-core/src/code.rs
@@ -127,9 +127,8 @@
     9001 Internal Unknown 500 "a fault of this program: report it with the request id";
 }
 
-/// A number that is no result code.
-#[derive(Clone, Copy, Debug, displaydoc::Display, PartialEq, Eq)]
 /// {0} is no result code
+#[derive(Clone, Copy, Debug, displaydoc::Display, PartialEq, Eq)]
 pub struct NoCode(pub u16);
 
 impl std::error::Error for NoCode {}
@@ -141,6 +140,16 @@
     }
 }
 
+/// All codes as a Markdown table.
+pub fn table() -> String {
+    let head = "| number | name | outcome | HTTP status | meaning |\n|---|---|---|---|---|";
+    let row = |code: &Code| {
+        let (number, name, help) = (code.number(), code.name(), code.help());
+        format!("\n| {number} | `{name}` | {} | {} | {help} |", code.outcome(), code.status())
+    };
+    Code::ALL.iter().fold(head.to_owned(), |table, code| table + &row(code))
+}
+
 impl TryFrom<u16> for Code {
     type Error = NoCode;
 
--- /dev/null
+++ b/crates/bronzespool-fakes/src/cluster/mod.rs
@@ -0,0 +1,13 @@
+//! A whole system as separate processes on this machine, for trying out and for process tests.
+
+mod plan;
+mod process;
+mod relays;
+mod system;
+mod text;
+
+pub use {
+    plan::{Plan, PlannedCenter},
+    process::{Process, Signal, free_address, program, send_signal},
+    system::{Cluster, Result, Worker},
+};
--- /dev/null
+++ b/crates/bronzespoold/src/entry/report.rs
@@ -0,0 +1,61 @@
+//! Counts answers and tells control of them.
+
+use {
+    crate::entry::{filter::Checked, state::State},
+    bronzespool::{
+        core::{Code, Mode, Time},
+        flow::burn::Burns,
+        wire::message::{Call, KindCounts},
+    },
+    std::{cell::RefCell, rc::Rc, time::Duration},
+    tokio::time::sleep,
+};
+
+/// Time between two reports to control.
+const PERIOD: Duration = Duration::from_secs(5);
+
+/// Counts answers.
+#[derive(Default)]
+pub(super) struct Reporter(RefCell<Burns>);
+
+impl Reporter {
+    /// Notes an answer. Jobs are counted by control when they end.
+    pub(super) fn note(&self, now: Time, request: &Checked, took: Duration, code: Code) {
+        let Ok(spec) = request.spec() else {
+            return;
+        };
+        if spec.mode == Mode::Job {
+            return;
+        }
+        let mut burns = self.0.borrow_mut();
+        let burn = burns.entry(&request.service, &request.kind, spec.target);
+        burn.retarget(spec.target);
+        burn.answer(now, code, took);
+    }
+
+    fn counts(&self, now: Time) -> Vec<KindCounts> {
+        self.0.borrow().windows(now)
+    }
+}
+
+impl State {
+    /// Tells control what this entry has answered.
+    pub(super) async fn tell_answers(&self) {
+        let counts = self.report.counts(self.clock.now());
+        let Some(keeper) = self.keeper().filter(|_| !counts.is_empty()) else {
+            return;
+        };
+        let call = Call::Answers { holder: self.prefix, counts };
+        if let Err(refusal) = keeper.call(&call, PERIOD).await {
+            log::info!(refusal:%; "control was not told of the answers");
+        }
+    }
+
+    /// Tells control again and again, for as long as the entry lives.
+    pub(super) async fn run_report(self: Rc<Self>) {
+        loop {
+            sleep(PERIOD).await;
+            self.tell_answers().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/bronzespoold/tests/control_restart.rs
@@ -0,0 +1,93 @@
+//! An entry and an agent that restart, or are stopped, over hundreds of changes.
+
+mod common;
+
+use {
+    bronzespool::core::Code,
+    bronzespool_fakes::{
+        call::Call,
+        cluster::{Cluster, Result, Signal},
+    },
+    common::{DONE, ask, monotone, plan, publish_sure, revision, status, until},
+};
+
+/// Changes in each phase; more than the hub keeps as deltas, in total.
+const CHANGES: u64 = 400;
+
+/// No entry ever shows a lower revision than before, and after its restart each serves the
+/// newest configuration together with the restarted agent.
+#[tokio::test]
+async fn restart_after_hundreds() -> Result<()> {
+    let mut cluster = Cluster::start(plan(1)).await?;
+    let entries = cluster.entries().to_vec();
+    let scenario = async {
+        let mut last = 0;
+        change(&cluster, &mut last).await;
+        cluster.process("entry-2").kill().unwrap();
+        cluster.process("agent-1").kill().unwrap();
+        change(&cluster, &mut last).await;
+        cluster.process("entry-2").restart().unwrap();
+        cluster.process("agent-1").restart().unwrap();
+        serves(&cluster, last).await;
+        cluster.process("entry-2").signal(Signal::STOP).unwrap();
+        cluster.process("agent-1").signal(Signal::STOP).unwrap();
+        change(&cluster, &mut last).await;
+        change(&cluster, &mut last).await;
+        cluster.process("agent-1").signal(Signal::CONT).unwrap();
+        cluster.process("entry-2").signal(Signal::CONT).unwrap();
+        serves(&cluster, last).await;
+    };
+    monotone(&entries, scenario).await;
+    Ok(())
+}
+
+/// An entry that has started without control shows no configuration, which would be a lower one.
+#[tokio::test]
+async fn restart_without_control() -> Result<()> {
+    let mut cluster = Cluster::start(plan(1)).await?;
+    publish_sure(&cluster, Some(0), "op-0", &["check"], false).await;
+    let controls: Vec<_> = cluster.controls().iter().map(|(name, _)| name.clone()).collect();
+    for name in &controls {
+        cluster.process(name).signal(Signal::STOP)?;
+    }
+    cluster.process("entry-2").kill()?;
+    cluster.process("entry-2").restart()?;
+    let read = Call::get("/v1/config");
+    until("the entry has started", async || {
+        Ok(read.send(cluster.entry(1)).await?.code() == Code::NoSession.number())
+    })
+    .await;
+    assert!(!Call::get("/readyz").send(cluster.entry(1)).await?.status.is_success());
+    for name in &controls {
+        cluster.process(name).signal(Signal::CONT)?;
+    }
+    until("the entry shows the revision", async || {
+        Ok(read.send(cluster.entry(1)).await?.json()["revision"] == 1)
+    })
+    .await;
+    Ok(())
+}
+
+async fn change(cluster: &Cluster, last: &mut u64) {
+    for _ in 0..CHANGES {
+        let op = format!("op-{last}");
+        let kind = format!("kind-{}", *last + 1);
+        // Through the first entry if it can, since the other one may be stopped.
+        let answer = publish_sure(cluster, Some(*last), &op, &[&kind], false).await;
+        assert_eq!(revision(&answer), *last + 1);
+        *last += 1;
+    }
+}
+
+/// Waits until both entries serve the kind of the newest revision and refuse the one before.
+async fn serves(cluster: &Cluster, last: u64) {
+    for entry in 0..cluster.entries().len() {
+        until("the newest kind is served", async || {
+            Ok(ask(cluster, entry, &format!("kind-{last}"), None).await?.code() == DONE)
+        })
+        .await;
+        let before = ask(cluster, entry, &format!("kind-{}", last - 1), None).await.unwrap();
+        assert_ne!(before.code(), DONE);
+    }
+    assert_eq!(status(cluster).await["revision"], last);
+}
