test(bench): check the targets of the decision measurements on today's deployments

Bounds come from the targets and the baselines of the same run. A run now drains for 20 days: with four horizons of 6 h strict quotas left jobs over, which made their completion times too small.

--- a/crates/bronzespool-bench/src/decisions/driver.rs
+++ b/crates/bronzespool-bench/src/decisions/driver.rs
@@ -23,8 +23,8 @@
 const FAILURE: Duration = Duration::from_secs(5);
 /// Failures after which a job is given up.
 const ATTEMPTS: u32 = 10;
-/// A run ends at this multiple of the horizon at the latest.
-const DRAIN: u64 = 4;
+/// A run ends this long after its horizon at the latest.
+const DRAIN: Duration = Duration::from_secs(20 * 24 * 3_600);
 /// Broken guarantees that are kept with their circumstances.
 const BROKEN_KEPT: usize = 10;
 /// Spacing of the samples for plots.
@@ -163,7 +163,7 @@
 
     /// Runs `policy` until every job is gone or the run's longest time is reached.
     pub fn run(mut self, policy: &mut impl Policy) -> Figures {
-        let limit = Time::from_micros(self.scenario.horizon.as_micros() * DRAIN);
+        let limit = self.scenario.horizon + DRAIN;
         while let Some(Reverse((at, _, _))) = self.queue.peek() {
             if self.open == 0 || *at > limit {
                 break;
--- a/crates/bronzespool-bench/src/suite.rs
+++ b/crates/bronzespool-bench/src/suite.rs
@@ -21,15 +21,20 @@
 /// Scenarios run side by side.
 const THREADS: usize = 4;
 
-/// Figures of all policies on one scenario: the scheduler last.
-pub fn run_one(scenario: &Scenario) -> Vec<Figures> {
+/// Names of all policies, in the order of their figures: the scheduler last.
+pub const POLICIES: [&str; 4] = ["fifo-quota", "count-backfill", "oracle", "bronzespool"];
+
+/// Figures of the policies named in `wanted` on one scenario; the others' are empty.
+pub fn run_one(scenario: &Scenario, wanted: &[&str]) -> Vec<Figures> {
     let cluster = &scenario.cluster;
-    vec![
-        Driver::new(scenario).run(&mut Fifo::new(cluster)),
-        Driver::new(scenario).run(&mut Backfill::new(cluster)),
-        Driver::new(scenario).run(&mut Oracle::new(cluster)),
-        Driver::new(scenario).run(&mut Scheduler::new(cluster)),
-    ]
+    let one = |name: &str| match name {
+        _ if !wanted.contains(&name) => Figures::default(),
+        "fifo-quota" => Driver::new(scenario).run(&mut Fifo::new(cluster)),
+        "count-backfill" => Driver::new(scenario).run(&mut Backfill::new(cluster)),
+        "oracle" => Driver::new(scenario).run(&mut Oracle::new(cluster)),
+        _ => Driver::new(scenario).run(&mut Scheduler::new(cluster)),
+    };
+    POLICIES.into_iter().map(one).collect()
 }
 
 /// Figures of all policies on the given deployments and streams, in that order.
@@ -39,7 +44,7 @@
     let done = Mutex::new(vec![Vec::new(); pairs.len()]);
     let work = || {
         while let Some((i, (scale, stream))) = take(&next, &pairs) {
-            let figures = run_one(&stream.scenario(scale, seed, hours));
+            let figures = run_one(&stream.scenario(scale, seed, hours), &POLICIES);
             done.lock().expect("no run has panicked")[i] = figures;
         }
     };
--- /dev/null
+++ b/crates/bronzespool-bench/tests/decisions.rs
@@ -0,0 +1,105 @@
+//! The targets of the decision measurements, checked on today's deployments.
+
+use bronzespool_bench::{
+    decisions::{Driver, Scale, Stream},
+    policies::{Fifo, Scheduler},
+    report::{Target, targets},
+    suite,
+};
+
+const FIFO: &str = "fifo-quota";
+const ORACLE: &str = "oracle";
+const OWN: &str = "bronzespool";
+/// Seed of the checked figures.
+const SEED: u64 = 1;
+/// Hours of submissions: the busy teams change once.
+const HOURS: u64 = 6;
+const STREAMS: [Stream; 5] =
+    [Stream::Steady, Stream::BurstSmall, Stream::BurstLarge, Stream::BadWorkers, Stream::RackLoss];
+
+/// Checks the named targets on all streams; `baseline` is the policy that they compare with.
+fn check(scale: Scale, baseline: &str, names: &[&str]) {
+    let mut missed = Vec::new();
+    for stream in STREAMS {
+        let run = suite::run_one(&stream.scenario(scale, SEED, HOURS), &[baseline, OWN]);
+        let wanted = |t: &Target| names.contains(&t.name) && !t.met;
+        let text = |t: Target| {
+            format!("{}: {} is {:.3}, bound {:.3}", stream.name(), t.name, t.value, t.bound)
+        };
+        missed.extend(targets(&run).into_iter().filter(wanted).map(text));
+    }
+    assert!(missed.is_empty(), "{} seed {SEED}:\n{}", scale.name(), missed.join("\n"));
+}
+
+#[test]
+fn guarantees_registry_never_broken() {
+    check(Scale::Registry, OWN, &["broken guarantees"]);
+}
+
+#[test]
+fn guarantees_cooperative_never_broken() {
+    check(Scale::Cooperative, OWN, &["broken guarantees"]);
+}
+
+#[test]
+fn completion_registry_below_strict_quotas() {
+    check(Scale::Registry, FIFO, &["mean completion", "p99 completion"]);
+}
+
+#[test]
+fn completion_cooperative_below_strict_quotas() {
+    check(Scale::Cooperative, FIFO, &["mean completion", "p99 completion"]);
+}
+
+#[test]
+fn fragmentation_registry_below_strict_quotas() {
+    check(Scale::Registry, FIFO, &["fragmentation"]);
+}
+
+#[test]
+fn fragmentation_cooperative_below_strict_quotas() {
+    check(Scale::Cooperative, FIFO, &["fragmentation"]);
+}
+
+#[test]
+fn utilisation_registry_near_oracle() {
+    check(Scale::Registry, ORACLE, &["utilisation"]);
+}
+
+#[test]
+fn utilisation_cooperative_near_oracle() {
+    check(Scale::Cooperative, ORACLE, &["utilisation"]);
+}
+
+/// Whole gangs, orders that can be carried out, and no job left over, under every policy.
+fn check_sound(scale: Scale) {
+    for stream in STREAMS {
+        for f in suite::run_one(&stream.scenario(scale, SEED, HOURS), &suite::POLICIES) {
+            let at = format!("{} on {}, {}", f.policy, f.scale, f.stream);
+            assert_eq!(f.gang_violations, 0, "gang violations: {at}");
+            assert_eq!(f.invalid, 0, "orders that cannot be carried out: {at}");
+            assert_eq!(f.unfinished, 0, "jobs left over: {at}");
+        }
+    }
+}
+
+#[test]
+fn orders_registry_sound() {
+    check_sound(Scale::Registry);
+}
+
+#[test]
+fn orders_cooperative_sound() {
+    check_sound(Scale::Cooperative);
+}
+
+#[test]
+fn figures_same_seed_repeat() {
+    let run = || {
+        let scenario = Stream::RackLoss.scenario(Scale::Cooperative, 3, 6);
+        let cluster = &scenario.cluster;
+        let own = Driver::new(&scenario).run(&mut Scheduler::new(cluster));
+        (Driver::new(&scenario).run(&mut Fifo::new(cluster)), own)
+    };
+    assert_eq!(run(), run());
+}
