--- a/crates/bronzespoold/src/entry/server.rs
+++ b/crates/bronzespoold/src/entry/server.rs
@@ -103,14 +103,14 @@
                 operators::explain(state, job).await
             }
             (&Method::GET, ["status"]) if operators => operators::status(state).await,
-            (&Method::GET, ["config"]) if operators => Ok(json(Code::Done, &state.view().config)),
+            (&Method::GET, ["config"]) if operators => operators::config(state),
             (&Method::POST, ["config"]) if operators => {
                 operators::publish(state, request.into_body()).await
             }
             (&Method::POST, ["instances", name, "drain"]) if operators => {
                 operators::drain(state, name).await
             }
-            (&Method::GET, ["report"]) if operators => Ok(self.report()),
+            (&Method::GET, ["report"]) if operators => operators::report(state).await,
             _ => Err(unknown(method, request.uri().path())),
         }
     }
@@ -122,11 +122,6 @@
         text(503, "not ready\n".to_owned())
     }
 
-    fn report(&self) -> Answer {
-        let now = self.state.clock.now();
-        json(Code::Done, &self.state.report.rows(now))
-    }
-
     /// A caller's request, through the filter chain.
     async fn serve(
         &self,
--- /dev/null
+++ b/crates/bronzespoold/tests/common/mod.rs
@@ -0,0 +1,227 @@
+//! A small desk on a cluster of processes, and what the tests of control ask of it.
+
+#![allow(dead_code, reason = "each test binary uses its own part")]
+
+use {
+    bronzespool::wire::{
+        bronzespool_capnp::control,
+        frame,
+        link::{self, Link},
+        message::{Answered, Call as ControlCall},
+    },
+    bronzespool_fakes::{
+        call::{Answer, Call},
+        cluster::{Cluster, Plan, Result},
+    },
+    serde_json::{Value, json},
+    std::{
+        net::SocketAddr,
+        path::Path,
+        time::{Duration, Instant},
+    },
+    tokio::time::{sleep, timeout},
+};
+
+/// Pause between two looks at a condition.
+const PAUSE: Duration = Duration::from_millis(20);
+/// Pause between two samples of an entry.
+const SAMPLE_PAUSE: Duration = Duration::from_millis(2);
+/// Generous end of a wait.
+const WAIT_MAX: Duration = Duration::from_secs(60);
+/// Longest wait for one answer of an entry that may be stopped.
+const TRY_TIME: Duration = Duration::from_secs(35);
+/// The same for the status.
+const STATUS_TIME: Duration = Duration::from_secs(8);
+/// Time in which an entry is watched.
+const WATCHED: Duration = Duration::from_secs(2);
+/// Longest wait for the answer to a direct call.
+const FORWARD_TIME: Duration = Duration::from_secs(30);
+/// Code of a publication on an old base.
+pub(crate) const CONFLICT: u16 = 5001;
+/// Code of a whole answer.
+pub(crate) const DONE: u16 = 1000;
+
+/// A plan of three control instances, two entries and `workers` endpoints.
+pub(crate) fn plan(workers: u32) -> Plan {
+    let mut plan = Plan::small("desk", Path::new("."), workers);
+    plan.files.clear();
+    plan
+}
+
+/// Service file of the desk with these kinds of requests; `ledger` is protected.
+pub(crate) fn desk(kinds: &[&str]) -> Value {
+    let mut text = String::from("[service]\nname = desk\n");
+    for kind in kinds {
+        let protected = if *kind == "ledger" { "protected = yes\n" } else { "" };
+        text += &format!("\n[kind {kind}]\nmode = request\n{protected}deadline = 10s\n");
+    }
+    text += "\n[team club]\nguarantee = 1 x block-1\n";
+    json!([{ "path": "desk/service.ini", "text": text }])
+}
+
+/// Publishes the desk through an entry.
+pub(crate) async fn publish(
+    cluster: &Cluster,
+    entry: usize,
+    base: Option<u64>,
+    op: &str,
+    kinds: &[&str],
+    wait: bool,
+) -> Result<Answer> {
+    let body = json!({ "base": base, "op": op, "files": desk(kinds), "wait": wait });
+    Call::post("/v1/config", &body).send(cluster.entry(entry)).await
+}
+
+/// Publishes and resends, through the entries in turn, until control has answered.
+pub(crate) async fn publish_sure(
+    cluster: &Cluster,
+    base: Option<u64>,
+    op: &str,
+    kinds: &[&str],
+    wait: bool,
+) -> Answer {
+    let end = Instant::now() + WAIT_MAX;
+    for turn in 0.. {
+        let entry = turn % cluster.entries().len();
+        let tried = timeout(TRY_TIME, publish(cluster, entry, base, op, kinds, wait)).await;
+        match tried.map_err(Into::into).flatten() {
+            Ok(answer) if matches!(answer.code(), DONE | CONFLICT) => return answer,
+            other => assert!(Instant::now() < end, "{op} has no verdict: {other:?}"),
+        }
+        sleep(PAUSE).await;
+    }
+    unreachable!()
+}
+
+/// Revision that a publication made.
+pub(crate) fn revision(answer: &Answer) -> u64 {
+    assert_eq!(answer.code(), DONE, "{}", answer.json());
+    answer.json()["revision"].as_u64().expect("a revision")
+}
+
+/// Sends one request of a kind through an entry.
+pub(crate) async fn ask(
+    cluster: &Cluster,
+    entry: usize,
+    kind: &str,
+    key: Option<&str>,
+) -> Result<Answer> {
+    let body = json!({ "number": 7 });
+    let mut call = Call::post(format!("/v1/services/desk/{kind}"), &body).header("team", "club");
+    if let Some(key) = key {
+        call = call.header("idempotency-key", key);
+    }
+    call.send(cluster.entry(entry)).await
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn until(what: &str, mut holds: impl AsyncFnMut() -> Result<bool>) {
+    let end = Instant::now() + WAIT_MAX;
+    loop {
+        let held = holds().await;
+        if matches!(held, Ok(true)) {
+            return;
+        }
+        assert!(Instant::now() < end, "not in time: {what}: {held:?}");
+        sleep(PAUSE).await;
+    }
+}
+
+/// Status as any entry tells it.
+pub(crate) async fn status(cluster: &Cluster) -> Value {
+    let end = Instant::now() + WAIT_MAX;
+    for turn in 0.. {
+        let tried = timeout(STATUS_TIME, cluster.status(turn % cluster.entries().len())).await;
+        match tried.map_err(Into::into).flatten() {
+            Ok(status) => return status,
+            Err(error) => assert!(Instant::now() < end, "no status: {error}"),
+        }
+        sleep(PAUSE).await;
+    }
+    unreachable!()
+}
+
+/// Name of the leader.
+pub(crate) async fn leader(cluster: &Cluster) -> String {
+    status(cluster).await["leader"].as_str().unwrap_or_default().to_owned()
+}
+
+/// A control instance that does not lead.
+pub(crate) async fn follower(cluster: &Cluster) -> String {
+    let leader = leader(cluster).await;
+    let mut names = cluster.controls().iter().map(|(name, _)| name.clone());
+    names.find(|name| *name != leader).expect("a follower")
+}
+
+/// The row of a replica in the status.
+pub(crate) fn replica(status: &Value, name: &str) -> Value {
+    let rows = status["replicas"].as_array().cloned().unwrap_or_default();
+    rows.into_iter().rfind(|row| row["instance"] == name).unwrap_or_default()
+}
+
+/// Waits until each control instance is one voter that holds all that is committed.
+pub(crate) async fn whole(cluster: &Cluster) {
+    until("all replicas vote and are current", async || {
+        let status = status(cluster).await;
+        let rows = status["replicas"].as_array().cloned().unwrap_or_default();
+        let commit = status["commit"].as_u64();
+        let current = |row: &Value| {
+            let own = row["instance"] == status["leader"];
+            row["voter"] == true && (own || row["matched"].as_u64() >= commit)
+        };
+        Ok(rows.len() == cluster.controls().len() && rows.iter().all(current))
+    })
+    .await;
+}
+
+/// Runs a scenario while every entry's configuration is sampled: its revision never falls, also
+/// over a restart.
+pub(crate) async fn monotone<T>(
+    entries: &[(String, SocketAddr)],
+    scenario: impl Future<Output = T>,
+) -> T {
+    let samples = entries.iter().map(|(name, address)| async move {
+        let mut highest = 0;
+        loop {
+            if let Ok(answer) = Call::get("/v1/config").send(*address).await
+                && answer.code() == DONE
+            {
+                let now = answer.json()["revision"].as_u64().expect("a revision");
+                assert!(now >= highest, "{name} went from revision {highest} back to {now}");
+                highest = now;
+            }
+            sleep(SAMPLE_PAUSE).await;
+        }
+    });
+    tokio::select! {
+        result = scenario => result,
+        _ = futures::future::join_all(samples) => unreachable!(),
+    }
+}
+
+/// A call of the kind that hubs forward to the leader, made directly. Needs a
+/// [`tokio::task::LocalSet`].
+pub(crate) async fn forward(address: SocketAddr, call: ControlCall) -> link::Result<Answered> {
+    let bytes = frame::encode(&call);
+    let link: Link<control::Client> = Link::new(address);
+    link.call(FORWARD_TIME, |client| async move {
+        let mut request = client.forward_request();
+        request.get().set_call(&bytes);
+        let response = request.send().promise.await?;
+        Ok(frame::decode(response.get()?.get_reply()?)?)
+    })
+    .await
+}
+
+/// Watches for a while that an entry is never ready while its configuration is below a revision.
+pub(crate) async fn never_behind(address: SocketAddr, least: u64) {
+    let end = Instant::now() + WATCHED;
+    while Instant::now() < end {
+        let ready = Call::get("/readyz").send(address).await.unwrap().status.is_success();
+        let config = Call::get("/v1/config").send(address).await.unwrap();
+        let revision = config.json()["revision"].as_u64();
+        // Without a session the second answer has no revision.
+        let behind = revision.is_some_and(|r| r < least);
+        assert!(!(ready && behind), "ready on revision {revision:?} of {least}");
+    }
+}
