--- a/crates/bronzespool-bench/src/lib.rs
+++ b/crates/bronzespool-bench/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert_eq!(figures.gang_violations, 0);
 //! ```
 
+pub mod capacity;
 pub mod decisions;
 pub mod policies;
 pub mod report;
--- a/crates/bronzespool-bench/src/main.rs
+++ b/crates/bronzespool-bench/src/main.rs
@@ -2,17 +2,21 @@
 
 use {
     bronzespool_bench::{
+        capacity,
         decisions::{Scale, Stream},
         report, suite,
     },
     pico_args::Arguments,
-    std::{path::PathBuf, process::ExitCode},
+    std::{fs, path::PathBuf, process::ExitCode},
 };
 
 const HELP: &str = "\
 bronzespool-bench decisions [--out DIR] [--seed N] [--hours N] [--scale NAME] [--stream NAME]
     runs all policies on all deployments and streams in virtual time and, with --out, writes
     decisions.md, decisions.json and SVG plots into DIR
+bronzespool-bench capacity [--results FILE] [--page FILE]
+    measures bytes of each act with the real encoders and writes them into the results file and
+    into the table of the page; docs/measurements/capacity.json and docs/CAPACITY.md by default
 ";
 
 type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
@@ -31,6 +35,7 @@
     let mut args = Arguments::from_env();
     match args.subcommand()?.as_deref() {
         Some("decisions") => decisions(args),
+        Some("capacity") => slopes(args),
         _ => {
             print!("{HELP}");
             Ok(())
@@ -62,3 +67,16 @@
     }
     Ok(())
 }
+
+fn slopes(mut args: Arguments) -> Result<()> {
+    let file = |text: Option<PathBuf>, default: &str| text.unwrap_or_else(|| default.into());
+    let results = file(args.opt_value_from_str("--results")?, "docs/measurements/capacity.json");
+    let page = file(args.opt_value_from_str("--page")?, "docs/CAPACITY.md");
+    let measured = capacity::measure();
+    fs::write(results, serde_json::to_string_pretty(&measured)? + "\n")?;
+    let text = fs::read_to_string(&page)?;
+    let text = capacity::insert(&text, &measured).ok_or("the page has no place for the table")?;
+    fs::write(page, text)?;
+    print!("{}", capacity::table(&measured));
+    Ok(())
+}
