perf(agent): keep connections to the endpoint for idempotent requests

Cause: the agent opened a TCP connection for every request, which costs the endpoint an accept and both sides a set-up. Ruled out: waiting for slots (none were refused) and control (it takes no part in unprotected requests).

Change: after a whole answer the connection stays open for at most 1 s and carries the next idempotent request, one at a time. It is closed after a timeout, a short body, an answer to another request and unasked-for bytes; after a timeout the idle ones are closed too. A protected request still takes a new connection, since an idle one may be closed by the endpoint, or have gone silent, while the request is on its way, and its outcome would be unknown. A request that the HTTP library hands back unsent is now told as not run.

--- a/crates/bronzespoold/src/agent/endpoint.rs
+++ b/crates/bronzespoold/src/agent/endpoint.rs
@@ -1,38 +1,140 @@
-//! Calls to the endpoint: one request on a connection of its own.
+//! Calls to the endpoint.
+//!
+//! A connection carries one request at a time and is closed after anything but a whole answer.
+//! An idempotent request may take an idle connection; should that turn out to be closed, the
+//! request is sent again on a new one. A protected request always takes a new connection: an idle
+//! one may be closed by the endpoint, or have gone silent, just as the request is on its way, and
+//! then nobody could tell whether it ran.
 
 use {
-    crate::http::{Error, Fetched, ReadError, fetch, headers},
+    crate::http::{Connection, Error, Fetched, Pool, ReadError, headers},
     bronzespool::{
         core::Code,
-        flow::claim::{Answer, Body, Completion},
-        wire::message::Run,
+        flow::{
+            admit::{Admission, Lane},
+            claim::{Answer, Body, Completion},
+        },
+        wire::message::{Run, Work},
     },
     bytes::Bytes,
     http_body_util::Full,
     hyper::{Method, Request, header::CONTENT_TYPE},
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        cell::RefCell,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
 };
 
 /// Largest answer of an endpoint in bytes.
 const ANSWER_MAX_BYTES: u64 = 4 << 20;
+/// Longest time for which a connection is kept idle.
+pub(super) const IDLE_MAX: Duration = Duration::from_secs(1);
+
+/// A whole answer and its connection, or why there is none.
+type Result<T = (Fetched, Connection), E = Error> = std::result::Result<T, E>;
+
+/// The endpoint beside this agent.
+pub(super) struct Endpoint {
+    address: SocketAddr,
+    pool: RefCell<Pool>,
+}
+
+/// What came of a request, with its connection if that may carry another one.
+pub(super) struct Served {
+    pub(super) completion: Completion,
+    pub(super) connection: Option<Connection>,
+}
+
+impl Endpoint {
+    pub(super) const fn new(address: SocketAddr) -> Self {
+        Self { address, pool: RefCell::new(Pool::new(IDLE_MAX)) }
+    }
+
+    /// Closes idle connections that have ended or were idle for too long, and counts them out of
+    /// the admission.
+    pub(super) fn trim(&self, admission: &mut Admission) {
+        let closed = self.pool.borrow_mut().trim(Instant::now());
+        (0..closed).for_each(|_| admission.close_idle());
+    }
+
+    /// Closes all idle connections, which a new admission does not count.
+    pub(super) fn clear(&self) {
+        self.pool.borrow_mut().clear();
+    }
 
-/// Sends a request to the endpoint and reads its answer whole.
-pub(super) async fn serve(
-    endpoint: SocketAddr,
-    run: &Run,
-    body: Bytes,
-    time: Duration,
-) -> Completion {
-    let Ok(request) = request(run, body) else {
-        return Completion::NotRun(Code::HeaderInvalid);
-    };
-    match fetch(endpoint, request, ANSWER_MAX_BYTES, time).await {
-        Ok(fetched) => completion(run, &fetched),
-        Err(error) => {
-            log::warn!(request = run.request.as_str(), error:%; "the endpoint gave no answer");
-            failed(&error)
+    /// The connection that the admission has decided on; `None` means a new one. Must be called
+    /// at once after that decision.
+    pub(super) fn take(&self, lane: Lane) -> Option<Connection> {
+        match lane {
+            Lane::Idle => self.pool.borrow_mut().take(),
+            Lane::New => None,
         }
     }
+
+    /// Keeps the connection for another request, which the admission must be told at once.
+    pub(super) fn keep(&self, connection: Connection) {
+        self.pool.borrow_mut().put(Instant::now(), connection);
+    }
+
+    /// Sends a request to the endpoint and reads its answer whole.
+    pub(super) async fn serve(
+        &self,
+        idle: Option<Connection>,
+        run: &Run,
+        body: Bytes,
+        time: Duration,
+    ) -> Served {
+        let Ok(request) = request(run, body) else {
+            return Served {
+                completion: Completion::NotRun(Code::HeaderInvalid),
+                connection: None,
+            };
+        };
+        let result = match (&run.work, idle) {
+            (Work::Idempotent, Some(idle)) => self.reuse(idle, request, time).await,
+            (Work::Idempotent | Work::Protected(_), _) => self.exchange(request, time).await,
+        };
+        match result {
+            Ok((fetched, connection)) => served(run, &fetched, connection),
+            Err(error) => {
+                log::warn!(request = run.request.as_str(), error:%; "the endpoint gave no answer");
+                if matches!(error, Error::Time(_)) {
+                    // What has made this connection silent may have hit the idle ones too. They
+                    // stay in the admission's count until the next trim.
+                    self.pool.borrow_mut().expire(Instant::now());
+                }
+                Served { completion: failed(&error), connection: None }
+            }
+        }
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>, time: Duration) -> Result {
+        let connection = Connection::open(self.address, time).await?;
+        connection.exchange(request, ANSWER_MAX_BYTES, time).await
+    }
+
+    /// Sends an idempotent request on an idle connection, and on a new one if that has ended.
+    async fn reuse(
+        &self,
+        idle: Connection,
+        request: Request<Full<Bytes>>,
+        time: Duration,
+    ) -> Result {
+        let begin = Instant::now();
+        match idle.exchange(request.clone(), ANSWER_MAX_BYTES, time).await {
+            Err(Error::Unsent | Error::Transfer(_)) => {
+                self.exchange(request, time.saturating_sub(begin.elapsed())).await
+            }
+            result => result,
+        }
+    }
+}
+
+fn served(run: &Run, fetched: &Fetched, connection: Connection) -> Served {
+    let completion = completion(run, fetched);
+    let whole = matches!(completion, Completion::Answered(_));
+    Served { completion, connection: whole.then_some(connection) }
 }
 
 fn request(run: &Run, body: Bytes) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
@@ -67,7 +169,7 @@
 
 const fn failed(error: &Error) -> Completion {
     match error {
-        Error::Connect(_) => Completion::NotRun(Code::NoEndpoint),
+        Error::Connect(_) | Error::Unsent => Completion::NotRun(Code::NoEndpoint),
         Error::Time(_) => Completion::Lost(Code::InProgress),
         Error::Body(ReadError::Large(_)) => Completion::Lost(Code::AnswerTooLarge),
         Error::Transfer(_) | Error::Body(ReadError::Short) => Completion::Lost(Code::AnswerShort),
--- a/crates/bronzespoold/src/agent/requests.rs
+++ b/crates/bronzespoold/src/agent/requests.rs
@@ -1,11 +1,11 @@
 //! Runs requests that the admission lets through.
 
 use {
-    crate::agent::{endpoint, state::State},
+    crate::{agent::state::State, http::Connection},
     bronzespool::{
-        core::{Code, Refusal},
+        core::{Code, Refusal, Time},
         flow::{
-            admit::{Attempt, AttemptId, Start, Status},
+            admit::{Attempt, AttemptId, Lane, Start, Status},
             claim::Completion,
         },
         wire::message::{Call, Run, RunReply, StatusReply, Work},
@@ -94,25 +94,27 @@
     async fn idempotent(self: &Rc<Self>, run: Run, body: Bytes) -> Result<Completion, Refusal> {
         let now = self.clock.now();
         let slots = run.slots;
-        self.enter(now, slots)?;
+        let lane = self.enter(now, slots)?;
+        let idle = self.endpoint.take(lane);
         let state = Rc::clone(self);
         // A task of its own: the slot stays taken for as long as the endpoint works.
         let work = spawn_local(async move {
             let time = Duration::from_millis(run.millis);
-            let completion = endpoint::serve(state.endpoint, &run, body, time).await;
+            let served = state.endpoint.serve(idle, &run, body, time).await;
             if let Some(admission) = state.admission.borrow_mut().as_mut() {
-                admission.leave(slots, false);
+                admission.leave(slots, served.connection.is_some());
+                served.connection.into_iter().for_each(|c| state.endpoint.keep(c));
             }
-            completion
+            served.completion
         });
         work.await.map_err(|_| Refusal::from(Code::Internal))
     }
 
-    fn enter(&self, now: bronzespool::core::Time, slots: u32) -> Result<(), Refusal> {
+    fn enter(&self, now: Time, slots: u32) -> Result<Lane, Refusal> {
+        self.trim();
         let mut admission = self.admission.borrow_mut();
         let admission = admission.as_mut().ok_or(Code::NoSession)?;
-        admission.enter(now, slots)?;
-        Ok(())
+        Ok(admission.enter(now, slots)?)
     }
 
     async fn protected(
@@ -123,7 +125,9 @@
     ) -> Result<Completion, Refusal> {
         let time = Duration::from_millis(run.millis);
         match self.start(&name, &run)? {
-            Start::Run(_) => {
+            Start::Run(lane) => {
+                // A protected request takes a new connection, in the place of an idle one.
+                drop(self.endpoint.take(lane));
                 spawn_local(Rc::clone(self).work(name.clone(), run, body));
             }
             Start::Refused(code) => return Err(code.into()),
@@ -134,6 +138,7 @@
     }
 
     fn start(&self, name: &AttemptId, run: &Run) -> Result<Start, Refusal> {
+        self.trim();
         let mut admission = self.admission.borrow_mut();
         let admission = admission.as_mut().ok_or(Code::NoSession)?;
         let attempt = Attempt { name: name.clone(), digest: run.digest, slots: run.slots };
@@ -156,17 +161,31 @@
     /// Runs a started attempt to its end, keeps its outcome and reports it.
     async fn work(self: Rc<Self>, name: AttemptId, run: Run, body: Bytes) {
         let time = Duration::from_millis(run.millis) + LINGER;
-        let completion = endpoint::serve(self.endpoint, &run, body, time).await;
-        let now = self.clock.now();
-        if let Some(admission) = self.admission.borrow_mut().as_mut() {
-            admission.finish(now, &name.id, name.attempt, run.slots, false, &completion);
-        }
+        let served = self.endpoint.serve(None, &run, body, time).await;
+        self.finish(&name, run.slots, &served.completion, served.connection);
         self.finished.notify_waiters();
         self.reports.set(self.reports.get() + 1);
-        self.report(name, completion).await;
+        self.report(name, served.completion).await;
         self.reports.set(self.reports.get() - 1);
     }
 
+    /// Notes the outcome and keeps the connection if there is one.
+    fn finish(
+        &self,
+        name: &AttemptId,
+        slots: u32,
+        completion: &Completion,
+        connection: Option<Connection>,
+    ) {
+        let now = self.clock.now();
+        let reuse = connection.is_some();
+        let mut admission = self.admission.borrow_mut();
+        let finished = admission
+            .as_mut()
+            .is_some_and(|a| a.finish(now, &name.id, name.attempt, slots, reuse, completion));
+        connection.into_iter().filter(|_| finished).for_each(|c| self.endpoint.keep(c));
+    }
+
     /// Reports an outcome to control until control has noted it.
     async fn report(&self, name: AttemptId, completion: Completion) {
         let call = Call::Complete { id: name.id, attempt: name.attempt, completion };
--- a/crates/bronzespoold/src/agent/start.rs
+++ b/crates/bronzespoold/src/agent/start.rs
@@ -2,7 +2,13 @@
 
 use {
     crate::{
-        agent::{server::Server, state::State, tasks::Tasks, worker::Worker},
+        agent::{
+            endpoint::{Endpoint, IDLE_MAX},
+            server::Server,
+            state::State,
+            tasks::Tasks,
+            worker::Worker,
+        },
         client::{Keeper, Timing},
         clock::Clock,
     },
@@ -71,6 +77,7 @@
     if let Some(address) = options.worker {
         spawn_local(Tasks::new(Rc::clone(&state), Worker::new(address)).run());
     }
+    spawn_local(sweep(Rc::clone(&state)));
     log::info!(instance:% = state.instance(); "the agent is up");
     let _ = stop.wait_for(|s| *s).await;
     state.leave();
@@ -87,7 +94,7 @@
         place: options.place.clone(),
         nonce: fastrand::u64(1..),
         address,
-        endpoint: options.endpoint,
+        endpoint: Endpoint::new(options.endpoint),
         services: options.services.clone(),
         capacity: options.capacity,
         view: RefCell::new(View::default()),
@@ -103,6 +110,14 @@
     }
 }
 
+/// Closes idle connections to the endpoint also while no request arrives.
+async fn sweep(state: Rc<State>) {
+    loop {
+        sleep(IDLE_MAX).await;
+        state.trim();
+    }
+}
+
 /// Tells control that the endpoint is leaving and waits for what runs.
 async fn finish(state: &Rc<State>, grace: Duration) {
     let call = bronzespool::wire::message::Call::Drain {
--- a/crates/bronzespoold/src/agent/state.rs
+++ b/crates/bronzespoold/src/agent/state.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        agent::endpoint::Endpoint,
         client::{Keeper, Subscriber},
         clock::Clock,
     },
@@ -28,7 +29,7 @@
     pub(super) place: Place,
     pub(super) nonce: u64,
     pub(super) address: SocketAddr,
-    pub(super) endpoint: SocketAddr,
+    pub(super) endpoint: Endpoint,
     pub(super) services: Vec<Service>,
     pub(super) capacity: Capacity,
     pub(super) view: RefCell<View>,
@@ -99,9 +100,17 @@
         if self.leaving.get() {
             fresh.drain();
         }
+        self.endpoint.clear();
         *admission = Some(fresh);
     }
 
+    /// Closes the endpoint's idle connections that are of no more use.
+    pub(super) fn trim(&self) {
+        if let Some(admission) = self.admission.borrow_mut().as_mut() {
+            self.endpoint.trim(admission);
+        }
+    }
+
     fn assign(&self, index: u64, tasks: Vec<Assignment>) {
         if index < self.tasks_index.get() {
             return;
--- /dev/null
+++ b/crates/bronzespoold/tests/connections.rs
@@ -0,0 +1,174 @@
+//! Connections to an endpoint: what may carry another request and what may not.
+
+use {
+    bronzespoold::http::{Connection, Error, Pool, ReadError},
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{Request, body::Body},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        task::{LocalSet, spawn_local},
+        time::sleep,
+    },
+};
+
+const WHOLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+const SHORT: &str = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok";
+const CLOSING: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok";
+const TWICE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate";
+/// Longest wait for an answer.
+const TIME: Duration = Duration::from_secs(20);
+/// Time for which a test keeps connections idle.
+const IDLE_MAX: Duration = Duration::from_secs(60);
+const LIMIT: u64 = 1_000;
+
+fn request() -> Request<Full<Bytes>> {
+    Request::post("/s/k").header("host", "e").body(Full::new(Bytes::from_static(b"{}"))).unwrap()
+}
+
+/// Answers each request of one connection with the next text and closes after the last one, if
+/// `close` says so.
+async fn answer(mut stream: TcpStream, texts: &'static [&'static str], close: bool) {
+    let mut head = vec![0; 4_096];
+    for text in texts {
+        let mut read = 0;
+        while !head[..read].ends_with(b"\r\n\r\n{}") {
+            match stream.read(&mut head[read..]).await {
+                Ok(0) | Err(_) => return,
+                Ok(count) => read += count,
+            }
+        }
+        stream.write_all(text.as_bytes()).await.unwrap();
+    }
+    if !close {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// An endpoint that gives these answers on its first connection.
+async fn endpoint(texts: &'static [&'static str], close: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn_local(async move {
+        let (stream, _) = listener.accept().await.unwrap();
+        answer(stream, texts, close).await;
+    });
+    address
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(LocalSet::new().run_until(test));
+}
+
+async fn until(mut condition: impl FnMut() -> bool) {
+    let end = Instant::now() + TIME;
+    while !condition() {
+        assert!(Instant::now() < end, "the condition did not come true");
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+#[test]
+fn exchange_whole_answer_connection_is_reused() {
+    run(async {
+        let address = endpoint(&[WHOLE, WHOLE], false).await;
+        let mut pool = Pool::new(IDLE_MAX);
+        let connection = Connection::open(address, TIME).await.unwrap();
+        let (answer, connection) = connection.exchange(request(), LIMIT, TIME).await.unwrap();
+        assert_eq!(answer.body(), "ok");
+        pool.put(Instant::now(), connection);
+        until(|| pool.take().map(|c| (c.ready(), pool.put(Instant::now(), c)).0).unwrap()).await;
+        assert_eq!(pool.trim(Instant::now()), 0);
+        let connection = pool.take().unwrap();
+        // The endpoint accepts one connection only, so this is the same one.
+        let (answer, _) = connection.exchange(request(), LIMIT, TIME).await.unwrap();
+        assert_eq!(answer.body(), "ok");
+    });
+}
+
+#[test]
+fn exchange_short_body_connection_is_gone() {
+    run(async {
+        let address = endpoint(&[SHORT], true).await;
+        let connection = Connection::open(address, TIME).await.unwrap();
+        let error = connection.exchange(request(), LIMIT, TIME).await.unwrap_err();
+        assert!(matches!(error, Error::Body(ReadError::Short)), "{error}");
+        assert!(!error.unsent());
+    });
+}
+
+#[test]
+fn exchange_timeout_connection_is_closed() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let connection = Connection::open(listener.local_addr().unwrap(), TIME).await.unwrap();
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let time = Duration::from_millis(20);
+        let error = connection.exchange(request(), LIMIT, time).await.unwrap_err();
+        assert!(matches!(error, Error::Time(_)), "{error}");
+        let mut rest = Vec::new();
+        // The endpoint sees the end of the connection, so a late answer goes nowhere.
+        let _ = tokio::time::timeout(TIME, stream.read_to_end(&mut rest)).await.unwrap();
+    });
+}
+
+#[test]
+fn exchange_ended_connection_tells_unsent() {
+    run(async {
+        let address = endpoint(&[WHOLE], true).await;
+        let connection = Connection::open(address, TIME).await.unwrap();
+        let (_, connection) = connection.exchange(request(), LIMIT, TIME).await.unwrap();
+        let body = request().body().size_hint().exact();
+        assert_eq!(body, Some(2));
+        // The endpoint has closed; once that is known here, nothing is sent any more.
+        sleep(Duration::from_millis(50)).await;
+        until(|| !connection.ready()).await;
+        let error = connection.exchange(request(), LIMIT, TIME).await.unwrap_err();
+        assert!(error.unsent(), "{error}");
+    });
+}
+
+#[test]
+fn trim_closed_and_old_connections_are_counted() {
+    run(async {
+        let mut pool = Pool::new(IDLE_MAX);
+        for text in [&[WHOLE], &[CLOSING], &[TWICE]] {
+            let address = endpoint(text, false).await;
+            let connection = Connection::open(address, TIME).await.unwrap();
+            let (answer, connection) = connection.exchange(request(), LIMIT, TIME).await.unwrap();
+            assert_eq!(answer.body(), "ok");
+            pool.put(Instant::now(), connection);
+        }
+        // Only the first one may carry another request: the second was announced to close, and
+        // on the third an answer arrived that nobody had asked for.
+        let mut closed = 0;
+        until(|| {
+            closed += pool.trim(Instant::now());
+            closed == 2
+        })
+        .await;
+        assert_eq!(pool.len(), 1);
+        assert_eq!(pool.trim(Instant::now() + IDLE_MAX), 1, "idle for too long");
+        assert!(pool.is_empty());
+    });
+}
+
+#[test]
+fn expire_idle_connections_are_closed() {
+    run(async {
+        let address = endpoint(&[WHOLE], false).await;
+        let mut pool = Pool::new(IDLE_MAX);
+        let connection = Connection::open(address, TIME).await.unwrap();
+        let (_, connection) = connection.exchange(request(), LIMIT, TIME).await.unwrap();
+        let now = Instant::now();
+        pool.put(now, connection);
+        pool.expire(now);
+        assert_eq!(pool.trim(now), 1);
+    });
+}
