--- a/crates/bronzespool-cli/src/args/help.rs
+++ b/crates/bronzespool-cli/src/args/help.rs
@@ -21,14 +21,16 @@
         short: "check service files without the system",
         long: "Reads every service.ini under the folders and lists all faults with file, line and \
                key.\nA deployment.ini in the nearest folder above a service.ini, or the one \
-               named, is checked as well:\neach kind must fit its workers.",
+               named, is checked as well:\neach kind must fit its workers, and \
+               all guarantees must fit at once, less the reserve.",
         examples: &["check examples/registry", "check services --deployment site/deployment.ini"],
     },
     Topic {
         name: "publish",
-        form: "publish DIR… [--base REV] [--op ID] [--wait]",
+        form: "publish DIR… [--remove SERVICE] [--base REV] [--op ID] [--wait]",
         short: "put service files into force",
         long: "Checks the files, then sends them as one change.\n\
+               --remove SERVICE  take a service out; may be repeated, also without a folder\n\
                --base REV  refuse the change if the revision in force is another one\n\
                --op ID     operation id; the same id never makes the change twice\n\
                --wait      return when every process has the change in force",
