--- a/crates/bronzespool-load/src/path/page.rs
+++ b/crates/bronzespool-load/src/path/page.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        generate::Quantiles,
+        generate::{Counts, Quantiles},
         path::{Figures, KindFigures, Options, Pair},
         report::{Page, Table, Verdict},
         usage::RoleUsage,
@@ -42,7 +42,7 @@
     let bad: u64 = wrong.iter().map(|c| c.total() - c.good).sum();
     verdicts.push(Verdict {
         target: "every answer through the path is whole and in time".to_owned(),
-        measured: format!("{bad} others of {}", wrong.iter().map(|c| c.total()).sum::<u64>()),
+        measured: format!("{bad} others of {}", wrong.iter().map(Counts::total).sum::<u64>()),
         met: bad == 0,
     });
     verdicts
--- a/crates/bronzespoold/src/http/connection.rs
+++ b/crates/bronzespoold/src/http/connection.rs
@@ -41,9 +41,9 @@
     ///
     /// [`Error::Connect`] if there is no connection in time.
     pub async fn open(address: SocketAddr, time: Duration) -> Result<Self> {
-        let stream = match timeout(CONNECT_TIME.min(time), TcpStream::connect(address)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(_)) | Err(_) => return Err(Error::Connect(address)),
+        let connecting = timeout(CONNECT_TIME.min(time), TcpStream::connect(address));
+        let Ok(Ok(stream)) = connecting.await else {
+            return Err(Error::Connect(address));
         };
         let _ = stream.set_nodelay(true);
         let (sender, connection) =
