feat(fakes): record every start and refused start at the worker stand-in

Cause: nothing told when a task was started, how often, or whether a second one was asked for on a taken accelerator, so gang wholeness and exclusive cells could not be checked after the fact. Change: GET /record lists all starts by name, refused overlaps and the tasks with their times; GET /usage tells cores and memory by task, one lag old; PUT /manner sets them. Conclusion: process tests read their verdicts from the platform's side alone.

--- a/crates/bronzespool-fakes/src/cluster/system.rs
+++ b/crates/bronzespool-fakes/src/cluster/system.rs
@@ -145,6 +145,12 @@
         Ok(serde_json::from_slice(&answer.body)?)
     }
 
+    /// What the stand-in worker interface of a worker has recorded.
+    pub async fn tasks(&self, worker: usize) -> Result<crate::worker::Record> {
+        let answer = Call::get("/record").send(self.workers[worker].worker).await?;
+        Ok(serde_json::from_slice(&answer.body)?)
+    }
+
     /// Starts of a key over all endpoints.
     pub async fn starts(&self, key: &str) -> Result<usize> {
         let mut starts = 0;
--- a/crates/bronzespool-fakes/src/worker/server.rs
+++ b/crates/bronzespool-fakes/src/worker/server.rs
@@ -8,13 +8,14 @@
 //! | `POST /tasks/{name}/throttle` | sets its speed `{percent}` |
 //! | `POST /tasks/{name}/stop` | stops it |
 //! | `GET /tasks` | lists all tasks |
-//! | `GET /usage` | usage as it was one lag ago |
-//! | `PUT /manner` | sets `{failing}`: every task fails at its start |
+//! | `GET /usage` | what the tasks used one lag ago: `{age_ms, tasks: [{name, cores, memory}]}` |
+//! | `GET /record` | all starts, refused starts and tasks: [`Record`] |
+//! | `PUT /manner` | sets `{failing, cores, memory}`: tasks fail at their start; use of each task |
 
 use {
     crate::{
         http::{Answer, Serve, json},
-        worker::{State, Task},
+        worker::{Overlap, Record, State, Task},
     },
     bytes::Bytes,
     http_body_util::BodyExt,
@@ -25,7 +26,7 @@
         cell::{Cell, RefCell},
         collections::BTreeMap,
         rc::Rc,
-        time::Instant,
+        time::{Instant, SystemTime, UNIX_EPOCH},
     },
 };
 
@@ -46,9 +47,16 @@
     percent: u32,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, Copy, Default, Deserialize)]
 struct Manner {
+    #[serde(default)]
     failing: bool,
+    /// Thousandths of a core that each task uses.
+    #[serde(default)]
+    cores: u32,
+    /// Memory in MiB that each task uses.
+    #[serde(default)]
+    memory: u64,
 }
 
 /// The stand-in worker.
@@ -57,8 +65,10 @@
     lag: u64,
     speed: u64,
     tasks: RefCell<BTreeMap<String, Task>>,
-    failing: Cell<bool>,
-    starts: Cell<u64>,
+    manner: Cell<Manner>,
+    starts: RefCell<Vec<String>>,
+    overlaps: RefCell<Vec<Overlap>>,
+    born: u64,
 }
 
 impl Worker {
@@ -70,8 +80,10 @@
             lag,
             speed: speed.max(1),
             tasks: RefCell::default(),
-            failing: Cell::new(false),
-            starts: Cell::new(0),
+            manner: Cell::default(),
+            starts: RefCell::default(),
+            overlaps: RefCell::default(),
+            born: since_epoch(),
         }
     }
 
@@ -90,9 +102,12 @@
             t.state == State::Running && t.accels.iter().any(|a| call.accels.contains(a))
         };
         if let Some(holder) = tasks.values().find(taken) {
+            let overlap = Overlap { name: call.name, holder: holder.name.clone() };
+            self.overlaps.borrow_mut().push(overlap);
             return json(StatusCode::CONFLICT, &json!({ "error": "taken", "by": holder.name }));
         }
-        self.starts.set(self.starts.get() + 1);
+        self.starts.borrow_mut().push(call.name.clone());
+        let failing = self.manner.get().failing;
         let task = Task {
             name: call.name.clone(),
             accels: call.accels,
@@ -101,7 +116,10 @@
             lease: now + call.lease_ms,
             checkpoints: 0,
             throttle: 100,
-            state: if self.failing.get() { State::Failed } else { State::Running },
+            state: if failing { State::Failed } else { State::Running },
+            asked: call.run_ms,
+            started: now,
+            ended: failing.then_some(now),
         };
         let answer = json(StatusCode::CREATED, &json!(task));
         tasks.insert(call.name, task);
@@ -119,7 +137,7 @@
             match verb {
                 "renew" => task.lease = now + change.lease_ms,
                 "throttle" => task.throttle = change.percent,
-                "stop" => task.state = State::Stopped,
+                "stop" => task.end(State::Stopped, now),
                 "checkpoint" => {
                     task.checkpoints += 1;
                     task.remaining -= (now - task.since).min(task.remaining);
@@ -136,15 +154,34 @@
         let mut tasks = self.tasks.borrow_mut();
         tasks.values_mut().for_each(|t| t.advance(now));
         let list: Vec<_> = tasks.values().collect();
-        json(StatusCode::OK, &json!({ "starts": self.starts.get(), "tasks": list }))
+        json(StatusCode::OK, &json!({ "tasks": list }))
+    }
+
+    fn record(&self) -> Answer {
+        let now = self.now();
+        let mut tasks = self.tasks.borrow_mut();
+        tasks.values_mut().for_each(|t| t.advance(now));
+        let record = Record {
+            began: self.born,
+            starts: self.starts.borrow().clone(),
+            overlaps: self.overlaps.borrow().clone(),
+            tasks: tasks.values().cloned().collect(),
+        };
+        json(StatusCode::OK, &json!(record))
     }
 
     fn usage(&self) -> Answer {
-        let at = self.now().saturating_sub(self.lag);
+        let now = self.now();
+        let at = now.saturating_sub(self.lag);
         let tasks = self.tasks.borrow();
-        let running = tasks.values().filter(|t| t.state == State::Running && t.since <= at);
-        let accels: Vec<_> = running.flat_map(|t| t.accels.iter()).collect();
-        json(StatusCode::OK, &json!({ "at_ms": at, "accels": accels }))
+        let ran = |t: &&Task| t.started <= at && t.ended.is_none_or(|end| at < end);
+        let manner = self.manner.get();
+        let used = tasks.values().filter(ran).map(|t| {
+            let cores = u64::from(manner.cores) * u64::from(t.throttle) / 100;
+            json!({ "name": t.name, "cores": cores, "memory": manner.memory })
+        });
+        let used: Vec<_> = used.collect();
+        json(StatusCode::OK, &json!({ "age_ms": now - at, "tasks": used }))
     }
 
     fn answer(&self, method: &Method, path: &str, body: &Bytes) -> Answer {
@@ -152,6 +189,7 @@
         match (method, parts.as_slice()) {
             (&Method::GET, ["tasks"]) => self.list(),
             (&Method::GET, ["usage"]) => self.usage(),
+            (&Method::GET, ["record"]) => self.record(),
             (&Method::POST, ["tasks"]) => match serde_json::from_slice(body) {
                 Ok(call) => self.start(call),
                 Err(error) => bad(&error),
@@ -162,7 +200,7 @@
             }
             (&Method::PUT, ["manner"]) => match serde_json::from_slice::<Manner>(body) {
                 Ok(manner) => {
-                    self.failing.set(manner.failing);
+                    self.manner.set(manner);
                     json(StatusCode::OK, &Value::Null)
                 }
                 Err(error) => bad(&error),
@@ -172,6 +210,11 @@
     }
 }
 
+fn since_epoch() -> u64 {
+    let span = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn bad(error: &serde_json::Error) -> Answer {
     json(StatusCode::BAD_REQUEST, &json!({ "error": error.to_string() }))
 }
--- a/crates/bronzespool-fakes/src/worker/task.rs
+++ b/crates/bronzespool-fakes/src/worker/task.rs
@@ -37,6 +37,12 @@
     pub throttle: u32,
     /// What it does.
     pub state: State,
+    /// Run time asked for at its start.
+    pub asked: u64,
+    /// When it was started.
+    pub started: u64,
+    /// When it ended, if it has.
+    pub ended: Option<u64>,
 }
 
 impl Task {
@@ -45,10 +51,17 @@
         if self.state != State::Running {
             return;
         }
-        if self.since + self.remaining <= now.min(self.lease) {
-            self.state = State::Done;
+        let done = self.since + self.remaining;
+        if done <= now.min(self.lease) {
+            self.end(State::Done, done);
         } else if self.lease <= now {
-            self.state = State::Expired;
+            self.end(State::Expired, self.lease);
         }
     }
+
+    /// Ends the task at `at`.
+    pub const fn end(&mut self, state: State, at: u64) {
+        self.state = state;
+        self.ended = Some(at);
+    }
 }
