feat(agent): checkpoint during the run, count only a whole gang's, report usage

Cause: tasks were checkpointed only when stopped, and the leader took one member's checkpoint as the whole gang's, so a gang whose other member was lost counted progress that it did not have. A call that failed for one task also kept the worker's other tasks from being renewed or stopped. Ruled out: rounds driven by the book, which would need a field and timers at every hub. Change: the assignment carries the kind's period; the agent reports how many checkpoints the platform has made of a task, and the leader records one when every member has reported that number, at the earliest member's time. Usage is read each 'usage' period, sent when it has changed by a tenth or is 30 s old, and recorded when it goes beyond what was declared. What a report says of an attempt that is over is acknowledged without effect.

--- a/crates/bronzespool-wire/src/message/mod.rs
+++ b/crates/bronzespool-wire/src/message/mod.rs
@@ -13,5 +13,5 @@
     run::{AgentState, Run, RunReply, StatusReply, Work},
     session::{Announce, Hello, Opened, Role, Update, Welcome},
     status::{EndpointView, ReplicaView, StatusView},
-    task::{Assignment, Report, Step, TaskEvent, TaskId},
+    task::{Assignment, Report, Step, TaskEvent, TaskId, TaskUsage},
 };
--- a/crates/bronzespool-wire/src/message/task.rs
+++ b/crates/bronzespool-wire/src/message/task.rs
@@ -53,8 +53,8 @@
     pub accels: Range<u32>,
     /// Declared run time that is left, in milliseconds.
     pub millis: u64,
-    /// Whether it makes checkpoints.
-    pub checkpoints: bool,
+    /// Milliseconds between two checkpoints, if it makes any.
+    pub checkpoint: Option<u64>,
     /// Milliseconds for which it may run on after the agent's session has ended.
     pub grace: u64,
 }
@@ -64,8 +64,6 @@
 pub enum TaskEvent {
     /// Its resources are held.
     Prepared,
-    /// It made a checkpoint.
-    Checkpointed,
     /// It ran to its end.
     Done,
     /// It failed.
@@ -76,6 +74,17 @@
     Lost,
 }
 
+/// What a task used when its worker looked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskUsage {
+    /// Thousandths of a core.
+    pub cores: u32,
+    /// Memory in MiB.
+    pub memory: u64,
+    /// Milliseconds since the worker looked.
+    pub age: u64,
+}
+
 /// What an agent reports.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
@@ -85,4 +94,8 @@
     pub incarnation: u64,
     /// Events in order.
     pub events: Vec<(TaskId, TaskEvent)>,
+    /// Checkpoints that tasks have made since their starts; made before the events.
+    pub checkpoints: Vec<(TaskId, u32)>,
+    /// What tasks use.
+    pub usage: Vec<(TaskId, TaskUsage)>,
 }
--- a/crates/bronzespoold/src/agent/mod.rs
+++ b/crates/bronzespoold/src/agent/mod.rs
@@ -6,6 +6,7 @@
 mod start;
 mod state;
 mod tasks;
+mod usage;
 mod worker;
 
 pub use start::{Options, run};
--- a/crates/bronzespoold/src/agent/start.rs
+++ b/crates/bronzespoold/src/agent/start.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        agent::{server::Server, state::State, tasks::Tasks, worker::Worker},
+        agent::{server::Server, state::State, tasks::Tasks, usage::Reporter, worker::Worker},
         client::{Keeper, Timing},
         clock::Clock,
     },
@@ -47,6 +47,8 @@
     pub hubs: Vec<SocketAddr>,
     /// Spans of the session.
     pub timing: Timing,
+    /// Time between two usage reports of the worker.
+    pub usage: Duration,
     /// Longest wait for requests in flight at a graceful stop.
     pub grace: Duration,
 }
@@ -69,7 +71,9 @@
     let served = spawn_local(serve(listener, server));
     let kept = spawn_local(Rc::clone(&keeper).run());
     if let Some(address) = options.worker {
-        spawn_local(Tasks::new(Rc::clone(&state), Worker::new(address)).run());
+        let worker = Worker::new(address);
+        spawn_local(Tasks::new(Rc::clone(&state), worker).run());
+        spawn_local(Reporter::new(Rc::clone(&state), worker).run(options.usage));
     }
     log::info!(instance:% = state.instance(); "the agent is up");
     let _ = stop.wait_for(|s| *s).await;
--- a/crates/bronzespoold/src/agent/tasks.rs
+++ b/crates/bronzespoold/src/agent/tasks.rs
@@ -10,7 +10,7 @@
         worker::{Known, Result, TaskState, Worker},
     },
     bronzespool::{
-        core::{HashMap, HashSet},
+        core::{HashMap, HashSet, Time},
         wire::message::{Assignment, Call, Report, Step, TaskEvent, TaskId},
     },
     std::{rc::Rc, time::Duration},
@@ -34,11 +34,23 @@
     inherited: Option<HashSet<TaskId>>,
     reported: HashSet<(TaskId, u8)>,
     events: Vec<(TaskId, TaskEvent)>,
+    /// When each running task was first seen or last saved.
+    saved: HashMap<TaskId, Time>,
+    /// Checkpoints that control has not noted.
+    checkpoints: HashMap<TaskId, u32>,
 }
 
 impl Tasks {
     pub(super) fn new(state: Rc<State>, worker: Worker) -> Self {
-        Self { state, worker, inherited: None, reported: HashSet::default(), events: Vec::new() }
+        Self {
+            state,
+            worker,
+            inherited: None,
+            reported: HashSet::default(),
+            events: Vec::new(),
+            saved: HashMap::default(),
+            checkpoints: HashMap::default(),
+        }
     }
 
     /// Runs rounds for as long as the agent lives.
@@ -61,13 +73,16 @@
         let assigned = self.state.tasks.borrow().clone();
         self.inherit(&assigned);
         let known = self.worker.list().await?;
+        // A call that fails for one task must not keep the others from being renewed or stopped.
+        let mut result = Ok(());
         for assignment in &assigned {
-            self.bring(assignment, &known).await?;
+            result = self.bring(assignment, &known).await.and(result);
         }
-        self.stop_others(&assigned, &known).await?;
+        result = self.stop_others(&assigned, &known).await.and(result);
         let ids: HashSet<_> = assigned.iter().map(|a| &a.task).collect();
         self.reported.retain(|(task, _)| ids.contains(task));
-        Ok(())
+        self.saved.retain(|task, _| ids.contains(task));
+        result
     }
 
     /// Tasks that were told to run before this process began may have run: they are adopted, and
@@ -88,6 +103,9 @@
     ) -> Result<()> {
         let name = assignment.task.to_string();
         let state = known.get(&name).map(|k| k.state);
+        if let Some(known) = known.get(&name) {
+            self.see(assignment, known);
+        }
         match (assignment.step, state) {
             (Step::Prepare, None) if is_free(assignment, known) => {
                 self.note(assignment, TaskEvent::Prepared);
@@ -132,6 +150,37 @@
             return self.stop(assignment, name).await;
         }
         self.worker.renew(name, lease).await?;
+        if self.is_due(assignment) {
+            self.checkpoint(assignment, name).await?;
+        }
+        Ok(())
+    }
+
+    /// Takes note of a running task. One that was adopted may have made checkpoints of which
+    /// control has not heard.
+    fn see(&mut self, assignment: &Assignment, known: &Known) {
+        let new = known.state == TaskState::Running && !self.saved.contains_key(&assignment.task);
+        if !new || assignment.checkpoint.is_none() {
+            return;
+        }
+        self.saved.insert(assignment.task.clone(), self.state.clock.now());
+        if known.checkpoints > 0 {
+            self.checkpoints.insert(assignment.task.clone(), known.checkpoints);
+        }
+    }
+
+    fn is_due(&self, assignment: &Assignment) -> bool {
+        let Some(span) = assignment.checkpoint.map(Duration::from_millis) else {
+            return false;
+        };
+        let last = self.saved.get(&assignment.task);
+        last.is_some_and(|last| self.state.clock.now().since(*last) >= span)
+    }
+
+    async fn checkpoint(&mut self, assignment: &Assignment, name: &str) -> Result<()> {
+        let count = self.worker.checkpoint(name).await?;
+        self.saved.insert(assignment.task.clone(), self.state.clock.now());
+        self.checkpoints.insert(assignment.task.clone(), count);
         Ok(())
     }
 
@@ -143,9 +192,9 @@
     }
 
     async fn stop(&mut self, assignment: &Assignment, name: &str) -> Result<()> {
-        if assignment.checkpoints && !self.seen(&assignment.task, TaskEvent::Checkpointed as u8) {
-            self.worker.checkpoint(name).await?;
-            self.note(assignment, TaskEvent::Checkpointed);
+        if assignment.checkpoint.is_some() && !self.seen(&assignment.task, SAVED) {
+            self.checkpoint(assignment, name).await?;
+            self.reported.insert((assignment.task.clone(), SAVED));
         }
         let state = self.worker.stop(name).await?;
         self.note_state(assignment, state);
@@ -193,14 +242,20 @@
         let Some(keeper) = self.state.keeper() else {
             return;
         };
-        if self.events.is_empty() {
+        if self.events.is_empty() && self.checkpoints.is_empty() {
             return;
         }
         let incarnation = self.state.brief().incarnation;
         let instance = self.state.instance().clone();
-        let call = Call::Report(Report { instance, incarnation, events: self.events.clone() });
-        match keeper.call(&call, REPORT_TIME).await {
-            Ok(_) => self.events.clear(),
+        let events = self.events.clone();
+        let checkpoints = self.checkpoints.iter().map(|(task, count)| (task.clone(), *count));
+        let checkpoints = checkpoints.collect();
+        let report = Report { instance, incarnation, events, checkpoints, usage: Vec::new() };
+        match keeper.call(&Call::Report(report), REPORT_TIME).await {
+            Ok(_) => {
+                self.events.clear();
+                self.checkpoints.clear();
+            }
             Err(refusal) => log::warn!(refusal:%; "task events were not reported yet"),
         }
     }
@@ -214,3 +269,5 @@
 
 /// Mark of a task that was started, beside the marks of the events.
 const RUNNING: u8 = u8::MAX;
+/// Mark of a task whose last checkpoint before its stop was made.
+const SAVED: u8 = u8::MAX - 1;
--- a/crates/bronzespoold/src/agent/worker.rs
+++ b/crates/bronzespoold/src/agent/worker.rs
@@ -58,14 +58,38 @@
     name: String,
     #[serde(default)]
     accels: Vec<u32>,
+    #[serde(default)]
+    checkpoints: u32,
     state: TaskState,
 }
 
+/// What the tasks of a worker used when it looked.
+#[derive(Debug, Deserialize)]
+pub(super) struct Used {
+    /// Milliseconds since it looked.
+    pub(super) age_ms: u64,
+    /// The tasks.
+    pub(super) tasks: Vec<UsedTask>,
+}
+
+/// What a task used.
+#[derive(Debug, Deserialize)]
+pub(super) struct UsedTask {
+    /// Name of the task.
+    pub(super) name: String,
+    /// Thousandths of a core.
+    pub(super) cores: u32,
+    /// Memory in MiB.
+    pub(super) memory: u64,
+}
+
 /// A task as the worker lists it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Known {
     /// Accelerators held, by number.
     pub(super) accels: Vec<u32>,
+    /// Checkpoints made since its start.
+    pub(super) checkpoints: u32,
     /// What it does.
     pub(super) state: TaskState,
 }
@@ -92,10 +116,18 @@
     /// All tasks that the worker knows.
     pub(super) async fn list(&self) -> Result<HashMap<String, Known>> {
         let listed: Listed = self.call(Method::GET, "/tasks", Bytes::new()).await?;
-        let known = |t: ListedTask| (t.name, Known { accels: t.accels, state: t.state });
+        let known = |t: ListedTask| {
+            let ListedTask { name, accels, checkpoints, state } = t;
+            (name, Known { accels, checkpoints, state })
+        };
         Ok(listed.tasks.into_iter().map(known).collect())
     }
 
+    /// What the tasks used when the worker last looked.
+    pub(super) async fn usage(&self) -> Result<Used> {
+        self.call(Method::GET, "/usage", Bytes::new()).await
+    }
+
     /// Starts a task under a lease. A task that the worker knows is not started again.
     pub(super) async fn start(
         &self,
@@ -120,9 +152,10 @@
         self.change(name, "renew", format!("{{\"lease_ms\":{}}}", millis(lease))).await
     }
 
-    /// Saves a task's progress.
-    pub(super) async fn checkpoint(&self, name: &str) -> Result<TaskState> {
-        self.change(name, "checkpoint", String::new()).await
+    /// Saves a task's progress. Returns the number of checkpoints since its start.
+    pub(super) async fn checkpoint(&self, name: &str) -> Result<u32> {
+        let task = self.change_task(name, "checkpoint", String::new()).await?;
+        Ok(task.checkpoints)
     }
 
     /// Sets a task's speed in percent.
@@ -136,11 +169,15 @@
     }
 
     async fn change(&self, name: &str, verb: &str, body: String) -> Result<TaskState> {
-        let path = format!("/tasks/{name}/{verb}");
-        let task: ListedTask = self.call(Method::POST, &path, body.into()).await?;
+        let task = self.change_task(name, verb, body).await?;
         Ok(task.state)
     }
 
+    async fn change_task(&self, name: &str, verb: &str, body: String) -> Result<ListedTask> {
+        let path = format!("/tasks/{name}/{verb}");
+        self.call(Method::POST, &path, body.into()).await
+    }
+
     async fn call<T: DeserializeOwned>(
         &self,
         method: Method,
--- a/crates/bronzespoold/src/control/hub/assign.rs
+++ b/crates/bronzespoold/src/control/hub/assign.rs
@@ -42,7 +42,7 @@
         kind: job.spec.kind.clone(),
         accels: cell.first..cell.first + cell.accels,
         millis: millis(job.spec.declared.saturating_sub(job.saved)),
-        checkpoints: job.spec.checkpoint.is_some(),
+        checkpoint: job.spec.checkpoint.map(millis),
         grace: millis(attempt.lease.saturating_sub(SESSION_SPAN)),
     })
 }
--- a/crates/bronzespoold/src/control/leader/calls.rs
+++ b/crates/bronzespoold/src/control/leader/calls.rs
@@ -4,7 +4,7 @@
     crate::{
         clock::Clock,
         control::{
-            leader::{presence::Hubs, shares::Granter},
+            leader::{checkpoints::Checkpoints, presence::Hubs, shares::Granter},
             replica::{Replica, Result},
             state::{Command, Effect},
         },
@@ -28,6 +28,7 @@
     pub(super) hubs: RefCell<Hubs>,
     pub(super) granter: RefCell<Granter>,
     pub(super) planner: RefCell<(u64, Planner)>,
+    pub(super) checkpoints: RefCell<Checkpoints>,
     pub(super) horizon: Horizon,
     pub(super) reserve: Option<Shape>,
     pub(super) lease: Duration,
@@ -42,8 +43,18 @@
         reserve: Option<Shape>,
         lease: Duration,
     ) -> Rc<Self> {
-        let (hubs, granter, planner) = Default::default();
-        Rc::new(Self { clock, replica, hubs, granter, planner, horizon, reserve, lease })
+        let (hubs, granter, planner, checkpoints) = Default::default();
+        Rc::new(Self {
+            clock,
+            replica,
+            hubs,
+            granter,
+            planner,
+            checkpoints,
+            horizon,
+            reserve,
+            lease,
+        })
     }
 
     /// Answers a call, if this replica leads.
--- a/crates/bronzespoold/src/control/leader/jobs.rs
+++ b/crates/bronzespoold/src/control/leader/jobs.rs
@@ -1,4 +1,4 @@
-//! Jobs: submission, cancellation, reports of their tasks, and what callers see.
+//! Jobs: submission, cancellation, and what callers see.
 
 use {
     crate::control::{
@@ -8,8 +8,8 @@
     },
     bronzespool::{
         core::{Code, Job, Refusal, Time},
-        schedule::{Event, JobOutcome, JobSpec, JobState, MemberOutcome, Phase, Record},
-        wire::message::{Answered, JobView, Reply, Report, TaskEvent, TaskId},
+        schedule::{Event, JobOutcome, JobSpec, JobState, Phase, Record},
+        wire::message::{Answered, JobView, Reply},
     },
 };
 
@@ -46,40 +46,6 @@
         Ok(Reply::Jobs(state.book().jobs().map(|j| view(j, now)).collect()))
     }
 
-    /// Takes an agent's report. Events of an attempt that is over have no effect.
-    pub(super) async fn report(&self, report: &Report) -> Answered {
-        self.replica.read().await?;
-        let mut events = Vec::new();
-        for (task, event) in &report.events {
-            if self.is_current(task) {
-                events.push(self.event(task, *event));
-            }
-        }
-        if !events.is_empty() {
-            self.commit_events(events).await?;
-        }
-        Ok(Reply::Noted)
-    }
-
-    fn is_current(&self, task: &TaskId) -> bool {
-        let state = self.replica.state();
-        let attempt = state.book().job(&task.job).and_then(JobState::attempt);
-        attempt.is_some_and(|a| a.number == task.attempt)
-    }
-
-    fn event(&self, task: &TaskId, event: TaskEvent) -> Event {
-        let (job, attempt, member) = (task.job.clone(), task.attempt, task.member);
-        let stopped = |outcome| Event::Stopped { job: job.clone(), attempt, member, outcome };
-        match event {
-            TaskEvent::Prepared => Event::Prepared { job, attempt, member },
-            TaskEvent::Checkpointed => Event::Checkpointed { job, attempt },
-            TaskEvent::Done => stopped(MemberOutcome::Done),
-            TaskEvent::Failed => stopped(MemberOutcome::Failed),
-            TaskEvent::Stopped => stopped(MemberOutcome::Stopped),
-            TaskEvent::Lost => stopped(MemberOutcome::Lost),
-        }
-    }
-
     pub(super) async fn commit_events(&self, events: Vec<Event>) -> Result<()> {
         let at = self.replica.log_time();
         let records = events.into_iter().map(|event| Record::new(at, event)).collect();
--- a/crates/bronzespoold/src/control/leader/mod.rs
+++ b/crates/bronzespoold/src/control/leader/mod.rs
@@ -1,10 +1,12 @@
 //! What only the leader does: answers calls and runs the controllers.
 
 mod calls;
+mod checkpoints;
 mod claims;
 mod config;
 mod jobs;
 mod presence;
+mod report;
 mod schedule;
 mod shares;
 mod status;
