--- /dev/null
+++ b/crates/bronzespoold/tests/jobs_agent.rs
@@ -0,0 +1,91 @@
+//! Jobs through the deaths of agents and workers.
+
+mod jobs_support;
+
+use {
+    bronzespool_fakes::worker::State,
+    jobs_support::{Desk, gang, instances, until},
+    serde_json::Value,
+};
+
+/// Most milliseconds from a member's loss to the end of the others: lease of a session with its
+/// margin, and one round each of the leader, the scheduler and the agent, with generous room.
+const REST_MAX_MS: u64 = 15_000;
+
+/// Number of the worker, from one, that the processes beside it carry in their names.
+fn number_of(desk: &Desk, view: &Value, member: usize) -> usize {
+    desk.number(&instances(view)[member]) + 1
+}
+
+#[tokio::test]
+async fn agent_restart_adopts_running_task() {
+    let mut desk = Desk::start(&[3], &gang("rebuild", "runtime = 8s")).await;
+    let job = desk.submit("owner", "rebuild", "k1").await;
+    desk.started(&job, 1, 2).await;
+    let view = desk.phase(&job, "running").await;
+    let agent = format!("agent-{}", number_of(&desk, &view, 0));
+    desk.cluster.process(&agent).kill().expect("a kill");
+    desk.cluster.process(&agent).restart().expect("a restart");
+    let ended = desk.phase(&job, "ended").await;
+    assert_eq!((&ended["outcome"], &ended["attempts"]), (&"done".into(), &1.into()), "{ended}");
+    assert_eq!(desk.starts(&job, 1).await.len(), 2, "no member was started again");
+}
+
+#[tokio::test]
+async fn worker_loss_restarts_gang_from_checkpoint() {
+    let kinds = gang("rebuild", "runtime = 12s\ncheckpoint = 1s");
+    let mut desk = Desk::start(&[4], &kinds).await;
+    let job = desk.submit("guest", "rebuild", "k1").await;
+    desk.started(&job, 1, 2).await;
+    let view = desk.phase(&job, "running").await;
+    let (lost, kept) = (number_of(&desk, &view, 0), number_of(&desk, &view, 1));
+    let names = [format!("{job}.1.0"), format!("{job}.1.1")];
+    until("two checkpoints of each member", async || {
+        let mut made = Vec::new();
+        for (worker, name) in [(lost, &names[0]), (kept, &names[1])] {
+            made.push(desk.record(worker - 1).await.task(name).map_or(0, |t| t.checkpoints));
+        }
+        made.iter().all(|m| *m >= 2).then_some(())
+    })
+    .await;
+    desk.cluster.process(&format!("agent-{lost}")).kill().expect("a kill");
+    desk.cluster.process(&format!("endpoint-{lost}")).kill().expect("a kill");
+    let killed = jobs_support::unix_millis();
+    let ended =
+        until("the end of the other member", async || desk.record(kept - 1).await.ended(&names[1]))
+            .await;
+    let took = ended.saturating_sub(killed);
+    println!("the other member ended {took} ms after the loss");
+    assert!(took < REST_MAX_MS, "{took} ms");
+    // Their records went with the stand-in; the other one holds both attempts.
+    desk.cluster.process(&format!("endpoint-{lost}")).restart().expect("a restart");
+    let ended = desk.phase(&job, "ended").await;
+    assert_eq!((&ended["outcome"], &ended["attempts"]), (&"done".into(), &2.into()), "{ended}");
+    let records = desk.records().await;
+    let tasks = records.iter().flat_map(|r| &r.tasks);
+    let second: Vec<_> = tasks.filter(|t| t.name.starts_with(&format!("{job}.2."))).collect();
+    assert_eq!(second.len(), 2, "the gang was started whole");
+    assert!(second.iter().all(|t| t.asked <= 11_000), "from its checkpoint: {second:?}");
+    desk.assert_no_overlap().await;
+}
+
+#[tokio::test]
+async fn worker_loss_of_protected_job_is_unknown() {
+    let kinds = gang("permit", "runtime = 60s\nprotected = yes");
+    let mut desk = Desk::start(&[3], &kinds).await;
+    let job = desk.submit("owner", "permit", "k1").await;
+    desk.started(&job, 1, 2).await;
+    let view = desk.phase(&job, "running").await;
+    let (lost, kept) = (number_of(&desk, &view, 0), number_of(&desk, &view, 1));
+    for name in [format!("agent-{lost}"), format!("endpoint-{lost}")] {
+        desk.cluster.process(&name).kill().expect("a kill");
+        desk.cluster.process(&name).restart().expect("a restart");
+    }
+    let ended = desk.phase(&job, "ended").await;
+    assert_eq!((&ended["outcome"], &ended["attempts"]), (&"unknown".into(), &1.into()), "{ended}");
+    let name = format!("{job}.1.1");
+    let record = desk.record(kept - 1).await;
+    assert_eq!(record.starts, [name.as_str()], "never started again");
+    assert_eq!(record.task(&name).map(|t| t.state), Some(State::Stopped));
+    assert!(desk.record(lost - 1).await.starts.is_empty(), "never started again");
+}
--- /dev/null
+++ b/crates/bronzespoold/tests/jobs_health.rs
@@ -0,0 +1,43 @@
+//! Workers that fail everything, and jobs that can never run.
+
+mod jobs_support;
+
+use {
+    jobs_support::{Desk, kind},
+    serde_json::json,
+};
+
+fn single(runtime: &str) -> String {
+    kind("single", &format!("accelerators = 8\nruntime = {runtime}\nrestart = yes"))
+}
+
+#[tokio::test]
+async fn worker_failing_everything_is_quarantined() {
+    let desk = Desk::start(&[3], &single("1s")).await;
+    desk.manner(0, &json!({ "failing": true })).await;
+    for wave in 0..2 {
+        let mut jobs = Vec::new();
+        for number in 0..4 {
+            jobs.push(desk.submit("guest", "single", &format!("k{wave}-{number}")).await);
+        }
+        for job in &jobs {
+            let ended = desk.phase(job, "ended").await;
+            assert_eq!(ended["outcome"], "done", "{ended}");
+        }
+        let failed = desk.record(0).await.starts.len();
+        println!("starts at the failing worker after wave {}: {failed}", wave + 1);
+        // Three distinct jobs are the evidence; none goes there afterwards.
+        assert!(failed <= 3, "{failed} starts at a worker that fails everything");
+    }
+}
+
+#[tokio::test]
+async fn job_failing_everywhere_is_refused() {
+    let desk = Desk::start(&[4], &single("1s")).await;
+    for worker in 0..4 {
+        desk.manner(worker, &json!({ "failing": true })).await;
+    }
+    let job = desk.submit("guest", "single", "k1").await;
+    let ended = desk.phase(&job, "ended").await;
+    assert_eq!((&ended["outcome"], &ended["code"]), (&"refused".into(), &2016.into()), "{ended}");
+}
