--- a/crates/bronzespoold/src/control/leader/calls.rs
+++ b/crates/bronzespoold/src/control/leader/calls.rs
@@ -4,7 +4,9 @@
     crate::{
         clock::Clock,
         control::{
-            leader::{checkpoints::Checkpoints, presence::Hubs, shares::Granter},
+            leader::{
+                burn::Counted, checkpoints::Checkpoints, presence::Hubs, shares::Granter,
+            },
             replica::{Replica, Result},
             state::{Command, Effect},
         },
@@ -26,6 +28,7 @@
     pub(super) clock: Clock,
     pub(super) replica: Rc<Replica>,
     pub(super) hubs: RefCell<Hubs>,
+    pub(super) counted: RefCell<Counted>,
     pub(super) granter: RefCell<Granter>,
     pub(super) planner: RefCell<(u64, Planner)>,
     pub(super) checkpoints: RefCell<Checkpoints>,
@@ -43,14 +46,14 @@
         reserve: Option<Shape>,
         lease: Duration,
     ) -> Rc<Self> {
-        let (hubs, granter, planner, checkpoints) = Default::default();
         Rc::new(Self {
             clock,
             replica,
-            hubs,
-            granter,
-            planner,
-            checkpoints,
+            hubs: RefCell::default(),
+            counted: RefCell::default(),
+            granter: RefCell::default(),
+            planner: RefCell::default(),
+            checkpoints: RefCell::default(),
             horizon,
             reserve,
             lease,
@@ -81,6 +84,8 @@
             Call::Drain { instance, leaving } => self.drain(instance, leaving).await,
             Call::Announce(announce) => self.announce(announce).await,
             Call::Progress(progress) => Ok(self.progress(progress)),
+            Call::Answers { holder, counts } => Ok(self.answers(holder, counts)),
+            Call::Burn => self.burn(),
             Call::Shares { holder, reports } => self.shares(holder, reports).await,
             Call::Report(report) => self.report(&report).await,
         }
