fix(fakes): give out ports below those of outgoing connections

Cause: one of two systems started side by side was not ready within 60 s. A port was found by binding port 0 and released again, so until the process bound it, any outgoing connection of the machine could be given it. The log of that run is gone, so the cause is inferred, not seen. Ruled out: a slow machine alone; the runs before and after at the same load took 5 to 9 s. Change: ports come from 10000 to 29999, from a start of each test process's own, none twice.

--- a/crates/bronzespool-fakes/src/cluster/process.rs
+++ b/crates/bronzespool-fakes/src/cluster/process.rs
@@ -8,6 +8,7 @@
         net::{SocketAddr, TcpListener},
         path::{Path, PathBuf},
         process::{Child, Command, ExitStatus, Stdio},
+        sync::atomic::{AtomicU32, Ordering},
     },
 };
 
@@ -24,14 +25,33 @@
     found.unwrap_or_else(|| panic!("{name} is not built: run cargo build --workspace --bins"))
 }
 
-/// An address on the loopback interface that nothing listens on now.
+/// First port given out.
+const PORT_MIN: u32 = 10_000;
+/// Ports given out; they end below those that systems take for outgoing connections, one of which
+/// could otherwise take a port before its process has bound it.
+const PORTS: u32 = 20_000;
+/// Distance of the first ports of two test processes with neighbouring ids.
+const PORTS_EACH: u32 = 97;
+
+static PORT: AtomicU32 = AtomicU32::new(0);
+
+/// An address on the loopback interface that nothing listens on now. No address is given out twice
+/// by one process.
 ///
 /// # Panics
 ///
 /// If the machine has no free port.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound listener has an address")
+    let first = std::process::id().wrapping_mul(PORTS_EACH);
+    for _ in 0..PORTS {
+        let number = first.wrapping_add(PORT.fetch_add(1, Ordering::Relaxed));
+        let port = u16::try_from(PORT_MIN + number % PORTS).expect("ports fit their range");
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+    panic!("no free port");
 }
 
 /// Sends a signal to a process of a cluster by its id, which is not reused before the cluster has
