feat(control): move checkpointable work off a worker that is leaving

Cause: a drain only kept new grants away, so work with checkpoints stayed until its end and the worker could not leave for hours; an attempt granted before the drain still started on it. Ruled out: deciding it beside the scheduler's loop, where it could race with a cancellation. Change: when the policy wants nothing, the leader stops attempts with a member on a leaving worker that make checkpoints or were not started, with the reason for moves and its usual bound. Before: drain_moves_checkpointable_and_finishes_other_work failed after 90 s with the work still running. After: it passes in 9 s.

--- /dev/null
+++ b/crates/bronzespoold/src/control/leader/drain.rs
@@ -0,0 +1,49 @@
+//! Moves work off workers that are leaving.
+//!
+//! Work with checkpoints moves, other work runs to its end, and an attempt that was not started
+//! yet is tried elsewhere.
+
+use {
+    crate::control::leader::calls::Leader,
+    bronzespool::{
+        core::Time,
+        schedule::{Attempt, Book, Event, JobState, Record, StopReason},
+    },
+};
+
+impl Leader {
+    /// Stops of attempts with a member on a leaving worker.
+    pub(super) fn moves(&self, now: Time) -> Vec<Record> {
+        let state = self.replica.state();
+        let book = state.book();
+        if !book.workers().values().any(|w| w.up && w.leaving) {
+            return Vec::new();
+        }
+        let leaving = book.jobs().filter_map(|job| {
+            let attempt = job.attempt().filter(|a| a.stop.is_none())?;
+            (may_move(job, attempt) && has_leaving(book, attempt))
+                .then(|| Record::new(now, stop(book, job, attempt, now)))
+        });
+        leaving.collect()
+    }
+}
+
+fn may_move(job: &JobState, attempt: &Attempt) -> bool {
+    let saved = job.spec.checkpoint.is_some() && !job.spec.protected;
+    saved || attempt.started.is_none()
+}
+
+fn has_leaving(book: &Book, attempt: &Attempt) -> bool {
+    let mut held = attempt.cells.iter().zip(&attempt.members).filter(|(_, m)| m.holds());
+    held.any(|(cell, _)| book.workers().get(&cell.instance).is_some_and(|w| w.leaving))
+}
+
+fn stop(book: &Book, job: &JobState, attempt: &Attempt, now: Time) -> Event {
+    let settings = book.settings();
+    let by = match attempt.started {
+        Some(_) => now + settings.grace + attempt.lease + settings.clock_bound,
+        None => now,
+    };
+    let (job, attempt) = (job.spec.job.clone(), attempt.number);
+    Event::Stopping { job, attempt, reason: StopReason::Move, by }
+}
--- a/crates/bronzespoold/src/control/leader/mod.rs
+++ b/crates/bronzespoold/src/control/leader/mod.rs
@@ -5,6 +5,7 @@
 mod checkpoints;
 mod claims;
 mod config;
+mod drain;
 mod jobs;
 mod presence;
 mod report;
--- a/crates/bronzespoold/src/control/leader/schedule.rs
+++ b/crates/bronzespoold/src/control/leader/schedule.rs
@@ -51,7 +51,10 @@
         self.replica.read().await?;
         loop {
             let now = self.replica.log_time();
-            let records = self.decide(now);
+            let mut records = self.decide(now);
+            if records.is_empty() {
+                records = self.moves(now);
+            }
             if records.is_empty() {
                 let next = wake(self.replica.state().book(), now);
                 return Ok(next.since(now).clamp(LOOK_MIN, LOOK_MAX));
