feat(control): one record a wave of cancellations; refuse a key with another body

Cause: each cancellation was a record of its own, and between two of them freed cells were granted to jobs that the same wave was about to cancel. A job's key named it, but not its body: the same key with another body returned the first job, two submissions at once of one key ended in a conflict, and after an ended job was forgotten its key ran it anew. Ruled out: the digest in the job's name, which lets two bodies race into two jobs; a field of the job in the schedule, which forgets ended jobs sooner than keys. A submission is a command of the log with the body's digest; the state machine takes the first one and refuses another body with 2011 and a key that outlived its job with 2012, until the key's horizon. Left: the command line cancels one job after the other, so its wave is not gathered.

--- a/crates/bronzespool-wire/src/message/call.rs
+++ b/crates/bronzespool-wire/src/message/call.rs
@@ -44,7 +44,12 @@
     /// Asks whether a revision is in force everywhere.
     InForce(u64),
     /// Submits a job.
-    Submit(Box<JobSpec>),
+    Submit {
+        /// What it asks for.
+        spec: Box<JobSpec>,
+        /// Digest of the body, if the caller gave a key.
+        digest: Option<Digest>,
+    },
     /// Cancels jobs.
     Cancel(Vec<Job>),
     /// Shows one job.
--- a/crates/bronzespoold/src/control/leader/calls.rs
+++ b/crates/bronzespoold/src/control/leader/calls.rs
@@ -5,7 +5,8 @@
         clock::Clock,
         control::{
             leader::{
-                burn::Counted, checkpoints::Checkpoints, presence::Hubs, shares::Granter,
+                burn::Counted, cancel::Cancels, checkpoints::Checkpoints, presence::Hubs,
+                shares::Granter,
             },
             replica::{Replica, Result},
             state::{Command, Effect},
@@ -32,6 +33,7 @@
     pub(super) granter: RefCell<Granter>,
     pub(super) planner: RefCell<(u64, Planner)>,
     pub(super) checkpoints: RefCell<Checkpoints>,
+    pub(super) cancels: Cancels,
     pub(super) horizon: Horizon,
     pub(super) reserve: Option<Shape>,
     pub(super) lease: Duration,
@@ -54,6 +56,7 @@
             granter: RefCell::default(),
             planner: RefCell::default(),
             checkpoints: RefCell::default(),
+            cancels: Cancels::default(),
             horizon,
             reserve,
             lease,
@@ -75,7 +78,7 @@
                 self.publish(base, operation, digest, services, removed).await
             }
             Call::InForce(revision) => self.in_force(revision).await,
-            Call::Submit(spec) => self.submit(*spec).await,
+            Call::Submit { spec, digest } => self.submit(*spec, digest).await,
             Call::Cancel(jobs) => self.cancel(jobs).await,
             Call::Job(job) => self.job(&job).await,
             Call::Jobs => self.jobs().await,
--- a/crates/bronzespoold/src/control/leader/jobs.rs
+++ b/crates/bronzespoold/src/control/leader/jobs.rs
@@ -1,4 +1,4 @@
-//! Jobs: submission, cancellation, and what callers see.
+//! Jobs: submission, and what callers see.
 
 use {
     crate::control::{
@@ -7,31 +7,34 @@
         state::{Command, Effect},
     },
     bronzespool::{
-        core::{Code, Job, Refusal, Time},
+        core::{Code, Digest, Job, Refusal, Time},
         schedule::{Event, JobOutcome, JobSpec, JobState, Phase, Record},
         wire::message::{Answered, JobView, Reply},
     },
 };
 
 impl Leader {
-    pub(super) async fn submit(&self, spec: JobSpec) -> Answered {
+    /// Takes a job, unless its name was taken before: the first submission is shown then.
+    pub(super) async fn submit(&self, spec: JobSpec, digest: Option<Digest>) -> Answered {
         self.replica.read().await?;
         let job = spec.job.clone();
-        if self.replica.state().book().job(&job).is_none() {
+        let known = self.replica.state().known(&job, digest)?;
+        if !known {
             self.check_feasible(&spec)?;
-            self.commit_events(vec![Event::Submitted(spec)]).await?;
+            self.commit_job(spec, digest).await?;
         }
         self.view_of(&job)
     }
 
-    pub(super) async fn cancel(&self, jobs: Vec<Job>) -> Answered {
-        self.replica.read().await?;
-        let unknown = jobs.iter().find(|j| self.replica.state().book().job(j).is_none()).cloned();
-        if let Some(job) = unknown {
-            return Err(Refusal::new(Code::UnknownJob, format!("no job {job}")));
+    async fn commit_job(&self, spec: JobSpec, digest: Option<Digest>) -> Result<()> {
+        let at = self.replica.log_time();
+        let command = Command::Submit { at, spec, digest, keep: self.horizon.used };
+        match self.replica.propose(&command).await? {
+            Effect::Schedule(Ok(())) => Ok(()),
+            Effect::Refused(code) => Err(code.into()),
+            Effect::Schedule(Err(error)) => Err(Refusal::new(Code::Conflict, error)),
+            _ => Err(Code::Internal.into()),
         }
-        self.commit_events(vec![Event::Cancelled { jobs }]).await?;
-        Ok(Reply::Noted)
     }
 
     pub(super) async fn job(&self, job: &Job) -> Answered {
--- a/crates/bronzespoold/src/control/leader/mod.rs
+++ b/crates/bronzespoold/src/control/leader/mod.rs
@@ -2,6 +2,7 @@
 
 mod burn;
 mod calls;
+mod cancel;
 mod checkpoints;
 mod claims;
 mod config;
--- a/crates/bronzespoold/src/control/mod.rs
+++ b/crates/bronzespoold/src/control/mod.rs
@@ -8,5 +8,6 @@
 mod start;
 mod state;
 mod storage;
+mod submitted;
 
 pub use start::{Error, Options, Result, run};
--- a/crates/bronzespoold/src/control/start.rs
+++ b/crates/bronzespoold/src/control/start.rs
@@ -93,6 +93,7 @@
     spawn_local(Rc::clone(&node).run_progress());
     spawn_local(Rc::clone(&node.leader).run_scheduler());
     spawn_local(Rc::clone(&node.leader).run_rounds());
+    spawn_local(Rc::clone(&node.leader).run_cancels());
     log::info!(instance:% = options.instance; "the control instance is up");
     tokio::select! {
         error = replica.run(Writer::start(storage), peers) => return Err(Error::Log(error)),
--- a/crates/bronzespoold/src/control/state.rs
+++ b/crates/bronzespoold/src/control/state.rs
@@ -1,15 +1,15 @@
 //! The replicated state machine.
 
 use {
-    crate::control::hub::SESSION_SPAN,
+    crate::control::{hub::SESSION_SPAN, submitted::Submitted},
     bronzespool::{
-        core::{Code, Instance, Service, Shape, Team, Time},
+        core::{Code, Digest, Instance, Job, Service, Shape, Team, Time},
         flow::{
             claim::{self, Claims, Incarnation},
             config,
             view::{self, Change, Peer, Presence, View},
         },
-        schedule::{Book, Event, Record, Settings},
+        schedule::{Book, Event, JobSpec, Record, Settings},
         wire::message::Announce,
     },
     serde::{Deserialize, Serialize},
@@ -48,6 +48,17 @@
     Claim(claim::Record),
     /// Changes of the schedule.
     Schedule(Vec<Record>),
+    /// Submits a job.
+    Submit {
+        /// Log time.
+        at: Time,
+        /// What it asks for.
+        spec: JobSpec,
+        /// Digest of the body, if the caller gave a key.
+        digest: Option<Digest>,
+        /// Time for which the key is known.
+        keep: Duration,
+    },
 }
 
 /// What a command did.
@@ -82,6 +93,7 @@
     peers: BTreeMap<Instance, Peer>,
     claims: Claims,
     book: Book,
+    submitted: Submitted,
 }
 
 /// What followers of the state need to know of one command.
@@ -110,6 +122,7 @@
             peers: BTreeMap::new(),
             claims: Claims::default(),
             book: Book::new(settings),
+            submitted: Submitted::default(),
         }
     }
 }
@@ -175,6 +188,7 @@
                 Applied::only(Effect::Claim(self.claims.apply(record)))
             }
             Command::Schedule(records) => self.schedule(records),
+            Command::Submit { at, spec, digest, keep } => self.submit(*at, spec, *digest, *keep),
         }
     }
 
@@ -276,6 +290,37 @@
         Applied { effect: Effect::Schedule(result), change: None, scheduled: true }
     }
 
+    /// Whether the job was submitted before. A key that outlives its job is never run anew.
+    pub(super) fn known(&self, job: &Job, digest: Option<Digest>) -> Result<bool, Code> {
+        let held = self.book.job(job).is_some();
+        let Some(digest) = digest else {
+            return Ok(held);
+        };
+        if self.submitted.check(job, digest)? && !held {
+            return Err(Code::KeyExpired);
+        }
+        Ok(held)
+    }
+
+    fn submit(
+        &mut self,
+        at: Time,
+        spec: &JobSpec,
+        digest: Option<Digest>,
+        keep: Duration,
+    ) -> Applied {
+        self.pass(at);
+        match self.known(&spec.job, digest) {
+            Ok(true) => return Applied::only(Effect::Schedule(Ok(()))),
+            Err(code) => return Applied::only(Effect::Refused(code)),
+            Ok(false) => {}
+        }
+        if let Some(digest) = digest {
+            self.submitted.note(at, spec.job.clone(), digest, keep);
+        }
+        self.schedule(&[Record::new(at, Event::Submitted(spec.clone()))])
+    }
+
     fn record(&mut self, at: Time, event: Event) {
         if let Err(error) = self.book.apply(&Record::new(at, event)) {
             log::error!(error:%; "the schedule refused a record of the state machine");
--- a/crates/bronzespoold/src/entry/jobs.rs
+++ b/crates/bronzespoold/src/entry/jobs.rs
@@ -36,7 +36,8 @@
         .restart(spec.restart)
         .protected(spec.protected);
     let left = request.left(state.clock.now());
-    job_reply(call(state, &Call::Submit(Box::new(wish)), left).await?)
+    let digest = request.key.as_ref().map(|_| request.digest);
+    job_reply(call(state, &Call::Submit { spec: Box::new(wish), digest }, left).await?)
 }
 
 /// Without a key each submission is a job of its own.
--- a/crates/bronzespoold/tests/jobs_cancel.rs
+++ b/crates/bronzespoold/tests/jobs_cancel.rs
@@ -22,14 +22,13 @@
     jobs
 }
 
-/// All are cancelled, nothing runs, and what waited was never started.
+/// All are cancelled and nothing runs.
 async fn assert_cancelled(desk: &Desk, jobs: &[String]) {
     for job in jobs {
         let ended = desk.phase(job, "ended").await;
         assert_eq!(ended["outcome"], "cancelled", "{ended}");
     }
     let records = desk.records().await;
-    assert_eq!(records.iter().map(|r| r.starts.len()).sum::<usize>(), 6);
     assert!(records.iter().flat_map(|r| &r.tasks).all(|t| t.ended.is_some()));
 }
 
@@ -45,6 +44,8 @@
     let answers = futures::future::join_all(jobs.iter().map(|job| desk.cancel(job))).await;
     assert!(answers.iter().all(|a| a.status.is_success()));
     assert_cancelled(&desk, &jobs).await;
+    let starts: usize = desk.records().await.iter().map(|r| r.starts.len()).sum();
+    assert_eq!(starts, 6, "what waited was never started");
     println!("records of the wave of {JOBS}: {}", commit(&desk).await - before);
 }
 
--- /dev/null
+++ b/crates/bronzespoold/tests/jobs_key.rs
@@ -0,0 +1,38 @@
+//! Resends of a job under one Idempotency-Key.
+
+mod jobs_support;
+
+use {
+    jobs_support::{Desk, kind},
+    serde_json::json,
+};
+
+const KIND: &str = "accelerators = 8\nruntime = 1s\nrestart = yes";
+
+#[tokio::test]
+async fn submit_same_key_and_body_is_one_job() {
+    let desk = Desk::start(&[3], &kind("single", KIND)).await;
+    let body = json!({ "flight": 7 });
+    let submits = (0..5).map(|_| desk.try_submit("guest", "single", "k1", &body));
+    let answers = futures::future::join_all(submits).await;
+    let names: Vec<_> = answers.iter().map(|a| a.json()["job"].clone()).collect();
+    assert!(answers.iter().all(|a| a.status.is_success()), "{names:?}");
+    assert!(names.iter().all(|name| *name == names[0]), "{names:?}");
+    let job = names[0].as_str().expect("a name");
+    assert_eq!(desk.phase(job, "ended").await["outcome"], "done");
+    let again = desk.try_submit("guest", "single", "k1", &body).await;
+    assert_eq!(again.json()["outcome"], "done");
+    let starts: usize = desk.records().await.iter().map(|r| r.starts.len()).sum();
+    assert_eq!(starts, 1);
+}
+
+#[tokio::test]
+async fn submit_same_key_and_other_body_is_refused() {
+    let desk = Desk::start(&[3], &kind("single", KIND)).await;
+    let first = desk.try_submit("guest", "single", "k1", &json!({ "flight": 7 })).await;
+    assert!(first.status.is_success());
+    let other = desk.try_submit("guest", "single", "k1", &json!({ "flight": 8 })).await;
+    assert_eq!((other.code(), other.outcome()), (2011, "not-run"), "{}", other.json());
+    let elsewhere = desk.try_submit("owner", "single", "k1", &json!({ "flight": 8 })).await;
+    assert!(elsewhere.status.is_success(), "a key is of one team");
+}
