--- a/crates/bronzespool-bench/src/capacity/slopes.rs
+++ b/crates/bronzespool-bench/src/capacity/slopes.rs
@@ -131,7 +131,13 @@
     slope(plan, &[0, 50, 150], |agents| {
         let list = (agents > 0).then(|| samples::agents(agents));
         let hub = samples::name("jalpaiguri-c1");
-        let call = Call::Progress(Progress { hub, acked: 123_456, serial: 1_234, agents: list });
+        let call = Call::Progress(Progress {
+            hub,
+            acked: 123_456,
+            lease: 3_000,
+            serial: 1_234,
+            agents: list,
+        });
         rpc::call(frame_len(&call), reply).wire()
     })
 }
@@ -150,7 +156,8 @@
     slope(plan, &[10, 50, 150], |agents| {
         let hub = samples::name("jalpaiguri-c1");
         let agents = Some(samples::agents(agents));
-        let call = Call::Progress(Progress { hub, acked: 123_456, serial: 1_234, agents });
+        let call =
+            Call::Progress(Progress { hub, acked: 123_456, lease: 3_000, serial: 1_234, agents });
         rpc::call(frame_len(&call), reply).wire()
     })
 }
--- a/crates/bronzespoold/src/agent/start.rs
+++ b/crates/bronzespoold/src/agent/start.rs
@@ -7,6 +7,7 @@
             server::Server,
             state::State,
             tasks::Tasks,
+            usage::Reporter,
             worker::Worker,
         },
         client::{Keeper, Timing},
@@ -55,6 +56,8 @@
     pub hubs: Vec<SocketAddr>,
     /// Spans of the session.
     pub timing: Timing,
+    /// Time between two usage reports of the worker.
+    pub usage: Duration,
     /// Longest wait for requests in flight at a graceful stop.
     pub grace: Duration,
 }
@@ -77,7 +80,9 @@
     let served = spawn_local(serve(listener, server));
     let kept = spawn_local(Rc::clone(&keeper).run());
     if let Some(address) = options.worker {
-        spawn_local(Tasks::new(Rc::clone(&state), Worker::new(address)).run());
+        let worker = Worker::new(address);
+        spawn_local(Tasks::new(Rc::clone(&state), worker).run());
+        spawn_local(Reporter::new(Rc::clone(&state), worker).run(options.usage));
     }
     spawn_local(sweep(Rc::clone(&state)));
     log::info!(instance:% = state.instance(); "the agent is up");
--- a/crates/bronzespoold/src/control/leader/mod.rs
+++ b/crates/bronzespoold/src/control/leader/mod.rs
@@ -2,10 +2,14 @@
 
 mod burn;
 mod calls;
+mod cancel;
+mod checkpoints;
 mod claims;
 mod config;
+mod drain;
 mod jobs;
 mod presence;
+mod report;
 mod schedule;
 mod shares;
 mod status;
