--- /dev/null
+++ b/crates/bronzespool-schedule/examples/embed_schedule.rs
@@ -0,0 +1,77 @@
+//! Runs the scheduler inside another program: a claim takes cells back from a borrower.
+//!
+//! The program plays the log (it applies records at once) and the workers (members prepare at once
+//! and stop as told). Run with `cargo run -p bronzespool-schedule --example embed_schedule`.
+
+use {
+    bronzespool_core::{Capacity, Level, Need, Place, Shape, Time, name},
+    bronzespool_schedule::{
+        Book, Event, JobSpec, MemberOutcome, Planner, Record, admit, explain, summary,
+    },
+};
+
+/// Applies an event and all decisions that follow from it, and acts on them as the workers would.
+fn put(book: &mut Book, planner: &mut Planner, now: Time, event: Event) {
+    let mut input = vec![Record::new(now, event)];
+    while !input.is_empty() {
+        for record in std::mem::take(&mut input) {
+            book.apply(&record).expect("decisions fit the book");
+            println!("{}", text(&record.event));
+            input.extend(answers(&record.event).map(|event| Record::new(now, event)));
+        }
+        if input.is_empty() {
+            input = planner.decide(book, now);
+        }
+    }
+}
+
+/// What the workers of one-member jobs report on an event.
+fn answers(event: &Event) -> impl Iterator<Item = Event> {
+    let (member, outcome) = (0, MemberOutcome::Stopped);
+    let answer = match event.clone() {
+        Event::Granted { job, attempt, .. } => Some(Event::Prepared { job, attempt, member }),
+        Event::Stopping { job, attempt, .. } => {
+            Some(Event::Stopped { job, attempt, member, outcome })
+        }
+        _ => None,
+    };
+    answer.into_iter()
+}
+
+fn text(event: &Event) -> String {
+    let full = format!("{event:?}");
+    full.chars().take(100).collect()
+}
+
+fn spec(name: &str, team: &str) -> Result<JobSpec, name::Error> {
+    let need = Need { slots: 0, cores: 8_000, memory: 16_384, accels: 8 };
+    let kind = ("flight-desk".try_into()?, "reconstruction".try_into()?);
+    Ok(JobSpec::new(name.try_into()?, team.try_into()?, kind.0, kind.1)
+        .need(need)
+        .adjacent(Level::Worker)
+        .restart(true))
+}
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let mut book = Book::default();
+    let mut planner = Planner::default();
+    let place = Place {
+        region: "trinidad".try_into()?,
+        center: "arima".try_into()?,
+        rack: "r1".try_into()?,
+        instance: "w1".try_into()?,
+    };
+    let capacity = Capacity { cores: 32, memory: 65_536, accels: 8, ..Capacity::default() };
+    let now = Time::ZERO;
+    put(&mut book, &mut planner, now, Event::WorkerUp { place, capacity, incarnation: 1 });
+    let shapes = vec![("arima-flyers".try_into()?, vec![Shape::new(Level::Worker, 1)])];
+    put(&mut book, &mut planner, now, Event::Guarantees(shapes));
+    for (name, team) in [("guest", "couva-wings"), ("owner", "arima-flyers")] {
+        let spec = spec(name, team)?;
+        admit(&book, &spec)?;
+        put(&mut book, &mut planner, now, Event::Submitted(spec));
+    }
+    println!("{:?}", explain(&book, &"guest".try_into()?, now).map(|found| found.reason));
+    println!("utilisation {:.2}", summary(&book).utilisation);
+    Ok(())
+}
--- a/crates/bronzespool-schedule/tests/health.rs
+++ b/crates/bronzespool-schedule/tests/health.rs
@@ -61,6 +61,22 @@
     assert!((0..12).all(|i| same(world.phase(&format!("good{i}")))));
 }
 
+/// Jobs that fail everywhere leave no good worker in quarantine.
+#[test]
+fn decide_many_bad_jobs_keep_workers_in_service() {
+    let mut world = World::racks(quick(), &[&[1, 1], &[1, 1]]);
+    for i in 0..8 {
+        world.put(Event::Submitted(job(&format!("bad{i}"), "arima", 1, 1, Level::Region)));
+    }
+    play(&mut world, |_, _| MemberOutcome::Failed);
+    let refused = JobOutcome::Refused(Code::JobRefused);
+    let is_refused = |j: &bronzespool_schedule::JobState| matches!(j.phase, Phase::Ended { outcome, .. } if outcome == refused);
+    assert!(world.book.jobs().all(is_refused));
+    assert!(summary(&world.book).quarantined.is_empty());
+    let spent = world.now.since(bronzespool_core::Time::ZERO);
+    assert!(spent < quick().probation, "a good worker was out of service until its probe");
+}
+
 #[test]
 fn decide_worker_failing_everything_is_quarantined_and_probed() {
     let mut world = World::racks(quick(), &[&[1, 1, 1], &[1, 1, 1]]);
--- a/crates/bronzespool-schedule/tests/queue.rs
+++ b/crates/bronzespool-schedule/tests/queue.rs
@@ -4,7 +4,7 @@
 
 use {
     bronzespool_core::{Code, Level},
-    bronzespool_schedule::{Event, MemberOutcome, Reason, Settings, admit, explain},
+    bronzespool_schedule::{Event, MemberOutcome, Reason, Settings, StopReason, admit, explain},
     common::{World, job},
     std::time::Duration,
 };
@@ -65,6 +65,36 @@
     assert!(world.now.since(start) <= bound + Duration::from_secs(110), "{}", world.now);
 }
 
+/// A small job that backfills by its learned run time, but runs on, leaves for the gang.
+#[test]
+fn decide_overdue_backfill_leaves_for_gang() {
+    let mut world = World::racks(Settings::default(), &[&[4, 4]]);
+    for i in 0..3 {
+        let name = format!("short{i}");
+        world.put(Event::Submitted(job(&name, "arima", 1, 4, Level::Region)));
+        world.run();
+        world.advance(Duration::from_secs(10));
+        world.stop(&name, MemberOutcome::Done);
+        world.settle();
+    }
+    let mut long = job("long", "talparo", 1, 4, Level::Region);
+    long.kind = "history".try_into().unwrap();
+    world.put(Event::Submitted(long));
+    world.run();
+    world.put(Event::Submitted(job("gang", "couva", 2, 4, Level::Rack)));
+    world.put(Event::Submitted(job("small", "arima", 1, 1, Level::Region)));
+    world.run();
+    assert!(world.is_started("small"), "its learned run time ends before the long job");
+    world.advance(Duration::from_secs(60));
+    world.stop("long", MemberOutcome::Done);
+    let events = world.run();
+    let stop = |e: &Event| matches!(e, Event::Stopping { reason: StopReason::Reservation, .. });
+    assert!(events.iter().any(stop), "{events:?}");
+    world.stop("small", MemberOutcome::Stopped);
+    world.run();
+    assert!(world.is_started("gang"));
+}
+
 #[test]
 fn decide_equal_shares_lend_to_oldest() {
     let settings = Settings { exclusive: Duration::from_secs(300), ..Settings::default() };
--- a/crates/bronzespool-schedule/tests/random.rs
+++ b/crates/bronzespool-schedule/tests/random.rs
@@ -315,8 +315,10 @@
             let attempt = book.job(&key.0).and_then(|j| j.attempt());
             !attempt.is_some_and(|a| a.number == key.1 && a.members[key.2 as usize].holds())
         };
+        // An agent that was restarted meanwhile knows nothing of them: they run to their lease ends.
+        let forgets = self.rng.bool();
         let book = &self.world.book;
-        self.processes.retain(|key, p| p.instance != *name || !orphans(book, key));
+        self.processes.retain(|key, p| p.instance != *name || forgets || !orphans(book, key));
         let worker = &self.world.book.workers()[name];
         let (place, capacity) = (worker.place.clone(), worker.capacity);
         self.put(Event::WorkerUp { place, capacity, incarnation: 2 });
@@ -325,12 +327,9 @@
 
     /// Processes that outlived the cut go on to their ends.
     fn resume(&mut self, name: &Instance) {
-        let mut keys: Vec<_> = self
-            .processes
-            .iter()
-            .filter(|(_, p)| p.instance == *name)
-            .map(|(k, _)| k.clone())
-            .collect();
+        let lives = |p: &Process| p.instance == *name && p.lease.is_none();
+        let alive = self.processes.iter().filter(|(_, p)| lives(p));
+        let mut keys: Vec<_> = alive.map(|(key, _)| key.clone()).collect();
         keys.sort_unstable();
         for (job, attempt, member) in keys {
             let span = self.millis(5_000);
