perf(schedule): lend shadowed cells to work that checkpoints, and take them back for the older gang

Cause: cells kept for a waiting gang stood idle where no learned run time was short enough, and borrowed work that loses nothing by a stop kept an older gang waiting until the exclusive age. Change: work with checkpoints may always borrow shadowed cells; a blocked gang may stop younger borrowed work that checkpoints before its exclusive age.

--- a/crates/bronzespool-schedule/src/policy/reserve.rs
+++ b/crates/bronzespool-schedule/src/policy/reserve.rs
@@ -79,6 +79,9 @@
 
 /// Whether a job is sure to end before the shadows' gangs are expected to start.
 pub(super) fn backfills(pass: &Pass<'_>, job: &JobState, shadow: &Shadow) -> bool {
+    if job.spec.checkpoint.is_some() {
+        return true;
+    }
     let left = predict::pessimistic(pass.book, job).saturating_sub(job.saved);
     shadow.until.is_none_or(|until| pass.now + left <= until)
 }
@@ -115,7 +118,8 @@
     if attempt.stop.is_some() {
         return Some(0);
     }
-    if soft && !predict::is_overdue(pass.book, victim, pass.now) {
+    let cheap = victim.spec.checkpoint.is_some();
+    if soft && !cheap && !predict::is_overdue(pass.book, victim, pass.now) {
         return None;
     }
     let lost = predict::at_stake(victim, pass.now).as_secs() + STOP_COST;
