--- /dev/null
+++ b/crates/bronzespoold/tests/request_stops.rs
@@ -0,0 +1,90 @@
+//! Planned stops under load: a drained endpoint gets no new work, and a graceful stop cuts no
+//! request.
+
+mod common;
+mod load;
+
+use {
+    bronzespool_fakes::{
+        call::Call,
+        cluster::{Cluster, Result, Signal},
+    },
+    common::{plan, publish_sure, until},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
+};
+
+/// Time in milliseconds of one request at an endpoint.
+const MILLIS: u64 = 100;
+/// Longest time after the start of a drain in which work may still start.
+const DRAIN_BOUND: Duration = Duration::from_secs(2);
+/// Time of load.
+const LOAD: Duration = Duration::from_secs(7);
+
+async fn start() -> Result<Cluster> {
+    let cluster = Cluster::start(plan(2).millis(MILLIS)).await?;
+    publish_sure(&cluster, Some(0), "op-0", &["check", "ledger"], true).await;
+    Ok(cluster)
+}
+
+fn entries(cluster: &Cluster) -> Vec<SocketAddr> {
+    cluster.entries().iter().map(|(_, address)| *address).collect()
+}
+
+/// Starts at an endpoint, protected or not.
+async fn starts(cluster: &Cluster, worker: usize) -> Result<u64> {
+    let record = cluster.record(worker).await?;
+    Ok(record.others + record.keys.values().map(|k| k.len() as u64).sum::<u64>())
+}
+
+#[tokio::test]
+async fn drained_endpoint_gets_no_new_work() -> Result<()> {
+    let cluster = start().await?;
+    let entries = entries(&cluster);
+    let over = Instant::now() + LOAD;
+    let drain = async {
+        sleep(Duration::from_secs(1)).await;
+        let before = starts(&cluster, 0).await?;
+        assert!(before > 0, "the endpoint works before its drain");
+        let answer =
+            Call::post("/v1/instances/worker-1/drain", &().into()).send(entries[0]).await?;
+        assert!(answer.status.is_success(), "{}", answer.json());
+        sleep(DRAIN_BOUND).await;
+        let then = starts(&cluster, 0).await?;
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(starts(&cluster, 0).await?, then, "work started after the bound");
+        Ok(())
+    };
+    let (told, drained): (_, Result<()>) = tokio::join!(load::load(&entries, over), drain);
+    drained?;
+    let verdict = load::judge(&cluster, &told).await?;
+    assert_eq!(verdict.unknown, 0, "{verdict:?}");
+    Ok(())
+}
+
+/// Every request that a stopping process has taken is answered whole or with "not run".
+#[tokio::test]
+async fn stopped_processes_cut_no_request() -> Result<()> {
+    let mut cluster = start().await?;
+    let entries = entries(&cluster);
+    let over = Instant::now() + LOAD;
+    let stop = async {
+        for name in ["agent-1", "entry-1"] {
+            sleep(Duration::from_secs(1)).await;
+            cluster.process(name).signal(Signal::TERM)?;
+            until("the process has ended", async || Ok(cluster.process(name).ended()?.is_some()))
+                .await;
+            assert!(cluster.process(name).ended()?.is_some_and(|s| s.success()), "{name}");
+            cluster.process(name).restart()?;
+        }
+        Ok(())
+    };
+    let (told, stopped): (_, Result<()>) = tokio::join!(load::load(&entries, over), stop);
+    stopped?;
+    let verdict = load::judge(&cluster, &told).await?;
+    assert_eq!(verdict.cut, 0, "{verdict:?}");
+    Ok(())
+}
