--- a/crates/bronzespool-bench/src/lib.rs
+++ b/crates/bronzespool-bench/src/lib.rs
@@ -16,6 +16,7 @@
 //! ```
 
 pub mod capacity;
+pub mod decision_time;
 pub mod decisions;
 pub mod policies;
 pub mod report;
--- a/crates/bronzespool-bench/src/main.rs
+++ b/crates/bronzespool-bench/src/main.rs
@@ -2,7 +2,7 @@
 
 use {
     bronzespool_bench::{
-        capacity,
+        capacity, decision_time,
         decisions::{Scale, Stream},
         report, suite,
     },
@@ -14,6 +14,8 @@
 bronzespool-bench decisions [--out DIR] [--seed N] [--hours N] [--scale NAME] [--stream NAME]
     runs all policies on all deployments and streams in virtual time and, with --out, writes
     decisions.md, decisions.json and SVG plots into DIR
+bronzespool-bench decision-time [--events N] [--factors 1,10] [--fill HOURS]
+    times decisions at multiples of the two-year size, filled with the jobs of so many hours
 bronzespool-bench capacity [--results FILE] [--page FILE]
     measures bytes of each act with the real encoders and writes them into the results file and
     into the table of the page; docs/measurements/capacity.json and docs/CAPACITY.md by default
@@ -35,6 +37,7 @@
     let mut args = Arguments::from_env();
     match args.subcommand()?.as_deref() {
         Some("decisions") => decisions(args),
+        Some("decision-time") => times(args),
         Some("capacity") => slopes(args),
         _ => {
             print!("{HELP}");
@@ -80,3 +83,15 @@
     print!("{}", capacity::table(&measured));
     Ok(())
 }
+
+fn times(mut args: Arguments) -> Result<()> {
+    let events = args.opt_value_from_str("--events")?.unwrap_or(1_000);
+    let hours = args.opt_value_from_str("--fill")?.unwrap_or(decision_time::FILL);
+    let factors: String = args.opt_value_from_str("--factors")?.unwrap_or_else(|| "1,10".into());
+    let mut sizes = Vec::new();
+    for factor in factors.split(',') {
+        sizes.push(decision_time::measure(factor.parse()?, events, hours));
+    }
+    print!("{}", decision_time::table(&sizes));
+    Ok(())
+}
