--- a/crates/bronzespool-bench/src/decisions/driver.rs
+++ b/crates/bronzespool-bench/src/decisions/driver.rs
@@ -493,6 +493,7 @@
         let delayed: Vec<_> = self.judge.waits.iter().copied().filter(|w| !w.is_zero()).collect();
         figures.reclaim = Summary::of(&delayed);
         figures.broken = self.judge.broken.len() as u64;
+        figures.broken_retried = self.judge.broken.iter().filter(|b| b.retried).count();
         self.judge.broken.truncate(BROKEN_KEPT);
         figures.broken_first = self.judge.broken;
         figures.end = self.now.as_micros() as f64 / 1e6;
--- a/crates/bronzespool-bench/src/decisions/figures.rs
+++ b/crates/bronzespool-bench/src/decisions/figures.rs
@@ -85,6 +85,8 @@
     pub failed: f64,
     /// Guarantees broken.
     pub broken: u64,
+    /// Those of jobs that had failed or lost a worker before.
+    pub broken_retried: usize,
     /// The first of them.
     pub broken_first: Vec<Broken>,
     /// Gangs that were started in part or ran on in part past the bound.
--- a/crates/bronzespool-bench/src/decisions/judge.rs
+++ b/crates/bronzespool-bench/src/decisions/judge.rs
@@ -26,6 +26,7 @@
     running: bool,
     due: Option<Time>,
     after: Time,
+    retried: bool,
     broken: bool,
 }
 
@@ -45,6 +46,8 @@
     pub since: f64,
     /// For how long it was due, in seconds.
     pub wait: f64,
+    /// Whether it had failed or lost a worker before.
+    pub retried: bool,
 }
 
 /// Watches the guarantees of all teams.
@@ -118,6 +121,7 @@
             running: false,
             due: None,
             after: now,
+            retried: false,
             broken: false,
         };
         self.live[job.team].push(live);
@@ -142,6 +146,7 @@
         let Some(i) = self.live[team].iter().position(|l| l.job == job) else { return };
         self.live[team][i].running = false;
         self.live[team][i].after = after;
+        self.live[team][i].retried |= after > now;
         self.update(now, team);
     }
 
@@ -173,6 +178,7 @@
                 kind: live.kind.name,
                 since: due.as_micros() as f64 / 1e6,
                 wait: now.since(due).as_secs_f64(),
+                retried: live.retried,
             });
         }
     }
--- a/crates/bronzespool-bench/src/report/mod.rs
+++ b/crates/bronzespool-bench/src/report/mod.rs
@@ -39,7 +39,7 @@
 
 const HEAD: &str = "\
 | deployment, stream | policy | jobs | completion mean | p95 | p99 | left over | fragmentation \
-| floor | unusable | utilisation | longest gang wait | reclaim p99 | broken | preempted | work lost, h \
+| floor | unusable | utilisation | longest gang wait | reclaim p99 | broken (of retried jobs) | preempted | work lost, h \
 | refused, dropped | gang violations | invalid |
 |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|
 ";
@@ -55,7 +55,7 @@
     let Figures { unusable, utilisation, .. } = f;
     format!(
         "| {}, {} | {} | {jobs} | {:.0} | {:.0} | {:.0} | {unfinished} | {fragmentation:.3} \
-         | {floor:.3} | {unusable:.1} | {utilisation:.3} | {:.0} | {:.1} | {} | {} | {:.1} | {}, {} | {} | {} |\n",
+         | {floor:.3} | {unusable:.1} | {utilisation:.3} | {:.0} | {:.1} | {} ({}) | {} | {:.1} | {}, {} | {} | {} |\n",
         f.scale,
         f.stream,
         f.policy,
@@ -65,6 +65,7 @@
         f.gang_wait,
         f.reclaim.p99,
         f.broken,
+        f.broken_retried,
         f.preemptions,
         f.lost / 3_600.0,
         f.refused.0,
--- a/crates/bronzespool-bench/src/report/plots.rs
+++ b/crates/bronzespool-bench/src/report/plots.rs
@@ -9,6 +9,8 @@
 const SIZE: (u32, u32) = (760, 380);
 const COLORS: [RGBColor; 4] =
     [RGBColor(200, 90, 40), RGBColor(120, 120, 120), RGBColor(60, 140, 60), RGBColor(30, 80, 180)];
+/// Streams that are plotted.
+const STREAMS: [&str; 3] = ["steady", "burst-large", "bad-workers"];
 /// Points of a line at most.
 const POINTS: usize = 200;
 
@@ -17,11 +19,13 @@
     points: Vec<(f64, f64)>,
 }
 
-/// Writes the plots of all scenarios and returns their file names.
+/// Writes the plots of some scenarios and returns their file names.
 pub(super) fn write(dir: &Path, runs: &[Vec<Figures>]) -> Result<Vec<String>> {
     let mut names = Vec::new();
     for run in runs {
-        let Some(first) = run.first() else { continue };
+        let Some(first) = run.first().filter(|f| STREAMS.contains(&f.stream.as_str())) else {
+            continue;
+        };
         let stem = format!("{}-{}", first.scale, first.stream);
         let lines = run.iter().map(completion).collect();
         names.push(format!("{stem}-completion.svg"));
