feat(load): count goodput by when answers come

Cause: goodput counted the answers to those who arrived in the window. With queues, many of these come after the load has ended, when the queue drains without new arrivals: 956/s were reported at a capacity of 800/s. Change: answers are counted by when they come, and the warm-up is as long as callers wait, so that queues are as long as they get. Figures by team are kept beside those by kind.

--- a/crates/bronzespool-load/src/generate/tally.rs
+++ b/crates/bronzespool-load/src/generate/tally.rs
@@ -75,11 +75,12 @@
     refusals: Histogram<u64>,
     sent: Histogram<u64>,
     lag: Histogram<u64>,
+    ended: u64,
 }
 
 impl Default for Tally {
     fn default() -> Self {
-        Self { groups: BTreeMap::new(), refusals: empty(), sent: empty(), lag: empty() }
+        Self { groups: BTreeMap::new(), refusals: empty(), sent: empty(), lag: empty(), ended: 0 }
     }
 }
 
@@ -116,6 +117,17 @@
         record(&mut self.lag, lag);
     }
 
+    /// Notes an answer by when it came, whenever its request was due.
+    pub fn ended(&mut self, class: Class, took: Duration, deadline: Duration) {
+        self.ended += u64::from(class == Class::Good && took <= deadline);
+    }
+
+    /// Whole answers in time that came while answers were counted. While a queue is at work this
+    /// is what was served, unlike the answers to those who arrived in that time.
+    pub const fn good_ended(&self) -> u64 {
+        self.ended
+    }
+
     /// Adds another tally.
     ///
     /// # Panics
@@ -134,6 +146,7 @@
             own.1.add(times).expect("the histogram resizes itself");
         }
         self.refusals.add(&other.refusals).expect("the histogram resizes itself");
+        self.ended += other.ended;
         self.sent.add(&other.sent).expect("the histogram resizes itself");
         self.lag.add(&other.lag).expect("the histogram resizes itself");
     }
@@ -162,6 +175,14 @@
         kinds
     }
 
+    /// Names of the teams.
+    pub fn teams(&self) -> Vec<String> {
+        let mut teams: Vec<_> = self.groups.keys().map(|(_, team)| team.clone()).collect();
+        teams.sort_unstable();
+        teams.dedup();
+        teams
+    }
+
     /// Time to a refusal.
     pub fn refusals(&self) -> Quantiles {
         Quantiles::from(&self.refusals)
--- a/crates/bronzespool-load/src/service/figures.rs
+++ b/crates/bronzespool-load/src/service/figures.rs
@@ -25,7 +25,7 @@
     pub(super) system: bool,
     /// Requests a second that were sent.
     pub(super) offered: f64,
-    /// Whole answers in time a second.
+    /// Whole answers in time a second, by when they came.
     pub(super) goodput: f64,
     /// What came back.
     pub(super) counts: Counts,
@@ -36,13 +36,15 @@
     /// How late the generator was in milliseconds.
     pub(super) lag: Quantiles,
     /// By kind.
-    pub(super) kinds: Vec<KindPart>,
+    pub(super) kinds: Vec<Part>,
+    /// By team.
+    pub(super) teams: Vec<Part>,
 }
 
-/// One kind's part of a phase.
+/// One kind's or team's part of a phase.
 #[derive(Clone, Debug, Serialize)]
-pub(super) struct KindPart {
-    pub(super) kind: String,
+pub(super) struct Part {
+    pub(super) name: String,
     pub(super) counts: Counts,
     pub(super) times: Quantiles,
 }
@@ -50,9 +52,13 @@
 impl Phase {
     pub(super) fn new(load: u32, fault: Fault, system: bool, wish: &Load, tally: &Tally) -> Self {
         let (counts, times) = tally.whole();
-        let part = |kind: String| {
-            let (counts, times) = tally.select(|k, _| k == kind);
-            KindPart { kind, counts, times }
+        let kind = |name: String| {
+            let (counts, times) = tally.select(|k, _| k == name);
+            Part { name, counts, times }
+        };
+        let team = |name: String| {
+            let (counts, times) = tally.select(|_, t| t == name);
+            Part { name, counts, times }
         };
         let span = wish.span.as_secs_f64();
         Self {
@@ -60,12 +66,13 @@
             fault,
             system,
             offered: counts.total() as f64 / span,
-            goodput: counts.good as f64 / span,
+            goodput: tally.good_ended() as f64 / span,
             counts,
             times,
             refusals: tally.refusals(),
             lag: tally.lag(),
-            kinds: tally.kinds().into_iter().map(part).collect(),
+            kinds: tally.kinds().into_iter().map(kind).collect(),
+            teams: tally.teams().into_iter().map(team).collect(),
         }
     }
 
--- a/crates/bronzespool-load/src/service/mod.rs
+++ b/crates/bronzespool-load/src/service/mod.rs
@@ -98,8 +98,9 @@
     let mut all = Vec::new();
     for name in &options.deployments {
         all.push(deployment(name, options).await?);
+        page::page(options, &all).write(&options.out, "service", &all)?;
     }
-    page::page(options, &all).write(&options.out, "service", &all)
+    Ok(())
 }
 
 async fn deployment(name: &str, options: &Options) -> Result<Figures> {
--- a/crates/bronzespool-load/src/service/page.rs
+++ b/crates/bronzespool-load/src/service/page.rs
@@ -7,7 +7,7 @@
             Options,
             burst::Burst,
             claims::Claims,
-            figures::{Figures, Phase},
+            figures::{Figures, Part, Phase},
         },
     },
     std::time::Duration,
@@ -21,7 +21,8 @@
          processes on one machine, together with the generator: three control instances, two \
          entries, {} endpoints of 8 slots with an agent each. A request takes an endpoint {} ms. \
          Kinds that are jobs are left out. Callers wait 2 s at most and do not come back after a \
-         refusal. Times are milliseconds from the scheduled arrival to the whole answer.",
+         refusal. Times are milliseconds from the scheduled arrival to the whole answer; goodput counts \
+         whole answers in time by when they came.",
         options.workers,
         options.millis,
         seconds(options.phase),
@@ -57,7 +58,9 @@
     page.paragraph("All kinds together:");
     page.table(&phases(&figures.phases));
     page.paragraph("The system by kind, without a fault:");
-    page.table(&kinds(&figures.phases));
+    page.table(&parts("kind", &figures.phases, |p| &p.kinds));
+    page.paragraph("The system by team, without a fault:");
+    page.table(&parts("team", &figures.phases, |p| &p.teams));
     page.paragraph(
         "A burst of one team at 150 % of capacity beside a steady load of 50 %; times of the \
          other teams:",
@@ -103,13 +106,13 @@
     table
 }
 
-fn kinds(phases: &[Phase]) -> Table {
-    let mut table = Table::new(&["load", "kind", "good", "others", "p50", "p99", "p99.9"]);
+fn parts(of: &str, phases: &[Phase], parts: fn(&Phase) -> &[Part]) -> Table {
+    let mut table = Table::new(&["load", of, "good", "others", "p50", "p99", "p99.9"]);
     let calm = phases.iter().filter(|p| p.system && p.fault.name() == "none");
-    for (phase, part) in calm.flat_map(|p| p.kinds.iter().map(move |k| (p, k))) {
+    for (phase, part) in calm.flat_map(|p| parts(p).iter().map(move |k| (p, k))) {
         let mut cells = vec![
             format!("{} %", phase.load),
-            part.kind.clone(),
+            part.name.clone(),
             part.counts.good.to_string(),
             (part.counts.total() - part.counts.good).to_string(),
         ];
--- a/crates/bronzespool-load/src/service/rig.rs
+++ b/crates/bronzespool-load/src/service/rig.rs
@@ -18,7 +18,7 @@
 };
 
 /// Time before a phase is counted.
-const WARM: Duration = Duration::from_secs(1);
+const WARM: Duration = Duration::from_secs(2);
 /// Longest time that a caller waits.
 const DEADLINE: Duration = Duration::from_secs(2);
 /// Factor by which a slow endpoint takes longer.
--- a/crates/bronzespool-load/tests/generate.rs
+++ b/crates/bronzespool-load/tests/generate.rs
@@ -73,3 +73,13 @@
     assert_eq!(whole.select(|kind, _| kind == "a").0.good, 1);
     assert_eq!(whole.kinds(), ["a", "b"]);
 }
+
+#[test]
+fn ended_late_answer_is_no_goodput() {
+    let mut tally = Tally::default();
+    let deadline = Duration::from_millis(100);
+    tally.ended(Class::Good, deadline, deadline);
+    tally.ended(Class::Good, deadline * 2, deadline);
+    tally.ended(Class::NotRun, Duration::ZERO, deadline);
+    assert_eq!(tally.good_ended(), 1);
+}
