--- a/crates/bronzespool-fakes/src/cluster/plan.rs
+++ b/crates/bronzespool-fakes/src/cluster/plan.rs
@@ -31,6 +31,10 @@
     pub log: String,
     /// Lines of the section `[timing]`.
     pub timing: String,
+    /// Capacity that guarantees leave free: a shape, or `none`.
+    pub reserve: String,
+    /// Whether the links to and between control instances pass through relays.
+    pub relayed: bool,
 }
 
 impl Plan {
@@ -47,6 +51,8 @@
             speed: 1,
             log: "info".to_owned(),
             timing: String::new(),
+            reserve: "none".to_owned(),
+            relayed: false,
         }
     }
 
@@ -61,6 +67,7 @@
             capacity: deployment.capacity,
             services,
             files: vec![folder.to_owned()],
+            reserve: deployment.reserve.map_or_else(|| "none".to_owned(), |s| s.to_string()),
             ..Self::small("", folder, 0)
         }
     }
@@ -85,4 +92,11 @@
         lines.clone_into(&mut self.timing);
         self
     }
+
+    /// Puts a relay into every link to a control instance; see [`crate::cluster::Cluster::isolate`].
+    #[must_use]
+    pub const fn relayed(mut self) -> Self {
+        self.relayed = true;
+        self
+    }
 }
