fix(control): a planned restart of an agent no longer ends its worker's tasks

Cause: an agent that stops gracefully closes its session, the next round of the leader took the worker for lost, and a gang with a member there was stopped; a protected job ended as failed 1.1 s after its submission, of 12 s of run time. Ruled out: the agent's close itself (claims and routing need it); the kill of an agent, whose session counts until its lease has ended. Change: an agent that drains and has closed its session counts as lost after one lease of absence. Before: agent_graceful_restart_adopts_running_task failed, outcome failed. After: it passes. Also: gang_start_survives_leader_kill now looks after another leader was elected; before, it passed with members that start as soon as they have prepared themselves.

--- a/crates/bronzespoold/src/control/leader/presence.rs
+++ b/crates/bronzespoold/src/control/leader/presence.rs
@@ -7,7 +7,7 @@
         flow::view::Presence,
         wire::message::{Answered, Progress, Reply},
     },
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// What the leader knows of one hub.
@@ -26,12 +26,14 @@
     term: u64,
     since: Time,
     hubs: BTreeMap<Instance, HubState>,
+    /// Since when agents that closed their sessions themselves are away.
+    away: BTreeMap<Instance, Time>,
 }
 
 impl Hubs {
     fn begin(&mut self, term: u64, now: Time) {
         if self.term != term {
-            *self = Self { term, since: now, hubs: BTreeMap::new() };
+            *self = Self { term, since: now, ..Self::default() };
         }
     }
 
@@ -40,6 +42,16 @@
         let held = |h: &HubState| h.agents.iter().any(|(i, n)| i == instance && *n == incarnation);
         self.hubs.values().any(held)
     }
+
+    /// How long a draining agent has been away. Its worker's tasks run on under their leases, so a
+    /// restart is no loss of the worker.
+    fn away(&mut self, instance: &Instance, now: Time) -> Duration {
+        now.since(*self.away.entry(instance.clone()).or_insert(now))
+    }
+
+    fn is_back(&mut self, instance: &Instance) {
+        self.away.remove(instance);
+    }
 }
 
 impl Leader {
@@ -99,13 +111,20 @@
         let settled = now.since(hubs.since) >= lease;
         let state = self.replica.state();
         let wanted = state.peers().values().filter_map(|peer| {
-            let held = hubs.hold(&peer.place.instance, peer.incarnation);
+            let instance = &peer.place.instance;
+            let held = hubs.hold(instance, peer.incarnation);
+            if held {
+                hubs.is_back(instance);
+            }
             let presence = match peer.presence {
                 Presence::Down if held => Presence::Up,
-                Presence::Up | Presence::Draining if !held && settled => Presence::Down,
+                Presence::Up if !held && settled => Presence::Down,
+                Presence::Draining if !held && settled && hubs.away(instance, now) >= lease => {
+                    Presence::Down
+                }
                 _ => return None,
             };
-            Some((peer.place.instance.clone(), peer.incarnation, presence))
+            Some((instance.clone(), peer.incarnation, presence))
         });
         wanted.collect()
     }
--- a/crates/bronzespoold/tests/jobs_agent.rs
+++ b/crates/bronzespoold/tests/jobs_agent.rs
@@ -3,9 +3,11 @@
 mod jobs_support;
 
 use {
-    bronzespool_fakes::worker::State,
+    bronzespool_fakes::{cluster::Signal, worker::State},
     jobs_support::{Desk, gang, instances, until},
     serde_json::Value,
+    std::time::Duration,
+    tokio::time::sleep,
 };
 
 /// Most milliseconds from a member's loss to the end of the others: lease of a session with its
@@ -31,6 +33,26 @@
     assert_eq!(desk.starts(&job, 1).await.len(), 2, "no member was started again");
 }
 
+#[tokio::test]
+async fn agent_graceful_restart_adopts_running_task() {
+    let mut desk = Desk::start(&[3], &gang("permit", "runtime = 12s\nprotected = yes")).await;
+    // A leader takes silence for absence only one lease of a session after it was elected.
+    sleep(Duration::from_secs(5)).await;
+    let job = desk.submit("owner", "permit", "k1").await;
+    desk.started(&job, 1, 2).await;
+    let view = desk.phase(&job, "running").await;
+    let agent = format!("agent-{}", number_of(&desk, &view, 0));
+    desk.cluster.process(&agent).signal(Signal::TERM).expect("a signal");
+    until("the end of the agent", async || desk.cluster.process(&agent).ended().ok().flatten())
+        .await;
+    // An agent's restart takes a moment; the session is closed in the meantime.
+    sleep(Duration::from_secs(1)).await;
+    desk.cluster.process(&agent).restart().expect("a restart");
+    let ended = desk.phase(&job, "ended").await;
+    assert_eq!((&ended["outcome"], &ended["attempts"]), (&"done".into(), &1.into()), "{ended}");
+    assert_eq!(desk.starts(&job, 1).await.len(), 2, "no member was started again");
+}
+
 #[tokio::test]
 async fn worker_loss_restarts_gang_from_checkpoint() {
     let kinds = gang("rebuild", "runtime = 12s\ncheckpoint = 1s");
--- a/crates/bronzespoold/tests/jobs_gang.rs
+++ b/crates/bronzespoold/tests/jobs_gang.rs
@@ -4,7 +4,7 @@
 
 use {
     bronzespool_fakes::cluster::Signal,
-    jobs_support::{Desk, gang, instances, kind},
+    jobs_support::{Desk, gang, instances, kind, until},
     serde_json::Value,
     std::time::Duration,
     tokio::time::sleep,
@@ -65,6 +65,11 @@
     desk.phase(&job, "preparing").await;
     let leader = desk.cluster.leader(0).await.expect("a leader");
     desk.cluster.process(&leader).kill().expect("a kill");
+    until("another leader", async || {
+        desk.cluster.leader(0).await.ok().filter(|other| *other != leader)
+    })
+    .await;
+    sleep(Duration::from_secs(1)).await;
     let early = desk.record(0).await.starts;
     freeze(&mut desk, Signal::CONT);
     assert!(early.is_empty(), "started before the gang had prepared: {early:?}");
