--- a/crates/bronzespoold/tests/jobs_agent.rs
+++ b/crates/bronzespoold/tests/jobs_agent.rs
@@ -91,6 +91,29 @@
     desk.assert_no_overlap().await;
 }
 
+#[tokio::test]
+async fn checkpoint_of_one_member_is_not_whole() {
+    // The only checkpoints are those before a stop, and the cut-off member makes none.
+    let kinds = gang("rebuild", "runtime = 8s\ncheckpoint = 10m");
+    let mut desk = Desk::start(&[4], &kinds).await;
+    let job = desk.submit("guest", "rebuild", "k1").await;
+    desk.started(&job, 1, 2).await;
+    let view = desk.phase(&job, "running").await;
+    let agent = format!("agent-{}", number_of(&desk, &view, 0));
+    sleep(Duration::from_secs(1)).await;
+    desk.cluster.process(&agent).signal(Signal::STOP).expect("a signal");
+    desk.started(&job, 2, 2).await;
+    desk.cluster.process(&agent).signal(Signal::CONT).expect("a signal");
+    let records = desk.records().await;
+    let tasks: Vec<_> = records.iter().flat_map(|r| &r.tasks).collect();
+    let kept = tasks.iter().find(|t| t.name == format!("{job}.1.1")).expect("a task");
+    assert!(kept.checkpoints > 0, "the other member has saved its progress");
+    let second: Vec<_> =
+        tasks.iter().filter(|t| t.name.starts_with(&format!("{job}.2."))).collect();
+    assert!(second.iter().all(|t| t.asked == 8_000), "from the beginning: {second:?}");
+    desk.assert_no_overlap().await;
+}
+
 #[tokio::test]
 async fn worker_loss_of_protected_job_is_unknown() {
     let kinds = gang("permit", "runtime = 60s\nprotected = yes");
