--- a/crates/bronzespoold/src/control/state.rs
+++ b/crates/bronzespoold/src/control/state.rs
@@ -1,7 +1,7 @@
 //! The replicated state machine.
 
 use {
-    crate::control::{hub::SESSION_SPAN, submitted::Submitted},
+    crate::control::submitted::Submitted,
     bronzespool::{
         core::{Code, Digest, Instance, Job, Service, Shape, Team, Time},
         flow::{
@@ -109,11 +109,11 @@
     }
 }
 
-impl Default for State {
-    /// The state before the first entry: the same at every replica, whatever its settings.
-    fn default() -> Self {
-        let settings =
-            Settings { lease: SESSION_SPAN, gang_lease: OWN_LEASE, ..Settings::default() };
+impl State {
+    /// The state before the first entry. `span` is the longest time from a decision to the end of
+    /// the session of an agent that does not hear of it; only the policy reads it.
+    pub(super) fn new(span: Duration) -> Self {
+        let settings = Settings { lease: span, gang_lease: OWN_LEASE, ..Settings::default() };
         Self {
             index: 0,
             clock: Time::ZERO,
@@ -125,9 +125,7 @@
             submitted: Submitted::default(),
         }
     }
-}
 
-impl State {
     /// Index of the last entry applied.
     pub(super) const fn index(&self) -> u64 {
         self.index
