fix(control): give up a forwarded call when the leader is replaced

Cause: in_force_hub_cut_off failed twice on a busy machine (load 34 on 10 cores): the entry's call ended after its 5 s with 3007. The hub had forwarded it to a leader that the test had just cut off in silence, and waited 6 s for it, longer than the caller.

Ruled out: the frozen follower itself (a quorum was there), ports given out twice (the run with the mended ports failed as well).

Change: a forwarded call ends when this replica no longer follows the leader that it went to; calls are asked again after a commit of unknown outcome as well, since each names what it is about.

--- a/crates/bronzespoold/src/client/keeper.rs
+++ b/crates/bronzespoold/src/client/keeper.rs
@@ -138,7 +138,7 @@
                 return Err(last);
             }
             match self.call_once(&bytes, left).await {
-                Ok(Err(refusal)) if refusal.code == Code::NoLeader => last = refusal,
+                Ok(Err(refusal)) if is_passing(refusal.code) => last = refusal,
                 Ok(answered) => return answered,
                 Err(error) => {
                     log::debug!(error:%; "a call to control failed");
@@ -257,3 +257,8 @@
         Ok(millis > 0)
     }
 }
+
+/// Whether the same call may succeed after a change of leader.
+const fn is_passing(code: Code) -> bool {
+    matches!(code, Code::NoLeader | Code::CommitUnknown)
+}
--- a/crates/bronzespoold/src/control/server.rs
+++ b/crates/bronzespoold/src/control/server.rs
@@ -34,6 +34,8 @@
 const PROGRESS_TIME: Duration = Duration::from_millis(800);
 /// Shortest time between two progresses.
 const PROGRESS_MIN: Duration = Duration::from_millis(10);
+/// Time between two looks at who leads while a call is forwarded.
+const LEADER_LOOK: Duration = Duration::from_millis(25);
 /// When to come back while there is no leader.
 const LEADER_RETRY: Duration = Duration::from_millis(300);
 
@@ -65,13 +67,28 @@
             let response = request.send().promise.await?;
             Ok(frame::decode(response.get()?.get_reply()?)?)
         });
-        match timeout(time, answered).await {
+        let answered = tokio::select! {
+            answered = timeout(time, answered) => answered,
+            () = self.replaced(&leader) => {
+                link.reset();
+                return Err(none());
+            }
+        };
+        match answered {
             Ok(Ok(answered)) => answered,
             Ok(Err(error)) => Err(Refusal::new(Code::NoLeader, error.to_string())),
             Err(_) => Err(none()),
         }
     }
 
+    /// Waits until another replica leads, or none: a call to a leader that is cut off in silence
+    /// would else wait for its whole time.
+    async fn replaced(&self, leader: &Instance) {
+        while self.replica.leader().as_ref() == Some(leader) {
+            sleep(LEADER_LOOK).await;
+        }
+    }
+
     /// Tells the leader how far the sessions are, and so keeps the hub's own lease.
     pub(super) async fn run_progress(self: Rc<Self>) {
         let mut known = 0;
@@ -103,9 +120,9 @@
 
     /// Waits for a change of the view that no session here has to acknowledge first.
     async fn unheld(&self, watch: &mut watch::Receiver<Epoch>, seen: Epoch) {
-        let news = |e: &Epoch| e.view != seen.view && self.hub.len() == 0;
+        let news = |e: &Epoch| e.view != seen.view && self.hub.is_empty();
         if watch.wait_for(news).await.is_err() {
-            std::future::pending().await
+            std::future::pending::<()>().await;
         }
     }
 
