fix(entry): say not run only when the key has not run

Cause: a caller who asked again for a finished protected request got 'not run' whenever something refused the new request before its key was looked at: no endpoint, a full queue, the team's limit, an entry without a session. Found by the test of all roles in one process after a restart. The same for a job and a publication whose call to control was lost after sending: 'no leader, not run', though it may have been committed.

Ruled out: keeping outcomes at the entries (they hold no truth).

Change: a refusal of a protected request looks at its key first and gives the kept answer, 'in progress' or 'sealed'; without control the code is 4008, whose outcome is unknown; an expired key is 4007, unknown, instead of 2012. A call that was sent and not answered ends as 4006, and only one that never left as not run. Calls are told from lost ones at the hub as well.

On the way, from the load measurements: requests leave the queue with time for themselves, a request that never left counts as not run, an agent's reply no longer lowers the load by one, refused takes count as demand. A planned stop of the leader hands leadership over. All control instances must have one session lease.

--- a/crates/bronzespool-core/src/code.rs
+++ b/crates/bronzespool-core/src/code.rs
@@ -88,7 +88,6 @@
     2009 LengthMismatch NotRun 400 "the body ended before its Content-Length: send it again whole";
     2010 HeadersSlow NotRun 408 "the request did not arrive within the time for headers and body";
     2011 KeyReused NotRun 422 "this Idempotency-Key was used with another body: take a new key";
-    2012 KeyExpired NotRun 410 "the key is older than its horizon and is never run anew: take a new key";
     2013 Infeasible NotRun 422 "no set of workers can ever hold this job: the message names what is missing";
     2014 PathUnknown NotRun 404 "no such path or method";
     2015 UnknownJob NotRun 404 "no such job, or its record has expired";
@@ -113,6 +112,8 @@
     4004 AnswerTooLarge Unknown 502 "the endpoint's answer is over its limit";
     4005 Unreachable Unknown 504 "the agent that may have started the request does not answer: ask again with the same key";
     4006 CommitUnknown Unknown 504 "control did not confirm the change in time: send it again with the same operation id";
+    4007 KeyExpired Unknown 410 "the key's record has expired: its request may have run and is never run anew under this key";
+    4008 KeyUnsettled Unknown 503 "nothing was started now, but whether an earlier request with this key ran is not known here: ask again with the same key";
     5001 Conflict NotRun 409 "another change came first: the message names its revision, publish on that base";
     5002 GuaranteesClash NotRun 422 "the guarantees cannot all be packed at once: the message names teams and shapes";
     5003 ConfigInvalid NotRun 422 "a file has faults: the message names file, line and key";
--- a/crates/bronzespool-flow/src/claim/state.rs
+++ b/crates/bronzespool-flow/src/claim/state.rs
@@ -170,6 +170,11 @@
         self.claims.get(id)
     }
 
+    /// Whether the record of `id` has expired and its key is refused.
+    pub fn is_expired(&self, id: &ClaimId) -> bool {
+        !self.claims.contains_key(id) && self.used.contains(&id.fingerprint())
+    }
+
     /// Open claims of `target`, in the order of their ids.
     pub fn open_at<'a>(
         &'a self,
--- a/crates/bronzespool-wire/src/link/error.rs
+++ b/crates/bronzespool-wire/src/link/error.rs
@@ -16,6 +16,8 @@
     Silent(Duration),
     /// the call failed: {0}
     Call(capnp::Error),
+    /// no session within the time
+    NoSession,
     /// the answer cannot be read: {0}
     Frame(crate::frame::Error),
 }
@@ -25,7 +27,7 @@
 impl Error {
     /// Whether the other side certainly received nothing of the call.
     pub const fn unsent(&self) -> bool {
-        matches!(self, Self::Connect(_) | Self::ConnectTime(_))
+        matches!(self, Self::Connect(_) | Self::ConnectTime(_) | Self::NoSession)
     }
 
     /// Whether the connection itself has failed.
--- a/crates/bronzespool-wire/src/message/call.rs
+++ b/crates/bronzespool-wire/src/message/call.rs
@@ -98,7 +98,8 @@
     pub hub: Instance,
     /// Lowest index that any of its sessions has acknowledged.
     pub acked: u64,
-    /// Milliseconds for which it grants sessions.
+    /// Milliseconds for which a session counts; the same at all control instances, since the
+    /// schedule relies on it.
     pub lease: u64,
     /// Number of the last change of its agents' sessions.
     pub serial: u64,
--- a/crates/bronzespoold/src/client/keeper.rs
+++ b/crates/bronzespoold/src/client/keeper.rs
@@ -128,21 +128,29 @@
 
     /// Calls the leader through the hub, asking again until `time` has passed. Every call names
     /// what it is about, so asking again is safe.
+    ///
+    /// The last refusal is returned, but [`Code::CommitUnknown`] if any of the tries may have
+    /// been committed.
     pub async fn call(&self, call: &Call, time: Duration) -> Answered {
         let end = self.clock.now() + time;
         let bytes = frame::encode(call);
         let mut last = Refusal::from(Code::NoSession);
+        let mut unknown = false;
         loop {
             let left = end.since(self.clock.now());
             if left.is_zero() {
-                return Err(last);
+                return Err(if unknown { Code::CommitUnknown.into() } else { last });
             }
             match self.call_once(&bytes, left).await {
-                Ok(Err(refusal)) if is_passing(refusal.code) => last = refusal,
+                Ok(Err(refusal)) if is_passing(refusal.code) => {
+                    unknown |= refusal.code == Code::CommitUnknown;
+                    last = refusal;
+                }
                 Ok(answered) => return answered,
+                Err(Error::NoSession) => {}
                 Err(error) => {
                     log::debug!(error:%; "a call to control failed");
-                    last = Refusal::new(Code::NoLeader, error.to_string());
+                    unknown = true;
                     self.probe.notify_one();
                 }
             }
@@ -151,7 +159,7 @@
     }
 
     async fn call_once(&self, bytes: &[u8], left: Duration) -> Result<Answered> {
-        let session = timeout(left, self.current()).await.map_err(|_| Error::Silent(left))?;
+        let session = timeout(left, self.current()).await.map_err(|_| Error::NoSession)?;
         let mut request = session.call_request();
         request.get().set_call(bytes);
         let response =
--- a/crates/bronzespoold/src/control/hub/sessions.rs
+++ b/crates/bronzespoold/src/control/hub/sessions.rs
@@ -165,7 +165,8 @@
         let acked = self.acked(applied);
         let serial = self.serial.get();
         let agents = (known != serial).then(|| self.agents.borrow().values().cloned().collect());
-        let lease = u64::try_from(self.spans.lease.as_millis()).unwrap_or(u64::MAX);
+        let lease = self.spans.lease + self.spans.margin;
+        let lease = u64::try_from(lease.as_millis()).unwrap_or(u64::MAX);
         Progress { hub: self.name.clone(), acked, lease, serial, agents }
     }
 
--- a/crates/bronzespoold/src/control/leader/claims.rs
+++ b/crates/bronzespoold/src/control/leader/claims.rs
@@ -45,8 +45,11 @@
 
     pub(super) async fn look(&self, id: &ClaimId) -> Answered {
         self.replica.read().await?;
-        let existing = self.replica.state().claims().get(id).cloned();
-        Ok(Reply::Claim(existing))
+        let state = self.replica.state();
+        if state.claims().is_expired(id) {
+            return Err(Code::KeyExpired.into());
+        }
+        Ok(Reply::Claim(state.claims().get(id).cloned()))
     }
 
     pub(super) async fn complete(
--- a/crates/bronzespoold/src/control/leader/presence.rs
+++ b/crates/bronzespoold/src/control/leader/presence.rs
@@ -7,7 +7,7 @@
         flow::view::Presence,
         wire::message::{Answered, Progress, Reply},
     },
-    std::{collections::BTreeMap, time::Duration},
+    std::collections::BTreeMap,
 };
 
 /// What the leader knows of one hub.
--- a/crates/bronzespoold/src/control/replica.rs
+++ b/crates/bronzespoold/src/control/replica.rs
@@ -29,8 +29,10 @@
 
 /// Longest sleep of the driver.
 const SLEEP_MAX: Duration = Duration::from_secs(1);
-/// Entries between two looks at whether a snapshot is due.
-const SNAPSHOT_CHECK: u64 = 256;
+/// Longest wait for another replica to take over at a planned stop.
+const HAND_OVER_TIME: Duration = Duration::from_secs(2);
+/// Pause between two tries to hand over.
+const HAND_OVER_PAUSE: Duration = Duration::from_millis(10);
 /// Longest wait for a commit.
 const COMMIT_TIME: Duration = Duration::from_secs(5);
 /// Longest wait for a read.
@@ -67,7 +69,6 @@
     reads: RefCell<BTreeMap<u64, oneshot::Sender<bool>>>,
     read_serial: Cell<u64>,
     leading: Cell<Option<Leading>>,
-    checked: Cell<u64>,
 }
 
 /// Log time of a leader: the state's time when it began to lead, plus what passed since.
@@ -93,7 +94,6 @@
             reads: RefCell::default(),
             read_serial: Cell::new(0),
             leading: Cell::new(None),
-            checked: Cell::new(0),
         })
     }
 
@@ -139,6 +139,28 @@
         (leading.base + now.since(leading.since)).max(self.state().clock())
     }
 
+    /// Hands leadership over before a planned stop, so that no election time passes without a
+    /// leader. Without another replica to take it, the stop goes on all the same.
+    pub(super) async fn hand_over(&self) {
+        let alone = self.status().members.len() < 2;
+        if alone || !self.node.borrow().is_leader() {
+            return;
+        }
+        let end = self.clock.now() + HAND_OVER_TIME;
+        while self.clock.now() < end {
+            // Refused until a successor holds the whole log, and once the leadership has gone.
+            let result = self.node.borrow_mut().hand_over(self.clock.now());
+            if let Ok(successor) = result {
+                log::info!(successor:%; "leadership is handed over");
+            }
+            self.kick.notify_one();
+            sleep(HAND_OVER_PAUSE).await;
+            if !self.node.borrow().is_leader() && self.leader().is_some() {
+                return;
+            }
+        }
+    }
+
     /// Takes a message of another replica.
     pub(super) fn receive(&self, from: &Instance, bytes: &[u8]) -> std::result::Result<(), Error> {
         let message = Message::decode(bytes)?;
@@ -324,14 +346,10 @@
     }
 
     fn snapshot(&self) {
-        let state = self.state.borrow();
-        if state.index() < self.checked.get() + SNAPSHOT_CHECK {
-            return;
-        }
-        self.checked.set(state.index());
-        if !self.status().snapshot_due {
+        if !self.node.borrow().is_snapshot_due() {
             return;
         }
+        let state = self.state.borrow();
         let bytes = frame::encode(&*state);
         self.node.borrow_mut().compact(state.index(), bytes);
         self.kick.notify_one();
--- a/crates/bronzespoold/src/control/server.rs
+++ b/crates/bronzespoold/src/control/server.rs
@@ -71,13 +71,14 @@
             answered = timeout(time, answered) => answered,
             () = self.replaced(&leader) => {
                 link.reset();
-                return Err(none());
+                return Err(Code::CommitUnknown.into());
             }
         };
         match answered {
             Ok(Ok(answered)) => answered,
-            Ok(Err(error)) => Err(Refusal::new(Code::NoLeader, error.to_string())),
-            Err(_) => Err(none()),
+            Ok(Err(error)) if error.unsent() => Err(none()),
+            Ok(Err(error)) => Err(Refusal::new(Code::CommitUnknown, error.to_string())),
+            Err(_) => Err(Code::CommitUnknown.into()),
         }
     }
 
--- a/crates/bronzespoold/src/control/start.rs
+++ b/crates/bronzespoold/src/control/start.rs
@@ -92,9 +92,16 @@
     spawn_local(Rc::clone(&node.leader).run_rounds());
     spawn_local(Rc::clone(&node.leader).run_cancels());
     log::info!(instance:% = options.instance; "the control instance is up");
+    let planned = async {
+        let _ = stop.wait_for(|s| *s).await;
+        node.stopping.set(true);
+        replica.hand_over().await;
+    };
     tokio::select! {
-        error = replica.run(Writer::start(storage), peers) => return Err(Error::Log(error)),
-        _ = stop.wait_for(|s| *s) => node.stopping.set(true),
+        error = Rc::clone(&replica).run(Writer::start(storage), peers) => {
+            return Err(Error::Log(error));
+        }
+        () = planned => {}
     }
     served.abort();
     Ok(())
--- a/crates/bronzespoold/src/entry/dispatch/follow.rs
+++ b/crates/bronzespoold/src/entry/dispatch/follow.rs
@@ -59,6 +59,29 @@
     }
 }
 
+/// What a claim tells a request that starts nothing: its answer, or none if no attempt has run.
+pub(super) async fn settled(
+    state: &State,
+    id: &ClaimId,
+    existing: &Existing,
+) -> Result<Option<Answer>> {
+    let name = AttemptId {
+        id: id.clone(),
+        attempt: existing.attempt,
+        target: existing.target.clone(),
+        expires: existing.expires,
+    };
+    match &existing.state {
+        ClaimState::Released => Ok(None),
+        ClaimState::Done(answer) => match kept(state, &name, answer).await? {
+            Ended::Answered(answer) => Ok(Some(answer)),
+            Ended::NotRun(_) => Ok(None),
+        },
+        ClaimState::Sealed(code) => Err(sealed(*code)),
+        ClaimState::Open => Err(Refusal::from(Code::InProgress).retry_after(ASK_AGAIN)),
+    }
+}
+
 /// An answer too large for control may still be held by its agent.
 async fn kept(state: &State, name: &AttemptId, answer: &Answer) -> Result<Ended> {
     if matches!(answer.body, Body::Digest { .. })
--- a/crates/bronzespoold/src/entry/dispatch/idempotent.rs
+++ b/crates/bronzespoold/src/entry/dispatch/idempotent.rs
@@ -73,11 +73,12 @@
     let took = state.clock.now().since(begun);
     let (result, sample) = match reply {
         Ok(reply) => {
-            state.heard(&lane.target.incarnation.instance, reply.state.used);
+            state.heard(&lane, reply.state.used);
             judge(reply, took)
         }
         Err(error) => {
-            let refusal = Refusal::new(Code::Unreachable, error.to_string());
+            let code = if error.unsent() { Code::NoEndpoint } else { Code::Unreachable };
+            let refusal = Refusal::new(code, error.to_string());
             (Err(missed(refusal, None)), Some(Sample::Failed))
         }
     };
--- a/crates/bronzespoold/src/entry/dispatch/mod.rs
+++ b/crates/bronzespoold/src/entry/dispatch/mod.rs
@@ -43,6 +43,15 @@
     }
 }
 
+/// The final answer to a request that was refused before its key was looked at. For a protected
+/// request "not run" must hold for the key: an earlier request with it may have run.
+pub(super) async fn settle(state: &State, request: &Checked, refusal: Refusal) -> Result<Served> {
+    if !request.spec()?.protected {
+        return Err(refusal);
+    }
+    whole(&protected::settle(state, request, refusal).await?)
+}
+
 /// A whole answer of an endpoint.
 pub(super) struct Served {
     pub(super) status: u16,
--- a/crates/bronzespoold/src/entry/dispatch/protected.rs
+++ b/crates/bronzespoold/src/entry/dispatch/protected.rs
@@ -24,19 +24,54 @@
     std::{rc::Rc, time::Duration},
 };
 
+/// Shortest time for the last look at a key, also after the deadline.
+const SETTLE_MIN: Duration = Duration::from_millis(300);
+/// Longest time for the last look at a key.
+const SETTLE_MAX: Duration = Duration::from_secs(1);
 /// Time added to the caller's deadline in which the agent accepts copies.
 const EXPIRY_MARGIN: Duration = Duration::from_secs(1);
 
 /// Gets the answer to a protected request; `lane` is for the first attempt.
 pub(super) async fn serve(state: &Rc<State>, request: &Checked, lane: Lane) -> Result<Answer> {
-    let spec = request.spec()?;
+    match serve_claimed(state, request, lane).await {
+        Err(refusal) if refusal.code.outcome() == Outcome::NotRun => {
+            settle(state, request, refusal).await
+        }
+        result => result,
+    }
+}
+
+/// Answers a request that is refused as not run: only if no request with its key has run.
+pub(super) async fn settle(state: &State, request: &Checked, refusal: Refusal) -> Result<Answer> {
+    let id = claim_id(request)?;
+    let keeper = state.keeper().ok_or(Code::NoSession)?;
+    let time = request.left(state.clock.now()).clamp(SETTLE_MIN, SETTLE_MAX);
+    match keeper.call(&Call::Look(id.clone()), time).await {
+        Ok(Reply::Claim(None)) => Err(refusal),
+        Ok(Reply::Claim(Some(existing))) if existing.digest != request.digest => {
+            Err(Code::KeyReused.into())
+        }
+        Ok(Reply::Claim(Some(existing))) => {
+            follow::settled(state, &id, &existing).await?.ok_or(refusal)
+        }
+        Err(found) if found.code == Code::KeyExpired => Err(found),
+        _ => Err(Refusal::from(Code::KeyUnsettled).retry_after(RETRY)),
+    }
+}
+
+fn claim_id(request: &Checked) -> Result<ClaimId> {
     let key = request.key.clone().ok_or(Code::KeyMissing)?;
-    let id = ClaimId {
+    Ok(ClaimId {
         team: request.team.clone(),
         service: request.service.clone(),
         kind: request.kind.clone(),
         key,
-    };
+    })
+}
+
+async fn serve_claimed(state: &Rc<State>, request: &Checked, lane: Lane) -> Result<Answer> {
+    let spec = request.spec()?;
+    let id = claim_id(request)?;
     let mut tried = Vec::new();
     let mut next = Some(lane);
     let mut made = 0;
@@ -111,7 +146,7 @@
     let message = run(request, name.target.number, Work::Protected(name.clone()), left)?;
     match target.link.run(&message, &request.body, left).await {
         Ok(reply) => {
-            state.heard(&target.incarnation.instance, reply.state.used);
+            state.heard(lane, reply.state.used);
             sample(state, request, lane, &reply, begun);
             replied(state, name, reply).await
         }
--- a/crates/bronzespoold/src/entry/filter/route.rs
+++ b/crates/bronzespoold/src/entry/filter/route.rs
@@ -1,9 +1,12 @@
 //! Finds the kind that a path names, in the configuration in force.
 
 use {
-    crate::entry::{
-        filter::{Filter, Result},
-        state::State,
+    crate::{
+        entry::{
+            filter::{Filter, Result},
+            state::State,
+        },
+        http::headers,
     },
     bronzespool::{
         core::{Code, Kind, KindSpec, Refusal, Service, ServiceSpec, Time},
@@ -49,13 +52,10 @@
     type Out = Routed;
 
     async fn apply(&self, raw: Raw) -> Result<Routed> {
-        if self.0.stopping.get() {
-            return Err(Code::Stopping.into());
-        }
+        let view = self.0.view();
         if !self.0.open() {
-            return Err(Refusal::from(Code::NoSession).retry_after(super::caller::RETRY));
+            return Err(self.closed(&raw, &view));
         }
-        let view = self.0.view();
         let service = Service::try_from(raw.service.as_str())
             .map_err(|e| unknown(Code::UnknownService, &raw.service, &e))?;
         if !view.config.services.contains_key(&service) {
@@ -72,6 +72,25 @@
     }
 }
 
+impl Route {
+    /// The refusal of an entry that takes no work. It cannot tell what became of an earlier
+    /// request with the same key, so it does not say that a protected one has not run.
+    fn closed(&self, raw: &Raw, view: &View) -> Refusal {
+        let names = (Service::try_from(raw.service.as_str()), Kind::try_from(raw.kind.as_str()));
+        let spec = match &names {
+            (Ok(service), Ok(kind)) => view.config.kind(service, kind),
+            _ => None,
+        };
+        let keyed = raw.request.headers().contains_key(headers::KEY);
+        let code = match self.0.stopping.get() {
+            _ if keyed && spec.is_none_or(|s| s.protected) => Code::KeyUnsettled,
+            true => Code::Stopping,
+            false => Code::NoSession,
+        };
+        Refusal::from(code).retry_after(super::caller::RETRY)
+    }
+}
+
 fn unknown(code: Code, text: &str, error: &bronzespool::core::name::Error) -> Refusal {
     Refusal::new(code, format!("{text:?}: {error}"))
 }
--- a/crates/bronzespoold/src/entry/server.rs
+++ b/crates/bronzespoold/src/entry/server.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         entry::{
-            dispatch::{Dispatch, Served},
+            dispatch::{Dispatch, Served, settle},
             filter::{Caller, Checked, Filter, Raw, ReadBody, Result, Route, Then},
             jobs, operators,
             state::State,
@@ -142,15 +142,21 @@
         let checked = checks.apply(raw).await?;
         let result = match checked.spec()?.mode {
             Mode::Job => self.submit(&checked).await,
-            Mode::Request => {
-                let chain = Then(Admit(Rc::clone(state)), Dispatch(Rc::clone(state)));
-                chain.apply(checked.clone()).await.map(|s| served(&s))
-            }
+            Mode::Request => self.dispatch(&checked).await,
         };
         self.note(&checked, &result);
         result
     }
 
+    async fn dispatch(&self, request: &Checked) -> Result<Answer> {
+        let state = &self.state;
+        let result = match Admit(Rc::clone(state)).apply(request.clone()).await {
+            Ok(admitted) => Dispatch(Rc::clone(state)).apply(admitted).await,
+            Err(refusal) => settle(state, request, refusal).await,
+        };
+        result.map(|s| served(&s))
+    }
+
     async fn submit(&self, request: &Checked) -> Result<Answer> {
         let view = jobs::submit(&self.state, request).await?;
         let mut answer = json(Code::Accepted, &view);
--- a/crates/bronzespoold/src/entry/traffic/admit.rs
+++ b/crates/bronzespoold/src/entry/traffic/admit.rs
@@ -17,6 +17,9 @@
     tokio::sync::oneshot,
 };
 
+/// Time kept for a request after the queue, in mean times of a request.
+const SERVED_TIMES: f64 = 1.5;
+
 /// The filter.
 pub(in crate::entry) struct Admit(pub(in crate::entry) Rc<State>);
 
@@ -53,18 +56,15 @@
             let mut traffic = self.0.traffic.borrow_mut();
             let service = traffic.service(&request.service);
             service.budget.first();
-            if !service.queue.is_empty() || service.buckets.check(now, &request.team).is_err() {
+            // A refused take counts as demand, so that the next share is larger.
+            if !service.queue.is_empty() || service.buckets.take(now, &request.team).is_err() {
                 return Ok(None);
             }
         }
+        let permit = self.0.permit(&request.service, &request.team);
         let found =
             self.0.choose(&request.service, &request.kind, spec.need.slots, !spec.protected, &[]);
-        let Some(lane) = found else {
-            return Ok(None);
-        };
-        let taken =
-            self.0.traffic.borrow_mut().service(&request.service).buckets.take(now, &request.team);
-        Ok(taken.is_ok().then(|| (self.0.permit(&request.service, &request.team), lane)))
+        Ok(found.map(|lane| (permit, lane)))
     }
 
     /// Waits in the queue. Whoever cannot be served in time is refused at once.
@@ -75,8 +75,10 @@
         let waiting = Waiting { slots: spec.need.slots, grant };
         let refused = {
             let mut traffic = self.0.traffic.borrow_mut();
+            // Whoever leaves the queue must still have the time that the request itself takes.
+            let latest = request.deadline - traffic.mean_time().mul_f64(SERVED_TIMES);
             let queue = &mut traffic.service(&request.service).queue;
-            queue.push(now, request.team.clone(), request.deadline, waiting)
+            queue.push(now, request.team.clone(), latest, waiting)
         };
         if let Some(refused) = refused {
             let code = self.reason(request, refused.code);
--- a/crates/bronzespoold/src/entry/traffic/pump.rs
+++ b/crates/bronzespoold/src/entry/traffic/pump.rs
@@ -155,10 +155,12 @@
         }
     }
 
-    /// An agent told how many of its slots are in use.
-    pub(in crate::entry) fn heard(&self, instance: &Instance, used: u32) {
+    /// An agent told, with the reply to the request of `lane`, how many of its slots are in use.
+    /// It has freed that request's slots, while this entry still counts them.
+    pub(in crate::entry) fn heard(&self, lane: &Lane, used: u32) {
         let now = self.clock.now();
-        self.traffic.borrow_mut().loads.heard(now, instance, used);
+        let instance = &lane.target.incarnation.instance;
+        self.traffic.borrow_mut().loads.heard(now, instance, used + lane.slots);
     }
 
     /// Decides what follows a failed attempt. An error is the final answer; otherwise the pause
--- a/crates/bronzespoold/src/entry/traffic/state.rs
+++ b/crates/bronzespoold/src/entry/traffic/state.rs
@@ -94,7 +94,12 @@
 
     /// When a request leaves its data centre.
     pub(super) fn spill(&self) -> Spill {
-        Spill { far: FAR, service: Duration::from_secs_f64(self.mean) }
+        Spill { far: FAR, service: self.mean_time() }
+    }
+
+    /// Mean time of a request at an endpoint.
+    pub(super) fn mean_time(&self) -> Duration {
+        Duration::from_secs_f64(self.mean)
     }
 
     /// Notes the time of an answered request.
