--- a/crates/bronzespool-schedule/src/admit.rs
+++ b/crates/bronzespool-schedule/src/admit.rs
@@ -133,7 +133,7 @@
         return Ok(());
     }
     let idle = book.idle();
-    let found = claim(&idle, &mut idle.grid().clone(), &spec.team, ask, &[]);
+    let found = claim(&idle, &mut idle.grid().clone(), &spec.team, ask, &[], &[]);
     if found.is_some() {
         return Ok(());
     }
--- a/crates/bronzespool-schedule/src/explain.rs
+++ b/crates/bronzespool-schedule/src/explain.rs
@@ -100,7 +100,8 @@
         return (Reason::Infeasible, None, Vec::new());
     };
     let own = ask.guaranteed(grid, &job.spec);
-    let claimed = own.and_then(|ask| claim(book, &mut grid.clone(), &job.spec.team, &ask, &[]));
+    let claimed =
+        own.and_then(|ask| claim(book, &mut grid.clone(), &job.spec.team, &ask, &[], &[]));
     if claimed.is_some() && (ask.order.is_some() || !job.spec.preemptible()) {
         return (Reason::Granted, Some(now + reclaim_bound(book)), Vec::new());
     }
--- a/crates/bronzespool-schedule/src/policy/claim.rs
+++ b/crates/bronzespool-schedule/src/policy/claim.rs
@@ -30,6 +30,9 @@
     pub split: u64,
 }
 
+/// Extra cost of an accelerator whose work would be lost.
+const DEAR: u32 = 4;
+
 /// Cost of a place for a guaranteed cell: members left over, accelerators taken, size of the cell
 /// broken up, size of the free block broken up, free accelerators of the worker.
 type Rank = (u32, u32, u32, u32, u32);
@@ -44,6 +47,7 @@
     unbound: BTreeMap<Level, u32>,
     checker: &'a mut Checker,
     avoid: &'a [u32],
+    dear: &'a [u64],
     /// Whether cells that hold more of the members left go first, in place of the smallest.
     roomy: bool,
     undo: Vec<(u32, u64, u64)>,
@@ -51,8 +55,16 @@
 
 /// Cheapest place for a gang on the guarantee of `team`, if any.
 ///
-/// Slots in `avoid` are not used.
-pub fn claim(book: &Book, grid: &mut Grid, team: &Team, ask: &Ask, avoid: &[u32]) -> Option<Claim> {
+/// Slots in `avoid` are not used. Accelerators in `dear`, by slot, count for more where they must be
+/// given back.
+pub fn claim(
+    book: &Book,
+    grid: &mut Grid,
+    team: &Team,
+    ask: &Ask,
+    avoid: &[u32],
+    dear: &[u64],
+) -> Option<Claim> {
     let state = book.teams().get(team)?;
     let order = ask.order?;
     let bounds: Vec<(Vec<u32>, u64)> =
@@ -69,6 +81,7 @@
         unbound,
         checker: &mut checker,
         avoid,
+        dear,
         roomy: false,
         undo: Vec::new(),
     };
@@ -152,7 +165,9 @@
                 continue;
             }
             let bits = cover & scope.mask & at.all & !at.own;
-            let Some((taken, outer, first)) = cheapest(bits, at.used | at.held, self.order) else {
+            let Some((taken, outer, first)) =
+                cheapest(bits, at.used | at.held, self.dear(slot), self.order)
+            else {
                 continue;
             };
             if best.is_none_or(|(cost, _, _)| (taken, outer) < cost) {
@@ -208,6 +223,10 @@
         false
     }
 
+    fn dear(&self, slot: u32) -> u64 {
+        self.dear.get(slot as usize).copied().unwrap_or(0)
+    }
+
     /// Whether a member may be placed on the slot.
     fn suits(&self, slot: u32) -> bool {
         let fits = self.grid.at(slot).slice_fits(&self.ask.need(), self.ask.accels());
@@ -229,7 +248,8 @@
                 let block = cell::mask(first, 1 << order);
                 let inner = block & scope.mask;
                 let busy = at.used | at.held;
-                if let Some((taken, _, start)) = cheapest(inner, busy, self.order) {
+                if let Some((taken, _, start)) = cheapest(inner, busy, self.dear(slot), self.order)
+                {
                     let outer = outer_order(at.unbound(), first, order);
                     let split = outer_order(at.all & !busy, start, self.order);
                     let free = (at.all & !busy).count_ones();
@@ -267,7 +287,8 @@
                     return None;
                 }
                 let free = (at.all & !(at.used | at.held)).count_ones();
-                let place = cheapest(at.all & scope.mask, at.used | at.held, self.order);
+                let place =
+                    cheapest(at.all & scope.mask, at.used | at.held, self.dear(s), self.order);
                 place.map(|(taken, outer, _)| (taken, u32::from(outer), free))
             });
             let Some((taken, split, free)) = offers.min() else {
@@ -281,9 +302,9 @@
     }
 }
 
-/// Block of `order` in `bits` with the fewest `busy` accelerators, then in the smallest larger
+/// Block of `order` in `bits` with the cheapest `busy` accelerators, then in the smallest larger
 /// block: busy count, order of the larger block, first accelerator.
-fn cheapest(bits: u64, busy: u64, order: u8) -> Option<(u32, u8, u32)> {
+fn cheapest(bits: u64, busy: u64, dear: u64, order: u8) -> Option<(u32, u8, u32)> {
     if let Some((outer, first)) = best_block(bits & !busy, order) {
         return Some((0, outer, first));
     }
@@ -292,7 +313,8 @@
     while starts != 0 {
         let first = starts.trailing_zeros();
         starts &= starts - 1;
-        let taken = (cell::mask(first, 1 << order) & busy).count_ones();
+        let block = cell::mask(first, 1 << order) & busy;
+        let taken = block.count_ones() + DEAR * (block & dear).count_ones();
         if best.is_none_or(|(least, _, _)| taken < least) {
             best = Some((taken, outer_order(bits, first, order), first));
         }
--- a/crates/bronzespool-schedule/src/policy/due.rs
+++ b/crates/bronzespool-schedule/src/policy/due.rs
@@ -83,5 +83,5 @@
     }
     let after = book.demoted(&jobs);
     let mut scratch = after.grid().clone();
-    claim(&after, &mut scratch, &job.spec.team, ask, &[]).map(|_| jobs)
+    claim(&after, &mut scratch, &job.spec.team, ask, &[], &[]).map(|_| jobs)
 }
--- a/crates/bronzespool-schedule/src/policy/mod.rs
+++ b/crates/bronzespool-schedule/src/policy/mod.rs
@@ -23,11 +23,15 @@
     },
     bronzespool_core::{HashMap, Time},
     place::Class,
+    std::{rc::Rc, time::Duration},
 };
 
 /// Most grants of one pass, so that a burst does not hold up other input.
 const GRANTS_MAX: usize = 64;
 
+/// Run time that may be lost by a stop without counting as dear.
+const STAKE_MAX: Duration = Duration::from_secs(300);
+
 /// Placement memory between decisions of one book; it holds no durable state.
 ///
 /// Make a new one when the book is replaced by another.
@@ -48,9 +52,32 @@
     grid: Grid,
     grants: usize,
     records: Vec<Record>,
+    dear: Option<Rc<[u64]>>,
 }
 
 impl Pass<'_> {
+    /// Accelerators by slot whose work would lose much by a stop.
+    fn dear(&mut self) -> Rc<[u64]> {
+        if let Some(dear) = &self.dear {
+            return Rc::clone(dear);
+        }
+        let mut masks = vec![0; self.grid.slots.len()];
+        for (slot, mask) in self.grid.slots.iter().zip(&mut masks) {
+            for &(id, member) in &slot.tasks {
+                let Some(job) = self.book.job_at(id) else {
+                    continue;
+                };
+                let cell = job.attempt().map_or(0, |a| a.cells[member as usize].mask());
+                if predict::at_stake(job, self.now) > STAKE_MAX {
+                    *mask |= cell;
+                }
+            }
+        }
+        let dear: Rc<[u64]> = masks.into();
+        self.dear = Some(Rc::clone(&dear));
+        dear
+    }
+
     fn push(&mut self, event: Event) {
         self.records.push(Record::new(self.now, event));
     }
--- a/crates/bronzespool-schedule/src/policy/queue.rs
+++ b/crates/bronzespool-schedule/src/policy/queue.rs
@@ -24,7 +24,8 @@
 
 /// Grants and reservations for waiting jobs.
 pub(super) fn grant(planner: &mut Planner, book: &Book, now: Time) -> Vec<Record> {
-    let mut pass = Pass { book, now, grid: book.grid().clone(), grants: 0, records: Vec::new() };
+    let mut pass =
+        Pass { book, now, grid: book.grid().clone(), grants: 0, records: Vec::new(), dear: None };
     health::health(&mut pass);
     reclaim::finish(&mut pass);
     if !pass.records.is_empty() {
@@ -120,9 +121,10 @@
 fn claim_for(pass: &mut Pass<'_>, job: &JobState, ask: &Ask) -> Option<Claim> {
     let team = &job.spec.team;
     let avoid: Vec<u32> = job.failed.iter().filter_map(|name| pass.grid.slot(name)).collect();
-    let found = claim(pass.book, &mut pass.grid, team, ask, &avoid);
+    let dear = pass.dear();
+    let found = claim(pass.book, &mut pass.grid, team, ask, &avoid, &dear);
     if found.is_none() && !avoid.is_empty() {
-        return claim(pass.book, &mut pass.grid, team, ask, &[]);
+        return claim(pass.book, &mut pass.grid, team, ask, &[], &dear);
     }
     found
 }
