--- a/crates/bronzespool-schedule/src/policy/claim.rs
+++ b/crates/bronzespool-schedule/src/policy/claim.rs
@@ -67,6 +67,9 @@
 ) -> Option<Claim> {
     let state = book.teams().get(team)?;
     let order = ask.order?;
+    if !has_room(grid, state, order) {
+        return None;
+    }
     let bounds: Vec<(Vec<u32>, u64)> =
         scopes(grid, ask.level()).into_iter().map(|s| (s.slots.to_vec(), s.mask)).collect();
     let mut checker = Checker::new(book, grid);
@@ -93,6 +96,15 @@
     trial.best(&bounds)
 }
 
+/// Whether any guaranteed cell of the team, in use or not, has a block left: a cheap check before
+/// all places are tried.
+fn has_room(grid: &Grid, state: &TeamState, order: u8) -> bool {
+    let unbound = |level: &Level| *level >= Level::Block(order) && state.unbound(*level) > 0;
+    let left = |&(slot, mask): &(u32, u64)| blocks(mask & !grid.at(slot).own, order) != 0;
+    state.shapes.keys().any(unbound)
+        || state.binds.iter().any(|bind| grid.covers(bind).iter().any(left))
+}
+
 impl Trial<'_> {
     /// Cheapest claim in any of the scopes.
     fn best(&mut self, scopes: &[(Vec<u32>, u64)]) -> Option<Claim> {
