--- a/crates/bronzespool-schedule/src/book/mod.rs
+++ b/crates/bronzespool-schedule/src/book/mod.rs
@@ -4,6 +4,7 @@
 pub mod grid;
 mod overuse;
 mod schedule;
+mod supply;
 pub mod team;
 
 pub(crate) use overuse::Overuse;
