--- a/crates/bronzespool-bench/src/decisions/driver.rs
+++ b/crates/bronzespool-bench/src/decisions/driver.rs
@@ -4,6 +4,7 @@
     crate::decisions::{
         Action, Fate, Fault, Figures, Input, Job, JobId, Judge, LEASE, Policy, RETRY, Scenario,
         Slot, Space, Summary, floor, fragmentation,
+        state::{Event, FRESH, Level, Phase, State},
     },
     bronzespool_core::{HashMap, Time},
     std::{
@@ -30,66 +31,6 @@
 /// Spacing of the samples for plots.
 const SAMPLE: Duration = Duration::from_secs(600);
 
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-    Submit(JobId),
-    Cancel(Vec<JobId>),
-    Fault(usize),
-    End { job: JobId, run: u32 },
-    Stopped { job: JobId, run: u32 },
-    GangBound { job: JobId, run: u32 },
-    Sample,
-    Wake,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Phase {
-    Future,
-    Waiting,
-    Running,
-    Stopping,
-    Gone,
-}
-
-#[derive(Clone, Debug)]
-struct State {
-    phase: Phase,
-    slots: Vec<Slot>,
-    run: u32,
-    began: Time,
-    /// Set-up time of the current run.
-    setup: Duration,
-    /// Work kept from earlier runs.
-    kept: Duration,
-    failures: u32,
-    started: bool,
-    /// A member was lost: nothing is done until the gang has ended.
-    partial: bool,
-    /// When the first member was lost.
-    hit: Time,
-}
-
-const FRESH: State = State {
-    phase: Phase::Future,
-    slots: Vec::new(),
-    run: 0,
-    began: Time::ZERO,
-    setup: Duration::ZERO,
-    kept: Duration::ZERO,
-    failures: 0,
-    started: false,
-    partial: false,
-    hit: Time::ZERO,
-};
-
-/// Free, unusable and least unusable accelerators.
-#[derive(Clone, Copy, Debug, Default)]
-struct Level {
-    free: f64,
-    unusable: f64,
-    floor: f64,
-}
-
 /// Virtual time, the cluster's true state and the figures of one run.
 pub struct Driver<'a> {
     scenario: &'a Scenario,
--- a/crates/bronzespool-bench/src/decisions/mod.rs
+++ b/crates/bronzespool-bench/src/decisions/mod.rs
@@ -9,6 +9,7 @@
 mod policy;
 mod scenario;
 mod space;
+mod state;
 
 pub use self::{
     cluster::{Cluster, KindPlan, Scale, TeamPlan, WorkerPlan},
