--- a/crates/bronzespool-bench/src/main.rs
+++ b/crates/bronzespool-bench/src/main.rs
@@ -11,7 +11,7 @@
 };
 
 const HELP: &str = "\
-bronzespool-bench decisions [--out DIR] [--seed N] [--hours N] [--scale NAME] [--stream NAME]
+bronzespool-bench decisions [--out DIR] [--seed N] [--hours N] [--scale NAME,…] [--stream NAME]
     runs all policies on all deployments and streams in virtual time and, with --out, writes
     decisions.md, decisions.json and SVG plots into DIR
 bronzespool-bench decision-time [--events N] [--factors 1,10] [--fill HOURS]
@@ -46,9 +46,12 @@
     }
 }
 
-fn scale(text: &str) -> std::result::Result<Scale, String> {
-    let found = Scale::ALL.into_iter().find(|s| s.name() == text);
-    found.ok_or_else(|| format!("no deployment {text}"))
+fn scales(text: &str) -> std::result::Result<Vec<Scale>, String> {
+    let find = |part: &str| {
+        let found = Scale::ALL.into_iter().find(|s| s.name() == part);
+        found.ok_or_else(|| format!("no deployment {part}"))
+    };
+    text.split(',').map(find).collect()
 }
 
 fn stream(text: &str) -> std::result::Result<Stream, String> {
@@ -60,7 +63,7 @@
     let out: Option<PathBuf> = args.opt_value_from_str("--out")?;
     let seed = args.opt_value_from_str("--seed")?.unwrap_or(suite::SEED);
     let hours = args.opt_value_from_str("--hours")?.unwrap_or(suite::HOURS);
-    let scales = args.opt_value_from_fn("--scale", scale)?.map_or(Scale::ALL.to_vec(), |s| vec![s]);
+    let scales = args.opt_value_from_fn("--scale", scales)?.unwrap_or(Scale::ALL.to_vec());
     let streams =
         args.opt_value_from_fn("--stream", stream)?.map_or(Stream::ALL.to_vec(), |s| vec![s]);
     let runs = suite::run(&scales, &streams, seed, hours);
--- a/crates/bronzespool-bench/src/report/mod.rs
+++ b/crates/bronzespool-bench/src/report/mod.rs
@@ -22,10 +22,13 @@
     fs::create_dir_all(dir)?;
     fs::write(dir.join("decisions.json"), serde_json::to_string_pretty(runs)? + "\n")?;
     let names = plots::write(dir, runs)?;
+    let mut scales: Vec<&str> = runs.iter().flatten().map(|f| f.scale.as_str()).collect();
+    scales.dedup();
+    let scales = scales.join(",");
     let mut page = format!(
         "# Scheduling decisions\n\n\
-         Made by `cargo run --release -p bronzespool-bench -- decisions --out docs/measurements`; \
-         do not edit.\nSeed {seed}, {hours} h of submissions in virtual time. All figures, also by \
+         Made by `cargo run --release -p bronzespool-bench -- decisions --scale {scales} --out \
+         docs/measurements`;\ndo not edit. Seed {seed}, {hours} h of submissions in virtual time. All figures, also by \
          team and gang size, are in\n`decisions.json`. Times are seconds.\n\n"
     );
     page += &targets::section(runs);
