fix(wire): end calls in flight when their connection is dropped

Cause: dropping the RPC system of a connection leaves its outstanding promises pending for ever. A probe that found an agent silent dropped the connection, but the requests on it went on waiting until their own deadline of 10 s and answered 4005, also when the agent was back after 5 s. The same held for calls through a hub that went silent, and for calls forwarded to a leader that was deposed meanwhile.

Ruled out: the fence loop and the agent (its log shows no call before the deadline); the view (the agent's incarnation did not change).

Change: a call on a link races with the end of its connection; a keeper's call races with the end of its session; a forwarded call is given up when the leader changes. All are asked again by identity.

--- a/crates/bronzespool-wire/src/link/keeper.rs
+++ b/crates/bronzespool-wire/src/link/keeper.rs
@@ -9,7 +9,11 @@
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side},
     futures::future::{AbortHandle, Abortable},
     std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
-    tokio::{net::TcpStream, sync::Mutex, time::timeout},
+    tokio::{
+        net::TcpStream,
+        sync::{Mutex, watch},
+        time::timeout,
+    },
 };
 
 /// Longest wait for a connection.
@@ -34,6 +38,21 @@
 struct Open<C> {
     client: C,
     task: AbortHandle,
+    /// Closed when the connection is dropped: its calls would otherwise wait for ever.
+    alive: watch::Sender<()>,
+}
+
+/// A connection as one call uses it.
+struct Used<C> {
+    client: C,
+    serial: u64,
+    alive: watch::Receiver<()>,
+}
+
+impl<C: Clone> Open<C> {
+    fn used(&self, serial: u64) -> Used<C> {
+        Used { client: self.client.clone(), serial, alive: self.alive.subscribe() }
+    }
 }
 
 impl<C> Drop for Open<C> {
@@ -70,8 +89,14 @@
         F: FnOnce(C) -> A,
         A: Future<Output = Result<T>>,
     {
-        let (client, serial) = self.client().await?;
-        match timeout(time, f(client)).await {
+        let Used { client, serial, mut alive } = self.client().await?;
+        let answer = async {
+            tokio::select! {
+                answer = f(client) => answer,
+                _ = alive.changed() => Err(dropped()),
+            }
+        };
+        match timeout(time, answer).await {
             Ok(Ok(value)) => Ok(value),
             Ok(Err(error)) => {
                 if error.disconnected() {
@@ -92,7 +117,7 @@
         self.drop_connection(serial);
     }
 
-    async fn client(&self) -> Result<(C, u64)> {
+    async fn client(&self) -> Result<Used<C>> {
         if let Some(found) = self.current() {
             return Ok(found);
         }
@@ -104,9 +129,9 @@
         Ok(self.install(stream))
     }
 
-    fn current(&self) -> Option<(C, u64)> {
+    fn current(&self) -> Option<Used<C>> {
         let state = self.state.borrow();
-        state.open.as_ref().map(|open| (open.client.clone(), state.serial))
+        state.open.as_ref().map(|open| open.used(state.serial))
     }
 
     async fn connect(&self) -> Result<TcpStream> {
@@ -120,22 +145,25 @@
         }
     }
 
-    fn install(&self, stream: TcpStream) -> (C, u64) {
+    fn install(&self, stream: TcpStream) -> Used<C> {
         let mut system = RpcSystem::new(Box::new(network(stream, Side::Client)), None);
         let client: C = system.bootstrap(Side::Server);
         let (task, registration) = AbortHandle::new_pair();
-        let serial = {
+        let open = Open { client, task, alive: watch::Sender::new(()) };
+        let used = {
             let mut state = self.state.borrow_mut();
             state.serial += 1;
-            state.open = Some(Open { client: client.clone(), task });
-            state.serial
+            let used = open.used(state.serial);
+            state.open = Some(open);
+            used
         };
+        let serial = used.serial;
         let link = self.clone();
         tokio::task::spawn_local(async move {
             let _ = Abortable::new(system, registration).await;
             link.drop_connection(serial);
         });
-        (client, serial)
+        used
     }
 
     fn drop_connection(&self, serial: u64) {
@@ -147,3 +175,7 @@
         }
     }
 }
+
+fn dropped() -> Error {
+    Error::Call(capnp::Error::disconnected("the connection was dropped".to_owned()))
+}
--- /dev/null
+++ b/crates/bronzespool-wire/tests/dropped.rs
@@ -0,0 +1,42 @@
+//! Calls in flight on a connection that is dropped.
+
+use {
+    bronzespool_wire::{
+        bronzespool_capnp::agent,
+        link::{Link, Result},
+    },
+    std::time::Duration,
+    tokio::{net::TcpListener, task::LocalSet, time::timeout},
+};
+
+/// Longer than the test may take.
+const LONG: Duration = Duration::from_secs(600);
+/// Generous end of the wait.
+const WAIT_MAX: Duration = Duration::from_secs(30);
+
+async fn probe(link: &Link<agent::Client>, time: Duration) -> Result<()> {
+    let call = |client: agent::Client| async move {
+        client.probe_request().send().promise.await?;
+        Ok(())
+    };
+    link.call(time, call).await
+}
+
+/// The other side accepts and stays silent. A short call finds this out and drops the connection;
+/// a long one on the same connection then ends too.
+#[tokio::test]
+async fn call_ends_with_dropped_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let link: Link<agent::Client> = Link::new(listener.local_addr().unwrap());
+    let calls = async {
+        let short = async {
+            tokio::task::yield_now().await;
+            probe(&link, Duration::from_millis(200)).await
+        };
+        tokio::join!(probe(&link, LONG), short)
+    };
+    let ended = LocalSet::new().run_until(timeout(WAIT_MAX, calls)).await;
+    let (long, short) = ended.expect("the long call ends with the connection");
+    assert!(short.is_err());
+    assert!(long.is_err_and(|error| error.disconnected() && !error.unsent()));
+}
--- a/crates/bronzespoold/src/client/keeper.rs
+++ b/crates/bronzespoold/src/client/keeper.rs
@@ -63,6 +63,7 @@
     holder: RefCell<Holder>,
     session: RefCell<Option<session::Client>>,
     opened: Notify,
+    ended: Notify,
     probe: Notify,
     closing: Cell<bool>,
 }
@@ -78,6 +79,7 @@
             holder: RefCell::default(),
             session: RefCell::default(),
             opened: Notify::new(),
+            ended: Notify::new(),
             probe: Notify::new(),
             closing: Cell::new(false),
         })
@@ -154,8 +156,13 @@
         let session = timeout(left, self.current()).await.map_err(|_| Error::Silent(left))?;
         let mut request = session.call_request();
         request.get().set_call(bytes);
-        let response =
-            timeout(left, request.send().promise).await.map_err(|_| Error::Silent(left))??;
+        // A session that ends takes its calls with it: they are asked again in the next one.
+        let ended = self.ended.notified();
+        let response = tokio::select! {
+            response = timeout(left, request.send().promise) => response,
+            () = ended => return Err(Error::Silent(left)),
+        };
+        let response = response.map_err(|_| Error::Silent(left))??;
         Ok(frame::decode(response.get()?.get_reply()?)?)
     }
 
@@ -239,6 +246,7 @@
             }
         }
         self.session.borrow_mut().take();
+        self.ended.notify_waiters();
     }
 
     async fn renew(&self, link: &Link<control::Client>, session: &session::Client) -> Result<bool> {
--- a/crates/bronzespoold/src/control/server.rs
+++ b/crates/bronzespoold/src/control/server.rs
@@ -27,6 +27,8 @@
 const PROGRESS_TIME: Duration = Duration::from_millis(800);
 /// Shortest time between two progresses.
 const PROGRESS_MIN: Duration = Duration::from_millis(10);
+/// Time between two looks at who leads while a call is forwarded.
+const LEADER_LOOK: Duration = Duration::from_millis(50);
 /// When to come back while there is no leader.
 const LEADER_RETRY: Duration = Duration::from_millis(300);
 
@@ -58,13 +60,24 @@
             let response = request.send().promise.await?;
             Ok(frame::decode(response.get()?.get_reply()?)?)
         });
-        match timeout(time, answered).await {
+        let answered = tokio::select! {
+            answered = timeout(time, answered) => answered,
+            () = self.leader_changed(&leader) => return Err(none()),
+        };
+        match answered {
             Ok(Ok(answered)) => answered,
             Ok(Err(error)) => Err(Refusal::new(Code::NoLeader, error.to_string())),
             Err(_) => Err(none()),
         }
     }
 
+    /// Waits until `leader` leads no more: what was sent to it is asked again at the next one.
+    async fn leader_changed(&self, leader: &Instance) {
+        while self.replica.leader().as_ref() == Some(leader) {
+            sleep(LEADER_LOOK).await;
+        }
+    }
+
     /// Tells the leader how far the sessions are, and so keeps the hub's own lease.
     pub(super) async fn run_progress(self: Rc<Self>) {
         let mut known = 0;
