--- a/crates/bronzespool-bench/src/lib.rs
+++ b/crates/bronzespool-bench/src/lib.rs
@@ -15,6 +15,8 @@
 //! assert_eq!(figures.gang_violations, 0);
 //! ```
 
+pub mod capacity;
+pub mod decision_time;
 pub mod decisions;
 pub mod policies;
 pub mod report;
--- a/crates/bronzespool-wire/src/message/call.rs
+++ b/crates/bronzespool-wire/src/message/call.rs
@@ -44,7 +44,12 @@
     /// Asks whether a revision is in force everywhere.
     InForce(u64),
     /// Submits a job.
-    Submit(Box<JobSpec>),
+    Submit {
+        /// What it asks for.
+        spec: Box<JobSpec>,
+        /// Digest of the body, if the caller gave a key.
+        digest: Option<Digest>,
+    },
     /// Cancels jobs.
     Cancel(Vec<Job>),
     /// Shows one job.
@@ -93,6 +98,8 @@
     pub hub: Instance,
     /// Lowest index that any of its sessions has acknowledged.
     pub acked: u64,
+    /// Milliseconds for which it grants sessions.
+    pub lease: u64,
     /// Number of the last change of its agents' sessions.
     pub serial: u64,
     /// Agents with a session, by incarnation, unless the leader knows this serial.
--- a/crates/bronzespoold/examples/hub_sessions.rs
+++ b/crates/bronzespoold/examples/hub_sessions.rs
@@ -10,7 +10,10 @@
 
 use {
     bronzespool::{
-        core::{Capacity, Center, Instance, Place, Rack, Region, Service, Time},
+        core::{
+            Capacity, Center, Instance, Place, Rack, Region, Service, Time,
+            name::Cluster as ClusterName,
+        },
         flow::view::{self, View},
         wire::message::{Announce, Hello, Role, Update, Welcome},
     },
@@ -81,7 +84,13 @@
             leaving: false,
         };
         let instance = self.place.instance.clone();
-        Hello { role: Role::Agent, instance, seen: self.acked(), announce: Some(announce) }
+        Hello {
+            cluster: cluster(),
+            role: Role::Agent,
+            instance,
+            seen: self.acked(),
+            announce: Some(announce),
+        }
     }
 
     fn welcome(&self, welcome: Welcome) -> bool {
@@ -208,8 +217,8 @@
         sleep(Duration::from_millis(200)).await;
     }
     times.sort();
-    let (median, most) = (times[times.len() / 2], times[times.len() - 1]);
-    println!("  accept to in force: median {median:.0?}, most {most:.0?} of {SINGLES}");
+    let (median, most) = (times[times.len() / 2].as_millis(), times[times.len() - 1].as_millis());
+    println!("  accept to in force: median {median} ms, most {most} ms of {SINGLES}");
     Ok(())
 }
 
@@ -223,7 +232,8 @@
     publish(cluster, &format!("burst-{}", BURST - 1), teams, true).await?;
     let forced = accepted.elapsed();
     let whole = begun.elapsed();
-    println!("  burst of {BURST}: accepted in {:.0?}, in force {forced:.0?} later", whole - forced);
+    let (forced, accepted) = (forced.as_millis(), (whole - forced).as_millis());
+    println!("  burst of {BURST}: accepted in {accepted} ms, in force {forced} ms later");
     println!("  burst  hub    {}", before[0].rates(Cost::of(cluster, hub)?));
     println!("  burst  leader {}", before[1].rates(Cost::of(cluster, leader)?));
     Ok(())
@@ -246,3 +256,8 @@
     }
     json!([{ "path": "desk/service.ini", "text": text }])
 }
+
+/// The cluster that settings name when they say nothing.
+fn cluster() -> ClusterName {
+    ClusterName::try_from("bronzespool").expect("a valid name")
+}
--- a/crates/bronzespoold/src/control/hub/sessions.rs
+++ b/crates/bronzespoold/src/control/hub/sessions.rs
@@ -165,7 +165,8 @@
         let acked = self.acked(applied);
         let serial = self.serial.get();
         let agents = (known != serial).then(|| self.agents.borrow().values().cloned().collect());
-        Progress { hub: self.name.clone(), acked, serial, agents }
+        let lease = u64::try_from(self.spans.lease.as_millis()).unwrap_or(u64::MAX);
+        Progress { hub: self.name.clone(), acked, lease, serial, agents }
     }
 
     /// The lowest index that a session of this instance may still be at.
@@ -176,6 +177,11 @@
         self.table.borrow().acked().map_or(applied, |a| a.min(applied))
     }
 
+    /// Whether no session of this instance is open.
+    pub(in crate::control) fn is_empty(&self) -> bool {
+        self.table.borrow().is_empty()
+    }
+
     /// Drops the agents whose sessions have ended or were replaced.
     fn forget(&self) {
         let table = self.table.borrow();
--- a/crates/bronzespoold/src/control/leader/jobs.rs
+++ b/crates/bronzespoold/src/control/leader/jobs.rs
@@ -1,4 +1,4 @@
-//! Jobs: submission, cancellation, reports of their tasks, and what callers see.
+//! Jobs: submission, and what callers see.
 
 use {
     crate::control::{
@@ -7,31 +7,34 @@
         state::{Command, Effect},
     },
     bronzespool::{
-        core::{Code, Job, Refusal, Time},
-        schedule::{Event, JobOutcome, JobSpec, JobState, MemberOutcome, Phase, Record},
-        wire::message::{Answered, JobView, Reply, Report, TaskEvent, TaskId},
+        core::{Code, Digest, Job, Refusal, Time},
+        schedule::{Event, JobOutcome, JobSpec, JobState, Phase, Record},
+        wire::message::{Answered, JobView, Reply},
     },
 };
 
 impl Leader {
-    pub(super) async fn submit(&self, spec: JobSpec) -> Answered {
+    /// Takes a job, unless its name was taken before: the first submission is shown then.
+    pub(super) async fn submit(&self, spec: JobSpec, digest: Option<Digest>) -> Answered {
         self.replica.read().await?;
         let job = spec.job.clone();
-        if self.replica.state().book().job(&job).is_none() {
+        let known = self.replica.state().known(&job, digest)?;
+        if !known {
             self.check_feasible(&spec)?;
-            self.commit_events(vec![Event::Submitted(spec)]).await?;
+            self.commit_job(spec, digest).await?;
         }
         self.view_of(&job)
     }
 
-    pub(super) async fn cancel(&self, jobs: Vec<Job>) -> Answered {
-        self.replica.read().await?;
-        let unknown = jobs.iter().find(|j| self.replica.state().book().job(j).is_none()).cloned();
-        if let Some(job) = unknown {
-            return Err(Refusal::new(Code::UnknownJob, format!("no job {job}")));
+    async fn commit_job(&self, spec: JobSpec, digest: Option<Digest>) -> Result<()> {
+        let at = self.replica.log_time();
+        let command = Command::Submit { at, spec, digest, keep: self.horizon.used };
+        match self.replica.propose(&command).await? {
+            Effect::Schedule(Ok(())) => Ok(()),
+            Effect::Refused(code) => Err(code.into()),
+            Effect::Schedule(Err(error)) => Err(Refusal::new(Code::Conflict, error)),
+            _ => Err(Code::Internal.into()),
         }
-        self.commit_events(vec![Event::Cancelled { jobs }]).await?;
-        Ok(Reply::Noted)
     }
 
     pub(super) async fn job(&self, job: &Job) -> Answered {
@@ -46,40 +49,6 @@
         Ok(Reply::Jobs(state.book().jobs().map(|j| view(j, now)).collect()))
     }
 
-    /// Takes an agent's report. Events of an attempt that is over have no effect.
-    pub(super) async fn report(&self, report: &Report) -> Answered {
-        self.replica.read().await?;
-        let mut events = Vec::new();
-        for (task, event) in &report.events {
-            if self.is_current(task) {
-                events.push(self.event(task, *event));
-            }
-        }
-        if !events.is_empty() {
-            self.commit_events(events).await?;
-        }
-        Ok(Reply::Noted)
-    }
-
-    fn is_current(&self, task: &TaskId) -> bool {
-        let state = self.replica.state();
-        let attempt = state.book().job(&task.job).and_then(JobState::attempt);
-        attempt.is_some_and(|a| a.number == task.attempt)
-    }
-
-    fn event(&self, task: &TaskId, event: TaskEvent) -> Event {
-        let (job, attempt, member) = (task.job.clone(), task.attempt, task.member);
-        let stopped = |outcome| Event::Stopped { job: job.clone(), attempt, member, outcome };
-        match event {
-            TaskEvent::Prepared => Event::Prepared { job, attempt, member },
-            TaskEvent::Checkpointed => Event::Checkpointed { job, attempt },
-            TaskEvent::Done => stopped(MemberOutcome::Done),
-            TaskEvent::Failed => stopped(MemberOutcome::Failed),
-            TaskEvent::Stopped => stopped(MemberOutcome::Stopped),
-            TaskEvent::Lost => stopped(MemberOutcome::Lost),
-        }
-    }
-
     pub(super) async fn commit_events(&self, events: Vec<Event>) -> Result<()> {
         let at = self.replica.log_time();
         let records = events.into_iter().map(|event| Record::new(at, event)).collect();
