--- a/crates/bronzespoold/src/control/server.rs
+++ b/crates/bronzespoold/src/control/server.rs
@@ -102,7 +102,7 @@
     async fn unheld(&self, watch: &mut watch::Receiver<Epoch>, seen: Epoch) {
         let news = |e: &Epoch| e.view != seen.view && self.hub.len() == 0;
         if watch.wait_for(news).await.is_err() {
-            std::future::pending().await
+            std::future::pending::<()>().await;
         }
     }
 
