--- /dev/null
+++ b/crates/bronzespool-bench/src/main.rs
@@ -0,0 +1,97 @@
+//! Command line of the measurements.
+
+use {
+    bronzespool_bench::{
+        capacity, decision_time,
+        decisions::{Scale, Stream},
+        report, suite,
+    },
+    pico_args::Arguments,
+    std::{fs, path::PathBuf, process::ExitCode},
+};
+
+const HELP: &str = "\
+bronzespool-bench decisions [--out DIR] [--seed N] [--hours N] [--scale NAME] [--stream NAME]
+    runs all policies on all deployments and streams in virtual time and, with --out, writes
+    decisions.md, decisions.json and SVG plots into DIR
+bronzespool-bench decision-time [--events N] [--factors 1,10] [--fill HOURS]
+    times decisions at multiples of the two-year size, filled with the jobs of so many hours
+bronzespool-bench capacity [--results FILE] [--page FILE]
+    measures bytes of each act with the real encoders and writes them into the results file and
+    into the table of the page; docs/measurements/capacity.json and docs/CAPACITY.md by default
+";
+
+type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<()> {
+    let mut args = Arguments::from_env();
+    match args.subcommand()?.as_deref() {
+        Some("decisions") => decisions(args),
+        Some("decision-time") => times(args),
+        Some("capacity") => slopes(args),
+        _ => {
+            print!("{HELP}");
+            Ok(())
+        }
+    }
+}
+
+fn scale(text: &str) -> std::result::Result<Scale, String> {
+    let found = Scale::ALL.into_iter().find(|s| s.name() == text);
+    found.ok_or_else(|| format!("no deployment {text}"))
+}
+
+fn stream(text: &str) -> std::result::Result<Stream, String> {
+    let found = Stream::ALL.into_iter().find(|s| s.name() == text);
+    found.ok_or_else(|| format!("no stream {text}"))
+}
+
+fn decisions(mut args: Arguments) -> Result<()> {
+    let out: Option<PathBuf> = args.opt_value_from_str("--out")?;
+    let seed = args.opt_value_from_str("--seed")?.unwrap_or(suite::SEED);
+    let hours = args.opt_value_from_str("--hours")?.unwrap_or(suite::HOURS);
+    let scales = args.opt_value_from_fn("--scale", scale)?.map_or(Scale::ALL.to_vec(), |s| vec![s]);
+    let streams =
+        args.opt_value_from_fn("--stream", stream)?.map_or(Stream::ALL.to_vec(), |s| vec![s]);
+    let runs = suite::run(&scales, &streams, seed, hours);
+    match out {
+        Some(dir) => report::write(&dir, &runs, seed, hours)?,
+        None => print!("{}", report::table(&runs)),
+    }
+    Ok(())
+}
+
+fn slopes(mut args: Arguments) -> Result<()> {
+    let file = |text: Option<PathBuf>, default: &str| text.unwrap_or_else(|| default.into());
+    let results = file(args.opt_value_from_str("--results")?, "docs/measurements/capacity.json");
+    let page = file(args.opt_value_from_str("--page")?, "docs/CAPACITY.md");
+    let measured = capacity::measure();
+    fs::write(results, serde_json::to_string_pretty(&measured)? + "\n")?;
+    let text = fs::read_to_string(&page)?;
+    let text = capacity::insert(&text, &measured).ok_or("the page has no place for the table")?;
+    fs::write(page, text)?;
+    print!("{}", capacity::table(&measured));
+    Ok(())
+}
+
+fn times(mut args: Arguments) -> Result<()> {
+    let events = args.opt_value_from_str("--events")?.unwrap_or(1_000);
+    let hours = args.opt_value_from_str("--fill")?.unwrap_or(decision_time::FILL);
+    let factors: String = args.opt_value_from_str("--factors")?.unwrap_or_else(|| "1,10".into());
+    let mut sizes = Vec::new();
+    for factor in factors.split(',') {
+        sizes.push(decision_time::measure(factor.parse()?, events, hours));
+    }
+    print!("{}", decision_time::table(&sizes));
+    Ok(())
+}
--- a/crates/bronzespool-cli/src/args/mod.rs
+++ b/crates/bronzespool-cli/src/args/mod.rs
@@ -5,7 +5,7 @@
 use {
     crate::error::{Error, Result},
     bronzespool::core::{
-        name::{Instance, Job},
+        name::{Instance, Job, Service},
         settings::value::{Addr, Span},
     },
     pico_args::Arguments,
@@ -16,6 +16,8 @@
 pub const AT_VARIABLE: &str = "BRONZESPOOL_AT";
 /// Longest wait for an answer when `--timeout` does not say.
 pub const TIME: Duration = Duration::from_secs(30);
+/// The same for `publish --wait`, which the entry answers only once the change is in force.
+pub const WAIT_TIME: Duration = Duration::from_secs(60);
 
 /// A checked command line.
 #[derive(Clone, Debug, PartialEq)]
@@ -58,6 +60,16 @@
     Report(Option<Page>),
 }
 
+impl Command {
+    /// Longest wait for an answer when the arguments do not say.
+    const fn time(&self) -> Duration {
+        match self {
+            Self::Publish(Publish { wait: true, .. }) => WAIT_TIME,
+            _ => TIME,
+        }
+    }
+}
+
 /// A change of the configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Publish {
@@ -67,6 +79,8 @@
     pub base: Option<u64>,
     /// Operation id; a fresh one when none is given.
     pub op: Option<String>,
+    /// Services that leave.
+    pub remove: Vec<Service>,
     /// Wait until the change is in force everywhere.
     pub wait: bool,
 }
@@ -90,7 +104,7 @@
         let mut args = Arguments::from_vec(args);
         let help = args.contains(["-h", "--help"]);
         let json = args.contains("--json");
-        let time = args.opt_value_from_fn("--timeout", span).map_err(usage)?.unwrap_or(TIME);
+        let time = args.opt_value_from_fn("--timeout", span).map_err(usage)?;
         let named = args.opt_value_from_fn("--at", addr).map_err(usage)?;
         let command = args.subcommand().map_err(usage)?;
         let command = match command.as_deref() {
@@ -107,6 +121,7 @@
             }
             None => named,
         };
+        let time = time.unwrap_or_else(|| command.time());
         Ok(Self { at, json, time, command })
     }
 }
@@ -132,7 +147,16 @@
     let base = args.opt_value_from_str("--base").map_err(usage)?;
     let op = args.opt_value_from_fn("--op", operation).map_err(usage)?;
     let wait = args.contains("--wait");
-    Ok(Publish { base, op, wait, paths: paths(args, "publish")? })
+    let mut remove = Vec::new();
+    let service = |text: &str| Service::try_from(text);
+    while let Some(name) = args.opt_value_from_fn("--remove", service).map_err(usage)? {
+        remove.push(name);
+    }
+    let paths = match paths(args, "publish") {
+        Err(_) if !remove.is_empty() => Vec::new(),
+        paths => paths?,
+    };
+    Ok(Publish { base, op, remove, wait, paths })
 }
 
 fn read_cancel(args: &mut Arguments) -> Result<Command> {
--- a/crates/bronzespool-cli/src/command/publish.rs
+++ b/crates/bronzespool-cli/src/command/publish.rs
@@ -28,12 +28,22 @@
     publish: &Publish,
     notes: &mut impl Write,
 ) -> Result<Output> {
-    let (config, sources) = read_services(&publish.paths).map_err(Error::Faults)?;
+    let (config, sources) = if publish.paths.is_empty() {
+        Default::default()
+    } else {
+        read_services(&publish.paths).map_err(Error::Faults)?
+    };
     let op = publish.op.clone().unwrap_or_else(fresh_id);
-    let _ = writeln!(notes, "operation {op}: {} services", config.services.len());
-    let body = json!({ "base": publish.base, "op": op, "files": sources, "wait": publish.wait });
+    let mut names: Vec<_> = config.services.keys().map(ToString::to_string).collect();
+    names.extend(publish.remove.iter().map(|name| format!("remove {name}")));
+    let _ = writeln!(notes, "operation {op}: {}", names.join(", "));
+    let mut body =
+        json!({ "base": publish.base, "op": op, "files": sources, "wait": publish.wait });
+    if !publish.remove.is_empty() {
+        body["removed"] = json!(publish.remove);
+    }
     match send(client, &body, notes).await {
-        Ok(value) => Ok(Output { text: show(&value), json: with_op(value, &op), exit: Exit::Done }),
+        Ok(value) => Ok(accepted(value, publish.wait, &op)),
         Err(error) if error.exit() == Exit::Unknown => Err(advise(error, publish, &op)),
         Err(error) => Err(error),
     }
@@ -63,19 +73,25 @@
     let base = publish.base.map_or_else(String::new, |base| format!(" --base {base}"));
     let wait = if publish.wait { " --wait" } else { "" };
     let paths: Vec<_> = publish.paths.iter().map(|path| path.display().to_string()).collect();
-    let paths = paths.join(" ");
+    let mut paths = paths.join(" ");
+    for name in &publish.remove {
+        paths.push_str(&format!(" --remove {name}"));
+    }
     let advice = format!(
         "{error}\nrepeat it for its outcome: bronzespool publish {paths}{base} --op {op}{wait}"
     );
     Error::Advice { advice, error: Box::new(error) }
 }
 
-fn show(value: &Value) -> String {
+/// What to print of an accepted change.
+fn accepted(value: Value, wait: bool, op: &str) -> Output {
     let revision = &value["revision"];
-    if value["in_force"] == json!(true) {
-        return format!("revision {revision} is in force everywhere");
-    }
-    format!("revision {revision} is accepted; it is not yet in force everywhere")
+    let (exit, text) = match (value["in_force"] == json!(true), wait) {
+        (true, _) => (Exit::Done, "is in force everywhere"),
+        (false, false) => (Exit::Done, "is accepted; --wait returns when it is in force"),
+        (false, true) => (Exit::Pending, "is accepted, but not yet in force everywhere"),
+    };
+    Output { text: format!("revision {revision} {text}"), json: with_op(value, op), exit }
 }
 
 fn with_op(mut value: Value, op: &str) -> Value {
--- a/crates/bronzespool-cli/src/report/mod.rs
+++ b/crates/bronzespool-cli/src/report/mod.rs
@@ -21,7 +21,7 @@
     pub target: f64,
     /// Time in milliseconds within which a good answer arrives.
     pub within_ms: u64,
-    /// Requests in the long window.
+    /// Requests in the window of the budget.
     pub total: u64,
     /// Good ones among them.
     pub good: u64,
@@ -37,7 +37,7 @@
     pub short_s: f64,
     /// Length of the long window in seconds.
     pub long_s: f64,
-    /// Points of time in seconds and burn rate, the oldest first.
+    /// Points of time in seconds and burn rate, the oldest first; may be empty.
     #[serde(default)]
     pub history: Vec<(f64, f64)>,
 }
@@ -82,7 +82,7 @@
         row.service.clone(),
         row.kind.clone(),
         percent(row.target),
-        format!("{} ms", row.within_ms),
+        span(row.within_ms as f64 / 1_000.0),
         format!("{}/{}", row.good, row.total),
         row.share.map_or_else(none, percent),
         row.budget_left.map_or_else(none, percent),
@@ -103,6 +103,7 @@
     match seconds {
         s if s >= 3_600.0 => format!("{:.1} h", s / 3_600.0),
         s if s >= 60.0 => format!("{:.0} min", s / 60.0),
-        s => format!("{s:.0} s"),
+        s if s >= 1.0 => format!("{s:.1} s"),
+        s => format!("{:.0} ms", s * 1_000.0),
     }
 }
--- a/crates/bronzespool-consensus/src/message.rs
+++ b/crates/bronzespool-consensus/src/message.rs
@@ -15,6 +15,8 @@
 const VERSION: u8 = 1;
 /// Bytes before the body: version and checksum.
 const HEADER_BYTES: usize = 5;
+/// Largest index, term, round or position in a message.
+const NUMBER_MAX: u64 = 1 << 62;
 /// Largest encoded message.
 pub const MESSAGE_MAX_BYTES: usize = 16 << 20;
 
@@ -33,6 +35,17 @@
     pub body: Body,
 }
 
+/// Kind of election.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ballot {
+    /// Asks only whether an election could be won.
+    Trial,
+    /// Follows a leader's silence.
+    Regular,
+    /// Follows a leader's request, who has given up its lease.
+    HandOver,
+}
+
 /// Contents of a message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
@@ -42,13 +55,15 @@
     Welcome {
         /// Whether the asking identity was removed from the set.
         retired: bool,
+        /// Whether it is in the set and the founding entry is no longer held.
+        listed: bool,
     },
     /// The first membership, from the instance that founds the cluster.
     Genesis(Members),
     /// Request for a vote.
     Vote {
-        /// Whether it only asks if an election could be won.
-        trial: bool,
+        /// Kind of election.
+        ballot: Ballot,
         /// Last index of the candidate's log.
         last_index: Index,
         /// Term of that entry.
@@ -57,7 +72,7 @@
     /// Answer to `Vote`.
     Voted {
         /// As in the request.
-        trial: bool,
+        ballot: Ballot,
         /// Whether the vote is given.
         granted: bool,
     },
@@ -95,6 +110,8 @@
         /// Number of the round.
         seq: u64,
     },
+    /// The leader has given up its lease and asks the receiver to take over.
+    TakeOver,
     /// A part of a snapshot.
     Chunk {
         /// The whole snapshot's description.
@@ -125,6 +142,31 @@
         Ok(bytes)
     }
 
+    /// Whether sums of the message's numbers cannot overflow.
+    pub(crate) fn is_bounded(&self) -> bool {
+        let largest = match &self.body {
+            Body::Vote { last_index, last_term, .. } => *last_index.max(last_term),
+            Body::Append { prev_index, prev_term, commit, entries } => {
+                let last = entries.iter().map(|e| e.index.max(e.term)).max();
+                *prev_index.max(prev_term).max(commit).max(&last.unwrap_or(0))
+            }
+            Body::Matched(index) => *index,
+            Body::Rejected { prev_index, hint_index, hint_term } => {
+                *prev_index.max(hint_index).max(hint_term)
+            }
+            Body::Heartbeat { seq, commit } => *seq.max(commit),
+            Body::Alive { seq } => *seq,
+            Body::Chunk { meta, offset, .. } => meta.index.max(meta.term).max(*offset),
+            Body::Wanted { index, offset } => *index.max(offset),
+            Body::Hello
+            | Body::Welcome { .. }
+            | Body::Genesis(_)
+            | Body::Voted { .. }
+            | Body::TakeOver => 0,
+        };
+        self.term.max(largest) <= NUMBER_MAX
+    }
+
     /// Decodes a message, all of it or nothing.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
         let corrupt = |detail: &str| Error::fault(Code::MessageCorrupt, detail);
@@ -141,7 +183,8 @@
             return Err(corrupt("checksum"));
         }
         match postcard::take_from_bytes(body) {
-            Ok((message, [])) => Ok(message),
+            Ok((message, [])) if Self::is_bounded(&message) => Ok(message),
+            Ok((_, [])) => Err(corrupt("a number out of bounds")),
             Ok(_) => Err(corrupt("trailing bytes")),
             Err(e) => Err(corrupt(&e.to_string())),
         }
--- a/crates/bronzespool-consensus/src/node/mod.rs
+++ b/crates/bronzespool-consensus/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod append;
 mod election;
+mod handover;
 mod joining;
 mod leader;
 mod output;
@@ -111,6 +112,10 @@
             node.hard.id = node.settings.identity;
             node.save();
         }
+        if node.hard.cluster == node.hard.id.0 && node.log.last() == 0 {
+            // The founding entry did not become durable, so nobody was told of it.
+            node.hard.cluster = 0;
+        }
         node.out.install.clone_from(&node.snapshot);
         node.reset_deadline();
         Ok(node)
@@ -170,12 +175,15 @@
     /// Takes a message that came from an instance.
     pub fn receive(&mut self, now: Time, from: &Instance, message: Message) {
         self.advance_clock(now);
-        if message.to != Id(0) && message.to != self.hard.id {
+        let addressed = message.to == Id(0) || message.to == self.hard.id;
+        if !addressed || !message.is_bounded() {
             return;
         }
         match message.body {
             Body::Hello => self.on_hello(from, &message),
-            Body::Welcome { retired } => self.on_welcome(from, &message, retired),
+            Body::Welcome { retired, listed } => {
+                self.on_welcome(from, &message, retired, listed);
+            }
             Body::Genesis(members) => self.on_genesis(message.to, message.cluster, members),
             _ => self.receive_member(from, message),
         }
@@ -187,7 +195,7 @@
         self.tick_joining();
         match self.phase {
             Phase::Leader(_) => self.tick_leader(),
-            _ if self.now >= self.deadline => self.start_trial(),
+            _ if self.now >= self.deadline && !self.retired => self.start_trial(),
             _ => {}
         }
     }
@@ -196,6 +204,7 @@
     pub fn wake(&self) -> Time {
         let due = match &self.phase {
             Phase::Leader(leader) => leader.beat,
+            _ if self.retired => Time::MAX,
             _ => self.deadline,
         };
         due.min(self.joining_due())
@@ -224,6 +233,7 @@
         let snapshot = Arc::new(Snapshot::new(index, term, members, state));
         self.write(Write::Snapshot(snapshot.clone()));
         self.snapshot = Some(snapshot);
+        self.log.restart_count();
         self.log.compact(index.saturating_sub(self.settings.tail).max(self.log.base()));
     }
 
@@ -248,7 +258,8 @@
             return;
         }
         if self.log.members().is_retired(message.from) {
-            self.send_to(from, message.from, self.hard.term, Body::Welcome { retired: true });
+            let body = Body::Welcome { retired: true, listed: false };
+            self.send_to(from, message.from, self.hard.term, body);
             return;
         }
         if !self.check_term(from, &message) {
@@ -256,10 +267,11 @@
         }
         let (id, term) = (message.from, message.term);
         match message.body {
-            Body::Vote { trial, last_index, last_term } => {
-                self.on_vote(from, id, term, trial, (last_term, last_index));
+            Body::Vote { ballot, last_index, last_term } => {
+                self.on_vote(from, (id, term), ballot, (last_term, last_index));
             }
-            Body::Voted { trial, granted } => self.on_voted(id, term, trial, granted),
+            Body::Voted { ballot, granted } => self.on_voted(id, term, ballot, granted),
+            Body::TakeOver => self.on_take_over(id),
             Body::Append { prev_index, prev_term, commit, entries } => {
                 self.on_append(from, id, (prev_index, prev_term), commit, entries);
             }
@@ -288,8 +300,7 @@
         if self.hard.cluster != 0 || !leads || !invited {
             return false;
         }
-        self.hard.cluster = message.cluster;
-        self.save();
+        self.enter(message.cluster);
         true
     }
 
--- a/crates/bronzespool-schedule/src/book/apply.rs
+++ b/crates/bronzespool-schedule/src/book/apply.rs
@@ -5,6 +5,7 @@
     crate::{
         cell::{ACCELS_MAX, Bind, Cell},
         job::{Attempt, Id, JobSpec, JobState, Member, Phase, Stop, Usage},
+        mix::GangShape,
         record::{Event, JobOutcome, MemberOutcome, Record, StopReason},
     },
     bronzespool_core::{Capacity, Instance, Job, Place, Shape, Team, Time},
@@ -43,11 +44,15 @@
             Event::Reserved { job, cells, borrowed, binds } => {
                 self.reserve(job, cells, *borrowed, binds, at)
             }
-            Event::Unreserved { job } => self.unreserve(job, at),
+            Event::Unreserved { job, after } => self.unreserve(job, *after),
             Event::Granted { job, attempt, cells, lease, borrowed, binds } => {
                 let fresh = attempt_of(*attempt, cells, *lease, *borrowed, at);
                 self.grant(job, fresh, binds)
             }
+            Event::Demoted { jobs } => {
+                jobs.iter().for_each(|job| self.demote(job, at));
+                Ok(())
+            }
             Event::Prepared { job, attempt, member } => self.prepared(job, *attempt, *member),
             Event::Go { job, attempt } => self.change(job, *attempt, |a| a.started = Some(at)),
             Event::Checkpointed { job, attempt } => self.checkpoint(job, *attempt, at),
@@ -71,12 +76,12 @@
             Event::Refused { job, code, .. } => self.end(job, JobOutcome::Refused(*code), at),
             Event::Quarantined { instance } => self.worker(instance, |w| {
                 w.quarantine = Some(at);
-                w.probing = false;
+                w.probing = None;
             }),
-            Event::Probing { instance } => self.worker(instance, |w| w.probing = true),
+            Event::Probing { instance } => self.worker(instance, |w| w.probing = Some(at)),
             Event::Healthy { instance } => self.worker(instance, |w| {
                 w.quarantine = None;
-                w.probing = false;
+                w.probing = None;
                 w.failures.clear();
             }),
             Event::Usage { job, attempt, member, cores, memory, seen } => {
@@ -112,7 +117,7 @@
             up: true,
             leaving: false,
             quarantine: None,
-            probing: false,
+            probing: None,
             failures: BTreeMap::new(),
         };
         self.state.slots += 1;
@@ -138,8 +143,9 @@
         let worker = worker.clone();
         self.index.grid.update(&worker);
         self.index.epoch += 1;
+        self.suspect(instance);
         let tasks = self.index.grid.at(worker.slot).tasks.clone();
-        for (id, _) in tasks {
+        for id in tasks.into_iter().map(|(id, _)| id).chain(worker.failures.into_keys()) {
             self.schedule(id);
         }
         Ok(())
@@ -175,8 +181,14 @@
             preemptions: 0,
             moves: 0,
             failed: BTreeSet::new(),
+            failures: 0,
             phase: Phase::Waiting { after: at },
         };
+        self.state.mix.push(GangShape {
+            members: spec.members,
+            accels: spec.need.accels,
+            adjacent: spec.adjacent,
+        });
         self.state.jobs.insert(id, job);
         self.index.names.insert(spec.job.clone(), id);
         self.schedule(id);
@@ -231,11 +243,11 @@
         }
     }
 
-    fn unreserve(&mut self, name: &Job, at: Time) -> Result<()> {
+    fn unreserve(&mut self, name: &Job, after: Time) -> Result<()> {
         let id = self.waiting(name)?;
         self.release(id);
         let job = self.state.jobs.get_mut(&id).expect("id is of a job");
-        job.phase = Phase::Waiting { after: at };
+        job.phase = Phase::Waiting { after };
         self.schedule(id);
         Ok(())
     }
@@ -290,6 +302,39 @@
         }
     }
 
+    /// Takes an attempt off its team's guarantee; it runs on as borrowed.
+    pub(super) fn demote(&mut self, name: &Job, at: Time) {
+        let Ok(id) = self.id(name) else {
+            return;
+        };
+        let lease = self.state.settings.lease;
+        let job = self.state.jobs.get_mut(&id).expect("id is of a job");
+        let Phase::Active(attempt) = &mut job.phase else {
+            return;
+        };
+        if attempt.borrowed {
+            return;
+        }
+        let held = |a: &Attempt| (0..a.cells.len()).filter(|&m| a.members[m].holds()).collect();
+        let members: Vec<usize> = held(attempt);
+        let before = attempt.clone();
+        attempt.borrowed = true;
+        attempt.lease = lease;
+        attempt.demoted = Some(at);
+        let after = attempt.clone();
+        let team = job.spec.team.clone();
+        for member in members {
+            self.index.grid.vacate(job, &before, member);
+            self.index.grid.occupy(job, &after, member);
+            let ledger = self.index.ledger.entry(team.clone()).or_default();
+            ledger.sub(&before.cells[member], &job.spec.need, false);
+            ledger.add(&after.cells[member], &job.spec.need, true);
+        }
+        self.index.epoch += 1;
+        self.unbind(&team);
+        self.schedule(id);
+    }
+
     /// Frees guaranteed cells in which no work of the team is left.
     fn unbind(&mut self, team: &Team) {
         let Some(state) = self.state.teams.get(team) else {
@@ -381,6 +426,7 @@
         ledger.sub(&held, &job.spec.need, attempt.borrowed);
         if outcome == MemberOutcome::Failed {
             job.failed.insert(held.instance.clone());
+            job.failures += 1;
         }
         let borrowed = attempt.borrowed;
         job.phase = Phase::Active(attempt);
@@ -391,6 +437,7 @@
                 MemberOutcome::Stopped | MemberOutcome::Lost => {}
             }
         }
+        self.suspect(&held.instance);
         if !borrowed {
             self.unbind(&team);
         }
@@ -437,6 +484,10 @@
         let id = self.id(name)?;
         self.close(id, at);
         let job = self.state.jobs.get_mut(&id).expect("id is of a job");
+        let overuse = |a: &Attempt| a.stop.is_some_and(|s| s.reason == StopReason::Overuse);
+        if job.attempt().is_some_and(overuse) {
+            job.spec = job.grown();
+        }
         job.phase = Phase::Waiting { after };
         self.schedule(id);
         Ok(())
@@ -462,8 +513,10 @@
         };
         let since = job.attempt().and_then(|a| a.checkpointed).unwrap_or(started);
         let span = job.saved + at.since(since);
-        let key = (job.spec.team.clone(), job.spec.kind.clone());
-        self.state.estimates.entry(key).or_default().push(span);
+        for team in [Some(job.spec.team.clone()), None] {
+            let key = (team, job.spec.service.clone(), job.spec.kind.clone());
+            self.state.estimates.entry(key).or_default().push(span);
+        }
     }
 
     /// Ends a job that holds nothing; marks an active one for its stop.
@@ -528,6 +581,7 @@
         members: vec![Member::Granted; cells.len()],
         borrowed,
         lease,
+        demoted: None,
         granted: at,
         started: None,
         checkpointed: None,
--- a/crates/bronzespool-schedule/src/book/mod.rs
+++ b/crates/bronzespool-schedule/src/book/mod.rs
@@ -2,15 +2,19 @@
 
 mod apply;
 pub mod grid;
+mod overuse;
 mod schedule;
 pub mod team;
 
+pub(crate) use overuse::Overuse;
 use {
     crate::{
+        estimate::Estimate,
         job::{Id, JobState, Phase},
+        mix::Mix,
         settings::Settings,
     },
-    bronzespool_core::{Capacity, HashMap, Instance, Job, Place, Team, Time},
+    bronzespool_core::{Capacity, HashMap, Instance, Job, Kind, Place, Service, Team, Time},
     displaydoc::Display,
     grid::{Grid, Ledger},
     serde::{Deserialize, Deserializer, Serialize, Serializer},
@@ -59,8 +63,8 @@
     pub leaving: bool,
     /// Since when it is in quarantine.
     pub quarantine: Option<Time>,
-    /// Whether it may have one probe while in quarantine.
-    pub probing: bool,
+    /// Since when it may have one probe while in quarantine.
+    pub probing: Option<Time>,
     /// Jobs that failed here since the last success, with the time of the failure.
     pub failures: BTreeMap<Id, Time>,
 }
@@ -68,7 +72,12 @@
 impl Worker {
     /// Whether new work may go there.
     pub const fn open(&self) -> bool {
-        self.up && !self.leaving && (self.quarantine.is_none() || self.probing)
+        self.up && !self.leaving && self.quarantine.is_none()
+    }
+
+    /// Whether one job that may be repeated may go there.
+    pub const fn probes(&self) -> bool {
+        self.up && !self.leaving && self.probing.is_some()
     }
 }
 
@@ -81,7 +90,8 @@
     teams: BTreeMap<Team, TeamState>,
     jobs: BTreeMap<Id, JobState>,
     next: Id,
-    estimates: BTreeMap<(Team, bronzespool_core::Kind), crate::estimate::Estimate>,
+    mix: Mix,
+    estimates: BTreeMap<(Option<Team>, Service, Kind), Estimate>,
 }
 
 /// Part of the book that follows from its state.
@@ -94,11 +104,27 @@
     due: BTreeSet<(Time, Id)>,
     reserved: BTreeSet<Id>,
     ended: BTreeSet<(Time, Id)>,
+    suspects: BTreeSet<Instance>,
+    active: BTreeMap<Team, BTreeSet<Id>>,
     ledger: BTreeMap<Team, Ledger>,
     marks: HashMap<Id, schedule::Mark>,
     epoch: u64,
 }
 
+impl State {
+    /// Teams without workers, jobs and estimates.
+    fn shell(&self) -> Self {
+        Self { settings: self.settings.clone(), teams: self.teams.clone(), ..Self::default() }
+    }
+}
+
+impl Index {
+    /// Occupancy without queues and timers.
+    fn shell(&self) -> Self {
+        Self { grid: self.grid.clone(), ledger: self.ledger.clone(), ..Self::default() }
+    }
+}
+
 /// All durable scheduling state.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
@@ -150,6 +176,36 @@
             .map(|(team, ids)| (team, ids.iter().filter_map(|(_, id)| self.state.jobs.get(id))))
     }
 
+    /// Waiting jobs of one team, as in [`Book::queues`].
+    pub fn queue(&self, team: &Team) -> impl Iterator<Item = &JobState> {
+        let ids = self.index.queue.get(team).into_iter().flatten();
+        ids.filter_map(|(_, id)| self.state.jobs.get(id))
+    }
+
+    /// Jobs of a team that hold cells, in the order of submission.
+    pub fn running(&self, team: &Team) -> impl Iterator<Item = &JobState> {
+        let ids = self.index.active.get(team).into_iter().flatten();
+        ids.filter_map(|id| self.state.jobs.get(id))
+    }
+
+    /// The workers and guarantees as they would be with `jobs` borrowed.
+    pub(crate) fn demoted(&self, jobs: &[Job]) -> Self {
+        let mut book = Self { state: self.state.shell(), index: self.index.shell() };
+        for job in jobs {
+            if let Some(state) = self.job(job) {
+                book.index.names.insert(job.clone(), state.id);
+                book.state.jobs.insert(state.id, state.clone());
+            }
+        }
+        jobs.iter().for_each(|job| book.demote(job, Time::ZERO));
+        book
+    }
+
+    /// What each team holds.
+    pub fn ledgers(&self) -> impl Iterator<Item = (&Team, &Ledger)> {
+        self.index.ledger.iter()
+    }
+
     /// Occupancy of the workers.
     pub const fn grid(&self) -> &Grid {
         &self.index.grid
@@ -160,13 +216,34 @@
         self.index.ledger.get(team).copied().unwrap_or_default()
     }
 
-    /// Run-time estimate of a kind of a team, if any run of it has ended.
+    /// Run times of a kind, of one team or of all together, if any run of it has ended.
     pub fn estimate(
         &self,
-        team: &Team,
-        kind: &bronzespool_core::Kind,
-    ) -> Option<&crate::estimate::Estimate> {
-        self.state.estimates.get(&(team.clone(), kind.clone()))
+        team: Option<&Team>,
+        service: &Service,
+        kind: &Kind,
+    ) -> Option<&Estimate> {
+        let key = (team.cloned(), service.clone(), kind.clone());
+        self.state.estimates.get(&key)
+    }
+
+    /// The same workers and guarantees with all workers reachable and no work.
+    pub fn idle(&self) -> Self {
+        let mut state = State { settings: self.state.settings.clone(), ..State::default() };
+        state.workers = self.state.workers.clone();
+        for worker in state.workers.values_mut() {
+            worker.up = true;
+            worker.quarantine = None;
+        }
+        state.teams = self.state.teams.clone();
+        state.teams.values_mut().for_each(|team| team.binds.clear());
+        state.teams.retain(|_, team| !team.shapes.is_empty());
+        Self::rebuild(state)
+    }
+
+    /// Shapes of the gangs submitted so far.
+    pub const fn mix(&self) -> &Mix {
+        &self.state.mix
     }
 
     /// Rises whenever capacity was released or added.
@@ -195,6 +272,11 @@
         self.index.reserved.iter().filter_map(|id| self.state.jobs.get(id))
     }
 
+    /// Workers with failures since their last success, and those in quarantine.
+    pub(crate) fn suspects(&self) -> impl Iterator<Item = &Worker> {
+        self.index.suspects.iter().filter_map(|name| self.state.workers.get(name))
+    }
+
     /// Ended jobs, oldest end first.
     pub(crate) fn ended(&self) -> impl Iterator<Item = (Time, &JobState)> {
         self.index.ended.iter().filter_map(|(at, id)| Some((*at, self.state.jobs.get(id)?)))
@@ -206,6 +288,7 @@
         workers.sort_by_key(|w| w.slot);
         for worker in &workers {
             book.index.grid.insert(worker);
+            book.suspect(&worker.place.instance);
         }
         for team in book.state.teams.values() {
             for bind in &team.binds {
--- a/crates/bronzespool-wire/src/message/call.rs
+++ b/crates/bronzespool-wire/src/message/call.rs
@@ -1,9 +1,13 @@
 //! Calls to control: from a session's holder to its hub, and from the hub to the leader.
 
 use {
-    crate::message::{Announce, JobView, Report, StatusView},
-    bronzespool_core::{Digest, Instance, Job, Key, Refusal, Service, ServiceSpec},
-    bronzespool_flow::claim::{ClaimId, Completion, Existing, Request},
+    crate::message::{Announce, BurnView, ExplainView, JobView, Report, StatusView},
+    bronzespool_core::{Digest, Instance, Job, Key, Kind, Refusal, Service, ServiceSpec, Target},
+    bronzespool_flow::{
+        burn::Windows,
+        claim::{ClaimId, Completion, Existing, Request},
+        limit,
+    },
     bronzespool_schedule::JobSpec,
     serde::{Deserialize, Serialize},
 };
@@ -40,7 +44,12 @@
     /// Asks whether a revision is in force everywhere.
     InForce(u64),
     /// Submits a job.
-    Submit(Box<JobSpec>),
+    Submit {
+        /// What it asks for.
+        spec: Box<JobSpec>,
+        /// Digest of the body, if the caller gave a key.
+        digest: Option<Digest>,
+    },
     /// Cancels jobs.
     Cancel(Vec<Job>),
     /// Shows one job.
@@ -64,6 +73,22 @@
     Progress(Progress),
     /// Tells what happened to tasks.
     Report(Report),
+    /// Tells what an entry has answered.
+    Answers {
+        /// Random number of the entry's start.
+        holder: u64,
+        /// Answers by kind.
+        counts: Vec<KindCounts>,
+    },
+    /// Asks for the service-level burn of the whole system.
+    Burn,
+    /// Renews an entry's shares of the teams' limits.
+    Shares {
+        /// Random number of the entry's start.
+        holder: u64,
+        /// What it holds and wants, by service.
+        reports: Vec<(Service, limit::Report)>,
+    },
 }
 
 /// How far a hub's sessions are.
@@ -73,12 +98,17 @@
     pub hub: Instance,
     /// Lowest index that any of its sessions has acknowledged.
     pub acked: u64,
+    /// Milliseconds for which it grants sessions.
+    pub lease: u64,
     /// Number of the last change of its agents' sessions.
     pub serial: u64,
     /// Agents with a session, by incarnation, unless the leader knows this serial.
     pub agents: Option<Vec<(Instance, u64)>>,
 }
 
+/// Answers of one kind over the windows of the report, with the kind's target.
+pub type KindCounts = (Service, Kind, Target, Windows);
+
 /// Result of a claim.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Claimed {
@@ -116,7 +146,11 @@
     /// To a question about all jobs.
     Jobs(Vec<JobView>),
     /// To the question why a job waits.
-    Explained(Vec<String>),
+    Explained(Box<ExplainView>),
+    /// To the question for the service-level burn.
+    Burn(Vec<BurnView>),
+    /// To a report of demands: the shares by service.
+    Shares(Vec<(Service, limit::Shared)>),
     /// To a question about the system.
     Status(Box<StatusView>),
     /// To a progress: the serial of the agents' sessions that the leader knows.
--- a/crates/bronzespool-wire/src/message/mod.rs
+++ b/crates/bronzespool-wire/src/message/mod.rs
@@ -1,5 +1,6 @@
 //! Typed messages, by the call that carries them.
 
+mod burn;
 mod call;
 mod job;
 mod run;
@@ -8,10 +9,11 @@
 mod task;
 
 pub use {
-    call::{Answered, Call, Claimed, Progress, Published, Reply},
-    job::JobView,
+    burn::BurnView,
+    call::{Answered, Call, Claimed, KindCounts, Progress, Published, Reply},
+    job::{ExplainView, HolderView, JobView},
     run::{AgentState, Run, RunReply, StatusReply, Work},
     session::{Announce, Hello, Opened, Role, Update, Welcome},
     status::{EndpointView, ReplicaView, StatusView},
-    task::{Assignment, Report, Step, TaskEvent, TaskId},
+    task::{Assignment, Report, Step, TaskEvent, TaskId, TaskUsage},
 };
--- a/crates/bronzespoold/src/agent/start.rs
+++ b/crates/bronzespoold/src/agent/start.rs
@@ -2,12 +2,19 @@
 
 use {
     crate::{
-        agent::{server::Server, state::State, tasks::Tasks, worker::Worker},
+        agent::{
+            endpoint::{Endpoint, IDLE_MAX},
+            server::Server,
+            state::State,
+            tasks::Tasks,
+            usage::Reporter,
+            worker::Worker,
+        },
         client::{Keeper, Timing},
         clock::Clock,
     },
     bronzespool::{
-        core::{Capacity, Place, Service, Time},
+        core::{Capacity, Place, Service, Time, name::Cluster},
         flow::view::View,
         wire::{bronzespool_capnp::agent, serve::serve},
     },
@@ -31,6 +38,8 @@
 /// What an agent needs to know.
 #[derive(Clone, Debug)]
 pub struct Options {
+    /// Cluster that it belongs to.
+    pub cluster: Cluster,
     /// Where it stands.
     pub place: Place,
     /// Address for entries.
@@ -47,6 +56,8 @@
     pub hubs: Vec<SocketAddr>,
     /// Spans of the session.
     pub timing: Timing,
+    /// Time between two usage reports of the worker.
+    pub usage: Duration,
     /// Longest wait for requests in flight at a graceful stop.
     pub grace: Duration,
 }
@@ -69,8 +80,11 @@
     let served = spawn_local(serve(listener, server));
     let kept = spawn_local(Rc::clone(&keeper).run());
     if let Some(address) = options.worker {
-        spawn_local(Tasks::new(Rc::clone(&state), Worker::new(address)).run());
+        let worker = Worker::new(address);
+        spawn_local(Tasks::new(Rc::clone(&state), worker).run());
+        spawn_local(Reporter::new(Rc::clone(&state), worker).run(options.usage));
     }
+    spawn_local(sweep(Rc::clone(&state)));
     log::info!(instance:% = state.instance(); "the agent is up");
     let _ = stop.wait_for(|s| *s).await;
     state.leave();
@@ -84,10 +98,11 @@
 fn state(options: &Options, clock: Clock, address: SocketAddr) -> State {
     State {
         clock,
+        cluster: options.cluster.clone(),
         place: options.place.clone(),
         nonce: fastrand::u64(1..),
         address,
-        endpoint: options.endpoint,
+        endpoint: Endpoint::new(options.endpoint),
         services: options.services.clone(),
         capacity: options.capacity,
         view: RefCell::new(View::default()),
@@ -103,6 +118,14 @@
     }
 }
 
+/// Closes idle connections to the endpoint also while no request arrives.
+async fn sweep(state: Rc<State>) {
+    loop {
+        sleep(IDLE_MAX).await;
+        state.trim();
+    }
+}
+
 /// Tells control that the endpoint is leaving and waits for what runs.
 async fn finish(state: &Rc<State>, grace: Duration) {
     let call = bronzespool::wire::message::Call::Drain {
--- a/crates/bronzespoold/src/agent/state.rs
+++ b/crates/bronzespoold/src/agent/state.rs
@@ -2,11 +2,12 @@
 
 use {
     crate::{
+        agent::endpoint::Endpoint,
         client::{Keeper, Subscriber},
         clock::Clock,
     },
     bronzespool::{
-        core::{Capacity, Instance, Place, Service, Time},
+        core::{Capacity, Instance, Place, Service, Time, name::Cluster},
         flow::{
             admit::{Admission, Limits},
             claim::Incarnation,
@@ -25,10 +26,11 @@
 /// State of the agent.
 pub(super) struct State {
     pub(super) clock: Clock,
+    pub(super) cluster: Cluster,
     pub(super) place: Place,
     pub(super) nonce: u64,
     pub(super) address: SocketAddr,
-    pub(super) endpoint: SocketAddr,
+    pub(super) endpoint: Endpoint,
     pub(super) services: Vec<Service>,
     pub(super) capacity: Capacity,
     pub(super) view: RefCell<View>,
@@ -99,9 +101,17 @@
         if self.leaving.get() {
             fresh.drain();
         }
+        self.endpoint.clear();
         *admission = Some(fresh);
     }
 
+    /// Closes the endpoint's idle connections that are of no more use.
+    pub(super) fn trim(&self) {
+        if let Some(admission) = self.admission.borrow_mut().as_mut() {
+            self.endpoint.trim(admission);
+        }
+    }
+
     fn assign(&self, index: u64, tasks: Vec<Assignment>) {
         if index < self.tasks_index.get() {
             return;
@@ -123,6 +133,7 @@
             leaving: self.leaving.get(),
         };
         Hello {
+            cluster: self.cluster.clone(),
             role: Role::Agent,
             instance: self.instance().clone(),
             seen: self.acked(),
--- a/crates/bronzespoold/src/control/hub/mod.rs
+++ b/crates/bronzespoold/src/control/hub/mod.rs
@@ -4,4 +4,7 @@
 mod pump;
 mod sessions;
 
-pub(super) use sessions::{Hub, Spans};
+pub(super) use {
+    pump::PUSH_TIME,
+    sessions::{Hub, Spans},
+};
--- a/crates/bronzespoold/src/control/hub/pump.rs
+++ b/crates/bronzespoold/src/control/hub/pump.rs
@@ -22,7 +22,7 @@
 };
 
 /// Longest wait for an acknowledgement; the session ends after it.
-const PUSH_TIME: Duration = Duration::from_secs(2);
+pub(in crate::control) const PUSH_TIME: Duration = Duration::from_secs(2);
 
 /// Longest wait for the holder's first renewal, which tells that it holds the view of the welcome.
 const CONFIRM_TIME: Duration = Duration::from_secs(2);
--- a/crates/bronzespoold/src/control/hub/sessions.rs
+++ b/crates/bronzespoold/src/control/hub/sessions.rs
@@ -9,7 +9,7 @@
         },
     },
     bronzespool::{
-        core::{Code, Instance, Refusal, Time},
+        core::{Code, Instance, Refusal, Time, name::Cluster},
         flow::session::{SessionId, Table},
         wire::{
             bronzespool_capnp::sink,
@@ -40,6 +40,7 @@
 /// The sessions of this control instance.
 pub(in crate::control) struct Hub {
     clock: Clock,
+    cluster: Cluster,
     pub(in crate::control) name: Instance,
     spans: Spans,
     pub(super) replica: Rc<Replica>,
@@ -57,12 +58,14 @@
 impl Hub {
     pub(in crate::control) fn new(
         clock: Clock,
+        cluster: Cluster,
         name: Instance,
         spans: Spans,
         replica: Rc<Replica>,
     ) -> Rc<Self> {
         Rc::new(Self {
             clock,
+            cluster,
             name,
             spans,
             replica,
@@ -79,6 +82,10 @@
     /// Checks that a session may be opened here: the hub is in contact with a leader and not
     /// behind what the holder has seen.
     pub(in crate::control) fn check(&self, hello: &Hello) -> Result<()> {
+        if hello.cluster != self.cluster {
+            let message = format!("cluster {} is not {}", hello.cluster, self.cluster);
+            return Err(Refusal::new(Code::ConfigInvalid, message));
+        }
         if self.lease_left().is_zero() {
             return Err(Refusal::new(Code::NoLeader, "this hub has no contact with a leader"));
         }
@@ -158,7 +165,8 @@
         let acked = self.acked(applied);
         let serial = self.serial.get();
         let agents = (known != serial).then(|| self.agents.borrow().values().cloned().collect());
-        Progress { hub: self.name.clone(), acked, serial, agents }
+        let lease = u64::try_from(self.spans.lease.as_millis()).unwrap_or(u64::MAX);
+        Progress { hub: self.name.clone(), acked, lease, serial, agents }
     }
 
     /// The lowest index that a session of this instance may still be at.
@@ -169,11 +177,6 @@
         self.table.borrow().acked().map_or(applied, |a| a.min(applied))
     }
 
-    /// Number of open sessions.
-    pub(in crate::control) fn len(&self) -> usize {
-        self.table.borrow().len()
-    }
-
     /// Drops the agents whose sessions have ended or were replaced.
     fn forget(&self) {
         let table = self.table.borrow();
--- a/crates/bronzespoold/src/control/leader/calls.rs
+++ b/crates/bronzespoold/src/control/leader/calls.rs
@@ -4,7 +4,10 @@
     crate::{
         clock::Clock,
         control::{
-            leader::presence::Hubs,
+            leader::{
+                burn::Counted, cancel::Cancels, checkpoints::Checkpoints, presence::Hubs,
+                shares::Granter,
+            },
             replica::{Replica, Result},
             state::{Command, Effect},
         },
@@ -12,6 +15,7 @@
     bronzespool::{
         core::{Code, Instance, Refusal, Shape},
         flow::{claim::Horizon, view::Presence},
+        schedule::Planner,
         wire::message::{Announce, Answered, Call, Reply},
     },
     std::{cell::RefCell, rc::Rc, time::Duration},
@@ -25,6 +29,11 @@
     pub(super) clock: Clock,
     pub(super) replica: Rc<Replica>,
     pub(super) hubs: RefCell<Hubs>,
+    pub(super) counted: RefCell<Counted>,
+    pub(super) granter: RefCell<Granter>,
+    pub(super) planner: RefCell<(u64, Planner)>,
+    pub(super) checkpoints: RefCell<Checkpoints>,
+    pub(super) cancels: Cancels,
     pub(super) horizon: Horizon,
     pub(super) reserve: Option<Shape>,
     pub(super) lease: Duration,
@@ -39,8 +48,19 @@
         reserve: Option<Shape>,
         lease: Duration,
     ) -> Rc<Self> {
-        let hubs = RefCell::default();
-        Rc::new(Self { clock, replica, hubs, horizon, reserve, lease })
+        Rc::new(Self {
+            clock,
+            replica,
+            hubs: RefCell::default(),
+            counted: RefCell::default(),
+            granter: RefCell::default(),
+            planner: RefCell::default(),
+            checkpoints: RefCell::default(),
+            cancels: Cancels::default(),
+            horizon,
+            reserve,
+            lease,
+        })
     }
 
     /// Answers a call, if this replica leads.
@@ -58,7 +78,7 @@
                 self.publish(base, operation, digest, services, removed).await
             }
             Call::InForce(revision) => self.in_force(revision).await,
-            Call::Submit(spec) => self.submit(*spec).await,
+            Call::Submit { spec, digest } => self.submit(*spec, digest).await,
             Call::Cancel(jobs) => self.cancel(jobs).await,
             Call::Job(job) => self.job(&job).await,
             Call::Jobs => self.jobs().await,
@@ -66,7 +86,10 @@
             Call::Status => self.status().await,
             Call::Drain { instance, leaving } => self.drain(instance, leaving).await,
             Call::Announce(announce) => self.announce(announce).await,
-            Call::Progress(progress) => Ok(self.progress(progress)),
+            Call::Progress(progress) => self.progress(progress),
+            Call::Answers { holder, counts } => Ok(self.answers(holder, counts)),
+            Call::Burn => self.burn(),
+            Call::Shares { holder, reports } => self.shares(holder, reports).await,
             Call::Report(report) => self.report(&report).await,
         }
     }
--- a/crates/bronzespoold/src/control/leader/mod.rs
+++ b/crates/bronzespoold/src/control/leader/mod.rs
@@ -1,11 +1,17 @@
 //! What only the leader does: answers calls and runs the controllers.
 
+mod burn;
 mod calls;
+mod cancel;
+mod checkpoints;
 mod claims;
 mod config;
+mod drain;
 mod jobs;
 mod presence;
+mod report;
 mod schedule;
+mod shares;
 mod status;
 
 pub(super) use calls::Leader;
--- a/crates/bronzespoold/src/control/start.rs
+++ b/crates/bronzespoold/src/control/start.rs
@@ -4,7 +4,7 @@
     crate::{
         clock::Clock,
         control::{
-            hub::{Hub, Spans},
+            hub::{Hub, PUSH_TIME, Spans},
             leader::Leader,
             peers::Peers,
             replica::Replica,
@@ -14,7 +14,7 @@
     },
     bronzespool::{
         consensus::{self, FileStorage, Settings, Storage},
-        core::{Instance, Shape},
+        core::{Instance, Shape, name::Cluster},
         flow::claim::Horizon,
         wire::{bronzespool_capnp::control, link::Link, serve::serve},
     },
@@ -40,6 +40,8 @@
 /// What a control instance needs to know.
 #[derive(Clone, Debug)]
 pub struct Options {
+    /// Cluster that it belongs to.
+    pub cluster: Cluster,
     /// Instance of this process.
     pub instance: Instance,
     /// Address for all other processes.
@@ -80,7 +82,7 @@
     let mut storage = FileStorage::open(&options.data).map_err(Error::Log)?;
     let restored = storage.load().map_err(Error::Log)?;
     let log = consensus::Node::open(settings(&options), restored, clock.now());
-    let replica = Replica::new(clock, log.map_err(Error::Log)?);
+    let replica = Replica::new(clock, log.map_err(Error::Log)?, session_span(&options));
     let node = node(&options, clock, Rc::clone(&replica));
     let peers = Peers::start(&options.instance, &options.peers, options.election / 2);
     let server: control::Client = capnp_rpc::new_client(Server(Rc::clone(&node)));
@@ -88,6 +90,7 @@
     spawn_local(Rc::clone(&node).run_progress());
     spawn_local(Rc::clone(&node.leader).run_scheduler());
     spawn_local(Rc::clone(&node.leader).run_rounds());
+    spawn_local(Rc::clone(&node.leader).run_cancels());
     log::info!(instance:% = options.instance; "the control instance is up");
     tokio::select! {
         error = replica.run(Writer::start(storage), peers) => return Err(Error::Log(error)),
@@ -97,6 +100,12 @@
     Ok(())
 }
 
+/// Longest time from a decision to the end of the session of an agent that does not hear of it: a
+/// push without an answer, a whole session and the drift of the clocks.
+fn session_span(options: &Options) -> Duration {
+    (options.session + PUSH_TIME) * (100 + MARGIN_PERCENT) / 100
+}
+
 fn settings(options: &Options) -> Settings {
     let names = options.peers.iter().map(|(name, _)| name.clone()).collect();
     let mut settings = Settings::new(options.instance.clone(), names, fastrand::u64(..));
@@ -109,7 +118,13 @@
 fn node(options: &Options, clock: Clock, replica: Rc<Replica>) -> Rc<Node> {
     let margin = options.session * MARGIN_PERCENT / 100;
     let spans = Spans { lease: options.session, margin };
-    let hub = Hub::new(clock, options.instance.clone(), spans, Rc::clone(&replica));
+    let hub = Hub::new(
+        clock,
+        options.cluster.clone(),
+        options.instance.clone(),
+        spans,
+        Rc::clone(&replica),
+    );
     let horizon = Horizon { keep: options.answers, used: options.horizon, ..Horizon::default() };
     let lease = options.session + margin;
     let leader = Leader::new(clock, Rc::clone(&replica), horizon, options.reserve, lease);
--- a/crates/bronzespoold/src/entry/server.rs
+++ b/crates/bronzespoold/src/entry/server.rs
@@ -7,6 +7,7 @@
             filter::{Caller, Checked, Filter, Raw, ReadBody, Result, Route, Then},
             jobs, operators,
             state::State,
+            traffic::Admit,
         },
         http::{Answer, Handle, headers, json, mark, refusal, text, with_body},
         telemetry,
@@ -109,7 +110,7 @@
             (&Method::POST, ["instances", name, "drain"]) if operators => {
                 operators::drain(state, name).await
             }
-            (&Method::GET, ["report"]) if operators => Ok(self.report()),
+            (&Method::GET, ["report"]) if operators => operators::report(state).await,
             _ => Err(unknown(method, request.uri().path())),
         }
     }
@@ -121,11 +122,6 @@
         text(503, "not ready\n".to_owned())
     }
 
-    fn report(&self) -> Answer {
-        let now = self.state.clock.now();
-        json(Code::Done, &self.state.report.rows(now))
-    }
-
     /// A caller's request, through the filter chain.
     async fn serve(
         &self,
@@ -147,7 +143,8 @@
         let result = match checked.spec()?.mode {
             Mode::Job => self.submit(&checked).await,
             Mode::Request => {
-                Dispatch(Rc::clone(state)).apply(checked.clone()).await.map(|s| served(&s))
+                let chain = Then(Admit(Rc::clone(state)), Dispatch(Rc::clone(state)));
+                chain.apply(checked.clone()).await.map(|s| served(&s))
             }
         };
         self.note(&checked, &result);
--- a/crates/bronzespoold/src/entry/state.rs
+++ b/crates/bronzespoold/src/entry/state.rs
@@ -4,24 +4,27 @@
     crate::{
         client::{Keeper, Subscriber},
         clock::Clock,
-        entry::{agents::Agents, report::Reporter},
+        entry::{agents::Agents, report::Reporter, traffic::Traffic},
     },
     bronzespool::{
-        core::{Center, Instance, Time},
+        core::{Instance, Time, name::Cluster},
         flow::view::{self, View},
         wire::message::{Hello, Role, Update, Welcome},
     },
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
+        time::Duration,
     },
+    tokio::sync::Notify,
 };
 
 /// State of the entry.
 pub(super) struct State {
     pub(super) clock: Clock,
+    pub(super) cluster: Cluster,
+    pub(super) headers: Duration,
     pub(super) instance: Instance,
-    pub(super) center: Center,
     pub(super) view: RefCell<Rc<View>>,
     pub(super) agents: Agents,
     pub(super) until: Cell<Time>,
@@ -29,6 +32,10 @@
     pub(super) serial: Cell<u64>,
     pub(super) prefix: u64,
     pub(super) report: Reporter,
+    pub(super) traffic: RefCell<Traffic>,
+    pub(super) pumping: Notify,
+    pub(super) in_pump: Cell<bool>,
+    pub(super) view_changed: Notify,
     pub(super) keeper: RefCell<Option<Rc<Keeper<Self>>>>,
 }
 
@@ -59,6 +66,9 @@
         let mut view = self.view.borrow_mut();
         let result = f(Rc::make_mut(&mut view));
         self.agents.update(&view);
+        self.traffic.borrow_mut().follow(&view);
+        self.view_changed.notify_one();
+        self.pumping.notify_one();
         result
     }
 }
@@ -66,6 +76,7 @@
 impl Subscriber for State {
     fn hello(&self) -> Hello {
         Hello {
+            cluster: self.cluster.clone(),
             role: Role::Entry,
             instance: self.instance.clone(),
             seen: self.acked(),
