--- a/crates/bronzespoold/src/control/hub/sessions.rs
+++ b/crates/bronzespoold/src/control/hub/sessions.rs
@@ -177,6 +177,11 @@
         self.table.borrow().acked().map_or(applied, |a| a.min(applied))
     }
 
+    /// Whether no session is open here.
+    pub(in crate::control) fn is_empty(&self) -> bool {
+        self.table.borrow().is_empty()
+    }
+
     /// Drops the agents whose sessions have ended or were replaced.
     fn forget(&self) {
         let table = self.table.borrow();
--- a/crates/bronzespoold/src/control/server.rs
+++ b/crates/bronzespoold/src/control/server.rs
@@ -103,7 +103,7 @@
 
     /// Waits for a change of the view that no session here has to acknowledge first.
     async fn unheld(&self, watch: &mut watch::Receiver<Epoch>, seen: Epoch) {
-        let news = |e: &Epoch| e.view != seen.view && self.hub.len() == 0;
+        let news = |e: &Epoch| e.view != seen.view && self.hub.is_empty();
         if watch.wait_for(news).await.is_err() {
             std::future::pending::<()>().await;
         }
