--- a/crates/bronzespoold/src/control/submitted.rs
+++ b/crates/bronzespoold/src/control/submitted.rs
@@ -27,8 +27,9 @@
 
     /// Notes a submission, and drops those whose horizon has passed.
     pub(super) fn note(&mut self, at: Time, job: Job, digest: Digest, keep: Duration) {
-        while let Some((_, old)) = self.ends.pop_front_if(|(end, _)| *end <= at) {
-            self.digests.remove(&old);
+        while self.ends.front().is_some_and(|(end, _)| *end <= at) {
+            let old = self.ends.pop_front().map(|(_, old)| old);
+            old.and_then(|old| self.digests.remove(&old));
         }
         self.digests.insert(job.clone(), digest);
         self.ends.push_back((at + keep, job));
--- a/crates/bronzespoold/tests/jobs_gang.rs
+++ b/crates/bronzespoold/tests/jobs_gang.rs
@@ -21,7 +21,7 @@
     for (member, instance) in instances(&running).iter().enumerate() {
         let record = desk.record(desk.number(instance)).await;
         let name = format!("{job}.1.{member}");
-        assert_eq!(record.starts, std::slice::from_ref(name), "started once and alone");
+        assert_eq!(record.starts, std::slice::from_ref(&name), "started once and alone");
         spans.push((record.started(&name).expect("a start"), record.ended(&name).expect("an end")));
     }
     assert_eq!(spans.len(), 2);
