fix(control): an agent that was just announced is not taken for lost

Cause: an announcement is recorded before the agent's session opens, and its hub tells the leader of the session a moment later. A round of the leader in between found the new incarnation at no hub and took the worker for lost, which stopped the gangs there: one failure of agent_graceful_restart_adopts_running_task in six runs, outcome failed at 1.17 s. Ruled out: the wait for a draining agent (it holds for the former incarnation only); a lost drain. Change: absence counts only one lease after the announcement. Before, with each hub's progress delayed by 500 ms in a scratch build: the test fails, outcome failed. After, with the same delay: it passes; without the delay, the restart tests passed 4 times of 4, four at once. An agent that dies within a lease of its announcement is found that much later.

--- a/crates/bronzespoold/src/control/leader/calls.rs
+++ b/crates/bronzespoold/src/control/leader/calls.rs
@@ -101,6 +101,7 @@
             let index = self.replica.state().index();
             return Ok(Reply::Announced { incarnation, index });
         }
+        self.hubs.borrow_mut().announce(&instance, self.clock.now());
         match self.replica.propose(&Command::Announce { at, announce }).await? {
             Effect::Announced(incarnation) => {
                 let index = self.replica.state().index();
--- a/crates/bronzespoold/src/control/leader/presence.rs
+++ b/crates/bronzespoold/src/control/leader/presence.rs
@@ -28,6 +28,8 @@
     hubs: BTreeMap<Instance, HubState>,
     /// Since when agents that closed their sessions themselves are away.
     away: BTreeMap<Instance, Time>,
+    /// When agents were last announced: their hubs tell of the sessions a moment later.
+    announced: BTreeMap<Instance, Time>,
 }
 
 impl Hubs {
@@ -49,6 +51,10 @@
         now.since(*self.away.entry(instance.clone()).or_insert(now))
     }
 
+    pub(super) fn announce(&mut self, instance: &Instance, now: Time) {
+        self.announced.insert(instance.clone(), now);
+    }
+
     fn is_back(&mut self, instance: &Instance) {
         self.away.remove(instance);
     }
@@ -113,6 +119,7 @@
         hubs.begin(self.replica.status().term, now);
         let lease = self.lease;
         hubs.hubs.retain(|_, hub| now.since(hub.heard) < lease);
+        hubs.announced.retain(|_, at| now.since(*at) < lease);
         let settled = now.since(hubs.since) >= lease;
         let state = self.replica.state();
         let wanted = state.peers().values().filter_map(|peer| {
@@ -123,7 +130,9 @@
             }
             let presence = match peer.presence {
                 Presence::Down if held => Presence::Up,
-                Presence::Up if !held && settled => Presence::Down,
+                Presence::Up if !held && settled && !hubs.announced.contains_key(instance) => {
+                    Presence::Down
+                }
                 Presence::Draining if !held && settled && hubs.away(instance, now) >= lease => {
                     Presence::Down
                 }
