--- a/crates/bronzespoold/src/control/leader/presence.rs
+++ b/crates/bronzespoold/src/control/leader/presence.rs
@@ -7,7 +7,7 @@
         flow::view::Presence,
         wire::message::{Answered, Progress, Reply},
     },
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// What the leader knows of one hub.
@@ -63,9 +63,8 @@
 impl Leader {
     pub(super) fn progress(&self, progress: Progress) -> Answered {
         let now = self.clock.now();
-        if Duration::from_millis(progress.lease) > self.lease {
-            let message =
-                format!("[timing] session of {} is longer than the leader's", progress.hub);
+        if u128::from(progress.lease) != self.lease.as_millis() {
+            let message = format!("[timing] session of {} is not the leader's", progress.hub);
             return Err(Refusal::new(Code::ConfigInvalid, message));
         }
         let mut hubs = self.hubs.borrow_mut();
