fix(core): refuse a used key for 30 days after its answer has expired

Ruled out: never forgetting (16 bytes a key for ever; a full table would refuse new keys).

Change: horizon 720h by default, its text says what it does.

--- a/crates/bronzespool-core/src/settings/timing.rs
+++ b/crates/bronzespool-core/src/settings/timing.rs
@@ -50,7 +50,7 @@
     usage "5s" "Time between two usage reports of a worker.";
     headers "5s" "Time allowed for a caller's headers and body to arrive.";
     answers "15m" "Time for which the answer to a protected request is kept.";
-    horizon "24h" "Age at which an Idempotency-Key is refused instead of run.";
+    horizon "720h" "Time for which a used Idempotency-Key is refused after its answer has expired.";
 }
 
 /// Reads the section and checks its keys against each other.
--- a/crates/bronzespool-core/tests/settings_process.rs
+++ b/crates/bronzespool-core/tests/settings_process.rs
@@ -138,7 +138,7 @@
     let with = |line: &str| only(&format!("{}{ENTRY}{HUBS}[timing]\n{line}\n", head("entry")));
     assert!(with("heartbeat = 500ms").contains("a third of 'election'"));
     assert!(with("renew = 2s").contains("half of 'session'"));
-    assert!(with("answers = 25h").contains("all of 'horizon'"));
+    assert!(with("answers = 721h").contains("all of 'horizon'"));
     assert!(with("probe = 0s").contains("is zero"));
 }
 
