--- /dev/null
+++ b/crates/bronzespool/tests/proofs.rs
@@ -0,0 +1,75 @@
+//! The ledger of proofs names tests that exist and leaves out no failure.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
+
+const FAILURES: [&str; 13] = [
+    "kill",
+    "lost disk",
+    "cut",
+    "freeze",
+    "silent connection",
+    "race of operators",
+    "late or crossed answers",
+    "second loss after a repair",
+    "restart after hundreds of changes",
+    "bad worker",
+    "wrong sizes",
+    "wave of cancellations",
+    "two at once",
+];
+const PROMISES: usize = 8;
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn page() -> String {
+    fs::read_to_string(root().join("docs/PROOFS.md")).unwrap()
+}
+
+/// Whether a name such as `package/file::function` is a test of that file.
+fn exists(name: &str) -> bool {
+    let Some((file, function)) = name.split_once("::") else {
+        return false;
+    };
+    let Some((package, file)) = file.split_once('/') else {
+        return false;
+    };
+    let path = root().join("crates").join(package).join("tests").join(format!("{file}.rs"));
+    let text = fs::read_to_string(path).unwrap_or_default();
+    let lines: Vec<_> = text.lines().map(str::trim).collect();
+    let head = format!("fn {function}(");
+    let is_test = |pair: &[&str]| pair[0].contains("test]") && pair[1].contains(&head);
+    lines.windows(2).any(is_test)
+}
+
+#[test]
+fn proofs_named_tests_exist() {
+    let page = page();
+    let names: Vec<_> = page.split('`').skip(1).step_by(2).filter(|n| n.contains("::")).collect();
+    assert!(names.len() > 40, "only {} names were found", names.len());
+    let named = |n: &&&str| **n != "package/file::function";
+    let missing: Vec<_> = names.iter().filter(named).filter(|n| !exists(n)).collect();
+    assert!(missing.is_empty(), "no such tests: {missing:?}");
+}
+
+#[test]
+fn proofs_every_promise_has_every_failure() {
+    let page = page();
+    let sections: Vec<_> = page.split("\n## ").skip(1).collect();
+    assert_eq!(sections.len(), PROMISES);
+    for section in sections {
+        for failure in FAILURES {
+            let row = section.lines().find(|l| l.starts_with(&format!("| {failure} |")));
+            let cells = row.map(|r| r.split('|').map(str::trim).collect::<Vec<_>>());
+            let shown = cells.as_ref().and_then(|c| c.get(2)).copied().unwrap_or_default();
+            let told = shown.contains("::")
+                || shown.starts_with("not proved")
+                || shown.contains("partial");
+            assert!(told, "{failure} in {}", section.lines().next().unwrap_or_default());
+        }
+    }
+}
