refactor(entry): one way to ask an agent, one to name an attempt

Cause: asking and fencing repeated the whole call, and two places built the same name. Change: shared functions; a system that is not ready in time shows its logs' last lines, since an unexplained start failure left nothing to look at.

--- a/crates/bronzespool-fakes/src/cluster/system.rs
+++ b/crates/bronzespool-fakes/src/cluster/system.rs
@@ -29,6 +29,8 @@
 
 /// Pause between two looks at a condition.
 const PAUSE: Duration = Duration::from_millis(25);
+/// Lines of each log shown when the system is not ready.
+const LOG_TAIL: usize = 3;
 /// Generous end of a wait.
 const WAIT_MAX: Duration = Duration::from_secs(60);
 
@@ -212,12 +214,23 @@
                 return Ok(());
             }
             if Instant::now() > end {
-                return Err("the system was not ready in time".into());
+                return Err(format!("the system was not ready in time:\n{}", self.tails()).into());
             }
             sleep(PAUSE).await;
         }
     }
 
+    /// The last lines of all logs, since the folder goes with the cluster.
+    fn tails(&self) -> String {
+        let tail = |name: &String| {
+            let text = fs::read_to_string(self.folder().join(format!("{name}.log")));
+            let text = text.unwrap_or_default();
+            let lines: Vec<_> = text.lines().rev().take(LOG_TAIL).collect();
+            format!("{name}: {}", lines.join(" / "))
+        };
+        self.processes.keys().map(tail).collect::<Vec<_>>().join("\n")
+    }
+
     async fn ready(&self) -> bool {
         for (_, address) in &self.entries {
             match Call::get("/readyz").send(*address).await {
--- a/crates/bronzespoold/src/entry/agents.rs
+++ b/crates/bronzespoold/src/entry/agents.rs
@@ -116,31 +116,33 @@
     /// Asks what is known of an attempt.
     pub(super) async fn ask(&self, name: &AttemptId) -> Result<StatusReply> {
         let question = frame::encode(name);
-        let reply: StatusReply = self
-            .link
-            .call(PROBE_TIME, |client| async move {
-                let mut request = client.ask_request();
-                request.get().set_question(&question);
-                let response = request.send().promise.await?;
-                Ok(frame::decode(response.get()?.get_reply()?)?)
-            })
-            .await?;
-        self.note(reply.state);
-        Ok(reply)
+        self.question(|client| async move {
+            let mut request = client.ask_request();
+            request.get().set_question(&question);
+            let response = request.send().promise.await?;
+            Ok(frame::decode(response.get()?.get_reply()?)?)
+        })
+        .await
     }
 
     /// Makes sure that an attempt which has not started never will.
     pub(super) async fn fence(&self, name: &AttemptId) -> Result<StatusReply> {
         let question = frame::encode(name);
-        let reply: StatusReply = self
-            .link
-            .call(PROBE_TIME, |client| async move {
-                let mut request = client.fence_request();
-                request.get().set_question(&question);
-                let response = request.send().promise.await?;
-                Ok(frame::decode(response.get()?.get_reply()?)?)
-            })
-            .await?;
+        self.question(|client| async move {
+            let mut request = client.fence_request();
+            request.get().set_question(&question);
+            let response = request.send().promise.await?;
+            Ok(frame::decode(response.get()?.get_reply()?)?)
+        })
+        .await
+    }
+
+    async fn question<F, A>(&self, call: F) -> Result<StatusReply>
+    where
+        F: FnOnce(agent::Client) -> A,
+        A: Future<Output = Result<StatusReply>>,
+    {
+        let reply = self.link.call(PROBE_TIME, call).await?;
         self.note(reply.state);
         Ok(reply)
     }
--- a/crates/bronzespoold/src/entry/dispatch/follow.rs
+++ b/crates/bronzespoold/src/entry/dispatch/follow.rs
@@ -45,12 +45,7 @@
     id: &ClaimId,
     existing: &Existing,
 ) -> Result<Ended> {
-    let name = AttemptId {
-        id: id.clone(),
-        attempt: existing.attempt,
-        target: existing.target.clone(),
-        expires: existing.expires,
-    };
+    let name = attempt_id(id, existing);
     match &existing.state {
         ClaimState::Done(answer) => kept(state, &name, answer).await,
         ClaimState::Sealed(code) => Err(sealed(*code)),
@@ -59,18 +54,22 @@
     }
 }
 
+fn attempt_id(id: &ClaimId, existing: &Existing) -> AttemptId {
+    AttemptId {
+        id: id.clone(),
+        attempt: existing.attempt,
+        target: existing.target.clone(),
+        expires: existing.expires,
+    }
+}
+
 /// What a claim tells a request that starts nothing: its answer, or none if no attempt has run.
 pub(super) async fn settled(
     state: &State,
     id: &ClaimId,
     existing: &Existing,
 ) -> Result<Option<Answer>> {
-    let name = AttemptId {
-        id: id.clone(),
-        attempt: existing.attempt,
-        target: existing.target.clone(),
-        expires: existing.expires,
-    };
+    let name = attempt_id(id, existing);
     match &existing.state {
         ClaimState::Released => Ok(None),
         ClaimState::Done(answer) => match kept(state, &name, answer).await? {
