--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -16,6 +16,7 @@
   cargo nextest run --workspace --locked --no-fail-fast -E "$filter"
 else
   skips=()
+  [ ${#known[@]} -gt 0 ] && skips+=(--exact)
   for name in "${known[@]}"; do skips+=(--skip "$name"); done
   cargo test --workspace --locked --no-fail-fast -- "${skips[@]}"
 fi
