fix(agent): never call a second copy of a started attempt not run

Cause: a copy that is refused for its revision answered 'not run' without looking whether an earlier copy of the same attempt had started.

Change: the refusal looks at its own fence; a started or finished attempt answers 'in progress'.

--- a/crates/bronzespoold/src/agent/requests.rs
+++ b/crates/bronzespoold/src/agent/requests.rs
@@ -37,10 +37,7 @@
     pub(super) async fn run(self: &Rc<Self>, run: Run, body: Bytes) -> RunReply {
         let result = match self.check(&run).await {
             Ok(()) => self.admitted(run, body).await,
-            Err(code) => {
-                self.fence_refused(&run);
-                Err(code.into())
-            }
+            Err(code) => Err(self.refused(&run, code).into()),
         };
         RunReply { state: self.brief(), result }
     }
@@ -77,10 +74,15 @@
         if self.revision() == run.revision { Ok(()) } else { Err(Code::RevisionBehind) }
     }
 
-    /// A refusal of a protected request says that it never runs, so no other copy may either.
-    fn fence_refused(&self, run: &Run) {
-        if let Work::Protected(name) = &run.work {
-            self.fence(name);
+    /// The code of a refusal. For a protected request it says that the attempt never runs, so no
+    /// other copy may either; if one has started already, its outcome must be asked for.
+    fn refused(&self, run: &Run, code: Code) -> Code {
+        let Work::Protected(name) = &run.work else {
+            return code;
+        };
+        match self.fence(name).status {
+            Status::Started | Status::Finished(_) => Code::InProgress,
+            Status::Unseen | Status::Fenced | Status::Forgotten => code,
         }
     }
 
