--- a/scripts/check-generated.sh
+++ b/scripts/check-generated.sh
@@ -9,5 +9,5 @@
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
 ./scripts/generate.sh "$out"
-diff -r --exclude mod.rs "$out" crates/bronzespool-wire/src/generated
+diff -rq --exclude mod.rs "$out" crates/bronzespool-wire/src/generated
 echo "check-generated: committed code matches the schema"
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 out=${1:-crates/bronzespool-wire/src/generated}
 capnp compile -orust:"$out" --src-prefix=crates/bronzespool-wire/schema crates/bronzespool-wire/schema/*.capnp
-rustfmt --edition 2024 "$out"/*_capnp.rs
+rustfmt --edition 2024 --config-path . "$out"/*_capnp.rs
