fix(entry): do not call a job not run that may have been taken

Cause: a job sent again with its key, through an entry that had lost control, was answered 3005 or 3007 'not run', though its first submission had been taken. Found by reading. Ruled out: asking the agents (they do not know keys of jobs). Change: such an answer is 4008, unknown, for a job with a key, as for protected requests.

--- a/crates/bronzespoold/src/entry/filter/route.rs
+++ b/crates/bronzespoold/src/entry/filter/route.rs
@@ -9,7 +9,7 @@
         http::headers,
     },
     bronzespool::{
-        core::{Code, Kind, KindSpec, Refusal, Service, ServiceSpec, Time},
+        core::{Code, Kind, KindSpec, Mode, Refusal, Service, ServiceSpec, Time},
         flow::view::View,
     },
     hyper::{Request, body::Incoming},
@@ -74,7 +74,7 @@
 
 impl Route {
     /// The refusal of an entry that takes no work. It cannot tell what became of an earlier
-    /// request with the same key, so it does not say that a protected one has not run.
+    /// request with the same key, so it does not say that a protected one or a job has not run.
     fn closed(&self, raw: &Raw, view: &View) -> Refusal {
         let names = (Service::try_from(raw.service.as_str()), Kind::try_from(raw.kind.as_str()));
         let spec = match &names {
@@ -83,7 +83,9 @@
         };
         let keyed = raw.request.headers().contains_key(headers::KEY);
         let code = match self.0.stopping.get() {
-            _ if keyed && spec.is_none_or(|s| s.protected) => Code::KeyUnsettled,
+            _ if keyed && spec.is_none_or(|s| s.protected || s.mode == Mode::Job) => {
+                Code::KeyUnsettled
+            }
             true => Code::Stopping,
             false => Code::NoSession,
         };
--- a/crates/bronzespoold/src/entry/jobs.rs
+++ b/crates/bronzespoold/src/entry/jobs.rs
@@ -18,6 +18,8 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 /// Longest wait for control.
 const CALL_TIME: Duration = Duration::from_secs(5);
+/// When to ask again for a job that control could not be asked about.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
 /// Longest time for which a caller may wait for a job.
 pub(super) const WAIT_MAX: Duration = Duration::from_secs(60);
 
@@ -37,7 +39,18 @@
         .protected(spec.protected);
     let left = request.left(state.clock.now());
     let digest = request.key.as_ref().map(|_| request.digest);
-    job_reply(call(state, &Call::Submit { spec: Box::new(wish), digest }, left).await?)
+    let submit = Call::Submit { spec: Box::new(wish), digest };
+    let reply = call(state, &submit, left).await;
+    job_reply(reply.map_err(|refusal| unsettled(request, refusal))?)
+}
+
+/// Without control's answer an earlier submission with the key may have been taken.
+fn unsettled(request: &Checked, refusal: Refusal) -> Refusal {
+    let silent = matches!(refusal.code, Code::NoLeader | Code::NoSession);
+    if silent && request.key.is_some() {
+        return Refusal::from(Code::KeyUnsettled).retry_after(ASK_AGAIN);
+    }
+    refusal
 }
 
 /// Without a key each submission is a job of its own.
--- a/crates/bronzespoold/tests/jobs_key.rs
+++ b/crates/bronzespoold/tests/jobs_key.rs
@@ -36,3 +36,19 @@
     let elsewhere = desk.try_submit("owner", "single", "k1", &json!({ "flight": 8 })).await;
     assert!(elsewhere.status.is_success(), "a key is of one team");
 }
+
+/// The first submission has been taken, so no entry may say that the job has not run.
+#[tokio::test]
+async fn submit_same_key_without_control_is_unsettled() {
+    let mut desk = Desk::start(&[3], &kind("single", KIND)).await;
+    let body = json!({ "flight": 7 });
+    let first = desk.try_submit("guest", "single", "k1", &body).await;
+    assert!(first.status.is_success());
+    for control in ["control-1", "control-2", "control-3"] {
+        desk.cluster.process(control).kill().expect("a running process");
+    }
+    for _ in 0..4 {
+        let again = desk.try_submit("guest", "single", "k1", &body).await;
+        assert_eq!(again.outcome(), "unknown", "{}", again.json());
+    }
+}
