--- /dev/null
+++ b/crates/bronzespool-batch/src/agent/desk.rs
@@ -0,0 +1,462 @@
+//! What an agent does: compares the leader's orders with what its worker says, and calls the
+//! worker where they differ.
+//!
+//! A call without an answer may have been carried out, and may be carried out seconds later. A run
+//! for which that holds is refused only after the worker has acknowledged a stop of it, which
+//! keeps it from starting at all.
+
+use {
+    crate::{
+        agent::lease::{Lease, Reading},
+        id::{Life, RunId},
+        ledger::{End, WorkerSpec},
+        message::{Held, Orders, Poll, Start},
+    },
+    bronzespool_core::{HashMap, HashSet, Instance, Time},
+    std::time::Duration,
+};
+
+/// Age of orders past which no task is started on them: the leader may have decided otherwise.
+const ORDERS_AGE: Duration = Duration::from_millis(900);
+/// Time after an acknowledged stop at which it is asked for again if the run is still listed.
+const STOP_AGAIN: Duration = Duration::from_secs(2);
+/// Silence of a worker's check-ins, in its periods, after which it takes nothing new.
+const SILENT_PERIODS: u32 = 3;
+
+/// Bounds that the platform sets.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Longest lease that a worker takes.
+    pub hold: Duration,
+    /// Time between two check-ins of a worker.
+    pub period: Duration,
+}
+
+/// What a worker lists.
+#[derive(Clone, Debug, Default)]
+pub struct Listing {
+    /// When the worker's present life began, if it says so.
+    pub born: Option<u64>,
+    /// The worker's clock in milliseconds.
+    pub clock: u64,
+    /// Runs.
+    pub running: Vec<Held>,
+    /// Ends that it has not been allowed to forget.
+    pub ends: Vec<End>,
+}
+
+/// The worker's verdict on a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Started {
+    /// It is there.
+    Present,
+    /// This run was stopped or has ended there.
+    Old,
+    /// The worker has done nothing and will do nothing on this call.
+    Refused,
+    /// The lease in the call had ended.
+    Late,
+    /// The worker has seen a higher fencing token.
+    Fenced,
+    /// No answer: it may have started, or may yet start.
+    Unknown,
+}
+
+/// The worker's verdict on a stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stopped {
+    /// It stops, or will never start.
+    Noted,
+    /// The worker has seen a higher fencing token.
+    Fenced,
+    /// No answer.
+    Unknown,
+}
+
+/// A call to the worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Start a run, under a lease until a time on the worker's clock.
+    Start {
+        /// The run.
+        start: Start,
+        /// End of the lease in milliseconds on the worker's clock.
+        until: u64,
+        /// Fencing token.
+        epoch: u64,
+        /// Life that the call is for.
+        life: Life,
+    },
+    /// Stop a run.
+    Stop {
+        /// The run.
+        run: RunId,
+        /// Fencing token.
+        epoch: u64,
+        /// Life that the call is for.
+        life: Life,
+    },
+}
+
+/// How a look at the worker's list extends the lease.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Look {
+    /// Fencing token; none before the first orders.
+    pub epoch: Option<u64>,
+    /// Ends that the worker may forget.
+    pub cursor: u64,
+    /// End of the lease in milliseconds on the worker's clock.
+    pub until: Option<u64>,
+    /// Life that the look is for.
+    pub life: Life,
+    /// Serial number of the look.
+    pub serial: u64,
+}
+
+/// What is known of a run for which the worker was called.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Doing {
+    /// A call is under way.
+    Calling,
+    /// The worker has answered; a look that began with this serial or later tells what it holds.
+    Settling(u64),
+    /// The worker has acknowledged a stop at this time, which may take a while to end the run.
+    Stopping(u64, Time),
+}
+
+/// The agent's state.
+#[derive(Debug)]
+pub struct Desk {
+    limits: Limits,
+    agent: Instance,
+    nonce: u64,
+    started: Time,
+    worker: Option<Known>,
+    gone: Vec<Life>,
+    orders: Option<Given>,
+    /// Highest fencing token seen, in orders or by a worker's refusal.
+    epoch: u64,
+}
+
+/// Orders and when the poll that they answer was sent.
+#[derive(Clone, Debug)]
+struct Given {
+    sent: Time,
+    orders: Orders,
+}
+
+/// The worker's present life.
+#[derive(Debug)]
+struct Known {
+    spec: WorkerSpec,
+    seq: u64,
+    beat: Time,
+    since: Time,
+    lease: Lease,
+    running: Vec<Held>,
+    ends: Vec<End>,
+    listed: bool,
+    answers: bool,
+    left: bool,
+    doing: HashMap<RunId, Doing>,
+    /// Runs of which a start had no answer.
+    doubt: HashSet<RunId>,
+    refused: HashSet<RunId>,
+    looks: u64,
+}
+
+impl Desk {
+    /// An agent that knows nothing yet; `nonce` is fresh randomness of this start.
+    pub fn new(agent: Instance, nonce: u64, limits: Limits, now: Time) -> Self {
+        Self {
+            limits,
+            agent,
+            nonce,
+            started: now,
+            worker: None,
+            gone: Vec::new(),
+            orders: None,
+            epoch: 0,
+        }
+    }
+
+    /// Takes a worker's check-in; false for one that an older life sent, or an older one of this
+    /// life.
+    pub fn check_in(&mut self, now: Time, spec: WorkerSpec, seq: u64) -> bool {
+        let Some(known) = &mut self.worker else {
+            self.worker = Some(Known::new(spec, seq, now));
+            return true;
+        };
+        if known.spec.life == spec.life {
+            if seq <= known.seq {
+                return false;
+            }
+            let leaving = known.spec.leaving || spec.leaving;
+            known.spec = WorkerSpec { leaving, ..spec };
+            known.seq = seq;
+            known.beat = now;
+            return true;
+        }
+        if spec.life.born <= known.spec.life.born {
+            return false;
+        }
+        let old = known.spec.life.clone();
+        self.gone.push(old);
+        self.worker = Some(Known::new(spec, seq, now));
+        true
+    }
+
+    /// Takes a worker's word that it ends now.
+    pub fn leave(&mut self, worker: &str) {
+        if let Some(known) = self.worker.as_mut().filter(|k| &*k.spec.life.worker == worker) {
+            known.spec.leaving = true;
+            known.left = true;
+        }
+    }
+
+    /// Whether the worker has said that it takes nothing new.
+    pub fn is_leaving(&self) -> bool {
+        self.worker.as_ref().is_some_and(|k| k.spec.leaving)
+    }
+
+    /// The worker's present life.
+    pub fn life(&self) -> Option<&Life> {
+        self.worker.as_ref().map(|k| &k.spec.life)
+    }
+
+    /// What to tell the leader.
+    pub fn poll(&self, now: Time) -> Poll {
+        let known = self.worker.as_ref().filter(|k| k.is_sound(now, &self.limits));
+        Poll {
+            agent: self.agent.clone(),
+            nonce: self.nonce,
+            worker: known.map(|k| k.spec.clone()),
+            gone: self.gone.clone(),
+            running: known.map(|k| k.running.clone()).unwrap_or_default(),
+            ends: known.map(|k| k.ends.clone()).unwrap_or_default(),
+            refused: known.map(|k| k.refused.iter().copied().collect()).unwrap_or_default(),
+            busy: known.map(|k| k.doing.keys().copied().collect()).unwrap_or_default(),
+        }
+    }
+
+    /// Takes the leader's answer to a poll that was sent at `sent`.
+    pub fn ordered(&mut self, sent: Time, poll: &Poll, orders: Orders) {
+        let late =
+            self.orders.as_ref().is_some_and(|g| g.orders.epoch == orders.epoch && sent < g.sent);
+        if orders.epoch < self.epoch || late {
+            return;
+        }
+        self.epoch = orders.epoch;
+        self.gone.retain(|l| !poll.gone.contains(l));
+        let life = self.worker.as_ref().map(|k| k.spec.life.clone());
+        if let Some(known) = &mut self.worker
+            && orders.life == life
+        {
+            known.ends.retain(|e| e.number > orders.cursor);
+            known.refused.retain(|r| !poll.refused.contains(r));
+        }
+        self.orders = Some(Given { sent, orders });
+    }
+
+    /// Calls that the worker needs now.
+    pub fn actions(&mut self, now: Time) -> Vec<Action> {
+        let Some(given) = &mut self.orders else { return Vec::new() };
+        let Some(known) = &mut self.worker else { return Vec::new() };
+        if given.orders.life.as_ref() != Some(&known.spec.life) || known.left {
+            return Vec::new();
+        }
+        let (epoch, life) = (given.orders.epoch, known.spec.life.clone());
+        let mut actions = Vec::new();
+        for run in std::mem::take(&mut given.orders.stops) {
+            if known.doing.contains_key(&run) {
+                continue;
+            }
+            known.doing.insert(run, Doing::Calling);
+            actions.push(Action::Stop { run, epoch, life: life.clone() });
+        }
+        let stale = now.since(given.sent) > ORDERS_AGE;
+        let starts = std::mem::take(&mut given.orders.starts);
+        if known.spec.leaving || stale {
+            return actions;
+        }
+        let span = Duration::from_millis(given.orders.lease);
+        for start in starts {
+            if known.doing.contains_key(&start.run) || known.refused.contains(&start.run) {
+                continue;
+            }
+            let Some(until) = known.lease.extend(now, given.sent, span, self.limits.hold) else {
+                continue;
+            };
+            known.doing.insert(start.run, Doing::Calling);
+            actions.push(Action::Start { start, until, epoch, life: life.clone() });
+        }
+        actions
+    }
+
+    /// Takes the worker's verdict on a start.
+    pub fn started(&mut self, life: &Life, run: RunId, verdict: Started) {
+        self.fence(verdict == Started::Fenced);
+        let Some(known) = self.present(life) else { return };
+        match verdict {
+            Started::Present | Started::Old => known.settle(run),
+            Started::Refused if !known.doubt.contains(&run) => {
+                known.doing.remove(&run);
+                known.refused.insert(run);
+            }
+            Started::Refused | Started::Late | Started::Fenced => {
+                known.doing.remove(&run);
+            }
+            Started::Unknown => {
+                known.doubt.insert(run);
+                known.doing.remove(&run);
+            }
+        }
+    }
+
+    /// Takes the worker's verdict on a stop.
+    pub fn stopped(&mut self, now: Time, life: &Life, run: RunId, verdict: Stopped) {
+        self.fence(verdict == Stopped::Fenced);
+        let Some(known) = self.present(life) else { return };
+        match verdict {
+            Stopped::Noted => {
+                known.doing.insert(run, Doing::Stopping(known.looks + 1, now));
+            }
+            Stopped::Fenced | Stopped::Unknown => {
+                known.doing.remove(&run);
+            }
+        }
+    }
+
+    /// How to look at the worker's list now, extending its lease as far as control allows.
+    pub fn look(&mut self, now: Time) -> Option<Look> {
+        let hold = self.limits.hold;
+        let epoch = self.orders.as_ref().map(|g| g.orders.epoch);
+        let known = self.worker.as_mut()?;
+        known.looks += 1;
+        let life = known.spec.life.clone();
+        let given = self.orders.as_ref().filter(|g| g.orders.epoch >= self.epoch);
+        let mut look = Look { epoch, cursor: 0, until: None, life, serial: known.looks };
+        if let Some(given) = given {
+            if given.orders.life.as_ref() == Some(&known.spec.life) {
+                look.cursor = given.orders.cursor;
+            }
+            if known.answers || !known.lease.is_read() {
+                let span = Duration::from_millis(given.orders.lease);
+                look.until = known.lease.extend(now, given.sent, span, hold);
+            }
+        }
+        Some(look)
+    }
+
+    /// Takes the answer to a look; tells whether there is something new for the leader.
+    pub fn listed(&mut self, now: Time, look: &Look, listing: Listing) -> bool {
+        let Some(known) = self.present(&look.life) else { return false };
+        if listing.born.is_some_and(|b| b != look.life.born) {
+            return false;
+        }
+        known.answers = true;
+        known.listed = true;
+        known.lease.read(Reading { clock: listing.clock, at: now });
+        let cursor = look.cursor;
+        let ends: Vec<End> = listing.ends.into_iter().filter(|e| e.number > cursor).collect();
+        let news = ends.len() > known.ends.len()
+            || ends.last().map(|e| e.number) > known.ends.last().map(|e| e.number);
+        known.ends = ends;
+        known.running = listing.running;
+        let settled = known.settled(now, look.serial);
+        news || settled
+    }
+
+    /// The worker has not answered a look.
+    pub fn missed(&mut self, look: &Look) {
+        if let Some(known) = self.present(&look.life) {
+            known.answers = false;
+        }
+    }
+
+    /// Whether the worker has refused the fencing token: only newer orders count from now on.
+    pub fn fenced(&mut self) {
+        self.fence(true);
+    }
+
+    /// Forgets a worker that is gone: its leases have ended without an answer.
+    pub fn expire(&mut self, now: Time) -> bool {
+        let (hold, started) = (self.limits.hold, self.started);
+        let Some(known) = &self.worker else { return false };
+        let silent = !known.answers && known.is_silent(now, &self.limits);
+        let over = known.lease.is_over(now, started.max(known.since), hold);
+        if !((silent || known.left) && over) {
+            return false;
+        }
+        self.gone.push(known.spec.life.clone());
+        self.worker = None;
+        true
+    }
+
+    fn fence(&mut self, fenced: bool) {
+        if let Some(given) = self.orders.as_ref().filter(|_| fenced) {
+            self.epoch = self.epoch.max(given.orders.epoch + 1);
+            self.orders = None;
+        }
+    }
+
+    fn present(&mut self, life: &Life) -> Option<&mut Known> {
+        self.worker.as_mut().filter(|k| k.spec.life == *life)
+    }
+}
+
+impl Known {
+    fn new(spec: WorkerSpec, seq: u64, now: Time) -> Self {
+        Self {
+            spec,
+            seq,
+            beat: now,
+            since: now,
+            lease: Lease::default(),
+            running: Vec::new(),
+            ends: Vec::new(),
+            listed: false,
+            answers: false,
+            left: false,
+            doing: HashMap::default(),
+            doubt: HashSet::default(),
+            refused: HashSet::default(),
+            looks: 0,
+        }
+    }
+
+    fn is_silent(&self, now: Time, limits: &Limits) -> bool {
+        now.since(self.beat) > limits.period * SILENT_PERIODS
+    }
+
+    /// Whether the worker answers and what it holds is known.
+    fn is_sound(&self, now: Time, limits: &Limits) -> bool {
+        self.listed && !(self.is_silent(now, limits) && !self.answers)
+    }
+
+    fn settle(&mut self, run: RunId) {
+        self.doing.insert(run, Doing::Settling(self.looks + 1));
+    }
+
+    /// Ends the calls that the look `serial` tells the outcome of.
+    fn settled(&mut self, now: Time, serial: u64) -> bool {
+        let running: HashSet<RunId> = self.running.iter().map(|h| h.run).collect();
+        let done = |(run, doing): (&RunId, &Doing)| match doing {
+            Doing::Calling => false,
+            Doing::Settling(from) => *from <= serial,
+            Doing::Stopping(from, at) => {
+                *from <= serial && (!running.contains(run) || now.since(*at) > STOP_AGAIN)
+            }
+        };
+        let runs: Vec<RunId> = self.doing.iter().filter(|d| done(*d)).map(|(r, _)| *r).collect();
+        for run in &runs {
+            self.doing.remove(run);
+            let ended = self.ends.iter().any(|e| e.run == *run);
+            if !running.contains(run) && !ended {
+                self.refused.insert(*run);
+            }
+            self.doubt.remove(run);
+        }
+        !runs.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-batch/src/id.rs
@@ -0,0 +1,133 @@
+//! Names of jobs, tasks and lives of workers.
+
+use {
+    displaydoc::Display,
+    serde::{Deserialize, Serialize},
+    std::{fmt, str::FromStr, sync::Arc},
+};
+
+/// Hexadecimal digits of a job's name.
+const JOB_DIGITS: usize = 16;
+
+/// Result of reading a name.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a text names nothing.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Error {
+    /// a job's name has 16 hexadecimal digits
+    Job,
+    /// a task's name is JOB.OCCURRENCE.STEP.INDEX
+    Task,
+}
+
+impl std::error::Error for Error {}
+
+/// Name of a job, chosen by its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct JobId(pub u64);
+
+impl FromStr for JobId {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let digits = text.len() == JOB_DIGITS && text.bytes().all(|b| b.is_ascii_hexdigit());
+        if !digits || text.bytes().any(|b| b.is_ascii_uppercase()) {
+            return Err(Error::Job);
+        }
+        u64::from_str_radix(text, 16).map(Self).map_err(|_| Error::Job)
+    }
+}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// One step of one occurrence of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct StepId {
+    /// The job.
+    pub job: JobId,
+    /// Occurrence, zero for a job that runs once.
+    pub occurrence: u32,
+    /// Position among the job's steps.
+    pub step: u16,
+}
+
+impl StepId {
+    /// The step's task with a position.
+    pub const fn task(self, index: u32) -> TaskId {
+        TaskId { step: self, index }
+    }
+}
+
+impl fmt::Display for StepId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.job, self.occurrence, self.step)
+    }
+}
+
+/// One task of a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TaskId {
+    /// The step.
+    pub step: StepId,
+    /// Position among the step's tasks.
+    pub index: u32,
+}
+
+impl FromStr for TaskId {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let mut parts = text.split('.');
+        let mut part = || parts.next().ok_or(Error::Task);
+        let job = part()?.parse()?;
+        let occurrence = part()?.parse().map_err(|_| Error::Task)?;
+        let step = part()?.parse().map_err(|_| Error::Task)?;
+        let index = part()?.parse().map_err(|_| Error::Task)?;
+        if parts.next().is_some() {
+            return Err(Error::Task);
+        }
+        Ok(Self { step: StepId { job, occurrence, step }, index })
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.step, self.index)
+    }
+}
+
+/// One run of a task. Runs of a task are numbered from 1; members of a gang share the number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RunId {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: u32,
+}
+
+impl fmt::Display for RunId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.task, self.run)
+    }
+}
+
+/// One life of a worker: a process that starts again is another life, under the same or another
+/// name.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Life {
+    /// Name that the worker gives itself.
+    pub worker: Arc<str>,
+    /// When it started, in milliseconds since 1970.
+    pub born: u64,
+}
+
+impl fmt::Display for Life {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.worker, self.born)
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-batch/src/ledger/job.rs
@@ -0,0 +1,181 @@
+//! State of one job.
+
+use {
+    crate::{
+        id::{JobId, Life, RunId, StepId, TaskId},
+        spec::{JobSpec, Step},
+    },
+    bronzespool_core::Time,
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// State of a job as its caller sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// No task has started.
+    Queued,
+    /// A task has started.
+    Running,
+    /// All tasks are done.
+    Completed,
+    /// A task has failed too often.
+    Failed,
+    /// Cancelled by its caller.
+    Cancelled,
+}
+
+impl Phase {
+    /// Whether tasks may still be started.
+    pub const fn is_active(self) -> bool {
+        matches!(self, Self::Queued | Self::Running)
+    }
+}
+
+/// A run that a worker may hold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Live {
+    /// Number of the run.
+    pub run: u32,
+    /// The worker.
+    pub life: Life,
+    /// Log time at which it was given to the worker.
+    pub since: Time,
+    /// Checkpoint that it goes on from.
+    pub saved: Arc<str>,
+    /// Permit of the service that names workers.
+    pub ticket: Option<Arc<str>>,
+    /// Whether it is to be stopped.
+    pub stopping: bool,
+}
+
+/// State of a task.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Task {
+    /// Number of the last run.
+    pub run: u32,
+    /// Runs that failed.
+    pub failures: u32,
+    /// Whether it is done.
+    pub done: bool,
+    /// Last checkpoint, empty for none.
+    pub saved: Arc<str>,
+    /// Runs that workers may hold.
+    pub lives: Vec<Live>,
+    /// When the last run ended.
+    pub ended: Time,
+}
+
+/// State of a step.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StepState {
+    /// Tasks.
+    pub tasks: Vec<Task>,
+    /// Failures of the gang, each run counted once.
+    pub failures: u32,
+    /// Last run of the gang that failed.
+    pub failed: u32,
+}
+
+impl StepState {
+    /// A step of which nothing has started.
+    pub fn new(step: &Step) -> Self {
+        let tasks = (0..step.count).map(|_| Task::default()).collect();
+        Self { tasks, ..Self::default() }
+    }
+
+    /// Whether all tasks are done.
+    pub fn is_done(&self) -> bool {
+        self.tasks.iter().all(|t| t.done)
+    }
+
+    /// Whether a worker may hold a run of the step.
+    pub fn is_held(&self) -> bool {
+        self.tasks.iter().any(|t| !t.lives.is_empty())
+    }
+}
+
+/// State of a job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Job {
+    /// As submitted.
+    pub spec: Arc<JobSpec>,
+    /// Phase.
+    pub phase: Phase,
+    /// Log time of the submission.
+    pub submitted: Time,
+    /// Log time at which the job reached a final phase.
+    pub finished: Option<Time>,
+    /// Attempts allowed when the job was submitted, for a queue that is gone.
+    pub attempts: u32,
+    /// Service when the job was submitted, for a queue that is gone.
+    pub service: Arc<str>,
+    /// Priority when the job was submitted.
+    pub priority: u32,
+    /// Occurrences of which something has started.
+    pub occurrences: BTreeMap<u32, Vec<StepState>>,
+    /// Occurrences that are done.
+    pub done: u32,
+}
+
+impl Job {
+    /// Steps of an occurrence, made on first use.
+    pub(super) fn steps_mut(&mut self, occurrence: u32) -> &mut Vec<StepState> {
+        let steps = &self.spec.steps;
+        self.occurrences
+            .entry(occurrence)
+            .or_insert_with(|| steps.iter().map(StepState::new).collect())
+    }
+
+    /// State of a step, unless nothing of its occurrence has started.
+    pub fn step(&self, occurrence: u32, step: u16) -> Option<&StepState> {
+        self.occurrences.get(&occurrence)?.get(usize::from(step))
+    }
+
+    /// State of a task, unless nothing of its occurrence has started.
+    pub fn task(&self, id: TaskId) -> Option<&Task> {
+        self.step(id.step.occurrence, id.step.step)?.tasks.get(id.index as usize)
+    }
+
+    pub(super) fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
+        let steps = self.occurrences.get_mut(&id.step.occurrence)?;
+        steps.get_mut(usize::from(id.step.step))?.tasks.get_mut(id.index as usize)
+    }
+
+    /// The step as submitted.
+    pub fn shape(&self, step: u16) -> Option<&Step> {
+        self.spec.steps.get(usize::from(step))
+    }
+
+    /// Whether all steps that a step depends on are done.
+    pub fn is_ready(&self, occurrence: u32, step: u16) -> bool {
+        let Some(shape) = self.shape(step) else { return false };
+        let done = |s: &u16| self.step(occurrence, *s).is_some_and(StepState::is_done);
+        shape.after.iter().all(done)
+    }
+
+    /// Whether a worker may hold a run of the job.
+    pub fn is_held(&self) -> bool {
+        self.occurrences.values().flatten().any(StepState::is_held)
+    }
+
+    /// Runs that workers may hold.
+    pub fn lives(&self) -> impl Iterator<Item = (RunId, &Live)> {
+        let id = self.spec.id;
+        self.occurrences.iter().flat_map(move |(&occurrence, steps)| {
+            steps.iter().enumerate().flat_map(move |(i, step)| {
+                let step_id = step_id(id, occurrence, i);
+                step.tasks.iter().enumerate().flat_map(move |(index, task)| {
+                    let task_id = step_id.task(index as u32);
+                    let run = move |l: &Live| RunId { task: task_id, run: l.run };
+                    task.lives.iter().map(move |l| (run(l), l))
+                })
+            })
+        })
+    }
+}
+
+/// Name of a step by its position.
+pub(crate) const fn step_id(job: JobId, occurrence: u32, step: usize) -> StepId {
+    StepId { job, occurrence, step: step as u16 }
+}
--- /dev/null
+++ b/crates/bronzespool-batch/src/ledger/mod.rs
@@ -0,0 +1,116 @@
+//! Durable state of jobs, workers and configuration, changed by records only.
+
+mod apply;
+mod job;
+mod record;
+mod worker;
+
+pub use {
+    job::{Job, Live, Phase, StepState, Task},
+    record::{Assignment, End, Event, How, Record, Verdict, WorkerSpec},
+    worker::Worker,
+};
+
+pub(crate) use job::step_id;
+
+use {
+    crate::{
+        config::Config,
+        id::{JobId, Life, RunId},
+    },
+    bronzespool_core::Time,
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+};
+
+/// Time for which a job in a final phase is remembered.
+pub const KEEP: Duration = Duration::from_secs(3_600);
+
+/// State after a record of the log.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Ledger {
+    at: Time,
+    config: Option<Arc<Config>>,
+    jobs: BTreeMap<JobId, Job>,
+    workers: BTreeMap<Arc<str>, Worker>,
+    /// Rises with each change, for those that wait for one.
+    serial: u64,
+}
+
+impl Ledger {
+    /// Latest log time.
+    pub const fn at(&self) -> Time {
+        self.at
+    }
+
+    /// Rises with each change.
+    pub const fn serial(&self) -> u64 {
+        self.serial
+    }
+
+    /// The configuration in force.
+    pub const fn config(&self) -> Option<&Arc<Config>> {
+        self.config.as_ref()
+    }
+
+    /// The job with a name.
+    pub fn job(&self, id: JobId) -> Option<&Job> {
+        self.jobs.get(&id)
+    }
+
+    /// All jobs.
+    pub fn jobs(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values()
+    }
+
+    /// All workers.
+    pub fn workers(&self) -> impl Iterator<Item = &Worker> {
+        self.workers.values()
+    }
+
+    /// The worker, if this life of it is the present one.
+    pub fn worker(&self, life: &Life) -> Option<&Worker> {
+        self.workers.get(&life.worker).filter(|w| w.spec.life == *life)
+    }
+
+    /// The run, if a worker may hold it.
+    pub fn live(&self, run: RunId) -> Option<&Live> {
+        let task = self.job(run.task.step.job)?.task(run.task)?;
+        task.lives.iter().find(|l| l.run == run.run)
+    }
+
+    /// Jobs of a queue of which no task has started.
+    pub fn pending(&self, queue: &str) -> usize {
+        let waits = |j: &&Job| &*j.spec.queue == queue && j.phase == Phase::Queued;
+        self.jobs.values().filter(waits).count()
+    }
+
+    /// Service whose workers run a job now.
+    pub fn service<'a>(&'a self, job: &'a Job) -> &'a Arc<str> {
+        let queue = self.config.as_ref().and_then(|c| c.queue(&job.spec.queue));
+        queue.map_or(&job.service, |q| &q.service)
+    }
+
+    /// Failures of a task after which its job has failed.
+    pub fn attempts(&self, job: &Job) -> u32 {
+        let queue = self.config.as_ref().and_then(|c| c.queue(&job.spec.queue));
+        queue.map_or(job.attempts, |q| q.attempts).max(1)
+    }
+
+    /// Priority of a job; zero comes first.
+    pub fn priority(&self, job: &Job) -> u32 {
+        let queue = self.config.as_ref().and_then(|c| c.queue(&job.spec.queue));
+        queue.map_or(job.priority, |q| q.priority)
+    }
+
+    /// Whether a run should be stopped: by order, or since its job or task needs it no more.
+    pub fn is_unwanted(&self, run: RunId) -> bool {
+        let Some(job) = self.job(run.task.step.job) else { return true };
+        let Some(task) = job.task(run.task) else { return true };
+        let stopping = task.lives.iter().any(|l| l.run == run.run && l.stopping);
+        let gang = job.shape(run.task.step.step).is_some_and(|s| s.gang);
+        // Members of a gang that is done end by themselves, together.
+        let surplus = task.done && !gang;
+        stopping || surplus || !job.phase.is_active()
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-batch/src/lib.rs
@@ -0,0 +1,30 @@
+//! Jobs of steps of tasks, on workers that hold them under leases: state, decisions and messages,
+//! free of I/O.
+//!
+//! A [`Ledger`] holds all durable state and changes only by [`Record`]s. [`plan::plan`] reads a
+//! ledger and returns the events that the policy wants next. An agent beside each worker compares
+//! what the ledger wants with what its worker says, by [`agent::Desk`].
+//!
+//! ```
+//! use bronzespool_batch::id::{JobId, TaskId};
+//!
+//! let task: TaskId = "5c0e7a21d94b36f8.0.1.17".parse()?;
+//! assert_eq!(task.step.job, JobId(0x5c0e_7a21_d94b_36f8));
+//! assert_eq!((task.step.step, task.index), (1, 17));
+//! # Ok::<(), bronzespool_batch::id::Error>(())
+//! ```
+
+pub mod agent;
+pub mod config;
+pub mod id;
+pub mod ledger;
+pub mod message;
+pub mod plan;
+pub mod spec;
+
+pub use crate::{
+    config::Config,
+    id::{JobId, Life, RunId, StepId, TaskId},
+    ledger::{Event, Ledger, Phase, Record, Verdict},
+    spec::{JobSpec, Resources, Step},
+};
--- /dev/null
+++ b/crates/bronzespool-batch/src/message.rs
@@ -0,0 +1,162 @@
+//! Messages between callers' entries, agents and the leader.
+
+use {
+    crate::{
+        config::Config,
+        id::{JobId, Life, RunId},
+        ledger::{End, Phase, WorkerSpec},
+        spec::JobSpec,
+    },
+    bronzespool_core::Instance,
+    serde::{Deserialize, Serialize},
+    std::{net::SocketAddr, sync::Arc},
+};
+
+/// A run that a worker lists as running.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// The run.
+    pub run: RunId,
+    /// Last checkpoint, empty for none.
+    pub saved: Arc<str>,
+    /// Progress in percent, as the worker reports it.
+    pub percent: u32,
+    /// Tail latency in milliseconds of a run that serves, else the processor in use.
+    pub usage: u64,
+}
+
+/// What an agent knows of its worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Poll {
+    /// Instance of the agent.
+    pub agent: Instance,
+    /// Random number of the agent's start.
+    pub nonce: u64,
+    /// The worker's present life, if it is known and answers.
+    pub worker: Option<WorkerSpec>,
+    /// Lives whose runs have surely ended.
+    pub gone: Vec<Life>,
+    /// Runs that the worker lists.
+    pub running: Vec<Held>,
+    /// Ends that the worker lists, by rising number.
+    pub ends: Vec<End>,
+    /// Runs that the worker has not started and will not start.
+    pub refused: Vec<RunId>,
+    /// Runs for which a call to the worker is under way.
+    pub busy: Vec<RunId>,
+}
+
+/// A run to be started.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Start {
+    /// The run.
+    pub run: RunId,
+    /// Text for the task.
+    pub text: Arc<str>,
+    /// Checkpoint to go on from, empty for none.
+    pub saved: Arc<str>,
+    /// Permit of the service that names workers.
+    pub ticket: Option<Arc<str>>,
+    /// Bound on its tail latency in milliseconds, if it serves.
+    pub target: u64,
+    /// Whether it lives on processor time that others leave.
+    pub filler: bool,
+}
+
+/// What the leader wants of an agent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Orders {
+    /// Fencing token of the leader.
+    pub epoch: u64,
+    /// Life that the orders are for.
+    pub life: Option<Life>,
+    /// Number of the last end that is recorded.
+    pub cursor: u64,
+    /// Milliseconds for which the worker's leases may be extended, from the time at which the
+    /// agent sent its poll.
+    pub lease: u64,
+    /// Runs to start.
+    pub starts: Vec<Start>,
+    /// Runs to stop.
+    pub stops: Vec<RunId>,
+}
+
+/// Credentials and place of a call of a caller.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Caller {
+    /// Host that the caller named.
+    pub host: Arc<str>,
+    /// Path.
+    pub path: Arc<str>,
+    /// Key, if any.
+    pub key: Option<Arc<str>>,
+}
+
+/// What a caller asks for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Ask {
+    /// Submits the job; its queue and team are filled in by the leader.
+    Submit(Box<JobSpec>),
+    /// The state of a job.
+    State(JobId),
+    /// Cancels a job.
+    Cancel(JobId),
+    /// Jobs of the queue of which nothing has started.
+    Pending,
+}
+
+/// A call to the leader.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Call {
+    /// A caller's request.
+    Ask(Caller, Ask),
+    /// An agent's report; answered when there are orders.
+    Poll(Box<Poll>),
+    /// An operator's configuration.
+    Configure(Arc<Config>),
+    /// Reads the configuration.
+    ReadConfig,
+    /// Asks whether the leader serves.
+    Ping,
+}
+
+/// Why a call was not carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Denial {
+    /// No configuration is in force yet.
+    NoConfig,
+    /// No queue has this place.
+    NoQueue,
+    /// No team has this key.
+    NoKey,
+    /// No such job.
+    NoJob,
+    /// The job contradicts itself or cannot fit any worker.
+    Invalid,
+}
+
+/// A reply of the leader.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// Carried out.
+    Done,
+    /// State of a job.
+    State(Phase),
+    /// Jobs of which nothing has started.
+    Pending(u64),
+    /// Orders for an agent.
+    Orders(Box<Orders>),
+    /// The configuration as it was sent, if there is one.
+    Config(Option<Arc<[u8]>>),
+    /// Not carried out, and it never will be.
+    Denied(Denial),
+}
+
+/// Where control is, as a control instance sees it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Map {
+    /// The leader, where known.
+    pub leader: Option<SocketAddr>,
+    /// All control instances.
+    pub members: Vec<SocketAddr>,
+}
--- /dev/null
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -0,0 +1,96 @@
+//! Decisions: which task runs where next, and what has to make room.
+//!
+//! [`plan`] is a pure function of the ledger and a [`Scene`]. It is asked again whenever either
+//! has changed; what it returns counts once it is in the log.
+
+mod order;
+mod place;
+mod room;
+mod unit;
+
+pub use {order::Standing, unit::Unit};
+
+use {
+    self::{
+        order::standing,
+        place::{Placement, place, place_over},
+        room::{Claim, Room},
+        unit::units,
+    },
+    crate::{
+        id::RunId,
+        ledger::{Assignment, Event, Ledger},
+    },
+    bronzespool_core::{HashMap, HashSet, Time},
+    std::sync::Arc,
+};
+
+/// Most tasks started by one plan: the rest follows once these are in the log.
+const STARTS_MAX: usize = 256;
+
+/// What a run has done so far, by its worker's latest word.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Progress {
+    /// Last checkpoint, empty for none.
+    pub saved: Arc<str>,
+    /// Progress in percent.
+    pub percent: u32,
+}
+
+/// What the leader knows beside the ledger.
+#[derive(Clone, Debug, Default)]
+pub struct Scene {
+    /// Log time.
+    pub now: Time,
+    /// Time of day in milliseconds since 1970.
+    pub wall: u64,
+    /// Workers whose agents are in contact and that may be given tasks.
+    pub usable: HashSet<Arc<str>>,
+    /// Runs by their workers' latest word.
+    pub progress: HashMap<RunId, Progress>,
+}
+
+/// The events that the policy wants next.
+pub fn plan(ledger: &Ledger, scene: &Scene) -> Vec<Event> {
+    let mut events = Vec::new();
+    let broken = unit::broken(ledger);
+    if !broken.is_empty() {
+        events.push(Event::Stopping(broken));
+    }
+    let mut room = Room::new(ledger, scene);
+    let mut waiting = units(ledger, scene);
+    let standing = standing(ledger);
+    waiting.sort_by_key(|u| standing.rank(u));
+    let mut starts = 0;
+    for unit in &waiting {
+        if starts >= STARTS_MAX {
+            break;
+        }
+        if let Some(placement) = place(unit, &room) {
+            starts += placement.len();
+            room.take(unit, &placement);
+            events.push(Event::Started(assignments(unit, &placement)));
+            continue;
+        }
+        if !standing.is_guaranteed(unit) {
+            continue;
+        }
+        if let Some((placement, victims)) = place_over(unit, &room, ledger, &standing, scene) {
+            room.claim(&Claim { unit, placement: &placement, victims: &victims });
+            if !victims.is_empty() {
+                events.push(Event::Stopping(victims));
+            }
+        }
+    }
+    events
+}
+
+fn assignments(unit: &Unit, placement: &Placement) -> Vec<Assignment> {
+    let give = |(task, life): (&unit::Waiting, &crate::id::Life)| Assignment {
+        run: RunId { task: unit.step.task(task.index), run: unit.run(task) },
+        life: life.clone(),
+        saved: task.saved.clone(),
+        ticket: None,
+    };
+    unit.tasks.iter().zip(placement).map(give).collect()
+}
--- /dev/null
+++ b/crates/bronzespool-batch/src/plan/room.rs
@@ -0,0 +1,121 @@
+//! Room on the workers while a plan is made.
+
+use {
+    crate::{
+        id::{Life, RunId, StepId},
+        ledger::{Ledger, Worker},
+        plan::{Scene, Unit, place::Placement},
+        spec::{Resources, Step},
+    },
+    bronzespool_core::{HashMap, HashSet},
+    std::sync::Arc,
+};
+
+/// One worker that may be given tasks.
+#[derive(Clone, Debug)]
+pub(super) struct Slot<'a> {
+    pub(super) worker: &'a Worker,
+    /// What no run takes and no claim holds.
+    pub(super) free: Resources,
+    /// What runs take that are being stopped and that no claim holds.
+    pub(super) coming: Resources,
+    /// Tasks of a step on it.
+    pub(super) steps: HashMap<StepId, u32>,
+}
+
+impl Slot<'_> {
+    pub(super) fn life(&self) -> &Life {
+        &self.worker.spec.life
+    }
+
+    pub(super) fn rack(&self) -> &str {
+        self.worker.spec.rack()
+    }
+
+    /// Whether the worker is of the kind that a step asks for.
+    pub(super) fn suits(&self, service: &Arc<str>, step: &Step) -> bool {
+        let label = step.label.as_ref();
+        let spec = &self.worker.spec;
+        spec.service == *service && label.is_none_or(|l| spec.labels.contains(l))
+    }
+}
+
+/// A unit that waits for room on certain workers.
+pub(super) struct Claim<'a> {
+    pub(super) unit: &'a Unit<'a>,
+    pub(super) placement: &'a Placement,
+    pub(super) victims: &'a [RunId],
+}
+
+/// Room on all workers.
+#[derive(Clone, Debug)]
+pub(super) struct Room<'a> {
+    pub(super) ledger: &'a Ledger,
+    pub(super) slots: Vec<Slot<'a>>,
+    /// Runs that are being stopped, or will be by this plan.
+    pub(super) leaving: HashSet<RunId>,
+}
+
+impl<'a> Room<'a> {
+    pub(super) fn new(ledger: &'a Ledger, scene: &Scene) -> Self {
+        let usable = |w: &&Worker| {
+            let life = &w.spec.life;
+            !w.spec.leaving && scene.usable.contains(&life.worker)
+        };
+        let mut room = Self { ledger, slots: Vec::new(), leaving: HashSet::default() };
+        for worker in ledger.workers().filter(usable) {
+            let slot = room.slot(worker);
+            room.slots.push(slot);
+        }
+        room
+    }
+
+    fn slot(&mut self, worker: &'a Worker) -> Slot<'a> {
+        let mut slot = Slot {
+            worker,
+            free: worker.free(),
+            coming: Resources::default(),
+            steps: HashMap::default(),
+        };
+        for (run, taken) in &worker.runs {
+            *slot.steps.entry(run.task.step).or_default() += 1;
+            if self.ledger.is_unwanted(*run) {
+                slot.coming = slot.coming.plus(taken);
+                self.leaving.insert(*run);
+            }
+        }
+        slot
+    }
+
+    /// Takes room for a unit that starts now.
+    pub(super) fn take(&mut self, unit: &Unit<'_>, placement: &Placement) {
+        let taken = unit.shape.taken();
+        for life in placement {
+            if let Some(slot) = self.slots.iter_mut().find(|s| s.life() == life) {
+                slot.free = slot.free.minus(&taken);
+                *slot.steps.entry(unit.step).or_default() += 1;
+            }
+        }
+    }
+
+    /// Holds room for a unit that starts once others have ended.
+    pub(super) fn claim(&mut self, claim: &Claim<'_>) {
+        for victim in claim.victims {
+            self.leaving.insert(*victim);
+            for slot in &mut self.slots {
+                if let Some(taken) = slot.worker.runs.get(victim) {
+                    slot.coming = slot.coming.plus(taken);
+                }
+            }
+        }
+        let taken = claim.unit.shape.taken();
+        for life in claim.placement {
+            if let Some(slot) = self.slots.iter_mut().find(|s| s.life() == life) {
+                let rest = taken.minus(&slot.free);
+                slot.free = slot.free.minus(&taken);
+                slot.coming = slot.coming.minus(&rest);
+                *slot.steps.entry(claim.unit.step).or_default() += 1;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-batch/src/plan/unit.rs
@@ -0,0 +1,157 @@
+//! What can be started: a task by itself, or the tasks of a gang together.
+
+use {
+    crate::{
+        id::{RunId, StepId},
+        ledger::{Job, Ledger, StepState, Task, step_id},
+        plan::Scene,
+        spec::Step,
+    },
+    bronzespool_core::Time,
+    std::{sync::Arc, time::Duration},
+};
+
+/// Pause before a task that has failed is started again.
+const FAILED_PAUSE: Duration = Duration::from_millis(200);
+
+/// A task that waits.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Waiting {
+    /// Position among the step's tasks.
+    pub index: u32,
+    /// Number of its last run.
+    pub run: u32,
+    /// Checkpoint to go on from, empty for none.
+    pub saved: Arc<str>,
+}
+
+/// Tasks that are started together.
+#[derive(Clone, Debug)]
+pub struct Unit<'a> {
+    /// The job.
+    pub job: &'a Job,
+    /// The step.
+    pub step: StepId,
+    /// The step as submitted.
+    pub shape: &'a Step,
+    /// The tasks.
+    pub tasks: Vec<Waiting>,
+    /// Log time since which it could have started, as far as known.
+    pub since: Time,
+}
+
+impl Unit<'_> {
+    /// Number of the next run of a task; members of a gang share it.
+    pub fn run(&self, task: &Waiting) -> u32 {
+        if self.shape.gang {
+            return self.tasks.iter().map(|t| t.run).max().unwrap_or(0) + 1;
+        }
+        task.run + 1
+    }
+}
+
+/// All that can be started now.
+pub(super) fn units<'a>(ledger: &'a Ledger, scene: &Scene) -> Vec<Unit<'a>> {
+    let active = ledger.jobs().filter(|j| j.phase.is_active());
+    let mut found = Vec::new();
+    for job in active {
+        let due = (0..job.spec.occurrences()).take_while(|k| job.spec.due(*k) <= scene.wall);
+        for occurrence in due {
+            for (i, shape) in job.spec.steps.iter().enumerate() {
+                let step = step_id(job.spec.id, occurrence, i);
+                if job.is_ready(occurrence, step.step) {
+                    collect(job, step, shape, scene, &mut found);
+                }
+            }
+        }
+    }
+    found
+}
+
+fn collect<'a>(
+    job: &'a Job,
+    step: StepId,
+    shape: &'a Step,
+    scene: &Scene,
+    found: &mut Vec<Unit<'a>>,
+) {
+    let state = job.step(step.occurrence, step.step);
+    let make = |tasks, since| Unit { job, step, shape, tasks, since };
+    let Some(state) = state else {
+        let fresh = (0..shape.count).map(|index| Waiting { index, run: 0, saved: "".into() });
+        split(shape, fresh.collect(), job.submitted, make, found);
+        return;
+    };
+    if shape.gang {
+        if state.is_done() || state.is_held() {
+            return;
+        }
+        let saved = latest(state);
+        let ended = state.tasks.iter().map(|t| t.ended).max().unwrap_or(job.submitted);
+        if scene.now.since(ended) < FAILED_PAUSE && state.failures > 0 {
+            return;
+        }
+        let wait = |(i, t): (usize, &Task)| waiting(i, t, saved.clone());
+        found.push(make(state.tasks.iter().enumerate().map(wait).collect(), ended));
+        return;
+    }
+    let idle = |t: &Task| !t.done && t.lives.is_empty();
+    let paused = |t: &Task| t.failures > 0 && scene.now.since(t.ended) < FAILED_PAUSE;
+    for (i, task) in state.tasks.iter().enumerate().filter(|(_, t)| idle(t) && !paused(t)) {
+        found.push(make(vec![waiting(i, task, task.saved.clone())], task.ended));
+    }
+}
+
+fn split<'a>(
+    shape: &Step,
+    tasks: Vec<Waiting>,
+    since: Time,
+    make: impl Fn(Vec<Waiting>, Time) -> Unit<'a>,
+    found: &mut Vec<Unit<'a>>,
+) {
+    if shape.gang {
+        found.push(make(tasks, since));
+        return;
+    }
+    found.extend(tasks.into_iter().map(|t| make(vec![t], since)));
+}
+
+const fn waiting(index: usize, task: &Task, saved: Arc<str>) -> Waiting {
+    Waiting { index: index as u32, run: task.run, saved }
+}
+
+/// The gang's checkpoint that was recorded last; any member's holds for all.
+fn latest(state: &StepState) -> Arc<str> {
+    let saved = state.tasks.iter().filter(|t| !t.saved.is_empty());
+    saved.max_by_key(|t| t.ended).map_or_else(|| Arc::from(""), |t| t.saved.clone())
+}
+
+/// Runs of gangs that have lost a member: the rest has to end before the gang can start again.
+pub(super) fn broken(ledger: &Ledger) -> Vec<RunId> {
+    let mut runs = Vec::new();
+    for job in ledger.jobs().filter(|j| j.phase.is_active()) {
+        for (&occurrence, steps) in &job.occurrences {
+            for (i, state) in steps.iter().enumerate() {
+                let gang = job.spec.steps.get(i).is_some_and(|s| s.gang);
+                if gang && is_broken(state) {
+                    let step = step_id(job.spec.id, occurrence, i);
+                    runs.extend(held(step, state));
+                }
+            }
+        }
+    }
+    runs
+}
+
+fn is_broken(state: &StepState) -> bool {
+    let whole = state.tasks.iter().all(|t| !t.lives.is_empty());
+    let told = state.tasks.iter().flat_map(|t| &t.lives).all(|l| l.stopping);
+    !state.is_done() && state.is_held() && !whole && !told
+}
+
+fn held(step: StepId, state: &StepState) -> impl Iterator<Item = RunId> {
+    state.tasks.iter().enumerate().flat_map(move |(i, task)| {
+        let id = step.task(i as u32);
+        task.lives.iter().filter(|l| !l.stopping).map(move |l| RunId { task: id, run: l.run })
+    })
+}
--- a/crates/bronzespool-consensus/src/node/joining.rs
+++ b/crates/bronzespool-consensus/src/node/joining.rs
@@ -17,6 +17,8 @@
 const REPLACE_ELECTIONS: u32 = 4;
 /// Election times without a leader after which a replica of the set asks its peers.
 const SILENT_ELECTIONS: u32 = 3;
+/// Smallest number of voters of which a silent one may be left out.
+const SURPLUS_VOTERS: usize = 4;
 /// Heartbeats between two requests of a replica outside the set.
 const HELLO_HEARTBEATS: u32 = 4;
 
@@ -117,7 +119,7 @@
     /// cluster that had accepted anything would be known to a peer that still has its disk.
     fn found(&mut self) {
         let first = self.settings.peers.iter().min() == Some(&self.settings.name);
-        if self.hard.cluster != 0 || !first {
+        if self.hard.cluster != 0 || !first || !self.settings.founder {
             return;
         }
         let own = (self.hard.id, self.settings.name.clone());
@@ -197,9 +199,30 @@
         } else if let Some((name, id)) = self.next_asking() {
             let next = self.log.members().with_learner(id, &name);
             self.change(next);
+        } else if let Some(name) = self.superseded() {
+            let next = self.log.members().without(&name);
+            self.change(next);
         }
     }
 
+    /// A silent voter of a set that has grown to an even number: a newcomer has taken its place,
+    /// and without it one more loss can be borne.
+    fn superseded(&self) -> Option<Instance> {
+        let Phase::Leader(leader) = &self.phase else { return None };
+        let voters: Vec<&Member> = self.log.members().list.iter().filter(|m| m.voter).collect();
+        if !self.settings.open || voters.len() < SURPLUS_VOTERS || voters.len() % 2 != 0 {
+            return None;
+        }
+        let patience: Duration = self.settings.election * REPLACE_ELECTIONS;
+        let silent = |m: &&&Member| {
+            let progress = leader.others.get(&m.id);
+            progress.is_some_and(|p| self.now > p.contact.unwrap_or(leader.since) + patience)
+        };
+        let mut gone = voters.iter().filter(silent);
+        let name = gone.next().map(|m| m.name.clone());
+        name.filter(|_| gone.next().is_none())
+    }
+
     /// A learner that holds all that was committed a heartbeat ago, in place of a silent identity.
     /// Under load a learner never holds what is committed at the very moment.
     fn caught_up(&self) -> Option<Id> {
@@ -216,7 +239,9 @@
         let outside = |id: Id| members.get(id).is_none() && !members.is_retired(id);
         self.joining.asking.retain(|_, id| outside(*id));
         let known = |name: &Instance| {
-            self.settings.peers.contains(name) || members.list.iter().any(|m| m.name == *name)
+            self.settings.open
+                || self.settings.peers.contains(name)
+                || members.list.iter().any(|m| m.name == *name)
         };
         let mut asking = self.joining.asking.iter();
         let found = asking.find(|(name, id)| known(name) && !self.is_occupied(name, **id));
--- a/crates/bronzespool-consensus/src/settings.rs
+++ b/crates/bronzespool-consensus/src/settings.rs
@@ -16,6 +16,10 @@
     pub name: Instance,
     /// All control instances, this one included.
     pub peers: Vec<Instance>,
+    /// Whether this replica may take part in founding a cluster with the `peers`.
+    pub founder: bool,
+    /// Whether instances that `peers` does not name may join, and replace silent ones.
+    pub open: bool,
     /// Silence of the leader after which an election may start; the actual time is drawn
     /// between one and two of these.
     pub election: Duration,
@@ -52,6 +56,8 @@
         Self {
             name,
             peers,
+            founder: true,
+            open: false,
             election: Duration::from_millis(300),
             heartbeat: Duration::from_millis(60),
             lease: Duration::from_millis(240),
--- a/crates/bronzespool-wire/src/message/call.rs
+++ b/crates/bronzespool-wire/src/message/call.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::message::{Announce, BurnView, ExplainView, JobView, Report, StatusView},
+    bronzespool_batch::message as batch,
     bronzespool_core::{Digest, Instance, Job, Key, Kind, Refusal, Service, ServiceSpec, Target},
     bronzespool_flow::{
         burn::Windows,
@@ -89,6 +90,10 @@
         /// What it holds and wants, by service.
         reports: Vec<(Service, limit::Report)>,
     },
+    /// Asks any control instance where control is.
+    Where,
+    /// A call about jobs of steps of tasks.
+    Batch(batch::Call),
 }
 
 /// How far a hub's sessions are.
@@ -166,6 +171,10 @@
         /// Index of the record, which the hub waits for.
         index: u64,
     },
+    /// Where control is.
+    Where(batch::Map),
+    /// To a call about jobs of steps of tasks.
+    Batch(batch::Reply),
 }
 
 /// A reply or the reason why there is none.
--- a/crates/bronzespool/src/lib.rs
+++ b/crates/bronzespool/src/lib.rs
@@ -6,6 +6,7 @@
 //! |---|---|
 //! | [`core`] | checked types, result codes, time, settings |
 //! | [`consensus`] | replicated log |
+//! | [`batch`] | jobs of steps of tasks |
 //! | [`schedule`] | guarantees, placement, queues, gangs |
 //! | [`flow`] | claims, limits, retries, routing, sessions |
 //! | [`wire`] | messages and connections between processes |
@@ -18,8 +19,8 @@
 //! ```
 
 pub use {
-    bronzespool_consensus as consensus, bronzespool_core as core, bronzespool_flow as flow,
-    bronzespool_schedule as schedule, bronzespool_wire as wire,
+    bronzespool_batch as batch, bronzespool_consensus as consensus, bronzespool_core as core,
+    bronzespool_flow as flow, bronzespool_schedule as schedule, bronzespool_wire as wire,
 };
 
 /// The types that most programs need.
--- /dev/null
+++ b/crates/bronzespoold/src/batch/agent.rs
@@ -0,0 +1,217 @@
+//! The agent beside one worker: looks at its list, polls the leader, carries out what differs.
+
+use {
+    crate::{batch::finder::Finder, clock::Clock},
+    bronzespool::{
+        batch::{
+            agent::{Action, Desk, Limits, Listing, Look, Started, Stopped},
+            ledger::WorkerSpec,
+            message::{Call, Orders, Poll, Reply},
+        },
+        core::{Instance, Time},
+    },
+    futures::{StreamExt, stream::FuturesUnordered},
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{
+        sync::Notify,
+        task::spawn_local,
+        time::{sleep, timeout},
+    },
+};
+
+/// Time for which a look waits at the worker for an end.
+const LOOK_WAIT: Duration = Duration::from_millis(400);
+/// Shortest time between two looks.
+const LOOK_PAUSE: Duration = Duration::from_millis(10);
+/// Pause after a look without an answer.
+const MISSED_PAUSE: Duration = Duration::from_millis(150);
+/// Pause before the worker is known.
+const IDLE_PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait for the leader's answer to a poll, its own wait included.
+const POLL_TIME: Duration = Duration::from_millis(2_500);
+/// Polls under way at once: one that waits for orders, and one with news.
+const POLLS_MAX: usize = 2;
+/// Pause after a poll without an answer.
+const POLL_PAUSE: Duration = Duration::from_millis(50);
+
+/// The worker beside the agent.
+pub trait Worker: 'static {
+    /// Starts a run.
+    fn start(&self, action: &Action) -> impl Future<Output = Started>;
+    /// Stops a run.
+    fn stop(&self, action: &Action) -> impl Future<Output = Stopped>;
+    /// Lists what the worker holds, extending its leases; waits up to `wait` for an end.
+    fn look(&self, look: &Look, wait: Duration) -> impl Future<Output = Looked>;
+}
+
+/// Answer of a worker to a look.
+#[derive(Clone, Debug)]
+pub enum Looked {
+    /// The worker's list.
+    Listed(Listing),
+    /// The worker has seen a higher fencing token.
+    Fenced,
+    /// No answer.
+    Missed,
+}
+
+/// What an agent needs to know.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Instance of this process.
+    pub instance: Instance,
+    /// Bounds that the platform sets.
+    pub limits: Limits,
+}
+
+/// The agent.
+pub struct Agent<W> {
+    clock: Clock,
+    finder: Finder,
+    worker: W,
+    desk: RefCell<Desk>,
+    /// Wakes the poll, since there is something new for the leader.
+    news: Notify,
+}
+
+impl<W: Worker> Agent<W> {
+    /// An agent that knows nothing of its worker yet.
+    pub fn new(options: Options, clock: Clock, finder: Finder, worker: W) -> Rc<Self> {
+        let nonce = fastrand::u64(..);
+        let desk = Desk::new(options.instance, nonce, options.limits, clock.now());
+        let desk = RefCell::new(desk);
+        Rc::new(Self { clock, finder, worker, desk, news: Notify::new() })
+    }
+
+    /// Starts to look and to poll, for as long as this process lives.
+    pub fn start(self: &Rc<Self>) {
+        spawn_local(Rc::clone(self).run_looks());
+        spawn_local(Rc::clone(self).run_polls());
+    }
+
+    /// Takes a check-in of the worker.
+    pub fn check_in(&self, spec: WorkerSpec, seq: u64) {
+        let before = self.desk.borrow().life().cloned();
+        let leaving = self.desk.borrow().is_leaving();
+        let life = spec.life.clone();
+        if !self.desk.borrow_mut().check_in(self.clock.now(), spec, seq) {
+            log::info!(life:%, seq; "a late check-in was left aside");
+            return;
+        }
+        if before.as_ref() != Some(&life) {
+            log::info!(life:%; "a worker has checked in");
+        }
+        if self.desk.borrow().is_leaving() != leaving {
+            log::info!(life:%; "the worker is leaving");
+            self.news.notify_one();
+        }
+    }
+
+    /// Takes the word of the worker that it ends.
+    pub fn leave(&self, worker: &str) {
+        log::info!(worker; "the worker ends");
+        self.desk.borrow_mut().leave(worker);
+        self.news.notify_one();
+    }
+
+    /// Begins with other addresses when the leader has to be found.
+    pub fn reseed(&self, seeds: Vec<SocketAddr>) {
+        self.finder.reseed(seeds);
+    }
+
+    async fn run_looks(self: Rc<Self>) {
+        loop {
+            if self.desk.borrow_mut().expire(self.clock.now()) {
+                log::info!("the worker is gone and its leases have ended");
+                self.news.notify_one();
+            }
+            let answered = self.look(LOOK_WAIT).await;
+            sleep(match answered {
+                Some(true) => LOOK_PAUSE,
+                Some(false) => MISSED_PAUSE,
+                None => IDLE_PAUSE,
+            })
+            .await;
+        }
+    }
+
+    /// Looks at the worker's list; tells whether it answered, none before it is known.
+    async fn look(&self, wait: Duration) -> Option<bool> {
+        let look = self.desk.borrow_mut().look(self.clock.now())?;
+        match self.worker.look(&look, wait).await {
+            Looked::Listed(listing) => {
+                if self.desk.borrow_mut().listed(self.clock.now(), &look, listing) {
+                    self.news.notify_one();
+                }
+                Some(true)
+            }
+            Looked::Fenced => {
+                log::info!(epoch:? = look.epoch; "the worker has seen a newer leader");
+                self.desk.borrow_mut().fenced();
+                self.news.notify_one();
+                Some(false)
+            }
+            Looked::Missed => {
+                self.desk.borrow_mut().missed(&look);
+                Some(false)
+            }
+        }
+    }
+
+    /// Polls the leader. News do not wait for the poll under way: the leader ends that one when
+    /// the next arrives.
+    async fn run_polls(self: Rc<Self>) {
+        let mut polls = FuturesUnordered::new();
+        loop {
+            if polls.is_empty() {
+                polls.push(self.poll());
+            }
+            tokio::select! {
+                _ = polls.next() => {}
+                () = self.news.notified(), if polls.len() < POLLS_MAX => polls.push(self.poll()),
+            }
+        }
+    }
+
+    async fn poll(self: &Rc<Self>) {
+        let sent = self.clock.now();
+        let poll = self.desk.borrow().poll(sent);
+        match self.finder.call(Call::Poll(Box::new(poll.clone())), POLL_TIME).await {
+            Ok(Reply::Orders(orders)) => self.take(sent, &poll, *orders),
+            Ok(other) => {
+                log::warn!(other:?; "the leader's answer to a poll is of another kind");
+                sleep(POLL_PAUSE).await;
+            }
+            Err(fault) => {
+                log::info!(fault:%; "a poll had no answer");
+                sleep(POLL_PAUSE).await;
+            }
+        }
+    }
+
+    fn take(self: &Rc<Self>, sent: Time, poll: &Poll, orders: Orders) {
+        self.desk.borrow_mut().ordered(sent, poll, orders);
+        let actions = self.desk.borrow_mut().actions(self.clock.now());
+        for action in actions {
+            spawn_local(Rc::clone(self).act(action));
+        }
+    }
+
+    async fn act(self: Rc<Self>, action: Action) {
+        match &action {
+            Action::Start { start, life, epoch, .. } => {
+                let verdict = self.worker.start(&action).await;
+                log::info!(run:% = start.run, life:%, epoch, verdict:?; "a start was ordered");
+                self.desk.borrow_mut().started(life, start.run, verdict);
+            }
+            Action::Stop { run, life, epoch } => {
+                let verdict = self.worker.stop(&action).await;
+                log::info!(run:%, life:%, epoch, verdict:?; "a stop was ordered");
+                self.desk.borrow_mut().stopped(self.clock.now(), life, *run, verdict);
+            }
+        }
+        // A look that begins now tells the outcome.
+        let _ = timeout(LOOK_WAIT, self.look(Duration::ZERO)).await;
+        self.news.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/bronzespoold/src/batch/finder.rs
@@ -0,0 +1,176 @@
+//! Finds the leader from a few addresses and calls it.
+
+use {
+    crate::clock::Clock,
+    bronzespool::{
+        batch::message::{self, Map},
+        core::{Code, HashMap, Refusal},
+        wire::{
+            bronzespool_capnp::control,
+            frame,
+            link::{Link, Result as Linked},
+            message::{Answered, Call, Reply},
+        },
+    },
+    displaydoc::Display,
+    futures::{StreamExt, stream::FuturesUnordered},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        time::Duration,
+    },
+    tokio::time::{sleep, timeout},
+};
+
+/// Longest wait for an instance's word on where control is.
+const WHERE_TIME: Duration = Duration::from_millis(500);
+/// Longest wait for the leader's answer before it is taken for silent.
+const ANSWER_TIME: Duration = Duration::from_millis(1_000);
+/// Pause before another try.
+const PAUSE: Duration = Duration::from_millis(40);
+
+/// Result of a call to the leader.
+pub type Result<T> = std::result::Result<T, Fault>;
+
+/// Why a call has no reply.
+#[derive(Clone, Debug, Display)]
+pub enum Fault {
+    /// no leader was found in time: the call was not carried out
+    NoLeader,
+    /// the call may have been carried out
+    Unknown,
+    /// {0}
+    Refused(Refusal),
+}
+
+impl std::error::Error for Fault {}
+
+/// Calls the leader, wherever it is.
+pub struct Finder {
+    clock: Clock,
+    seeds: RefCell<Vec<SocketAddr>>,
+    members: RefCell<Vec<SocketAddr>>,
+    links: RefCell<HashMap<SocketAddr, Link<control::Client>>>,
+    leader: Cell<Option<SocketAddr>>,
+}
+
+impl Finder {
+    /// A finder that knows a few control instances, which may be gone or stale.
+    pub fn new(clock: Clock, seeds: Vec<SocketAddr>) -> Self {
+        Self {
+            clock,
+            seeds: RefCell::new(seeds),
+            members: RefCell::default(),
+            links: RefCell::default(),
+            leader: Cell::new(None),
+        }
+    }
+
+    /// Replaces the addresses to begin with.
+    pub fn reseed(&self, seeds: Vec<SocketAddr>) {
+        *self.seeds.borrow_mut() = seeds;
+    }
+
+    /// Calls the leader within `time`, as often as needed: every call may be repeated.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::Unknown`] once some attempt may have been carried out, whatever came after it.
+    pub async fn call(&self, call: message::Call, time: Duration) -> Result<message::Reply> {
+        let end = self.clock.now() + time;
+        let call = Call::Batch(call);
+        let mut maybe = false;
+        loop {
+            let left = end.since(self.clock.now());
+            if left.is_zero() {
+                return Err(if maybe { Fault::Unknown } else { Fault::NoLeader });
+            }
+            match self.attempt(&call, left.min(ANSWER_TIME)).await {
+                Some(Ok(Reply::Batch(reply))) => return Ok(reply),
+                Some(Ok(_)) => return Err(Fault::Refused(Code::Internal.into())),
+                Some(Err(refusal)) if refusal.code == Code::NoLeader => self.leader.set(None),
+                Some(Err(refusal)) if refusal.code == Code::CommitUnknown => {
+                    maybe = true;
+                    self.leader.set(None);
+                }
+                Some(Err(refusal)) => return Err(Fault::Refused(refusal)),
+                None => maybe = true,
+            }
+            sleep(PAUSE.min(end.since(self.clock.now()))).await;
+        }
+    }
+
+    /// One attempt; none if its outcome is unknown.
+    async fn attempt(&self, call: &Call, time: Duration) -> Option<Answered> {
+        let Some(leader) = self.locate(time).await else {
+            return Some(Err(Code::NoLeader.into()));
+        };
+        match exchange(&self.link(leader), call, time).await {
+            Ok(answered) => Some(answered),
+            Err(error) => {
+                log::debug!(leader:%, error:%; "the leader did not answer");
+                self.leader.set(None);
+                error.unsent().then(|| Err(Code::NoLeader.into()))
+            }
+        }
+    }
+
+    fn link(&self, address: SocketAddr) -> Link<control::Client> {
+        let mut links = self.links.borrow_mut();
+        links.entry(address).or_insert_with(|| Link::new(address)).clone()
+    }
+
+    async fn locate(&self, time: Duration) -> Option<SocketAddr> {
+        if let Some(leader) = self.leader.get() {
+            return Some(leader);
+        }
+        let found = timeout(time, self.ask_all()).await.ok()??;
+        self.leader.set(Some(found));
+        Some(found)
+    }
+
+    /// Asks all known control instances at once and takes the first that knows the leader.
+    async fn ask_all(&self) -> Option<SocketAddr> {
+        let mut known = self.members.borrow().clone();
+        known.extend(self.seeds.borrow().iter());
+        known.sort_unstable();
+        known.dedup();
+        let asks = known.into_iter().map(|address| self.ask_one(address));
+        let mut asks: FuturesUnordered<_> = asks.collect();
+        while let Some(map) = asks.next().await {
+            let Some(map) = map else { continue };
+            if !map.members.is_empty() {
+                self.members.replace(map.members);
+            }
+            if map.leader.is_some() {
+                return map.leader;
+            }
+        }
+        None
+    }
+
+    async fn ask_one(&self, address: SocketAddr) -> Option<Map> {
+        match exchange(&self.link(address), &Call::Where, WHERE_TIME).await {
+            Ok(Ok(Reply::Where(map))) => Some(map),
+            Ok(other) => {
+                log::debug!(address:%, other:?; "an instance does not say where control is");
+                None
+            }
+            Err(error) => {
+                log::debug!(address:%, error:%; "a control instance does not answer");
+                None
+            }
+        }
+    }
+}
+
+async fn exchange(link: &Link<control::Client>, call: &Call, time: Duration) -> Linked<Answered> {
+    let bytes = frame::encode(call);
+    link.call(time, |client| async move {
+        let mut request = client.forward_request();
+        request.get().set_call(&bytes);
+        let response = request.send().promise.await?;
+        Ok(frame::decode(response.get()?.get_reply()?)?)
+    })
+    .await
+}
--- /dev/null
+++ b/crates/bronzespoold/src/batch/mod.rs
@@ -0,0 +1,10 @@
+//! Jobs of steps of tasks towards callers and workers: what an adapter of some platform's
+//! interfaces builds on.
+
+mod agent;
+mod finder;
+
+pub use {
+    agent::{Agent, Looked, Options, Worker},
+    finder::{Fault, Finder, Result},
+};
--- a/crates/bronzespoold/src/clock.rs
+++ b/crates/bronzespoold/src/clock.rs
@@ -1,22 +1,36 @@
-//! The process's monotonic clock.
+//! The process's steady clock.
 
-use {bronzespool::core::Time, std::time::Instant};
+use {
+    bronzespool::core::Time,
+    rustix::time::{ClockId, Timespec, clock_gettime},
+};
 
-/// Monotonic time since the start of the process.
+/// Steady time since the start of the process.
+///
+/// Time in which the machine is suspended counts: whoever holds a lease must see that it has
+/// passed.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    origin: Instant,
+    origin: u64,
 }
 
 impl Clock {
     /// A clock that starts now.
     pub fn start() -> Self {
-        Self { origin: Instant::now() }
+        Self { origin: micros() }
     }
 
     /// The time now.
     pub fn now(&self) -> Time {
-        let micros = u64::try_from(self.origin.elapsed().as_micros()).unwrap_or(u64::MAX);
-        Time::from_micros(micros)
+        Time::from_micros(micros().saturating_sub(self.origin))
     }
 }
+
+fn micros() -> u64 {
+    const PER_SECOND: u64 = 1_000_000;
+    const NANOS: u64 = 1_000;
+    let Timespec { tv_sec, tv_nsec } = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(tv_sec).unwrap_or(0);
+    let nanos = u64::try_from(tv_nsec).unwrap_or(0);
+    seconds * PER_SECOND + nanos / NANOS
+}
--- /dev/null
+++ b/crates/bronzespoold/src/control/batch/agents.rs
@@ -0,0 +1,79 @@
+//! What the leader knows of agents beside the ledger; it begins anew with each term.
+
+use {
+    bronzespool::{
+        batch::{Life, agent::longest, message::Poll},
+        core::{HashMap, Instance, Time},
+    },
+    std::time::Duration,
+};
+
+/// Time for which an agent may extend its worker's leases without hearing from the leader: longer
+/// than most cuts last.
+pub(super) const LEASE: Duration = Duration::from_millis(8_000);
+/// Silence of an agent after which its worker is given nothing new.
+pub(super) const SILENCE: Duration = Duration::from_millis(1_200);
+
+/// The latest word of one agent.
+#[derive(Debug)]
+pub(super) struct View {
+    /// When it arrived.
+    pub(super) seen: Time,
+    /// Rises with each poll, so that an older one that is parked can end.
+    pub(super) serial: u64,
+    /// Its contents.
+    pub(super) poll: Poll,
+}
+
+/// All agents.
+#[derive(Debug, Default)]
+pub(super) struct Agents {
+    term: u64,
+    /// When this replica began to lead in the term.
+    since: Time,
+    pub(super) views: HashMap<Instance, View>,
+    /// When an agent was last allowed to extend the leases of a worker's life.
+    granted: HashMap<Life, Time>,
+}
+
+impl Agents {
+    /// Forgets what was known in an earlier term.
+    pub(super) fn enter(&mut self, term: u64, now: Time) {
+        if self.term != term {
+            *self = Self { term, since: now, ..Self::default() };
+        }
+    }
+
+    /// Takes a poll and returns its serial number.
+    pub(super) fn note(&mut self, now: Time, poll: &Poll) -> u64 {
+        let serial = self.views.get(&poll.agent).map_or(0, |v| v.serial) + 1;
+        let view = View { seen: now, serial, poll: poll.clone() };
+        self.views.insert(poll.agent.clone(), view);
+        serial
+    }
+
+    /// Whether a newer poll of the agent has arrived.
+    pub(super) fn is_superseded(&self, agent: &Instance, serial: u64) -> bool {
+        self.views.get(agent).is_none_or(|v| v.serial != serial)
+    }
+
+    /// Notes that the agent is told now that it may extend the leases.
+    pub(super) fn grant(&mut self, now: Time, agent: &Instance, life: &Life) {
+        self.granted.insert(life.clone(), now);
+        if let Some(view) = self.views.get_mut(agent) {
+            view.seen = now;
+        }
+    }
+
+    /// Whether every lease in a worker's life has surely ended. A leader of an earlier term may
+    /// have granted one until this term began.
+    pub(super) fn is_over(&self, now: Time, life: &Life) -> bool {
+        let last = self.granted.get(life).copied().unwrap_or(self.since);
+        now.since(last.max(self.since)) > longest(LEASE)
+    }
+
+    /// Forgets a life that is over.
+    pub(super) fn forget(&mut self, life: &Life) {
+        self.granted.remove(life);
+    }
+}
--- /dev/null
+++ b/crates/bronzespoold/src/control/batch/asks.rs
@@ -0,0 +1,117 @@
+//! Requests of callers and operators.
+
+use {
+    crate::control::{batch::Batch, replica::Result},
+    bronzespool::{
+        batch::{
+            Config, Event, JobId, Verdict, config,
+            message::{Ask, Caller, Denial, Reply},
+            spec::JobSpec,
+        },
+        core::{Code, Refusal},
+    },
+    std::sync::Arc,
+};
+
+/// Queue and team of a request.
+struct Place {
+    queue: Arc<str>,
+    team: Option<Arc<str>>,
+}
+
+impl Batch {
+    pub(super) async fn ask(&self, caller: &Caller, ask: Ask) -> Result<Reply> {
+        self.replica.read().await?;
+        let place = match self.place(caller) {
+            Ok(place) => place,
+            Err(denial) => return Ok(Reply::Denied(denial)),
+        };
+        match ask {
+            Ask::Submit(spec) => self.submit(*spec, place).await,
+            Ask::State(id) => Ok(self.job_state(id)),
+            Ask::Cancel(id) => self.cancel(id).await,
+            Ask::Pending => {
+                let pending = self.replica.state().batch().pending(&place.queue);
+                Ok(Reply::Pending(pending as u64))
+            }
+        }
+    }
+
+    /// Queue and team by the configuration in force.
+    fn place(&self, caller: &Caller) -> std::result::Result<Place, Denial> {
+        let state = self.replica.state();
+        let config = state.batch().config().ok_or(Denial::NoConfig)?;
+        let queue = config.route(&caller.host, &caller.path).ok_or(Denial::NoQueue)?;
+        let known = caller.key.as_deref().map(|k| config.caller(k));
+        let team = match known {
+            Some(config::Caller::Team(team)) => Some(team),
+            _ if queue.open => None,
+            _ => return Err(Denial::NoKey),
+        };
+        Ok(Place { queue: queue.name.clone(), team })
+    }
+
+    async fn submit(&self, spec: JobSpec, place: Place) -> Result<Reply> {
+        if self.replica.state().batch().job(spec.id).is_some() {
+            return Ok(Reply::Done);
+        }
+        let id = spec.id;
+        let spec = JobSpec { queue: place.queue, team: place.team, ..spec };
+        if let Err(error) = spec.check() {
+            log::info!(job:% = id, error:%; "a job was refused");
+            return Ok(Reply::Denied(Denial::Invalid));
+        }
+        let verdict = self.propose_one(Event::Submitted(Arc::new(spec))).await?;
+        log::info!(job:% = id, verdict:?; "a job was submitted");
+        self.kick.notify_one();
+        Ok(match verdict {
+            Verdict::Applied | Verdict::Known => Reply::Done,
+            Verdict::Stale => Reply::Denied(Denial::NoQueue),
+        })
+    }
+
+    fn job_state(&self, id: JobId) -> Reply {
+        let state = self.replica.state();
+        let job = state.batch().job(id);
+        job.map_or(Reply::Denied(Denial::NoJob), |j| Reply::State(j.phase))
+    }
+
+    async fn cancel(&self, id: JobId) -> Result<Reply> {
+        let phase = self.replica.state().batch().job(id).map(|j| j.phase);
+        match phase {
+            None => return Ok(Reply::Denied(Denial::NoJob)),
+            Some(phase) if !phase.is_active() => return Ok(Reply::Done),
+            Some(_) => {}
+        }
+        let verdict = self.propose_one(Event::Cancelled(id)).await?;
+        log::info!(job:% = id, verdict:?; "a job was cancelled");
+        self.kick.notify_one();
+        Ok(match verdict {
+            Verdict::Applied | Verdict::Known => Reply::Done,
+            Verdict::Stale => Reply::Denied(Denial::NoJob),
+        })
+    }
+
+    /// Puts a configuration in force; one that is not newer is noted and changes nothing.
+    pub(super) async fn configure(&self, config: Arc<Config>) -> Result<Reply> {
+        if let Err(error) = config.check() {
+            return Err(Refusal::new(Code::ConfigInvalid, error.to_string()));
+        }
+        self.replica.read().await?;
+        let held = self.replica.state().batch().config().map(|c| c.version);
+        if held.is_some_and(|v| v >= config.version) {
+            return Ok(Reply::Done);
+        }
+        let version = config.version;
+        let verdict = self.propose_one(Event::Configured(config)).await?;
+        log::info!(version, verdict:?; "a configuration was taken");
+        self.kick.notify_one();
+        Ok(Reply::Done)
+    }
+
+    pub(super) async fn read_config(&self) -> Result<Reply> {
+        self.replica.read().await?;
+        let state = self.replica.state();
+        Ok(Reply::Config(state.batch().config().map(|c| c.document.clone())))
+    }
+}
--- a/crates/bronzespoold/src/control/leader/calls.rs
+++ b/crates/bronzespoold/src/control/leader/calls.rs
@@ -4,6 +4,7 @@
     crate::{
         clock::Clock,
         control::{
+            batch::Batch,
             leader::{
                 burn::Counted, cancel::Cancels, checkpoints::Checkpoints, presence::Hubs,
                 shares::Granter,
@@ -28,6 +29,7 @@
 pub(in crate::control) struct Leader {
     pub(super) clock: Clock,
     pub(super) replica: Rc<Replica>,
+    pub(in crate::control) batch: Rc<Batch>,
     pub(super) hubs: RefCell<Hubs>,
     pub(super) counted: RefCell<Counted>,
     pub(super) granter: RefCell<Granter>,
@@ -50,6 +52,7 @@
     ) -> Rc<Self> {
         Rc::new(Self {
             clock,
+            batch: Batch::new(clock, Rc::clone(&replica)),
             replica,
             hubs: RefCell::default(),
             counted: RefCell::default(),
@@ -91,6 +94,9 @@
             Call::Burn => self.burn(),
             Call::Shares { holder, reports } => self.shares(holder, reports).await,
             Call::Report(report) => self.report(&report).await,
+            Call::Batch(call) => self.batch.answer(call).await,
+            // Every control instance answers this by itself.
+            Call::Where => Err(Code::Internal.into()),
         }
     }
 
--- a/crates/bronzespoold/src/control/mod.rs
+++ b/crates/bronzespoold/src/control/mod.rs
@@ -1,5 +1,7 @@
 //! A control instance: replica of the log, hub of sessions, and at the leader the controllers.
 
+mod addresses;
+mod batch;
 mod hub;
 mod leader;
 mod peers;
@@ -10,4 +12,5 @@
 mod storage;
 mod submitted;
 
+pub use addresses::named;
 pub use start::{Error, Options, Result, run};
--- a/crates/bronzespoold/src/control/peers.rs
+++ b/crates/bronzespoold/src/control/peers.rs
@@ -1,6 +1,7 @@
 //! Sends messages of the log to the other replicas.
 
 use {
+    crate::control::addresses::Addresses,
     bronzespool::{
         consensus::Message,
         core::{HashMap, Instance},
@@ -9,7 +10,7 @@
             link::{Link, Result},
         },
     },
-    std::{cell::RefCell, collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration},
+    std::{cell::RefCell, collections::VecDeque, rc::Rc, time::Duration},
     tokio::{sync::Notify, task::spawn_local, time::sleep},
 };
 
@@ -18,9 +19,12 @@
 /// Pause after a failed delivery.
 const PAUSE: Duration = Duration::from_millis(30);
 
-/// Outboxes of all other replicas.
+/// Outboxes of the other replicas.
 pub(super) struct Peers {
-    boxes: HashMap<Instance, Rc<Outbox>>,
+    own: Instance,
+    addresses: Addresses,
+    silence: Duration,
+    boxes: RefCell<HashMap<Instance, Rc<Outbox>>>,
 }
 
 struct Outbox {
@@ -32,31 +36,31 @@
 }
 
 impl Peers {
-    /// Starts a sender for each of `peers`; a delivery unanswered for `silence` ends its
-    /// connection.
-    pub(super) fn start(
-        own: &Instance,
-        peers: &[(Instance, SocketAddr)],
-        silence: Duration,
-    ) -> Self {
-        let others = peers.iter().filter(|(name, _)| name != own);
-        let boxes = others.map(|(name, address)| {
-            let outbox = Rc::new(Outbox {
-                own: own.clone(),
-                link: Link::new(*address),
-                queue: RefCell::default(),
-                filled: Notify::new(),
-                silence,
-            });
-            spawn_local(Rc::clone(&outbox).run());
-            (name.clone(), outbox)
+    /// Senders to the other replicas, started on first use; a delivery unanswered for `silence`
+    /// ends its connection.
+    pub(super) fn new(own: &Instance, addresses: Addresses, silence: Duration) -> Self {
+        Self { own: own.clone(), addresses, silence, boxes: RefCell::default() }
+    }
+
+    fn outbox(&self, to: &Instance) -> Option<Rc<Outbox>> {
+        if let Some(known) = self.boxes.borrow().get(to) {
+            return Some(Rc::clone(known));
+        }
+        let outbox = Rc::new(Outbox {
+            own: self.own.clone(),
+            link: Link::new(self.addresses.get(to)?),
+            queue: RefCell::default(),
+            filled: Notify::new(),
+            silence: self.silence,
         });
-        Self { boxes: boxes.collect() }
+        spawn_local(Rc::clone(&outbox).run());
+        self.boxes.borrow_mut().insert(to.clone(), Rc::clone(&outbox));
+        Some(outbox)
     }
 
     /// Queues a message.
     pub(super) fn send(&self, to: &Instance, message: &Message) {
-        let Some(outbox) = self.boxes.get(to) else {
+        let Some(outbox) = self.outbox(to) else {
             return;
         };
         match message.encode() {
--- a/crates/bronzespoold/src/control/server.rs
+++ b/crates/bronzespoold/src/control/server.rs
@@ -4,12 +4,14 @@
     crate::{
         clock::Clock,
         control::{
+            addresses::Addresses,
             hub::Hub,
             leader::Leader,
             replica::{Epoch, Replica},
         },
     },
     bronzespool::{
+        batch::message::Map,
         core::{Code, HashMap, Instance, Refusal},
         flow::session::SessionId,
         wire::{
@@ -19,7 +21,11 @@
             message::{Answered, Call, Hello, Opened, Reply},
         },
     },
-    std::{cell::Cell, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{
         sync::watch,
         time::{sleep, timeout},
@@ -45,7 +51,8 @@
     pub(super) replica: Rc<Replica>,
     pub(super) hub: Rc<Hub>,
     pub(super) leader: Rc<Leader>,
-    pub(super) links: HashMap<Instance, Link<control::Client>>,
+    pub(super) addresses: Addresses,
+    pub(super) links: RefCell<HashMap<Instance, Link<control::Client>>>,
     pub(super) period: Duration,
     pub(super) stopping: Cell<bool>,
 }
@@ -58,7 +65,7 @@
         }
         let none = || Refusal::from(Code::NoLeader).retry_after(LEADER_RETRY);
         let leader = self.replica.leader().ok_or_else(none)?;
-        let link = self.links.get(&leader).ok_or_else(none)?;
+        let link = self.link(&leader).ok_or_else(none)?;
         let bytes = frame::encode(&call);
         // The limit is outside of the link: a slow answer is no sign of a silent connection.
         let answered = link.call(FORWARD_TIME, |client| async move {
@@ -82,6 +89,30 @@
         }
     }
 
+    fn link(&self, name: &Instance) -> Option<Link<control::Client>> {
+        let address = self.addresses.get(name)?;
+        let mut links = self.links.borrow_mut();
+        Some(links.entry(name.clone()).or_insert_with(|| Link::new(address)).clone())
+    }
+
+    /// Where control is, as far as known here.
+    fn map(&self) -> Map {
+        let status = self.replica.status();
+        let members = status.members.iter().filter_map(|m| self.addresses.get(&m.name));
+        Map {
+            leader: status.leader.as_ref().and_then(|l| self.addresses.get(l)),
+            members: members.collect(),
+        }
+    }
+
+    /// Answers a call of another process, at this instance alone.
+    async fn answer_here(&self, call: Call) -> Answered {
+        match call {
+            Call::Where => Ok(Reply::Where(self.map())),
+            call => self.leader.answer(call).await,
+        }
+    }
+
     /// Waits until another replica leads, or none: a call to a leader that is cut off in silence
     /// would else wait for its whole time.
     async fn replaced(&self, leader: &Instance) {
@@ -196,7 +227,7 @@
         mut results: control::ForwardResults,
     ) -> Result {
         let call: Call = frame::decode(params.get()?.get_call()?).map_err(|e| failed(&e))?;
-        let answered = self.0.leader.answer(call).await;
+        let answered = self.0.answer_here(call).await;
         results.get().set_reply(&frame::encode(&answered));
         Ok(())
     }
--- a/crates/bronzespoold/src/control/start.rs
+++ b/crates/bronzespoold/src/control/start.rs
@@ -4,6 +4,7 @@
     crate::{
         clock::Clock,
         control::{
+            addresses::Addresses,
             hub::{Hub, PUSH_TIME, Spans},
             leader::Leader,
             peers::Peers,
@@ -16,10 +17,16 @@
         consensus::{self, FileStorage, Settings, Storage},
         core::{Instance, Shape, name::Cluster},
         flow::claim::Horizon,
-        wire::{bronzespool_capnp::control, link::Link, serve::serve},
+        wire::{bronzespool_capnp::control, serve::serve},
     },
     displaydoc::Display,
-    std::{cell::Cell, net::SocketAddr, path::PathBuf, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        path::PathBuf,
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{net::TcpListener, sync::watch, task::spawn_local},
 };
 
@@ -48,6 +55,10 @@
     pub listen: SocketAddr,
     /// All control instances of the first start.
     pub peers: Vec<(Instance, SocketAddr)>,
+    /// Whether this instance may found the cluster with the peers.
+    pub founder: bool,
+    /// Whether instances that no setting names may join, by names from [`super::named`].
+    pub open: bool,
     /// Folder of the log.
     pub data: PathBuf,
     /// Capacity that guarantees leave free.
@@ -84,13 +95,15 @@
     let log = consensus::Node::open(settings(&options), restored, clock.now());
     let replica = Replica::new(clock, log.map_err(Error::Log)?, session_span(&options));
     let node = node(&options, clock, Rc::clone(&replica));
-    let peers = Peers::start(&options.instance, &options.peers, options.election / 2);
+    let addresses = Addresses::new(&options.peers);
+    let peers = Peers::new(&options.instance, addresses, options.election / 2);
     let server: control::Client = capnp_rpc::new_client(Server(Rc::clone(&node)));
     let served = spawn_local(serve(listener, server));
     spawn_local(Rc::clone(&node).run_progress());
     spawn_local(Rc::clone(&node.leader).run_scheduler());
     spawn_local(Rc::clone(&node.leader).run_rounds());
     spawn_local(Rc::clone(&node.leader).run_cancels());
+    spawn_local(Rc::clone(&node.leader.batch).run());
     log::info!(instance:% = options.instance; "the control instance is up");
     let planned = async {
         let _ = stop.wait_for(|s| *s).await;
@@ -116,6 +129,8 @@
 fn settings(options: &Options) -> Settings {
     let names = options.peers.iter().map(|(name, _)| name.clone()).collect();
     let mut settings = Settings::new(options.instance.clone(), names, fastrand::u64(..));
+    settings.founder = options.founder;
+    settings.open = options.open;
     settings.election = options.election;
     settings.heartbeat = options.heartbeat;
     settings.lease = options.election * LEASE_PERCENT / 100;
@@ -135,13 +150,13 @@
     let horizon = Horizon { keep: options.answers, used: options.horizon, ..Horizon::default() };
     let lease = options.session + margin;
     let leader = Leader::new(clock, Rc::clone(&replica), horizon, options.reserve, lease);
-    let links = options.peers.iter().map(|(name, address)| (name.clone(), Link::new(*address)));
     Rc::new(Node {
         clock,
         replica,
         hub,
         leader,
-        links: links.collect(),
+        addresses: Addresses::new(&options.peers),
+        links: RefCell::default(),
         period: options.renew / 2,
         stopping: Cell::new(false),
     })
--- a/crates/bronzespoold/src/control/state.rs
+++ b/crates/bronzespoold/src/control/state.rs
@@ -3,6 +3,7 @@
 use {
     crate::control::submitted::Submitted,
     bronzespool::{
+        batch::{self, Ledger},
         core::{Code, Digest, Instance, Job, Service, Shape, Team, Time},
         flow::{
             claim::{self, Claims, Incarnation},
@@ -59,6 +60,8 @@
         /// Time for which the key is known.
         keep: Duration,
     },
+    /// Changes of the jobs of steps of tasks.
+    Batch(batch::Record),
 }
 
 /// What a command did.
@@ -72,6 +75,8 @@
     Claim(claim::Applied),
     /// Whether the schedule took the records, or the first that it refused.
     Schedule(Result<(), String>),
+    /// Verdicts on the events of a batch record.
+    Batch(Vec<batch::Verdict>),
     /// Nothing to tell.
     Noted,
     /// The command does not fit the state.
@@ -94,6 +99,7 @@
     claims: Claims,
     book: Book,
     submitted: Submitted,
+    batch: Ledger,
 }
 
 /// What followers of the state need to know of one command.
@@ -123,6 +129,7 @@
             claims: Claims::default(),
             book: Book::new(settings),
             submitted: Submitted::default(),
+            batch: Ledger::default(),
         }
     }
 
@@ -161,6 +168,11 @@
         &self.book
     }
 
+    /// Jobs of steps of tasks, their workers and configuration.
+    pub(super) const fn batch(&self) -> &Ledger {
+        &self.batch
+    }
+
     /// The view for entries, or for agents, which need no endpoints.
     pub(super) fn view(&self, entry: bool) -> View {
         let peers = if entry { self.peers.clone() } else { BTreeMap::new() };
@@ -187,6 +199,10 @@
             }
             Command::Schedule(records) => self.schedule(records),
             Command::Submit { at, spec, digest, keep } => self.submit(*at, spec, *digest, *keep),
+            Command::Batch(record) => {
+                self.pass(record.at);
+                Applied::only(Effect::Batch(self.batch.apply(record)))
+            }
         }
     }
 
--- a/crates/bronzespoold/src/lib.rs
+++ b/crates/bronzespoold/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod agent;
 mod arguments;
+pub mod batch;
 pub mod client;
 pub mod clock;
 pub mod control;
--- a/crates/bronzespoold/src/process.rs
+++ b/crates/bronzespoold/src/process.rs
@@ -174,6 +174,8 @@
         instance: settings.place.instance.clone(),
         listen: control.listen,
         peers: control.peers.iter().map(|p| (p.instance.clone(), p.addr)).collect(),
+        founder: true,
+        open: false,
         data: settings.data.clone()?,
         reserve: control.reserve,
         heartbeat: timing.heartbeat,
