feat(batch): keep evidence on workers that fail what they run

Change: failures since the last done run are recorded for each worker, apart from those of tasks that failed elsewhere too; two bar it for a while, then one run probes it. A task avoids workers on which it has failed.

--- a/crates/bronzespool-batch/src/ledger/apply.rs
+++ b/crates/bronzespool-batch/src/ledger/apply.rs
@@ -205,8 +205,32 @@
     /// Ends a run that this worker holds; a worker's word on another worker's run means nothing.
     fn end_at(&mut self, life: &Life, end: &End) {
         let Some(worker) = self.workers.get_mut(&life.worker) else { return };
-        if worker.runs.remove(&end.run).is_some() {
-            self.end_run(end.run, end.how, &end.saved);
+        if worker.runs.remove(&end.run).is_none() {
+            return;
+        }
+        self.judge(life, end);
+        self.end_run(end.run, end.how, &end.saved);
+    }
+
+    /// Keeps evidence on a worker and on a task apart: a task that has failed elsewhere too says
+    /// nothing against the worker.
+    fn judge(&mut self, life: &Life, end: &End) {
+        let at = self.at;
+        let job = self.jobs.get_mut(&end.run.task.step.job);
+        let Some(task) = job.and_then(|j| j.task_mut(end.run.task)) else { return };
+        let Some(worker) = self.workers.get_mut(&life.worker) else { return };
+        match end.how {
+            How::Done => worker.conduct.failures = 0,
+            How::Failed => {
+                if task.failed.is_empty() {
+                    worker.conduct.failures += 1;
+                    worker.conduct.at = at;
+                }
+                if !task.failed.contains(&life.worker) {
+                    task.failed.push(life.worker.clone());
+                }
+            }
+            How::Stopped | How::Lapsed | How::Broken | How::Alone => {}
         }
     }
 
--- a/crates/bronzespool-batch/src/ledger/job.rs
+++ b/crates/bronzespool-batch/src/ledger/job.rs
@@ -64,6 +64,8 @@
     pub lives: Vec<Live>,
     /// When the last run ended.
     pub ended: Time,
+    /// Workers on which it has failed.
+    pub failed: Vec<Arc<str>>,
 }
 
 /// State of a step.
--- a/crates/bronzespool-batch/src/ledger/mod.rs
+++ b/crates/bronzespool-batch/src/ledger/mod.rs
@@ -8,7 +8,7 @@
 pub use {
     job::{Job, Live, Phase, StepState, Task},
     record::{Assignment, End, Event, How, Record, Verdict, WorkerSpec},
-    worker::Worker,
+    worker::{Conduct, Worker},
 };
 
 pub(crate) use job::step_id;
--- a/crates/bronzespool-batch/src/ledger/worker.rs
+++ b/crates/bronzespool-batch/src/ledger/worker.rs
@@ -2,10 +2,20 @@
 
 use {
     crate::{id::RunId, ledger::record::WorkerSpec, spec::Resources},
+    bronzespool_core::Time,
     serde::{Deserialize, Serialize},
     std::collections::BTreeMap,
 };
 
+/// Evidence on whether a worker fails what it runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Conduct {
+    /// Failures since the last run that ended done, of tasks that had not failed elsewhere.
+    pub failures: u32,
+    /// When the last of them ended.
+    pub at: Time,
+}
+
 /// State of the present life of a worker.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Worker {
@@ -15,12 +25,14 @@
     pub cursor: u64,
     /// Runs that it may hold, with what they take.
     pub runs: BTreeMap<RunId, Resources>,
+    /// Evidence on whether it fails what it runs.
+    pub conduct: Conduct,
 }
 
 impl Worker {
     /// A worker that holds nothing.
-    pub(super) const fn new(spec: WorkerSpec) -> Self {
-        Self { spec, cursor: 0, runs: BTreeMap::new() }
+    pub(super) fn new(spec: WorkerSpec) -> Self {
+        Self { spec, cursor: 0, runs: BTreeMap::new(), conduct: Conduct::default() }
     }
 
     /// Resources that its runs take.
--- a/crates/bronzespool-batch/src/plan/place.rs
+++ b/crates/bronzespool-batch/src/plan/place.rs
@@ -140,7 +140,7 @@
         room.slots.iter().map(|s| s.steps.get(&unit.step).copied().unwrap_or(0)).collect();
     let spread = if unit.shape.spread == 0 { u32::MAX } else { unit.shape.spread };
     let mut placement = Vec::with_capacity(unit.tasks.len());
-    for _ in &unit.tasks {
+    for task in &unit.tasks {
         let fits = |(i, slot): &(usize, &Slot<'_>)| {
             allowed(slot)
                 && slot.suits(service, unit.shape)
@@ -148,7 +148,11 @@
                 && free[*i].fits(&need)
         };
         let slots = room.slots.iter().enumerate();
-        let best = slots.filter(fits).min_by_key(|(i, _)| tightness(&free[*i], &need));
+        let key = |(i, slot): &(usize, &Slot<'_>)| {
+            let again = task.failed.contains(&slot.life().worker);
+            (again, slot.trust, tightness(&free[*i], &need))
+        };
+        let best = slots.filter(fits).min_by_key(key);
         let (i, slot) = best?;
         free[i] = free[i].minus(&need);
         counts[i] += 1;
--- a/crates/bronzespool-batch/src/plan/room.rs
+++ b/crates/bronzespool-batch/src/plan/room.rs
@@ -4,7 +4,11 @@
     crate::{
         id::{Life, RunId, StepId},
         ledger::{Ledger, Worker},
-        plan::{Scene, Unit, place::Placement},
+        plan::{
+            Scene, Unit,
+            health::{Trust, trust},
+            place::Placement,
+        },
         spec::{Resources, Step},
     },
     bronzespool_core::{HashMap, HashSet},
@@ -15,6 +19,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Slot<'a> {
     pub(super) worker: &'a Worker,
+    /// How far the worker is trusted.
+    pub(super) trust: Trust,
     /// What no run takes and no claim holds.
     pub(super) free: Resources,
     /// What runs take that are being stopped and that no claim holds.
@@ -64,15 +70,25 @@
         };
         let mut room = Self { ledger, slots: Vec::new(), leaving: HashSet::default() };
         for worker in ledger.workers().filter(usable) {
-            let slot = room.slot(worker);
+            let slot = room.slot(worker, scene);
             room.slots.push(slot);
         }
+        room.leave_out();
         room
     }
 
-    fn slot(&mut self, worker: &'a Worker) -> Slot<'a> {
+    /// Leaves out barred workers, unless they are so many that the fault is hardly theirs.
+    fn leave_out(&mut self) {
+        let barred = self.slots.iter().filter(|s| s.trust == Trust::Barred).count();
+        if barred * 2 <= self.slots.len() {
+            self.slots.retain(|s| s.trust != Trust::Barred);
+        }
+    }
+
+    fn slot(&mut self, worker: &'a Worker, scene: &Scene) -> Slot<'a> {
         let mut slot = Slot {
             worker,
+            trust: trust(worker, scene.now),
             free: worker.free(),
             coming: Resources::default(),
             steps: HashMap::default(),
@@ -93,6 +109,9 @@
         for life in placement {
             if let Some(slot) = self.slots.iter_mut().find(|s| s.life() == life) {
                 slot.free = slot.free.minus(&taken);
+                if slot.trust == Trust::Probed {
+                    slot.free = Resources::default();
+                }
                 *slot.steps.entry(unit.step).or_default() += 1;
             }
         }
--- a/crates/bronzespool-batch/src/plan/unit.rs
+++ b/crates/bronzespool-batch/src/plan/unit.rs
@@ -23,6 +23,8 @@
     pub run: u32,
     /// Checkpoint to go on from, empty for none.
     pub saved: Arc<str>,
+    /// Workers on which it has failed.
+    pub failed: Vec<Arc<str>>,
 }
 
 /// Tasks that are started together.
@@ -78,7 +80,12 @@
     let state = job.step(step.occurrence, step.step);
     let make = |tasks, since| Unit { job, step, shape, tasks, since };
     let Some(state) = state else {
-        let fresh = (0..shape.count).map(|index| Waiting { index, run: 0, saved: "".into() });
+        let fresh = (0..shape.count).map(|index| Waiting {
+            index,
+            run: 0,
+            saved: "".into(),
+            failed: Vec::new(),
+        });
         split(shape, fresh.collect(), job.submitted, make, found);
         return;
     };
@@ -116,8 +123,8 @@
     found.extend(tasks.into_iter().map(|t| make(vec![t], since)));
 }
 
-const fn waiting(index: usize, task: &Task, saved: Arc<str>) -> Waiting {
-    Waiting { index: index as u32, run: task.run, saved }
+fn waiting(index: usize, task: &Task, saved: Arc<str>) -> Waiting {
+    Waiting { index: index as u32, run: task.run, saved, failed: task.failed.clone() }
 }
 
 /// The gang's checkpoint that was recorded last; any member's holds for all.
