fix(consensus): a lost disk joins again while no seed leads

Cause: a replica outside the set asked the instances of its settings only. Change: a replica of an open set tells a newcomer its members, which it asks too. A replica that was left out of the set empties its folder and joins anew. Leadership and membership are logged. Test: hello_leader_that_is_no_seed_is_found, seen failing first.

--- a/crates/bronzespool-batch/src/message.rs
+++ b/crates/bronzespool-batch/src/message.rs
@@ -157,6 +157,8 @@
 pub struct Map {
     /// The leader, where known.
     pub leader: Option<SocketAddr>,
+    /// Term of the instance that answers.
+    pub term: u64,
     /// All control instances.
     pub members: Vec<SocketAddr>,
 }
--- a/crates/bronzespool-consensus/src/message.rs
+++ b/crates/bronzespool-consensus/src/message.rs
@@ -7,7 +7,7 @@
         members::Members,
         snapshot::Meta,
     },
-    bronzespool_core::Code,
+    bronzespool_core::{Code, Instance},
     serde::{Deserialize, Serialize},
 };
 
@@ -128,6 +128,8 @@
         /// Position in bytes.
         offset: u64,
     },
+    /// Instances of the set, for a replica outside it that knows a few seeds only.
+    Known(Vec<Instance>),
 }
 
 impl Message {
@@ -162,7 +164,8 @@
             | Body::Welcome { .. }
             | Body::Genesis(_)
             | Body::Voted { .. }
-            | Body::TakeOver => 0,
+            | Body::TakeOver
+            | Body::Known(_) => 0,
         };
         self.term.max(largest) <= NUMBER_MAX
     }
--- a/crates/bronzespool-consensus/src/node/joining.rs
+++ b/crates/bronzespool-consensus/src/node/joining.rs
@@ -8,7 +8,10 @@
         message::{Body, Message},
     },
     bronzespool_core::{Instance, Time},
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
 };
 
 /// Term of the entry that founds a cluster.
@@ -31,11 +34,13 @@
     blank: BTreeMap<Instance, Id>,
     /// Identities outside the set that asked this leader.
     asking: BTreeMap<Instance, Id>,
+    /// Instances of the set that no setting names, as a replica of it has told.
+    heard: BTreeSet<Instance>,
 }
 
 impl Joining {
     pub(super) const fn new(now: Time) -> Self {
-        Self { due: now, blank: BTreeMap::new(), asking: BTreeMap::new() }
+        Self { due: now, blank: BTreeMap::new(), asking: BTreeMap::new(), heard: BTreeSet::new() }
     }
 }
 
@@ -63,7 +68,10 @@
         }
         self.joining.due = self.now + self.settings.heartbeat * HELLO_HEARTBEATS;
         let own = self.settings.name.clone();
-        for name in self.settings.peers.clone().iter().filter(|n| **n != own) {
+        let mut names = self.joining.heard.clone();
+        names.extend(self.settings.peers.iter().cloned());
+        names.extend(self.log.members().list.iter().map(|m| m.name.clone()));
+        for name in names.iter().filter(|n| **n != own) {
             self.send_synced(name, Id(0), self.hard.term, Body::Hello);
         }
         self.found();
@@ -82,6 +90,10 @@
         if listed && message.cluster == 0 {
             self.send_genesis(from, id);
         }
+        if !listed && self.settings.open && !self.log.members().list.is_empty() {
+            let names = self.log.members().list.iter().map(|m| m.name.clone()).collect();
+            self.send_to(from, id, self.hard.term, Body::Known(names));
+        }
         if !listed && !retired && self.is_leader() {
             self.joining.asking.insert(from.clone(), id);
             self.maintain_members();
@@ -113,6 +125,19 @@
         self.found();
     }
 
+    /// Takes the instances of a set that this replica asks to join: its leader may be one that no
+    /// setting names.
+    pub(super) fn on_known(&mut self, to: Id, names: Vec<Instance>) {
+        if to != self.hard.id || !self.settings.open || !self.is_outside() {
+            return;
+        }
+        let fresh = names.iter().any(|n| !self.joining.heard.contains(n));
+        self.joining.heard.extend(names);
+        if fresh {
+            self.joining.due = self.now;
+        }
+    }
+
     /// Founds the cluster if this instance is the first by name and every peer is blank.
     ///
     /// A peer's answer names this identity, so it was given after this disk was formatted. A
--- a/crates/bronzespool-consensus/src/node/mod.rs
+++ b/crates/bronzespool-consensus/src/node/mod.rs
@@ -185,6 +185,7 @@
                 self.on_welcome(from, &message, retired, listed);
             }
             Body::Genesis(members) => self.on_genesis(message.to, message.cluster, members),
+            Body::Known(names) => self.on_known(message.to, names),
             _ => self.receive_member(from, message),
         }
     }
@@ -283,7 +284,7 @@
             }
             Body::Alive { seq } => self.on_alive(id, seq),
             Body::Wanted { index, offset } => self.on_wanted(id, index, offset),
-            Body::Hello | Body::Welcome { .. } | Body::Genesis(_) => {}
+            Body::Hello | Body::Welcome { .. } | Body::Genesis(_) | Body::Known(_) => {}
         }
     }
 
--- /dev/null
+++ b/crates/bronzespool-consensus/tests/open.rs
@@ -0,0 +1,98 @@
+//! Sets that instances join which no setting names, found through a few seeds.
+
+mod common;
+
+use {
+    bronzespool_consensus::{Role, Settings},
+    common::{Cluster, SECOND, name},
+};
+
+/// Instances that the settings of all others name.
+const SEEDS: usize = 3;
+
+fn seeded(settings: &mut Settings) {
+    settings.open = true;
+    settings.peers = (0..SEEDS).map(name).collect();
+    settings.founder = settings.peers.contains(&settings.name);
+    if !settings.founder {
+        settings.peers.push(settings.name.clone());
+    }
+}
+
+/// Names of the voters that the leader knows, once no set is joint.
+fn voters(c: &mut Cluster) -> Vec<String> {
+    let leader = c.elect();
+    let status = c.node(leader).status();
+    let voters = status.members.iter().filter(|m| m.voter && !status.joint);
+    let mut names: Vec<_> = voters.map(|m| m.name.to_string()).collect();
+    names.sort();
+    names
+}
+
+fn grown(count: usize) -> Cluster {
+    let mut c = Cluster::tuned(count, seeded);
+    c.until("whole set", |c| c.leader().is_some() && voters(c).len() == count);
+    c
+}
+
+/// Restarts leaders until one leads that no setting names.
+fn led_by_unnamed(c: &mut Cluster) -> usize {
+    loop {
+        let leader = c.elect();
+        if leader >= SEEDS {
+            return leader;
+        }
+        c.stop(leader);
+        c.run(SECOND * 2);
+        c.start(leader);
+        c.run(SECOND);
+    }
+}
+
+#[test]
+fn found_unnamed_instances_join() {
+    let mut c = grown(5);
+    c.commit(b"a");
+    c.run(SECOND);
+    assert!((0..5).all(|i| c.replicas[i].state == [b"a".to_vec()]));
+}
+
+#[test]
+fn hello_leader_that_is_no_seed_is_found() {
+    let mut c = grown(5);
+    let leader = led_by_unnamed(&mut c);
+    c.commit(b"a");
+    c.wipe(1);
+    let id = c.node(1).id();
+    c.run(SECOND * 5);
+    let status = c.node(leader).status();
+    assert!(status.members.iter().any(|m| m.id == id && m.voter), "{status:?}");
+}
+
+#[test]
+fn superseded_silent_voter_of_even_set_is_left_out() {
+    let mut c = grown(4);
+    let gone = (c.elect() + 1) % 4;
+    c.stop(gone);
+    c.until("smaller set", |c| c.leader().is_some() && voters(c).len() == 3);
+    assert!(!voters(&mut c).contains(&name(gone).to_string()));
+}
+
+#[test]
+fn superseded_silent_voter_of_odd_set_stays() {
+    let mut c = grown(5);
+    let gone = (c.elect() + 1) % 5;
+    c.stop(gone);
+    c.run(SECOND * 10);
+    assert_eq!(voters(&mut c).len(), 5);
+}
+
+#[test]
+fn superseded_voter_that_comes_back_is_told() {
+    let mut c = grown(4);
+    let gone = (c.elect() + 1) % 4;
+    c.stop(gone);
+    c.until("smaller set", |c| c.leader().is_some() && voters(c).len() == 3);
+    c.start(gone);
+    c.until("its notice", |c| c.node(gone).status().role == Role::Retired);
+}
--- a/crates/bronzespoold/src/batch/finder.rs
+++ b/crates/bronzespoold/src/batch/finder.rs
@@ -26,6 +26,9 @@
 const WHERE_TIME: Duration = Duration::from_millis(500);
 /// Longest wait for the leader's answer before it is taken for silent.
 const ANSWER_TIME: Duration = Duration::from_millis(1_000);
+/// Time without an answer after which control is asked whether another instance leads, longer
+/// than a poll waits for orders.
+const REPLACED_LOOK: Duration = Duration::from_millis(450);
 /// Pause before another try.
 const PAUSE: Duration = Duration::from_millis(40);
 
@@ -51,7 +54,14 @@
     seeds: RefCell<Vec<SocketAddr>>,
     members: RefCell<Vec<SocketAddr>>,
     links: RefCell<HashMap<SocketAddr, Link<control::Client>>>,
-    leader: Cell<Option<SocketAddr>>,
+    leader: Cell<Option<Leader>>,
+}
+
+/// Where the leader of a term is.
+#[derive(Clone, Copy, Debug)]
+struct Leader {
+    address: SocketAddr,
+    term: u64,
 }
 
 impl Finder {
@@ -105,22 +115,46 @@
         let Some(leader) = self.locate(time).await else {
             return Some(Err(Code::NoLeader.into()));
         };
-        match exchange(&self.link(leader), call, time).await {
+        let link = self.link(leader.address);
+        let answered = tokio::select! {
+            answered = exchange(&link, call, time) => answered,
+            next = self.replaced(leader) => {
+                log::info!(
+                    leader:% = leader.address, next:% = next.address, term = next.term;
+                    "another instance leads while a call is under way"
+                );
+                self.leader.set(Some(next));
+                return None;
+            }
+        };
+        match answered {
             Ok(answered) => Some(answered),
             Err(error) => {
-                log::debug!(leader:%, error:%; "the leader did not answer");
+                log::debug!(leader:% = leader.address, error:%; "the leader did not answer");
                 self.leader.set(None);
                 error.unsent().then(|| Err(Code::NoLeader.into()))
             }
         }
     }
 
+    /// Waits until control says that another instance leads: a leader that is frozen or cut off
+    /// would else hold up a call for its whole time.
+    async fn replaced(&self, leader: Leader) -> Leader {
+        loop {
+            sleep(REPLACED_LOOK).await;
+            match self.ask_all().await {
+                Some(next) if next.term > leader.term => return next,
+                Some(_) | None => {}
+            }
+        }
+    }
+
     fn link(&self, address: SocketAddr) -> Link<control::Client> {
         let mut links = self.links.borrow_mut();
         links.entry(address).or_insert_with(|| Link::new(address)).clone()
     }
 
-    async fn locate(&self, time: Duration) -> Option<SocketAddr> {
+    async fn locate(&self, time: Duration) -> Option<Leader> {
         if let Some(leader) = self.leader.get() {
             return Some(leader);
         }
@@ -130,7 +164,7 @@
     }
 
     /// Asks all known control instances at once and takes the first that knows the leader.
-    async fn ask_all(&self) -> Option<SocketAddr> {
+    async fn ask_all(&self) -> Option<Leader> {
         let mut known = self.members.borrow().clone();
         known.extend(self.seeds.borrow().iter());
         known.sort_unstable();
@@ -142,8 +176,8 @@
             if !map.members.is_empty() {
                 self.members.replace(map.members);
             }
-            if map.leader.is_some() {
-                return map.leader;
+            if let Some(address) = map.leader {
+                return Some(Leader { address, term: map.term });
             }
         }
         None
--- a/crates/bronzespoold/src/control/replica.rs
+++ b/crates/bronzespoold/src/control/replica.rs
@@ -10,7 +10,9 @@
         },
     },
     bronzespool::{
-        consensus::{Entry, Error, Index, Message, Node, Read, Ready, Snapshot, Status, Term},
+        consensus::{
+            Entry, Error, Id, Index, Message, Node, Read, Ready, Role, Snapshot, Status, Term,
+        },
         core::{Code, Instance, Refusal, Time},
         flow::view,
         wire::frame,
@@ -69,6 +71,35 @@
     reads: RefCell<BTreeMap<u64, oneshot::Sender<bool>>>,
     read_serial: Cell<u64>,
     leading: Cell<Option<Leading>>,
+    standing: RefCell<Option<Standing>>,
+}
+
+/// What a replica knows of its cluster, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Standing {
+    role: Role,
+    term: Term,
+    leader: Option<Instance>,
+    voters: Vec<(Instance, Id)>,
+    learners: Vec<(Instance, Id)>,
+    joint: bool,
+}
+
+impl From<&Status> for Standing {
+    fn from(status: &Status) -> Self {
+        let list = |voter: bool| {
+            let members = status.members.iter().filter(|m| m.voter == voter);
+            members.map(|m| (m.name.clone(), m.id)).collect()
+        };
+        Self {
+            role: status.role,
+            term: status.term,
+            leader: status.leader.clone(),
+            voters: list(true),
+            learners: list(false),
+            joint: status.joint,
+        }
+    }
 }
 
 /// Log time of a leader: the state's time when it began to lead, plus what passed since.
@@ -94,6 +125,7 @@
             reads: RefCell::default(),
             read_serial: Cell::new(0),
             leading: Cell::new(None),
+            standing: RefCell::default(),
         })
     }
 
@@ -220,10 +252,19 @@
         }
     }
 
-    /// Drives the log until storage fails; the error is the reason to stop this process.
-    pub(super) async fn run(self: Rc<Self>, mut writer: Writer, peers: Peers) -> Error {
+    /// Drives the log until storage fails, or until this identity is left out of the set if that
+    /// `ends_retired`; the error is the reason to stop this process.
+    pub(super) async fn run(
+        self: Rc<Self>,
+        mut writer: Writer,
+        peers: Peers,
+        ends_retired: bool,
+    ) -> Error {
         loop {
             self.step(&writer, &peers);
+            if ends_retired && self.status().role == Role::Retired {
+                return Error::fault(Code::ReplicaUnknown, "another identity has taken its place");
+            }
             let now = self.clock.now();
             let wake = self.node.borrow().wake().since(now).min(SLEEP_MAX);
             tokio::select! {
@@ -249,6 +290,25 @@
         };
         self.take(ready, writer, peers);
         self.snapshot();
+        self.note_standing();
+    }
+
+    /// Logs a change of leadership or membership.
+    fn note_standing(&self) {
+        let status = self.status();
+        let now = Standing::from(&status);
+        let mut standing = self.standing.borrow_mut();
+        if standing.as_ref() == Some(&now) {
+            return;
+        }
+        let voters = list(&now.voters);
+        let learners = list(&now.learners);
+        log::info!(
+            role:? = now.role, term = now.term, leader:? = now.leader, voters, learners,
+            joint = now.joint, id:% = status.id, commit = status.commit, last = status.last;
+            "the replica's standing has changed"
+        );
+        *standing = Some(now);
     }
 
     fn take(&self, ready: Ready, writer: &Writer, peers: &Peers) {
@@ -356,6 +416,11 @@
     }
 }
 
+fn list(members: &[(Instance, Id)]) -> String {
+    let each = members.iter().map(|(name, id)| format!("{name}/{id}"));
+    each.collect::<Vec<_>>().join(" ")
+}
+
 fn refused(error: &Error) -> Refusal {
     Refusal::new(error.code(), error.to_string())
 }
--- a/crates/bronzespoold/src/control/server.rs
+++ b/crates/bronzespoold/src/control/server.rs
@@ -101,6 +101,7 @@
         let members = status.members.iter().filter_map(|m| self.addresses.get(&m.name));
         Map {
             leader: status.leader.as_ref().and_then(|l| self.addresses.get(l)),
+            term: status.term,
             members: members.collect(),
         }
     }
--- a/crates/bronzespoold/src/control/start.rs
+++ b/crates/bronzespoold/src/control/start.rs
@@ -15,7 +15,7 @@
     },
     bronzespool::{
         consensus::{self, FileStorage, Settings, Storage},
-        core::{Instance, Shape, name::Cluster},
+        core::{Code, Instance, Shape, name::Cluster},
         flow::claim::Horizon,
         wire::{bronzespool_capnp::control, serve::serve},
     },
@@ -23,7 +23,7 @@
     std::{
         cell::{Cell, RefCell},
         net::SocketAddr,
-        path::PathBuf,
+        path::{Path, PathBuf},
         rc::Rc,
         time::Duration,
     },
@@ -40,6 +40,8 @@
     Listen(SocketAddr, std::io::Error),
     /// the replicated log has failed: {0}
     Log(consensus::Error),
+    /// the data folder cannot be emptied: {0}
+    Clear(std::io::Error),
 }
 
 impl std::error::Error for Error {}
@@ -111,7 +113,10 @@
         replica.hand_over().await;
     };
     tokio::select! {
-        error = Rc::clone(&replica).run(Writer::start(storage), peers) => {
+        error = Rc::clone(&replica).run(Writer::start(storage), peers, options.open) => {
+            if error.code() == Code::ReplicaUnknown {
+                clear(&options.data).map_err(Error::Clear)?;
+            }
             return Err(Error::Log(error));
         }
         () = planned => {}
@@ -120,6 +125,16 @@
     Ok(())
 }
 
+/// Empties the folder of an identity that was left out of the set, so that the next start joins
+/// as a new one.
+fn clear(data: &Path) -> std::io::Result<()> {
+    log::warn!(data:? = data; "this replica was left out of the set: it joins again as a new one");
+    for entry in std::fs::read_dir(data)? {
+        std::fs::remove_file(entry?.path())?;
+    }
+    std::fs::File::open(data)?.sync_all()
+}
+
 /// Longest time from a decision to the end of the session of an agent that does not hear of it: a
 /// push without an answer, a whole session and the drift of the clocks.
 fn session_span(options: &Options) -> Duration {
