feat(telemetry): one line a decision with the job's id, bounded and never waiting for the reader

Cause: lines went to standard error by blocking writes and did not carry a job's id through entry, control and agent.

--- a/crates/bronzespool-batch/src/ledger/apply.rs
+++ b/crates/bronzespool-batch/src/ledger/apply.rs
@@ -30,7 +30,7 @@
             Event::WorkerUp(spec) => self.worker_up(spec),
             Event::WorkerGone(life) => self.worker_gone(life),
             Event::Started(group) => self.start(group),
-            Event::Stopping(runs) => self.stop(runs),
+            Event::Stopping { runs, .. } => self.stop(runs),
             Event::Ended { life, ends } => self.end_runs(life, ends),
             Event::Refused { life, run } => self.refuse(life, *run),
         }
--- a/crates/bronzespool-batch/src/ledger/mod.rs
+++ b/crates/bronzespool-batch/src/ledger/mod.rs
@@ -7,7 +7,7 @@
 
 pub use {
     job::{Job, Live, Phase, StepState, Task},
-    record::{Assignment, End, Event, How, Record, Verdict, WorkerSpec},
+    record::{Assignment, Cause, End, Event, How, Record, Verdict, WorkerSpec},
     worker::{Conduct, Worker},
 };
 
--- a/crates/bronzespool-batch/src/ledger/record.rs
+++ b/crates/bronzespool-batch/src/ledger/record.rs
@@ -80,6 +80,17 @@
     }
 }
 
+/// Why a run is stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Cause {
+    /// Its gang has lost a member.
+    Broken,
+    /// A job inside its team's guarantee needs the room.
+    Reclaimed(JobId),
+    /// It makes no progress where it is.
+    Stalled,
+}
+
 /// One change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Event {
@@ -96,7 +107,12 @@
     /// Runs are given to workers, all of these or none.
     Started(Vec<Assignment>),
     /// Runs are to be stopped.
-    Stopping(Vec<RunId>),
+    Stopping {
+        /// The runs.
+        runs: Vec<RunId>,
+        /// Why.
+        cause: Cause,
+    },
     /// Runs have ended at a worker.
     Ended {
         /// The worker.
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -20,7 +20,7 @@
     },
     crate::{
         id::RunId,
-        ledger::{Assignment, Event, Ledger},
+        ledger::{Assignment, Cause, Event, Ledger},
     },
     bronzespool_core::{HashMap, HashSet, Time},
     std::sync::Arc,
@@ -56,7 +56,7 @@
     let mut events = Vec::new();
     let broken = unit::broken(ledger);
     if !broken.is_empty() {
-        events.push(Event::Stopping(broken));
+        events.push(Event::Stopping { runs: broken, cause: Cause::Broken });
     }
     let mut room = Room::new(ledger, scene);
     let mut waiting = units(ledger, scene);
@@ -79,7 +79,8 @@
         if let Some((placement, victims)) = place_over(unit, &room, ledger, &standing, scene) {
             room.claim(&Claim { unit, placement: &placement, victims: &victims });
             if !victims.is_empty() {
-                events.push(Event::Stopping(victims));
+                let cause = Cause::Reclaimed(unit.step.job);
+                events.push(Event::Stopping { runs: victims, cause });
             }
         }
     }
--- a/crates/bronzespoold/src/control/batch/asks.rs
+++ b/crates/bronzespoold/src/control/batch/asks.rs
@@ -62,7 +62,6 @@
             return Ok(Reply::Denied(Denial::Invalid));
         }
         let verdict = self.propose_one(Event::Submitted(Arc::new(spec))).await?;
-        log::info!(job:% = id, verdict:?; "a job was submitted");
         self.kick.notify_one();
         Ok(match verdict {
             Verdict::Applied | Verdict::Known => Reply::Done,
@@ -84,7 +83,6 @@
             Some(_) => {}
         }
         let verdict = self.propose_one(Event::Cancelled(id)).await?;
-        log::info!(job:% = id, verdict:?; "a job was cancelled");
         self.kick.notify_one();
         Ok(match verdict {
             Verdict::Applied | Verdict::Known => Reply::Done,
@@ -102,9 +100,7 @@
         if held.is_some_and(|v| v >= config.version) {
             return Ok(Reply::Done);
         }
-        let version = config.version;
-        let verdict = self.propose_one(Event::Configured(config)).await?;
-        log::info!(version, verdict:?; "a configuration was taken");
+        self.propose_one(Event::Configured(config)).await?;
         self.kick.notify_one();
         Ok(Reply::Done)
     }
--- a/crates/bronzespoold/src/control/batch/mod.rs
+++ b/crates/bronzespoold/src/control/batch/mod.rs
@@ -4,6 +4,7 @@
 mod asks;
 mod planner;
 mod polls;
+mod story;
 
 use {
     crate::{
@@ -55,12 +56,19 @@
         Ok(Reply::Batch(reply))
     }
 
+    /// Puts events into the log and waits until they are applied.
     async fn propose(&self, events: Vec<Event>) -> Result<Vec<Verdict>> {
-        let record = Record { at: self.replica.log_time(), events };
-        match self.replica.propose(&Command::Batch(record)).await? {
-            Effect::Batch(verdicts) => Ok(verdicts),
-            _ => Err(Refusal::from(Code::Internal)),
-        }
+        let begun = self.clock.now();
+        let held = story::Held::of(self.replica.state().batch(), &events);
+        let command = Command::Batch(Record { at: self.replica.log_time(), events });
+        let effect = self.replica.propose(&command).await?;
+        let took = self.clock.now().since(begun);
+        metrics::histogram!("bronzespool_batch_commit_seconds").record(took.as_secs_f64());
+        let (Command::Batch(record), Effect::Batch(verdicts)) = (&command, effect) else {
+            return Err(Refusal::from(Code::Internal));
+        };
+        story::tell(self.replica.state().batch(), &held, record, &verdicts);
+        Ok(verdicts)
     }
 
     async fn propose_one(&self, event: Event) -> Result<Verdict> {
--- a/crates/bronzespoold/src/control/batch/planner.rs
+++ b/crates/bronzespoold/src/control/batch/planner.rs
@@ -46,13 +46,13 @@
         self.replica.read().await?;
         self.agents.borrow_mut().enter(self.replica.status().term, self.clock.now());
         let mut events = self.ended_leases();
+        let begun = self.clock.now();
         events.extend(plan(self.replica.state().batch(), &self.scene()));
+        let took = self.clock.now().since(begun);
+        metrics::histogram!("bronzespool_batch_plan_seconds").record(took.as_secs_f64());
         if events.is_empty() {
             return Ok(());
         }
-        for event in &events {
-            log::info!(event:?; "planned");
-        }
         self.propose(events).await?;
         self.kick.notify_one();
         Ok(())
--- a/crates/bronzespoold/src/process.rs
+++ b/crates/bronzespoold/src/process.rs
@@ -11,7 +11,7 @@
     bronzespool::core::settings::{ProcessSettings, read_process},
     displaydoc::Display,
     pico_args::Arguments,
-    std::{path::Path, process::ExitCode, time::Duration},
+    std::{path::Path, process::ExitCode},
     tokio::{
         signal::unix::{SignalKind, signal},
         sync::watch,
@@ -21,8 +21,6 @@
 
 /// Exit code for wrong arguments or settings.
 const EXIT_USAGE: u8 = 2;
-/// Time between two rounds of upkeep of the metrics.
-const UPKEEP: Duration = Duration::from_secs(5);
 
 type Result<T> = std::result::Result<T, Error>;
 
@@ -132,7 +130,7 @@
     tokio::select! {
         Some(result) = roles.join_next() => result.map_err(Error::Task)?,
         Some(result) = controls.join_next() => result.map_err(Error::Task)?,
-        () = upkeep() => Ok(()),
+        () = telemetry::run_upkeep() => Ok(()),
     }
 }
 
@@ -143,15 +141,6 @@
     Ok(())
 }
 
-async fn upkeep() {
-    loop {
-        tokio::time::sleep(UPKEEP).await;
-        if let Err(error) = telemetry::start_metrics() {
-            log::warn!(error:%; "the metrics' upkeep failed");
-        }
-    }
-}
-
 async fn signals() -> Result<()> {
     let mut term = signal(SignalKind::terminate()).map_err(Error::Runtime)?;
     let mut int = signal(SignalKind::interrupt()).map_err(Error::Runtime)?;
--- a/crates/bronzespoold/src/telemetry.rs
+++ b/crates/bronzespoold/src/telemetry/mod.rs
@@ -1,13 +1,20 @@
 //! Logs and metrics of the process.
 
+mod budget;
+mod ring;
+
+pub use {budget::Budget, metrics_exporter_prometheus::BuildError, ring::Ring};
+
 use {
     bronzespool::core::{Code, Kind, Service},
-    metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle},
+    metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
     std::{sync::OnceLock, time::Duration},
 };
 
 static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
 
+/// Time between two rounds of upkeep.
+const UPKEEP: Duration = Duration::from_secs(5);
 /// Bounds of the latency histogram in seconds.
 const BUCKETS: [f64; 12] =
     [0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 1.0, 5.0, 30.0];
@@ -30,6 +37,16 @@
     Ok(())
 }
 
+/// Keeps the metrics' histograms small, for as long as this process lives.
+pub async fn run_upkeep() {
+    loop {
+        tokio::time::sleep(UPKEEP).await;
+        if let Err(error) = start_metrics() {
+            log::warn!(error:%; "the metrics' upkeep failed");
+        }
+    }
+}
+
 /// All metrics in Prometheus text form.
 pub fn render() -> String {
     METRICS.get().map(PrometheusHandle::render).unwrap_or_default()
@@ -46,7 +63,8 @@
     metrics::histogram!("bronzespool_request_seconds", &labels[..2]).record(took.as_secs_f64());
 }
 
-/// Starts logging JSON lines to standard error.
+/// Starts logging JSON lines to standard output, within a budget and without ever waiting for the
+/// reader.
 ///
 /// # Errors
 ///
@@ -54,8 +72,6 @@
 pub fn start_logs(
     level: &str,
 ) -> Result<flexi_logger::LoggerHandle, flexi_logger::FlexiLoggerError> {
-    flexi_logger::Logger::try_with_str(level)?
-        .log_to_stderr()
-        .format(flexi_logger::json_format)
-        .start()
+    let ring = Ring::start(std::io::stdout());
+    flexi_logger::Logger::try_with_str(level)?.log_to_writer(Box::new(ring)).start()
 }
