feat(batch): make room where it costs the least work, gangs counted whole

Members also failed at once on workers that fail all, one strike a gang. Change: placement over others takes, task by task, the slot with the least lost work, a gang's members counted together; a failure right after the start counts twice against its worker, and a step that failed elsewhere with nothing done counts nothing.

--- a/crates/bronzespool-batch/src/ledger/apply.rs
+++ b/crates/bronzespool-batch/src/ledger/apply.rs
@@ -10,9 +10,13 @@
         },
         spec::JobSpec,
     },
-    std::{collections::BTreeMap, sync::Arc},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
 
+/// A run that fails this soon after it was given out has hardly begun: that counts twice against
+/// its worker.
+const AT_ONCE: Duration = Duration::from_millis(400);
+
 impl Ledger {
     /// Applies a record; the verdicts follow the order of its events.
     pub fn apply(&mut self, record: &Record) -> Vec<Verdict> {
@@ -212,20 +216,23 @@
         self.end_run(end.run, end.how, &end.saved);
     }
 
-    /// Keeps evidence on a worker and on a task apart: a task that has failed elsewhere too says
-    /// nothing against the worker.
+    /// Keeps evidence on a worker and on a step apart: a step that has failed elsewhere too, and of
+    /// which nothing is done, says nothing against the worker.
     fn judge(&mut self, life: &Life, end: &End) {
         let at = self.at;
-        let job = self.jobs.get_mut(&end.run.task.step.job);
-        let Some(task) = job.and_then(|j| j.task_mut(end.run.task)) else { return };
+        let Some(job) = self.jobs.get_mut(&end.run.task.step.job) else { return };
         let Some(worker) = self.workers.get_mut(&life.worker) else { return };
         match end.how {
             How::Done => worker.conduct.failures = 0,
             How::Failed => {
-                if task.failed.is_empty() {
-                    worker.conduct.failures += 1;
+                let step = job.step(end.run.task.step.occurrence, end.run.task.step.step);
+                let suspect = step.is_some_and(|s| s.has_failed_beside(&life.worker));
+                let since = job.live(end.run).map_or(Duration::MAX, |l| at.since(l.since));
+                if !suspect {
+                    worker.conduct.failures += if since < AT_ONCE { 2 } else { 1 };
                     worker.conduct.at = at;
                 }
+                let Some(task) = job.task_mut(end.run.task) else { return };
                 if !task.failed.contains(&life.worker) {
                     task.failed.push(life.worker.clone());
                 }
--- a/crates/bronzespool-batch/src/ledger/job.rs
+++ b/crates/bronzespool-batch/src/ledger/job.rs
@@ -91,6 +91,12 @@
         self.tasks.iter().all(|t| t.done)
     }
 
+    /// Whether tasks have failed on another worker, and none is done.
+    pub fn has_failed_beside(&self, worker: &str) -> bool {
+        let elsewhere = |t: &Task| t.failed.iter().any(|w| &**w != worker);
+        self.tasks.iter().any(elsewhere) && !self.tasks.iter().any(|t| t.done)
+    }
+
     /// Whether a worker may hold a run of the step.
     pub fn is_held(&self) -> bool {
         self.tasks.iter().any(|t| !t.lives.is_empty())
@@ -144,6 +150,11 @@
         steps.get_mut(usize::from(id.step.step))?.tasks.get_mut(id.index as usize)
     }
 
+    /// The run, if a worker may hold it.
+    pub fn live(&self, run: RunId) -> Option<&Live> {
+        self.task(run.task)?.lives.iter().find(|l| l.run == run.run)
+    }
+
     /// The step as submitted.
     pub fn shape(&self, step: u16) -> Option<&Step> {
         self.spec.steps.get(usize::from(step))
--- a/crates/bronzespool-batch/src/ledger/mod.rs
+++ b/crates/bronzespool-batch/src/ledger/mod.rs
@@ -75,8 +75,7 @@
 
     /// The run, if a worker may hold it.
     pub fn live(&self, run: RunId) -> Option<&Live> {
-        let task = self.job(run.task.step.job)?.task(run.task)?;
-        task.lives.iter().find(|l| l.run == run.run)
+        self.job(run.task.step.job)?.live(run)
     }
 
     /// Jobs of a queue of which no task has started.
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -6,6 +6,7 @@
 mod health;
 mod order;
 mod place;
+mod reclaim;
 mod room;
 mod unit;
 
@@ -14,7 +15,8 @@
 use {
     self::{
         order::standing,
-        place::{Placement, place, place_over},
+        place::{Placement, place},
+        reclaim::place_over,
         room::{Claim, Room},
         unit::units,
     },
@@ -76,7 +78,7 @@
         if !standing.is_guaranteed(unit) {
             continue;
         }
-        if let Some((placement, victims)) = place_over(unit, &room, ledger, &standing, scene) {
+        if let Some((placement, victims)) = place_over(unit, &room, &standing, scene) {
             room.claim(&Claim { unit, placement: &placement, victims: &victims });
             if !victims.is_empty() {
                 let cause = Cause::Reclaimed(unit.step.job);
--- a/crates/bronzespool-batch/src/plan/place.rs
+++ b/crates/bronzespool-batch/src/plan/place.rs
@@ -6,10 +6,9 @@
 
 use {
     crate::{
-        id::{Life, RunId},
-        ledger::Ledger,
+        id::Life,
         plan::{
-            Scene, Standing, Unit,
+            Unit,
             room::{Room, Slot},
         },
         spec::Resources,
@@ -26,79 +25,6 @@
     place_into(unit, room, &free)
 }
 
-/// Places a unit into room that others give up; returns the runs that must be stopped for it.
-pub(super) fn place_over(
-    unit: &Unit<'_>,
-    room: &Room<'_>,
-    ledger: &Ledger,
-    standing: &Standing,
-    scene: &Scene,
-) -> Option<(Placement, Vec<RunId>)> {
-    let coming: Vec<Resources> = room.slots.iter().map(|s| s.free.plus(&s.coming)).collect();
-    if let Some(placement) = place_into(unit, room, &coming) {
-        return Some((placement, Vec::new()));
-    }
-    let yielding = |run: &RunId| {
-        let job = ledger.job(run.task.step.job);
-        job.is_some_and(|j| !standing.holds(j)) && !room.leaving.contains(run)
-    };
-    let lent = |s: &Slot<'_>| {
-        let runs = s.worker.runs.iter().filter(|(r, _)| yielding(r));
-        runs.fold(s.free.plus(&s.coming), |sum, (_, t)| sum.plus(t))
-    };
-    let open: Vec<Resources> = room.slots.iter().map(lent).collect();
-    let placement = place_into(unit, room, &open)?;
-    let victims = victims(unit, room, &placement, &yielding, standing, scene);
-    Some((placement, victims))
-}
-
-/// The runs with the least work to lose whose end makes room for the placement.
-fn victims(
-    unit: &Unit<'_>,
-    room: &Room<'_>,
-    placement: &Placement,
-    yielding: &impl Fn(&RunId) -> bool,
-    standing: &Standing,
-    scene: &Scene,
-) -> Vec<RunId> {
-    let mut chosen = Vec::new();
-    for slot in &room.slots {
-        let count = placement.iter().filter(|l| *l == slot.life()).count() as u64;
-        if count == 0 {
-            continue;
-        }
-        let need = unit.shape.taken().times(count);
-        let mut have = slot.free.plus(&slot.coming);
-        let mut lent: Vec<_> = slot.worker.runs.iter().filter(|(r, _)| yielding(r)).collect();
-        lent.sort_by_key(|(run, taken)| loss(room, run, taken, standing, scene));
-        for (run, taken) in lent {
-            if have.fits(&need) {
-                break;
-            }
-            have = have.plus(taken);
-            chosen.push(*run);
-        }
-    }
-    chosen
-}
-
-/// What stopping a run costs: its job's priority first, then the work that is lost.
-fn loss(
-    room: &Room<'_>,
-    run: &RunId,
-    taken: &Resources,
-    standing: &Standing,
-    scene: &Scene,
-) -> (std::cmp::Reverse<u32>, u64) {
-    let job = room.ledger.job(run.task.step.job);
-    let priority = job.map_or(u32::MAX, |j| standing.priority(j));
-    let live = room.ledger.live(*run);
-    let age = live.map_or(0, |l| scene.now.since(l.since).as_millis() as u64);
-    let saves = job.and_then(|j| j.shape(run.task.step.step)).is_some_and(|s| s.checkpoints);
-    let lost = if saves { 0 } else { age };
-    (std::cmp::Reverse(priority), lost * taken.weight())
-}
-
 fn place_into(unit: &Unit<'_>, room: &Room<'_>, free: &[Resources]) -> Option<Placement> {
     if unit.shape.compact && unit.tasks.len() > 1 {
         let racks: BTreeSet<&str> = room.slots.iter().map(Slot::rack).collect();
@@ -122,7 +48,7 @@
 }
 
 /// Whether the unit would fit a rack on which nothing runs.
-fn fits_empty(unit: &Unit<'_>, room: &Room<'_>, rack: &str) -> bool {
+pub(super) fn fits_empty(unit: &Unit<'_>, room: &Room<'_>, rack: &str) -> bool {
     let empty: Vec<Resources> = room.slots.iter().map(|s| s.worker.spec.capacity).collect();
     fill(unit, room, &empty, |s| s.rack() == rack).is_some()
 }
@@ -162,7 +88,7 @@
 }
 
 /// What is left on a worker after a task is placed: accelerators first, then the rest.
-const fn tightness(free: &Resources, need: &Resources) -> (u64, u64) {
+pub(super) const fn tightness(free: &Resources, need: &Resources) -> (u64, u64) {
     let left = free.minus(need);
     (left.gpu, left.cpu)
 }
--- /dev/null
+++ b/crates/bronzespool-batch/src/plan/reclaim.rs
@@ -0,0 +1,184 @@
+//! Which runs make room for a job inside its team's guarantee.
+//!
+//! Load it answers: a burst of first-priority jobs while others use the guaranteed accelerators.
+//! Each task goes where its room costs the least work: a run that has saved its progress costs
+//! little, and a member of a gang costs the whole gang.
+
+use {
+    crate::{
+        id::{Life, RunId, StepId},
+        plan::{
+            Scene, Standing, Unit,
+            place::{Placement, fits_empty, tightness},
+            room::{Room, Slot},
+        },
+        spec::Resources,
+    },
+    bronzespool_core::HashSet,
+    std::collections::BTreeSet,
+};
+
+/// Lost work that a run costs at least, in thousandths of a core for a millisecond: ending and
+/// starting again take time even where progress is saved.
+const RESTART: u64 = 300;
+
+/// A run that may be stopped.
+struct Lent {
+    run: RunId,
+    taken: Resources,
+    /// Lost work if it is stopped, its gang's included.
+    loss: u64,
+    /// The step, if its tasks are a gang.
+    gang: Option<StepId>,
+}
+
+/// Room as it is given out to the tasks of one unit.
+struct Draft<'a, 'b> {
+    unit: &'a Unit<'a>,
+    room: &'a Room<'b>,
+    /// Runs that may be stopped, by slot.
+    lent: Vec<Vec<Lent>>,
+    have: Vec<Resources>,
+    counts: Vec<u32>,
+    victims: Vec<RunId>,
+    gangs: HashSet<StepId>,
+    loss: u64,
+}
+
+/// A slot for one task and the runs that must be stopped for it.
+struct Offer {
+    slot: usize,
+    victims: Vec<usize>,
+    loss: u64,
+}
+
+/// The placement that costs the least work, and the runs that must be stopped for it.
+pub(super) fn place_over(
+    unit: &Unit<'_>,
+    room: &Room<'_>,
+    standing: &Standing,
+    scene: &Scene,
+) -> Option<(Placement, Vec<RunId>)> {
+    let racks: BTreeSet<&str> = room.slots.iter().map(Slot::rack).collect();
+    let within = |rack: &str| Draft::new(unit, room, standing, scene).fill(|s| s.rack() == rack);
+    if unit.shape.compact && unit.tasks.len() > 1 {
+        let found = racks.iter().filter_map(|r| within(r));
+        if let Some((placement, victims, _)) = found.min_by_key(|(_, _, loss)| *loss) {
+            return Some((placement, victims));
+        }
+    }
+    if let Some(rack) = unit.shape.rack.as_deref()
+        && fits_empty(unit, room, rack)
+        && let Some((placement, victims, _)) = within(rack)
+    {
+        return Some((placement, victims));
+    }
+    let (placement, victims, _) = Draft::new(unit, room, standing, scene).fill(|_| true)?;
+    Some((placement, victims))
+}
+
+impl<'a, 'b> Draft<'a, 'b> {
+    fn new(unit: &'a Unit<'a>, room: &'a Room<'b>, standing: &Standing, scene: &Scene) -> Self {
+        let steps = |s: &Slot<'_>| s.steps.get(&unit.step).copied().unwrap_or(0);
+        Self {
+            unit,
+            room,
+            lent: room.slots.iter().map(|s| lent(s, room, standing, scene)).collect(),
+            have: room.slots.iter().map(|s| s.free.plus(&s.coming)).collect(),
+            counts: room.slots.iter().map(steps).collect(),
+            victims: Vec::new(),
+            gangs: HashSet::default(),
+            loss: 0,
+        }
+    }
+
+    /// Places all tasks on allowed slots, if that can be done.
+    fn fill(mut self, allowed: impl Fn(&Slot<'_>) -> bool) -> Option<(Placement, Vec<RunId>, u64)> {
+        let mut placement: Vec<Life> = Vec::with_capacity(self.unit.tasks.len());
+        for task in &self.unit.tasks {
+            let offers = (0..self.room.slots.len()).filter(|i| allowed(&self.room.slots[*i]));
+            let offers = offers.filter_map(|i| self.offer(i));
+            let need = self.unit.shape.taken();
+            let best = offers.min_by_key(|o| {
+                let slot = &self.room.slots[o.slot];
+                let again = task.failed.contains(&slot.life().worker);
+                (again, slot.trust, o.loss, tightness(&self.have[o.slot], &need))
+            })?;
+            placement.push(self.room.slots[best.slot].life().clone());
+            self.accept(best);
+        }
+        Some((placement, self.victims, self.loss))
+    }
+
+    /// What it takes to place one more task on a slot.
+    fn offer(&self, slot: usize) -> Option<Offer> {
+        let shape = self.unit.shape;
+        let service = self.room.ledger.service(self.unit.job);
+        let full = shape.spread > 0 && self.counts[slot] >= shape.spread;
+        if full || !self.room.slots[slot].suits(service, shape) {
+            return None;
+        }
+        let need = shape.taken();
+        let mut have = self.have[slot];
+        let mut offer = Offer { slot, victims: Vec::new(), loss: 0 };
+        let mut order: Vec<usize> = (0..self.lent[slot].len()).collect();
+        order.sort_by_key(|i| self.marginal(&self.lent[slot][*i]));
+        for i in order {
+            if have.fits(&need) {
+                break;
+            }
+            let lent = &self.lent[slot][i];
+            have = have.plus(&lent.taken);
+            offer.loss += self.marginal(lent);
+            offer.victims.push(i);
+        }
+        have.fits(&need).then_some(offer)
+    }
+
+    /// What stopping a run adds to the loss: nothing if its gang ends anyway.
+    fn marginal(&self, lent: &Lent) -> u64 {
+        if lent.gang.is_some_and(|g| self.gangs.contains(&g)) { 0 } else { lent.loss }
+    }
+
+    fn accept(&mut self, offer: Offer) {
+        let Offer { slot, mut victims, loss } = offer;
+        self.loss += loss;
+        victims.sort_unstable_by_key(|i| std::cmp::Reverse(*i));
+        for i in victims {
+            let lent = self.lent[slot].swap_remove(i);
+            self.have[slot] = self.have[slot].plus(&lent.taken);
+            self.gangs.extend(lent.gang);
+            self.victims.push(lent.run);
+        }
+        self.have[slot] = self.have[slot].minus(&self.unit.shape.taken());
+        self.counts[slot] += 1;
+    }
+}
+
+/// Runs on a slot that may be stopped.
+fn lent(slot: &Slot<'_>, room: &Room<'_>, standing: &Standing, scene: &Scene) -> Vec<Lent> {
+    let runs = slot.worker.runs.iter().filter(|(run, _)| !room.leaving.contains(run));
+    let lent = runs.filter_map(|(run, taken)| {
+        let job = room.ledger.job(run.task.step.job)?;
+        let shape = job.shape(run.task.step.step)?;
+        if standing.holds(job) {
+            return None;
+        }
+        let own = lost(room, *run, scene, shape.checkpoints).saturating_mul(taken.weight());
+        let count = if shape.gang { u64::from(shape.count) } else { 1 };
+        let gang = shape.gang.then_some(run.task.step);
+        // Of two that cost alike, the one of the lower priority goes.
+        let loss = own.saturating_mul(count) / (1 + u64::from(standing.priority(job).min(8)));
+        Some(Lent { run: *run, taken: *taken, loss, gang })
+    });
+    lent.collect()
+}
+
+/// Milliseconds of work that are lost if a run is stopped.
+fn lost(room: &Room<'_>, run: RunId, scene: &Scene, checkpoints: bool) -> u64 {
+    if checkpoints {
+        return RESTART;
+    }
+    let since = room.ledger.live(run).map(|l| l.since);
+    since.map_or(0, |s| scene.now.since(s).as_millis() as u64) + RESTART
+}
