feat(batch): start in time what still earns, far from its rack where that is the only way

Change: first-priority work may stop lower work of no more worth than its own; a gang or a step with data that is late near starts far while that still earns; what can earn nothing goes last.

--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -5,6 +5,7 @@
 
 mod health;
 mod order;
+mod outlook;
 mod place;
 mod reclaim;
 mod room;
@@ -15,6 +16,7 @@
 use {
     self::{
         order::standing,
+        outlook::Outlook,
         place::{Placement, place},
         reclaim::place_over,
         room::{Claim, Room},
@@ -61,34 +63,56 @@
         events.push(Event::Stopping { runs: broken, cause: Cause::Broken });
     }
     let mut room = Room::new(ledger, scene);
-    let mut waiting = units(ledger, scene);
+    let waiting = units(ledger, scene);
     let standing = standing(ledger);
-    waiting.sort_by_key(|u| standing.rank(u));
+    let outlook = |u: &Unit<'_>| Outlook::of(ledger, u, scene);
+    let mut waiting: Vec<_> = waiting.into_iter().map(|u| (outlook(&u), u)).collect();
+    waiting.sort_by_key(|(outlook, unit)| standing.rank(unit, outlook));
     let mut starts = 0;
-    for unit in &waiting {
+    for (outlook, unit) in &waiting {
         if starts >= STARTS_MAX {
             break;
         }
-        if let Some(placement) = place(unit, &room) {
+        let far = outlook.is_far_better();
+        if let Some(placement) = place(unit, &room, false) {
             starts += placement.len();
             room.take(unit, &placement);
             events.push(Event::Started(assignments(unit, &placement)));
-            continue;
-        }
-        if !standing.is_guaranteed(unit) {
-            continue;
-        }
-        if let Some((placement, victims)) = place_over(unit, &room, &standing, scene) {
+        } else if let Some((placement, victims)) = make_room(unit, outlook, &room, &standing, scene)
+        {
             room.claim(&Claim { unit, placement: &placement, victims: &victims });
             if !victims.is_empty() {
                 let cause = Cause::Reclaimed(unit.step.job);
                 events.push(Event::Stopping { runs: victims, cause });
             }
+        } else if far && let Some(placement) = place(unit, &room, true) {
+            starts += placement.len();
+            room.take(unit, &placement);
+            events.push(Event::Started(assignments(unit, &placement)));
         }
     }
     events
 }
 
+/// Where a unit may take room from others, and from whom. Beyond its team's guarantee, it must not
+/// throw away more work than it brings.
+fn make_room(
+    unit: &Unit<'_>,
+    outlook: &Outlook,
+    room: &Room<'_>,
+    standing: &Standing,
+    scene: &Scene,
+) -> Option<(Placement, Vec<RunId>)> {
+    let guaranteed = standing.is_guaranteed(unit);
+    if !guaranteed && (standing.priority(unit.job) > 0 || outlook.is_hopeless()) {
+        return None;
+    }
+    let (placement, victims, loss) = place_over(unit, room, standing, scene)?;
+    let count = unit.tasks.len() as u64;
+    let brings = unit.shape.taken().times(count).weight() * unit.shape.estimate;
+    (guaranteed || loss <= brings).then_some((placement, victims))
+}
+
 fn assignments(unit: &Unit, placement: &Placement) -> Vec<Assignment> {
     let give = |(task, life): (&unit::Waiting, &crate::id::Life)| Assignment {
         run: RunId { task: unit.step.task(task.index), run: unit.run(task) },
--- a/crates/bronzespool-batch/src/plan/order.rs
+++ b/crates/bronzespool-batch/src/plan/order.rs
@@ -1,13 +1,14 @@
 //! Order in which waiting work is placed.
 //!
 //! Load it answers: bursts of every class at once. Jobs inside their team's guarantee come first,
-//! so that a burst of borrowed work cannot delay them; then by priority, then by age.
+//! so that a burst of borrowed work cannot delay them; then by priority, then by age. What can
+//! earn nothing any more waits for idle room.
 
 use {
     crate::{
         id::JobId,
         ledger::{Job, Ledger},
-        plan::Unit,
+        plan::{Unit, outlook::Outlook},
     },
     bronzespool_core::{HashMap, HashSet, Time},
 };
@@ -20,7 +21,7 @@
 }
 
 /// Sort key: smaller comes first.
-pub(super) type Rank = (bool, u32, Time, u32);
+pub(super) type Rank = (bool, bool, u32, Time, u32);
 
 impl Standing {
     /// Whether a unit's job is inside its team's guarantee.
@@ -38,9 +39,20 @@
         self.priorities.get(&job.spec.id).copied().unwrap_or(u32::MAX)
     }
 
-    pub(super) fn rank(&self, unit: &Unit<'_>) -> Rank {
-        let first = !self.is_guaranteed(unit);
-        (first, self.priority(unit.job), unit.job.submitted, unit.step.occurrence)
+    /// Place in the order: guaranteed work first, what can earn nothing any more last.
+    pub(super) fn rank(&self, unit: &Unit<'_>, outlook: &Outlook) -> Rank {
+        let lent = !self.is_guaranteed(unit);
+        let hopeless = lent && outlook.is_hopeless();
+        (hopeless, lent, self.priority(unit.job), unit.job.submitted, unit.step.occurrence)
+    }
+
+    /// Whether a unit may stop runs of another job.
+    pub(super) fn may_stop(&self, unit: &Unit<'_>, other: &Job) -> bool {
+        if self.is_guaranteed(unit) {
+            return !self.holds(other);
+        }
+        let priority = self.priority(unit.job);
+        priority == 0 && self.priority(other) > priority
     }
 }
 
--- a/crates/bronzespool-batch/src/plan/place.rs
+++ b/crates/bronzespool-batch/src/plan/place.rs
@@ -19,13 +19,13 @@
 /// The worker of each task of a unit, in their order.
 pub(super) type Placement = Vec<Life>;
 
-/// Places a unit into room that is free now.
-pub(super) fn place(unit: &Unit<'_>, room: &Room<'_>) -> Option<Placement> {
+/// Places a unit into room that is free now; `far` allows placements that make it slow.
+pub(super) fn place(unit: &Unit<'_>, room: &Room<'_>, far: bool) -> Option<Placement> {
     let free: Vec<Resources> = room.slots.iter().map(|s| s.free).collect();
-    place_into(unit, room, &free)
+    if far { fill(unit, room, &free, |_| true) } else { place_near(unit, room, &free) }
 }
 
-fn place_into(unit: &Unit<'_>, room: &Room<'_>, free: &[Resources]) -> Option<Placement> {
+fn place_near(unit: &Unit<'_>, room: &Room<'_>, free: &[Resources]) -> Option<Placement> {
     if unit.shape.compact && unit.tasks.len() > 1 {
         let racks: BTreeSet<&str> = room.slots.iter().map(Slot::rack).collect();
         let within = |rack: &&str| fill(unit, room, free, |s| s.rack() == *rack);
--- a/crates/bronzespool-batch/src/plan/reclaim.rs
+++ b/crates/bronzespool-batch/src/plan/reclaim.rs
@@ -52,29 +52,32 @@
     loss: u64,
 }
 
+/// A placement, the runs that must be stopped for it, and the work that is lost by that, in
+/// thousandths of a core for a millisecond.
+pub(super) type Found = (Placement, Vec<RunId>, u64);
+
 /// The placement that costs the least work, and the runs that must be stopped for it.
 pub(super) fn place_over(
     unit: &Unit<'_>,
     room: &Room<'_>,
     standing: &Standing,
     scene: &Scene,
-) -> Option<(Placement, Vec<RunId>)> {
+) -> Option<Found> {
     let racks: BTreeSet<&str> = room.slots.iter().map(Slot::rack).collect();
     let within = |rack: &str| Draft::new(unit, room, standing, scene).fill(|s| s.rack() == rack);
     if unit.shape.compact && unit.tasks.len() > 1 {
         let found = racks.iter().filter_map(|r| within(r));
-        if let Some((placement, victims, _)) = found.min_by_key(|(_, _, loss)| *loss) {
-            return Some((placement, victims));
+        if let Some(best) = found.min_by_key(|(_, _, loss)| *loss) {
+            return Some(best);
         }
     }
     if let Some(rack) = unit.shape.rack.as_deref()
         && fits_empty(unit, room, rack)
-        && let Some((placement, victims, _)) = within(rack)
+        && let Some(found) = within(rack)
     {
-        return Some((placement, victims));
+        return Some(found);
     }
-    let (placement, victims, _) = Draft::new(unit, room, standing, scene).fill(|_| true)?;
-    Some((placement, victims))
+    Draft::new(unit, room, standing, scene).fill(|_| true)
 }
 
 impl<'a, 'b> Draft<'a, 'b> {
@@ -83,7 +86,7 @@
         Self {
             unit,
             room,
-            lent: room.slots.iter().map(|s| lent(s, room, standing, scene)).collect(),
+            lent: room.slots.iter().map(|s| lent(unit, s, room, standing, scene)).collect(),
             have: room.slots.iter().map(|s| s.free.plus(&s.coming)).collect(),
             counts: room.slots.iter().map(steps).collect(),
             victims: Vec::new(),
@@ -93,7 +96,7 @@
     }
 
     /// Places all tasks on allowed slots, if that can be done.
-    fn fill(mut self, allowed: impl Fn(&Slot<'_>) -> bool) -> Option<(Placement, Vec<RunId>, u64)> {
+    fn fill(mut self, allowed: impl Fn(&Slot<'_>) -> bool) -> Option<Found> {
         let mut placement: Vec<Life> = Vec::with_capacity(self.unit.tasks.len());
         for task in &self.unit.tasks {
             let offers = (0..self.room.slots.len()).filter(|i| allowed(&self.room.slots[*i]));
@@ -156,12 +159,18 @@
 }
 
 /// Runs on a slot that may be stopped.
-fn lent(slot: &Slot<'_>, room: &Room<'_>, standing: &Standing, scene: &Scene) -> Vec<Lent> {
+fn lent(
+    unit: &Unit<'_>,
+    slot: &Slot<'_>,
+    room: &Room<'_>,
+    standing: &Standing,
+    scene: &Scene,
+) -> Vec<Lent> {
     let runs = slot.worker.runs.iter().filter(|(run, _)| !room.leaving.contains(run));
     let lent = runs.filter_map(|(run, taken)| {
         let job = room.ledger.job(run.task.step.job)?;
         let shape = job.shape(run.task.step.step)?;
-        if standing.holds(job) {
+        if !standing.may_stop(unit, job) {
             return None;
         }
         let own = lost(room, *run, scene, shape.checkpoints).saturating_mul(taken.weight());
