feat(batch): processes that are cut off from control pass their calls through others

Change: entries and agents serve the call to the leader for others; the leader names those that it heard of within 2 s; a finder that reaches no control instance goes through one of them until control answers again.

--- a/crates/bronzespool-batch/src/agent/desk.rs
+++ b/crates/bronzespool-batch/src/agent/desk.rs
@@ -230,6 +230,7 @@
         Poll {
             agent: self.agent.clone(),
             nonce: self.nonce,
+            relay: None,
             worker: known.map(|k| k.spec.clone()),
             gone: self.gone.clone(),
             running: known.map(|k| k.running.clone()).unwrap_or_default(),
--- a/crates/bronzespool-batch/src/message.rs
+++ b/crates/bronzespool-batch/src/message.rs
@@ -32,6 +32,8 @@
     pub agent: Instance,
     /// Random number of the agent's start.
     pub nonce: u64,
+    /// Address at which it passes on calls of others.
+    pub relay: Option<SocketAddr>,
     /// The worker's present life, if it is known and answers.
     pub worker: Option<WorkerSpec>,
     /// Lives whose runs have surely ended.
@@ -116,8 +118,8 @@
     Configure(Arc<Config>),
     /// Reads the configuration.
     ReadConfig,
-    /// Asks whether the leader serves.
-    Ping,
+    /// Asks whether the leader serves; tells the address at which the caller passes on calls.
+    Ping(Option<SocketAddr>),
 }
 
 /// Why a call was not carried out.
@@ -161,4 +163,6 @@
     pub term: u64,
     /// All control instances.
     pub members: Vec<SocketAddr>,
+    /// Processes that pass on calls to the leader, as the leader knows them.
+    pub relays: Vec<SocketAddr>,
 }
--- a/crates/bronzespoold/src/batch/agent.rs
+++ b/crates/bronzespoold/src/batch/agent.rs
@@ -62,12 +62,15 @@
     pub instance: Instance,
     /// Bounds that the platform sets.
     pub limits: Limits,
+    /// Address at which this process passes on calls of others.
+    pub relay: Option<SocketAddr>,
 }
 
 /// The agent.
 pub struct Agent<W> {
     clock: Clock,
-    finder: Finder,
+    finder: Rc<Finder>,
+    relay: Option<SocketAddr>,
     worker: W,
     desk: RefCell<Desk>,
     /// Wakes the poll, since there is something new for the leader.
@@ -76,11 +79,11 @@
 
 impl<W: Worker> Agent<W> {
     /// An agent that knows nothing of its worker yet.
-    pub fn new(options: Options, clock: Clock, finder: Finder, worker: W) -> Rc<Self> {
+    pub fn new(options: Options, clock: Clock, finder: Rc<Finder>, worker: W) -> Rc<Self> {
         let nonce = fastrand::u64(..);
         let desk = Desk::new(options.instance, nonce, options.limits, clock.now());
         let desk = RefCell::new(desk);
-        Rc::new(Self { clock, finder, worker, desk, news: Notify::new() })
+        Rc::new(Self { clock, finder, relay: options.relay, worker, desk, news: Notify::new() })
     }
 
     /// Starts to look and to poll, for as long as this process lives.
@@ -114,11 +117,6 @@
         self.news.notify_one();
     }
 
-    /// Begins with other addresses when the leader has to be found.
-    pub fn reseed(&self, seeds: Vec<SocketAddr>) {
-        self.finder.reseed(seeds);
-    }
-
     async fn run_looks(self: Rc<Self>) {
         loop {
             if self.desk.borrow_mut().expire(self.clock.now()) {
@@ -175,7 +173,7 @@
 
     async fn poll(self: &Rc<Self>) {
         let sent = self.clock.now();
-        let poll = self.desk.borrow().poll(sent);
+        let poll = Poll { relay: self.relay, ..self.desk.borrow().poll(sent) };
         match self.finder.call(Call::Poll(Box::new(poll.clone())), POLL_TIME).await {
             Ok(Reply::Orders(orders)) => self.take(sent, &poll, *orders),
             Ok(other) => {
--- a/crates/bronzespoold/src/batch/finder.rs
+++ b/crates/bronzespoold/src/batch/finder.rs
@@ -16,6 +16,7 @@
     futures::{StreamExt, stream::FuturesUnordered},
     std::{
         cell::{Cell, RefCell},
+        collections::VecDeque,
         net::SocketAddr,
         time::Duration,
     },
@@ -29,6 +30,10 @@
 /// Time without an answer after which control is asked whether another instance leads, longer
 /// than a poll waits for orders.
 const REPLACED_LOOK: Duration = Duration::from_millis(450);
+/// Time between two looks at where control and the relays are.
+const REFRESH: Duration = Duration::from_secs(2);
+/// Time between two tries to reach control again.
+const REACH: Duration = Duration::from_millis(250);
 /// Pause before another try.
 const PAUSE: Duration = Duration::from_millis(40);
 
@@ -55,6 +60,10 @@
     members: RefCell<Vec<SocketAddr>>,
     links: RefCell<HashMap<SocketAddr, Link<control::Client>>>,
     leader: Cell<Option<Leader>>,
+    /// Processes that pass on calls while control cannot be reached.
+    relays: RefCell<VecDeque<SocketAddr>>,
+    /// Whether no control instance could be reached.
+    cut: Cell<bool>,
 }
 
 /// Where the leader of a term is.
@@ -73,6 +82,45 @@
             members: RefCell::default(),
             links: RefCell::default(),
             leader: Cell::new(None),
+            relays: RefCell::default(),
+            cut: Cell::new(false),
+        }
+    }
+
+    /// Learns of members and relays from the leader, and whether control can be reached again, for
+    /// as long as this process lives.
+    pub async fn run_refresh(&self) {
+        loop {
+            let reached = self.refresh().await;
+            sleep(if reached { REFRESH } else { REACH }).await;
+        }
+    }
+
+    async fn refresh(&self) -> bool {
+        if self.cut.get() {
+            let found = self.ask_all().await;
+            if let Some(leader) = found {
+                log::info!(leader:% = leader.address; "control is reached again");
+                self.leader.set(found);
+                self.cut.set(false);
+            }
+            return found.is_some();
+        }
+        let Some(leader) = self.leader.get() else { return true };
+        match exchange(&self.link(leader.address), &Call::Where, WHERE_TIME).await {
+            Ok(Ok(Reply::Where(map))) => self.learn(map),
+            Ok(other) => log::debug!(other:?; "the leader does not say where control is"),
+            Err(error) => log::debug!(error:%; "the leader does not answer"),
+        }
+        true
+    }
+
+    fn learn(&self, map: Map) {
+        if !map.members.is_empty() {
+            self.members.replace(map.members);
+        }
+        if !map.relays.is_empty() {
+            self.relays.replace(map.relays.into());
         }
     }
 
@@ -112,7 +160,13 @@
 
     /// One attempt; none if its outcome is unknown.
     async fn attempt(&self, call: &Call, time: Duration) -> Option<Answered> {
+        if self.cut.get() {
+            return self.pass_on(call, time).await;
+        }
         let Some(leader) = self.locate(time).await else {
+            if !self.relays.borrow().is_empty() && !self.cut.replace(true) {
+                log::info!("control cannot be reached: calls go through other processes");
+            }
             return Some(Err(Code::NoLeader.into()));
         };
         let link = self.link(leader.address);
@@ -137,6 +191,34 @@
         }
     }
 
+    /// One attempt through another process; none if its outcome is unknown.
+    async fn pass_on(&self, call: &Call, time: Duration) -> Option<Answered> {
+        let relay = self.relays.borrow().front().copied();
+        let Some(relay) = relay else { return Some(Err(Code::NoLeader.into())) };
+        match exchange(&self.link(relay), call, time).await {
+            Ok(answered) => Some(answered),
+            Err(error) => {
+                log::debug!(relay:%, error:%; "a process does not pass on calls");
+                self.relays.borrow_mut().rotate_left(1);
+                error.unsent().then(|| Err(Code::NoLeader.into()))
+            }
+        }
+    }
+
+    /// Carries out a call of another process that cannot reach control itself.
+    pub async fn relay(&self, call: Call) -> Answered {
+        let Call::Batch(call) = call else { return Err(Code::Internal.into()) };
+        if self.cut.get() {
+            return Err(Code::NoLeader.into());
+        }
+        match self.call(call, ANSWER_TIME).await {
+            Ok(reply) => Ok(Reply::Batch(reply)),
+            Err(Fault::NoLeader) => Err(Code::NoLeader.into()),
+            Err(Fault::Unknown) => Err(Code::CommitUnknown.into()),
+            Err(Fault::Refused(refusal)) => Err(refusal),
+        }
+    }
+
     /// Waits until control says that another instance leads: a leader that is frozen or cut off
     /// would else hold up a call for its whole time.
     async fn replaced(&self, leader: Leader) -> Leader {
@@ -173,11 +255,10 @@
         let mut asks: FuturesUnordered<_> = asks.collect();
         while let Some(map) = asks.next().await {
             let Some(map) = map else { continue };
-            if !map.members.is_empty() {
-                self.members.replace(map.members);
-            }
-            if let Some(address) = map.leader {
-                return Some(Leader { address, term: map.term });
+            let leader = map.leader.map(|address| Leader { address, term: map.term });
+            self.learn(map);
+            if leader.is_some() {
+                return leader;
             }
         }
         None
--- a/crates/bronzespoold/src/batch/mod.rs
+++ b/crates/bronzespoold/src/batch/mod.rs
@@ -3,8 +3,10 @@
 
 mod agent;
 mod finder;
+mod relay;
 
 pub use {
     agent::{Agent, Looked, Options, Worker},
     finder::{Fault, Finder, Result},
+    relay::serve_relay,
 };
--- a/crates/bronzespoold/src/control/batch/agents.rs
+++ b/crates/bronzespoold/src/control/batch/agents.rs
@@ -5,7 +5,7 @@
         batch::{Life, agent::longest, message::Poll},
         core::{HashMap, Instance, Time},
     },
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// Time for which an agent may extend its worker's leases without hearing from the leader: longer
@@ -14,6 +14,11 @@
 /// Silence of an agent after which its worker is given nothing new.
 pub(super) const SILENCE: Duration = Duration::from_millis(1_200);
 
+/// Silence after which a process is no longer named as one that passes on calls.
+const RELAY_SILENCE: Duration = Duration::from_secs(2);
+/// Most such processes that are named at once.
+const RELAYS_MAX: usize = 6;
+
 /// The latest word of one agent.
 #[derive(Debug)]
 pub(super) struct View {
@@ -34,6 +39,8 @@
     pub(super) views: HashMap<Instance, View>,
     /// When an agent was last allowed to extend the leases of a worker's life.
     granted: HashMap<Life, Time>,
+    /// Processes that pass on calls, and when they were last heard of.
+    relays: HashMap<SocketAddr, Time>,
 }
 
 impl Agents {
@@ -52,6 +59,21 @@
         serial
     }
 
+    /// Notes a process that passes on calls.
+    pub(super) fn note_relay(&mut self, now: Time, relay: Option<SocketAddr>) {
+        self.relays.extend(relay.map(|r| (r, now)));
+    }
+
+    /// Some of the processes that pass on calls and were heard of just now, drawn at random so
+    /// that the load spreads.
+    pub(super) fn relays(&mut self, now: Time) -> Vec<SocketAddr> {
+        self.relays.retain(|_, seen| now.since(*seen) < RELAY_SILENCE);
+        let mut relays: Vec<_> = self.relays.keys().copied().collect();
+        fastrand::shuffle(&mut relays);
+        relays.truncate(RELAYS_MAX);
+        relays
+    }
+
     /// Whether a newer poll of the agent has arrived.
     pub(super) fn is_superseded(&self, agent: &Instance, serial: u64) -> bool {
         self.views.get(agent).is_none_or(|v| v.serial != serial)
--- a/crates/bronzespoold/src/control/batch/mod.rs
+++ b/crates/bronzespoold/src/control/batch/mod.rs
@@ -20,7 +20,7 @@
         core::{Code, Refusal},
         wire::message::{Answered, Reply},
     },
-    std::{cell::RefCell, rc::Rc},
+    std::{cell::RefCell, net::SocketAddr, rc::Rc},
     tokio::sync::Notify,
 };
 
@@ -45,8 +45,9 @@
             message::Call::Poll(poll) => self.poll(*poll).await?,
             message::Call::Configure(config) => self.configure(config).await?,
             message::Call::ReadConfig => self.read_config().await?,
-            message::Call::Ping => {
+            message::Call::Ping(relay) => {
                 self.replica.read().await?;
+                self.agents.borrow_mut().note_relay(self.clock.now(), relay);
                 match self.replica.state().batch().config() {
                     Some(_) => message::Reply::Done,
                     None => message::Reply::Denied(message::Denial::NoConfig),
@@ -56,6 +57,11 @@
         Ok(Reply::Batch(reply))
     }
 
+    /// Processes that pass on calls, as far as this instance knows.
+    pub(in crate::control) fn relays(&self) -> Vec<SocketAddr> {
+        self.agents.borrow_mut().relays(self.clock.now())
+    }
+
     /// Puts events into the log and waits until they are applied.
     async fn propose(&self, events: Vec<Event>) -> Result<Vec<Verdict>> {
         let begun = self.clock.now();
--- a/crates/bronzespoold/src/control/batch/polls.rs
+++ b/crates/bronzespoold/src/control/batch/polls.rs
@@ -25,6 +25,7 @@
         let serial = {
             let mut agents = self.agents.borrow_mut();
             agents.enter(self.replica.status().term, self.clock.now());
+            agents.note_relay(self.clock.now(), poll.relay);
             agents.note(self.clock.now(), &poll)
         };
         let events = events(self.replica.state().batch(), &poll);
--- a/crates/bronzespoold/src/control/server.rs
+++ b/crates/bronzespoold/src/control/server.rs
@@ -103,6 +103,7 @@
             leader: status.leader.as_ref().and_then(|l| self.addresses.get(l)),
             term: status.term,
             members: members.collect(),
+            relays: self.leader.batch.relays(),
         }
     }
 
