fix(batch): work that waits beside idle room starts anywhere

Change: what a unit may use widens: near, far once near is late or hopeless, any worker once it has waited 1.2 s beside a service that is half idle.

--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -17,7 +17,7 @@
     self::{
         order::standing,
         outlook::Outlook,
-        place::{Placement, place},
+        place::{Placement, Reach, place},
         reclaim::place_over,
         room::{Claim, Room},
         unit::units,
@@ -27,9 +27,11 @@
         ledger::{Assignment, Cause, Event, Ledger},
     },
     bronzespool_core::{HashMap, HashSet, Time},
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
 };
 
+/// Wait after which a unit starts anywhere on a service that is mostly idle.
+const STUCK: Duration = Duration::from_millis(1_200);
 /// Most tasks started by one plan: the rest follows once these are in the log.
 const STARTS_MAX: usize = 256;
 
@@ -73,27 +75,43 @@
         if starts >= STARTS_MAX {
             break;
         }
-        let far = outlook.is_far_better();
-        if let Some(placement) = place(unit, &room, false) {
-            starts += placement.len();
-            room.take(unit, &placement);
-            events.push(Event::Started(assignments(unit, &placement)));
-        } else if let Some((placement, victims)) = make_room(unit, outlook, &room, &standing, scene)
-        {
-            room.claim(&Claim { unit, placement: &placement, victims: &victims });
-            if !victims.is_empty() {
-                let cause = Cause::Reclaimed(unit.step.job);
-                events.push(Event::Stopping { runs: victims, cause });
+        for reach in reaches(unit, outlook, &room, scene) {
+            if let Some(placement) = place(unit, &room, *reach) {
+                starts += placement.len();
+                room.take(unit, &placement);
+                events.push(Event::Started(assignments(unit, &placement)));
+                break;
+            }
+            let made = make_room(unit, outlook, &room, &standing, scene, *reach);
+            if let Some((placement, victims)) = made {
+                room.claim(&Claim { unit, placement: &placement, victims: &victims });
+                if !victims.is_empty() {
+                    let cause = Cause::Reclaimed(unit.step.job);
+                    events.push(Event::Stopping { runs: victims, cause });
+                }
+                break;
             }
-        } else if far && let Some(placement) = place(unit, &room, true) {
-            starts += placement.len();
-            room.take(unit, &placement);
-            events.push(Event::Started(assignments(unit, &placement)));
         }
     }
     events
 }
 
+/// What is tried for a unit, the best first.
+fn reaches(unit: &Unit<'_>, outlook: &Outlook, room: &Room<'_>, scene: &Scene) -> &'static [Reach] {
+    if is_stuck(unit, room, scene) {
+        &[Reach::Near, Reach::Far, Reach::Any]
+    } else if outlook.is_far_better() {
+        &[Reach::Near, Reach::Far]
+    } else {
+        &[Reach::Near]
+    }
+}
+
+/// Whether a unit waits although much of its service is idle.
+fn is_stuck(unit: &Unit<'_>, room: &Room<'_>, scene: &Scene) -> bool {
+    scene.now.since(unit.since) > STUCK && room.is_idle(room.ledger.service(unit.job))
+}
+
 /// Where a unit may take room from others, and from whom. Beyond its team's guarantee, it must not
 /// throw away more work than it brings.
 fn make_room(
@@ -102,12 +120,13 @@
     room: &Room<'_>,
     standing: &Standing,
     scene: &Scene,
+    reach: Reach,
 ) -> Option<(Placement, Vec<RunId>)> {
     let guaranteed = standing.is_guaranteed(unit);
     if !guaranteed && (standing.priority(unit.job) > 0 || outlook.is_hopeless()) {
         return None;
     }
-    let (placement, victims, loss) = place_over(unit, room, standing, scene)?;
+    let (placement, victims, loss) = place_over(unit, room, standing, scene, reach)?;
     let count = unit.tasks.len() as u64;
     let brings = unit.shape.taken().times(count).weight() * unit.shape.estimate;
     (guaranteed || loss <= brings).then_some((placement, victims))
--- a/crates/bronzespool-batch/src/plan/outlook.rs
+++ b/crates/bronzespool-batch/src/plan/outlook.rs
@@ -55,11 +55,11 @@
     }
 
     /// Whether to start far from the data or the gang's other members: a near start would be late
-    /// too, and the far one still earns.
+    /// too, and the far one still earns, or neither does.
     pub(super) fn is_far_better(&self) -> bool {
         let near = self.elapsed + self.rest;
         let far = near + self.own * (FAR - 1);
-        near > self.aim && far <= self.aim * LATE
+        near > self.aim && (far <= self.aim * LATE || self.is_hopeless())
     }
 }
 
--- a/crates/bronzespool-batch/src/plan/place.rs
+++ b/crates/bronzespool-batch/src/plan/place.rs
@@ -19,16 +19,31 @@
 /// The worker of each task of a unit, in their order.
 pub(super) type Placement = Vec<Life>;
 
-/// Places a unit into room that is free now; `far` allows placements that make it slow.
-pub(super) fn place(unit: &Unit<'_>, room: &Room<'_>, far: bool) -> Option<Placement> {
+/// Which placements are allowed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reach {
+    /// In the rack of the data, or all of a gang in one rack, where that can be had at all.
+    Near,
+    /// Also where it makes the unit slow.
+    Far,
+    /// Also on workers that fail what they run.
+    Any,
+}
+
+/// Places a unit into room that is free now.
+pub(super) fn place(unit: &Unit<'_>, room: &Room<'_>, reach: Reach) -> Option<Placement> {
     let free: Vec<Resources> = room.slots.iter().map(|s| s.free).collect();
-    if far { fill(unit, room, &free, |_| true) } else { place_near(unit, room, &free) }
+    match reach {
+        Reach::Near => place_near(unit, room, &free),
+        Reach::Far => fill(unit, room, &free, |s| s.is_trusted()),
+        Reach::Any => fill(unit, room, &free, |_| true),
+    }
 }
 
 fn place_near(unit: &Unit<'_>, room: &Room<'_>, free: &[Resources]) -> Option<Placement> {
     if unit.shape.compact && unit.tasks.len() > 1 {
         let racks: BTreeSet<&str> = room.slots.iter().map(Slot::rack).collect();
-        let within = |rack: &&str| fill(unit, room, free, |s| s.rack() == *rack);
+        let within = |rack: &&str| fill(unit, room, free, |s| s.rack() == *rack && s.is_trusted());
         if let Some(found) = racks.iter().find_map(within) {
             return Some(found);
         }
@@ -37,14 +52,14 @@
         }
     }
     if let Some(rack) = unit.shape.rack.as_deref() {
-        if let Some(found) = fill(unit, room, free, |s| s.rack() == rack) {
+        if let Some(found) = fill(unit, room, free, |s| s.rack() == rack && s.is_trusted()) {
             return Some(found);
         }
         if fits_empty(unit, room, rack) {
             return None;
         }
     }
-    fill(unit, room, free, |_| true)
+    fill(unit, room, free, |s| s.is_trusted())
 }
 
 /// Whether the unit would fit a rack on which nothing runs.
--- a/crates/bronzespool-batch/src/plan/reclaim.rs
+++ b/crates/bronzespool-batch/src/plan/reclaim.rs
@@ -9,7 +9,7 @@
         id::{Life, RunId, StepId},
         plan::{
             Scene, Standing, Unit,
-            place::{Placement, fits_empty, tightness},
+            place::{Placement, Reach, fits_empty, tightness},
             room::{Room, Slot},
         },
         spec::Resources,
@@ -62,22 +62,31 @@
     room: &Room<'_>,
     standing: &Standing,
     scene: &Scene,
+    reach: Reach,
 ) -> Option<Found> {
-    let racks: BTreeSet<&str> = room.slots.iter().map(Slot::rack).collect();
-    let within = |rack: &str| Draft::new(unit, room, standing, scene).fill(|s| s.rack() == rack);
+    let draft = || Draft::new(unit, room, standing, scene);
+    match reach {
+        Reach::Near => {}
+        Reach::Far => return draft().fill(|s| s.is_trusted()),
+        Reach::Any => return draft().fill(|_| true),
+    }
     if unit.shape.compact && unit.tasks.len() > 1 {
-        let found = racks.iter().filter_map(|r| within(r));
+        let racks: BTreeSet<&str> = room.slots.iter().map(Slot::rack).collect();
+        let found =
+            racks.iter().filter_map(|rack| draft().fill(|s| s.rack() == *rack && s.is_trusted()));
         if let Some(best) = found.min_by_key(|(_, _, loss)| *loss) {
             return Some(best);
         }
+        if racks.iter().any(|rack| fits_empty(unit, room, rack)) {
+            return None;
+        }
     }
-    if let Some(rack) = unit.shape.rack.as_deref()
-        && fits_empty(unit, room, rack)
-        && let Some(found) = within(rack)
-    {
-        return Some(found);
+    match unit.shape.rack.as_deref() {
+        Some(rack) if fits_empty(unit, room, rack) => {
+            draft().fill(|s| s.rack() == rack && s.is_trusted())
+        }
+        _ => draft().fill(|s| s.is_trusted()),
     }
-    Draft::new(unit, room, standing, scene).fill(|_| true)
 }
 
 impl<'a, 'b> Draft<'a, 'b> {
--- a/crates/bronzespool-batch/src/plan/room.rs
+++ b/crates/bronzespool-batch/src/plan/room.rs
@@ -38,6 +38,11 @@
         self.worker.spec.rack()
     }
 
+    /// Whether the worker may be given tasks that could go elsewhere.
+    pub(super) fn is_trusted(&self) -> bool {
+        self.trust != Trust::Barred
+    }
+
     /// Whether the worker is of the kind that a step asks for.
     pub(super) fn suits(&self, service: &Arc<str>, step: &Step) -> bool {
         let label = step.label.as_ref();
@@ -73,15 +78,17 @@
             let slot = room.slot(worker, scene);
             room.slots.push(slot);
         }
-        room.leave_out();
+        room.pardon();
         room
     }
 
-    /// Leaves out barred workers, unless they are so many that the fault is hardly theirs.
-    fn leave_out(&mut self) {
+    /// Trusts barred workers again where they are so many that the fault is hardly theirs.
+    fn pardon(&mut self) {
         let barred = self.slots.iter().filter(|s| s.trust == Trust::Barred).count();
-        if barred * 2 <= self.slots.len() {
-            self.slots.retain(|s| s.trust != Trust::Barred);
+        if barred * 2 > self.slots.len() {
+            for slot in self.slots.iter_mut().filter(|s| s.trust == Trust::Barred) {
+                slot.trust = Trust::Doubted;
+            }
         }
     }
 
@@ -103,6 +110,16 @@
         slot
     }
 
+    /// Whether less than half of a service's room is in use.
+    pub(super) fn is_idle(&self, service: &Arc<str>) -> bool {
+        let sum = |of: fn(&Slot<'_>) -> Resources| {
+            let slots = self.slots.iter().filter(|s| s.worker.spec.service == *service);
+            slots.fold(Resources::default(), |sum, s| sum.plus(&of(s)))
+        };
+        let whole = sum(|s| s.worker.spec.capacity);
+        whole.fits(&sum(|s| s.worker.used()).times(2))
+    }
+
     /// Takes room for a unit that starts now.
     pub(super) fn take(&mut self, unit: &Unit<'_>, placement: &Placement) {
         let taken = unit.shape.taken();
--- /dev/null
+++ b/crates/bronzespool-batch/tests/common/mod.rs
@@ -0,0 +1,174 @@
+//! A small ledger with workers and jobs.
+
+#![allow(dead_code, unreachable_pub)]
+
+use {
+    bronzespool_batch::{
+        Config, Event, JobId, Ledger, Life, Phase, Record, RunId, Step, StepId, TaskId, Verdict,
+        config::{Pool, Queue, Team},
+        ledger::{Assignment, End, How, WorkerSpec},
+        plan::{Scene, plan},
+        spec::{JobSpec, Resources},
+    },
+    bronzespool_core::{Instance, Time},
+    std::{sync::Arc, time::Duration},
+};
+
+pub const SECOND: Duration = Duration::from_secs(1);
+/// Room of a worker.
+pub const ROOM: Resources = Resources { cpu: 64_000, memory: 128_000, gpu: 8 };
+/// Queues by priority.
+pub const QUEUES: [&str; 3] = ["quota", "cutting", "reconcile"];
+
+pub fn config(version: u64, guaranteed: u64) -> Config {
+    let queue = |(priority, name): (usize, &&str)| Queue {
+        name: (*name).into(),
+        host: "desk.example".into(),
+        prefix: format!("/{name}/").into(),
+        service: "desk".into(),
+        priority: priority as u32,
+        attempts: 3,
+        slack: 1_500,
+        target: 250,
+        timeout: 3_000,
+        open: false,
+        advice: None,
+    };
+    Config {
+        version,
+        document: format!("{{\"version\":{version}}}").as_bytes().into(),
+        queues: QUEUES.iter().enumerate().map(queue).collect(),
+        pools: vec![Pool { name: "desk".into(), guards: false, standby: false }],
+        teams: vec![
+            Team { name: "rangers".into(), keys: vec!["key-r".into()], guaranteed },
+            Team { name: "depots".into(), keys: vec!["key-d".into()], guaranteed: 0 },
+        ],
+    }
+}
+
+pub fn step(count: u32, gpu: u64) -> Step {
+    Step {
+        count,
+        need: Resources { cpu: 1_000, memory: 1_000, gpu },
+        estimate: 2_500,
+        ..Step::default()
+    }
+}
+
+pub fn gang(count: u32, gpu: u64) -> Step {
+    Step { gang: true, ..step(count, gpu) }
+}
+
+pub fn run(job: u64, step: u16, index: u32, run: u32) -> RunId {
+    let step = StepId { job: JobId(job), occurrence: 0, step };
+    RunId { task: TaskId { step, index }, run }
+}
+
+pub fn life(i: usize) -> Life {
+    Life { worker: format!("w{i}").into(), born: 1 }
+}
+
+/// A ledger whose workers are all in contact.
+pub struct World {
+    pub ledger: Ledger,
+    pub scene: Scene,
+    /// Numbers of the last ends, by worker.
+    numbers: Vec<u64>,
+}
+
+impl World {
+    /// `racks` racks of `each` workers.
+    pub fn new(racks: usize, each: usize, guaranteed: u64) -> Self {
+        let mut world = Self {
+            ledger: Ledger::default(),
+            scene: Scene { now: Time::from_secs(100), ..Scene::default() },
+            numbers: vec![0; racks * each],
+        };
+        world.apply(Event::Configured(Arc::new(config(1, guaranteed))));
+        for i in 0..racks * each {
+            world.up(i, i / each, false);
+        }
+        world
+    }
+
+    pub fn up(&mut self, i: usize, rack: usize, leaving: bool) -> Verdict {
+        let spec = WorkerSpec {
+            life: life(i),
+            agent: Instance::try_from(format!("side-{i}")).unwrap(),
+            service: "desk".into(),
+            center: "c1".into(),
+            labels: vec!["a".into(), format!("r{rack}").into()],
+            capacity: ROOM,
+            leaving,
+        };
+        self.scene.usable.insert(spec.life.worker.clone());
+        self.apply(Event::WorkerUp(Box::new(spec)))
+    }
+
+    pub fn apply(&mut self, event: Event) -> Verdict {
+        let record = Record { at: self.scene.now, events: vec![event] };
+        self.ledger.apply(&record)[0]
+    }
+
+    pub fn submit(&mut self, id: u64, priority: usize, steps: Vec<Step>) -> Verdict {
+        let spec = JobSpec {
+            id: JobId(id),
+            queue: QUEUES[priority].into(),
+            team: Some("rangers".into()),
+            text: "text".into(),
+            steps,
+            times: 0,
+            start: 0,
+            interval: 0,
+        };
+        self.apply(Event::Submitted(Arc::new(spec)))
+    }
+
+    pub fn pass(&mut self, span: Duration) {
+        self.scene.now += span;
+        self.scene.wall += span.as_millis() as u64;
+    }
+
+    /// Plans once and applies what comes out.
+    pub fn plan(&mut self) -> Vec<Event> {
+        let events = plan(&self.ledger, &self.scene);
+        for event in &events {
+            assert_eq!(self.apply(event.clone()), Verdict::Applied, "{event:?}");
+        }
+        events
+    }
+
+    /// Runs given to workers by one plan.
+    pub fn started(&mut self) -> Vec<Assignment> {
+        let events = self.plan();
+        let groups = events.into_iter().filter_map(|e| match e {
+            Event::Started(group) => Some(group),
+            _ => None,
+        });
+        groups.flatten().collect()
+    }
+
+    /// Ends a run where it is.
+    pub fn end(&mut self, run: RunId, how: How) -> Verdict {
+        let life = self.ledger.live(run).expect("a live run").life.clone();
+        let i: usize = life.worker[1..].parse().unwrap();
+        self.numbers[i] += 1;
+        let saved = if how == How::Stopped { "saved" } else { "" };
+        let end = End { number: self.numbers[i], run, how, saved: saved.into() };
+        self.apply(Event::Ended { life, ends: vec![end] })
+    }
+
+    /// Ends all that is to be stopped.
+    pub fn end_unwanted(&mut self) -> usize {
+        let runs: Vec<RunId> = self.ledger.workers().flat_map(|w| w.runs.keys().copied()).collect();
+        let unwanted: Vec<_> = runs.into_iter().filter(|r| self.ledger.is_unwanted(*r)).collect();
+        for run in &unwanted {
+            self.end(*run, How::Stopped);
+        }
+        unwanted.len()
+    }
+
+    pub fn phase(&self, id: u64) -> Phase {
+        self.ledger.job(JobId(id)).expect("a job").phase
+    }
+}
