test(batch): ledger, leases and the agent's desk without the bench

Fifty-seven tests: what each record changes and refuses, what an agent calls its worker for after lost, late and crossed answers, leases on a slow clock over random histories, the same records making the same ledger.

--- a/crates/bronzespool-batch/src/agent/desk.rs
+++ b/crates/bronzespool-batch/src/agent/desk.rs
@@ -432,7 +432,7 @@
 
     /// Whether the worker answers and what it holds is known.
     fn is_sound(&self, now: Time, limits: &Limits) -> bool {
-        self.listed && !(self.is_silent(now, limits) && !self.answers)
+        self.listed && (self.answers || !self.is_silent(now, limits))
     }
 
     fn settle(&mut self, run: RunId) {
--- a/crates/bronzespool-batch/src/ledger/apply.rs
+++ b/crates/bronzespool-batch/src/ledger/apply.rs
@@ -8,7 +8,7 @@
             Assignment, End, Event, How, Job, KEEP, Ledger, Live, Phase, Record, StepState,
             Verdict, Worker, WorkerSpec,
         },
-        spec::JobSpec,
+        spec::{JobSpec, Step},
     },
     std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
@@ -160,7 +160,7 @@
         let at = self.at;
         let run = assignment.run;
         let Some(job) = self.jobs.get_mut(&run.task.step.job) else { return };
-        let Some(taken) = job.shape(run.task.step.step).map(|s| s.taken()) else { return };
+        let Some(taken) = job.shape(run.task.step.step).map(Step::taken) else { return };
         job.phase = Phase::Running;
         job.steps_mut(run.task.step.occurrence);
         let Some(task) = job.task_mut(run.task) else { return };
--- a/crates/bronzespool-batch/src/plan/place.rs
+++ b/crates/bronzespool-batch/src/plan/place.rs
@@ -9,7 +9,7 @@
         id::Life,
         plan::{
             Unit,
-            room::{Room, Slot},
+            room::{Room, Slot, is_trusted},
         },
         spec::Resources,
     },
@@ -35,7 +35,7 @@
     let free: Vec<Resources> = room.slots.iter().map(|s| s.free).collect();
     match reach {
         Reach::Near => place_near(unit, room, &free),
-        Reach::Far => fill(unit, room, &free, |s| s.is_trusted()),
+        Reach::Far => fill(unit, room, &free, is_trusted),
         Reach::Any => fill(unit, room, &free, |_| true),
     }
 }
@@ -43,7 +43,7 @@
 fn place_near(unit: &Unit<'_>, room: &Room<'_>, free: &[Resources]) -> Option<Placement> {
     if unit.shape.compact && unit.tasks.len() > 1 {
         let racks: BTreeSet<&str> = room.slots.iter().map(Slot::rack).collect();
-        let within = |rack: &&str| fill(unit, room, free, |s| s.rack() == *rack && s.is_trusted());
+        let within = |rack: &&str| fill(unit, room, free, |s| s.rack() == *rack && is_trusted(s));
         if let Some(found) = racks.iter().find_map(within) {
             return Some(found);
         }
@@ -52,14 +52,14 @@
         }
     }
     if let Some(rack) = unit.shape.rack.as_deref() {
-        if let Some(found) = fill(unit, room, free, |s| s.rack() == rack && s.is_trusted()) {
+        if let Some(found) = fill(unit, room, free, |s| s.rack() == rack && is_trusted(s)) {
             return Some(found);
         }
         if fits_empty(unit, room, rack) {
             return None;
         }
     }
-    fill(unit, room, free, |s| s.is_trusted())
+    fill(unit, room, free, is_trusted)
 }
 
 /// Whether the unit would fit a rack on which nothing runs.
--- a/crates/bronzespool-batch/src/plan/reclaim.rs
+++ b/crates/bronzespool-batch/src/plan/reclaim.rs
@@ -10,7 +10,7 @@
         plan::{
             Scene, Standing, Unit,
             place::{Placement, Reach, fits_empty, tightness},
-            room::{Room, Slot},
+            room::{Room, Slot, is_trusted},
         },
         spec::Resources,
     },
@@ -67,13 +67,13 @@
     let draft = || Draft::new(unit, room, standing, scene);
     match reach {
         Reach::Near => {}
-        Reach::Far => return draft().fill(|s| s.is_trusted()),
+        Reach::Far => return draft().fill(is_trusted),
         Reach::Any => return draft().fill(|_| true),
     }
     if unit.shape.compact && unit.tasks.len() > 1 {
         let racks: BTreeSet<&str> = room.slots.iter().map(Slot::rack).collect();
         let found =
-            racks.iter().filter_map(|rack| draft().fill(|s| s.rack() == *rack && s.is_trusted()));
+            racks.iter().filter_map(|rack| draft().fill(|s| s.rack() == *rack && is_trusted(s)));
         if let Some(best) = found.min_by_key(|(_, _, loss)| *loss) {
             return Some(best);
         }
@@ -83,9 +83,9 @@
     }
     match unit.shape.rack.as_deref() {
         Some(rack) if fits_empty(unit, room, rack) => {
-            draft().fill(|s| s.rack() == rack && s.is_trusted())
+            draft().fill(|s| s.rack() == rack && is_trusted(s))
         }
-        _ => draft().fill(|s| s.is_trusted()),
+        _ => draft().fill(is_trusted),
     }
 }
 
--- a/crates/bronzespool-batch/src/plan/room.rs
+++ b/crates/bronzespool-batch/src/plan/room.rs
@@ -38,11 +38,6 @@
         self.worker.spec.rack()
     }
 
-    /// Whether the worker may be given tasks that could go elsewhere.
-    pub(super) fn is_trusted(&self) -> bool {
-        self.trust != Trust::Barred
-    }
-
     /// Whether the worker is of the kind that a step asks for.
     pub(super) fn suits(&self, service: &Arc<str>, step: &Step) -> bool {
         let label = step.label.as_ref();
@@ -51,6 +46,11 @@
     }
 }
 
+/// Whether a worker may be given tasks that could go elsewhere.
+pub(super) fn is_trusted(slot: &Slot<'_>) -> bool {
+    slot.trust != Trust::Barred
+}
+
 /// A unit that waits for room on certain workers.
 pub(super) struct Claim<'a> {
     pub(super) unit: &'a Unit<'a>,
--- /dev/null
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -0,0 +1,299 @@
+//! The agent's desk: what it calls its worker for, and what it tells the leader.
+
+use {
+    bronzespool_batch::{
+        JobId, Life, RunId, StepId, TaskId,
+        agent::{Action, Desk, Lease, Limits, Listing, Look, Reading, Started, Stopped, longest},
+        ledger::{End, How, WorkerSpec},
+        message::{Held, Orders, Poll, Start},
+        spec::Resources,
+    },
+    bronzespool_core::{Instance, Time},
+    std::time::Duration,
+};
+
+const LIMITS: Limits =
+    Limits { hold: Duration::from_secs(6), period: Duration::from_millis(1_500) };
+const LEASE: u64 = 8_000;
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+fn life(born: u64) -> Life {
+    Life { worker: "w0".into(), born }
+}
+
+fn spec(born: u64, leaving: bool) -> WorkerSpec {
+    WorkerSpec {
+        life: life(born),
+        agent: Instance::try_from("side-1").unwrap(),
+        service: "desk".into(),
+        center: "c1".into(),
+        labels: vec!["a".into(), "r0".into()],
+        capacity: Resources { cpu: 1_000, memory: 1_000, gpu: 1 },
+        leaving,
+    }
+}
+
+fn run(number: u32) -> RunId {
+    let step = StepId { job: JobId(1), occurrence: 0, step: 0 };
+    RunId { task: TaskId { step, index: 0 }, run: number }
+}
+
+fn start(number: u32) -> Start {
+    Start {
+        run: run(number),
+        text: "".into(),
+        saved: "".into(),
+        ticket: None,
+        target: 0,
+        filler: false,
+    }
+}
+
+fn orders(epoch: u64, starts: Vec<Start>, stops: Vec<RunId>) -> Orders {
+    Orders { epoch, life: Some(life(1)), cursor: 0, lease: LEASE, starts, stops }
+}
+
+fn held(number: u32) -> Held {
+    Held { run: run(number), saved: "".into(), percent: 0, usage: 0 }
+}
+
+fn ended(number: u32, how: How) -> End {
+    End { number: 1, run: run(number), how, saved: "".into() }
+}
+
+/// An agent whose worker has checked in and been looked at.
+struct Agent {
+    desk: Desk,
+    now: Time,
+}
+
+impl Agent {
+    fn new() -> Self {
+        let now = at(10_000);
+        let mut desk = Desk::new(Instance::try_from("side-1").unwrap(), 7, LIMITS, now);
+        assert!(desk.check_in(now, spec(1, false), 1));
+        let mut agent = Self { desk, now };
+        agent.look(Vec::new(), Vec::new());
+        agent
+    }
+
+    fn look(&mut self, running: Vec<Held>, ends: Vec<End>) -> Look {
+        let look = self.desk.look(self.now).unwrap();
+        let listing = Listing { born: Some(1), clock: self.now.as_millis(), running, ends };
+        self.desk.listed(self.now, &look, listing);
+        look
+    }
+
+    fn order(&mut self, orders: Orders) -> Vec<Action> {
+        let poll = self.desk.poll(self.now);
+        self.desk.ordered(self.now, &poll, orders);
+        self.desk.actions(self.now)
+    }
+
+    fn poll(&self) -> Poll {
+        self.desk.poll(self.now)
+    }
+}
+
+fn starts(actions: &[Action]) -> usize {
+    actions.iter().filter(|a| matches!(a, Action::Start { .. })).count()
+}
+
+#[test]
+fn actions_order_is_carried_out_once() {
+    let mut a = Agent::new();
+    assert_eq!(starts(&a.order(orders(3, vec![start(1)], Vec::new()))), 1);
+    assert_eq!(a.poll().busy, [run(1)]);
+    assert_eq!(starts(&a.order(orders(3, vec![start(1)], Vec::new()))), 0);
+    a.desk.started(&life(1), run(1), Started::Present);
+    a.look(vec![held(1)], Vec::new());
+    assert!(a.poll().busy.is_empty());
+    assert_eq!(a.poll().running.len(), 1);
+}
+
+#[test]
+fn actions_draining_worker_is_told_to_start_nothing() {
+    let mut a = Agent::new();
+    a.desk.check_in(a.now, spec(1, true), 2);
+    assert!(a.order(orders(3, vec![start(1)], Vec::new())).is_empty());
+}
+
+#[test]
+fn actions_old_orders_start_nothing() {
+    let mut a = Agent::new();
+    let poll = a.poll();
+    let sent = a.now;
+    a.now += Duration::from_secs(2);
+    a.desk.ordered(sent, &poll, orders(3, vec![start(1)], vec![run(5)]));
+    let actions = a.desk.actions(a.now);
+    assert_eq!((starts(&actions), actions.len()), (0, 1), "a stop is never too late");
+}
+
+#[test]
+fn actions_orders_for_another_life_are_left_aside() {
+    let mut a = Agent::new();
+    let other = Orders { life: Some(life(9)), ..orders(3, vec![start(1)], Vec::new()) };
+    assert!(a.order(other).is_empty());
+}
+
+#[test]
+fn ordered_older_epoch_is_left_aside() {
+    let mut a = Agent::new();
+    a.order(orders(4, Vec::new(), Vec::new()));
+    assert!(a.order(orders(3, vec![start(1)], Vec::new())).is_empty());
+}
+
+#[test]
+fn fenced_orders_of_that_leader_are_left_aside() {
+    let mut a = Agent::new();
+    a.order(orders(4, Vec::new(), Vec::new()));
+    a.desk.fenced();
+    assert!(a.order(orders(4, vec![start(1)], Vec::new())).is_empty());
+    assert_eq!(starts(&a.order(orders(5, vec![start(1)], Vec::new()))), 1);
+}
+
+#[test]
+fn started_unknown_is_refused_only_after_a_stop() {
+    let mut a = Agent::new();
+    a.order(orders(3, vec![start(1)], Vec::new()));
+    a.desk.started(&life(1), run(1), Started::Unknown);
+    assert!(a.poll().refused.is_empty());
+    // Another attempt is refused by the worker, while the first may still be carried out.
+    a.order(orders(3, vec![start(1)], Vec::new()));
+    a.desk.started(&life(1), run(1), Started::Refused);
+    assert!(a.poll().refused.is_empty());
+    assert_eq!(a.order(orders(3, Vec::new(), vec![run(1)])).len(), 1);
+    a.desk.stopped(a.now, &life(1), run(1), Stopped::Noted);
+    a.look(Vec::new(), Vec::new());
+    assert_eq!(a.poll().refused, [run(1)]);
+}
+
+#[test]
+fn started_refused_at_once_is_told() {
+    let mut a = Agent::new();
+    a.order(orders(3, vec![start(1)], Vec::new()));
+    a.desk.started(&life(1), run(1), Started::Refused);
+    assert_eq!(a.poll().refused, [run(1)]);
+}
+
+#[test]
+fn listed_look_from_before_the_answer_settles_nothing() {
+    let mut a = Agent::new();
+    a.order(orders(3, vec![start(1)], Vec::new()));
+    let before = a.desk.look(a.now).unwrap();
+    a.desk.started(&life(1), run(1), Started::Present);
+    let listing = Listing { born: Some(1), clock: 10_000, ..Listing::default() };
+    a.desk.listed(a.now, &before, listing);
+    assert!(a.poll().refused.is_empty());
+    assert_eq!(a.poll().busy, [run(1)]);
+}
+
+#[test]
+fn stopped_run_that_still_ends_is_not_refused() {
+    let mut a = Agent::new();
+    a.look(vec![held(1)], Vec::new());
+    a.order(orders(3, Vec::new(), vec![run(1)]));
+    a.desk.stopped(a.now, &life(1), run(1), Stopped::Noted);
+    a.look(vec![held(1)], Vec::new());
+    assert_eq!(a.poll().busy, [run(1)], "it takes a while to stop");
+    a.look(Vec::new(), vec![ended(1, How::Stopped)]);
+    let poll = a.poll();
+    assert!(poll.refused.is_empty() && poll.busy.is_empty());
+    assert_eq!(poll.ends.len(), 1);
+}
+
+#[test]
+fn look_acknowledges_recorded_ends_only() {
+    let mut a = Agent::new();
+    a.look(Vec::new(), vec![ended(1, How::Done)]);
+    assert_eq!(a.look(Vec::new(), vec![ended(1, How::Done)]).cursor, 0);
+    a.order(Orders { cursor: 1, ..orders(3, Vec::new(), Vec::new()) });
+    assert_eq!(a.look(Vec::new(), Vec::new()).cursor, 1);
+    assert!(a.poll().ends.is_empty());
+}
+
+#[test]
+fn look_extends_leases_only_as_control_allows() {
+    let mut a = Agent::new();
+    assert_eq!(a.look(Vec::new(), Vec::new()).until, None, "no orders yet");
+    a.order(orders(3, Vec::new(), Vec::new()));
+    assert_eq!(a.look(Vec::new(), Vec::new()).until, Some(16_000));
+    let granted = a.now;
+    a.now = granted + Duration::from_millis(3_000);
+    assert_eq!(a.look(Vec::new(), Vec::new()).until, Some(18_000), "the worker's own bound");
+    a.now = granted + Duration::from_millis(9_000);
+    assert_eq!(a.look(Vec::new(), Vec::new()).until, None);
+}
+
+#[test]
+fn check_in_late_one_is_left_aside() {
+    let mut a = Agent::new();
+    assert!(!a.desk.check_in(a.now, spec(1, true), 1));
+    assert!(!a.desk.check_in(a.now, spec(0, true), 9));
+    assert!(!a.desk.is_leaving());
+}
+
+#[test]
+fn check_in_new_life_reports_the_old_one_gone() {
+    let mut a = Agent::new();
+    a.order(orders(3, vec![start(1)], Vec::new()));
+    assert!(a.desk.check_in(a.now, spec(2, false), 1));
+    let poll = a.poll();
+    assert_eq!(poll.gone, [life(1)]);
+    assert!(poll.busy.is_empty());
+    a.desk.started(&life(1), run(1), Started::Refused);
+    assert!(a.poll().refused.is_empty(), "the answer is about the old life");
+}
+
+#[test]
+fn expire_silent_worker_is_gone_after_its_lease() {
+    let mut a = Agent::new();
+    a.order(orders(3, Vec::new(), Vec::new()));
+    a.look(Vec::new(), Vec::new());
+    let last = a.now;
+    let look = a.desk.look(a.now).unwrap();
+    a.desk.missed(&look);
+    a.now = last + Duration::from_millis(6_000);
+    assert!(!a.desk.expire(a.now));
+    a.now = last + longest(LIMITS.hold) + Duration::from_millis(100);
+    assert!(a.desk.expire(a.now));
+    assert_eq!(a.poll().gone, [life(1)]);
+}
+
+#[test]
+fn expire_answering_worker_stays() {
+    let mut a = Agent::new();
+    a.now += Duration::from_secs(60);
+    a.look(Vec::new(), Vec::new());
+    assert!(!a.desk.expire(a.now), "it answers looks, though its check-ins are lost");
+}
+
+#[test]
+fn extend_slow_clock_never_outlives_the_grant() {
+    arbtest::arbtest(|u| {
+        // True time in milliseconds; the worker's clock runs at 98 % to 100 % of it.
+        let rate = u.int_in_range(98..=100_u64)?;
+        let clock = |t: u64| t * rate / 100;
+        let span = Duration::from_millis(LEASE);
+        let mut lease = Lease::default();
+        let mut now = 100_000;
+        let granted = now;
+        for _ in 0..u.int_in_range(1..=8)? {
+            let asked = now;
+            now += u.int_in_range(0..=1_500)?;
+            lease.read(Reading { clock: clock(asked), at: at(now) });
+            now += u.int_in_range(0..=1_500)?;
+            if let Some(until) = lease.extend(at(now), at(granted), span, LIMITS.hold) {
+                let end = until * 100 / rate;
+                assert!(end <= granted + longest(span).as_millis() as u64, "{end} {granted}");
+                let over = end + 500 + LEASE;
+                assert!(lease.is_over(at(over), at(0), LIMITS.hold));
+                assert!(!lease.is_over(at(end.saturating_sub(500)), at(0), LIMITS.hold));
+            }
+        }
+        Ok(())
+    });
+}
--- /dev/null
+++ b/crates/bronzespool-batch/tests/ledger.rs
@@ -0,0 +1,249 @@
+//! How records change the ledger.
+
+mod common;
+
+use {
+    bronzespool_batch::{
+        Event, JobId, Ledger, Phase, Record, Step, Verdict,
+        ledger::{Assignment, End, How},
+    },
+    common::{SECOND, World, config, gang, life, run, step},
+    std::{sync::Arc, time::Duration},
+};
+
+fn given(id: bronzespool_batch::RunId, worker: usize) -> Assignment {
+    Assignment { run: id, life: life(worker), saved: "".into(), ticket: None }
+}
+
+#[test]
+fn apply_older_configuration_changes_nothing() {
+    let mut w = World::new(1, 1, 0);
+    assert_eq!(w.apply(Event::Configured(Arc::new(config(5, 0)))), Verdict::Applied);
+    assert_eq!(w.apply(Event::Configured(Arc::new(config(5, 9)))), Verdict::Known);
+    assert_eq!(w.apply(Event::Configured(Arc::new(config(4, 9)))), Verdict::Known);
+    assert_eq!(w.ledger.config().unwrap().guaranteed("rangers"), 0);
+}
+
+#[test]
+fn apply_same_job_twice_is_one_job() {
+    let mut w = World::new(1, 1, 0);
+    assert_eq!(w.submit(1, 0, vec![step(1, 1)]), Verdict::Applied);
+    assert_eq!(w.submit(1, 0, vec![step(1, 1)]), Verdict::Known);
+    assert_eq!(w.ledger.jobs().count(), 1);
+}
+
+#[test]
+fn apply_submission_after_cancel_does_not_revive() {
+    let mut w = World::new(1, 1, 0);
+    w.submit(1, 0, vec![step(1, 1)]);
+    w.apply(Event::Cancelled(JobId(1)));
+    assert_eq!(w.submit(1, 0, vec![step(1, 1)]), Verdict::Known);
+    assert_eq!(w.phase(1), Phase::Cancelled);
+    assert!(w.started().is_empty());
+}
+
+#[test]
+fn apply_start_of_cancelled_job_is_stale() {
+    let mut w = World::new(1, 1, 0);
+    w.submit(1, 0, vec![step(1, 1)]);
+    w.apply(Event::Cancelled(JobId(1)));
+    assert_eq!(w.apply(Event::Started(vec![given(run(1, 0, 0, 1), 0)])), Verdict::Stale);
+}
+
+#[test]
+fn apply_second_run_beside_live_one_is_stale() {
+    let mut w = World::new(1, 2, 0);
+    w.submit(1, 0, vec![step(1, 1)]);
+    assert_eq!(w.apply(Event::Started(vec![given(run(1, 0, 0, 1), 0)])), Verdict::Applied);
+    assert_eq!(w.apply(Event::Started(vec![given(run(1, 0, 0, 2), 1)])), Verdict::Stale);
+    w.end(run(1, 0, 0, 1), How::Stopped);
+    assert_eq!(w.apply(Event::Started(vec![given(run(1, 0, 0, 1), 1)])), Verdict::Stale);
+    assert_eq!(w.apply(Event::Started(vec![given(run(1, 0, 0, 2), 1)])), Verdict::Applied);
+}
+
+#[test]
+fn apply_start_of_done_task_is_stale() {
+    let mut w = World::new(1, 1, 0);
+    w.submit(1, 0, vec![step(2, 1)]);
+    w.plan();
+    w.end(run(1, 0, 0, 1), How::Done);
+    assert_eq!(w.apply(Event::Started(vec![given(run(1, 0, 0, 2), 0)])), Verdict::Stale);
+}
+
+#[test]
+fn apply_start_over_capacity_is_stale_as_a_whole() {
+    let mut w = World::new(1, 1, 0);
+    w.submit(1, 0, vec![gang(2, 5)]);
+    let group = vec![given(run(1, 0, 0, 1), 0), given(run(1, 0, 1, 1), 0)];
+    assert_eq!(w.apply(Event::Started(group)), Verdict::Stale);
+    assert!(w.ledger.workers().all(|w| w.runs.is_empty()));
+}
+
+#[test]
+fn apply_start_on_leaving_worker_is_stale() {
+    let mut w = World::new(1, 1, 0);
+    w.submit(1, 0, vec![step(1, 1)]);
+    w.up(0, 0, true);
+    assert_eq!(w.apply(Event::Started(vec![given(run(1, 0, 0, 1), 0)])), Verdict::Stale);
+    w.up(0, 0, false);
+    assert!(w.ledger.workers().all(|w| w.spec.leaving), "it does not come back in this life");
+}
+
+#[test]
+fn apply_stop_keeps_room_until_the_end() {
+    let mut w = World::new(1, 1, 0);
+    w.submit(1, 0, vec![step(1, 8)]);
+    w.plan();
+    w.apply(Event::Cancelled(JobId(1)));
+    assert!(w.ledger.is_unwanted(run(1, 0, 0, 1)));
+    assert_eq!(w.ledger.workers().next().unwrap().free().gpu, 0);
+    w.end(run(1, 0, 0, 1), How::Stopped);
+    assert_eq!(w.ledger.workers().next().unwrap().free().gpu, 8);
+}
+
+#[test]
+fn apply_repeated_ends_count_once() {
+    let mut w = World::new(1, 1, 0);
+    w.submit(1, 0, vec![step(1, 1)]);
+    w.plan();
+    let ends = vec![End { number: 1, run: run(1, 0, 0, 1), how: How::Failed, saved: "".into() }];
+    let event = Event::Ended { life: life(0), ends };
+    assert_eq!(w.apply(event.clone()), Verdict::Applied);
+    assert_eq!(w.apply(event), Verdict::Known);
+    assert_eq!(w.ledger.job(JobId(1)).unwrap().task(run(1, 0, 0, 1).task).unwrap().failures, 1);
+}
+
+#[test]
+fn apply_end_of_another_life_means_nothing() {
+    let mut w = World::new(1, 1, 0);
+    w.submit(1, 0, vec![step(1, 1)]);
+    w.plan();
+    let mut old = life(0);
+    old.born = 0;
+    let ends = vec![End { number: 1, run: run(1, 0, 0, 1), how: How::Done, saved: "".into() }];
+    assert_eq!(w.apply(Event::Ended { life: old, ends }), Verdict::Stale);
+    assert_eq!(w.phase(1), Phase::Running);
+}
+
+#[test]
+fn apply_new_life_ends_what_ran_in_the_old_one() {
+    let mut w = World::new(1, 1, 0);
+    w.submit(1, 0, vec![step(1, 1)]);
+    w.plan();
+    let mut spec = w.ledger.workers().next().unwrap().spec.clone();
+    spec.life.born = 2;
+    assert_eq!(w.apply(Event::WorkerUp(Box::new(spec.clone()))), Verdict::Applied);
+    assert!(w.ledger.live(run(1, 0, 0, 1)).is_none());
+    spec.life.born = 1;
+    assert_eq!(w.apply(Event::WorkerUp(Box::new(spec))), Verdict::Stale);
+}
+
+#[test]
+fn apply_failures_up_to_attempts_fail_the_job() {
+    let mut w = World::new(1, 4, 0);
+    w.submit(1, 0, vec![step(1, 1)]);
+    for attempt in 1..=3 {
+        w.pass(SECOND * 20);
+        assert_eq!(w.started().len(), 1);
+        assert_eq!(w.phase(1), Phase::Running);
+        w.end(run(1, 0, 0, attempt), How::Failed);
+    }
+    assert_eq!(w.phase(1), Phase::Failed);
+    w.pass(SECOND * 20);
+    assert!(w.started().is_empty());
+}
+
+#[test]
+fn apply_stops_and_lapses_are_no_failures() {
+    let mut w = World::new(1, 4, 0);
+    w.submit(1, 0, vec![step(1, 1)]);
+    for attempt in 1..=9 {
+        w.plan();
+        let how = [How::Stopped, How::Lapsed, How::Broken, How::Alone][attempt as usize % 4];
+        w.end(run(1, 0, 0, attempt), how);
+    }
+    assert_eq!(w.phase(1), Phase::Running);
+}
+
+#[test]
+fn apply_gang_failure_counts_once_a_run() {
+    let mut w = World::new(1, 4, 0);
+    w.submit(1, 0, vec![gang(3, 8)]);
+    w.plan();
+    for index in 0..3 {
+        w.end(run(1, 0, index, 1), How::Failed);
+    }
+    assert_eq!(w.phase(1), Phase::Running);
+}
+
+#[test]
+fn apply_end_of_one_member_stands_for_the_gang() {
+    let mut w = World::new(1, 2, 0);
+    w.submit(1, 0, vec![gang(2, 8)]);
+    w.plan();
+    w.end(run(1, 0, 1, 1), How::Done);
+    assert_eq!(w.phase(1), Phase::Completed);
+    assert_eq!(w.ledger.workers().filter(|w| w.free().gpu == 0).count(), 1);
+    w.end(run(1, 0, 0, 1), How::Done);
+    assert!(w.ledger.workers().all(|w| w.free().gpu == 8));
+}
+
+#[test]
+fn apply_refused_run_frees_its_room() {
+    let mut w = World::new(1, 1, 0);
+    w.submit(1, 0, vec![step(1, 8)]);
+    w.plan();
+    let event = Event::Refused { life: life(0), run: run(1, 0, 0, 1) };
+    assert_eq!(w.apply(event.clone()), Verdict::Applied);
+    assert_eq!(w.apply(event), Verdict::Known);
+    assert_eq!(w.started()[0].run.run, 2);
+}
+
+#[test]
+fn apply_checkpoint_is_handed_to_the_next_run() {
+    let mut w = World::new(1, 1, 0);
+    w.submit(1, 2, vec![Step { checkpoints: true, ..step(1, 8) }]);
+    w.plan();
+    w.end(run(1, 0, 0, 1), How::Stopped);
+    assert_eq!(&*w.started()[0].saved, "saved");
+}
+
+#[test]
+fn apply_lasting_task_starts_again_however_it_ends() {
+    let mut w = World::new(1, 3, 0);
+    w.submit(1, 0, vec![Step { lasting: true, ..step(1, 1) }]);
+    for (attempt, how) in [(1, How::Done), (2, How::Failed), (3, How::Failed), (4, How::Failed)] {
+        w.pass(SECOND * 20);
+        assert_eq!(w.started()[0].run.run, attempt);
+        w.end(run(1, 0, 0, attempt), how);
+    }
+    assert_eq!(w.phase(1), Phase::Running);
+}
+
+#[test]
+fn pending_counts_jobs_of_which_nothing_has_started() {
+    let mut w = World::new(1, 1, 0);
+    w.submit(1, 2, vec![step(1, 8)]);
+    w.submit(2, 2, vec![step(1, 8)]);
+    w.submit(3, 1, vec![step(1, 16)]);
+    w.plan();
+    assert_eq!((w.ledger.pending("reconcile"), w.ledger.pending("cutting")), (1, 1));
+}
+
+#[test]
+fn apply_same_records_make_the_same_ledger() {
+    arbtest::arbtest(|u| {
+        let mut w = World::new(2, 2, 8);
+        for id in 1..u.int_in_range(2..=8)? {
+            w.submit(id, u.int_in_range(0..=2)?, vec![step(u.int_in_range(1..=4)?, 2)]);
+            w.pass(Duration::from_millis(u.int_in_range(0..=900)?));
+        }
+        let snapshot = postcard::to_stdvec(&w.ledger).unwrap();
+        let mut restored: Ledger = postcard::from_bytes(&snapshot).unwrap();
+        for event in w.plan() {
+            restored.apply(&Record { at: w.scene.now, events: vec![event] });
+        }
+        assert_eq!(restored, w.ledger);
+        Ok(())
+    });
+}
--- a/crates/bronzespool-consensus/src/node/joining.rs
+++ b/crates/bronzespool-consensus/src/node/joining.rs
@@ -235,7 +235,7 @@
     fn superseded(&self) -> Option<Instance> {
         let Phase::Leader(leader) = &self.phase else { return None };
         let voters: Vec<&Member> = self.log.members().list.iter().filter(|m| m.voter).collect();
-        if !self.settings.open || voters.len() < SURPLUS_VOTERS || voters.len() % 2 != 0 {
+        if !self.settings.open || voters.len() < SURPLUS_VOTERS || !voters.len().is_multiple_of(2) {
             return None;
         }
         let patience: Duration = self.settings.election * REPLACE_ELECTIONS;
--- a/crates/bronzespoold/src/control/batch/polls.rs
+++ b/crates/bronzespoold/src/control/batch/polls.rs
@@ -83,7 +83,9 @@
     }
     let Some(spec) = &poll.worker else { return events };
     let known = ledger.worker(&spec.life);
-    if known.is_none_or(|w| w.spec != *spec && !(w.spec.leaving && !spec.leaving)) {
+    // A worker that is leaving does not come back in this life.
+    let is_news = |w: &Worker| w.spec != *spec && (spec.leaving || !w.spec.leaving);
+    if known.is_none_or(is_news) {
         events.push(Event::WorkerUp(Box::new(spec.clone())));
     }
     let Some(known) = known else { return events };
