fix(batch): a younger worker beside an agent ends the former one's runs

Change: one worker runs beside an agent at a time, so a younger life ends what the former held. A life whose start time looks older counts once the known one is quiet, since clocks are set back. Tests: apply_younger_worker_beside_the_agent_ends_the_former, check_in_life_that_looks_older_counts_once_the_other_is_quiet, both seen failing first (the first by reverting).

--- a/crates/bronzespool-batch/src/agent/desk.rs
+++ b/crates/bronzespool-batch/src/agent/desk.rs
@@ -197,7 +197,9 @@
             known.beat = now;
             return true;
         }
-        if spec.life.born <= known.spec.life.born {
+        // A clock that was set back may make a new life look older than one that is gone.
+        let quiet = !known.answers && known.is_silent(now, &self.limits);
+        if spec.life.born <= known.spec.life.born && !quiet {
             return false;
         }
         let old = known.spec.life.clone();
--- a/crates/bronzespool-batch/src/ledger/apply.rs
+++ b/crates/bronzespool-batch/src/ledger/apply.rs
@@ -88,6 +88,29 @@
     }
 
     fn worker_up(&mut self, spec: &WorkerSpec) -> Verdict {
+        let verdict = self.take_worker(spec);
+        if verdict == Verdict::Applied {
+            self.end_former_lives(spec);
+        }
+        verdict
+    }
+
+    /// One worker runs beside an agent at a time: a younger one means that the former is gone,
+    /// under whatever name.
+    fn end_former_lives(&mut self, spec: &WorkerSpec) {
+        let former = |w: &&Worker| {
+            w.spec.agent == spec.agent
+                && w.spec.life.worker != spec.life.worker
+                && w.spec.life.born < spec.life.born
+        };
+        let lives: Vec<Life> =
+            self.workers.values().filter(former).map(|w| w.spec.life.clone()).collect();
+        for life in &lives {
+            self.worker_gone(life);
+        }
+    }
+
+    fn take_worker(&mut self, spec: &WorkerSpec) -> Verdict {
         let known = self.workers.get_mut(&spec.life.worker);
         let Some(worker) = known else {
             self.workers.insert(spec.life.worker.clone(), Worker::new(spec.clone()));
--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -236,6 +236,17 @@
     assert!(!a.desk.is_leaving());
 }
 
+#[test]
+fn check_in_life_that_looks_older_counts_once_the_other_is_quiet() {
+    let mut a = Agent::new();
+    let look = a.desk.look(a.now).unwrap();
+    a.desk.missed(&look);
+    assert!(!a.desk.check_in(a.now, spec(0, false), 1));
+    a.now += Duration::from_secs(5);
+    assert!(a.desk.check_in(a.now, spec(0, false), 2));
+    assert_eq!(a.poll().gone, [life(1)]);
+}
+
 #[test]
 fn check_in_new_life_reports_the_old_one_gone() {
     let mut a = Agent::new();
--- a/crates/bronzespool-batch/tests/ledger.rs
+++ b/crates/bronzespool-batch/tests/ledger.rs
@@ -138,6 +138,19 @@
     assert_eq!(w.apply(Event::WorkerUp(Box::new(spec))), Verdict::Stale);
 }
 
+#[test]
+fn apply_younger_worker_beside_the_agent_ends_the_former() {
+    let mut w = World::new(1, 2, 0);
+    w.submit(1, 0, vec![step(2, 8)]);
+    w.plan();
+    let mut spec = w.ledger.workers().next().unwrap().spec.clone();
+    spec.life = bronzespool_batch::Life { worker: "another".into(), born: 2 };
+    w.apply(Event::WorkerUp(Box::new(spec)));
+    assert!(w.ledger.worker(&life(0)).is_none());
+    assert!(w.ledger.worker(&life(1)).is_some());
+    assert_eq!(w.ledger.workers().filter(|w| w.free().gpu == 8).count(), 1);
+}
+
 #[test]
 fn apply_failures_up_to_attempts_fail_the_job() {
     let mut w = World::new(1, 4, 0);
