feat(batch): wait briefly before stopping others, hold room for large units

Change: a first-priority job waits for room as long as it can still be in time, 0.9 s at most; a run with under 0.7 s left is waited for; a unit that has waited 0.5 s holds the room that comes free first. Tests: plan_guaranteed_job_waits_while_it_has_time, plan_run_that_ends_soon_is_not_stopped, plan_large_task_is_not_overtaken_by_small_ones_for_ever; five older tests pass time before they look at what is stopped, with the same expectations.

--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -18,7 +18,7 @@
         order::standing,
         outlook::Outlook,
         place::{Placement, Reach, place},
-        reclaim::place_over,
+        reclaim::{Means, place_over},
         room::{Claim, Room},
         unit::units,
     },
@@ -32,6 +32,10 @@
 
 /// Wait after which a unit starts anywhere on a service that is mostly idle.
 const STUCK: Duration = Duration::from_millis(1_200);
+/// Wait after which room is held for a unit while others come to their end.
+const WAIT_MIN: Duration = Duration::from_millis(500);
+/// Workers for each unit for which room is held, at least one unit.
+const WORKERS_A_WAIT: usize = 6;
 /// Most tasks started by one plan: the rest follows once these are in the log.
 const STARTS_MAX: usize = 256;
 
@@ -71,11 +75,14 @@
     let mut waiting: Vec<_> = waiting.into_iter().map(|u| (outlook(&u), u)).collect();
     waiting.sort_by_key(|(outlook, unit)| standing.rank(unit, outlook));
     let mut starts = 0;
+    let mut waits = 0;
+    let waits_max = room.slots.len().div_ceil(WORKERS_A_WAIT);
     for (outlook, unit) in &waiting {
         if starts >= STARTS_MAX {
             break;
         }
-        for reach in reaches(unit, outlook, &room, scene) {
+        let reaches = reaches(unit, outlook, &room, scene);
+        for reach in reaches {
             if let Some(placement) = place(unit, &room, *reach) {
                 starts += placement.len();
                 room.take(unit, &placement);
@@ -83,6 +90,14 @@
                 break;
             }
             let made = make_room(unit, outlook, &room, &standing, scene, *reach);
+            let made = made.or_else(|| {
+                if reaches.len() > 1 {
+                    return None;
+                }
+                let held = wait_for_room(unit, outlook, &room, &standing, scene)?;
+                waits += 1;
+                (waits <= waits_max).then_some((held, Vec::new()))
+            });
             if let Some((placement, victims)) = made {
                 room.claim(&Claim { unit, placement: &placement, victims: &victims });
                 if !victims.is_empty() {
@@ -123,15 +138,33 @@
     reach: Reach,
 ) -> Option<(Placement, Vec<RunId>)> {
     let guaranteed = standing.is_guaranteed(unit);
-    if !guaranteed && (standing.priority(unit.job) > 0 || outlook.is_hopeless()) {
+    let first = guaranteed || standing.priority(unit.job) == 0 && !outlook.is_hopeless();
+    if !first || outlook.has_time() {
         return None;
     }
-    let (placement, victims, loss) = place_over(unit, room, standing, scene, reach)?;
+    let means = (reach, Means::Stop);
+    let (placement, victims, loss) = place_over(unit, room, standing, scene, means)?;
     let count = unit.tasks.len() as u64;
     let brings = unit.shape.taken().times(count).weight() * unit.shape.estimate;
     (guaranteed || loss <= brings).then_some((placement, victims))
 }
 
+/// Where a large unit waits for others to end, so that small ones do not take each piece of room as
+/// it comes free.
+fn wait_for_room(
+    unit: &Unit<'_>,
+    outlook: &Outlook,
+    room: &Room<'_>,
+    standing: &Standing,
+    scene: &Scene,
+) -> Option<Placement> {
+    if outlook.is_hopeless() || scene.now.since(unit.since) < WAIT_MIN {
+        return None;
+    }
+    let means = (Reach::Near, Means::Wait);
+    place_over(unit, room, standing, scene, means).map(|(placement, ..)| placement)
+}
+
 fn assignments(unit: &Unit, placement: &Placement) -> Vec<Assignment> {
     let give = |(task, life): (&unit::Waiting, &crate::id::Life)| Assignment {
         run: RunId { task: unit.step.task(task.index), run: unit.run(task) },
--- a/crates/bronzespool-batch/src/plan/outlook.rs
+++ b/crates/bronzespool-batch/src/plan/outlook.rs
@@ -18,6 +18,10 @@
 const LATE: u32 = 3;
 /// Multiple of its duration that a task takes far from its data or its gang.
 const FAR: u32 = 3;
+/// Time that stopping a run takes.
+const STOP: Duration = Duration::from_millis(900);
+/// Longest wait for room inside a guarantee, well within the time in which it must be there.
+const WAIT_MAX: Duration = Duration::from_millis(900);
 /// Allowed duration of a queue that is gone, in thousandths of the chain of work.
 const SLACK: u64 = 2_000;
 
@@ -54,6 +58,12 @@
         self.elapsed + self.rest > self.aim * LATE
     }
 
+    /// Whether there is time to wait for room before others are stopped for it.
+    pub(super) fn has_time(&self) -> bool {
+        let latest = self.aim.saturating_sub(self.rest + STOP).min(WAIT_MAX);
+        self.elapsed < latest
+    }
+
     /// Whether to start far from the data or the gang's other members: a near start would be late
     /// too, and the far one still earns, or neither does.
     pub(super) fn is_far_better(&self) -> bool {
--- a/crates/bronzespool-batch/src/plan/reclaim.rs
+++ b/crates/bronzespool-batch/src/plan/reclaim.rs
@@ -15,21 +15,35 @@
         spec::Resources,
     },
     bronzespool_core::HashSet,
-    std::collections::BTreeSet,
+    std::{collections::BTreeSet, time::Duration},
 };
 
 /// Lost work that a run costs at least, in thousandths of a core for a millisecond: ending and
 /// starting again take time even where progress is saved.
 const RESTART: u64 = 300;
 
-/// A run that may be stopped.
+/// Time left to a run that is not worth stopping: a stop takes about as long.
+const SOON: Duration = Duration::from_millis(700);
+
+/// How room is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Means {
+    /// Runs are stopped, those first whose end loses the least work.
+    Stop,
+    /// Runs come to their end, those first that have the least left to do.
+    Wait,
+}
+
+/// A run that makes room.
 struct Lent {
     run: RunId,
     taken: Resources,
-    /// Lost work if it is stopped, its gang's included.
+    /// Lost work if it is stopped, its gang's included; milliseconds left if it is waited for.
     loss: u64,
     /// The step, if its tasks are a gang.
     gang: Option<StepId>,
+    /// Whether it ends so soon that it need not be stopped.
+    soon: bool,
 }
 
 /// Room as it is given out to the tasks of one unit.
@@ -62,9 +76,9 @@
     room: &Room<'_>,
     standing: &Standing,
     scene: &Scene,
-    reach: Reach,
+    (reach, means): (Reach, Means),
 ) -> Option<Found> {
-    let draft = || Draft::new(unit, room, standing, scene);
+    let draft = || Draft::new(unit, room, standing, scene, means);
     match reach {
         Reach::Near => {}
         Reach::Far => return draft().fill(is_trusted),
@@ -90,12 +104,22 @@
 }
 
 impl<'a, 'b> Draft<'a, 'b> {
-    fn new(unit: &'a Unit<'a>, room: &'a Room<'b>, standing: &Standing, scene: &Scene) -> Self {
+    fn new(
+        unit: &'a Unit<'a>,
+        room: &'a Room<'b>,
+        standing: &Standing,
+        scene: &Scene,
+        means: Means,
+    ) -> Self {
         let steps = |s: &Slot<'_>| s.steps.get(&unit.step).copied().unwrap_or(0);
+        let slots = room.slots.iter();
         Self {
             unit,
             room,
-            lent: room.slots.iter().map(|s| lent(unit, s, room, standing, scene)).collect(),
+            lent: match means {
+                Means::Stop => slots.map(|s| stoppable(unit, s, room, standing, scene)).collect(),
+                Means::Wait => slots.map(|s| ending(s, room, scene)).collect(),
+            },
             have: room.slots.iter().map(|s| s.free.plus(&s.coming)).collect(),
             counts: room.slots.iter().map(steps).collect(),
             victims: Vec::new(),
@@ -160,7 +184,9 @@
             let lent = self.lent[slot].swap_remove(i);
             self.have[slot] = self.have[slot].plus(&lent.taken);
             self.gangs.extend(lent.gang);
-            self.victims.push(lent.run);
+            if !lent.soon {
+                self.victims.push(lent.run);
+            }
         }
         self.have[slot] = self.have[slot].minus(&self.unit.shape.taken());
         self.counts[slot] += 1;
@@ -168,7 +194,7 @@
 }
 
 /// Runs on a slot that may be stopped.
-fn lent(
+fn stoppable(
     unit: &Unit<'_>,
     slot: &Slot<'_>,
     room: &Room<'_>,
@@ -179,6 +205,9 @@
     let lent = runs.filter_map(|(run, taken)| {
         let job = room.ledger.job(run.task.step.job)?;
         let shape = job.shape(run.task.step.step)?;
+        if left(room, *run, scene) < SOON && !shape.lasting {
+            return Some(Lent { run: *run, taken: *taken, loss: 0, gang: None, soon: true });
+        }
         if !standing.may_stop(unit, job) {
             return None;
         }
@@ -187,11 +216,37 @@
         let gang = shape.gang.then_some(run.task.step);
         // Of two that cost alike, the one of the lower priority goes.
         let loss = own.saturating_mul(count) / (1 + u64::from(standing.priority(job).min(8)));
-        Some(Lent { run: *run, taken: *taken, loss, gang })
+        Some(Lent { run: *run, taken: *taken, loss, gang, soon: false })
+    });
+    lent.collect()
+}
+
+/// Runs on a slot, by the time that they have left.
+fn ending(slot: &Slot<'_>, room: &Room<'_>, scene: &Scene) -> Vec<Lent> {
+    let runs = slot.worker.runs.iter().filter(|(run, _)| !room.leaving.contains(run));
+    let lent = runs.filter_map(|(run, taken)| {
+        let shape = room.ledger.job(run.task.step.job)?.shape(run.task.step.step)?;
+        let loss = left(room, *run, scene).as_millis() as u64;
+        let lent = Lent { run: *run, taken: *taken, loss, gang: None, soon: true };
+        (!shape.lasting).then_some(lent)
     });
     lent.collect()
 }
 
+/// Time that a run has left, by its progress where that is known, else as declared.
+fn left(room: &Room<'_>, run: RunId, scene: &Scene) -> Duration {
+    const WHOLE: u32 = 100;
+    let Some(live) = room.ledger.live(run) else { return Duration::ZERO };
+    let age = scene.now.since(live.since);
+    let done = scene.progress.get(&run).map_or(0, |p| p.percent.min(WHOLE));
+    if done > 0 && live.saved.is_empty() {
+        return age * (WHOLE - done) / done;
+    }
+    let shape = room.ledger.job(run.task.step.job).and_then(|j| j.shape(run.task.step.step));
+    let whole = Duration::from_millis(shape.map_or(0, |s| s.estimate));
+    if done > 0 { whole * (WHOLE - done) / WHOLE } else { whole.saturating_sub(age).max(SOON) }
+}
+
 /// Milliseconds of work that are lost if a run is stopped.
 fn lost(room: &Room<'_>, run: RunId, scene: &Scene, checkpoints: bool) -> u64 {
     if checkpoints {
--- a/crates/bronzespool-batch/tests/plan.rs
+++ b/crates/bronzespool-batch/tests/plan.rs
@@ -6,12 +6,16 @@
     bronzespool_batch::{
         Event, Step,
         ledger::{Cause, How},
+        plan::Progress,
         spec::Resources,
     },
     common::{SECOND, World, gang, life, run, step},
     std::{collections::BTreeSet, time::Duration},
 };
 
+/// Time after which a first-priority job of 2.5 s has no time left to wait for room.
+const PATIENCE: Duration = Duration::from_millis(610);
+
 fn stopped(events: &[Event]) -> Vec<bronzespool_batch::RunId> {
     let runs = events.iter().filter_map(|e| match e {
         Event::Stopping { runs, cause: Cause::Reclaimed(_) } => Some(runs.clone()),
@@ -127,6 +131,7 @@
     w.plan();
     w.pass(SECOND);
     w.submit(3, 0, vec![gang(1, 8)]);
+    w.pass(PATIENCE);
     let events = w.plan();
     assert_eq!(stopped(&events), [run(2, 0, 0, 1)]);
     assert!(w.started().is_empty());
@@ -134,6 +139,49 @@
     assert_eq!(w.started()[0].run, run(3, 0, 0, 1));
 }
 
+#[test]
+fn plan_guaranteed_job_waits_while_it_has_time() {
+    let mut w = World::new(1, 1, 8);
+    w.submit(1, 2, vec![step(1, 8)]);
+    w.plan();
+    w.pass(SECOND);
+    w.submit(2, 0, vec![Step { estimate: 60_000, ..step(1, 8) }]);
+    w.pass(Duration::from_millis(850));
+    assert!(stopped(&w.plan()).is_empty());
+    w.pass(Duration::from_millis(100));
+    assert_eq!(stopped(&w.plan()).len(), 1, "room inside a guarantee is there in time");
+}
+
+#[test]
+fn plan_run_that_ends_soon_is_not_stopped() {
+    let mut w = World::new(1, 2, 8);
+    w.submit(1, 2, vec![step(1, 8)]);
+    w.plan();
+    w.pass(SECOND * 9);
+    w.submit(2, 2, vec![step(1, 8)]);
+    w.plan();
+    w.scene.progress.insert(run(1, 0, 0, 1), Progress { percent: 95, ..Progress::default() });
+    w.submit(3, 0, vec![step(1, 8)]);
+    w.pass(PATIENCE);
+    assert!(stopped(&w.plan()).is_empty(), "the first job has half a second left");
+}
+
+#[test]
+fn plan_large_task_is_not_overtaken_by_small_ones_for_ever() {
+    let mut w = World::new(1, 1, 0);
+    w.submit(1, 2, vec![step(4, 2)]);
+    assert_eq!(w.started().len(), 4);
+    w.submit(2, 1, vec![step(1, 8)]);
+    w.submit(3, 2, vec![step(8, 2)]);
+    w.pass(SECOND);
+    for index in 0..4 {
+        w.end(run(1, 0, index, 1), How::Done);
+        let started = w.started();
+        let first = started.first().map(|a| a.run.task.step.job.0);
+        assert_eq!(first, (index == 3).then_some(2), "{index}");
+    }
+}
+
 #[test]
 fn plan_gang_member_is_no_cheap_victim() {
     let mut w = World::new(1, 3, 8);
@@ -143,6 +191,7 @@
     w.plan();
     w.pass(SECOND * 5);
     w.submit(3, 0, vec![step(1, 8)]);
+    w.pass(PATIENCE);
     assert_eq!(stopped(&w.plan()), [run(2, 0, 0, 1)]);
 }
 
@@ -156,6 +205,7 @@
     w.plan();
     w.pass(SECOND);
     w.submit(3, 0, vec![step(1, 8)]);
+    w.pass(PATIENCE);
     assert_eq!(stopped(&w.plan()), [run(1, 0, 0, 1)]);
 }
 
@@ -166,6 +216,7 @@
     w.plan();
     w.pass(SECOND);
     w.submit(2, 0, vec![step(1, 8)]);
+    w.pass(PATIENCE);
     assert_eq!(stopped(&w.plan()), [run(1, 0, 0, 1)], "a second of work for two and a half");
 
     let mut w = World::new(1, 1, 0);
@@ -173,6 +224,7 @@
     w.plan();
     w.pass(SECOND * 30);
     w.submit(2, 0, vec![step(1, 8)]);
+    w.pass(PATIENCE);
     assert!(stopped(&w.plan()).is_empty(), "half a minute of work for two and a half seconds");
 }
 
@@ -182,6 +234,7 @@
     w.submit(1, 2, vec![step(1, 8)]);
     w.plan();
     w.submit(2, 0, vec![step(1, 8)]);
+    w.pass(PATIENCE);
     w.plan();
     w.submit(3, 2, vec![step(4, 1)]);
     w.end_unwanted();
