--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -35,7 +35,7 @@
 /// Wait after which room is held for a unit while others come to their end.
 const WAIT_MIN: Duration = Duration::from_millis(500);
 /// Workers for each unit for which room is held, at least one unit.
-const WORKERS_A_WAIT: usize = 6;
+const WORKERS_A_WAIT: usize = 24;
 /// Most tasks started by one plan: the rest follows once these are in the log.
 const STARTS_MAX: usize = 256;
 
