feat(batch): work of a middle priority makes room when it would be late

Ruled out: slow elections (1.1 s after the machines were back) and lost records (the log held all). Test: plan_second_priority_stops_third_only_when_it_would_be_late.

--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -138,8 +138,9 @@
     reach: Reach,
 ) -> Option<(Placement, Vec<RunId>)> {
     let guaranteed = standing.is_guaranteed(unit);
-    let first = guaranteed || standing.priority(unit.job) == 0 && !outlook.is_hopeless();
-    if !first || outlook.has_time() {
+    let first = guaranteed || standing.priority(unit.job) == 0;
+    let waits = if first { outlook.has_time_first() } else { outlook.has_time() };
+    if waits || (!guaranteed && outlook.is_hopeless()) {
         return None;
     }
     let means = (reach, Means::Stop);
--- a/crates/bronzespool-batch/src/plan/order.rs
+++ b/crates/bronzespool-batch/src/plan/order.rs
@@ -51,8 +51,7 @@
         if self.is_guaranteed(unit) {
             return !self.holds(other);
         }
-        let priority = self.priority(unit.job);
-        priority == 0 && self.priority(other) > priority
+        self.priority(other) > self.priority(unit.job)
     }
 }
 
--- a/crates/bronzespool-batch/src/plan/outlook.rs
+++ b/crates/bronzespool-batch/src/plan/outlook.rs
@@ -60,8 +60,12 @@
 
     /// Whether there is time to wait for room before others are stopped for it.
     pub(super) fn has_time(&self) -> bool {
-        let latest = self.aim.saturating_sub(self.rest + STOP).min(WAIT_MAX);
-        self.elapsed < latest
+        self.elapsed < self.aim.saturating_sub(self.rest + STOP)
+    }
+
+    /// The same for work of the first priority, which must not wait for long.
+    pub(super) fn has_time_first(&self) -> bool {
+        self.has_time() && self.elapsed < WAIT_MAX
     }
 
     /// Whether to start far from the data or the gang's other members: a near start would be late
--- a/crates/bronzespool-batch/tests/plan.rs
+++ b/crates/bronzespool-batch/tests/plan.rs
@@ -182,6 +182,18 @@
     }
 }
 
+#[test]
+fn plan_second_priority_stops_third_only_when_it_would_be_late() {
+    let mut w = World::new(1, 1, 0);
+    w.submit(1, 2, vec![Step { checkpoints: true, ..step(1, 8) }]);
+    w.plan();
+    w.submit(2, 1, vec![Step { estimate: 20_000, ..step(1, 8) }]);
+    w.pass(SECOND * 9);
+    assert!(stopped(&w.plan()).is_empty(), "its room may come in time");
+    w.pass(SECOND);
+    assert_eq!(stopped(&w.plan()), [run(1, 0, 0, 1)]);
+}
+
 #[test]
 fn plan_gang_member_is_no_cheap_victim() {
     let mut w = World::new(1, 3, 8);
