fix(batch): a unit that is late holds room like any other

Change: room is held at the widest reach that a unit has; for one unit in 12 workers. Test: plan_late_task_holds_room_too, seen failing first.

--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -35,7 +35,7 @@
 /// Wait after which room is held for a unit while others come to their end.
 const WAIT_MIN: Duration = Duration::from_millis(500);
 /// Workers for each unit for which room is held, at least one unit.
-const WORKERS_A_WAIT: usize = 24;
+const WORKERS_A_WAIT: usize = 12;
 /// Most tasks started by one plan: the rest follows once these are in the log.
 const STARTS_MAX: usize = 256;
 
@@ -91,10 +91,10 @@
             }
             let made = make_room(unit, outlook, &room, &standing, scene, *reach);
             let made = made.or_else(|| {
-                if reaches.len() > 1 {
+                if Some(reach) != reaches.last() {
                     return None;
                 }
-                let held = wait_for_room(unit, outlook, &room, &standing, scene)?;
+                let held = wait_for_room(unit, outlook, &room, &standing, scene, *reach)?;
                 waits += 1;
                 (waits <= waits_max).then_some((held, Vec::new()))
             });
@@ -158,11 +158,12 @@
     room: &Room<'_>,
     standing: &Standing,
     scene: &Scene,
+    reach: Reach,
 ) -> Option<Placement> {
     if outlook.is_hopeless() || scene.now.since(unit.since) < WAIT_MIN {
         return None;
     }
-    let means = (Reach::Near, Means::Wait);
+    let means = (reach, Means::Wait);
     place_over(unit, room, standing, scene, means).map(|(placement, ..)| placement)
 }
 
--- a/crates/bronzespool-batch/tests/plan.rs
+++ b/crates/bronzespool-batch/tests/plan.rs
@@ -182,6 +182,23 @@
     }
 }
 
+#[test]
+fn plan_late_task_holds_room_too() {
+    let mut w = World::new(2, 1, 0);
+    w.submit(1, 2, vec![Step { estimate: 60_000, ..step(16, 1) }]);
+    w.plan();
+    w.pass(SECOND * 30);
+    w.submit(2, 0, vec![Step { rack: Some("r0".into()), ..step(1, 8) }]);
+    w.submit(3, 2, vec![step(16, 1)]);
+    w.pass(SECOND * 2);
+    w.plan();
+    for index in 0..8 {
+        w.end(run(1, 0, index, 1), How::Done);
+        let first = w.started().first().map(|a| a.run.task.step.job.0);
+        assert_eq!(first, (index == 7).then_some(2), "{index}");
+    }
+}
+
 #[test]
 fn plan_second_priority_stops_third_only_when_it_would_be_late() {
     let mut w = World::new(1, 1, 0);
