--- a/crates/bronzespool-cli/src/args/help.rs
+++ b/crates/bronzespool-cli/src/args/help.rs
@@ -85,6 +85,18 @@
                above 1 it runs out early.",
         examples: &["report", "report --html burn.html", "report --json"],
     },
+    Topic {
+        name: "trace",
+        form: "trace ID [FILE…]",
+        short: "pick the story of a job out of logs",
+        long: "Reads the log files of any number of processes, or standard input, and prints the \
+               lines about one job in the order of cause, since clocks differ: submission, runs \
+               by number, cancellation, answers, end.",
+        examples: &[
+            "trace 5c0e7a21d94b36f8 control-*.log agent-*.log",
+            "trace 5c0e7a21d94b36f8 < all.log",
+        ],
+    },
 ];
 
 const HEAD: &str = "bronzespool: operate a bronzespool system\n\n\
--- a/crates/bronzespool-cli/src/args/mod.rs
+++ b/crates/bronzespool-cli/src/args/mod.rs
@@ -58,6 +58,13 @@
     Cancel(Vec<Job>),
     /// Show the burn of service-level targets.
     Report(Option<Page>),
+    /// Pick the story of a job out of logs.
+    Trace {
+        /// Id of the job.
+        id: String,
+        /// Log files; standard input if there are none.
+        files: Vec<PathBuf>,
+    },
 }
 
 impl Command {
@@ -139,6 +146,7 @@
         "drain" => one(args, "drain INSTANCE", |text| Instance::try_from(text)).map(Command::Drain),
         "cancel" => read_cancel(args),
         "report" => read_report(args),
+        "trace" => read_trace(args),
         _ => Err(help::unknown(name)),
     }
 }
@@ -176,6 +184,24 @@
     }
 }
 
+fn read_trace(args: &mut Arguments) -> Result<Command> {
+    let id = one(args, "trace ID [FILE…]", job_id)?;
+    let mut files = Vec::new();
+    while let Some(path) = args.opt_free_from_os_str(plain_path).map_err(usage)? {
+        files.push(path);
+    }
+    Ok(Command::Trace { id, files })
+}
+
+/// An id is short enough to be found by any part of it, but not by every line.
+fn job_id(text: &str) -> std::result::Result<String, String> {
+    const DIGITS: usize = 6;
+    if text.len() < DIGITS {
+        return Err(format!("an id has {DIGITS} characters or more, '{text}' has {}", text.len()));
+    }
+    Ok(text.to_owned())
+}
+
 /// The free arguments as paths, at least one.
 fn paths(args: &mut Arguments, command: &str) -> Result<Vec<PathBuf>> {
     let mut paths = Vec::new();
--- a/crates/bronzespool-cli/src/command/mod.rs
+++ b/crates/bronzespool-cli/src/command/mod.rs
@@ -6,6 +6,7 @@
 mod pack;
 mod publish;
 mod report;
+mod trace;
 
 use {
     crate::{
@@ -40,6 +41,7 @@
         }
         Command::Cancel(jobs) => job::cancel(client()?, jobs).await,
         Command::Report(page) => report::run(client()?, page.as_ref()).await,
+        Command::Trace { id, files } => trace::run(id, files),
     }
 }
 
--- /dev/null
+++ b/crates/bronzespool-cli/src/command/trace.rs
@@ -0,0 +1,92 @@
+//! The story of one job, out of the logs of any number of processes.
+
+use {
+    crate::{
+        error::{Error, Result},
+        output::Output,
+    },
+    serde_json::Value,
+    std::{io::Read, path::PathBuf},
+};
+
+/// Place of a line in the order of cause: clocks of processes differ, so that times only decide
+/// between lines of one place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Stage {
+    Submitted,
+    /// Of the run with this number: given out, started, to be stopped, stopped, ended.
+    Run(u64, u8),
+    Cancelled,
+    Answered,
+    Ended,
+}
+
+/// One line about the job.
+struct Line {
+    stage: Stage,
+    time: String,
+    source: String,
+    value: Value,
+}
+
+/// Prints the lines about a job, from the files or else from standard input.
+pub(super) fn run(id: &str, files: &[PathBuf]) -> Result<Output> {
+    let mut lines = Vec::new();
+    if files.is_empty() {
+        let mut text = String::new();
+        std::io::stdin()
+            .read_to_string(&mut text)
+            .map_err(|error| Error::Read { path: "standard input".into(), error })?;
+        lines.extend(text.lines().filter_map(|l| read(l, "", id)));
+    }
+    for file in files {
+        let path = file.clone();
+        let text = std::fs::read_to_string(file).map_err(|error| Error::Read { path, error })?;
+        let name = file.file_stem().map(|n| n.to_string_lossy().into_owned()).unwrap_or_default();
+        lines.extend(text.lines().filter_map(|l| read(l, &name, id)));
+    }
+    lines.sort_by(|a, b| (a.stage, &a.time).cmp(&(b.stage, &b.time)));
+    let text: Vec<String> = lines.iter().map(show).collect();
+    let value = Value::Array(lines.into_iter().map(|l| l.value).collect());
+    Ok(Output { text: text.join("\n"), ..Output::value(value) })
+}
+
+/// Reads a line that is about the job; what stands before the JSON names its source.
+fn read(line: &str, file: &str, id: &str) -> Option<Line> {
+    let at = line.find('{')?;
+    let (head, body) = line.split_at(at);
+    let value: Value = serde_json::from_str(body).ok()?;
+    let about = |key: &str| value["kv"][key].as_str().is_some_and(|t| t.contains(id));
+    if !["job", "run", "path"].into_iter().any(about) {
+        return None;
+    }
+    let source = head.split_whitespace().last().unwrap_or(file).to_owned();
+    let time = value["timestamp"].as_str().unwrap_or("").to_owned();
+    Some(Line { stage: stage(&value), time, source, value })
+}
+
+fn stage(value: &Value) -> Stage {
+    let number = value["kv"]["run"].as_str().and_then(|r| r.rsplit('#').next()?.parse().ok());
+    let run = number.unwrap_or(0);
+    match value["text"].as_str().unwrap_or("") {
+        "a job was submitted" => Stage::Submitted,
+        "a run was given to a worker" => Stage::Run(run, 0),
+        "a start was ordered" | "a start has no answer" => Stage::Run(run, 1),
+        "a run is to be stopped" => Stage::Run(run, 2),
+        "a stop was ordered" | "a stop has no answer" => Stage::Run(run, 3),
+        "a run has ended" | "a run was not started" => Stage::Run(run, 4),
+        "a job was cancelled" => Stage::Cancelled,
+        "a job has ended" => Stage::Ended,
+        _ => Stage::Answered,
+    }
+}
+
+fn show(line: &Line) -> String {
+    let pairs = line.value["kv"].as_object().into_iter().flatten();
+    let pairs: Vec<String> = pairs
+        .filter(|(_, v)| !v.is_null())
+        .map(|(k, v)| format!("{k}={}", v.as_str().map_or_else(|| v.to_string(), str::to_owned)))
+        .collect();
+    let text = line.value["text"].as_str().unwrap_or("");
+    format!("{} {} {text}: {}", line.time, line.source, pairs.join(" "))
+}
--- a/crates/bronzespool-cli/src/error.rs
+++ b/crates/bronzespool-cli/src/error.rs
@@ -112,6 +112,13 @@
         /// The fault.
         error: Box<Error>,
     },
+    /// cannot read {path}: {error}
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What went wrong.
+        error: io::Error,
+    },
     /// cannot write {path}: {error}
     Write {
         /// The file.
