--- /dev/null
+++ b/crates/bronzespoold/tests/telemetry_ring.rs
@@ -0,0 +1,67 @@
+//! Log lines are bounded and never wait for their reader.
+
+use {
+    bronzespoold::telemetry::{Budget, Ring},
+    std::{
+        io::{self, Write},
+        sync::{Arc, Mutex, mpsc},
+        time::{Duration, Instant},
+    },
+};
+
+/// A reader that takes nothing until it is let go.
+struct Stuck {
+    gate: mpsc::Receiver<()>,
+    taken: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Write for Stuck {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        // The sender's end opens the gate for good.
+        let _ = self.gate.recv();
+        self.taken.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn push_reader_that_stands_still_does_not_hold_up_the_caller() {
+    let (open, gate) = mpsc::channel();
+    let taken = Arc::new(Mutex::new(Vec::new()));
+    let ring = Ring::start(Stuck { gate, taken: Arc::clone(&taken) });
+    for i in 0..20_000_u32 {
+        ring.push("place", i, vec![b'x'; 1_000]);
+    }
+    assert!(taken.lock().unwrap().is_empty(), "every push has returned, nothing was read");
+    drop(open);
+    let end = Instant::now() + Duration::from_secs(20);
+    while taken.lock().unwrap().is_empty() {
+        assert!(Instant::now() < end, "nothing was written");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let bytes = taken.lock().unwrap().len();
+    assert!(bytes < 600_000, "{bytes} bytes waited");
+}
+
+#[test]
+fn take_one_place_cannot_use_up_the_budget_of_others() {
+    let now = Instant::now();
+    let mut budget = Budget::new(now);
+    let taken = (0..1_000).filter(|_| budget.take("loud", 1, 100)).count();
+    assert_eq!(taken, 100);
+    assert!(budget.take("quiet", 7, 100));
+    assert_eq!(budget.renew(now), 0, "the span is not over");
+    assert_eq!(budget.renew(now + Duration::from_secs(1)), 900);
+    assert!(budget.take("loud", 1, 100));
+}
+
+#[test]
+fn take_bytes_are_bounded() {
+    let mut budget = Budget::new(Instant::now());
+    let taken = (0..1_000).filter(|i| budget.take("place", *i, 10_000)).count();
+    assert_eq!(taken, 13);
+}
