--- a/crates/bronzespoold/src/batch/mod.rs
+++ b/crates/bronzespoold/src/batch/mod.rs
@@ -3,10 +3,12 @@
 
 mod agent;
 mod finder;
+mod ready;
 mod relay;
 
 pub use {
     agent::{Agent, Looked, Options, Worker},
     finder::{Fault, Finder, Result},
+    ready::watch_control,
     relay::serve_relay,
 };
--- /dev/null
+++ b/crates/bronzespoold/src/batch/ready.rs
@@ -0,0 +1,32 @@
+//! Whether a process should take new connections: while control serves.
+
+use {
+    crate::batch::finder::Finder,
+    bronzespool::batch::message::Call,
+    std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::time::sleep,
+};
+
+/// Time between two calls that tell whether control serves.
+const PING: Duration = Duration::from_millis(500);
+/// Longest wait for such a call.
+const PING_TIME: Duration = Duration::from_millis(1_000);
+/// Failed calls in a row after which the process is not ready: an election is no reason.
+const PINGS_LOST: u32 = 3;
+
+/// Sets `ready` by whether control serves, for as long as this process lives; tells the leader the
+/// address at which this process passes on calls.
+pub async fn watch_control(finder: Rc<Finder>, relay: Option<SocketAddr>, ready: Rc<Cell<bool>>) {
+    let mut lost = PINGS_LOST;
+    loop {
+        lost = match finder.call(Call::Ping(relay), PING_TIME).await {
+            Ok(_) => 0,
+            Err(_) => lost.saturating_add(1),
+        };
+        let now = lost < PINGS_LOST;
+        if ready.replace(now) != now {
+            log::info!(ready = now; "readiness has changed");
+        }
+        sleep(PING).await;
+    }
+}
