refactor(batch): one method for each way to settle a unit; sums of absurd sizes saturate

Cause: plan() was one long loop, and a job of u64::MAX accelerators wrapped to a small need in release builds, which would have counted it inside a guarantee. Test: plan_absurd_sizes_harm_nothing, seen failing first (overflow in the sum of accelerators).

--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -63,52 +63,88 @@
 
 /// The events that the policy wants next.
 pub fn plan(ledger: &Ledger, scene: &Scene) -> Vec<Event> {
-    let mut events = Vec::new();
+    let mut round = Round::new(ledger, scene);
     let broken = unit::broken(ledger);
     if !broken.is_empty() {
-        events.push(Event::Stopping { runs: broken, cause: Cause::Broken });
+        round.events.push(Event::Stopping { runs: broken, cause: Cause::Broken });
     }
-    let mut room = Room::new(ledger, scene);
-    let waiting = units(ledger, scene);
-    let standing = standing(ledger);
     let outlook = |u: &Unit<'_>| Outlook::of(ledger, u, scene);
-    let mut waiting: Vec<_> = waiting.into_iter().map(|u| (outlook(&u), u)).collect();
-    waiting.sort_by_key(|(outlook, unit)| standing.rank(unit, outlook));
-    let mut starts = 0;
-    let mut waits = 0;
-    let waits_max = room.slots.len().div_ceil(WORKERS_A_WAIT);
+    let mut waiting: Vec<_> = units(ledger, scene).into_iter().map(|u| (outlook(&u), u)).collect();
+    waiting.sort_by_key(|(outlook, unit)| round.standing.rank(unit, outlook));
     for (outlook, unit) in &waiting {
-        if starts >= STARTS_MAX {
+        if round.starts >= STARTS_MAX {
             break;
         }
-        let reaches = reaches(unit, outlook, &room, scene);
-        for reach in reaches {
-            if let Some(placement) = place(unit, &room, *reach) {
-                starts += placement.len();
-                room.take(unit, &placement);
-                events.push(Event::Started(assignments(unit, &placement)));
-                break;
-            }
-            let made = make_room(unit, outlook, &room, &standing, scene, *reach);
-            let made = made.or_else(|| {
-                if Some(reach) != reaches.last() {
-                    return None;
-                }
-                let held = wait_for_room(unit, outlook, &room, &standing, scene, *reach)?;
-                waits += 1;
-                (waits <= waits_max).then_some((held, Vec::new()))
-            });
-            if let Some((placement, victims)) = made {
-                room.claim(&Claim { unit, placement: &placement, victims: &victims });
-                if !victims.is_empty() {
-                    let cause = Cause::Reclaimed(unit.step.job);
-                    events.push(Event::Stopping { runs: victims, cause });
-                }
-                break;
+        round.settle(unit, outlook);
+    }
+    round.events
+}
+
+/// One plan in the making.
+struct Round<'a> {
+    scene: &'a Scene,
+    room: Room<'a>,
+    standing: Standing,
+    events: Vec<Event>,
+    /// Tasks started.
+    starts: usize,
+    /// Units for which room may still be held.
+    holds: usize,
+}
+
+impl<'a> Round<'a> {
+    fn new(ledger: &'a Ledger, scene: &'a Scene) -> Self {
+        let room = Room::new(ledger, scene);
+        let holds = room.slots.len().div_ceil(WORKERS_A_WAIT);
+        let standing = standing(ledger);
+        Self { scene, room, standing, events: Vec::new(), starts: 0, holds }
+    }
+
+    /// Starts a unit, makes room for it or holds room for it, the nearest way first.
+    fn settle(&mut self, unit: &Unit<'_>, outlook: &Outlook) {
+        let reaches = reaches(unit, outlook, &self.room, self.scene);
+        for (i, reach) in reaches.iter().enumerate() {
+            let last = i + 1 == reaches.len();
+            let settled = self.start(unit, *reach)
+                || self.stop_others(unit, outlook, *reach)
+                || last && self.hold(unit, outlook, *reach);
+            if settled {
+                return;
             }
         }
     }
-    events
+
+    fn start(&mut self, unit: &Unit<'_>, reach: Reach) -> bool {
+        let Some(placement) = place(unit, &self.room, reach) else { return false };
+        self.starts += placement.len();
+        self.room.take(unit, &placement);
+        self.events.push(Event::Started(assignments(unit, &placement)));
+        true
+    }
+
+    fn stop_others(&mut self, unit: &Unit<'_>, outlook: &Outlook, reach: Reach) -> bool {
+        let (room, standing, scene) = (&self.room, &self.standing, self.scene);
+        let made = make_room(unit, outlook, room, standing, scene, reach);
+        let Some((placement, victims)) = made else { return false };
+        self.room.claim(&Claim { unit, placement: &placement, victims: &victims });
+        if !victims.is_empty() {
+            let cause = Cause::Reclaimed(unit.step.job);
+            self.events.push(Event::Stopping { runs: victims, cause });
+        }
+        true
+    }
+
+    fn hold(&mut self, unit: &Unit<'_>, outlook: &Outlook, reach: Reach) -> bool {
+        if self.holds == 0 {
+            return false;
+        }
+        let (room, standing, scene) = (&self.room, &self.standing, self.scene);
+        let held = wait_for_room(unit, outlook, room, standing, scene, reach);
+        let Some(placement) = held else { return false };
+        self.holds -= 1;
+        self.room.claim(&Claim { unit, placement: &placement, victims: &[] });
+        true
+    }
 }
 
 /// What is tried for a unit, the best first.
@@ -146,7 +182,7 @@
     let means = (reach, Means::Stop);
     let (placement, victims, loss) = place_over(unit, room, standing, scene, means)?;
     let count = unit.tasks.len() as u64;
-    let brings = unit.shape.taken().times(count).weight() * unit.shape.estimate;
+    let brings = unit.shape.taken().times(count).weight().saturating_mul(unit.shape.estimate);
     (guaranteed || loss <= brings).then_some((placement, victims))
 }
 
--- a/crates/bronzespool-batch/src/plan/order.rs
+++ b/crates/bronzespool-batch/src/plan/order.rs
@@ -69,8 +69,9 @@
         let Some(team) = job.spec.team.as_deref().filter(|_| priority == 0) else { continue };
         let sum: &mut u64 = used.entry(team).or_default();
         let need = accelerators(job);
-        if *sum + need <= config.guaranteed(team) {
-            *sum += need;
+        let whole = sum.saturating_add(need);
+        if whole <= config.guaranteed(team) {
+            *sum = whole;
             standing.guaranteed.insert(job.spec.id);
         }
     }
@@ -79,5 +80,6 @@
 
 /// Accelerators that all tasks of a job take at once.
 fn accelerators(job: &Job) -> u64 {
-    job.spec.steps.iter().map(|s| s.need.gpu * u64::from(s.count)).sum()
+    let each = job.spec.steps.iter().map(|s| s.need.gpu.saturating_mul(u64::from(s.count)));
+    each.fold(0, u64::saturating_add)
 }
--- a/crates/bronzespool-batch/src/plan/outlook.rs
+++ b/crates/bronzespool-batch/src/plan/outlook.rs
@@ -47,7 +47,7 @@
             elapsed: elapsed(job, unit.step.occurrence, scene),
             rest: chain(&job.spec.steps, unit.step.step),
             own: millis(unit.shape.estimate),
-            aim: millis(whole.as_millis() as u64 * slack / 1_000 + target),
+            aim: millis((whole.as_millis() as u64).saturating_mul(slack) / 1_000 + target),
         }
     }
 
@@ -86,7 +86,7 @@
         let before = step.after.iter().filter_map(|s| ends.get(usize::from(*s)));
         let begin = before.max().copied().unwrap_or(0);
         let counts = i == usize::from(from) || begin > 0 || from == 0;
-        ends[i] = if counts { begin + step.estimate } else { 0 };
+        ends[i] = if counts { begin.saturating_add(step.estimate) } else { 0 };
         longest = longest.max(ends[i]);
     }
     millis(longest)
--- a/crates/bronzespool-batch/tests/plan.rs
+++ b/crates/bronzespool-batch/tests/plan.rs
@@ -336,6 +336,17 @@
     assert_eq!(w.started().len(), 1, "the service is idle and no other worker suits");
 }
 
+#[test]
+fn plan_absurd_sizes_harm_nothing() {
+    let mut w = World::new(1, 2, 8);
+    let need = Resources { cpu: u64::MAX, memory: u64::MAX, gpu: u64::MAX };
+    w.submit(1, 0, vec![Step { need, estimate: u64::MAX, ..step(3, 0) }]);
+    w.submit(2, 1, vec![Step { need, estimate: u64::MAX, ..gang(3, 0) }]);
+    w.submit(3, 2, vec![Step { estimate: u64::MAX, ..step(1, 1) }]);
+    w.pass(SECOND * 5);
+    assert_eq!(w.started().iter().map(|a| a.run).collect::<Vec<_>>(), [run(3, 0, 0, 1)]);
+}
+
 #[test]
 fn plan_never_overfills() {
     arbtest::arbtest(|u| {
--- a/crates/bronzespool/tests/proofs.rs
+++ b/crates/bronzespool/tests/proofs.rs
@@ -30,6 +30,11 @@
     fs::read_to_string(root().join("docs/PROOFS.md")).unwrap()
 }
 
+/// Names of tests, as in `package/file::function`, that a page gives.
+fn names(page: &str) -> Vec<&str> {
+    page.split('`').skip(1).step_by(2).filter(|n| n.contains("::")).collect()
+}
+
 /// Whether a name such as `package/file::function` is a test of that file.
 fn exists(name: &str) -> bool {
     let Some((file, function)) = name.split_once("::") else {
@@ -49,13 +54,22 @@
 #[test]
 fn proofs_named_tests_exist() {
     let page = page();
-    let names: Vec<_> = page.split('`').skip(1).step_by(2).filter(|n| n.contains("::")).collect();
+    let names = names(&page);
     assert!(names.len() > 40, "only {} names were found", names.len());
     let named = |n: &&&str| **n != "package/file::function";
     let missing: Vec<_> = names.iter().filter(named).filter(|n| !exists(n)).collect();
     assert!(missing.is_empty(), "no such tests: {missing:?}");
 }
 
+#[test]
+fn proofs_platform_named_tests_exist() {
+    let page = fs::read_to_string(root().join("docs/PROOFS-PLATFORM.md")).unwrap();
+    let names = names(&page);
+    assert!(names.len() > 10, "only {} names were found", names.len());
+    let missing: Vec<_> = names.iter().filter(|n| !exists(n)).collect();
+    assert!(missing.is_empty(), "no such tests: {missing:?}");
+}
+
 #[test]
 fn proofs_every_promise_has_every_failure() {
     let page = page();
