--- a/crates/bronzespool-cli/src/command/trace.rs
+++ b/crates/bronzespool-cli/src/command/trace.rs
@@ -5,6 +5,13 @@
         error::{Error, Result},
         output::Output,
     },
+    bronzespool_telemetry::{
+        Event,
+        event::{
+            JobCancelled, JobEnded, JobSubmitted, RunEnded, RunGiven, RunRefused, RunStopping,
+            StartOrdered, StartRefused, StartUnanswered, StopOrdered, StopRefused, StopUnanswered,
+        },
+    },
     serde_json::Value,
     std::{io::Read, path::PathBuf},
 };
@@ -68,16 +75,26 @@
 fn stage(value: &Value) -> Stage {
     let number = value["kv"]["run"].as_str().and_then(|r| r.rsplit('#').next()?.parse().ok());
     let run = number.unwrap_or(0);
-    match value["text"].as_str().unwrap_or("") {
-        "a job was submitted" => Stage::Submitted,
-        "a run was given to a worker" => Stage::Run(run, 0),
-        "a start was ordered" | "a start has no answer" => Stage::Run(run, 1),
-        "a run is to be stopped" => Stage::Run(run, 2),
-        "a stop was ordered" | "a stop has no answer" => Stage::Run(run, 3),
-        "a run has ended" | "a run was not started" => Stage::Run(run, 4),
-        "a job was cancelled" => Stage::Cancelled,
-        "a job has ended" => Stage::Ended,
-        _ => Stage::Answered,
+    let text = value["text"].as_str().unwrap_or("");
+    let at = |texts: &[&str]| texts.contains(&text);
+    if at(&[JobSubmitted::INFO.text]) {
+        Stage::Submitted
+    } else if at(&[RunGiven::INFO.text]) {
+        Stage::Run(run, 0)
+    } else if at(&[StartOrdered::INFO.text, StartUnanswered::INFO.text, StartRefused::INFO.text]) {
+        Stage::Run(run, 1)
+    } else if at(&[RunStopping::INFO.text]) {
+        Stage::Run(run, 2)
+    } else if at(&[StopOrdered::INFO.text, StopUnanswered::INFO.text, StopRefused::INFO.text]) {
+        Stage::Run(run, 3)
+    } else if at(&[RunEnded::INFO.text, RunRefused::INFO.text]) {
+        Stage::Run(run, 4)
+    } else if at(&[JobCancelled::INFO.text]) {
+        Stage::Cancelled
+    } else if at(&[JobEnded::INFO.text]) {
+        Stage::Ended
+    } else {
+        Stage::Answered
     }
 }
 
--- a/crates/bronzespoold/src/telemetry/budget.rs
+++ b/crates/bronzespool-telemetry/src/budget.rs
@@ -1,25 +1,22 @@
 //! Bounds the log lines of each kind.
 
 use {
-    bronzespool::core::HashMap,
+    bronzespool_core::HashMap,
     std::time::{Duration, Instant},
 };
 
-/// Lines of one kind in a span of [`SPAN`]: a kind is a place in the source.
+/// Lines of one kind of event in a span of [`SPAN`].
 const LINES: u32 = 100;
 /// Bytes of all lines in a span.
 const BYTES: usize = 128 * 1024;
 /// Span of the budget.
 const SPAN: Duration = Duration::from_secs(1);
 
-/// Place in the source that writes a line.
-type Kind = (String, u32);
-
 /// Lines and bytes that may still be written in the present span.
 #[derive(Debug)]
 pub struct Budget {
     since: Instant,
-    lines: HashMap<Kind, u32>,
+    lines: HashMap<String, u32>,
     bytes: usize,
     left_out: u64,
 }
@@ -41,8 +38,8 @@
     }
 
     /// Whether a line may be written; one that may not is counted.
-    pub fn take(&mut self, module: &str, line: u32, bytes: usize) -> bool {
-        let count = self.lines.entry((module.to_owned(), line)).or_default();
+    pub fn take(&mut self, kind: &str, bytes: usize) -> bool {
+        let count = self.lines.entry(kind.to_owned()).or_default();
         if *count >= LINES || self.bytes + bytes > BYTES {
             self.left_out += 1;
             return false;
--- /dev/null
+++ b/crates/bronzespool-telemetry/src/event/mod.rs
@@ -0,0 +1,159 @@
+//! Log events: one type each, with the text that is searched for and fields that say what they
+//! hold.
+
+mod agent;
+mod control;
+mod daemon;
+mod entry;
+mod process;
+mod shown;
+mod worker;
+
+pub use self::{agent::*, control::*, daemon::*, entry::*, process::*, shown::Shown, worker::*};
+
+use {
+    log::{Level, Record, kv::Value},
+    std::fmt::{Arguments, Write},
+};
+
+/// The process, or its part, that tells an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// Any process.
+    Process,
+    /// An entry.
+    Entry,
+    /// An agent.
+    Agent,
+    /// A control instance.
+    Control,
+    /// The control instance that leads.
+    Leader,
+}
+
+impl Origin {
+    /// Name in the lines, as their `module_path`.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Process => "process",
+            Self::Entry => "entry",
+            Self::Agent => "agent",
+            Self::Control => "control",
+            Self::Leader => "leader",
+        }
+    }
+}
+
+/// What stands about a kind of event in the page of events.
+#[derive(Clone, Copy, Debug)]
+pub struct Info {
+    /// Text of the lines.
+    pub text: &'static str,
+    /// How serious it is.
+    pub level: Level,
+    /// Who tells it.
+    pub origin: Origin,
+    /// What has happened.
+    pub tells: &'static str,
+    /// Names of the fields, and what each holds.
+    pub fields: &'static [(&'static str, &'static str)],
+}
+
+/// A kind of event.
+pub trait Event {
+    /// What stands about it in the page.
+    const INFO: Info;
+
+    /// Writes its line.
+    fn tell(&self);
+}
+
+/// Defines events, each counted when it is told, also where its line is left out: doc, name, level, origin, text and fields.
+macro_rules! events {
+    ($(
+        $(#[doc = $doc:literal])+
+        $name:ident: $level:ident, $origin:ident, $text:literal {
+            $($(#[doc = $about:literal])+ $field:ident: $kind:ty,)*
+        }
+    )+) => {
+        $(
+            $(#[doc = $doc])+
+            #[derive(Clone, Debug)]
+            pub struct $name {
+                $($(#[doc = $about])+ pub $field: $kind,)*
+            }
+
+            impl $crate::event::Event for $name {
+                const INFO: $crate::event::Info = $crate::event::Info {
+                    text: $text,
+                    level: log::Level::$level,
+                    origin: $crate::event::Origin::$origin,
+                    tells: concat!($($doc),+),
+                    fields: &[$((stringify!($field), concat!($($about),+))),*],
+                };
+
+                fn tell(&self) {
+                    let pairs: &[(&str, log::kv::Value<'_>)] = &[
+                        $((stringify!($field), $crate::event::Shown::shown(&self.$field))),*
+                    ];
+                    $crate::event::write(&Self::INFO, format_args!($text), pairs);
+                }
+            }
+        )+
+
+        /// All events of this module.
+        pub(super) const INFOS: &[$crate::event::Info] =
+            &[$(<$name as $crate::event::Event>::INFO),+];
+    };
+}
+
+use events;
+
+fn write(info: &Info, text: Arguments<'_>, pairs: &[(&str, Value<'_>)]) {
+    metrics::counter!("bronzespool_events_total", "event" => info.text).increment(1);
+    if info.level > log::max_level() {
+        return;
+    }
+    let origin = info.origin.name();
+    let record = Record::builder()
+        .level(info.level)
+        .target(origin)
+        .module_path_static(Some(origin))
+        .args(text)
+        .key_values(&pairs)
+        .build();
+    log::logger().log(&record);
+}
+
+/// All events.
+pub fn all() -> impl Iterator<Item = &'static Info> {
+    let parts =
+        [process::INFOS, entry::INFOS, agent::INFOS, control::INFOS, worker::INFOS, daemon::INFOS];
+    parts.into_iter().flatten()
+}
+
+/// All events as a table of the page of events.
+pub fn table() -> String {
+    let mut text =
+        String::from("| text | level | told by | tells | fields |\n|---|---|---|---|---|\n");
+    for info in all() {
+        let fields: Vec<_> =
+            info.fields.iter().map(|(n, about)| format!("`{n}`: {}", plain(about))).collect();
+        // Writing to a string cannot fail.
+        let _ = writeln!(
+            text,
+            "| `{}` | {} | {} | {} | {} |",
+            info.text,
+            info.level.as_str().to_lowercase(),
+            info.origin.name(),
+            plain(info.tells),
+            fields.join("; "),
+        );
+    }
+    text.trim_end().to_owned()
+}
+
+/// A doc comment as one phrase.
+fn plain(doc: &str) -> &str {
+    doc.trim().trim_end_matches('.')
+}
--- /dev/null
+++ b/crates/bronzespool-telemetry/src/event/worker.rs
@@ -0,0 +1,79 @@
+//! Events of calls between the system and its surroundings: a worker's interface, and what operators
+//! send.
+
+use bronzespool_batch::{Life, RunId};
+
+super::events! {
+    /// A start was sent and may have been carried out.
+    StartUnanswered: Info, Agent, "a start has no answer" {
+        /// The run.
+        run: RunId,
+        /// Why.
+        error: String,
+    }
+    /// A stop was sent and may have been carried out.
+    StopUnanswered: Info, Agent, "a stop has no answer" {
+        /// The run.
+        run: RunId,
+        /// Why.
+        error: String,
+    }
+    /// The worker has not started a run.
+    StartRefused: Warn, Agent, "the worker refuses a start" {
+        /// The run.
+        run: RunId,
+        /// Status of its answer.
+        status: u16,
+        /// Its reason.
+        reason: String,
+    }
+    /// The worker has not taken a stop.
+    StopRefused: Warn, Agent, "the worker refuses a stop" {
+        /// The run.
+        run: RunId,
+        /// Status of its answer.
+        status: u16,
+        /// Its reason.
+        reason: String,
+    }
+    /// The worker has not listed what it holds.
+    LookRefused: Warn, Agent, "the worker refuses a look" {
+        /// Its life.
+        life: Life,
+        /// Status of its answer.
+        status: u16,
+    }
+    /// The worker's list is of no known form.
+    ListUnread: Warn, Agent, "the worker's list cannot be read" {
+        /// Its life.
+        life: Life,
+        /// Why.
+        error: String,
+    }
+    /// An entry of a worker's list names no task: it is left out, since another writer made it.
+    TaskUnread: Warn, Agent, "a worker lists a task that cannot be read" {
+        /// The name.
+        task: String,
+        /// Why.
+        error: String,
+    }
+    /// An end of a kind that is not known: it counts as stopped.
+    EndUnknown: Warn, Agent, "a worker lists an end of an unknown kind" {
+        /// The task.
+        task: String,
+        /// The kind.
+        how: String,
+    }
+    /// A check-in cannot be read: it tells nothing.
+    CheckInRefused: Warn, Agent, "a check-in was refused" {
+        /// Name of the worker, as in the path.
+        worker: String,
+        /// Why.
+        error: String,
+    }
+    /// A configuration cannot be read or contradicts itself: it is not in force.
+    ConfigRefused: Info, Control, "a configuration was refused" {
+        /// Why.
+        error: String,
+    }
+}
--- /dev/null
+++ b/crates/bronzespool-telemetry/src/lib.rs
@@ -0,0 +1,23 @@
+//! What processes tell about themselves: typed log events, and the path that their lines take to
+//! standard output.
+//!
+//! Each decision that touches a request, or changes what a process believes, is an [`Event`] with a
+//! type of its own, so that the page of events is made from the code. [`Ring`] bounds the lines and
+//! never waits for their reader.
+//!
+//! ```
+//! use bronzespool_telemetry::{Event, event::ReadinessChanged};
+//!
+//! ReadinessChanged { ready: true, silent_ms: 0 }.tell();
+//! assert_eq!(ReadinessChanged::INFO.text, "readiness has changed");
+//! ```
+
+mod budget;
+pub mod event;
+mod ring;
+
+pub use {
+    budget::Budget,
+    event::{Event, Info, Origin, table},
+    ring::Ring,
+};
--- a/crates/bronzespoold/src/telemetry/ring.rs
+++ b/crates/bronzespool-telemetry/src/ring.rs
@@ -1,7 +1,7 @@
 //! Writes log lines on a thread of its own: a reader that stands still costs lines, not time.
 
 use {
-    crate::telemetry::Budget,
+    crate::Budget,
     flexi_logger::{DeferredNow, json_format, writers::LogWriter},
     log::Record,
     std::{
@@ -59,8 +59,8 @@
         Self { shared }
     }
 
-    /// Queues a line of a place in the source, or counts it as left out.
-    pub fn push(&self, module: &str, line: u32, mut text: Vec<u8>) {
+    /// Queues a line of a kind of event, or counts it as left out.
+    pub fn push(&self, kind: &str, mut text: Vec<u8>) {
         text.push(b'\n');
         let mut waiting = self.shared.lock();
         let left_out = waiting.budget.renew(Instant::now());
@@ -75,7 +75,7 @@
             waiting.budget.lose();
             return;
         }
-        if waiting.budget.take(module, line, text.len()) {
+        if waiting.budget.take(kind, text.len()) {
             waiting.add(text);
             drop(waiting);
             self.shared.changed.notify_all();
@@ -94,7 +94,9 @@
     fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
         let mut text = Vec::new();
         json_format(&mut text, now, record)?;
-        self.push(record.module_path().unwrap_or(""), record.line().unwrap_or(0), text);
+        // Lines without a text of their own, as those of libraries, count by where they come from.
+        let kind = record.args().as_str().or(record.module_path()).unwrap_or("");
+        self.push(kind, text);
         Ok(())
     }
 
--- a/crates/bronzespoold/tests/telemetry_ring.rs
+++ b/crates/bronzespool-telemetry/tests/ring.rs
@@ -1,7 +1,7 @@
 //! Log lines are bounded and never wait for their reader.
 
 use {
-    bronzespoold::telemetry::{Budget, Ring},
+    bronzespool_telemetry::{Budget, Ring},
     std::{
         io::{self, Write},
         sync::{Arc, Mutex, mpsc},
@@ -34,7 +34,7 @@
     let taken = Arc::new(Mutex::new(Vec::new()));
     let ring = Ring::start(Stuck { gate, taken: Arc::clone(&taken) });
     for i in 0..20_000_u32 {
-        ring.push("place", i, vec![b'x'; 1_000]);
+        ring.push(&i.to_string(), vec![b'x'; 1_000]);
     }
     assert!(taken.lock().unwrap().is_empty(), "every push has returned, nothing was read");
     drop(open);
@@ -48,20 +48,20 @@
 }
 
 #[test]
-fn take_one_place_cannot_use_up_the_budget_of_others() {
+fn take_one_kind_cannot_use_up_the_budget_of_others() {
     let now = Instant::now();
     let mut budget = Budget::new(now);
-    let taken = (0..1_000).filter(|_| budget.take("loud", 1, 100)).count();
+    let taken = (0..1_000).filter(|_| budget.take("loud", 100)).count();
     assert_eq!(taken, 100);
-    assert!(budget.take("quiet", 7, 100));
+    assert!(budget.take("quiet", 100));
     assert_eq!(budget.renew(now), 0, "the span is not over");
     assert_eq!(budget.renew(now + Duration::from_secs(1)), 900);
-    assert!(budget.take("loud", 1, 100));
+    assert!(budget.take("loud", 100));
 }
 
 #[test]
 fn take_bytes_are_bounded() {
     let mut budget = Budget::new(Instant::now());
-    let taken = (0..1_000).filter(|i| budget.take("place", *i, 10_000)).count();
+    let taken = (0..1_000).filter(|i| budget.take(&i.to_string(), 10_000)).count();
     assert_eq!(taken, 13);
 }
--- a/crates/bronzespoold/src/agent/endpoint.rs
+++ b/crates/bronzespoold/src/agent/endpoint.rs
@@ -7,7 +7,10 @@
 //! then nobody could tell whether it ran.
 
 use {
-    crate::http::{Connection, Error, Fetched, Pool, ReadError, headers},
+    crate::{
+        http::{Connection, Error, Fetched, Pool, ReadError, headers},
+        telemetry::{Event as _, event},
+    },
     bronzespool::{
         core::Code,
         flow::{
@@ -98,7 +101,11 @@
         match result {
             Ok((fetched, connection)) => served(run, &fetched, connection),
             Err(error) => {
-                log::warn!(request = run.request.as_str(), error:%; "the endpoint gave no answer");
+                event::EndpointSilent {
+                    request: run.request.as_str().to_owned(),
+                    error: error.to_string(),
+                }
+                .tell();
                 if matches!(error, Error::Time(_)) {
                     // What has made this connection silent may have hit the idle ones too. They
                     // stay in the admission's count until the next trim.
@@ -156,7 +163,7 @@
 fn completion(run: &Run, fetched: &Fetched) -> Completion {
     let text = |name| fetched.headers().get(name).and_then(|v| v.to_str().ok());
     if text(headers::REQUEST_ID).is_some_and(|id| id != run.request) {
-        log::error!(request = run.request.as_str(); "the endpoint answered another request");
+        event::EndpointCrossed { request: run.request.as_str().to_owned() }.tell();
         return Completion::Lost(Code::AnswerShort);
     }
     let content = text(CONTENT_TYPE.as_str()).unwrap_or_default();
--- a/crates/bronzespoold/src/agent/requests.rs
+++ b/crates/bronzespoold/src/agent/requests.rs
@@ -1,7 +1,11 @@
 //! Runs requests that the admission lets through.
 
 use {
-    crate::{agent::state::State, http::Connection},
+    crate::{
+        agent::state::State,
+        http::Connection,
+        telemetry::{Event as _, event},
+    },
     bronzespool::{
         core::{Code, Refusal, Time},
         flow::{
@@ -197,7 +201,7 @@
             };
             match keeper.call(&call, REPORT_TIME).await {
                 Ok(_) => return,
-                Err(refusal) => log::warn!(refusal:%; "an outcome was not reported yet"),
+                Err(refusal) => event::OutcomeUntold { refusal: refusal.to_string() }.tell(),
             }
             sleep(REPORT_PAUSE).await;
         }
--- a/crates/bronzespoold/src/agent/start.rs
+++ b/crates/bronzespoold/src/agent/start.rs
@@ -12,6 +12,7 @@
         },
         client::{Keeper, Timing},
         clock::Clock,
+        telemetry::{Event as _, event},
     },
     bronzespool::{
         core::{Capacity, Place, Service, Time, name::Cluster},
@@ -85,7 +86,7 @@
         spawn_local(Reporter::new(Rc::clone(&state), worker).run(options.usage));
     }
     spawn_local(sweep(Rc::clone(&state)));
-    log::info!(instance:% = state.instance(); "the agent is up");
+    event::PartUp { role: "agent", instance: state.instance().clone() }.tell();
     let _ = stop.wait_for(|s| *s).await;
     state.leave();
     finish(&state, options.grace).await;
@@ -135,7 +136,7 @@
     if let Some(keeper) = state.keeper()
         && let Err(refusal) = keeper.call(&call, grace.min(Duration::from_secs(2))).await
     {
-        log::warn!(refusal:%; "control was not told of the drain");
+        event::DrainUntold { refusal: refusal.to_string() }.tell();
     }
     let idle = async {
         while state.busy() {
@@ -143,6 +144,6 @@
         }
     };
     if timeout(grace, idle).await.is_err() {
-        log::warn!("requests still run at the end of the grace time");
+        event::GraceSpent { role: "agent" }.tell();
     }
 }
--- a/crates/bronzespoold/src/agent/tasks.rs
+++ b/crates/bronzespoold/src/agent/tasks.rs
@@ -5,9 +5,12 @@
 //! lost answer is mended by the next round.
 
 use {
-    crate::agent::{
-        state::State,
-        worker::{Known, Result, TaskState, Worker},
+    crate::{
+        agent::{
+            state::State,
+            worker::{Known, Result, TaskState, Worker},
+        },
+        telemetry::{Event as _, event},
     },
     bronzespool::{
         core::{HashMap, HashSet, Time},
@@ -58,7 +61,7 @@
         loop {
             if self.state.tasks_index.get() > 0 {
                 if let Err(failure) = self.round().await {
-                    log::warn!(failure:%; "the worker's tasks were not brought up to date");
+                    event::TasksUntold { failure: failure.to_string() }.tell();
                 }
                 self.report().await;
             }
@@ -256,7 +259,7 @@
                 self.events.clear();
                 self.checkpoints.clear();
             }
-            Err(refusal) => log::warn!(refusal:%; "task events were not reported yet"),
+            Err(refusal) => event::TaskEventsUntold { refusal: refusal.to_string() }.tell(),
         }
     }
 }
--- a/crates/bronzespoold/src/agent/usage.rs
+++ b/crates/bronzespoold/src/agent/usage.rs
@@ -1,9 +1,12 @@
 //! Reports what the worker's tasks use.
 
 use {
-    crate::agent::{
-        state::State,
-        worker::{Used, Worker},
+    crate::{
+        agent::{
+            state::State,
+            worker::{Used, Worker},
+        },
+        telemetry::{Event as _, event},
     },
     bronzespool::{
         core::{HashMap, Time},
@@ -41,7 +44,7 @@
             }
             match self.worker.usage().await {
                 Ok(used) => self.report(&used).await,
-                Err(failure) => log::warn!(failure:%; "the worker's usage was not read"),
+                Err(failure) => event::UsageUnread { failure: failure.to_string() }.tell(),
             }
         }
     }
@@ -61,7 +64,7 @@
         });
         match keeper.call(&call, REPORT_TIME).await {
             Ok(_) => self.sent.extend(usage.into_iter().map(|(task, usage)| (task, (now, usage)))),
-            Err(refusal) => log::warn!(refusal:%; "usage was not reported"),
+            Err(refusal) => event::UsageUntold { refusal: refusal.to_string() }.tell(),
         }
     }
 
--- a/crates/bronzespoold/src/batch/agent.rs
+++ b/crates/bronzespoold/src/batch/agent.rs
@@ -1,7 +1,11 @@
 //! The agent beside one worker: looks at its list, polls the leader, carries out what differs.
 
 use {
-    crate::{batch::finder::Finder, clock::Clock},
+    crate::{
+        batch::finder::Finder,
+        clock::Clock,
+        telemetry::{Event as _, event},
+    },
     bronzespool::{
         batch::{
             agent::{Action, Desk, Limits, Listing, Look, Started, Stopped},
@@ -11,7 +15,12 @@
         core::{Instance, Time},
     },
     futures::{StreamExt, stream::FuturesUnordered},
-    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{
         sync::Notify,
         task::spawn_local,
@@ -73,6 +82,8 @@
     relay: Option<SocketAddr>,
     worker: W,
     desk: RefCell<Desk>,
+    /// When the leader's last orders arrived.
+    ordered: Cell<Time>,
     /// Wakes the poll, since there is something new for the leader.
     news: Notify,
 }
@@ -82,8 +93,15 @@
     pub fn new(options: Options, clock: Clock, finder: Rc<Finder>, worker: W) -> Rc<Self> {
         let nonce = fastrand::u64(..);
         let desk = Desk::new(options.instance, nonce, options.limits, clock.now());
-        let desk = RefCell::new(desk);
-        Rc::new(Self { clock, finder, relay: options.relay, worker, desk, news: Notify::new() })
+        Rc::new(Self {
+            clock,
+            finder,
+            relay: options.relay,
+            worker,
+            desk: RefCell::new(desk),
+            ordered: Cell::new(clock.now()),
+            news: Notify::new(),
+        })
     }
 
     /// Starts to look and to poll, for as long as this process lives.
@@ -98,29 +116,31 @@
         let leaving = self.desk.borrow().is_leaving();
         let life = spec.life.clone();
         if !self.desk.borrow_mut().check_in(self.clock.now(), spec, seq) {
-            log::info!(life:%, seq; "a late check-in was left aside");
+            event::CheckInLate { life, seq }.tell();
             return;
         }
         if before.as_ref() != Some(&life) {
-            log::info!(life:%; "a worker has checked in");
+            event::CheckedIn { life: life.clone(), before }.tell();
         }
-        if self.desk.borrow().is_leaving() != leaving {
-            log::info!(life:%; "the worker is leaving");
+        let leaves = self.desk.borrow().is_leaving();
+        if leaves != leaving {
+            event::LeavingChanged { life, leaving: leaves }.tell();
             self.news.notify_one();
         }
     }
 
     /// Takes the word of the worker that it ends.
     pub fn leave(&self, worker: &str) {
-        log::info!(worker; "the worker ends");
+        event::WorkerEnds { worker: worker.to_owned() }.tell();
         self.desk.borrow_mut().leave(worker);
         self.news.notify_one();
     }
 
     async fn run_looks(self: Rc<Self>) {
         loop {
+            let life = self.desk.borrow().life().cloned();
             if self.desk.borrow_mut().expire(self.clock.now()) {
-                log::info!("the worker is gone and its leases have ended");
+                event::LeasesEnded { life }.tell();
                 self.news.notify_one();
             }
             let answered = self.look(LOOK_WAIT).await;
@@ -144,7 +164,7 @@
                 Some(true)
             }
             Looked::Fenced => {
-                log::info!(epoch:? = look.epoch; "the worker has seen a newer leader");
+                event::WorkerFenced { epoch: look.epoch }.tell();
                 self.desk.borrow_mut().fenced();
                 self.news.notify_one();
                 Some(false)
@@ -177,11 +197,11 @@
         match self.finder.call(Call::Poll(Box::new(poll.clone())), POLL_TIME).await {
             Ok(Reply::Orders(orders)) => self.take(sent, &poll, *orders),
             Ok(other) => {
-                log::warn!(other:?; "the leader's answer to a poll is of another kind");
+                event::OrdersMismatched { reply: format!("{other:?}") }.tell();
                 sleep(POLL_PAUSE).await;
             }
             Err(fault) => {
-                log::info!(fault:%; "a poll had no answer");
+                event::PollLost { fault: fault.to_string(), silent_ms: self.age() }.tell();
                 sleep(POLL_PAUSE).await;
             }
         }
@@ -189,22 +209,43 @@
 
     fn take(self: &Rc<Self>, sent: Time, poll: &Poll, orders: Orders) {
         self.desk.borrow_mut().ordered(sent, poll, orders);
+        self.ordered.set(self.clock.now());
         let actions = self.desk.borrow_mut().actions(self.clock.now());
         for action in actions {
             spawn_local(Rc::clone(self).act(action));
         }
     }
 
+    /// Age of the leader's last orders in milliseconds.
+    fn age(&self) -> u64 {
+        self.clock.now().since(self.ordered.get()).as_millis() as u64
+    }
+
     async fn act(self: Rc<Self>, action: Action) {
+        let age_ms = self.age();
         match &action {
             Action::Start { start, life, epoch, .. } => {
                 let verdict = self.worker.start(&action).await;
-                log::info!(run:% = start.run, life:%, epoch, verdict:?; "a start was ordered");
+                event::StartOrdered {
+                    run: start.run,
+                    life: life.clone(),
+                    epoch: *epoch,
+                    age_ms,
+                    verdict: format!("{verdict:?}"),
+                }
+                .tell();
                 self.desk.borrow_mut().started(life, start.run, verdict);
             }
             Action::Stop { run, life, epoch } => {
                 let verdict = self.worker.stop(&action).await;
-                log::info!(run:%, life:%, epoch, verdict:?; "a stop was ordered");
+                event::StopOrdered {
+                    run: *run,
+                    life: life.clone(),
+                    epoch: *epoch,
+                    age_ms,
+                    verdict: format!("{verdict:?}"),
+                }
+                .tell();
                 self.desk.borrow_mut().stopped(self.clock.now(), life, *run, verdict);
             }
         }
--- a/crates/bronzespoold/src/batch/finder.rs
+++ b/crates/bronzespoold/src/batch/finder.rs
@@ -1,7 +1,10 @@
 //! Finds the leader from a few addresses and calls it.
 
 use {
-    crate::clock::Clock,
+    crate::{
+        clock::Clock,
+        telemetry::{Event as _, event},
+    },
     bronzespool::{
         batch::message::{self, Map},
         core::{Code, HashMap, Refusal},
@@ -53,6 +56,17 @@
 
 impl std::error::Error for Fault {}
 
+impl Fault {
+    /// Result code.
+    pub const fn code(&self) -> Code {
+        match self {
+            Self::NoLeader => Code::NoLeader,
+            Self::Unknown => Code::CommitUnknown,
+            Self::Refused(refusal) => refusal.code,
+        }
+    }
+}
+
 /// Calls the leader, wherever it is.
 pub struct Finder {
     clock: Clock,
@@ -60,6 +74,8 @@
     members: RefCell<Vec<SocketAddr>>,
     links: RefCell<HashMap<SocketAddr, Link<control::Client>>>,
     leader: Cell<Option<Leader>>,
+    /// The leader that was asked last, also if it is not followed any longer.
+    asked: Cell<Option<Leader>>,
     /// Processes that pass on calls while control cannot be reached.
     relays: RefCell<VecDeque<SocketAddr>>,
     /// Whether no control instance could be reached.
@@ -82,6 +98,7 @@
             members: RefCell::default(),
             links: RefCell::default(),
             leader: Cell::new(None),
+            asked: Cell::new(None),
             relays: RefCell::default(),
             cut: Cell::new(false),
         }
@@ -100,7 +117,7 @@
         if self.cut.get() {
             let found = self.ask_all().await;
             if let Some(leader) = found {
-                log::info!(leader:% = leader.address; "control is reached again");
+                event::ControlRegained { leader: leader.address, term: leader.term }.tell();
                 self.leader.set(found);
                 self.cut.set(false);
             }
@@ -129,6 +146,12 @@
         *self.seeds.borrow_mut() = seeds;
     }
 
+    /// The leader that was asked last, and its term.
+    pub fn known(&self) -> (Option<SocketAddr>, Option<u64>) {
+        let leader = self.asked.get();
+        (leader.map(|l| l.address), leader.map(|l| l.term))
+    }
+
     /// Calls the leader within `time`, as often as needed: every call may be repeated.
     ///
     /// # Errors
@@ -165,18 +188,22 @@
         }
         let Some(leader) = self.locate(time).await else {
             if !self.relays.borrow().is_empty() && !self.cut.replace(true) {
-                log::info!("control cannot be reached: calls go through other processes");
+                let (leader, term) = self.known();
+                event::ControlLost { leader, term }.tell();
             }
             return Some(Err(Code::NoLeader.into()));
         };
+        self.asked.set(Some(leader));
         let link = self.link(leader.address);
         let answered = tokio::select! {
             answered = exchange(&link, call, time) => answered,
             next = self.replaced(leader) => {
-                log::info!(
-                    leader:% = leader.address, next:% = next.address, term = next.term;
-                    "another instance leads while a call is under way"
-                );
+                event::LeaderReplaced {
+                    leader: leader.address,
+                    next: next.address,
+                    term: next.term,
+                }
+                .tell();
                 self.leader.set(Some(next));
                 return None;
             }
--- a/crates/bronzespoold/src/batch/mod.rs
+++ b/crates/bronzespoold/src/batch/mod.rs
@@ -5,10 +5,12 @@
 mod finder;
 mod ready;
 mod relay;
+mod seeds;
 
 pub use {
     agent::{Agent, Looked, Options, Worker},
     finder::{Fault, Finder, Result},
     ready::watch_control,
     relay::serve_relay,
+    seeds::follow_seeds,
 };
--- a/crates/bronzespoold/src/batch/ready.rs
+++ b/crates/bronzespoold/src/batch/ready.rs
@@ -1,9 +1,17 @@
 //! Whether a process should take new connections: while control serves.
 
 use {
-    crate::batch::finder::Finder,
+    crate::{
+        batch::finder::Finder,
+        telemetry::{Event as _, event},
+    },
     bronzespool::batch::message::Call,
-    std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        cell::Cell,
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
     tokio::time::sleep,
 };
 
@@ -18,14 +26,19 @@
 /// address at which this process passes on calls.
 pub async fn watch_control(finder: Rc<Finder>, relay: Option<SocketAddr>, ready: Rc<Cell<bool>>) {
     let mut lost = PINGS_LOST;
+    let mut answered = Instant::now();
     loop {
         lost = match finder.call(Call::Ping(relay), PING_TIME).await {
-            Ok(_) => 0,
+            Ok(_) => {
+                answered = Instant::now();
+                0
+            }
             Err(_) => lost.saturating_add(1),
         };
         let now = lost < PINGS_LOST;
         if ready.replace(now) != now {
-            log::info!(ready = now; "readiness has changed");
+            let silent_ms = answered.elapsed().as_millis() as u64;
+            event::ReadinessChanged { ready: now, silent_ms }.tell();
         }
         sleep(PING).await;
     }
--- /dev/null
+++ b/crates/bronzespoold/src/batch/seeds.rs
@@ -0,0 +1,33 @@
+//! Follows the addresses to begin with, which the settings may change while a process runs.
+
+use {
+    crate::telemetry::{Event, event},
+    std::{fmt::Display, net::SocketAddr, time::Duration},
+    tokio::{signal::unix::Signal, time::timeout},
+};
+
+/// Time between two looks at the settings, which may change without a signal.
+const LOOK: Duration = Duration::from_secs(2);
+
+/// Reports addresses that have changed, by `reload` or without it, for as long as this process
+/// lives. Settings that cannot be read change nothing.
+pub async fn follow_seeds<E: Display>(
+    mut reload: Signal,
+    mut known: Vec<SocketAddr>,
+    load: impl Fn() -> Result<Vec<SocketAddr>, E>,
+    report: impl Fn(Vec<SocketAddr>),
+) {
+    loop {
+        let signalled = timeout(LOOK, reload.recv()).await.is_ok();
+        match load() {
+            Ok(seeds) if seeds != known => {
+                event::SettingsChanged { seeds: seeds.clone(), signalled }.tell();
+                known.clone_from(&seeds);
+                report(seeds);
+            }
+            Ok(_) if signalled => event::SettingsUnchanged {}.tell(),
+            Ok(_) => {}
+            Err(error) => event::SettingsRefused { error: error.to_string() }.tell(),
+        }
+    }
+}
--- a/crates/bronzespoold/src/client/keeper.rs
+++ b/crates/bronzespoold/src/client/keeper.rs
@@ -1,7 +1,11 @@
 //! Keeps a session open, moving from hub to hub.
 
 use {
-    crate::{client::sink::SinkServer, clock::Clock},
+    crate::{
+        client::sink::SinkServer,
+        clock::Clock,
+        telemetry::{Event as _, event},
+    },
     bronzespool::{
         core::{Code, Refusal, Time},
         flow::{session::Holder, view},
@@ -103,12 +107,14 @@
                     self.hold(link, session).await;
                 }
                 Ok(Err(refusal)) => {
-                    log::info!(hub:% = link.address(), refusal:%; "the hub opens no session");
+                    let refusal = refusal.to_string();
+                    event::SessionRefused { hub: link.address(), refusal }.tell();
                     sleep(pause).await;
                     pause = (pause * 2).min(PAUSE_MAX);
                 }
                 Err(error) => {
-                    log::info!(hub:% = link.address(), error:%; "cannot open a session");
+                    let error = error.to_string();
+                    event::SessionUnopened { hub: link.address(), error }.tell();
                     sleep(pause).await;
                     pause = (pause * 2).min(PAUSE_MAX);
                 }
@@ -243,7 +249,8 @@
                 Ok(true) => {}
                 Ok(false) => break,
                 Err(error) => {
-                    log::info!(hub:% = link.address(), error:%; "the session's renewal failed");
+                    let error = error.to_string();
+                    event::SessionLost { hub: link.address(), error }.tell();
                     link.reset();
                     break;
                 }
--- a/crates/bronzespoold/src/control/batch/asks.rs
+++ b/crates/bronzespoold/src/control/batch/asks.rs
@@ -1,7 +1,10 @@
 //! Requests of callers and operators.
 
 use {
-    crate::control::{batch::Batch, replica::Result},
+    crate::{
+        control::{batch::Batch, replica::Result},
+        telemetry::{Event as _, event},
+    },
     bronzespool::{
         batch::{
             Config, Event, JobId, Verdict, config,
@@ -58,7 +61,7 @@
         let id = spec.id;
         let spec = JobSpec { queue: place.queue, team: place.team, ..spec };
         if let Err(error) = spec.check() {
-            log::info!(job:% = id, error:%; "a job was refused");
+            event::JobRefused { job: id, error: error.to_string() }.tell();
             return Ok(Reply::Denied(Denial::Invalid));
         }
         let verdict = self.propose_one(Event::Submitted(Arc::new(spec))).await?;
--- a/crates/bronzespoold/src/control/batch/mod.rs
+++ b/crates/bronzespoold/src/control/batch/mod.rs
@@ -2,6 +2,7 @@
 
 mod agents;
 mod asks;
+mod gauges;
 mod planner;
 mod polls;
 mod story;
@@ -10,14 +11,17 @@
     crate::{
         clock::Clock,
         control::{
-            batch::agents::Agents,
+            batch::{
+                agents::Agents,
+                story::{Held, Story},
+            },
             replica::{Replica, Result},
             state::{Command, Effect},
         },
     },
     bronzespool::{
         batch::{Event, Record, Verdict, message},
-        core::{Code, Refusal},
+        core::{Code, Instance, Refusal},
         wire::message::{Answered, Reply},
     },
     std::{cell::RefCell, net::SocketAddr, rc::Rc},
@@ -29,13 +33,20 @@
     clock: Clock,
     replica: Rc<Replica>,
     agents: RefCell<Agents>,
+    story: RefCell<Story>,
     /// Wakes the planner.
     kick: Notify,
 }
 
 impl Batch {
     pub(in crate::control) fn new(clock: Clock, replica: Rc<Replica>) -> Rc<Self> {
-        Rc::new(Self { clock, replica, agents: RefCell::default(), kick: Notify::new() })
+        Rc::new(Self {
+            clock,
+            replica,
+            agents: RefCell::default(),
+            story: RefCell::default(),
+            kick: Notify::new(),
+        })
     }
 
     /// Answers a call; the caller has checked that this replica leads.
@@ -65,7 +76,7 @@
     /// Puts events into the log and waits until they are applied.
     async fn propose(&self, events: Vec<Event>) -> Result<Vec<Verdict>> {
         let begun = self.clock.now();
-        let held = story::Held::of(self.replica.state().batch(), &events);
+        let held = Held::of(self.replica.state().batch(), &events);
         let command = Command::Batch(Record { at: self.replica.log_time(), events });
         let effect = self.replica.propose(&command).await?;
         let took = self.clock.now().since(begun);
@@ -73,7 +84,10 @@
         let (Command::Batch(record), Effect::Batch(verdicts)) = (&command, effect) else {
             return Err(Refusal::from(Code::Internal));
         };
-        story::tell(self.replica.state().batch(), &held, record, &verdicts);
+        let agents = self.agents.borrow();
+        let heard = |agent: &Instance| agents.views.get(agent).map(|v| begun.since(v.seen));
+        let mut story = self.story.borrow_mut();
+        story.tell(self.replica.state().batch(), &held, record, &verdicts, heard);
         Ok(verdicts)
     }
 
--- a/crates/bronzespoold/src/control/batch/planner.rs
+++ b/crates/bronzespoold/src/control/batch/planner.rs
@@ -1,9 +1,12 @@
 //! Runs the policy whenever something has changed, and notes leases that have ended.
 
 use {
-    crate::control::{
-        batch::{Batch, agents::SILENCE},
-        replica::Result,
+    crate::{
+        control::{
+            batch::{Batch, agents::SILENCE},
+            replica::Result,
+        },
+        telemetry::{Event as _, event},
     },
     bronzespool::{
         batch::{
@@ -33,7 +36,8 @@
             if self.replica.leads()
                 && let Err(refusal) = self.plan_once().await
             {
-                log::info!(refusal:%; "a plan was not committed");
+                let code = refusal.code.number();
+                event::PlanLost { code, refusal: refusal.to_string() }.tell();
                 sleep(FAILED_PAUSE).await;
             }
             // Either end of the wait leads to the same next step.
--- a/crates/bronzespoold/src/control/batch/polls.rs
+++ b/crates/bronzespoold/src/control/batch/polls.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::control::{
-        batch::{Batch, agents::LEASE},
+        batch::{Batch, agents::LEASE, gauges::tails},
         replica::Result,
     },
     bronzespool::{
@@ -28,6 +28,7 @@
             agents.note_relay(self.clock.now(), poll.relay);
             agents.note(self.clock.now(), &poll)
         };
+        tails(self.replica.state().batch(), &poll);
         let events = events(self.replica.state().batch(), &poll);
         let told = !events.is_empty();
         if told {
--- a/crates/bronzespoold/src/control/batch/story.rs
+++ b/crates/bronzespoold/src/control/batch/story.rs
@@ -1,12 +1,42 @@
 //! Log lines and counters of what the log has taken: one line a decision, with the job's id.
 
-use bronzespool::batch::{
-    Event, JobId, Ledger, Phase, Record, RunId, Verdict,
-    ledger::{Assignment, Cause, End},
+use {
+    crate::telemetry::{Event as _, event},
+    bronzespool::{
+        batch::{
+            Event, JobId, Ledger, Life, Phase, Record, RunId, Verdict,
+            ledger::{Assignment, Cause, End, How, Job},
+        },
+        core::{HashMap, Instance, Time},
+    },
+    std::{sync::Arc, time::Duration},
 };
 
-/// Phases of the jobs that a record touches, before it is applied.
-pub(super) struct Held(Vec<(JobId, Phase)>);
+/// Time after which a stop that has not ended its run is forgotten here.
+const STOP_MAX: Duration = Duration::from_secs(60);
+/// Thousandths of a core times milliseconds, in a core-second.
+const MILLI_MILLI: u64 = 1_000_000;
+
+/// What is told of applied records, and what that takes beside the ledger.
+#[derive(Debug, Default)]
+pub(super) struct Story {
+    /// When runs were ordered to stop for others.
+    stops: HashMap<RunId, Time>,
+}
+
+/// What a record may change, as it was before.
+pub(super) struct Held {
+    phases: Vec<(JobId, Phase)>,
+    losses: HashMap<RunId, Loss>,
+}
+
+/// Work that is lost if a run ends without a newer checkpoint.
+struct Loss {
+    since: Time,
+    saved: Arc<str>,
+    /// Thousandths of a core.
+    weight: u64,
+}
 
 impl Held {
     pub(super) fn of(ledger: &Ledger, events: &[Event]) -> Self {
@@ -15,10 +45,21 @@
             ids.filter_map(|id| ledger.job(id).map(|j| (id, j.phase))).collect();
         phases.sort_unstable_by_key(|(id, _)| *id);
         phases.dedup_by_key(|(id, _)| *id);
-        Self(phases)
+        let ends = events.iter().filter_map(|e| match e {
+            Event::Ended { ends, .. } => Some(ends),
+            _ => None,
+        });
+        let losses = ends.flatten().filter_map(|e| Some((e.run, loss(ledger, e.run)?))).collect();
+        Self { phases, losses }
     }
 }
 
+fn loss(ledger: &Ledger, run: RunId) -> Option<Loss> {
+    let live = ledger.live(run)?;
+    let weight = ledger.job(run.task.step.job)?.shape(run.task.step.step)?.need.weight();
+    Some(Loss { since: live.since, saved: Arc::clone(&live.saved), weight })
+}
+
 /// Jobs that an event may bring to a final phase.
 fn touched(ledger: &Ledger, event: &Event) -> Vec<JobId> {
     match event {
@@ -32,22 +73,63 @@
     }
 }
 
-/// Logs and counts a record that was applied.
-pub(super) fn tell(ledger: &Ledger, held: &Held, record: &Record, verdicts: &[Verdict]) {
-    for (event, verdict) in record.events.iter().zip(verdicts) {
-        tell_event(ledger, event, *verdict);
+impl Story {
+    /// Logs and counts a record that was applied; `heard` tells the age of what an agent last
+    /// said.
+    pub(super) fn tell(
+        &mut self,
+        ledger: &Ledger,
+        held: &Held,
+        record: &Record,
+        verdicts: &[Verdict],
+        heard: impl Fn(&Instance) -> Option<Duration>,
+    ) {
+        for (event, verdict) in record.events.iter().zip(verdicts) {
+            tell_event(ledger, event, *verdict, &heard);
+            self.measure(ledger, held, event);
+        }
+        for (id, before) in &held.phases {
+            let Some(job) = ledger.job(*id) else { continue };
+            if before.is_active() && !job.phase.is_active() {
+                tell_job_end(*id, job);
+            }
+        }
     }
-    for (id, before) in &held.0 {
-        let Some(job) = ledger.job(*id) else { continue };
-        if before.is_active() && !job.phase.is_active() {
-            let took = job.finished.map_or(0, |f| f.since(job.submitted).as_millis() as u64);
-            metrics::counter!("bronzespool_batch_jobs_total", "phase" => name(job.phase))
-                .increment(1);
-            log::info!(job:% = id, phase:? = job.phase, took_ms = took; "a job has ended");
+
+    /// Counts how long room takes to come back, and what work is lost with it.
+    fn measure(&mut self, ledger: &Ledger, held: &Held, event: &Event) {
+        let now = ledger.at();
+        match event {
+            Event::Stopping { runs, cause: Cause::Reclaimed(_) } => {
+                self.stops.retain(|_, since| now.since(*since) < STOP_MAX);
+                self.stops.extend(runs.iter().map(|r| (*r, now)));
+            }
+            Event::Ended { ends, .. } => {
+                for end in ends {
+                    if let Some(since) = self.stops.remove(&end.run) {
+                        metrics::histogram!("bronzespool_batch_reclaim_seconds")
+                            .record(now.since(since).as_secs_f64());
+                    }
+                    let Some(loss) = held.losses.get(&end.run) else { continue };
+                    if end.how != How::Done && end.saved == loss.saved {
+                        let millis = now.since(loss.since).as_millis() as u64;
+                        let lost = millis * loss.weight / MILLI_MILLI;
+                        metrics::counter!("bronzespool_batch_lost_core_seconds_total")
+                            .increment(lost);
+                    }
+                }
+            }
+            _ => {}
         }
     }
 }
 
+fn tell_job_end(id: JobId, job: &Job) {
+    let took = job.finished.map_or(0, |f| f.since(job.submitted).as_millis() as u64);
+    metrics::counter!("bronzespool_batch_jobs_total", "phase" => name(job.phase)).increment(1);
+    event::JobEnded { job: id, phase: job.phase, took_ms: took }.tell();
+}
+
 const fn name(phase: Phase) -> &'static str {
     match phase {
         Phase::Queued => "queued",
@@ -58,66 +140,93 @@
     }
 }
 
-fn tell_event(ledger: &Ledger, event: &Event, verdict: Verdict) {
+fn tell_event(
+    ledger: &Ledger,
+    event: &Event,
+    verdict: Verdict,
+    heard: &impl Fn(&Instance) -> Option<Duration>,
+) {
     match event {
         Event::Configured(config) => {
-            log::info!(version = config.version, verdict:?; "a configuration was taken");
+            event::ConfigTaken { version: config.version, verdict }.tell();
         }
         Event::Submitted(spec) => {
             metrics::counter!("bronzespool_batch_submitted_total").increment(1);
-            log::info!(
-                job:% = spec.id, queue = &*spec.queue, team:? = spec.team, verdict:?;
-                "a job was submitted"
-            );
+            event::JobSubmitted {
+                job: spec.id,
+                queue: Arc::clone(&spec.queue),
+                team: spec.team.clone(),
+                version: ledger.config().map_or(0, |c| c.version),
+                verdict,
+            }
+            .tell();
+        }
+        Event::Cancelled(id) => event::JobCancelled { job: *id, verdict }.tell(),
+        Event::WorkerUp(spec) => {
+            let (life, agent) = (spec.life.clone(), spec.agent.clone());
+            let rack = spec.rack().into();
+            event::WorkerUp { life, agent, rack, leaving: spec.leaving, verdict }.tell();
         }
-        Event::Cancelled(id) => log::info!(job:% = id, verdict:?; "a job was cancelled"),
-        Event::WorkerUp(spec) => log::info!(
-            life:% = spec.life, agent:% = spec.agent, rack = spec.rack(), leaving = spec.leaving,
-            verdict:?; "a worker is there"
-        ),
         Event::WorkerGone(life) => {
             metrics::counter!("bronzespool_batch_workers_gone_total").increment(1);
-            log::info!(life:%, verdict:?; "a worker is gone with all that ran on it");
+            event::WorkerGone { life: life.clone(), verdict }.tell();
         }
-        Event::Started(group) => group.iter().for_each(|a| tell_start(ledger, a, verdict)),
+        Event::Started(group) => group.iter().for_each(|a| tell_start(ledger, a, verdict, heard)),
         Event::Stopping { runs, cause } => runs.iter().for_each(|r| tell_stop(*r, *cause)),
-        Event::Ended { life, ends } => ends.iter().for_each(|e| tell_end(&life.to_string(), e)),
+        Event::Ended { life, ends } => ends.iter().for_each(|e| tell_end(life, e)),
         Event::Refused { life, run } => {
             metrics::counter!("bronzespool_batch_refused_total").increment(1);
-            log::info!(job:% = run.task.step.job, run:%, life:%; "a run was not started");
+            event::RunRefused { job: run.task.step.job, run: *run, life: life.clone() }.tell();
         }
     }
 }
 
-fn tell_start(ledger: &Ledger, given: &Assignment, verdict: Verdict) {
+fn tell_start(
+    ledger: &Ledger,
+    given: &Assignment,
+    verdict: Verdict,
+    heard: &impl Fn(&Instance) -> Option<Duration>,
+) {
     let id = given.run.task.step.job;
     let Some(job) = ledger.job(id) else { return };
     let waited = ledger.at().since(job.submitted);
     if given.run.run == 1 {
         metrics::histogram!("bronzespool_batch_wait_seconds").record(waited.as_secs_f64());
     }
-    log::info!(
-        job:% = id, run:% = given.run, life:% = given.life, waited_ms = waited.as_millis() as u64,
-        priority = ledger.priority(job), resumed = !given.saved.is_empty(), verdict:?;
-        "a run was given to a worker"
-    );
+    let age = ledger.worker(&given.life).and_then(|w| heard(&w.spec.agent));
+    event::RunGiven {
+        job: id,
+        run: given.run,
+        life: given.life.clone(),
+        waited_ms: waited.as_millis() as u64,
+        priority: ledger.priority(job),
+        resumed: !given.saved.is_empty(),
+        heard_ms: age.map(|a| a.as_millis() as u64),
+        verdict,
+    }
+    .tell();
 }
 
 fn tell_stop(run: RunId, cause: Cause) {
-    let (text, by) = match cause {
+    let (cause, by) = match cause {
         Cause::Broken => ("broken", None),
-        Cause::Reclaimed(job) => ("reclaimed", Some(job.to_string())),
+        Cause::Reclaimed(job) => ("reclaimed", Some(job)),
         Cause::Stalled => ("stalled", None),
     };
-    metrics::counter!("bronzespool_batch_stops_total", "cause" => text).increment(1);
-    log::info!(job:% = run.task.step.job, run:%, cause = text, by:?; "a run is to be stopped");
+    metrics::counter!("bronzespool_batch_stops_total", "cause" => cause).increment(1);
+    event::RunStopping { job: run.task.step.job, run, cause, by }.tell();
 }
 
-fn tell_end(life: &str, end: &End) {
+fn tell_end(life: &Life, end: &End) {
     let how = format!("{:?}", end.how).to_lowercase();
-    metrics::counter!("bronzespool_batch_ends_total", "how" => how.clone()).increment(1);
-    log::info!(
-        job:% = end.run.task.step.job, run:% = end.run, life, how, number = end.number,
-        saved = !end.saved.is_empty(); "a run has ended"
-    );
+    metrics::counter!("bronzespool_batch_ends_total", "how" => how).increment(1);
+    event::RunEnded {
+        job: end.run.task.step.job,
+        run: end.run,
+        life: life.clone(),
+        how: end.how,
+        number: end.number,
+        saved: !end.saved.is_empty(),
+    }
+    .tell();
 }
--- a/crates/bronzespoold/src/control/hub/pump.rs
+++ b/crates/bronzespoold/src/control/hub/pump.rs
@@ -1,9 +1,12 @@
 //! Pushes changes to one session, one at a time.
 
 use {
-    crate::control::{
-        hub::{assign::assignments, sessions::Hub},
-        replica::Epoch,
+    crate::{
+        control::{
+            hub::{assign::assignments, sessions::Hub},
+            replica::Epoch,
+        },
+        telemetry::{Event as _, event},
     },
     bronzespool::{
         core::Instance,
@@ -85,7 +88,7 @@
                 Next::Lost => None,
             };
             let Some(index) = done else {
-                log::info!(instance:% = self.instance; "a push failed, the session is not renewed");
+                event::PushFailed { instance: self.instance.clone() }.tell();
                 hub.retire(self.id);
                 return;
             };
@@ -116,7 +119,7 @@
                 None => return false,
             }
             if timeout_at(end, renewed).await.is_err() {
-                log::info!(instance:% = self.instance; "a session was not confirmed");
+                event::SessionUnconfirmed { instance: self.instance.clone() }.tell();
                 hub.retire(self.id);
                 return false;
             }
--- a/crates/bronzespoold/src/control/hub/sessions.rs
+++ b/crates/bronzespoold/src/control/hub/sessions.rs
@@ -7,6 +7,7 @@
             hub::{assign::assignments, pump::Pump},
             replica::{Replica, Result},
         },
+        telemetry::{Event as _, event},
     },
     bronzespool::{
         core::{Code, Instance, Refusal, Time, name::Cluster},
@@ -149,7 +150,7 @@
     pub(in crate::control) fn expire(&self) {
         let ended = self.table.borrow_mut().expire(self.clock.now());
         for session in &ended {
-            log::info!(instance:% = session.instance; "a session has ended");
+            event::SessionEnded { instance: session.instance.clone() }.tell();
         }
         self.forget();
     }
--- a/crates/bronzespoold/src/control/leader/calls.rs
+++ b/crates/bronzespoold/src/control/leader/calls.rs
@@ -12,6 +12,7 @@
             replica::{Replica, Result},
             state::{Command, Effect},
         },
+        telemetry::{Event as _, event},
     },
     bronzespool::{
         core::{Code, Instance, Refusal, Shape},
@@ -111,7 +112,7 @@
         match self.replica.propose(&Command::Announce { at, announce }).await? {
             Effect::Announced(incarnation) => {
                 let index = self.replica.state().index();
-                log::info!(instance:%, incarnation; "an agent was announced");
+                event::AgentAnnounced { instance: instance.clone(), incarnation }.tell();
                 Ok(Reply::Announced { incarnation, index })
             }
             _ => Err(Code::Internal.into()),
--- a/crates/bronzespoold/src/control/leader/presence.rs
+++ b/crates/bronzespoold/src/control/leader/presence.rs
@@ -1,7 +1,10 @@
 //! Which hubs are in contact and which agents they hold.
 
 use {
-    crate::control::{leader::calls::Leader, replica::Result},
+    crate::{
+        control::{leader::calls::Leader, replica::Result},
+        telemetry::{Event as _, event},
+    },
     bronzespool::{
         core::{Code, Instance, Refusal, Time},
         flow::view::Presence,
@@ -106,7 +109,8 @@
     /// Brings the recorded presence of each agent to what the hubs tell.
     pub(super) async fn follow_presence(&self) -> Result<()> {
         for (instance, incarnation, presence) in self.presence_changes() {
-            log::info!(instance:%, presence:?; "an agent's presence has changed");
+            let told = format!("{presence:?}");
+            event::PresenceChanged { instance: instance.clone(), presence: told }.tell();
             self.set_presence(instance, incarnation, presence).await?;
         }
         Ok(())
--- a/crates/bronzespoold/src/control/leader/schedule.rs
+++ b/crates/bronzespoold/src/control/leader/schedule.rs
@@ -1,10 +1,13 @@
 //! Controllers: loops that bring the state to what is wanted.
 
 use {
-    crate::control::{
-        leader::calls::Leader,
-        replica::Result,
-        state::{guarantees, services_after},
+    crate::{
+        control::{
+            leader::calls::Leader,
+            replica::Result,
+            state::{guarantees, services_after},
+        },
+        telemetry::{Event as _, event},
     },
     bronzespool::{
         core::{Code, Job, Refusal, Time},
@@ -38,7 +41,7 @@
                 match self.schedule_once().await {
                     Ok(next) => pause = next,
                     Err(refusal) => {
-                        log::info!(refusal:%; "a decision was not committed");
+                        event::DecisionLost { refusal: refusal.to_string() }.tell();
                         sleep(FAILED_PAUSE).await;
                     }
                 }
@@ -89,7 +92,7 @@
                 Err(refusal) => Err(refusal),
             };
             if let Err(refusal) = result {
-                log::info!(refusal:%; "a controller's change was not committed");
+                event::ChangeLost { refusal: refusal.to_string() }.tell();
             }
         }
     }
--- a/crates/bronzespoold/src/control/peers.rs
+++ b/crates/bronzespoold/src/control/peers.rs
@@ -1,7 +1,10 @@
 //! Sends messages of the log to the other replicas.
 
 use {
-    crate::control::addresses::Addresses,
+    crate::{
+        control::addresses::Addresses,
+        telemetry::{Event as _, event},
+    },
     bronzespool::{
         consensus::Message,
         core::{HashMap, Instance},
@@ -65,7 +68,7 @@
         };
         match message.encode() {
             Ok(bytes) => outbox.push(bytes),
-            Err(error) => log::error!(error:%; "a message cannot be written"),
+            Err(error) => event::MessageUnwritten { error: error.to_string() }.tell(),
         }
     }
 }
--- a/crates/bronzespoold/src/control/replica.rs
+++ b/crates/bronzespoold/src/control/replica.rs
@@ -8,6 +8,7 @@
             state::{Applied, Command, Effect, State, view_log},
             storage::Writer,
         },
+        telemetry::{Event as _, event},
     },
     bronzespool::{
         consensus::{
@@ -183,7 +184,7 @@
             // Refused until a successor holds the whole log, and once the leadership has gone.
             let result = self.node.borrow_mut().hand_over(self.clock.now());
             if let Ok(successor) = result {
-                log::info!(successor:%; "leadership is handed over");
+                event::HandedOver { successor: successor.to_string() }.tell();
             }
             self.kick.notify_one();
             sleep(HAND_OVER_PAUSE).await;
@@ -303,11 +304,22 @@
         }
         let voters = list(&now.voters);
         let learners = list(&now.learners);
-        log::info!(
-            role:? = now.role, term = now.term, leader:? = now.leader, voters, learners,
-            joint = now.joint, id:% = status.id, commit = status.commit, last = status.last;
-            "the replica's standing has changed"
-        );
+        if standing.as_ref().is_none_or(|s| s.role != now.role) {
+            let role = format!("{:?}", now.role).to_lowercase();
+            metrics::counter!("bronzespool_standings_total", "role" => role).increment(1);
+        }
+        event::StandingChanged {
+            role: format!("{:?}", now.role),
+            term: now.term,
+            leader: now.leader.as_ref().map(ToString::to_string),
+            voters,
+            learners,
+            joint: now.joint,
+            id: status.id.to_string(),
+            commit: status.commit,
+            last: status.last,
+        }
+        .tell();
         *standing = Some(now);
     }
 
@@ -343,7 +355,8 @@
             }
             Err(error) => {
                 // The snapshot's own checksum has held: another version wrote it.
-                log::error!(code = error.code().number(), error:%; "the snapshot cannot be read");
+                let code = error.code().number();
+                event::SnapshotUnread { code, error: error.to_string() }.tell();
                 std::process::exit(1);
             }
         }
@@ -371,7 +384,8 @@
             Ok(command) => Some(state.apply(entry.index, &command)),
             Err(error) => {
                 // A record is never skipped: a newer version wrote it, so this replica stops.
-                log::error!(code = error.code().number(), error:%; "a record cannot be read");
+                let code = error.code().number();
+                event::RecordUnread { code, error: error.to_string() }.tell();
                 std::process::exit(1);
             }
         }
--- a/crates/bronzespoold/src/control/server.rs
+++ b/crates/bronzespoold/src/control/server.rs
@@ -9,6 +9,7 @@
             leader::Leader,
             replica::{Epoch, Replica},
         },
+        telemetry::{Event as _, event},
     },
     bronzespool::{
         batch::message::Map,
@@ -139,7 +140,7 @@
                 }
                 Ok(_) => {}
                 Err(refusal) if refusal.code == Code::ConfigInvalid => {
-                    log::error!(refusal:%; "the leader grants this hub no lease");
+                    event::HubUnleased { refusal: refusal.to_string() }.tell();
                 }
                 Err(refusal) => log::debug!(refusal:%; "the leader has not noted the progress"),
             }
@@ -217,7 +218,8 @@
         let from = Instance::try_from(from).map_err(|e| capnp::Error::failed(e.to_string()))?;
         for message in params.get_messages()? {
             if let Err(error) = self.0.replica.receive(&from, message?) {
-                log::warn!(code = error.code().number(), error:%; "a message was refused");
+                let code = error.code().number();
+                event::MessageRefused { code, error: error.to_string() }.tell();
             }
         }
         Ok(())
--- a/crates/bronzespoold/src/control/start.rs
+++ b/crates/bronzespoold/src/control/start.rs
@@ -4,7 +4,7 @@
     crate::{
         clock::Clock,
         control::{
-            addresses::Addresses,
+            addresses::{Addresses, named},
             hub::{Hub, PUSH_TIME, Spans},
             leader::Leader,
             peers::Peers,
@@ -12,6 +12,7 @@
             server::{Node, Server},
             storage::Writer,
         },
+        telemetry::{Event as _, event},
     },
     bronzespool::{
         consensus::{self, FileStorage, Settings, Storage},
@@ -79,6 +80,50 @@
     pub horizon: Duration,
 }
 
+impl Options {
+    /// Options of an instance that knows the others by their addresses alone; `None` if an address
+    /// makes no name. It listens at its own address and founds nothing unless told otherwise.
+    pub fn found_by_address(own: SocketAddr, seeds: &[SocketAddr], data: PathBuf) -> Option<Self> {
+        const ELECTION: Duration = Duration::from_millis(700);
+        const HEARTBEAT: Duration = Duration::from_millis(120);
+        const SESSION: Duration = Duration::from_millis(1_000);
+        const RENEW: Duration = Duration::from_millis(300);
+        const DAY: Duration = Duration::from_secs(86_400);
+        let known = |a: SocketAddr| named(a).map(|n| (n, a));
+        let joins = (!seeds.contains(&own)).then_some(own);
+        Some(Self {
+            cluster: Cluster::try_from("open").ok()?,
+            instance: named(own)?,
+            listen: own,
+            peers: seeds.iter().copied().chain(joins).map(known).collect::<Option<_>>()?,
+            founder: false,
+            open: true,
+            data,
+            reserve: None,
+            heartbeat: HEARTBEAT,
+            election: ELECTION,
+            session: SESSION,
+            renew: RENEW,
+            answers: DAY,
+            horizon: DAY,
+        })
+    }
+
+    /// Whether it may found the cluster with its peers.
+    #[must_use]
+    pub const fn founder(mut self, founder: bool) -> Self {
+        self.founder = founder;
+        self
+    }
+
+    /// Listens elsewhere than at the address that others know, as behind a proxy.
+    #[must_use]
+    pub const fn listen(mut self, address: SocketAddr) -> Self {
+        self.listen = address;
+        self
+    }
+}
+
 /// Share of the election time in which a leader answers reads alone.
 const LEASE_PERCENT: u32 = 80;
 /// Share of a session's lease that is added before it counts as ended.
@@ -106,7 +151,8 @@
     spawn_local(Rc::clone(&node.leader).run_rounds());
     spawn_local(Rc::clone(&node.leader).run_cancels());
     spawn_local(Rc::clone(&node.leader.batch).run());
-    log::info!(instance:% = options.instance; "the control instance is up");
+    spawn_local(Rc::clone(&node.leader.batch).run_gauges());
+    event::PartUp { role: "control", instance: options.instance.clone() }.tell();
     let planned = async {
         let _ = stop.wait_for(|s| *s).await;
         node.stopping.set(true);
@@ -128,7 +174,7 @@
 /// Empties the folder of an identity that was left out of the set, so that the next start joins
 /// as a new one.
 fn clear(data: &Path) -> std::io::Result<()> {
-    log::warn!(data:? = data; "this replica was left out of the set: it joins again as a new one");
+    event::LeftOut { data: data.display().to_string() }.tell();
     for entry in std::fs::read_dir(data)? {
         std::fs::remove_file(entry?.path())?;
     }
--- a/crates/bronzespoold/src/control/state.rs
+++ b/crates/bronzespoold/src/control/state.rs
@@ -1,7 +1,10 @@
 //! The replicated state machine.
 
 use {
-    crate::control::submitted::Submitted,
+    crate::{
+        control::submitted::Submitted,
+        telemetry::{Event as _, event},
+    },
     bronzespool::{
         batch::{self, Ledger},
         core::{Code, Digest, Instance, Job, Service, Shape, Team, Time},
@@ -337,7 +340,7 @@
 
     fn record(&mut self, at: Time, event: Event) {
         if let Err(error) = self.book.apply(&Record::new(at, event)) {
-            log::error!(error:%; "the schedule refused a record of the state machine");
+            event::ScheduleRefused { error: error.to_string() }.tell();
         }
     }
 }
--- a/crates/bronzespoold/src/entry/agents.rs
+++ b/crates/bronzespoold/src/entry/agents.rs
@@ -1,7 +1,10 @@
 //! Links to the agents and what they last told of themselves.
 
 use {
-    crate::clock::Clock,
+    crate::{
+        clock::Clock,
+        telemetry::{Event as _, event},
+    },
     bronzespool::{
         core::{HashMap, Instance, Time},
         flow::{
@@ -169,7 +172,7 @@
         while self.flying.get() > 0 {
             sleep(PROBE_PERIOD).await;
             if let Err(error) = self.probe().await {
-                log::info!(agent:% = self.link.address(), error:%; "an agent does not answer");
+                event::AgentSilent { agent: self.link.address(), error: error.to_string() }.tell();
             }
         }
         self.probing.set(false);
--- a/crates/bronzespoold/src/entry/dispatch/follow.rs
+++ b/crates/bronzespoold/src/entry/dispatch/follow.rs
@@ -1,13 +1,16 @@
 //! Learns the outcome of an attempt that may have been sent.
 
 use {
-    crate::entry::{
-        dispatch::{
-            completed,
-            target::{self, Target},
+    crate::{
+        entry::{
+            dispatch::{
+                completed,
+                target::{self, Target},
+            },
+            filter::{Checked, Result},
+            state::State,
         },
-        filter::{Checked, Result},
-        state::State,
+        telemetry::{Event as _, event},
     },
     bronzespool::{
         core::{Code, Refusal},
@@ -170,6 +173,6 @@
     if let Some(keeper) = state.keeper()
         && let Err(refusal) = keeper.call(&call, RELEASE_TIME).await
     {
-        log::warn!(claim:% = name.id, refusal:%; "a release was not noted");
+        event::ReleaseLost { claim: name.id.to_string(), refusal: refusal.to_string() }.tell();
     }
 }
--- a/crates/bronzespoold/src/entry/dispatch/protected.rs
+++ b/crates/bronzespoold/src/entry/dispatch/protected.rs
@@ -1,15 +1,18 @@
 //! Protected requests: claimed durably, sent once, fenced before anything else is tried.
 
 use {
-    crate::entry::{
-        dispatch::{
-            RETRY, completed,
-            follow::{self, Ended},
-            run,
+    crate::{
+        entry::{
+            dispatch::{
+                RETRY, completed,
+                follow::{self, Ended},
+                run,
+            },
+            filter::{Checked, Result},
+            state::State,
+            traffic::Lane,
         },
-        filter::{Checked, Result},
-        state::State,
-        traffic::Lane,
+        telemetry::{Event as _, event},
     },
     bronzespool::{
         core::{Code, Outcome, Refusal, Time},
@@ -157,7 +160,11 @@
             Ok(Ended::NotRun(refusal.retry_after(RETRY)))
         }
         Err(error) => {
-            log::info!(request = request.id.as_str(), error:%; "the attempt's outcome is asked for");
+            event::OutcomeAsked {
+                request: request.id.as_str().to_owned(),
+                error: error.to_string(),
+            }
+            .tell();
             follow::resolve(state, request, target, name).await
         }
     }
--- a/crates/bronzespoold/src/entry/report.rs
+++ b/crates/bronzespoold/src/entry/report.rs
@@ -1,7 +1,10 @@
 //! Counts answers and tells control of them.
 
 use {
-    crate::entry::{filter::Checked, state::State},
+    crate::{
+        entry::{filter::Checked, state::State},
+        telemetry::{Event as _, event},
+    },
     bronzespool::{
         core::{Code, Mode, Time},
         flow::burn::Burns,
@@ -47,7 +50,7 @@
         };
         let call = Call::Answers { holder: self.prefix, counts };
         if let Err(refusal) = keeper.call(&call, PERIOD).await {
-            log::info!(refusal:%; "control was not told of the answers");
+            event::AnswersUntold { refusal: refusal.to_string() }.tell();
         }
     }
 
--- a/crates/bronzespoold/src/entry/server.rs
+++ b/crates/bronzespoold/src/entry/server.rs
@@ -10,7 +10,7 @@
             traffic::Admit,
         },
         http::{Answer, Handle, headers, json, mark, refusal, text, with_body},
-        telemetry,
+        telemetry::{self, Event as _, event},
     },
     bronzespool::core::{Code, Mode, Refusal},
     hyper::{
@@ -173,12 +173,16 @@
         let code = result.as_ref().map_or_else(|r| r.code, |_| Code::Done);
         self.state.report.note(now, request, took, code);
         telemetry::request(&request.service, &request.kind, code, took);
-        log::info!(
-            request = request.id.as_str(), service:% = request.service, kind:% = request.kind,
-            team:% = request.team, code = code.number(), outcome:% = code.outcome(),
-            took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
-            "request"
-        );
+        event::RequestAnswered {
+            request: request.id.as_str().to_owned(),
+            service: request.service.to_string(),
+            kind: request.kind.to_string(),
+            team: request.team.to_string(),
+            code: code.number(),
+            outcome: code.outcome().to_string(),
+            took_us: u64::try_from(took.as_micros()).unwrap_or(u64::MAX),
+        }
+        .tell();
     }
 }
 
--- a/crates/bronzespoold/src/entry/start.rs
+++ b/crates/bronzespoold/src/entry/start.rs
@@ -12,6 +12,7 @@
             traffic::Traffic,
         },
         http::serve,
+        telemetry::{Event as _, event},
     },
     bronzespool::core::{Center, Instance, Time, name::Cluster},
     std::{
@@ -97,13 +98,13 @@
         let server = Rc::new(Server { state: Rc::clone(&state), audience: Audience::Operators });
         spawn_local(serve(listener, server, options.headers, ended));
     }
-    log::info!(instance:% = options.instance; "the entry is up");
+    event::PartUp { role: "entry", instance: options.instance.clone() }.tell();
     let _ = stop.wait_for(|s| *s).await;
     state.stopping.set(true);
     sleep(READY_PAUSE.min(options.grace)).await;
     let _ = end.send(true);
     if timeout(options.grace, callers).await.is_err() {
-        log::warn!("requests still run at the end of the grace time");
+        event::GraceSpent { role: "entry" }.tell();
     }
     keeper.close().await;
     kept.abort();
--- a/crates/bronzespoold/src/entry/traffic/pump.rs
+++ b/crates/bronzespoold/src/entry/traffic/pump.rs
@@ -1,11 +1,14 @@
 //! Lets waiting requests go as limits and slots allow, and chooses their endpoints.
 
 use {
-    crate::entry::{
-        dispatch::Target,
-        filter::{Checked, Result},
-        state::State,
-        traffic::lane::{Lane, Permit},
+    crate::{
+        entry::{
+            dispatch::Target,
+            filter::{Checked, Result},
+            state::State,
+            traffic::lane::{Lane, Permit},
+        },
+        telemetry::{Event as _, event},
     },
     bronzespool::{
         core::{Code, Instance, Kind, Refusal, Service, Team},
@@ -151,7 +154,8 @@
             traffic.took(span);
         }
         if traffic.ejector(&request.service, &request.kind).sample(now, instance, sample) {
-            log::warn!(instance:%, kind:% = request.kind; "an endpoint is ejected");
+            let kind = request.kind.to_string();
+            event::EndpointEjected { instance: instance.clone(), kind }.tell();
         }
     }
 
--- a/crates/bronzespoold/src/entry/traffic/shares.rs
+++ b/crates/bronzespoold/src/entry/traffic/shares.rs
@@ -1,7 +1,10 @@
 //! Keeps this entry's shares of the teams' limits.
 
 use {
-    crate::entry::state::State,
+    crate::{
+        entry::state::State,
+        telemetry::{Event as _, event},
+    },
     bronzespool::{
         core::Service,
         flow::limit::{Report, Share, Shared},
@@ -58,11 +61,11 @@
                 shares.iter().any(|(name, s)| report(name).is_some_and(|r| is_smaller(r, s)))
             }
             Ok(_) => {
-                log::error!("control answered a report of demands with something else");
+                event::SharesMismatched {}.tell();
                 false
             }
             Err(refusal) => {
-                log::info!(refusal:%; "the shares were not renewed");
+                event::SharesLost { refusal: refusal.to_string() }.tell();
                 false
             }
         }
--- a/crates/bronzespoold/src/http/server.rs
+++ b/crates/bronzespoold/src/http/server.rs
@@ -1,7 +1,10 @@
 //! Serves HTTP/1.1 and stops without cutting a request.
 
 use {
-    crate::http::Answer,
+    crate::{
+        http::Answer,
+        telemetry::{Event as _, event},
+    },
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{convert::Infallible, rc::Rc, time::Duration},
@@ -43,7 +46,7 @@
                     connections.spawn_local(task);
                 }
                 Err(error) => {
-                    log::warn!(error:%; "cannot accept a connection");
+                    event::AcceptFailed { error: error.to_string() }.tell();
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             },
@@ -84,7 +87,7 @@
 
 fn joined(result: Result<Answer, tokio::task::JoinError>) -> Answer {
     result.unwrap_or_else(|error| {
-        log::error!(error:%; "a request's task failed");
+        event::RequestPanicked { error: error.to_string() }.tell();
         crate::http::refusal(&bronzespool::core::Code::Internal.into(), "")
     })
 }
--- a/crates/bronzespoold/src/process.rs
+++ b/crates/bronzespoold/src/process.rs
@@ -6,7 +6,8 @@
         arguments::{self, HELP, Wish},
         client::Timing,
         clock::Clock,
-        control, entry, telemetry,
+        control, entry,
+        telemetry::{self, Event as _, event},
     },
     bronzespool::core::settings::{ProcessSettings, read_process},
     displaydoc::Display,
@@ -112,7 +113,7 @@
         result = all(&mut roles, &mut controls) => return result,
         result = signals() => result?,
     }
-    log::info!("stopping");
+    event::StopAsked { role: "all" }.tell();
     let _ = stop.send(true);
     let finish = async {
         join(&mut roles).await?;
--- a/crates/bronzespoold/src/telemetry/mod.rs
+++ b/crates/bronzespoold/src/telemetry/mod.rs
@@ -1,12 +1,13 @@
 //! Logs and metrics of the process.
 
-mod budget;
-mod ring;
-
-pub use {budget::Budget, metrics_exporter_prometheus::BuildError, ring::Ring};
+pub use {
+    bronzespool_telemetry::{Event, event},
+    metrics_exporter_prometheus::BuildError,
+};
 
 use {
     bronzespool::core::{Code, Kind, Service},
+    bronzespool_telemetry::Ring,
     metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
     std::{sync::OnceLock, time::Duration},
 };
@@ -42,7 +43,7 @@
     loop {
         tokio::time::sleep(UPKEEP).await;
         if let Err(error) = start_metrics() {
-            log::warn!(error:%; "the metrics' upkeep failed");
+            event::UpkeepFailed { error: error.to_string() }.tell();
         }
     }
 }
@@ -63,6 +64,17 @@
     metrics::histogram!("bronzespool_request_seconds", &labels[..2]).record(took.as_secs_f64());
 }
 
+/// Counts a call of the batch interface that has its final answer.
+pub fn call(method: &str, status: u16, code: Option<Code>, took: Duration) {
+    let method = method.to_owned();
+    metrics::histogram!("bronzespool_call_seconds", "method" => method.clone())
+        .record(took.as_secs_f64());
+    let status = status.to_string();
+    let code = code.map_or_else(String::new, |c| c.number().to_string());
+    let labels = [("method", method), ("status", status), ("code", code)];
+    metrics::counter!("bronzespool_calls_total", &labels).increment(1);
+}
+
 /// Starts logging JSON lines to standard output, within a budget and without ever waiting for the
 /// reader.
 ///
