--- a/crates/bronzespoold/src/batch/mod.rs
+++ b/crates/bronzespoold/src/batch/mod.rs
@@ -5,6 +5,7 @@
 mod finder;
 mod ready;
 mod relay;
+pub mod role;
 mod seeds;
 
 pub use {
--- /dev/null
+++ b/crates/bronzespoold/src/batch/role/control.rs
@@ -0,0 +1,59 @@
+//! A control instance: the replicated log, the decisions, operators.
+
+use {
+    super::{Error, Frame, HEAD_TIME, Result, Signals, bind},
+    crate::{
+        batch::{Finder, follow_seeds},
+        clock::Clock,
+        control,
+        http::{Handle, serve},
+        telemetry::{Event, event},
+    },
+    std::{net::SocketAddr, path::PathBuf, rc::Rc},
+    tokio::{sync::watch, task::spawn_local, time::timeout},
+};
+
+/// Runs a control instance until a signal asks to stop; `founder` says whether it may found the
+/// cluster with the seeds.
+///
+/// # Errors
+///
+/// If an address cannot be bound or the log fails.
+pub async fn run_control<H: Handle>(
+    frame: &Frame,
+    clock: Clock,
+    (data, founder): (PathBuf, bool),
+    listen: SocketAddr,
+    mut signals: Signals,
+    operators: impl FnOnce(Rc<Finder>) -> H,
+) -> Result<()> {
+    let options = control::Options::found_by_address(frame.own, &frame.seeds, data)
+        .ok_or(Error::Address)?
+        .founder(founder)
+        .listen(frame.bound);
+    let own = frame.own;
+    let with_own = move |mut seeds: Vec<SocketAddr>| {
+        seeds.push(own);
+        seeds
+    };
+    let finder = Rc::new(Finder::new(clock, with_own(frame.seeds.clone())));
+    let (stop, stopped) = watch::channel(false);
+    let listener = bind(listen).await?;
+    let handler = Rc::new(operators(Rc::clone(&finder)));
+    let served = spawn_local(serve(listener, handler, HEAD_TIME, stopped.clone()));
+    let (known, reread) = (frame.seeds.clone(), frame.reread);
+    let report = move |seeds| finder.reseed(with_own(seeds));
+    spawn_local(follow_seeds(signals.reload, known, reread, report));
+    let control = control::run(options, clock, stopped);
+    tokio::pin!(control);
+    tokio::select! {
+        result = control.as_mut() => return result.map_err(Error::Control),
+        _ = signals.stop.recv() => {}
+    }
+    event::StopAsked { role: "control" }.tell();
+    let _ = stop.send(true);
+    if timeout(frame.grace, served).await.is_err() {
+        event::GraceSpent { role: "control" }.tell();
+    }
+    control.await.map_err(Error::Control)
+}
--- /dev/null
+++ b/crates/bronzespoold/src/batch/role/mod.rs
@@ -0,0 +1,130 @@
+//! Roles of a process behind an adapter: what each starts, and how it stops.
+
+mod agent;
+mod control;
+mod entry;
+
+pub use {
+    agent::run_agent,
+    control::run_control,
+    entry::{Gates, run_entry},
+};
+
+use {
+    crate::{
+        batch::{Finder, serve_relay},
+        clock::Clock,
+        http::{Answer, Handle, serve, text},
+        telemetry,
+    },
+    displaydoc::Display,
+    hyper::{Request, body::Incoming},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{
+        net::TcpListener,
+        signal::unix::{Signal, SignalKind, signal},
+        sync::watch,
+        task::spawn_local,
+    },
+};
+
+/// Longest time in which a request's head must arrive.
+pub const HEAD_TIME: Duration = Duration::from_secs(3);
+
+/// Result of running a role.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a role has ended, or was not started.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// cannot listen on {0}: {1}
+    Listen(SocketAddr, std::io::Error),
+    /// cannot listen to signals: {0}
+    Signal(std::io::Error),
+    /// the process's address cannot be used as a name
+    Address,
+    /// control: {0}
+    Control(crate::control::Error),
+}
+
+impl std::error::Error for Error {}
+
+/// What every role needs to know.
+#[derive(Clone, Debug)]
+pub struct Frame {
+    /// Address at which other processes reach this one.
+    pub own: SocketAddr,
+    /// Address at which it listens to them.
+    pub bound: SocketAddr,
+    /// Control instances to begin with, perhaps stale.
+    pub seeds: Vec<SocketAddr>,
+    /// Reads the seeds again.
+    pub reread: fn() -> std::result::Result<Vec<SocketAddr>, String>,
+    /// Time between the request to stop and the kill.
+    pub grace: Duration,
+}
+
+/// Signals that a process listens to from its start: unheard, each would end it.
+#[derive(Debug)]
+pub struct Signals {
+    /// Asks the process to stop.
+    stop: Signal,
+    /// Tells that the settings have changed.
+    reload: Signal,
+}
+
+impl Signals {
+    /// Listens from now on.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Signal`] if the runtime cannot listen to signals.
+    pub fn listen() -> Result<Self> {
+        let listen = |kind| signal(kind).map_err(Error::Signal);
+        Ok(Self { stop: listen(SignalKind::terminate())?, reload: listen(SignalKind::hangup())? })
+    }
+}
+
+/// Binds an address.
+async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.map_err(|e| Error::Listen(address, e))
+}
+
+/// Passes on calls of processes that cannot reach control.
+async fn start_relay(frame: &Frame, finder: &Rc<Finder>) -> Result<()> {
+    let listener = bind(frame.bound).await?;
+    spawn_local(serve_relay(listener, Rc::clone(finder)));
+    let finder = Rc::clone(finder);
+    spawn_local(async move { finder.run_refresh().await });
+    Ok(())
+}
+
+/// Serves the metrics of this process.
+struct Metrics;
+
+impl Handle for Metrics {
+    async fn handle(self: Rc<Self>, _: Request<Incoming>) -> Answer {
+        text(200, telemetry::render())
+    }
+}
+
+/// Serves the metrics at an address for as long as the process lives.
+///
+/// # Errors
+///
+/// [`Error::Listen`] if the address cannot be bound.
+pub async fn serve_metrics(address: SocketAddr) -> Result<()> {
+    let listener = bind(address).await?;
+    let (open, closed) = watch::channel(false);
+    spawn_local(async move {
+        serve(listener, Rc::new(Metrics), HEAD_TIME, closed).await;
+        drop(open);
+    });
+    spawn_local(telemetry::run_upkeep());
+    Ok(())
+}
+
+/// A finder that begins with the frame's seeds.
+fn finder(frame: &Frame, clock: Clock) -> Rc<Finder> {
+    Rc::new(Finder::new(clock, frame.seeds.clone()))
+}
