feat(plan): services keep within their disruption budget when room is reclaimed

Cause: a guaranteed job could stop any number of tasks of a service that may miss only some.

One budget a step counts every task that is not at work, whatever the cause; of several runs one is stopped at a time. Both tests fail without the check.

--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -3,6 +3,7 @@
 //! [`plan`] is a pure function of the ledger and a [`Scene`]. It is asked again whenever either
 //! has changed; what it returns counts once it is in the log.
 
+mod disruption;
 mod health;
 mod order;
 mod outlook;
--- a/crates/bronzespool-batch/src/plan/reclaim.rs
+++ b/crates/bronzespool-batch/src/plan/reclaim.rs
@@ -8,7 +8,7 @@
     crate::{
         id::{Life, RunId, StepId},
         plan::{
-            Scene, Standing, Unit,
+            Scene, Standing, Unit, disruption,
             place::{Placement, Reach, fits_empty, tightness},
             room::{Room, Slot, is_trusted},
         },
@@ -208,7 +208,7 @@
         if left(room, *run, scene) < SOON && !shape.lasting {
             return Some(Lent { run: *run, taken: *taken, loss: 0, gang: None, soon: true });
         }
-        if !standing.may_stop(unit, job) {
+        if !standing.may_stop(unit, job) || !disruption::may_stop(room, scene, job, *run) {
             return None;
         }
         let own = lost(room, *run, scene, shape.checkpoints).saturating_mul(taken.weight());
--- a/crates/bronzespool-batch/tests/plan.rs
+++ b/crates/bronzespool-batch/tests/plan.rs
@@ -376,3 +376,37 @@
         Ok(())
     });
 }
+
+/// Four tasks of a service on two workers, all at work, and a guaranteed job that needs the room
+/// of three.
+fn served(budget: u32) -> World {
+    let mut world = World::new(1, 2, 16);
+    let service = Step { lasting: true, disruption: Some(budget), ..step(4, 4) };
+    world.submit(1, 2, vec![service]);
+    let started = world.started();
+    assert_eq!(started.len(), 4);
+    for given in started {
+        let done = Progress { saved: "".into(), percent: 100 };
+        world.scene.progress.insert(given.run, done);
+    }
+    world.submit(2, 0, vec![step(3, 4)]);
+    world
+}
+
+#[test]
+fn plan_service_loses_no_more_tasks_than_its_budget() {
+    for budget in 0..3 {
+        let mut world = served(budget);
+        let gone: Vec<_> = (0..5).flat_map(|_| stopped(&world.plan())).collect();
+        assert_eq!(gone.len(), budget as usize, "budget {budget}: {gone:?}");
+    }
+}
+
+#[test]
+fn plan_service_with_tasks_away_loses_none() {
+    let mut world = served(1);
+    let away = run(1, 0, 3, 1);
+    world.scene.progress.insert(away, Progress { saved: "".into(), percent: 40 });
+    let gone = stopped(&world.plan());
+    assert!(gone.iter().all(|r| *r == away), "what is away may go, nothing else: {gone:?}");
+}
