feat(agent): fillers are paced by the tail latency of what serves beside them

Cause: `/-/pace` was never called; fillers worked whole beside services.

Orders name the runs that serve or fill, so that an agent that starts again knows them; Start holds them no longer.

--- a/crates/bronzespool-batch/src/agent/desk.rs
+++ b/crates/bronzespool-batch/src/agent/desk.rs
@@ -7,7 +7,10 @@
 
 use {
     crate::{
-        agent::lease::{Lease, Reading},
+        agent::{
+            lease::{Lease, Reading},
+            pace::Pacer,
+        },
         id::{Life, RunId},
         ledger::{End, WorkerSpec},
         message::{Held, Orders, Poll, Start},
@@ -62,10 +65,10 @@
     Unknown,
 }
 
-/// The worker's verdict on a stop.
+/// The worker's verdict on a stop, or on a share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stopped {
-    /// It stops, or will never start.
+    /// It does as it was told; a run that was to be stopped ends, or will never start.
     Noted,
     /// The worker has seen a higher fencing token.
     Fenced,
@@ -96,6 +99,17 @@
         /// Life that the call is for.
         life: Life,
     },
+    /// Let a filler work at a share of what it could.
+    Pace {
+        /// The run.
+        run: RunId,
+        /// Share in percent.
+        percent: u32,
+        /// Fencing token.
+        epoch: u64,
+        /// Life that the call is for.
+        life: Life,
+    },
 }
 
 /// How a look at the worker's list extends the lease.
@@ -163,6 +177,7 @@
     doubt: HashSet<RunId>,
     refused: HashSet<RunId>,
     looks: u64,
+    pacer: Pacer,
 }
 
 impl Desk {
@@ -296,6 +311,30 @@
         actions
     }
 
+    /// Shares that fillers need now, by the worker's latest list.
+    pub fn paces(&mut self, now: Time) -> Vec<Action> {
+        let Some(given) = &self.orders else { return Vec::new() };
+        let Some(known) = &mut self.worker else { return Vec::new() };
+        if given.orders.parts.is_empty() || given.orders.life.as_ref() != Some(&known.spec.life) {
+            return Vec::new();
+        }
+        let parts = given.orders.parts.iter().copied().collect();
+        let changes = known.pacer.listed(now, &known.running, &parts);
+        let (epoch, life) = (given.orders.epoch, &known.spec.life);
+        let pace = |(run, percent)| Action::Pace { run, percent, epoch, life: life.clone() };
+        changes.into_iter().map(pace).collect()
+    }
+
+    /// Takes the worker's verdict on a share.
+    pub fn paced(&mut self, life: &Life, run: RunId, verdict: Stopped) {
+        self.fence(verdict == Stopped::Fenced);
+        if verdict != Stopped::Noted
+            && let Some(known) = self.present(life)
+        {
+            known.pacer.unheard(run);
+        }
+    }
+
     /// Takes the worker's verdict on a start.
     pub fn started(&mut self, life: &Life, run: RunId, verdict: Started) {
         self.fence(verdict == Started::Fenced);
@@ -425,6 +464,7 @@
             doubt: HashSet::default(),
             refused: HashSet::default(),
             looks: 0,
+            pacer: Pacer::default(),
         }
     }
 
--- a/crates/bronzespool-batch/src/agent/mod.rs
+++ b/crates/bronzespool-batch/src/agent/mod.rs
@@ -2,6 +2,7 @@
 
 mod desk;
 mod lease;
+mod pace;
 
 pub use {
     desk::{Action, Desk, Limits, Listing, Look, Started, Stopped},
--- a/crates/bronzespool-batch/src/message.rs
+++ b/crates/bronzespool-batch/src/message.rs
@@ -59,10 +59,15 @@
     pub saved: Arc<str>,
     /// Permit of the service that names workers.
     pub ticket: Option<Arc<str>>,
-    /// Bound on its tail latency in milliseconds, if it serves.
-    pub target: u64,
-    /// Whether it lives on processor time that others leave.
-    pub filler: bool,
+}
+
+/// What a run is to others on its worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Part {
+    /// It serves its own users, with this bound on its tail latency in milliseconds.
+    Serves(u64),
+    /// It lives on processor time that others leave, and disturbs those that serve.
+    Fills,
 }
 
 /// What the leader wants of an agent.
@@ -81,6 +86,8 @@
     pub starts: Vec<Start>,
     /// Runs to stop.
     pub stops: Vec<RunId>,
+    /// Runs of the worker that serve or fill.
+    pub parts: Vec<(RunId, Part)>,
 }
 
 /// Credentials and place of a call of a caller.
--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -42,18 +42,11 @@
 }
 
 fn start(number: u32) -> Start {
-    Start {
-        run: run(number),
-        text: "".into(),
-        saved: "".into(),
-        ticket: None,
-        target: 0,
-        filler: false,
-    }
+    Start { run: run(number), text: "".into(), saved: "".into(), ticket: None }
 }
 
 fn orders(epoch: u64, starts: Vec<Start>, stops: Vec<RunId>) -> Orders {
-    Orders { epoch, life: Some(life(1)), cursor: 0, lease: LEASE, starts, stops }
+    Orders { epoch, life: Some(life(1)), cursor: 0, lease: LEASE, starts, stops, parts: Vec::new() }
 }
 
 fn held(number: u32) -> Held {
--- a/crates/bronzespool-telemetry/src/event/agent.rs
+++ b/crates/bronzespool-telemetry/src/event/agent.rs
@@ -71,6 +71,15 @@
         /// What the worker said.
         verdict: String,
     }
+    /// A filler was given another share of its worker, by the tail latencies beside it.
+    FillerPaced: Info, Agent, "a filler was paced" {
+        /// The run.
+        run: RunId,
+        /// Share in percent.
+        percent: u32,
+        /// What the worker said.
+        verdict: String,
+    }
     /// A stop was sent to the worker.
     StopOrdered: Info, Agent, "a stop was ordered" {
         /// The run.
--- a/crates/bronzespool-telemetry/src/event/worker.rs
+++ b/crates/bronzespool-telemetry/src/event/worker.rs
@@ -11,7 +11,7 @@
         /// Why.
         error: String,
     }
-    /// A stop was sent and may have been carried out.
+    /// A stop, or a share, was sent and may have been carried out.
     StopUnanswered: Info, Agent, "a stop has no answer" {
         /// The run.
         run: RunId,
--- a/crates/bronzespoold/src/batch/agent.rs
+++ b/crates/bronzespoold/src/batch/agent.rs
@@ -49,6 +49,8 @@
     fn start(&self, action: &Action) -> impl Future<Output = Started>;
     /// Stops a run.
     fn stop(&self, action: &Action) -> impl Future<Output = Stopped>;
+    /// Sets the share of a filler.
+    fn pace(&self, action: &Action) -> impl Future<Output = Stopped>;
     /// Lists what the worker holds, extending its leases; waits up to `wait` for an end.
     fn look(&self, look: &Look, wait: Duration) -> impl Future<Output = Looked>;
 }
@@ -154,13 +156,16 @@
     }
 
     /// Looks at the worker's list; tells whether it answered, none before it is known.
-    async fn look(&self, wait: Duration) -> Option<bool> {
+    async fn look(self: &Rc<Self>, wait: Duration) -> Option<bool> {
         let look = self.desk.borrow_mut().look(self.clock.now())?;
         match self.worker.look(&look, wait).await {
             Looked::Listed(listing) => {
                 if self.desk.borrow_mut().listed(self.clock.now(), &look, listing) {
                     self.news.notify_one();
                 }
+                for action in self.desk.borrow_mut().paces(self.clock.now()) {
+                    spawn_local(Rc::clone(self).pace(action));
+                }
                 Some(true)
             }
             Looked::Fenced => {
@@ -221,6 +226,13 @@
         self.clock.now().since(self.ordered.get()).as_millis() as u64
     }
 
+    async fn pace(self: Rc<Self>, action: Action) {
+        let Action::Pace { run, percent, life, .. } = &action else { return };
+        let verdict = self.worker.pace(&action).await;
+        event::FillerPaced { run: *run, percent: *percent, verdict: format!("{verdict:?}") }.tell();
+        self.desk.borrow_mut().paced(life, *run, verdict);
+    }
+
     async fn act(self: Rc<Self>, action: Action) {
         let age_ms = self.age();
         match &action {
@@ -248,6 +260,7 @@
                 .tell();
                 self.desk.borrow_mut().stopped(self.clock.now(), life, *run, verdict);
             }
+            Action::Pace { .. } => return self.pace(action).await,
         }
         // A look that begins now tells the outcome.
         let _ = timeout(LOOK_WAIT, self.look(Duration::ZERO)).await;
--- a/crates/bronzespoold/src/control/batch/polls.rs
+++ b/crates/bronzespoold/src/control/batch/polls.rs
@@ -9,7 +9,7 @@
         batch::{
             Event, Ledger, RunId,
             ledger::{Live, Worker},
-            message::{Orders, Poll, Reply, Start},
+            message::{Orders, Part, Poll, Reply, Start},
         },
         core::{Code, HashSet, Refusal},
     },
@@ -66,12 +66,14 @@
             lease: LEASE.as_millis() as u64,
             starts: Vec::new(),
             stops: Vec::new(),
+            parts: Vec::new(),
         };
         let life = poll.worker.as_ref().map(|w| &w.life);
         let Some(worker) = life.and_then(|l| ledger.worker(l)) else { return orders };
         orders.life = Some(worker.spec.life.clone());
         orders.cursor = worker.cursor;
         compare(ledger, worker, poll, &mut orders);
+        orders.parts = parts(ledger, worker);
         orders
     }
 }
@@ -115,16 +117,27 @@
     orders.stops.extend(running.iter().filter(strange));
 }
 
+/// Runs of a worker that serve or fill.
+fn parts(ledger: &Ledger, worker: &Worker) -> Vec<(RunId, Part)> {
+    let part = |run: &RunId| {
+        let step = run.task.step;
+        let shape = ledger.job(step.job)?.shape(step.step)?;
+        match shape.target {
+            _ if shape.filler => Some((*run, Part::Fills)),
+            0 => None,
+            bound => Some((*run, Part::Serves(bound))),
+        }
+    };
+    worker.runs.keys().filter_map(part).collect()
+}
+
 fn start(ledger: &Ledger, run: RunId) -> Option<Start> {
     let job = ledger.job(run.task.step.job)?;
-    let shape = job.shape(run.task.step.step)?;
     let live: &Live = ledger.live(run)?;
     Some(Start {
         run,
         text: job.spec.text.clone(),
         saved: live.saved.clone(),
         ticket: live.ticket.clone(),
-        target: shape.target,
-        filler: shape.filler,
     })
 }
