feat(batch): steps that need a permit, and waves of maintenance

Cause: queues with advice started without the ticket that their workers ask for, so that nothing on them would ever run; operators' waves were answered 404.

A process beside each control instance does chores for the leader: it asks the service that names workers (any process, so that several questions run at once), and lists machines and takes them down (the leader's process alone, with its term as fencing token, 3.5 s into the term at the earliest, so that holders do not take turns). Permits are kept by step and life of a worker, used only if they outlast an order, forgotten when refused. A wave is in the log; a machine gets nothing new, then services move within their budget, the rest after 40 % of its share of the time; at 80 % it goes down with what is left unless that is a service. An order without an answer is given again after 2 s.

The budget of disruptions is counted within one draft now: a gang could take one run from each of two workers.

Nine mutations of permits and waves each fail tests. Moves between pools and copies of tasks are not built.

--- a/crates/bronzespool-batch/src/ledger/apply.rs
+++ b/crates/bronzespool-batch/src/ledger/apply.rs
@@ -6,11 +6,15 @@
         id::{JobId, Life, RunId, TaskId},
         ledger::{
             Assignment, End, Event, How, Job, KEEP, Ledger, Live, Phase, Record, StepState,
-            Verdict, Worker, WorkerSpec,
+            Verdict, Wave, WaveSpec, Worker, WorkerSpec,
         },
         spec::{JobSpec, Step},
     },
-    std::{collections::BTreeMap, sync::Arc, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 /// A run that fails this soon after it was given out has hardly begun: that counts twice against
@@ -37,7 +41,27 @@
             Event::Stopping { runs, .. } => self.stop(runs),
             Event::Ended { life, ends } => self.end_runs(life, ends),
             Event::Refused { life, run } => self.refuse(life, *run),
+            Event::WaveOrdered(spec) => self.order_wave(spec),
+            Event::MaintenanceBegun { wave, machine } => self.begin_maintenance(*wave, machine),
+        }
+    }
+
+    fn order_wave(&mut self, spec: &Arc<WaveSpec>) -> Verdict {
+        if self.waves.contains_key(&spec.id) {
+            return Verdict::Known;
+        }
+        let wave = Wave { spec: Arc::clone(spec), since: self.at, begun: BTreeSet::new() };
+        self.waves.insert(spec.id, wave);
+        Verdict::Applied
+    }
+
+    fn begin_maintenance(&mut self, wave: u64, machine: &Arc<str>) -> Verdict {
+        let Some(wave) = self.waves.get_mut(&wave) else { return Verdict::Stale };
+        if !wave.spec.machines.contains(machine) {
+            return Verdict::Stale;
         }
+        let news = wave.begun.insert(Arc::clone(machine));
+        if news { Verdict::Applied } else { Verdict::Known }
     }
 
     /// Drops jobs that have been in a final phase for long.
--- a/crates/bronzespool-batch/src/ledger/mod.rs
+++ b/crates/bronzespool-batch/src/ledger/mod.rs
@@ -3,11 +3,13 @@
 mod apply;
 mod job;
 mod record;
+mod wave;
 mod worker;
 
 pub use {
     job::{Job, Live, Phase, StepState, Task},
     record::{Assignment, Cause, End, Event, How, Record, Verdict, WorkerSpec},
+    wave::{Error as WaveError, Wave, WaveSpec},
     worker::{Conduct, Worker},
 };
 
@@ -33,6 +35,7 @@
     config: Option<Arc<Config>>,
     jobs: BTreeMap<JobId, Job>,
     workers: BTreeMap<Arc<str>, Worker>,
+    waves: BTreeMap<u64, Wave>,
     /// Rises with each change, for those that wait for one.
     serial: u64,
 }
@@ -68,6 +71,16 @@
         self.workers.values()
     }
 
+    /// The wave of maintenance with a number.
+    pub fn wave(&self, id: u64) -> Option<&Wave> {
+        self.waves.get(&id)
+    }
+
+    /// All waves of maintenance.
+    pub fn waves(&self) -> impl Iterator<Item = &Wave> {
+        self.waves.values()
+    }
+
     /// The worker, if this life of it is the present one.
     pub fn worker(&self, life: &Life) -> Option<&Worker> {
         self.workers.get(&life.worker).filter(|w| w.spec.life == *life)
--- a/crates/bronzespool-batch/src/ledger/record.rs
+++ b/crates/bronzespool-batch/src/ledger/record.rs
@@ -4,6 +4,7 @@
     crate::{
         config::Config,
         id::{JobId, Life, RunId},
+        ledger::wave::WaveSpec,
         spec::{JobSpec, Resources},
     },
     bronzespool_core::{Instance, Time},
@@ -89,6 +90,8 @@
     Reclaimed(JobId),
     /// It makes no progress where it is.
     Stalled,
+    /// Its machine goes down for maintenance.
+    Maintenance,
 }
 
 /// One change.
@@ -127,6 +130,15 @@
         /// The run.
         run: RunId,
     },
+    /// A wave of maintenance is ordered.
+    WaveOrdered(Arc<WaveSpec>),
+    /// A machine has begun its maintenance, or is not there any more.
+    MaintenanceBegun {
+        /// Number of the wave.
+        wave: u64,
+        /// The machine.
+        machine: Arc<str>,
+    },
 }
 
 /// Changes that are applied together.
--- a/crates/bronzespool-batch/src/message.rs
+++ b/crates/bronzespool-batch/src/message.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         config::Config,
-        id::{JobId, Life, RunId},
-        ledger::{End, Phase, WorkerSpec},
+        id::{JobId, Life, RunId, StepId},
+        ledger::{End, Phase, WaveSpec, WorkerSpec},
         spec::JobSpec,
     },
     bronzespool_core::Instance,
@@ -114,6 +114,121 @@
     Pending,
 }
 
+/// A question to the service that names the workers which may run a step.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+    /// The step.
+    pub step: StepId,
+    /// Workers, by the names that they give themselves.
+    pub workers: Vec<Arc<str>>,
+}
+
+/// The service's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Permitted {
+    /// The step.
+    pub step: StepId,
+    /// Workers that may run it, each with the permit that a start carries.
+    pub tickets: Vec<(Arc<str>, Arc<str>)>,
+    /// Milliseconds for which the permits last from now.
+    pub valid: u64,
+}
+
+/// What a machine does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MachineState {
+    /// It runs its worker.
+    Up,
+    /// It is on its way to another pool.
+    Moving,
+    /// It is down for maintenance.
+    Maintenance,
+    /// It is off or lost.
+    Down,
+}
+
+/// A machine, as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Machine {
+    /// Name.
+    pub name: Arc<str>,
+    /// What it does.
+    pub state: MachineState,
+    /// Worker on it, by the name that it gives itself.
+    pub worker: Option<Arc<str>>,
+}
+
+/// What the platform said to an order for a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Obeyed {
+    /// The machine goes down, or did so before.
+    Done,
+    /// Not now.
+    Busy,
+    /// Another instance has used a higher fencing token.
+    Fenced,
+    /// There is no such machine, or it is not part of that wave.
+    Foreign,
+    /// No answer: it may have been carried out.
+    Unknown,
+}
+
+/// Something that a process beside a control instance does for the leader.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Chore {
+    /// Ask the service that names workers.
+    Ask(Question),
+    /// List the machines.
+    List,
+    /// Take a machine down for maintenance.
+    TakeDown {
+        /// Number of the wave.
+        wave: u64,
+        /// The machine.
+        machine: Arc<str>,
+        /// Fencing token.
+        epoch: u64,
+    },
+}
+
+/// What came of a chore.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The service's answer.
+    Permitted(Permitted),
+    /// All machines.
+    Listed(Vec<Machine>),
+    /// What the platform said.
+    TakenDown {
+        /// Number of the wave.
+        wave: u64,
+        /// The machine.
+        machine: Arc<str>,
+        /// Its word.
+        word: Obeyed,
+    },
+}
+
+/// Chores that a process is there for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Duty {
+    /// Questions; any process may ask them.
+    Questions,
+    /// Machines; only the process of the leader orders them, so that one holder does at a time.
+    Machines,
+}
+
+/// A process's report on its last chore, and its wish for the next.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Helper {
+    /// Address of the control instance that the process runs.
+    pub own: SocketAddr,
+    /// Chores that it is there for.
+    pub duty: Duty,
+    /// What came of the last one.
+    pub outcome: Option<Outcome>,
+}
+
 /// A call to the leader.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Call {
@@ -125,6 +240,12 @@
     Configure(Arc<Config>),
     /// Reads the configuration.
     ReadConfig,
+    /// An operator's wave of maintenance.
+    OrderWave(Arc<WaveSpec>),
+    /// Whether all machines of a wave have begun.
+    ReadWave(u64),
+    /// A process's wish for a chore.
+    Help(Box<Helper>),
     /// Asks whether the leader serves; tells the address at which the caller passes on calls.
     Ping(Option<SocketAddr>),
 }
@@ -140,6 +261,8 @@
     NoKey,
     /// No such job.
     NoJob,
+    /// No such wave of maintenance.
+    NoWave,
     /// The job contradicts itself or cannot fit any worker.
     Invalid,
 }
@@ -157,6 +280,10 @@
     Orders(Box<Orders>),
     /// The configuration as it was sent, if there is one.
     Config(Option<Arc<[u8]>>),
+    /// Whether all machines of the wave have begun.
+    Wave(bool),
+    /// The next chore; without one, whether another may come soon.
+    Chore(std::result::Result<Chore, bool>),
     /// Not carried out, and it never will be.
     Denied(Denial),
 }
--- a/crates/bronzespool-batch/src/plan/disruption.rs
+++ b/crates/bronzespool-batch/src/plan/disruption.rs
@@ -6,32 +6,29 @@
 
 use crate::{
     id::RunId,
-    ledger::{Job, step_id},
+    ledger::{Job, Task},
     plan::{Scene, room::Room},
 };
 
 /// Progress in percent at which a task that lasts is at work.
 const AT_WORK: u32 = 100;
 
-/// Whether a run may be stopped without more tasks of its step being away than is allowed. Of
-/// several runs of a step only one may be stopped at a time.
-pub(super) fn may_stop(room: &Room<'_>, scene: &Scene, job: &Job, run: RunId) -> bool {
+/// How many more tasks of a run's step may be stopped, this run's among them; none where there is
+/// no bound, or where the run is not at work, so that stopping it takes nothing from the budget.
+pub(super) fn spare(room: &Room<'_>, scene: &Scene, job: &Job, run: RunId) -> Option<u32> {
     let step = run.task.step;
-    let Some(budget) = job.shape(step.step).and_then(|s| s.disruption) else { return true };
-    let Some(state) = job.step(step.occurrence, step.step) else { return true };
-    let id = step_id(step.job, step.occurrence, usize::from(step.step));
-    let mut away = 0;
-    let mut first = None;
-    for (index, task) in state.tasks.iter().enumerate() {
-        let task_id = id.task(index as u32);
-        let runs = task.lives.iter().map(|l| RunId { task: task_id, run: l.run });
-        match runs.into_iter().find(|r| is_at_work(room, scene, *r)) {
-            Some(run) => first = first.or(Some(run)),
-            None => away += 1,
-        }
+    let budget = job.shape(step.step)?.disruption?;
+    if !is_at_work(room, scene, run) {
+        return None;
     }
-    // What is not at work is away already: stopping it takes nothing from the budget.
-    !is_at_work(room, scene, run) || away < budget && first == Some(run)
+    let state = job.step(step.occurrence, step.step)?;
+    let works = |(index, task): &(usize, &Task)| {
+        let id = step.task(*index as u32);
+        task.lives.iter().any(|l| is_at_work(room, scene, RunId { task: id, run: l.run }))
+    };
+    let tasks = state.tasks.iter().enumerate();
+    let away = state.tasks.len() - tasks.filter(works).count();
+    Some(budget.saturating_sub(away as u32))
 }
 
 fn is_at_work(room: &Room<'_>, scene: &Scene, run: RunId) -> bool {
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -7,12 +7,19 @@
 mod health;
 mod order;
 mod outlook;
+mod permit;
 mod place;
 mod reclaim;
 mod room;
 mod unit;
+mod upkeep;
 
-pub use {order::Standing, unit::Unit};
+pub use {
+    order::Standing,
+    permit::Permits,
+    unit::Unit,
+    upkeep::{Down, Fleet},
+};
 
 use {
     self::{
@@ -60,6 +67,10 @@
     pub usable: HashSet<Arc<str>>,
     /// Runs by their workers' latest word.
     pub progress: HashMap<RunId, Progress>,
+    /// Workers that get nothing new, since their machines go down next.
+    pub emptied: HashSet<Arc<str>>,
+    /// Permits of the service that names workers.
+    pub permits: Permits,
 }
 
 /// The events that the policy wants next.
@@ -119,7 +130,7 @@
         let Some(placement) = place(unit, &self.room, reach) else { return false };
         self.starts += placement.len();
         self.room.take(unit, &placement);
-        self.events.push(Event::Started(assignments(unit, &placement)));
+        self.events.push(Event::Started(assignments(unit, &placement, self.scene)));
         true
     }
 
@@ -204,12 +215,12 @@
     place_over(unit, room, standing, scene, means).map(|(placement, ..)| placement)
 }
 
-fn assignments(unit: &Unit, placement: &Placement) -> Vec<Assignment> {
+fn assignments(unit: &Unit, placement: &Placement, scene: &Scene) -> Vec<Assignment> {
     let give = |(task, life): (&unit::Waiting, &crate::id::Life)| Assignment {
         run: RunId { task: unit.step.task(task.index), run: unit.run(task) },
         life: life.clone(),
         saved: task.saved.clone(),
-        ticket: None,
+        ticket: scene.permits.get(unit.step, life, scene.now).cloned(),
     };
     unit.tasks.iter().zip(placement).map(give).collect()
 }
--- a/crates/bronzespool-batch/src/plan/place.rs
+++ b/crates/bronzespool-batch/src/plan/place.rs
@@ -74,7 +74,6 @@
     free: &[Resources],
     allowed: impl Fn(&Slot<'_>) -> bool,
 ) -> Option<Placement> {
-    let service = room.ledger.service(unit.job);
     let need = unit.shape.taken();
     let mut free = free.to_vec();
     let mut counts: Vec<u32> =
@@ -83,10 +82,7 @@
     let mut placement = Vec::with_capacity(unit.tasks.len());
     for task in &unit.tasks {
         let fits = |(i, slot): &(usize, &Slot<'_>)| {
-            allowed(slot)
-                && slot.suits(service, unit.shape)
-                && counts[*i] < spread
-                && free[*i].fits(&need)
+            allowed(slot) && room.admits(unit, slot) && counts[*i] < spread && free[*i].fits(&need)
         };
         let slots = room.slots.iter().enumerate();
         let key = |(i, slot): &(usize, &Slot<'_>)| {
--- a/crates/bronzespool-batch/src/plan/reclaim.rs
+++ b/crates/bronzespool-batch/src/plan/reclaim.rs
@@ -14,7 +14,7 @@
         },
         spec::Resources,
     },
-    bronzespool_core::HashSet,
+    bronzespool_core::{HashMap, HashSet},
     std::{collections::BTreeSet, time::Duration},
 };
 
@@ -44,6 +44,8 @@
     gang: Option<StepId>,
     /// Whether it ends so soon that it need not be stopped.
     soon: bool,
+    /// How many tasks of its step may still be stopped, if that is bounded.
+    spare: Option<u32>,
 }
 
 /// Room as it is given out to the tasks of one unit.
@@ -56,6 +58,8 @@
     counts: Vec<u32>,
     victims: Vec<RunId>,
     gangs: HashSet<StepId>,
+    /// Tasks at work that are stopped, by step.
+    missed: HashMap<StepId, u32>,
     loss: u64,
 }
 
@@ -124,6 +128,7 @@
             counts: room.slots.iter().map(steps).collect(),
             victims: Vec::new(),
             gangs: HashSet::default(),
+            missed: HashMap::default(),
             loss: 0,
         }
     }
@@ -149,9 +154,8 @@
     /// What it takes to place one more task on a slot.
     fn offer(&self, slot: usize) -> Option<Offer> {
         let shape = self.unit.shape;
-        let service = self.room.ledger.service(self.unit.job);
         let full = shape.spread > 0 && self.counts[slot] >= shape.spread;
-        if full || !self.room.slots[slot].suits(service, shape) {
+        if full || !self.room.admits(self.unit, &self.room.slots[slot]) {
             return None;
         }
         let need = shape.taken();
@@ -164,6 +168,9 @@
                 break;
             }
             let lent = &self.lent[slot][i];
+            if self.is_over_budget(slot, &offer, lent) {
+                continue;
+            }
             have = have.plus(&lent.taken);
             offer.loss += self.marginal(lent);
             offer.victims.push(i);
@@ -171,6 +178,15 @@
         have.fits(&need).then_some(offer)
     }
 
+    /// Whether stopping a run beside those of an offer leaves too few of its step at work.
+    fn is_over_budget(&self, slot: usize, offer: &Offer, lent: &Lent) -> bool {
+        let Some(spare) = lent.spare else { return false };
+        let step = lent.run.task.step;
+        let beside = offer.victims.iter().map(|i| &self.lent[slot][*i]);
+        let beside = beside.filter(|l| l.spare.is_some() && l.run.task.step == step).count();
+        self.missed.get(&step).copied().unwrap_or(0) + beside as u32 >= spare
+    }
+
     /// What stopping a run adds to the loss: nothing if its gang ends anyway.
     fn marginal(&self, lent: &Lent) -> u64 {
         if lent.gang.is_some_and(|g| self.gangs.contains(&g)) { 0 } else { lent.loss }
@@ -184,6 +200,9 @@
             let lent = self.lent[slot].swap_remove(i);
             self.have[slot] = self.have[slot].plus(&lent.taken);
             self.gangs.extend(lent.gang);
+            if lent.spare.is_some() {
+                *self.missed.entry(lent.run.task.step).or_default() += 1;
+            }
             if !lent.soon {
                 self.victims.push(lent.run);
             }
@@ -206,9 +225,16 @@
         let job = room.ledger.job(run.task.step.job)?;
         let shape = job.shape(run.task.step.step)?;
         if left(room, *run, scene) < SOON && !shape.lasting {
-            return Some(Lent { run: *run, taken: *taken, loss: 0, gang: None, soon: true });
+            return Some(Lent {
+                run: *run,
+                taken: *taken,
+                loss: 0,
+                gang: None,
+                soon: true,
+                spare: None,
+            });
         }
-        if !standing.may_stop(unit, job) || !disruption::may_stop(room, scene, job, *run) {
+        if !standing.may_stop(unit, job) {
             return None;
         }
         let own = lost(room, *run, scene, shape.checkpoints).saturating_mul(taken.weight());
@@ -216,7 +242,8 @@
         let gang = shape.gang.then_some(run.task.step);
         // Of two that cost alike, the one of the lower priority goes.
         let loss = own.saturating_mul(count) / (1 + u64::from(standing.priority(job).min(8)));
-        Some(Lent { run: *run, taken: *taken, loss, gang, soon: false })
+        let spare = disruption::spare(room, scene, job, *run);
+        Some(Lent { run: *run, taken: *taken, loss, gang, soon: false, spare })
     });
     lent.collect()
 }
@@ -227,7 +254,7 @@
     let lent = runs.filter_map(|(run, taken)| {
         let shape = room.ledger.job(run.task.step.job)?.shape(run.task.step.step)?;
         let loss = left(room, *run, scene).as_millis() as u64;
-        let lent = Lent { run: *run, taken: *taken, loss, gang: None, soon: true };
+        let lent = Lent { run: *run, taken: *taken, loss, gang: None, soon: true, spare: None };
         (!shape.lasting).then_some(lent)
     });
     lent.collect()
--- a/crates/bronzespool-batch/src/plan/room.rs
+++ b/crates/bronzespool-batch/src/plan/room.rs
@@ -5,13 +5,13 @@
         id::{Life, RunId, StepId},
         ledger::{Ledger, Worker},
         plan::{
-            Scene, Unit,
+            Permits, Scene, Unit,
             health::{Trust, trust},
             place::Placement,
         },
         spec::{Resources, Step},
     },
-    bronzespool_core::{HashMap, HashSet},
+    bronzespool_core::{HashMap, HashSet, Time},
     std::sync::Arc,
 };
 
@@ -39,7 +39,7 @@
     }
 
     /// Whether the worker is of the kind that a step asks for.
-    pub(super) fn suits(&self, service: &Arc<str>, step: &Step) -> bool {
+    fn suits(&self, service: &Arc<str>, step: &Step) -> bool {
         let label = step.label.as_ref();
         let spec = &self.worker.spec;
         spec.service == *service && label.is_none_or(|l| spec.labels.contains(l))
@@ -65,15 +65,24 @@
     pub(super) slots: Vec<Slot<'a>>,
     /// Runs that are being stopped, or will be by this plan.
     pub(super) leaving: HashSet<RunId>,
+    permits: &'a Permits,
+    now: Time,
 }
 
 impl<'a> Room<'a> {
-    pub(super) fn new(ledger: &'a Ledger, scene: &Scene) -> Self {
+    pub(super) fn new(ledger: &'a Ledger, scene: &'a Scene) -> Self {
         let usable = |w: &&Worker| {
             let life = &w.spec.life;
-            !w.spec.leaving && scene.usable.contains(&life.worker)
+            let worker = &life.worker;
+            !w.spec.leaving && scene.usable.contains(worker) && !scene.emptied.contains(worker)
+        };
+        let mut room = Self {
+            ledger,
+            slots: Vec::new(),
+            leaving: HashSet::default(),
+            permits: &scene.permits,
+            now: scene.now,
         };
-        let mut room = Self { ledger, slots: Vec::new(), leaving: HashSet::default() };
         for worker in ledger.workers().filter(usable) {
             let slot = room.slot(worker, scene);
             room.slots.push(slot);
@@ -110,6 +119,13 @@
         slot
     }
 
+    /// Whether a worker is of the kind that a unit asks for, and may run it.
+    pub(super) fn admits(&self, unit: &Unit<'_>, slot: &Slot<'_>) -> bool {
+        let permit = || self.permits.get(unit.step, slot.life(), self.now);
+        slot.suits(self.ledger.service(unit.job), unit.shape)
+            && (!unit.advised || permit().is_some())
+    }
+
     /// Whether less than half of a service's room is in use.
     pub(super) fn is_idle(&self, service: &Arc<str>) -> bool {
         let sum = |of: fn(&Slot<'_>) -> Resources| {
--- a/crates/bronzespool-batch/src/plan/unit.rs
+++ b/crates/bronzespool-batch/src/plan/unit.rs
@@ -38,6 +38,8 @@
     pub shape: &'a Step,
     /// The tasks.
     pub tasks: Vec<Waiting>,
+    /// Whether its queue needs the word of a service on which workers may run it.
+    pub advised: bool,
     /// Log time since which it could have started, as far as known.
     pub since: Time,
 }
@@ -57,12 +59,14 @@
     let active = ledger.jobs().filter(|j| j.phase.is_active());
     let mut found = Vec::new();
     for job in active {
+        let queue = ledger.config().and_then(|c| c.queue(&job.spec.queue));
+        let advised = queue.is_some_and(|q| q.advice.is_some());
         let due = (0..job.spec.occurrences()).take_while(|k| job.spec.due(*k) <= scene.wall);
         for occurrence in due {
             for (i, shape) in job.spec.steps.iter().enumerate() {
                 let step = step_id(job.spec.id, occurrence, i);
                 if job.is_ready(occurrence, step.step) {
-                    collect(job, step, shape, scene, &mut found);
+                    collect((job, advised), step, shape, scene, &mut found);
                 }
             }
         }
@@ -71,14 +75,14 @@
 }
 
 fn collect<'a>(
-    job: &'a Job,
+    (job, advised): (&'a Job, bool),
     step: StepId,
     shape: &'a Step,
     scene: &Scene,
     found: &mut Vec<Unit<'a>>,
 ) {
     let state = job.step(step.occurrence, step.step);
-    let make = |tasks, since| Unit { job, step, shape, tasks, since };
+    let make = |tasks, since| Unit { job, step, shape, tasks, advised, since };
     let Some(state) = state else {
         let fresh = (0..shape.count).map(|index| Waiting {
             index,
--- a/crates/bronzespool-telemetry/src/event/control.rs
+++ b/crates/bronzespool-telemetry/src/event/control.rs
@@ -169,6 +169,36 @@
         /// Life of the worker.
         life: Life,
     }
+    /// An operator has ordered a wave of maintenance.
+    WaveOrdered: Info, Leader, "a wave of maintenance was ordered" {
+        /// Its number.
+        wave: u64,
+        /// Its machines.
+        machines: usize,
+        /// Most of them that may be down at once.
+        most: u32,
+        /// Whether it is new.
+        verdict: Verdict,
+    }
+    /// A machine has begun its maintenance, or is not there any more.
+    MaintenanceBegun: Info, Leader, "a machine has begun its maintenance" {
+        /// Number of the wave.
+        wave: u64,
+        /// The machine.
+        machine: Arc<str>,
+        /// Whether that is new.
+        verdict: Verdict,
+    }
+    /// A process was sent to the platform for the leader.
+    ChoreGiven: Info, Leader, "a chore was given out" {
+        /// What it is.
+        chore: String,
+    }
+    /// What came of it.
+    ChoreDone: Info, Leader, "a chore is done" {
+        /// What came of it.
+        outcome: String,
+    }
     /// The log has not taken a plan: it is made again.
     PlanLost: Info, Leader, "a plan was not committed" {
         /// Result code.
--- a/crates/bronzespool-telemetry/src/event/worker.rs
+++ b/crates/bronzespool-telemetry/src/event/worker.rs
@@ -1,7 +1,10 @@
 //! Events of calls between the system and its surroundings: a worker's interface, and what operators
 //! send.
 
-use bronzespool_batch::{Life, RunId};
+use {
+    bronzespool_batch::{Life, RunId},
+    std::net::SocketAddr,
+};
 
 super::events! {
     /// A start was sent and may have been carried out.
@@ -71,6 +74,25 @@
         /// Why.
         error: String,
     }
+    /// A service outside of the system does not answer.
+    ServiceSilent: Warn, Control, "a service does not answer" {
+        /// Its address.
+        service: SocketAddr,
+        /// Why.
+        error: String,
+    }
+    /// A service outside of the system has refused a call, or its answer cannot be read.
+    ServiceRefused: Warn, Control, "a service refuses a call" {
+        /// Status of its answer.
+        status: u16,
+        /// Why its answer cannot be read, if so.
+        error: String,
+    }
+    /// The leader's answer is none that fits a wish for a chore.
+    ChoreMismatched: Warn, Control, "the leader's answer to a helper is of another kind" {
+        /// The answer.
+        reply: String,
+    }
     /// A configuration cannot be read or contradicts itself: it is not in force.
     ConfigRefused: Info, Control, "a configuration was refused" {
         /// Why.
--- a/crates/bronzespoold/src/batch/finder.rs
+++ b/crates/bronzespoold/src/batch/finder.rs
@@ -3,10 +3,13 @@
 use {
     crate::{
         clock::Clock,
-        telemetry::{Event as _, event},
+        telemetry::{self, Event as _, event},
     },
     bronzespool::{
-        batch::message::{self, Map},
+        batch::{
+            JobId,
+            message::{self, Map},
+        },
         core::{Code, HashMap, Refusal},
         wire::{
             bronzespool_capnp::control,
@@ -37,6 +40,10 @@
 const REFRESH: Duration = Duration::from_secs(2);
 /// Time between two tries to reach control again.
 const REACH: Duration = Duration::from_millis(250);
+/// Longest time for which a caller's call is tried, where the caller waits longer.
+const TRY_TIME: Duration = Duration::from_millis(2_000);
+/// Share of the caller's time for which a call is tried.
+const TRY_PERCENT: u32 = 70;
 /// Pause before another try.
 const PAUSE: Duration = Duration::from_millis(40);
 
@@ -82,6 +89,19 @@
     cut: Cell<bool>,
 }
 
+/// A caller's call as its entry took it, for the log line on its answer.
+#[derive(Clone, Debug)]
+pub struct Taken {
+    /// Job that it names.
+    pub job: Option<JobId>,
+    /// Method.
+    pub method: String,
+    /// Path.
+    pub path: String,
+    /// Time for which the caller waits, if it says so.
+    pub patience: Option<Duration>,
+}
+
 /// Where the leader of a term is.
 #[derive(Clone, Copy, Debug)]
 struct Leader {
@@ -152,6 +172,38 @@
         (leader.map(|l| l.address), leader.map(|l| l.term))
     }
 
+    /// Carries out a caller's call in a share of the caller's time, so that the answer arrives in
+    /// time; tells the answer that `answer` makes of the reply.
+    pub async fn ask<A>(
+        &self,
+        taken: Taken,
+        call: message::Call,
+        answer: impl FnOnce(Result<message::Reply>) -> (u16, A),
+    ) -> A {
+        let share = taken.patience.map_or(TRY_TIME, |p| p * TRY_PERCENT / 100);
+        let begun = self.clock.now();
+        let reply = self.call(call, share.min(TRY_TIME)).await;
+        let took = self.clock.now().since(begun);
+        let code = reply.as_ref().err().map(Fault::code);
+        let told = reply.as_ref().map_or_else(ToString::to_string, |r| format!("{r:?}"));
+        let (status, answer) = answer(reply);
+        telemetry::call(&taken.method, status, code, took);
+        let (leader, term) = self.known();
+        event::CallAnswered {
+            job: taken.job,
+            method: taken.method,
+            path: taken.path,
+            status,
+            reply: told,
+            code: code.map(Code::number),
+            leader,
+            term,
+            took_ms: took.as_millis() as u64,
+        }
+        .tell();
+        answer
+    }
+
     /// Calls the leader within `time`, as often as needed: every call may be repeated.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/bronzespoold/src/batch/helper.rs
@@ -0,0 +1,65 @@
+//! Does chores for the leader at services outside of the system, beside a control instance.
+
+use {
+    crate::{
+        batch::finder::Finder,
+        telemetry::{Event, event},
+    },
+    bronzespool::batch::message::{
+        Call, Chore, Duty, Helper, Machine, Obeyed, Outcome, Permitted, Question, Reply,
+    },
+    std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
+    tokio::time::sleep,
+};
+
+/// Longest wait for the leader, its own wait included.
+const CALL_TIME: Duration = Duration::from_millis(1_500);
+/// Pause where another chore may come soon.
+const SOON: Duration = Duration::from_millis(50);
+/// Pause where there is nothing to do at all.
+const IDLE: Duration = Duration::from_secs(2);
+
+/// Services outside of the system.
+pub trait Outside: 'static {
+    /// Asks which workers may run a step; none without an answer.
+    fn ask(&self, question: &Question) -> impl Future<Output = Option<Permitted>>;
+    /// Lists all machines; none without an answer.
+    fn list(&self) -> impl Future<Output = Option<Vec<Machine>>>;
+    /// Takes a machine down for a wave of maintenance.
+    fn take_down(&self, wave: u64, machine: &str, epoch: u64) -> impl Future<Output = Obeyed>;
+}
+
+/// Does chores of one kind for as long as this process lives; `own` is the address of the control
+/// instance that it runs.
+pub async fn run_helper<O: Outside>(
+    finder: Rc<Finder>,
+    own: SocketAddr,
+    duty: Duty,
+    outside: Rc<O>,
+) {
+    let mut outcome = None;
+    loop {
+        let helper = Helper { own, duty, outcome: outcome.take() };
+        match finder.call(Call::Help(Box::new(helper)), CALL_TIME).await {
+            Ok(Reply::Chore(Ok(chore))) => outcome = carry_out(&*outside, chore).await,
+            Ok(Reply::Chore(Err(soon))) => sleep(if soon { SOON } else { IDLE }).await,
+            Ok(other) => {
+                event::ChoreMismatched { reply: format!("{other:?}") }.tell();
+                sleep(IDLE).await;
+            }
+            // The finder has said that control cannot be reached.
+            Err(_) => sleep(IDLE).await,
+        }
+    }
+}
+
+async fn carry_out<O: Outside>(outside: &O, chore: Chore) -> Option<Outcome> {
+    match chore {
+        Chore::Ask(question) => outside.ask(&question).await.map(Outcome::Permitted),
+        Chore::List => outside.list().await.map(Outcome::Listed),
+        Chore::TakeDown { wave, machine, epoch } => {
+            let word = outside.take_down(wave, &machine, epoch).await;
+            Some(Outcome::TakenDown { wave, machine: Arc::clone(&machine), word })
+        }
+    }
+}
--- a/crates/bronzespoold/src/batch/mod.rs
+++ b/crates/bronzespoold/src/batch/mod.rs
@@ -3,6 +3,7 @@
 
 mod agent;
 mod finder;
+mod helper;
 mod ready;
 mod relay;
 pub mod role;
@@ -10,7 +11,8 @@
 
 pub use {
     agent::{Agent, Looked, Options, Worker},
-    finder::{Fault, Finder, Result},
+    finder::{Fault, Finder, Result, Taken},
+    helper::{Outside, run_helper},
     ready::watch_control,
     relay::serve_relay,
     seeds::follow_seeds,
--- a/crates/bronzespoold/src/batch/ready.rs
+++ b/crates/bronzespoold/src/batch/ready.rs
@@ -3,9 +3,11 @@
 use {
     crate::{
         batch::finder::Finder,
+        http::{Answer, Handle, text},
         telemetry::{Event as _, event},
     },
     bronzespool::batch::message::Call,
+    hyper::{Request, body::Incoming},
     std::{
         cell::Cell,
         net::SocketAddr,
@@ -43,3 +45,21 @@
         sleep(PING).await;
     }
 }
+
+/// Tells balancers whether this process takes new connections.
+pub(super) struct Readiness {
+    ready: Rc<Cell<bool>>,
+}
+
+impl Readiness {
+    /// Readiness that follows a flag.
+    pub(super) const fn new(ready: Rc<Cell<bool>>) -> Self {
+        Self { ready }
+    }
+}
+
+impl Handle for Readiness {
+    async fn handle(self: Rc<Self>, _: Request<Incoming>) -> Answer {
+        text(if self.ready.get() { 200 } else { 503 }, String::new())
+    }
+}
--- a/crates/bronzespoold/src/batch/role/agent.rs
+++ b/crates/bronzespoold/src/batch/role/agent.rs
@@ -8,7 +8,7 @@
         http::{Handle, serve},
         telemetry::{Event, event},
     },
-    bronzespool::{batch::agent::Limits, core::Instance},
+    bronzespool::batch::agent::Limits,
     std::{net::SocketAddr, rc::Rc},
     tokio::{sync::watch, task::spawn_local, time::timeout},
 };
@@ -21,14 +21,14 @@
 pub async fn run_agent<W: Worker, H: Handle>(
     frame: &Frame,
     clock: Clock,
-    (instance, limits): (Instance, Limits),
+    limits: Limits,
     (listen, worker): (SocketAddr, W),
     mut signals: Signals,
     check_ins: impl FnOnce(Rc<Agent<W>>) -> H,
 ) -> Result<()> {
     let finder = finder(frame, clock);
     start_relay(frame, &finder).await?;
-    let options = Options { instance, limits, relay: Some(frame.own) };
+    let options = Options { instance: frame.instance.clone(), limits, relay: Some(frame.own) };
     let agent = Agent::new(options, clock, Rc::clone(&finder), worker);
     agent.start();
     let (stop, stopped) = watch::channel(false);
--- /dev/null
+++ b/crates/bronzespoold/src/batch/role/command.rs
@@ -0,0 +1,90 @@
+//! The command line of an adapter's program, and the runtime that its role runs in.
+
+use {
+    super::{Error, Result},
+    crate::telemetry,
+    std::{fmt::Display, process::ExitCode},
+    tokio::task::LocalSet,
+};
+
+/// What an adapter's program is, beside its command line.
+#[derive(Clone, Copy, Debug)]
+pub struct Program<S, E> {
+    /// Name, for errors.
+    pub name: &'static str,
+    /// Head of the help text.
+    pub about: &'static str,
+    /// Reads and checks the settings.
+    pub load: fn() -> std::result::Result<S, E>,
+}
+
+/// Help on the options that every such program has.
+const OPTIONS: &str = "
+  --metrics PORT  serve metrics at /metrics on this port of the machine's address
+  --log LEVEL     least level of log lines: off, error, warn, info (as it is unset), debug
+  --check         read the settings, report faults and end
+  --help          print this text
+";
+
+/// What the command line asks for.
+struct Wish {
+    metrics: Option<u16>,
+    log: Option<String>,
+    check: bool,
+    help: bool,
+}
+
+fn wish(mut args: pico_args::Arguments) -> Result<Wish> {
+    let wish = Wish {
+        metrics: args.opt_value_from_str("--metrics").map_err(Error::Arguments)?,
+        log: args.opt_value_from_str("--log").map_err(Error::Arguments)?,
+        check: args.contains("--check"),
+        help: args.contains("--help"),
+    };
+    match args.finish().first() {
+        Some(other) => Err(Error::Argument(other.to_string_lossy().into_owned())),
+        None => Ok(wish),
+    }
+}
+
+impl<S, E: Display> Program<S, E> {
+    /// Reads command line and settings and serves until a signal stops it. `serve` gets the
+    /// settings and the port for metrics.
+    pub fn run<F: Future<Output = Result<()>>>(
+        &self,
+        args: pico_args::Arguments,
+        serve: impl FnOnce(S, Option<u16>) -> F,
+    ) -> ExitCode {
+        match wish(args).and_then(|w| self.start(&w, serve)) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("{}: {error}", self.name);
+                ExitCode::FAILURE
+            }
+        }
+    }
+
+    fn start<F: Future<Output = Result<()>>>(
+        &self,
+        wish: &Wish,
+        serve: impl FnOnce(S, Option<u16>) -> F,
+    ) -> Result<()> {
+        if wish.help {
+            print!("{}{OPTIONS}", self.about);
+            return Ok(());
+        }
+        let settings = (self.load)().map_err(|e| Error::Settings(e.to_string()))?;
+        if wish.check {
+            println!("no faults");
+            return Ok(());
+        }
+        let level = wish.log.as_deref().unwrap_or("info");
+        let _logs = telemetry::start_logs(level).map_err(Error::Logs)?;
+        telemetry::start_metrics().map_err(Error::Metrics)?;
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(Error::Runtime)?;
+        runtime.block_on(LocalSet::new().run_until(serve(settings, wish.metrics)))
+    }
+}
--- a/crates/bronzespoold/src/batch/role/control.rs
+++ b/crates/bronzespoold/src/batch/role/control.rs
@@ -3,12 +3,13 @@
 use {
     super::{Error, Frame, HEAD_TIME, Result, Signals, bind},
     crate::{
-        batch::{Finder, follow_seeds},
+        batch::{Finder, Outside, follow_seeds, run_helper},
         clock::Clock,
         control,
         http::{Handle, serve},
         telemetry::{Event, event},
     },
+    bronzespool::batch::message::Duty,
     std::{net::SocketAddr, path::PathBuf, rc::Rc},
     tokio::{sync::watch, task::spawn_local, time::timeout},
 };
@@ -19,11 +20,11 @@
 /// # Errors
 ///
 /// If an address cannot be bound or the log fails.
-pub async fn run_control<H: Handle>(
+pub async fn run_control<H: Handle, O: Outside>(
     frame: &Frame,
     clock: Clock,
     (data, founder): (PathBuf, bool),
-    listen: SocketAddr,
+    (listen, outside): (SocketAddr, O),
     mut signals: Signals,
     operators: impl FnOnce(Rc<Finder>) -> H,
 ) -> Result<()> {
@@ -41,6 +42,10 @@
     let listener = bind(listen).await?;
     let handler = Rc::new(operators(Rc::clone(&finder)));
     let served = spawn_local(serve(listener, handler, HEAD_TIME, stopped.clone()));
+    let outside = Rc::new(outside);
+    for duty in [Duty::Questions, Duty::Machines] {
+        spawn_local(run_helper(Rc::clone(&finder), own, duty, Rc::clone(&outside)));
+    }
     let (known, reread) = (frame.seeds.clone(), frame.reread);
     let report = move |seeds| finder.reseed(with_own(seeds));
     spawn_local(follow_seeds(signals.reload, known, reread, report));
--- a/crates/bronzespoold/src/batch/role/entry.rs
+++ b/crates/bronzespoold/src/batch/role/entry.rs
@@ -3,7 +3,7 @@
 use {
     super::{Frame, HEAD_TIME, Result, Signals, bind, finder, start_relay},
     crate::{
-        batch::{Finder, follow_seeds, watch_control},
+        batch::{Finder, follow_seeds, ready::Readiness, watch_control},
         clock::Clock,
         http::{Handle, serve},
         telemetry::{Event, event},
@@ -34,13 +34,12 @@
 /// # Errors
 ///
 /// If an address cannot be bound.
-pub async fn run_entry<C: Handle, R: Handle>(
+pub async fn run_entry<C: Handle>(
     frame: &Frame,
     clock: Clock,
     gates: Gates,
     mut signals: Signals,
     callers: impl FnOnce(Rc<Finder>) -> C,
-    readiness: impl FnOnce(Rc<Cell<bool>>) -> R,
 ) -> Result<()> {
     let finder = finder(frame, clock);
     let flag = Rc::new(Cell::new(false));
@@ -48,8 +47,8 @@
     let (front, ready) = (bind(gates.callers).await?, bind(gates.ready).await?);
     let handler = Rc::new(callers(Rc::clone(&finder)));
     let served = spawn_local(serve(front, handler, HEAD_TIME, stopped.clone()));
-    let handler = Rc::new(readiness(Rc::clone(&flag)));
-    spawn_local(serve(ready, handler, HEAD_TIME, stopped));
+    let readiness = Rc::new(Readiness::new(Rc::clone(&flag)));
+    spawn_local(serve(ready, readiness, HEAD_TIME, stopped));
     start_relay(frame, &finder).await?;
     let watched = watch_control(Rc::clone(&finder), Some(frame.own), Rc::clone(&flag));
     let pings = spawn_local(watched);
--- a/crates/bronzespoold/src/batch/role/mod.rs
+++ b/crates/bronzespoold/src/batch/role/mod.rs
@@ -1,11 +1,13 @@
 //! Roles of a process behind an adapter: what each starts, and how it stops.
 
 mod agent;
+mod command;
 mod control;
 mod entry;
 
 pub use {
     agent::run_agent,
+    command::Program,
     control::run_control,
     entry::{Gates, run_entry},
 };
@@ -15,8 +17,9 @@
         batch::{Finder, serve_relay},
         clock::Clock,
         http::{Answer, Handle, serve, text},
-        telemetry,
+        telemetry::{self, Event, event},
     },
+    bronzespool::core::Instance,
     displaydoc::Display,
     hyper::{Request, body::Incoming},
     std::{net::SocketAddr, rc::Rc, time::Duration},
@@ -41,6 +44,20 @@
     Listen(SocketAddr, std::io::Error),
     /// cannot listen to signals: {0}
     Signal(std::io::Error),
+    /// cannot start the runtime: {0}
+    Runtime(std::io::Error),
+    /// cannot start logging: {0}
+    Logs(flexi_logger::FlexiLoggerError),
+    /// cannot start metrics: {0}
+    Metrics(telemetry::BuildError),
+    /// the command line cannot be read: {0}
+    Arguments(pico_args::Error),
+    /// argument {0} is not known: try --help
+    Argument(String),
+    /// {0}
+    Settings(String),
+    /// the machine's name cannot be used: {0}
+    Name(bronzespool::core::name::Error),
     /// the process's address cannot be used as a name
     Address,
     /// control: {0}
@@ -52,6 +69,12 @@
 /// What every role needs to know.
 #[derive(Clone, Debug)]
 pub struct Frame {
+    /// Instance of this process.
+    pub instance: Instance,
+    /// What it does, for the log.
+    pub role: String,
+    /// Port for metrics.
+    pub metrics: Option<u16>,
     /// Address at which other processes reach this one.
     pub own: SocketAddr,
     /// Address at which it listens to them.
@@ -64,6 +87,34 @@
     pub grace: Duration,
 }
 
+impl Frame {
+    /// Serves metrics and runs the role; tells its start and its end.
+    ///
+    /// # Errors
+    ///
+    /// Whatever ends the role.
+    pub async fn run<F: Future<Output = Result<()>>>(
+        self,
+        role: impl FnOnce(Self, Clock, Signals) -> F,
+    ) -> Result<()> {
+        let clock = Clock::start();
+        if let Some(port) = self.metrics {
+            serve_metrics(SocketAddr::new(self.bound.ip(), port)).await?;
+        }
+        event::ProcessStarts {
+            instance: self.instance.to_string(),
+            role: self.role.clone(),
+            seeds: self.seeds.clone(),
+        }
+        .tell();
+        let signals = Signals::listen()?;
+        let result = role(self, clock, signals).await;
+        let error = result.as_ref().err().map(ToString::to_string);
+        event::ProcessStops { error }.tell();
+        result
+    }
+}
+
 /// Signals that a process listens to from its start: unheard, each would end it.
 #[derive(Debug)]
 pub struct Signals {
@@ -74,12 +125,7 @@
 }
 
 impl Signals {
-    /// Listens from now on.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Signal`] if the runtime cannot listen to signals.
-    pub fn listen() -> Result<Self> {
+    fn listen() -> Result<Self> {
         let listen = |kind| signal(kind).map_err(Error::Signal);
         Ok(Self { stop: listen(SignalKind::terminate())?, reload: listen(SignalKind::hangup())? })
     }
@@ -100,24 +146,20 @@
 }
 
 /// Serves the metrics of this process.
-struct Metrics;
+struct Exposed;
 
-impl Handle for Metrics {
+impl Handle for Exposed {
     async fn handle(self: Rc<Self>, _: Request<Incoming>) -> Answer {
         text(200, telemetry::render())
     }
 }
 
 /// Serves the metrics at an address for as long as the process lives.
-///
-/// # Errors
-///
-/// [`Error::Listen`] if the address cannot be bound.
-pub async fn serve_metrics(address: SocketAddr) -> Result<()> {
+async fn serve_metrics(address: SocketAddr) -> Result<()> {
     let listener = bind(address).await?;
     let (open, closed) = watch::channel(false);
     spawn_local(async move {
-        serve(listener, Rc::new(Metrics), HEAD_TIME, closed).await;
+        serve(listener, Rc::new(Exposed), HEAD_TIME, closed).await;
         drop(open);
     });
     spawn_local(telemetry::run_upkeep());
--- a/crates/bronzespoold/src/control/batch/mod.rs
+++ b/crates/bronzespoold/src/control/batch/mod.rs
@@ -2,6 +2,7 @@
 
 mod agents;
 mod asks;
+mod chores;
 mod gauges;
 mod planner;
 mod polls;
@@ -13,6 +14,7 @@
         control::{
             batch::{
                 agents::Agents,
+                chores::Outside,
                 story::{Held, Story},
             },
             replica::{Replica, Result},
@@ -34,17 +36,22 @@
     replica: Rc<Replica>,
     agents: RefCell<Agents>,
     story: RefCell<Story>,
+    outside: RefCell<Outside>,
+    /// Name of this instance.
+    own: Instance,
     /// Wakes the planner.
     kick: Notify,
 }
 
 impl Batch {
-    pub(in crate::control) fn new(clock: Clock, replica: Rc<Replica>) -> Rc<Self> {
+    pub(in crate::control) fn new(clock: Clock, replica: Rc<Replica>, own: Instance) -> Rc<Self> {
         Rc::new(Self {
             clock,
             replica,
             agents: RefCell::default(),
             story: RefCell::default(),
+            outside: RefCell::default(),
+            own,
             kick: Notify::new(),
         })
     }
@@ -56,6 +63,9 @@
             message::Call::Poll(poll) => self.poll(*poll).await?,
             message::Call::Configure(config) => self.configure(config).await?,
             message::Call::ReadConfig => self.read_config().await?,
+            message::Call::OrderWave(spec) => self.order_wave(spec).await?,
+            message::Call::ReadWave(id) => self.read_wave(id).await?,
+            message::Call::Help(helper) => self.help(*helper).await?,
             message::Call::Ping(relay) => {
                 self.replica.read().await?;
                 self.agents.borrow_mut().note_relay(self.clock.now(), relay);
--- a/crates/bronzespoold/src/control/batch/planner.rs
+++ b/crates/bronzespoold/src/control/batch/planner.rs
@@ -78,7 +78,7 @@
         gone
     }
 
-    fn scene(&self) -> Scene {
+    pub(super) fn scene(&self) -> Scene {
         let now = self.clock.now();
         let agents = self.agents.borrow();
         let heard = agents.views.values().filter(|v| now.since(v.seen) < SILENCE);
@@ -93,6 +93,9 @@
             }
         }
         scene.progress = progress;
+        let outside = self.outside.borrow();
+        scene.emptied = outside.fleet.emptied().cloned().collect();
+        scene.permits = outside.permits.clone();
         scene
     }
 }
--- a/crates/bronzespoold/src/control/batch/polls.rs
+++ b/crates/bronzespoold/src/control/batch/polls.rs
@@ -31,6 +31,12 @@
         tails(self.replica.state().batch(), &poll);
         let events = events(self.replica.state().batch(), &poll);
         let told = !events.is_empty();
+        if let Some(spec) = &poll.worker {
+            let mut outside = self.outside.borrow_mut();
+            for run in &poll.refused {
+                outside.permits.refused(run.task.step, &spec.life);
+            }
+        }
         if told {
             self.propose(events).await?;
         }
--- a/crates/bronzespoold/src/control/batch/story.rs
+++ b/crates/bronzespoold/src/control/batch/story.rs
@@ -178,6 +178,13 @@
             metrics::counter!("bronzespool_batch_refused_total").increment(1);
             event::RunRefused { job: run.task.step.job, run: *run, life: life.clone() }.tell();
         }
+        Event::WaveOrdered(spec) => {
+            let machines = spec.machines.len();
+            event::WaveOrdered { wave: spec.id, machines, most: spec.most, verdict }.tell();
+        }
+        Event::MaintenanceBegun { wave, machine } => {
+            event::MaintenanceBegun { wave: *wave, machine: machine.clone(), verdict }.tell();
+        }
     }
 }
 
@@ -212,6 +219,7 @@
         Cause::Broken => ("broken", None),
         Cause::Reclaimed(job) => ("reclaimed", Some(job)),
         Cause::Stalled => ("stalled", None),
+        Cause::Maintenance => ("maintenance", None),
     };
     metrics::counter!("bronzespool_batch_stops_total", "cause" => cause).increment(1);
     event::RunStopping { job: run.task.step.job, run, cause, by }.tell();
--- a/crates/bronzespoold/src/control/leader/calls.rs
+++ b/crates/bronzespoold/src/control/leader/calls.rs
@@ -50,10 +50,11 @@
         horizon: Horizon,
         reserve: Option<Shape>,
         lease: Duration,
+        own: Instance,
     ) -> Rc<Self> {
         Rc::new(Self {
             clock,
-            batch: Batch::new(clock, Rc::clone(&replica)),
+            batch: Batch::new(clock, Rc::clone(&replica), own),
             replica,
             hubs: RefCell::default(),
             counted: RefCell::default(),
--- a/crates/bronzespoold/src/control/start.rs
+++ b/crates/bronzespoold/src/control/start.rs
@@ -210,7 +210,14 @@
     );
     let horizon = Horizon { keep: options.answers, used: options.horizon, ..Horizon::default() };
     let lease = options.session + margin;
-    let leader = Leader::new(clock, Rc::clone(&replica), horizon, options.reserve, lease);
+    let leader = Leader::new(
+        clock,
+        Rc::clone(&replica),
+        horizon,
+        options.reserve,
+        lease,
+        options.instance.clone(),
+    );
     Rc::new(Node {
         clock,
         replica,
