--- a/crates/bronzespoold/src/control/batch/chores.rs
+++ b/crates/bronzespoold/src/control/batch/chores.rs
@@ -9,7 +9,7 @@
         batch::{
             Event, Ledger,
             ledger::WaveSpec,
-            message::{Chore, Denial, Duty, Helper, Obeyed, Outcome, Permitted, Reply},
+            message::{Chore, Denial, Duty, Helper, Obeyed, Outcome, Permitted, Question, Reply},
             plan::{Fleet, Permits},
         },
         core::{Code, Refusal, Time},
@@ -130,10 +130,7 @@
         let mut watch = self.replica.watch();
         loop {
             watch.borrow_and_update();
-            let scene = self.scene();
-            let state = self.replica.state();
-            let asked = self.outside.borrow_mut().permits.ask(state.batch(), &scene);
-            drop(state);
+            let asked = self.ask_once();
             let left = end.since(self.clock.now());
             if asked.is_some() || left.is_zero() || !self.replica.leads() {
                 return asked.map(Chore::Ask);
@@ -143,6 +140,12 @@
         }
     }
 
+    fn ask_once(&self) -> Option<Question> {
+        let scene = self.scene();
+        let state = self.replica.state();
+        self.outside.borrow_mut().permits.ask(state.batch(), &scene)
+    }
+
     /// The next order for a machine, or a look at all of them.
     async fn machines(&self) -> Result<Option<Chore>> {
         let now = self.clock.now();
