fix(control): log time goes on after a restart of all control instances

`took_ms` and `waited_ms` of all jobs of that term were 0: log time stood still at 20 s ahead, so that the pause after a failure never ended.

Cause: the first reading of log time in a term took the applied log's time as its base, and was made before the log of a restarted leader was applied, when that is zero. From then on the larger of base plus passed time and the log's time was used, that is the log's, until it was caught up with.

LogClock begins anew whenever the log is ahead of it. read_before_the_log_is_applied_does_not_stop_it failed before.

--- a/crates/bronzespool-consensus/src/lib.rs
+++ b/crates/bronzespool-consensus/src/lib.rs
@@ -34,6 +34,7 @@
 mod error;
 pub mod fake;
 mod log;
+mod log_clock;
 mod members;
 mod message;
 mod node;
@@ -44,6 +45,7 @@
 pub use crate::{
     entry::{Change, Entry, Id, Index, Payload, Term},
     error::{Error, Result},
+    log_clock::LogClock,
     members::{Member, Members},
     message::{Ballot, Body, MESSAGE_MAX_BYTES, Message},
     node::{Node, Read, Ready, Replica, Role, Status, Ticket},
--- a/crates/bronzespoold/src/control/replica.rs
+++ b/crates/bronzespoold/src/control/replica.rs
@@ -12,7 +12,8 @@
     },
     bronzespool::{
         consensus::{
-            Entry, Error, Id, Index, Message, Node, Read, Ready, Role, Snapshot, Status, Term,
+            Entry, Error, Id, Index, LogClock, Message, Node, Read, Ready, Role, Snapshot, Status,
+            Term,
         },
         core::{Code, Instance, Refusal, Time},
         flow::view,
@@ -71,7 +72,7 @@
     proposals: RefCell<BTreeMap<Index, Waiting>>,
     reads: RefCell<BTreeMap<u64, oneshot::Sender<bool>>>,
     read_serial: Cell<u64>,
-    leading: Cell<Option<Leading>>,
+    log_clock: Cell<LogClock>,
     standing: RefCell<Option<Standing>>,
 }
 
@@ -103,14 +104,6 @@
     }
 }
 
-/// Log time of a leader: the state's time when it began to lead, plus what passed since.
-#[derive(Clone, Copy, Debug)]
-struct Leading {
-    term: Term,
-    base: Time,
-    since: Time,
-}
-
 impl Replica {
     pub(super) fn new(clock: Clock, node: Node, span: Duration) -> Rc<Self> {
         let state = State::new(span);
@@ -125,7 +118,7 @@
             proposals: RefCell::default(),
             reads: RefCell::default(),
             read_serial: Cell::new(0),
-            leading: Cell::new(None),
+            log_clock: Cell::default(),
             standing: RefCell::default(),
         })
     }
@@ -162,14 +155,11 @@
 
     /// Log time at the leader.
     pub(super) fn log_time(&self) -> Time {
-        let now = self.clock.now();
         let term = self.node.borrow().term();
-        let leading = match self.leading.get() {
-            Some(leading) if leading.term == term => leading,
-            _ => Leading { term, base: self.state().clock(), since: now },
-        };
-        self.leading.set(Some(leading));
-        (leading.base + now.since(leading.since)).max(self.state().clock())
+        let mut clock = self.log_clock.get();
+        let time = clock.read(term, self.clock.now(), self.state().clock());
+        self.log_clock.set(clock);
+        time
     }
 
     /// Hands leadership over before a planned stop, so that no election time passes without a
