feat(plan): work with time to spare leaves room for a typical guaranteed job

Units below the first priority that would be in time even if they took half as long again and began a stop's time later are placed last, after the room of a guaranteed job of middle size among those of the last 30 s has been taken; not where their service is less than half in use, nor where such a job would not fit anyway.

--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -10,6 +10,7 @@
 mod permit;
 mod place;
 mod reclaim;
+mod reserve;
 mod room;
 mod unit;
 mod upkeep;
@@ -27,6 +28,7 @@
         outlook::Outlook,
         place::{Placement, Reach, place},
         reclaim::{Means, place_over},
+        reserve::is_patient,
         room::{Claim, Room},
         unit::units,
     },
@@ -83,11 +85,13 @@
     let outlook = |u: &Unit<'_>| Outlook::of(ledger, u, scene);
     let mut waiting: Vec<_> = units(ledger, scene).into_iter().map(|u| (outlook(&u), u)).collect();
     waiting.sort_by_key(|(outlook, unit)| round.standing.rank(unit, outlook));
-    for (outlook, unit) in &waiting {
-        if round.starts >= STARTS_MAX {
-            break;
-        }
-        round.settle(unit, outlook);
+    let (patient, pressing): (Vec<_>, Vec<_>) =
+        waiting.iter().partition(|(o, u)| is_patient(u, o, &round.room, &round.standing));
+    round.settle_all(&pressing);
+    if !patient.is_empty() {
+        reserve::hold(&mut round.room, ledger, scene);
+
+        round.settle_all(&patient);
     }
     round.events
 }
@@ -112,6 +116,15 @@
         Self { scene, room, standing, events: Vec::new(), starts: 0, holds }
     }
 
+    fn settle_all(&mut self, units: &[&(Outlook, Unit<'_>)]) {
+        for (outlook, unit) in units {
+            if self.starts >= STARTS_MAX {
+                break;
+            }
+            self.settle(unit, outlook);
+        }
+    }
+
     /// Starts a unit, makes room for it or holds room for it, the nearest way first.
     fn settle(&mut self, unit: &Unit<'_>, outlook: &Outlook) {
         let reaches = reaches(unit, outlook, &self.room, self.scene);
--- a/crates/bronzespool-batch/src/plan/unit.rs
+++ b/crates/bronzespool-batch/src/plan/unit.rs
@@ -84,13 +84,8 @@
     let state = job.step(step.occurrence, step.step);
     let make = |tasks, since| Unit { job, step, shape, tasks, advised, since };
     let Some(state) = state else {
-        let fresh = (0..shape.count).map(|index| Waiting {
-            index,
-            run: 0,
-            saved: "".into(),
-            failed: Vec::new(),
-        });
-        split(shape, fresh.collect(), job.submitted, make, found);
+        let tasks = (0..shape.count).map(fresh).collect();
+        split(shape, tasks, job.submitted, make, found);
         return;
     };
     if shape.gang {
@@ -113,6 +108,11 @@
     }
 }
 
+/// A task that never ran.
+pub(super) fn fresh(index: u32) -> Waiting {
+    Waiting { index, run: 0, saved: "".into(), failed: Vec::new() }
+}
+
 fn split<'a>(
     shape: &Step,
     tasks: Vec<Waiting>,
