fix(batch): a call is tried for less than half of its caller's time, and doubt about a job stays

Entries held each call for 70 % of the caller's time, so that callers were left with one more try; and a job that got 504 (it may have been accepted) got 503 (it never runs) on its next try at the same entry.

Cause: the share was set so that the answer still arrives, not so that a try is left; an entry forgot what it had left open.

A call is tried for 45 % of the caller's time. An entry remembers for a minute which submissions it left open and answers 504 for them until their state is known. Ruled out: refusing at once while no leader is known, since callers would spend their four tries within a second, before a new leader stands.

submit_again_after_an_unknown_outcome_is_not_refused fails with 503 without the memory.

--- a/crates/bronzespoold/src/batch/finder.rs
+++ b/crates/bronzespoold/src/batch/finder.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        batch::Doubt,
         clock::Clock,
         telemetry::{self, Event as _, event},
     },
@@ -42,8 +43,9 @@
 const REACH: Duration = Duration::from_millis(250);
 /// Longest time for which a caller's call is tried, where the caller waits longer.
 const TRY_TIME: Duration = Duration::from_millis(2_000);
-/// Share of the caller's time for which a call is tried.
-const TRY_PERCENT: u32 = 70;
+/// Share of the caller's time for which a call is tried: less than half, so that time for another
+/// try is left.
+const TRY_PERCENT: u32 = 45;
 /// Pause before another try.
 const PAUSE: Duration = Duration::from_millis(40);
 
@@ -87,6 +89,7 @@
     relays: RefCell<VecDeque<SocketAddr>>,
     /// Whether no control instance could be reached.
     cut: Cell<bool>,
+    doubt: RefCell<Doubt>,
 }
 
 /// A caller's call as its entry took it, for the log line on its answer.
@@ -121,6 +124,7 @@
             asked: Cell::new(None),
             relays: RefCell::default(),
             cut: Cell::new(false),
+            doubt: RefCell::default(),
         }
     }
 
@@ -182,7 +186,12 @@
     ) -> A {
         let share = taken.patience.map_or(TRY_TIME, |p| p * TRY_PERCENT / 100);
         let begun = self.clock.now();
+        let submits = matches!(call, message::Call::Ask(_, message::Ask::Submit(_)));
         let reply = self.call(call, share.min(TRY_TIME)).await;
+        let reply = match taken.job.filter(|_| submits) {
+            Some(job) => self.remember(job, reply),
+            None => reply,
+        };
         let took = self.clock.now().since(begun);
         let code = reply.as_ref().err().map(Fault::code);
         let told = reply.as_ref().map_or_else(ToString::to_string, |r| format!("{r:?}"));
@@ -204,6 +213,25 @@
         answer
     }
 
+    /// A submission that was not carried out is not refused while an earlier one of the same job
+    /// may have been: the caller would take the job for one that never runs.
+    fn remember(&self, job: JobId, reply: Result<message::Reply>) -> Result<message::Reply> {
+        let now = self.clock.now();
+        let mut doubt = self.doubt.borrow_mut();
+        match reply {
+            Ok(reply) => {
+                doubt.settle(job);
+                Ok(reply)
+            }
+            Err(Fault::Unknown) => {
+                doubt.note(now, job);
+                Err(Fault::Unknown)
+            }
+            Err(_) if doubt.holds(now, job) => Err(Fault::Unknown),
+            Err(fault) => Err(fault),
+        }
+    }
+
     /// Calls the leader within `time`, as often as needed: every call may be repeated.
     ///
     /// # Errors
--- a/crates/bronzespoold/src/batch/mod.rs
+++ b/crates/bronzespoold/src/batch/mod.rs
@@ -2,6 +2,7 @@
 //! interfaces builds on.
 
 mod agent;
+mod doubt;
 mod finder;
 mod helper;
 mod ready;
@@ -11,6 +12,7 @@
 
 pub use {
     agent::{Agent, Looked, Options, Worker},
+    doubt::Doubt,
     finder::{Fault, Finder, Result, Taken},
     helper::{Outside, run_helper},
     ready::watch_control,
