test(batch): all interleavings of leader, agent and worker in a small world

Cause: the protocol between them was shown by random histories alone.

The model drives the code itself: Desk, Ledger, and the leader's answer to a poll, which moves from the daemon to bronzespool-batch::exchange. Messages are lost, late, doubled and reordered; worker, agent and leader start again; the job is cancelled. Histories are followed breadth first up to 13 moves, with 0, 1 and 2 faults, 25,000 states each: a bound, not all that could be reached.

Five planted faults are each found: a start without an answer taken for refused, leases taken for ended too soon, leases reckoned from the arrival of orders, an end acknowledged before it is recorded, a start that reaches the next life.

--- a/crates/bronzespool-batch/src/agent/desk.rs
+++ b/crates/bronzespool-batch/src/agent/desk.rs
@@ -139,7 +139,7 @@
 }
 
 /// The agent's state.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Desk {
     limits: Limits,
     agent: Instance,
@@ -160,7 +160,7 @@
 }
 
 /// The worker's present life.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Known {
     spec: WorkerSpec,
     seq: u64,
--- a/crates/bronzespool-batch/src/lib.rs
+++ b/crates/bronzespool-batch/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! A [`Ledger`] holds all durable state and changes only by [`Record`]s. [`plan::plan`] reads a
 //! ledger and returns the events that the policy wants next. An agent beside each worker compares
-//! what the ledger wants with what its worker says, by [`agent::Desk`].
+//! what the ledger wants with what its worker says, by [`agent::Desk`]; [`exchange`] is what the
+//! leader makes of an agent's poll.
 //!
 //! ```
 //! use bronzespool_batch::id::{JobId, TaskId};
@@ -16,6 +17,7 @@
 
 pub mod agent;
 pub mod config;
+pub mod exchange;
 pub mod id;
 pub mod ledger;
 pub mod message;
