fix(plan): the service of a unit is looked up once a plan, not for every worker

Cause: with permits, each check of a worker for a task looked up the job's service by its queue's name, in a list of hundreds of queues. Whether a service is idle was summed for every unit too.

--- a/crates/bronzespool-batch/src/agent/desk.rs
+++ b/crates/bronzespool-batch/src/agent/desk.rs
@@ -8,135 +8,20 @@
 use {
     crate::{
         agent::{
-            lease::{Lease, Reading},
-            pace::Pacer,
+            call::{Action, Limits, Listing, Look, Started, Stopped},
+            known::{Doing, Known},
+            lease::Reading,
         },
         id::{Life, RunId},
         ledger::{End, WorkerSpec},
-        message::{Held, Orders, Poll, Start},
+        message::{Orders, Poll},
     },
-    bronzespool_core::{HashMap, HashSet, Instance, Time},
+    bronzespool_core::{Instance, Time},
     std::time::Duration,
 };
 
 /// Age of orders past which no task is started on them: the leader may have decided otherwise.
 const ORDERS_AGE: Duration = Duration::from_millis(900);
-/// Time after an acknowledged stop at which it is asked for again if the run is still listed.
-const STOP_AGAIN: Duration = Duration::from_secs(2);
-/// Silence of a worker's check-ins, in its periods, after which it takes nothing new.
-const SILENT_PERIODS: u32 = 3;
-
-/// Bounds that the platform sets.
-#[derive(Clone, Copy, Debug)]
-pub struct Limits {
-    /// Longest lease that a worker takes.
-    pub hold: Duration,
-    /// Time between two check-ins of a worker.
-    pub period: Duration,
-}
-
-/// What a worker lists.
-#[derive(Clone, Debug, Default)]
-pub struct Listing {
-    /// When the worker's present life began, if it says so.
-    pub born: Option<u64>,
-    /// The worker's clock in milliseconds.
-    pub clock: u64,
-    /// Runs.
-    pub running: Vec<Held>,
-    /// Ends that it has not been allowed to forget.
-    pub ends: Vec<End>,
-}
-
-/// The worker's verdict on a start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Started {
-    /// It is there.
-    Present,
-    /// This run was stopped or has ended there.
-    Old,
-    /// The worker has done nothing and will do nothing on this call.
-    Refused,
-    /// The lease in the call had ended.
-    Late,
-    /// The worker has seen a higher fencing token.
-    Fenced,
-    /// No answer: it may have started, or may yet start.
-    Unknown,
-}
-
-/// The worker's verdict on a stop, or on a share.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stopped {
-    /// It does as it was told; a run that was to be stopped ends, or will never start.
-    Noted,
-    /// The worker has seen a higher fencing token.
-    Fenced,
-    /// No answer.
-    Unknown,
-}
-
-/// A call to the worker.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Start a run, under a lease until a time on the worker's clock.
-    Start {
-        /// The run.
-        start: Start,
-        /// End of the lease in milliseconds on the worker's clock.
-        until: u64,
-        /// Fencing token.
-        epoch: u64,
-        /// Life that the call is for.
-        life: Life,
-    },
-    /// Stop a run.
-    Stop {
-        /// The run.
-        run: RunId,
-        /// Fencing token.
-        epoch: u64,
-        /// Life that the call is for.
-        life: Life,
-    },
-    /// Let a filler work at a share of what it could.
-    Pace {
-        /// The run.
-        run: RunId,
-        /// Share in percent.
-        percent: u32,
-        /// Fencing token.
-        epoch: u64,
-        /// Life that the call is for.
-        life: Life,
-    },
-}
-
-/// How a look at the worker's list extends the lease.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Look {
-    /// Fencing token; none before the first orders.
-    pub epoch: Option<u64>,
-    /// Ends that the worker may forget.
-    pub cursor: u64,
-    /// End of the lease in milliseconds on the worker's clock.
-    pub until: Option<u64>,
-    /// Life that the look is for.
-    pub life: Life,
-    /// Serial number of the look.
-    pub serial: u64,
-}
-
-/// What is known of a run for which the worker was called.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Doing {
-    /// A call is under way.
-    Calling,
-    /// The worker has answered; a look that began with this serial or later tells what it holds.
-    Settling(u64),
-    /// The worker has acknowledged a stop at this time, which may take a while to end the run.
-    Stopping(u64, Time),
-}
 
 /// The agent's state.
 #[derive(Clone, Debug)]
@@ -159,27 +44,6 @@
     orders: Orders,
 }
 
-/// The worker's present life.
-#[derive(Clone, Debug)]
-struct Known {
-    spec: WorkerSpec,
-    seq: u64,
-    beat: Time,
-    since: Time,
-    lease: Lease,
-    running: Vec<Held>,
-    ends: Vec<End>,
-    listed: bool,
-    answers: bool,
-    left: bool,
-    doing: HashMap<RunId, Doing>,
-    /// Runs of which a start had no answer.
-    doubt: HashSet<RunId>,
-    refused: HashSet<RunId>,
-    looks: u64,
-    pacer: Pacer,
-}
-
 impl Desk {
     /// An agent that knows nothing yet; `nonce` is fresh randomness of this start.
     pub fn new(agent: Instance, nonce: u64, limits: Limits, now: Time) -> Self {
@@ -446,60 +310,3 @@
         self.worker.as_mut().filter(|k| k.spec.life == *life)
     }
 }
-
-impl Known {
-    fn new(spec: WorkerSpec, seq: u64, now: Time) -> Self {
-        Self {
-            spec,
-            seq,
-            beat: now,
-            since: now,
-            lease: Lease::default(),
-            running: Vec::new(),
-            ends: Vec::new(),
-            listed: false,
-            answers: false,
-            left: false,
-            doing: HashMap::default(),
-            doubt: HashSet::default(),
-            refused: HashSet::default(),
-            looks: 0,
-            pacer: Pacer::default(),
-        }
-    }
-
-    fn is_silent(&self, now: Time, limits: &Limits) -> bool {
-        now.since(self.beat) > limits.period * SILENT_PERIODS
-    }
-
-    /// Whether the worker answers and what it holds is known.
-    fn is_sound(&self, now: Time, limits: &Limits) -> bool {
-        self.listed && (self.answers || !self.is_silent(now, limits))
-    }
-
-    fn settle(&mut self, run: RunId) {
-        self.doing.insert(run, Doing::Settling(self.looks + 1));
-    }
-
-    /// Ends the calls that the look `serial` tells the outcome of.
-    fn settled(&mut self, now: Time, serial: u64) -> bool {
-        let running: HashSet<RunId> = self.running.iter().map(|h| h.run).collect();
-        let done = |(run, doing): (&RunId, &Doing)| match doing {
-            Doing::Calling => false,
-            Doing::Settling(from) => *from <= serial,
-            Doing::Stopping(from, at) => {
-                *from <= serial && (!running.contains(run) || now.since(*at) > STOP_AGAIN)
-            }
-        };
-        let runs: Vec<RunId> = self.doing.iter().filter(|d| done(*d)).map(|(r, _)| *r).collect();
-        for run in &runs {
-            self.doing.remove(run);
-            let ended = self.ends.iter().any(|e| e.run == *run);
-            if !running.contains(run) && !ended {
-                self.refused.insert(*run);
-            }
-            self.doubt.remove(run);
-        }
-        !runs.is_empty()
-    }
-}
--- a/crates/bronzespool-batch/src/agent/mod.rs
+++ b/crates/bronzespool-batch/src/agent/mod.rs
@@ -1,10 +1,13 @@
 //! The agent's side: leases on the worker's clock and reconciliation with the leader's orders.
 
+mod call;
 mod desk;
+mod known;
 mod lease;
 mod pace;
 
 pub use {
-    desk::{Action, Desk, Limits, Listing, Look, Started, Stopped},
+    call::{Action, Limits, Listing, Look, Started, Stopped},
+    desk::Desk,
     lease::{Lease, Reading, longest},
 };
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -10,7 +10,6 @@
 mod permit;
 mod place;
 mod reclaim;
-mod reserve;
 mod room;
 mod unit;
 mod upkeep;
@@ -28,7 +27,6 @@
         outlook::Outlook,
         place::{Placement, Reach, place},
         reclaim::{Means, place_over},
-        reserve::is_patient,
         room::{Claim, Room},
         unit::units,
     },
@@ -85,13 +83,11 @@
     let outlook = |u: &Unit<'_>| Outlook::of(ledger, u, scene);
     let mut waiting: Vec<_> = units(ledger, scene).into_iter().map(|u| (outlook(&u), u)).collect();
     waiting.sort_by_key(|(outlook, unit)| round.standing.rank(unit, outlook));
-    let (patient, pressing): (Vec<_>, Vec<_>) =
-        waiting.iter().partition(|(o, u)| is_patient(u, o, &round.room, &round.standing));
-    round.settle_all(&pressing);
-    if !patient.is_empty() {
-        reserve::hold(&mut round.room, ledger, scene);
-
-        round.settle_all(&patient);
+    for (outlook, unit) in &waiting {
+        if round.starts >= STARTS_MAX {
+            break;
+        }
+        round.settle(unit, outlook);
     }
     round.events
 }
@@ -116,15 +112,6 @@
         Self { scene, room, standing, events: Vec::new(), starts: 0, holds }
     }
 
-    fn settle_all(&mut self, units: &[&(Outlook, Unit<'_>)]) {
-        for (outlook, unit) in units {
-            if self.starts >= STARTS_MAX {
-                break;
-            }
-            self.settle(unit, outlook);
-        }
-    }
-
     /// Starts a unit, makes room for it or holds room for it, the nearest way first.
     fn settle(&mut self, unit: &Unit<'_>, outlook: &Outlook) {
         let reaches = reaches(unit, outlook, &self.room, self.scene);
@@ -185,7 +172,7 @@
 
 /// Whether a unit waits although much of its service is idle.
 fn is_stuck(unit: &Unit<'_>, room: &Room<'_>, scene: &Scene) -> bool {
-    scene.now.since(unit.since) > STUCK && room.is_idle(room.ledger.service(unit.job))
+    scene.now.since(unit.since) > STUCK && room.is_idle(unit.service)
 }
 
 /// Where a unit may take room from others, and from whom. Beyond its team's guarantee, it must not
--- a/crates/bronzespool-batch/src/plan/outlook.rs
+++ b/crates/bronzespool-batch/src/plan/outlook.rs
@@ -18,8 +18,6 @@
 const LATE: u32 = 3;
 /// Multiple of its duration that a task takes far from its data or its gang.
 const FAR: u32 = 3;
-/// Work that takes longer than was declared, in percent of what was.
-const LONGER_PERCENT: u32 = 150;
 /// Time that stopping a run takes.
 const STOP: Duration = Duration::from_millis(900);
 /// Allowed duration of a queue that is gone, in thousandths of the chain of work.
@@ -63,12 +61,6 @@
         self.elapsed < self.aim.saturating_sub(self.rest + STOP)
     }
 
-    /// Whether the job is in time if its work begins a good while from now, and takes longer than
-    /// was declared.
-    pub(super) fn is_patient(&self) -> bool {
-        self.elapsed + self.rest * LONGER_PERCENT / 100 < self.aim.saturating_sub(STOP)
-    }
-
     /// Whether to start far from the data or the gang's other members: a near start would be late
     /// too, and the far one still earns, or neither does.
     pub(super) fn is_far_better(&self) -> bool {
--- a/crates/bronzespool-batch/src/plan/room.rs
+++ b/crates/bronzespool-batch/src/plan/room.rs
@@ -67,6 +67,8 @@
     pub(super) leaving: HashSet<RunId>,
     permits: &'a Permits,
     now: Time,
+    /// Services of which less than half of the room is in use.
+    idle: HashSet<Arc<str>>,
 }
 
 impl<'a> Room<'a> {
@@ -82,12 +84,14 @@
             leaving: HashSet::default(),
             permits: &scene.permits,
             now: scene.now,
+            idle: HashSet::default(),
         };
         for worker in ledger.workers().filter(usable) {
             let slot = room.slot(worker, scene);
             room.slots.push(slot);
         }
         room.pardon();
+        room.idle = room.idle_services();
         room
     }
 
@@ -122,18 +126,23 @@
     /// Whether a worker is of the kind that a unit asks for, and may run it.
     pub(super) fn admits(&self, unit: &Unit<'_>, slot: &Slot<'_>) -> bool {
         let permit = || self.permits.get(unit.step, slot.life(), self.now);
-        slot.suits(self.ledger.service(unit.job), unit.shape)
-            && (!unit.advised || permit().is_some())
+        slot.suits(unit.service, unit.shape) && (!unit.advised || permit().is_some())
     }
 
-    /// Whether less than half of a service's room is in use.
+    /// Whether less than half of a service's room was in use when the plan began.
     pub(super) fn is_idle(&self, service: &Arc<str>) -> bool {
-        let sum = |of: fn(&Slot<'_>) -> Resources| {
-            let slots = self.slots.iter().filter(|s| s.worker.spec.service == *service);
-            slots.fold(Resources::default(), |sum, s| sum.plus(&of(s)))
-        };
-        let whole = sum(|s| s.worker.spec.capacity);
-        whole.fits(&sum(|s| s.worker.used()).times(2))
+        self.idle.contains(service)
+    }
+
+    fn idle_services(&self) -> HashSet<Arc<str>> {
+        let mut sums: HashMap<&Arc<str>, (Resources, Resources)> = HashMap::default();
+        for slot in &self.slots {
+            let (whole, used) = sums.entry(&slot.worker.spec.service).or_default();
+            *whole = whole.plus(&slot.worker.spec.capacity);
+            *used = used.plus(&slot.worker.used());
+        }
+        let idle = sums.into_iter().filter(|(_, (whole, used))| whole.fits(&used.times(2)));
+        idle.map(|(service, _)| Arc::clone(service)).collect()
     }
 
     /// Takes room for a unit that starts now.
--- a/crates/bronzespool-batch/src/plan/unit.rs
+++ b/crates/bronzespool-batch/src/plan/unit.rs
@@ -38,6 +38,8 @@
     pub shape: &'a Step,
     /// The tasks.
     pub tasks: Vec<Waiting>,
+    /// Service whose workers run the job now.
+    pub service: &'a Arc<str>,
     /// Whether its queue needs the word of a service on which workers may run it.
     pub advised: bool,
     /// Log time since which it could have started, as far as known.
@@ -66,7 +68,7 @@
             for (i, shape) in job.spec.steps.iter().enumerate() {
                 let step = step_id(job.spec.id, occurrence, i);
                 if job.is_ready(occurrence, step.step) {
-                    collect((job, advised), step, shape, scene, &mut found);
+                    collect((job, ledger.service(job), advised), step, shape, scene, &mut found);
                 }
             }
         }
@@ -75,17 +77,22 @@
 }
 
 fn collect<'a>(
-    (job, advised): (&'a Job, bool),
+    (job, service, advised): (&'a Job, &'a Arc<str>, bool),
     step: StepId,
     shape: &'a Step,
     scene: &Scene,
     found: &mut Vec<Unit<'a>>,
 ) {
     let state = job.step(step.occurrence, step.step);
-    let make = |tasks, since| Unit { job, step, shape, tasks, advised, since };
+    let make = |tasks, since| Unit { job, step, shape, tasks, service, advised, since };
     let Some(state) = state else {
-        let tasks = (0..shape.count).map(fresh).collect();
-        split(shape, tasks, job.submitted, make, found);
+        let fresh = (0..shape.count).map(|index| Waiting {
+            index,
+            run: 0,
+            saved: "".into(),
+            failed: Vec::new(),
+        });
+        split(shape, fresh.collect(), job.submitted, make, found);
         return;
     };
     if shape.gang {
@@ -108,11 +115,6 @@
     }
 }
 
-/// A task that never ran.
-pub(super) fn fresh(index: u32) -> Waiting {
-    Waiting { index, run: 0, saved: "".into(), failed: Vec::new() }
-}
-
 fn split<'a>(
     shape: &Step,
     tasks: Vec<Waiting>,
--- a/crates/bronzespoold/src/batch/finder.rs
+++ b/crates/bronzespoold/src/batch/finder/mod.rs
@@ -1,16 +1,18 @@
 //! Finds the leader from a few addresses and calls it.
 
+mod ask;
+mod search;
+
+pub use ask::Taken;
+
 use {
     crate::{
         batch::Doubt,
         clock::Clock,
-        telemetry::{self, Event as _, event},
+        telemetry::{Event as _, event},
     },
     bronzespool::{
-        batch::{
-            JobId,
-            message::{self, Map},
-        },
+        batch::message,
         core::{Code, HashMap, Refusal},
         wire::{
             bronzespool_capnp::control,
@@ -20,32 +22,17 @@
         },
     },
     displaydoc::Display,
-    futures::{StreamExt, stream::FuturesUnordered},
     std::{
         cell::{Cell, RefCell},
         collections::VecDeque,
         net::SocketAddr,
         time::Duration,
     },
-    tokio::time::{sleep, timeout},
+    tokio::time::sleep,
 };
 
-/// Longest wait for an instance's word on where control is.
-const WHERE_TIME: Duration = Duration::from_millis(500);
 /// Longest wait for the leader's answer before it is taken for silent.
 const ANSWER_TIME: Duration = Duration::from_millis(1_000);
-/// Time without an answer after which control is asked whether another instance leads, longer
-/// than a poll waits for orders.
-const REPLACED_LOOK: Duration = Duration::from_millis(450);
-/// Time between two looks at where control and the relays are.
-const REFRESH: Duration = Duration::from_secs(2);
-/// Time between two tries to reach control again.
-const REACH: Duration = Duration::from_millis(250);
-/// Longest time for which a caller's call is tried, where the caller waits longer.
-const TRY_TIME: Duration = Duration::from_millis(2_000);
-/// Share of the caller's time for which a call is tried: less than half, so that time for another
-/// try is left.
-const TRY_PERCENT: u32 = 45;
 /// Pause before another try.
 const PAUSE: Duration = Duration::from_millis(40);
 
@@ -92,17 +79,13 @@
     doubt: RefCell<Doubt>,
 }
 
-/// A caller's call as its entry took it, for the log line on its answer.
-#[derive(Clone, Debug)]
-pub struct Taken {
-    /// Job that it names.
-    pub job: Option<JobId>,
-    /// Method.
-    pub method: String,
-    /// Path.
-    pub path: String,
-    /// Time for which the caller waits, if it says so.
-    pub patience: Option<Duration>,
+/// Time for which a call is tried.
+#[derive(Clone, Copy, Debug)]
+struct Span {
+    /// While it was surely not carried out.
+    refuse: Duration,
+    /// Once it may have been.
+    settle: Duration,
 }
 
 /// Where the leader of a term is.
@@ -128,43 +111,6 @@
         }
     }
 
-    /// Learns of members and relays from the leader, and whether control can be reached again, for
-    /// as long as this process lives.
-    pub async fn run_refresh(&self) {
-        loop {
-            let reached = self.refresh().await;
-            sleep(if reached { REFRESH } else { REACH }).await;
-        }
-    }
-
-    async fn refresh(&self) -> bool {
-        if self.cut.get() {
-            let found = self.ask_all().await;
-            if let Some(leader) = found {
-                event::ControlRegained { leader: leader.address, term: leader.term }.tell();
-                self.leader.set(found);
-                self.cut.set(false);
-            }
-            return found.is_some();
-        }
-        let Some(leader) = self.leader.get() else { return true };
-        match exchange(&self.link(leader.address), &Call::Where, WHERE_TIME).await {
-            Ok(Ok(Reply::Where(map))) => self.learn(map),
-            Ok(other) => log::debug!(other:?; "the leader does not say where control is"),
-            Err(error) => log::debug!(error:%; "the leader does not answer"),
-        }
-        true
-    }
-
-    fn learn(&self, map: Map) {
-        if !map.members.is_empty() {
-            self.members.replace(map.members);
-        }
-        if !map.relays.is_empty() {
-            self.relays.replace(map.relays.into());
-        }
-    }
-
     /// Replaces the addresses to begin with.
     pub fn reseed(&self, seeds: Vec<SocketAddr>) {
         *self.seeds.borrow_mut() = seeds;
@@ -176,72 +122,21 @@
         (leader.map(|l| l.address), leader.map(|l| l.term))
     }
 
-    /// Carries out a caller's call in a share of the caller's time, so that the answer arrives in
-    /// time; tells the answer that `answer` makes of the reply.
-    pub async fn ask<A>(
-        &self,
-        taken: Taken,
-        call: message::Call,
-        answer: impl FnOnce(Result<message::Reply>) -> (u16, A),
-    ) -> A {
-        let share = taken.patience.map_or(TRY_TIME, |p| p * TRY_PERCENT / 100);
-        let begun = self.clock.now();
-        let submits = matches!(call, message::Call::Ask(_, message::Ask::Submit(_)));
-        let reply = self.call(call, share.min(TRY_TIME)).await;
-        let reply = match taken.job.filter(|_| submits) {
-            Some(job) => self.remember(job, reply),
-            None => reply,
-        };
-        let took = self.clock.now().since(begun);
-        let code = reply.as_ref().err().map(Fault::code);
-        let told = reply.as_ref().map_or_else(ToString::to_string, |r| format!("{r:?}"));
-        let (status, answer) = answer(reply);
-        telemetry::call(&taken.method, status, code, took);
-        let (leader, term) = self.known();
-        event::CallAnswered {
-            job: taken.job,
-            method: taken.method,
-            path: taken.path,
-            status,
-            reply: told,
-            code: code.map(Code::number),
-            leader,
-            term,
-            took_ms: took.as_millis() as u64,
-        }
-        .tell();
-        answer
-    }
-
-    /// A submission that was not carried out is not refused while an earlier one of the same job
-    /// may have been: the caller would take the job for one that never runs.
-    fn remember(&self, job: JobId, reply: Result<message::Reply>) -> Result<message::Reply> {
-        let now = self.clock.now();
-        let mut doubt = self.doubt.borrow_mut();
-        match reply {
-            Ok(reply) => {
-                doubt.settle(job);
-                Ok(reply)
-            }
-            Err(Fault::Unknown) => {
-                doubt.note(now, job);
-                Err(Fault::Unknown)
-            }
-            Err(_) if doubt.holds(now, job) => Err(Fault::Unknown),
-            Err(fault) => Err(fault),
-        }
-    }
-
     /// Calls the leader within `time`, as often as needed: every call may be repeated.
     ///
     /// # Errors
     ///
     /// [`Fault::Unknown`] once some attempt may have been carried out, whatever came after it.
     pub async fn call(&self, call: message::Call, time: Duration) -> Result<message::Reply> {
-        let end = self.clock.now() + time;
+        self.call_within(call, Span { refuse: time, settle: time }).await
+    }
+
+    async fn call_within(&self, call: message::Call, span: Span) -> Result<message::Reply> {
+        let begun = self.clock.now();
         let call = Call::Batch(call);
         let mut maybe = false;
         loop {
+            let end = begun + if maybe { span.settle } else { span.refuse };
             let left = end.since(self.clock.now());
             if left.is_zero() {
                 return Err(if maybe { Fault::Unknown } else { Fault::NoLeader });
@@ -326,64 +221,10 @@
         }
     }
 
-    /// Waits until control says that another instance leads: a leader that is frozen or cut off
-    /// would else hold up a call for its whole time.
-    async fn replaced(&self, leader: Leader) -> Leader {
-        loop {
-            sleep(REPLACED_LOOK).await;
-            match self.ask_all().await {
-                Some(next) if next.term > leader.term => return next,
-                Some(_) | None => {}
-            }
-        }
-    }
-
     fn link(&self, address: SocketAddr) -> Link<control::Client> {
         let mut links = self.links.borrow_mut();
         links.entry(address).or_insert_with(|| Link::new(address)).clone()
     }
-
-    async fn locate(&self, time: Duration) -> Option<Leader> {
-        if let Some(leader) = self.leader.get() {
-            return Some(leader);
-        }
-        let found = timeout(time, self.ask_all()).await.ok()??;
-        self.leader.set(Some(found));
-        Some(found)
-    }
-
-    /// Asks all known control instances at once and takes the first that knows the leader.
-    async fn ask_all(&self) -> Option<Leader> {
-        let mut known = self.members.borrow().clone();
-        known.extend(self.seeds.borrow().iter());
-        known.sort_unstable();
-        known.dedup();
-        let asks = known.into_iter().map(|address| self.ask_one(address));
-        let mut asks: FuturesUnordered<_> = asks.collect();
-        while let Some(map) = asks.next().await {
-            let Some(map) = map else { continue };
-            let leader = map.leader.map(|address| Leader { address, term: map.term });
-            self.learn(map);
-            if leader.is_some() {
-                return leader;
-            }
-        }
-        None
-    }
-
-    async fn ask_one(&self, address: SocketAddr) -> Option<Map> {
-        match exchange(&self.link(address), &Call::Where, WHERE_TIME).await {
-            Ok(Ok(Reply::Where(map))) => Some(map),
-            Ok(other) => {
-                log::debug!(address:%, other:?; "an instance does not say where control is");
-                None
-            }
-            Err(error) => {
-                log::debug!(address:%, error:%; "a control instance does not answer");
-                None
-            }
-        }
-    }
 }
 
 async fn exchange(link: &Link<control::Client>, call: &Call, time: Duration) -> Linked<Answered> {
