feat(telemetry): log how long a withdrawal took to commit, and ends that the ledger ignores

The logs of two runs of one task did not show when the leader decided that a worker is gone, only when the record was applied, and logged an ignored end like a recorded one. Lines on a gone worker and on a run that was not started now have commit_ms, lines on ended runs have held, and bronzespool_batch_ends_ignored_total counts ends of runs that the ledger does not hold.

--- a/crates/bronzespool-telemetry/src/event/control.rs
+++ b/crates/bronzespool-telemetry/src/event/control.rs
@@ -113,6 +113,8 @@
     WorkerGone: Info, Leader, "a worker is gone with all that ran on it" {
         /// Incarnation of the worker.
         life: WorkerIncarnation,
+        /// Milliseconds from the decision until it was applied.
+        commit_ms: u64,
         /// Whether this is a change.
         verdict: EventOutcome,
     }
@@ -158,6 +160,8 @@
         how: RunOutcome,
         /// Number of the end, counted by the worker.
         number: u64,
+        /// Whether the ledger held the run when the report arrived; otherwise the end is ignored.
+        held: bool,
         /// Whether a checkpoint was saved.
         saved: bool,
     }
@@ -169,6 +173,8 @@
         run: RunId,
         /// Incarnation of the worker.
         life: WorkerIncarnation,
+        /// Milliseconds from the agent's report until it was applied.
+        commit_ms: u64,
     }
     /// An operator has requested a wave of maintenance.
     WaveOrdered: Info, Leader, "a wave of maintenance was ordered" {
--- a/crates/bronzespoold/src/control/batch/decision_log.rs
+++ b/crates/bronzespoold/src/control/batch/decision_log.rs
@@ -79,17 +79,19 @@
 }
 
 impl DecisionLog {
-    /// Logs and counts an applied record. `poll_age` returns the age of an agent's latest poll.
+    /// Logs and counts an applied record, which took `commit_time` to commit. `poll_age` returns the
+    /// age of an agent's latest poll.
     pub(super) fn log_record(
         &mut self,
         ledger: &Ledger,
         prior_state: &PriorState,
         record: &Record,
         outcomes: &[EventOutcome],
+        commit_time: Duration,
         poll_age: impl Fn(&Instance) -> Option<Duration>,
     ) {
         for (event, outcome) in record.events.iter().zip(outcomes) {
-            log_event(ledger, event, *outcome, &poll_age);
+            log_event(ledger, prior_state, event, *outcome, commit_time, &poll_age);
             self.record_metrics(ledger, prior_state, event);
         }
         for (id, before) in &prior_state.phases {
@@ -148,10 +150,13 @@
 
 fn log_event(
     ledger: &Ledger,
+    prior_state: &PriorState,
     event: &Event,
     outcome: EventOutcome,
+    commit_time: Duration,
     poll_age: &impl Fn(&Instance) -> Option<Duration>,
 ) {
+    let commit_ms = commit_time.as_millis() as u64;
     match event {
         Event::Configured(config) => {
             event::ConfigTaken { version: config.version, verdict: outcome }.emit();
@@ -182,15 +187,17 @@
         }
         Event::WorkerGone(incarnation) => {
             metrics::counter!("bronzespool_batch_workers_gone_total").increment(1);
-            event::WorkerGone { life: incarnation.clone(), verdict: outcome }.emit();
+            event::WorkerGone { life: incarnation.clone(), commit_ms, verdict: outcome }.emit();
         }
         Event::Started(group) => group.iter().for_each(|a| log_start(ledger, a, outcome, poll_age)),
         Event::Stopping { runs, cause } => runs.iter().for_each(|r| log_stop(*r, *cause)),
-        Event::Ended { incarnation, ends } => ends.iter().for_each(|e| log_end(incarnation, e)),
+        Event::Ended { incarnation, ends } => {
+            ends.iter().for_each(|e| log_end(prior_state, incarnation, e));
+        }
         Event::Refused { incarnation, run } => {
             metrics::counter!("bronzespool_batch_refused_total").increment(1);
-            event::RunRefused { job: run.task.step.job, run: *run, life: incarnation.clone() }
-                .emit();
+            let (job, life) = (run.task.step.job, incarnation.clone());
+            event::RunRefused { job, run: *run, life, commit_ms }.emit();
         }
         Event::WaveOrdered(spec) => {
             let machines = spec.machines.len();
@@ -241,7 +248,11 @@
     event::RunStopping { job: run.task.step.job, run, cause, by }.emit();
 }
 
-fn log_end(incarnation: &WorkerIncarnation, end: &RunEnd) {
+fn log_end(prior_state: &PriorState, incarnation: &WorkerIncarnation, end: &RunEnd) {
+    let held = prior_state.unsaved.contains_key(&end.run);
+    if !held {
+        metrics::counter!("bronzespool_batch_ends_ignored_total").increment(1);
+    }
     let outcome = format!("{:?}", end.outcome).to_lowercase();
     metrics::counter!("bronzespool_batch_ends_total", "how" => outcome).increment(1);
     event::RunEnded {
@@ -250,6 +261,7 @@
         life: incarnation.clone(),
         how: end.outcome,
         number: end.number,
+        held,
         saved: !end.checkpoint.is_empty(),
     }
     .emit();
--- a/crates/bronzespoold/src/control/batch/mod.rs
+++ b/crates/bronzespoold/src/control/batch/mod.rs
@@ -108,6 +108,7 @@
             &prior_state,
             record,
             &outcomes,
+            took,
             poll_age,
         );
         Ok(outcomes)
