fix(batch): a refused call settles a run only if no other start of it can be under way

Cause: an agent took the refusal of one call (429, 503, no room) for a fact about the run. Another start of the same run could be running already (a repeated order by an older poll), or be carried out seconds later: one that had no answer and was forgotten once the run was listed, or one of the agent's former process, of which the next process knows nothing. The run was reported as not started, its room became free and the task was given out again.

Fix: the agent keeps each run for which it sent a start until the run's end is recorded or it is settled. A refusal settles a run at once only if it answers the only start, and if the process is older than a lease, so that a start of a former process is late. Else the run is stopped first: a stop that the worker has acknowledged keeps the run from starting at all. A run that the worker lists is not started again.

Three new tests failed before: running_run_refused_again_is_not_reported, refused_while_a_former_process_may_have_started_it_is_stopped_first and refused_run_that_starts_late_is_kept. start_answered_refused_is_reported_at_once became start_answered_only_start_refused_is_reported_at_once: it held for a process that had just started, where a refusal proves nothing; the same check holds now once no former call can be under way, and the case before that has the second test.

--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -3,13 +3,14 @@
 //!
 //! A call without an answer may have been carried out, and may still be carried out seconds later.
 //! A run in this state is reported as refused only after the worker has acknowledged a stop for it,
-//! which prevents the run from starting at all.
+//! which prevents the run from starting at all. A refusal tells of one call: a run is refused by it
+//! alone only if no other start of the run can be under way, from this process or an earlier one.
 
 use {
     crate::{
         agent::{
             call::{Action, Limits, ListRequest, Listing, StartOutcome, StopOutcome},
-            lease::ClockReading,
+            lease::{ClockReading, lease_duration_max},
             worker::{CallState, WorkerState},
         },
         id::{RunId, WorkerIncarnation},
@@ -136,7 +137,7 @@
         if let Some(worker) = &mut self.worker
             && orders.incarnation == incarnation
         {
-            worker.ends.retain(|e| e.number > orders.cursor);
+            worker.forget_ends(orders.cursor);
             worker.refused.retain(|r| !poll.refused.contains(r));
         }
         self.orders = Some(ReceivedOrders { sent, orders });
@@ -156,7 +157,7 @@
             if worker.calls.contains_key(&run) {
                 continue;
             }
-            worker.calls.insert(run, CallState::InFlight);
+            worker.calls.insert(run, CallState::StopInFlight);
             actions.push(Action::Stop { run, epoch, incarnation: incarnation.clone() });
         }
         let stale = now.since(received.sent) > ORDERS_AGE_MAX;
@@ -165,15 +166,25 @@
             return actions;
         }
         let span = Duration::from_millis(received.orders.lease);
+        // A start that an earlier process sent carries a lease that has expired by then.
+        let alone = now.since(self.started_at) > lease_duration_max(self.limits.lease_max);
         for start in starts {
-            if worker.calls.contains_key(&start.run) || worker.refused.contains(&start.run) {
+            let run = start.run;
+            if worker.calls.contains_key(&run) || worker.refused.contains(&run) || worker.lists(run)
+            {
+                continue;
+            }
+            if worker.doubtful.contains(&run) {
+                worker.calls.insert(run, CallState::StopInFlight);
+                actions.push(Action::Stop { run, epoch, incarnation: incarnation.clone() });
                 continue;
             }
             let Some(until) = worker.lease.extend(now, received.sent, span, self.limits.lease_max)
             else {
                 continue;
             };
-            worker.calls.insert(start.run, CallState::InFlight);
+            let only = worker.started.insert(run) && alone;
+            worker.calls.insert(run, CallState::StartInFlight { only });
             actions.push(Action::Start { start, until, epoch, incarnation: incarnation.clone() });
         }
         actions
@@ -226,15 +237,9 @@
         let Some(worker) = self.current_worker(incarnation) else { return };
         match outcome {
             StartOutcome::Present | StartOutcome::Old => worker.await_list(run),
-            StartOutcome::Refused if !worker.unconfirmed_starts.contains(&run) => {
-                worker.calls.remove(&run);
-                worker.refused.insert(run);
-            }
-            StartOutcome::Refused | StartOutcome::Late | StartOutcome::Fenced(_) => {
-                worker.calls.remove(&run);
-            }
+            StartOutcome::Refused => worker.start_refused(run),
+            StartOutcome::Late | StartOutcome::Fenced(_) => worker.start_void(run),
             StartOutcome::Unknown => {
-                worker.unconfirmed_starts.insert(run);
                 worker.calls.remove(&run);
             }
         }
--- a/crates/bronzespool-batch/src/agent/worker.rs
+++ b/crates/bronzespool-batch/src/agent/worker.rs
@@ -21,8 +21,11 @@
 /// State of a call for a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum CallState {
-    /// A call is in flight.
-    InFlight,
+    /// A stop is in flight.
+    StopInFlight,
+    /// A start is in flight. `only` if no other start of the run can have been carried out, or can
+    /// still be.
+    StartInFlight { only: bool },
     /// The worker has answered; the first list requested with this serial number or a later one
     /// shows the outcome.
     Answered(u64),
@@ -48,8 +51,11 @@
     /// Whether the worker has reported that it ends.
     pub(super) departed: bool,
     pub(super) calls: HashMap<RunId, CallState>,
-    /// Runs for which a start had no answer.
-    pub(super) unconfirmed_starts: HashSet<RunId>,
+    /// Runs for which a start was sent that may have been carried out, or may still be.
+    pub(super) started: HashSet<RunId>,
+    /// Runs of which a start was refused while another may be carried out. They are stopped before
+    /// they count as refused.
+    pub(super) doubtful: HashSet<RunId>,
     pub(super) refused: HashSet<RunId>,
     pub(super) list_serial: u64,
     pub(super) pacer: Pacer,
@@ -69,7 +75,8 @@
             answers: false,
             departed: false,
             calls: HashMap::default(),
-            unconfirmed_starts: HashSet::default(),
+            started: HashSet::default(),
+            doubtful: HashSet::default(),
             refused: HashSet::default(),
             list_serial: 0,
             pacer: Pacer::default(),
@@ -89,12 +96,50 @@
         self.calls.insert(run, CallState::Answered(self.list_serial + 1));
     }
 
+    /// Takes the worker's refusal of a start. It tells of this call alone: only if no other start of
+    /// the run can be carried out, the run will not start.
+    pub(super) fn start_refused(&mut self, run: RunId) {
+        match self.calls.remove(&run) {
+            Some(CallState::StartInFlight { only: true }) => self.settle_refused(run),
+            _ if self.lists(run) => {}
+            _ => {
+                self.doubtful.insert(run);
+            }
+        }
+    }
+
+    /// Takes an answer by which a start has not been carried out and will not be.
+    pub(super) fn start_void(&mut self, run: RunId) {
+        if let Some(CallState::StartInFlight { only: true }) = self.calls.remove(&run) {
+            self.started.remove(&run);
+        }
+    }
+
+    /// Forgets the starts of runs whose ends are recorded, up to an end's number.
+    pub(super) fn forget_ends(&mut self, cursor: u64) {
+        for end in self.ends.extract_if(.., |e| e.number <= cursor) {
+            self.started.remove(&end.run);
+            self.doubtful.remove(&end.run);
+        }
+    }
+
+    fn settle_refused(&mut self, run: RunId) {
+        self.started.remove(&run);
+        self.doubtful.remove(&run);
+        self.refused.insert(run);
+    }
+
+    /// Whether the worker's latest list names the run, as running or as ended.
+    pub(super) fn lists(&self, run: RunId) -> bool {
+        self.running.iter().any(|s| s.run == run) || self.ends.iter().any(|e| e.run == run)
+    }
+
     /// Ends the calls whose outcome the list with a serial number shows. Returns whether there were
     /// any.
     pub(super) fn finish_calls(&mut self, now: Time, serial: u64) -> bool {
         let running: HashSet<RunId> = self.running.iter().map(|s| s.run).collect();
         let done = |(run, call): (&RunId, &CallState)| match call {
-            CallState::InFlight => false,
+            CallState::StopInFlight | CallState::StartInFlight { .. } => false,
             CallState::Answered(from) => *from <= serial,
             CallState::Stopping(from, at) => {
                 *from <= serial && (!running.contains(run) || now.since(*at) > STOP_RETRY_DELAY)
@@ -103,11 +148,9 @@
         let runs: Vec<RunId> = self.calls.iter().filter(|d| done(*d)).map(|(r, _)| *r).collect();
         for run in &runs {
             self.calls.remove(run);
-            let ended = self.ends.iter().any(|e| e.run == *run);
-            if !running.contains(run) && !ended {
-                self.refused.insert(*run);
+            if !self.lists(*run) {
+                self.settle_refused(*run);
             }
-            self.unconfirmed_starts.remove(run);
         }
         !runs.is_empty()
     }
--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -84,6 +84,12 @@
         agent
     }
 
+    /// Lets the time pass in which a start of an earlier process may still be carried out.
+    fn outlive_former_calls(&mut self) {
+        self.now += lease_duration_max(LIMITS.lease_max) + Duration::from_millis(1);
+        self.list(Vec::new(), Vec::new());
+    }
+
     fn list(&mut self, running: Vec<RunStatus>, ends: Vec<RunEnd>) -> ListRequest {
         let list = self.reconciler.list_request(self.now).unwrap();
         let listing = Listing { started_at: Some(1), clock: self.now.as_millis(), running, ends };
@@ -203,13 +209,56 @@
 }
 
 #[test]
-fn start_answered_refused_is_reported_at_once() {
+fn start_answered_only_start_refused_is_reported_at_once() {
+    let mut a = Agent::new();
+    a.outlive_former_calls();
+    a.order(orders(3, vec![start(1)], Vec::new()));
+    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Refused);
+    assert_eq!(a.poll().refused, [run(1)]);
+}
+
+// The worker answered a second start of a running run with 503, and the run was given out again.
+#[test]
+fn start_answered_running_run_refused_again_is_not_reported() {
+    let mut a = Agent::new();
+    a.outlive_former_calls();
+    a.order(orders(3, vec![start(1)], Vec::new()));
+    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Present);
+    a.list(vec![running(1)], Vec::new());
+    for action in a.order(orders(3, vec![start(1)], Vec::new())) {
+        assert!(matches!(action, Action::Start { .. }), "{action:?}");
+        a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Refused);
+    }
+    assert!(a.poll().refused.is_empty());
+}
+
+// A start of the former process was carried out late, after the worker had refused the next one.
+#[test]
+fn start_answered_refused_while_a_former_process_may_have_started_it_is_stopped_first() {
     let mut a = Agent::new();
     a.order(orders(3, vec![start(1)], Vec::new()));
     a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Refused);
+    assert!(a.poll().refused.is_empty());
+    let actions = a.order(orders(3, vec![start(1)], Vec::new()));
+    assert!(matches!(actions[..], [Action::Stop { .. }]), "{actions:?}");
+    a.reconciler.stop_answered(a.now, &incarnation(1), run(1), StopOutcome::Noted);
+    a.list(Vec::new(), Vec::new());
     assert_eq!(a.poll().refused, [run(1)]);
 }
 
+#[test]
+fn start_answered_refused_run_that_starts_late_is_kept() {
+    let mut a = Agent::new();
+    a.outlive_former_calls();
+    a.order(orders(3, vec![start(1)], Vec::new()));
+    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Unknown);
+    a.order(orders(3, vec![start(1)], Vec::new()));
+    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Refused);
+    a.list(vec![running(1)], Vec::new());
+    assert!(a.order(orders(3, vec![start(1)], Vec::new())).is_empty());
+    assert!(a.poll().refused.is_empty());
+}
+
 #[test]
 fn receive_listing_requested_before_the_answer_confirms_nothing() {
     let mut a = Agent::new();
--- a/crates/bronzespool-batch/tests/model.rs
+++ b/crates/bronzespool-batch/tests/model.rs
@@ -246,7 +246,8 @@
             epoch: 1,
             leading_since: now,
             granted: None,
-            reconciler: Reconciler::new(agent_name(), 1, LIMITS, now),
+            // The agent has run for long enough that no call of an earlier process is under way.
+            reconciler: Reconciler::new(agent_name(), 1, LIMITS, Time::ZERO),
             seq: 0,
             worker,
             messages: Vec::new(),
