fix(control): order and lease nothing that a proposed record takes away

Cause: the leader answers an agent's poll from the applied state. Between the proposal that a worker is gone (its agent was silent for longer than any lease) and its application, the ledger still holds the worker with its runs. An agent that came back in this time got the order to start a run that it had never started, and a lease for eight seconds; then the record freed the run and its task was given to another worker. The same holds for a run that a former process of the agent has reported as refused.

Fix: the leader keeps what its proposals take away until they are applied. A worker among them gets neither orders nor a lease, a run among them is not started. A proposal without an answer stays in the way, since its record may still be applied; one that is applied after it ends it. Orders without a worker carry no lease any more: the leader does not count it.

--- a/crates/bronzespool-batch/src/exchange.rs
+++ b/crates/bronzespool-batch/src/exchange.rs
@@ -6,6 +6,7 @@
         id::RunId,
         ledger::{ActiveRun, Event, Ledger, Worker},
         message::{Orders, Poll, QosClass, Start},
+        withdrawal::Withdrawals,
     },
     bronzespool_core::HashSet,
     std::time::Duration,
@@ -36,22 +37,32 @@
 }
 
 /// Returns the orders for the agent that sent a poll. `epoch` is the leader's fencing token, and
-/// `lease` is the time for which the agent may extend its worker's leases.
-pub fn poll_orders(ledger: &Ledger, poll: &Poll, epoch: u64, lease: Duration) -> Orders {
+/// `lease` is the time for which the agent may extend its worker's leases. What `withdrawals` take
+/// away is neither ordered nor leased.
+pub fn poll_orders(
+    ledger: &Ledger,
+    withdrawals: &Withdrawals,
+    poll: &Poll,
+    epoch: u64,
+    lease: Duration,
+) -> Orders {
     let mut orders = Orders {
         epoch,
         incarnation: None,
         cursor: 0,
-        lease: u64::try_from(lease.as_millis()).unwrap_or(u64::MAX),
+        lease: 0,
         starts: Vec::new(),
         stops: Vec::new(),
         classes: Vec::new(),
     };
     let incarnation = poll.worker.as_ref().map(|w| &w.incarnation);
+    let incarnation = incarnation.filter(|i| !withdrawals.takes_worker(i));
     let Some(worker) = incarnation.and_then(|i| ledger.worker(i)) else { return orders };
     orders.incarnation = Some(worker.spec.incarnation.clone());
     orders.cursor = worker.cursor;
+    orders.lease = u64::try_from(lease.as_millis()).unwrap_or(u64::MAX);
     add_starts_and_stops(ledger, worker, poll, &mut orders);
+    orders.starts.retain(|s| !withdrawals.takes_run(s.run));
     orders.classes = qos_classes(ledger, worker);
     orders
 }
--- a/crates/bronzespool-batch/src/lib.rs
+++ b/crates/bronzespool-batch/src/lib.rs
@@ -26,10 +26,12 @@
 pub mod message;
 pub mod plan;
 pub mod spec;
+pub mod withdrawal;
 
 pub use crate::{
     config::Config,
     id::{JobId, RunId, StepId, TaskId, WorkerIncarnation},
     ledger::{Event, EventOutcome, Ledger, Phase, Record},
     spec::{JobSpec, Resources, Step},
+    withdrawal::Withdrawals,
 };
--- a/crates/bronzespool-batch/tests/affected.rs
+++ b/crates/bronzespool-batch/tests/affected.rs
@@ -5,7 +5,7 @@
 
 use {
     bronzespool_batch::{
-        Event, EventOutcome, JobId, Record, RunId, WorkerIncarnation,
+        Event, EventOutcome, JobId, Record, RunId, Withdrawals, WorkerIncarnation,
         affected::{RecordScope, WaitingPolls, calls_for_plan},
         contact::{AGENT_TIMEOUT, Contacts},
         exchange::{poll_events, poll_orders},
@@ -63,7 +63,7 @@
 }
 
 fn orders(cluster: &Cluster, poll: &Poll) -> Orders {
-    poll_orders(&cluster.ledger, poll, 1, SECOND)
+    poll_orders(&cluster.ledger, &Withdrawals::default(), poll, 1, SECOND)
 }
 
 fn worker_name(poll: &Poll) -> Option<Arc<str>> {
--- a/crates/bronzespool-batch/tests/model.rs
+++ b/crates/bronzespool-batch/tests/model.rs
@@ -9,7 +9,7 @@
 
 use {
     bronzespool_batch::{
-        Event, JobId, Ledger, Record, RunId, StepId, TaskId, WorkerIncarnation,
+        Event, JobId, Ledger, Record, RunId, StepId, TaskId, Withdrawals, WorkerIncarnation,
         agent::{
             Action, Limits, ListRequest, Listing, Reconciler, StartOutcome, StopOutcome,
             lease_duration_max,
@@ -416,7 +416,8 @@
                 for event in poll_events(&self.ledger, &poll) {
                     self.apply(event);
                 }
-                let mut orders = poll_orders(&self.ledger, &poll, self.epoch, LEASE);
+                let mut orders =
+                    poll_orders(&self.ledger, &Withdrawals::default(), &poll, self.epoch, LEASE);
                 if orders.incarnation.is_some() {
                     self.granted = Some(self.now);
                 }
--- a/crates/bronzespool-bench/src/size/leader.rs
+++ b/crates/bronzespool-bench/src/size/leader.rs
@@ -7,7 +7,7 @@
     },
     bronzespool::{
         batch::{
-            Event, JobId, Ledger, Phase, Record, RunId,
+            Event, JobId, Ledger, Phase, Record, RunId, Withdrawals,
             affected::RecordScope,
             exchange::poll_orders,
             ledger::StopCause,
@@ -102,7 +102,7 @@
     }
 
     fn orders(&self, poll: &WaitingPoll) -> Orders {
-        poll_orders(&self.ledger, &poll.poll, EPOCH, WORKER_LEASE)
+        poll_orders(&self.ledger, &Withdrawals::default(), &poll.poll, EPOCH, WORKER_LEASE)
     }
 
     /// Answers a waiting poll whose time is over.
--- a/crates/bronzespoold/src/control/batch/agents.rs
+++ b/crates/bronzespoold/src/control/batch/agents.rs
@@ -2,7 +2,7 @@
 
 use {
     bronzespool::{
-        batch::{WorkerIncarnation, agent::lease_duration_max, contact::Contacts},
+        batch::{Withdrawals, WorkerIncarnation, agent::lease_duration_max, contact::Contacts},
         core::{HashMap, Instance, Time},
     },
     std::{net::SocketAddr, time::Duration},
@@ -24,6 +24,8 @@
     /// When this replica became leader of the term.
     term_start: Time,
     pub(super) contacts: Contacts,
+    /// Records of this term that take workers or runs away and are not applied yet.
+    pub(super) withdrawals: Withdrawals,
     /// When an agent was last allowed to extend the leases of a worker incarnation.
     granted_at: HashMap<WorkerIncarnation, Time>,
     /// Processes that relay calls to the leader, and when they were last heard from.
@@ -34,7 +36,9 @@
     /// Forgets what was known in an earlier term.
     pub(super) fn enter_term(&mut self, term: u64, now: Time) {
         if self.term != term {
-            *self = Self { term, term_start: now, ..Self::default() };
+            let mut withdrawals = std::mem::take(&mut self.withdrawals);
+            withdrawals.clear();
+            *self = Self { term, term_start: now, withdrawals, ..Self::default() };
         }
     }
 
--- a/crates/bronzespoold/src/control/batch/mod.rs
+++ b/crates/bronzespoold/src/control/batch/mod.rs
@@ -93,8 +93,12 @@
     async fn propose(&self, events: Vec<Event>) -> Result<Vec<EventOutcome>> {
         let begun = self.clock.now();
         let prior_state = PriorState::capture(self.replica.state().batch(), &events);
+        let withdrawal = self.agents.borrow_mut().withdrawals.begin(&events);
         let command = Command::Batch(Record { at: self.replica.log_time(), events });
         let effect = self.replica.propose(&command).await?;
+        if let Some(ticket) = withdrawal {
+            self.agents.borrow_mut().withdrawals.end(ticket);
+        }
         let took = self.clock.now().since(begun);
         metrics::histogram!("bronzespool_batch_commit_seconds").record(took.as_secs_f64());
         let (Command::Batch(record), Effect::Batch(outcomes)) = (&command, effect) else {
--- a/crates/bronzespoold/src/control/batch/polls.rs
+++ b/crates/bronzespoold/src/control/batch/polls.rs
@@ -87,6 +87,8 @@
     }
 
     fn orders(&self, poll: &Poll) -> Orders {
-        poll_orders(self.replica.state().batch(), poll, self.replica.status().term, WORKER_LEASE)
+        let (state, agents) = (self.replica.state(), self.agents.borrow());
+        let term = self.replica.status().term;
+        poll_orders(state.batch(), &agents.withdrawals, poll, term, WORKER_LEASE)
     }
 }
