fix(control): a poll takes nothing away that was granted after it was sent

Cause: a poll says which incarnations are gone and which runs were refused. The leader took it in the order of arrival. A poll that was held up (by a cut, beside newer ones that went through a relay, or sent by the agent's former process) could take away a worker that had come back as the same incarnation, or a run that the next process had been ordered to start: the worker ran on, the task ran elsewhere too, and the worker's room counted as free.

Fix: each poll has the agent's process and its position among that process's polls, in the place of the random number that nothing read (same bytes on the wire; polls of an older agent take nothing away, so that its workers count as gone only once their leases have ended). The leader remembers the newest poll that it answered with a grant, by incarnation; only a later poll of the same process takes the worker or its runs away. In a new term that holds from the first grant on; before it the lease rule decides. A poll that arrives after a newer one of its process reports nothing.

The models of the protocol and of size use the same grants.

--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -15,7 +15,7 @@
         },
         id::{RunId, WorkerIncarnation},
         ledger::{RunEnd, WorkerSpec},
-        message::{Orders, Poll},
+        message::{Orders, Poll, PollId},
     },
     bronzespool_core::{Instance, Time},
     std::time::Duration,
@@ -30,7 +30,8 @@
 pub struct Reconciler {
     limits: Limits,
     agent: Instance,
-    nonce: u64,
+    /// Random number that identifies this process.
+    process: u32,
     started_at: Time,
     worker: Option<WorkerState>,
     gone: Vec<WorkerIncarnation>,
@@ -47,13 +48,13 @@
 }
 
 impl Reconciler {
-    /// Creates the reconciler of an agent that knows no worker yet; `nonce` is a random number that
+    /// Creates the reconciler of an agent that knows no worker yet; `process` is a random number that
     /// identifies this start of the agent.
-    pub fn new(agent: Instance, nonce: u64, limits: Limits, now: Time) -> Self {
+    pub fn new(agent: Instance, process: u32, limits: Limits, now: Time) -> Self {
         Self {
             limits,
             agent,
-            nonce,
+            process,
             started_at: now,
             worker: None,
             gone: Vec::new(),
@@ -108,12 +109,12 @@
         self.worker.as_ref().map(|w| &w.spec.incarnation)
     }
 
-    /// Returns the report for the leader.
-    pub fn poll(&self, now: Time) -> Poll {
+    /// Returns the report for the leader. `position` counts the polls of this process.
+    pub fn poll(&self, now: Time, position: u32) -> Poll {
         let worker = self.worker.as_ref().filter(|w| w.is_reportable(now, &self.limits));
         Poll {
             agent: self.agent.clone(),
-            nonce: self.nonce,
+            id: PollId::new(self.process, position),
             relay: None,
             worker: worker.map(|w| w.spec.clone()),
             gone: self.gone.clone(),
--- a/crates/bronzespool-batch/src/contact.rs
+++ b/crates/bronzespool-batch/src/contact.rs
@@ -30,6 +30,9 @@
 pub struct Arrival {
     /// Number of the poll among those of its agent.
     pub serial: u64,
+    /// Whether the agent's process sent it before one that has arrived already. Such a poll reports
+    /// nothing new.
+    pub is_late: bool,
     /// Whether a worker may be assigned tasks from now on, or none any more, because of this poll. A
     /// plan reads all else that a poll reports beside events, such as progress, at its next run.
     pub calls_for_plan: bool,
@@ -45,12 +48,16 @@
     /// Records a poll.
     pub fn record_poll(&mut self, now: Time, poll: &Rc<Poll>) -> Arrival {
         let former = self.contacts.get(&poll.agent);
+        if let Some(former) = former.filter(|c| c.poll.id.follows(poll.id)) {
+            let serial = former.serial.saturating_sub(1);
+            return Arrival { serial, is_late: true, calls_for_plan: false };
+        }
         let serial = former.map_or(0, |c| c.serial) + 1;
         let before = former.filter(|c| c.is_current(now)).and_then(|c| worker_name(&c.poll));
         let calls_for_plan = before != worker_name(poll);
         let contact = Contact { heard_at: now, serial, poll: Rc::clone(poll) };
         self.contacts.insert(poll.agent.clone(), contact);
-        Arrival { serial, calls_for_plan }
+        Arrival { serial, is_late: false, calls_for_plan }
     }
 
     /// Records that an agent's poll is answered with a lease now. Returns whether the worker may be
--- a/crates/bronzespool-batch/src/exchange.rs
+++ b/crates/bronzespool-batch/src/exchange.rs
@@ -3,7 +3,8 @@
 
 use {
     crate::{
-        id::RunId,
+        grant::Grants,
+        id::{RunId, WorkerIncarnation},
         ledger::{ActiveRun, Event, Ledger, Worker},
         message::{Orders, Poll, QosClass, Start},
         withdrawal::Withdrawals,
@@ -12,10 +13,12 @@
     std::time::Duration,
 };
 
-/// Returns the events for everything in a poll that the ledger does not hold yet.
-pub fn poll_events(ledger: &Ledger, poll: &Poll) -> Vec<Event> {
+/// Returns the events for everything in a poll that the ledger does not hold yet. What the poll takes
+/// away counts only if it is newer than the `grants`.
+pub fn poll_events(ledger: &Ledger, grants: &Grants, poll: &Poll) -> Vec<Event> {
     let mut events = Vec::new();
-    for incarnation in poll.gone.iter().filter(|i| ledger.worker(i).is_some()) {
+    let is_newer = |i: &WorkerIncarnation| grants.precede(i, poll.id);
+    for incarnation in poll.gone.iter().filter(|i| ledger.worker(i).is_some() && is_newer(i)) {
         events.push(Event::WorkerGone(incarnation.clone()));
     }
     let Some(spec) = &poll.worker else { return events };
@@ -26,7 +29,8 @@
         events.push(Event::WorkerUp(Box::new(spec.clone())));
     }
     let Some(current) = current else { return events };
-    for run in poll.refused.iter().filter(|r| current.runs.contains_key(r)) {
+    let is_newer = is_newer(&spec.incarnation);
+    for run in poll.refused.iter().filter(|r| is_newer && current.runs.contains_key(r)) {
         events.push(Event::Refused { incarnation: spec.incarnation.clone(), run: *run });
     }
     let ends: Vec<_> = poll.ends.iter().filter(|e| e.number > current.cursor).cloned().collect();
--- a/crates/bronzespool-batch/src/lib.rs
+++ b/crates/bronzespool-batch/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod config;
 pub mod contact;
 pub mod exchange;
+pub mod grant;
 pub mod id;
 pub mod ledger;
 pub mod message;
--- a/crates/bronzespool-batch/src/message.rs
+++ b/crates/bronzespool-batch/src/message.rs
@@ -25,13 +25,30 @@
     pub usage: u64,
 }
 
+/// Identifies a poll: the process of the agent that sent it, and its position among that process's
+/// polls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PollId(u64);
+
+impl PollId {
+    /// Creates an identifier; `process` is a random number of the agent's process.
+    pub const fn new(process: u32, position: u32) -> Self {
+        Self((process as u64) << u32::BITS | position as u64)
+    }
+
+    /// Whether the same process sent this poll after another one.
+    pub const fn follows(self, other: Self) -> bool {
+        self.0 >> u32::BITS == other.0 >> u32::BITS && self.0 > other.0
+    }
+}
+
 /// An agent's report on its worker.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Poll {
     /// Instance of the agent.
     pub agent: Instance,
-    /// Random number that identifies this start of the agent.
-    pub nonce: u64,
+    /// Identifier, by which a poll that was held up on its way is recognised.
+    pub id: PollId,
     /// Address at which the agent relays the calls of others.
     pub relay: Option<SocketAddr>,
     /// The worker's current incarnation, if it is known and the worker answers.
--- a/crates/bronzespool-batch/tests/affected.rs
+++ b/crates/bronzespool-batch/tests/affected.rs
@@ -9,8 +9,9 @@
         affected::{RecordScope, WaitingPolls, calls_for_plan},
         contact::{AGENT_TIMEOUT, Contacts},
         exchange::{poll_events, poll_orders},
+        grant::Grants,
         ledger::{Assignment, RunEnd, RunOutcome, StopCause, WorkerSpec},
-        message::{Orders, Poll, RunStatus},
+        message::{Orders, Poll, PollId, RunStatus},
         spec::Step,
     },
     bronzespool_core::{Instance, Time},
@@ -51,7 +52,7 @@
     let status = |run| RunStatus { run, checkpoint: "".into(), percent: 0, usage: 0 };
     Poll {
         agent,
-        nonce: 1,
+        id: PollId::new(1, 1),
         relay: None,
         worker,
         gone: Vec::new(),
@@ -326,7 +327,7 @@
 
 /// Records a poll as the leader does; returns whether it calls for a plan.
 fn record(cluster: &Cluster, contacts: &mut Contacts, now: Time, poll: Poll) -> bool {
-    let has_events = !poll_events(&cluster.ledger, &poll).is_empty();
+    let has_events = !poll_events(&cluster.ledger, &Grants::default(), &poll).is_empty();
     let poll = Rc::new(poll);
     contacts.record_poll(now, &poll).calls_for_plan || has_events
 }
--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -98,13 +98,13 @@
     }
 
     fn order(&mut self, orders: Orders) -> Vec<Action> {
-        let poll = self.reconciler.poll(self.now);
+        let poll = self.reconciler.poll(self.now, 1);
         self.reconciler.receive_orders(self.now, &poll, orders);
         self.reconciler.actions(self.now)
     }
 
     fn poll(&self) -> Poll {
-        self.reconciler.poll(self.now)
+        self.reconciler.poll(self.now, 1)
     }
 }
 
--- /dev/null
+++ b/crates/bronzespool-batch/tests/grant.rs
@@ -0,0 +1,115 @@
+//! Polls that were held up on their way take nothing away that was granted since.
+
+mod common;
+
+use {
+    bronzespool_batch::{
+        Event,
+        contact::Contacts,
+        exchange::poll_events,
+        grant::Grants,
+        ledger::WorkerSpec,
+        message::{Poll, PollId},
+    },
+    bronzespool_core::{Instance, Time},
+    common::{Cluster, incarnation, run, step},
+    std::rc::Rc,
+};
+
+const NOW: Time = Time::from_secs(100);
+/// The agent's process, and another one of the same agent.
+const PROCESS: u32 = 7;
+const OTHER_PROCESS: u32 = 8;
+
+/// A cluster of one worker that was assigned a run.
+fn cluster() -> Cluster {
+    let mut cluster = Cluster::new(1, 1, 0);
+    cluster.submit(1, 0, vec![step(1, 1)]);
+    assert_eq!(cluster.started().len(), 1);
+    cluster
+}
+
+fn poll(id: PollId, worker: Option<WorkerSpec>) -> Poll {
+    Poll {
+        agent: Instance::try_from("side-0").unwrap(),
+        id,
+        relay: None,
+        worker,
+        gone: Vec::new(),
+        running: Vec::new(),
+        ends: Vec::new(),
+        refused: Vec::new(),
+        in_flight: Vec::new(),
+    }
+}
+
+/// A poll by which the worker is gone.
+fn gone_poll(id: PollId) -> Poll {
+    Poll { gone: vec![incarnation(0)], ..poll(id, None) }
+}
+
+/// Grants of which the last one answered the fifth poll of the agent's process.
+fn grants() -> Grants {
+    let mut grants = Grants::default();
+    grants.record(NOW, &incarnation(0), PollId::new(PROCESS, 5));
+    grants.record(NOW, &incarnation(0), PollId::new(PROCESS, 4));
+    grants
+}
+
+#[test]
+fn poll_events_worker_gone_since_the_last_grant_is_taken_away() {
+    let events = poll_events(&cluster().ledger, &grants(), &gone_poll(PollId::new(PROCESS, 6)));
+    assert_eq!(events, [Event::WorkerGone(incarnation(0))]);
+}
+
+// A poll by which the worker was gone arrived after the worker had come back: its runs went on, and
+// their tasks were given to other workers.
+#[test]
+fn poll_events_late_poll_takes_no_worker_away_that_has_come_back() {
+    let ledger = cluster().ledger;
+    for id in [PollId::new(PROCESS, 3), PollId::new(PROCESS, 5), PollId::new(OTHER_PROCESS, 9)] {
+        assert_eq!(poll_events(&ledger, &grants(), &gone_poll(id)), [], "{id:?}");
+    }
+}
+
+#[test]
+fn poll_events_before_the_first_grant_of_a_term_take_nothing_away() {
+    let id = PollId::new(PROCESS, 6);
+    assert_eq!(poll_events(&cluster().ledger, &Grants::default(), &gone_poll(id)), []);
+}
+
+// A refusal that the agent's former process had reported arrived after the next process had been
+// ordered to start the run.
+#[test]
+fn poll_events_refusal_of_a_former_process_is_ignored() {
+    let cluster = cluster();
+    let worker = cluster.ledger.workers().next().map(|w| w.spec.clone());
+    let refusal = |id| Poll { refused: vec![run(1, 0, 0, 1)], ..poll(id, worker.clone()) };
+    let events = |id| poll_events(&cluster.ledger, &grants(), &refusal(id));
+    assert_eq!(events(PollId::new(OTHER_PROCESS, 1)), []);
+    let refused = Event::Refused { incarnation: incarnation(0), run: run(1, 0, 0, 1) };
+    assert_eq!(events(PollId::new(PROCESS, 6)), [refused]);
+}
+
+#[test]
+fn record_poll_late_one_replaces_no_newer_one() {
+    let mut contacts = Contacts::default();
+    let worker = cluster().ledger.workers().next().map(|w| w.spec.clone());
+    let newer = Rc::new(poll(PollId::new(PROCESS, 2), worker));
+    let late = Rc::new(poll(PollId::new(PROCESS, 1), None));
+    let first = contacts.record_poll(NOW, &newer);
+    let arrival = contacts.record_poll(NOW, &late);
+    assert!(!first.is_late && arrival.is_late);
+    assert!(contacts.is_superseded(&late.agent, arrival.serial));
+    assert!(!contacts.is_superseded(&newer.agent, first.serial));
+    assert_eq!(contacts.in_contact(NOW).next(), Some(&*newer));
+}
+
+#[test]
+fn record_poll_of_a_new_process_replaces_the_former_one() {
+    let mut contacts = Contacts::default();
+    contacts.record_poll(NOW, &Rc::new(poll(PollId::new(PROCESS, 9), None)));
+    let next = Rc::new(poll(PollId::new(OTHER_PROCESS, 1), None));
+    assert!(!contacts.record_poll(NOW, &next).is_late);
+    assert_eq!(contacts.in_contact(NOW).next(), Some(&*next));
+}
--- a/crates/bronzespool-batch/tests/model.rs
+++ b/crates/bronzespool-batch/tests/model.rs
@@ -16,6 +16,7 @@
         },
         config::{Config, Pool, Queue},
         exchange::{poll_events, poll_orders},
+        grant::Grants,
         ledger::{Assignment, RunEnd, RunOutcome, WorkerSpec},
         message::{Orders, Poll, RunStatus},
         spec::{JobSpec, Resources, Step},
@@ -188,6 +189,7 @@
     /// When this leader began, and when it last let the agent extend leases.
     leading_since: Time,
     granted: Option<Time>,
+    grants: Grants,
     reconciler: Reconciler,
     seq: u64,
     worker: Worker,
@@ -201,6 +203,7 @@
     /// Whether the agent has requested a list and sent a poll since time last passed.
     listed: bool,
     polled: bool,
+    polls_sent: u32,
 }
 
 /// One move of the model.
@@ -246,6 +249,7 @@
             epoch: 1,
             leading_since: now,
             granted: None,
+            grants: Grants::default(),
             // The agent has run for long enough that no call of an earlier process is under way.
             reconciler: Reconciler::new(agent_name(), 1, LIMITS, Time::ZERO),
             seq: 0,
@@ -257,6 +261,7 @@
             done: false,
             listed: false,
             polled: false,
+            polls_sent: 0,
         };
         state.apply(Event::Configured(Arc::new(config())));
         state.apply(Event::WorkerUp(Box::new(spec(1))));
@@ -309,7 +314,8 @@
         match next {
             Move::Poll => {
                 self.polled = true;
-                let poll = self.reconciler.poll(self.now);
+                self.polls_sent += 1;
+                let poll = self.reconciler.poll(self.now, self.polls_sent);
                 self.messages.push(Message::Poll(self.now, Box::new(poll)));
             }
             Move::Deliver(i) => {
@@ -357,13 +363,15 @@
             }
             Move::AgentCrash => {
                 self.faults += 1;
-                self.reconciler = Reconciler::new(agent_name(), self.seq + 7, LIMITS, self.now);
+                self.reconciler =
+                    Reconciler::new(agent_name(), self.seq as u32 + 7, LIMITS, self.now);
                 self.check_in();
             }
             Move::NewLeader => {
                 self.faults += 1;
                 self.epoch += 1;
                 (self.leading_since, self.granted) = (self.now, None);
+                self.grants = Grants::default();
             }
             Move::Cancel => {
                 self.faults += 1;
@@ -413,13 +421,14 @@
     fn deliver(&mut self, message: Message, unanswered: bool) {
         match message {
             Message::Poll(sent, poll) => {
-                for event in poll_events(&self.ledger, &poll) {
+                for event in poll_events(&self.ledger, &self.grants, &poll) {
                     self.apply(event);
                 }
                 let mut orders =
                     poll_orders(&self.ledger, &Withdrawals::default(), &poll, self.epoch, LEASE);
-                if orders.incarnation.is_some() {
+                if let Some(incarnation) = &orders.incarnation {
                     self.granted = Some(self.now);
+                    self.grants.record(self.now, incarnation, poll.id);
                 }
                 if self.injected == InjectedFault::EarlyCursor {
                     orders.cursor += 1;
--- a/crates/bronzespool-batch/tests/pace.rs
+++ b/crates/bronzespool-batch/tests/pace.rs
@@ -62,7 +62,7 @@
         if latency_sensitive {
             classes.push((run(LATENCY_SENSITIVE_JOB), QosClass::LatencySensitive(BOUND_MILLIS)));
         }
-        let poll = reconciler.poll(now);
+        let poll = reconciler.poll(now, 1);
         let orders = Orders {
             epoch: 3,
             incarnation: Some(incarnation()),
--- a/crates/bronzespool-batch/tests/withdrawal.rs
+++ b/crates/bronzespool-batch/tests/withdrawal.rs
@@ -7,7 +7,7 @@
         Event, Withdrawals,
         exchange::poll_orders,
         ledger::WorkerSpec,
-        message::{Orders, Poll},
+        message::{Orders, Poll, PollId},
     },
     bronzespool_core::Instance,
     common::{Cluster, SECOND, incarnation, run, step},
@@ -25,7 +25,7 @@
     let worker: Option<WorkerSpec> = cluster.ledger.workers().next().map(|w| w.spec.clone());
     Poll {
         agent: Instance::try_from("side-0").unwrap(),
-        nonce: 1,
+        id: PollId::new(1, 1),
         relay: None,
         worker,
         gone: Vec::new(),
--- a/crates/bronzespool-bench/src/size/agent.rs
+++ b/crates/bronzespool-bench/src/size/agent.rs
@@ -6,6 +6,7 @@
         batch::{
             agent::{Limits, Reconciler},
             ledger::WorkerSpec,
+            message::Poll,
         },
         core::Time,
     },
@@ -31,18 +32,20 @@
     spec: WorkerSpec,
     seq: u64,
     pub(super) in_flight: usize,
+    polls_sent: u32,
     /// Whether there is a change that no poll has carried yet.
     pub(super) notified: bool,
 }
 
 impl Agent {
     pub(super) fn new(worker: usize) -> Self {
-        let nonce = worker as u64 + 1;
+        let process = worker as u32 + 1;
         Self {
-            reconciler: Reconciler::new(agent_name(worker), nonce, LIMITS, Time::ZERO),
+            reconciler: Reconciler::new(agent_name(worker), process, LIMITS, Time::ZERO),
             spec: worker_spec(worker),
             seq: 0,
             in_flight: 0,
+            polls_sent: 0,
             notified: false,
         }
     }
@@ -53,6 +56,12 @@
         self.reconciler.check_in(now, self.spec.clone(), self.seq);
     }
 
+    /// Returns the next poll.
+    pub(super) fn poll(&mut self, now: Time) -> Poll {
+        self.polls_sent += 1;
+        self.reconciler.poll(now, self.polls_sent)
+    }
+
     /// Whether the agent polls now: it has no poll in flight, or a change for a second one.
     pub(super) fn takes_poll(&mut self) -> bool {
         if self.in_flight == 0 {
--- a/crates/bronzespool-bench/src/size/leader.rs
+++ b/crates/bronzespool-bench/src/size/leader.rs
@@ -10,6 +10,7 @@
             Event, JobId, Ledger, Phase, Record, RunId, Withdrawals,
             affected::RecordScope,
             exchange::poll_orders,
+            grant::Grants,
             ledger::StopCause,
             message::{Orders, Poll},
             plan::{ClusterView, Planner, Progress},
@@ -58,6 +59,7 @@
     pub(super) broken: usize,
     /// When each job ended.
     pub(super) finished: HashMap<JobId, Time>,
+    pub(super) grants: Grants,
     planner: Planner,
     /// Wall time that all plans took.
     pub(super) plan_time: Duration,
--- a/crates/bronzespool-bench/src/size/model.rs
+++ b/crates/bronzespool-bench/src/size/model.rs
@@ -333,7 +333,7 @@
     /// Sends the polls that an agent makes now.
     fn send_polls(&mut self, agent: usize) {
         while self.agents[agent].takes_poll() {
-            let poll = Box::new(self.agents[agent].reconciler.poll(self.now));
+            let poll = Box::new(self.agents[agent].poll(self.now));
             self.agents[agent].in_flight += 1;
             self.counts.polls += 1;
             self.counts.poll_bytes += encoded_len(&*poll);
@@ -349,7 +349,7 @@
 
     fn poll_arrives(&mut self, agent: usize, sent: Time, poll: Box<Poll>) {
         let serial = self.leader.record_poll(agent, &poll);
-        let events = poll_events(&self.leader.ledger, &poll);
+        let events = poll_events(&self.leader.ledger, &self.leader.grants, &poll);
         let waiting = WaitingPoll { serial, sent, poll };
         if !events.is_empty() {
             return self.propose(events, After::Answer(agent, waiting));
@@ -366,6 +366,9 @@
             self.counts.orders += (orders.starts.len() + orders.stops.len()) as u64;
             self.counts.order_bytes += encoded_len(&*orders);
             let WaitingPoll { sent, poll, .. } = waiting;
+            if let Some(incarnation) = &orders.incarnation {
+                self.leader.grants.record(self.now, incarnation, poll.id);
+            }
             self.after(LEADER_DELAY, Happening::OrdersArrive(agent, sent, poll, orders));
         }
     }
--- a/crates/bronzespoold/src/batch/agent.rs
+++ b/crates/bronzespoold/src/batch/agent.rs
@@ -87,6 +87,8 @@
     reconciler: RefCell<Reconciler>,
     /// When the leader's last orders arrived.
     last_orders: Cell<Time>,
+    /// Number of polls that this process has sent.
+    polls_sent: Cell<u32>,
     /// Wakes the poll loop when there is a change to report to the leader.
     poll_wakeup: Notify,
 }
@@ -99,8 +101,8 @@
         leader_client: Rc<LeaderClient>,
         worker: W,
     ) -> Rc<Self> {
-        let nonce = fastrand::u64(..);
-        let reconciler = Reconciler::new(options.instance, nonce, options.limits, clock.now());
+        let process = fastrand::u32(..);
+        let reconciler = Reconciler::new(options.instance, process, options.limits, clock.now());
         Rc::new(Self {
             clock,
             leader_client,
@@ -108,6 +110,7 @@
             worker,
             reconciler: RefCell::new(reconciler),
             last_orders: Cell::new(clock.now()),
+            polls_sent: Cell::new(0),
             poll_wakeup: Notify::new(),
         })
     }
@@ -208,7 +211,9 @@
 
     async fn poll(self: &Rc<Self>) {
         let sent = self.clock.now();
-        let poll = Poll { relay: self.relay, ..self.reconciler.borrow().poll(sent) };
+        self.polls_sent.set(self.polls_sent.get() + 1);
+        let poll = self.reconciler.borrow().poll(sent, self.polls_sent.get());
+        let poll = Poll { relay: self.relay, ..poll };
         match self.leader_client.call(Call::Poll(Box::new(poll.clone())), POLL_TIMEOUT).await {
             Ok(Reply::Orders(orders)) => self.receive_orders(sent, &poll, *orders),
             Ok(other) => {
--- a/crates/bronzespoold/src/control/batch/agents.rs
+++ b/crates/bronzespoold/src/control/batch/agents.rs
@@ -2,8 +2,11 @@
 
 use {
     bronzespool::{
-        batch::{Withdrawals, WorkerIncarnation, agent::lease_duration_max, contact::Contacts},
-        core::{HashMap, Instance, Time},
+        batch::{
+            Withdrawals, WorkerIncarnation, agent::lease_duration_max, contact::Contacts,
+            grant::Grants, message::Poll,
+        },
+        core::{HashMap, Time},
     },
     std::{net::SocketAddr, time::Duration},
 };
@@ -27,7 +30,7 @@
     /// Records of this term that take workers or runs away and are not applied yet.
     pub(super) withdrawals: Withdrawals,
     /// When an agent was last allowed to extend the leases of a worker incarnation.
-    granted_at: HashMap<WorkerIncarnation, Time>,
+    pub(super) grants: Grants,
     /// Processes that relay calls to the leader, and when they were last heard from.
     relays: HashMap<SocketAddr, Time>,
 }
@@ -62,22 +65,22 @@
     pub(super) fn record_grant(
         &mut self,
         now: Time,
-        agent: &Instance,
+        poll: &Poll,
         incarnation: &WorkerIncarnation,
     ) -> bool {
-        self.granted_at.insert(incarnation.clone(), now);
-        self.contacts.record_grant(now, agent)
+        self.grants.record(now, incarnation, poll.id);
+        self.contacts.record_grant(now, &poll.agent)
     }
 
     /// Whether every lease of a worker incarnation has certainly ended. A leader of an earlier term
     /// may have granted a lease until this term began.
     pub(super) fn leases_ended(&self, now: Time, incarnation: &WorkerIncarnation) -> bool {
-        let last = self.granted_at.get(incarnation).copied().unwrap_or(self.term_start);
+        let last = self.grants.last_at(incarnation).unwrap_or(self.term_start);
         now.since(last.max(self.term_start)) > lease_duration_max(WORKER_LEASE)
     }
 
     /// Forgets a worker incarnation whose leases have ended.
     pub(super) fn forget(&mut self, incarnation: &WorkerIncarnation) {
-        self.granted_at.remove(incarnation);
+        self.grants.forget(incarnation);
     }
 }
--- a/crates/bronzespoold/src/control/batch/polls.rs
+++ b/crates/bronzespoold/src/control/batch/polls.rs
@@ -7,12 +7,12 @@
     },
     bronzespool::{
         batch::{
-            WorkerIncarnation,
+            Event, WorkerIncarnation,
             contact::Arrival,
             exchange::{poll_events, poll_orders},
             message::{Orders, Poll, Reply},
         },
-        core::{Code, Instance, Refusal, Time},
+        core::{Code, Refusal, Time},
     },
     std::{rc::Rc, time::Duration},
 };
@@ -25,7 +25,10 @@
         let poll = Rc::new(poll);
         let arrival = self.record_poll(&poll);
         record_tail_latencies(self.replica.state().batch(), &poll);
-        let events = poll_events(self.replica.state().batch(), &poll);
+        let events = match arrival.is_late {
+            true => Vec::new(),
+            false => self.events(&poll),
+        };
         let has_events = !events.is_empty();
         self.revoke_permits(&poll);
         if has_events {
@@ -45,7 +48,7 @@
                 self.agents.borrow().contacts.is_superseded(&poll.agent, arrival.serial);
             if has_events || !idle || superseded || now >= end {
                 if let Some(incarnation) = &orders.incarnation {
-                    self.record_grant(now, &poll.agent, incarnation);
+                    self.record_grant(now, &poll, incarnation);
                 }
                 return Ok(Reply::Orders(Box::new(orders)));
             }
@@ -66,8 +69,8 @@
         arrival
     }
 
-    fn record_grant(&self, now: Time, agent: &Instance, incarnation: &WorkerIncarnation) {
-        if self.agents.borrow_mut().record_grant(now, agent, incarnation) {
+    fn record_grant(&self, now: Time, poll: &Poll, incarnation: &WorkerIncarnation) {
+        if self.agents.borrow_mut().record_grant(now, poll, incarnation) {
             self.replica.batch_wakes().request_plan();
         }
     }
@@ -86,6 +89,10 @@
         }
     }
 
+    fn events(&self, poll: &Poll) -> Vec<Event> {
+        poll_events(self.replica.state().batch(), &self.agents.borrow().grants, poll)
+    }
+
     fn orders(&self, poll: &Poll) -> Orders {
         let (state, agents) = (self.replica.state(), self.agents.borrow());
         let term = self.replica.status().term;
