fix(batch): a truncated list of ended runs shows no run as refused

A worker names 500 ended runs at most. A run that ended behind them is neither running nor ended in the list, and the agent reported it as not started: its task ran again, though it was done. Such a list settles no run now; the leader's acknowledged ends let the worker name the others.

receive_listing_truncated_one_shows_no_run_as_refused failed without the check (the run was among the refused).

--- a/crates/bronzespool-batch/src/agent/call.rs
+++ b/crates/bronzespool-batch/src/agent/call.rs
@@ -29,6 +29,8 @@
     pub running: Vec<RunStatus>,
     /// Ended runs that the worker may not forget yet.
     pub ends: Vec<RunEnd>,
+    /// Whether the worker may hold more ended runs than the list names.
+    pub truncated: bool,
 }
 
 /// The worker's answer to a start.
--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -304,6 +304,7 @@
         let has_new_ends = ends.len() > worker.ends.len()
             || ends.last().map(|e| e.number) > worker.ends.last().map(|e| e.number);
         worker.ends = ends;
+        worker.ends_truncated = listing.truncated;
         worker.running = listing.running;
         let finished = worker.finish_calls(now, request.serial);
         has_new_ends || finished
--- a/crates/bronzespool-batch/src/agent/worker.rs
+++ b/crates/bronzespool-batch/src/agent/worker.rs
@@ -45,6 +45,8 @@
     pub(super) lease: Lease,
     pub(super) running: Vec<RunStatus>,
     pub(super) ends: Vec<RunEnd>,
+    /// Whether the worker may hold more ended runs than its latest list names.
+    pub(super) ends_truncated: bool,
     pub(super) has_list: bool,
     /// Whether the worker answered the latest request for its list.
     pub(super) answers: bool,
@@ -71,6 +73,7 @@
             lease: Lease::default(),
             running: Vec::new(),
             ends: Vec::new(),
+            ends_truncated: false,
             has_list: false,
             answers: false,
             departed: false,
@@ -148,7 +151,7 @@
         let runs: Vec<RunId> = self.calls.iter().filter(|d| done(*d)).map(|(r, _)| *r).collect();
         for run in &runs {
             self.calls.remove(run);
-            if !self.lists(*run) {
+            if !self.lists(*run) && !self.ends_truncated {
                 self.settle_refused(*run);
             }
         }
--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -92,11 +92,21 @@
 
     fn list(&mut self, running: Vec<RunStatus>, ends: Vec<RunEnd>) -> ListRequest {
         let list = self.reconciler.list_request(self.now).unwrap();
-        let listing = Listing { started_at: Some(1), clock: self.now.as_millis(), running, ends };
+        let clock = self.now.as_millis();
+        let listing = Listing { started_at: Some(1), clock, running, ends, truncated: false };
         self.reconciler.receive_listing(self.now, &list, listing);
         list
     }
 
+    /// Takes a list that does not name all ended runs.
+    fn list_truncated(&mut self, ends: Vec<RunEnd>) {
+        let list = self.reconciler.list_request(self.now).unwrap();
+        let clock = self.now.as_millis();
+        let listing =
+            Listing { started_at: Some(1), clock, ends, truncated: true, ..Listing::default() };
+        self.reconciler.receive_listing(self.now, &list, listing);
+    }
+
     fn order(&mut self, orders: Orders) -> Vec<Action> {
         let poll = self.reconciler.poll(self.now, 1);
         self.reconciler.receive_orders(self.now, &poll, orders);
@@ -271,6 +281,23 @@
     assert_eq!(a.poll().in_flight, [run(1)]);
 }
 
+// A run ended as done behind 500 other ends, was reported as not started and ran again.
+#[test]
+fn receive_listing_truncated_one_shows_no_run_as_refused() {
+    let mut a = Agent::new();
+    a.outlive_former_calls();
+    a.order(orders(3, vec![start(1)], Vec::new()));
+    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Present);
+    a.list_truncated(vec![ended(9, RunOutcome::Done)]);
+    assert!(a.poll().refused.is_empty());
+    a.order(orders(3, vec![start(1)], Vec::new()));
+    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Old);
+    a.list(Vec::new(), vec![ended(1, RunOutcome::Done)]);
+    let poll = a.poll();
+    assert!(poll.refused.is_empty() && poll.in_flight.is_empty());
+    assert_eq!(poll.ends, [ended(1, RunOutcome::Done)]);
+}
+
 #[test]
 fn stop_answered_run_that_still_ends_is_not_refused() {
     let mut a = Agent::new();
--- a/crates/bronzespool-batch/tests/model.rs
+++ b/crates/bronzespool-batch/tests/model.rs
@@ -166,6 +166,7 @@
             clock: self.clock(now),
             running: self.runs.iter().map(held).collect(),
             ends: self.ends.clone(),
+            truncated: false,
         })
     }
 }
--- a/crates/bronzespool-batch/tests/pace.rs
+++ b/crates/bronzespool-batch/tests/pace.rs
@@ -90,7 +90,7 @@
         let running =
             vec![status(LATENCY_SENSITIVE_JOB, self.tail()), status(BEST_EFFORT_JOB, 500)];
         let clock = self.now.since(Time::ZERO).as_millis() as u64;
-        let listing = Listing { started_at: Some(1), clock, running, ends: Vec::new() };
+        let listing = Listing { started_at: Some(1), clock, running, ..Listing::default() };
         self.reconciler.receive_listing(self.now, &request, listing);
         let mut sent = Vec::new();
         for action in self.reconciler.pace_actions(self.now) {
--- a/crates/bronzespool-bench/src/size/worker.rs
+++ b/crates/bronzespool-bench/src/size/worker.rs
@@ -124,6 +124,7 @@
             clock: now.as_millis(),
             running: self.runs.iter().map(|(r, h)| h.status(*r, now)).collect(),
             ends: self.ends.clone(),
+            truncated: false,
         }
     }
 }
