fix(batch): an older-looking check-in ends a silent worker only after its leases

A check-in of an earlier incarnation that arrived while the current worker was silent for 4.5 s replaced it, and the agent reported it as gone, although it may only be cut off and its leases last for up to 6 s: its runs went on while their tasks were given to others.

The older-looking incarnation counts now once the current one is gone by the rule of expire: silent or left, and all its leases ended. The former test took the replacement after 5 s for right; the new one demands that it is refused then and taken after 7 s. It failed before with "its leases have not ended".

--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -80,12 +80,12 @@
             worker.last_heartbeat = now;
             return true;
         }
-        // If the clock was set back, a new incarnation may look older than one that is gone.
-        let silent = !worker.answers && worker.is_silent(now, &self.limits);
-        if spec.incarnation.started_at <= worker.spec.incarnation.started_at && !silent {
+        // If the clock was set back, a new incarnation may look older than one that is gone. A late
+        // check-in of an earlier incarnation looks the same while the current one is cut off.
+        let old = worker.spec.incarnation.clone();
+        if spec.incarnation.started_at <= old.started_at && !self.is_gone(now) {
             return false;
         }
-        let old = worker.spec.incarnation.clone();
         self.gone.push(old);
         self.worker = Some(WorkerState::new(spec, seq, now));
         true
@@ -328,18 +328,21 @@
     /// Drops a worker that is gone: it does not answer, or has left, and all of its leases have
     /// expired. Returns whether it was dropped.
     pub fn expire(&mut self, now: Time) -> bool {
-        let (lease_max, started) = (self.limits.lease_max, self.started_at);
-        let Some(worker) = &self.worker else { return false };
-        let silent = !worker.answers && worker.is_silent(now, &self.limits);
-        let over = worker.lease.has_expired(now, started.max(worker.first_seen), lease_max);
-        if !((silent || worker.departed) && over) {
+        if !self.is_gone(now) {
             return false;
         }
-        self.gone.push(worker.spec.incarnation.clone());
-        self.worker = None;
+        self.gone.extend(self.worker.take().map(|w| w.spec.incarnation));
         true
     }
 
+    /// Whether there is a worker that does not answer, or has left, and whose leases have expired.
+    fn is_gone(&self, now: Time) -> bool {
+        let Some(worker) = &self.worker else { return false };
+        let silent = !worker.answers && worker.is_silent(now, &self.limits);
+        let start = self.started_at.max(worker.first_seen);
+        (silent || worker.departed) && worker.lease.has_expired(now, start, self.limits.lease_max)
+    }
+
     fn current_worker(&mut self, incarnation: &WorkerIncarnation) -> Option<&mut WorkerState> {
         self.worker.as_mut().filter(|w| w.spec.incarnation == *incarnation)
     }
--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -347,14 +347,19 @@
     assert!(!a.reconciler.is_leaving());
 }
 
+// A late check-in of an earlier incarnation ended a worker that was cut off and ran on.
 #[test]
-fn check_in_incarnation_that_looks_older_counts_once_the_other_is_silent() {
+fn check_in_incarnation_that_looks_older_counts_once_the_leases_of_the_silent_one_have_ended() {
     let mut a = Agent::new();
+    a.order(orders(3, Vec::new(), Vec::new()));
+    a.list(vec![running(1)], Vec::new());
     let list = a.reconciler.list_request(a.now).unwrap();
     a.reconciler.list_unanswered(&list);
     assert!(!a.reconciler.check_in(a.now, spec(0, false), 1));
     a.now += Duration::from_secs(5);
-    assert!(a.reconciler.check_in(a.now, spec(0, false), 2));
+    assert!(!a.reconciler.check_in(a.now, spec(0, false), 2), "its leases have not ended");
+    a.now += Duration::from_secs(2);
+    assert!(a.reconciler.check_in(a.now, spec(0, false), 3));
     assert_eq!(a.poll().gone, [incarnation(1)]);
 }
 
