fix(batch): a worker that starts again under its name first stops its former runs

Cause: a start that was sent to a worker may reach its next incarnation under the same name: the name in the call does not tell them apart, and the lease in it is on the former clock. The leader freed all runs of the former incarnation as soon as the next one was reported, so that the task ran on the next incarnation by the late start and elsewhere by a new one, and its room counted as free.

Fix: while the ledger holds runs of a former incarnation, the next one is ordered to stop each of them, which also keeps them from starting at all. It is registered once all are stopped or ended; a run that it has completed counts as done. The agent reports nothing as gone for a younger incarnation of the same name, and starts nothing more once another incarnation answers in the place of the one that it knows. Only workers whose incarnation is registered are assigned tasks. If the next incarnation does not answer, the lease rule ends the former one, as before.

--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -83,10 +83,15 @@
         // If the clock was set back, a new incarnation may look older than one that is gone. A late
         // check-in of an earlier incarnation looks the same while the current one is cut off.
         let old = worker.spec.incarnation.clone();
-        if spec.incarnation.started_at <= old.started_at && !self.is_gone(now) {
+        let is_younger = spec.incarnation.started_at > old.started_at;
+        if !is_younger && !self.is_gone(now) {
             return false;
         }
-        self.gone.push(old);
+        // The leader ends the runs of the former incarnation under the same name itself, once the
+        // younger one has acknowledged stops of them.
+        if !is_younger || old.worker != spec.incarnation.worker {
+            self.gone.push(old);
+        }
         self.worker = Some(WorkerState::new(spec, seq, now));
         true
     }
@@ -294,6 +299,7 @@
     pub fn receive_listing(&mut self, now: Time, request: &ListRequest, listing: Listing) -> bool {
         let Some(worker) = self.current_worker(&request.incarnation) else { return false };
         if listing.started_at.is_some_and(|b| b != request.incarnation.started_at) {
+            worker.departed = true;
             return false;
         }
         worker.answers = true;
--- a/crates/bronzespool-batch/src/agent/worker.rs
+++ b/crates/bronzespool-batch/src/agent/worker.rs
@@ -50,7 +50,8 @@
     pub(super) has_list: bool,
     /// Whether the worker answered the latest request for its list.
     pub(super) answers: bool,
-    /// Whether the worker has reported that it ends.
+    /// Whether the worker has reported that it ends, or another incarnation has answered in its
+    /// place.
     pub(super) departed: bool,
     pub(super) calls: HashMap<RunId, CallState>,
     /// Runs for which a start was sent that may have been carried out, or may still be.
--- a/crates/bronzespool-batch/src/exchange.rs
+++ b/crates/bronzespool-batch/src/exchange.rs
@@ -1,11 +1,14 @@
 //! Conversion between the leader's ledger and the messages of an agent: a poll becomes events, and
 //! the ledger becomes orders.
+//!
+//! A worker that starts again under its name may still get a start that was sent to its former
+//! incarnation. It is registered once it has acknowledged a stop of each run of the former one.
 
 use {
     crate::{
         grant::Grants,
         id::{RunId, WorkerIncarnation},
-        ledger::{ActiveRun, Event, Ledger, Worker},
+        ledger::{ActiveRun, Event, Ledger, RunEnd, Worker},
         message::{Orders, Poll, QosClass, Start},
         withdrawal::Withdrawals,
     },
@@ -22,6 +25,15 @@
         events.push(Event::WorkerGone(incarnation.clone()));
     }
     let Some(spec) = &poll.worker else { return events };
+    let is_newer = is_newer(&spec.incarnation);
+    if let Some(former) = ledger.former_worker(&spec.incarnation) {
+        let settled = former_run_events(former, poll, is_newer);
+        let remain = settled.len() < former.runs.len();
+        events.extend(settled);
+        if remain {
+            return events;
+        }
+    }
     let current = ledger.worker(&spec.incarnation);
     // A worker that is leaving does not come back in this incarnation.
     let has_changed = |w: &Worker| w.spec != *spec && (spec.leaving || !w.spec.leaving);
@@ -29,7 +41,6 @@
         events.push(Event::WorkerUp(Box::new(spec.clone())));
     }
     let Some(current) = current else { return events };
-    let is_newer = is_newer(&spec.incarnation);
     for run in poll.refused.iter().filter(|r| is_newer && current.runs.contains_key(r)) {
         events.push(Event::Refused { incarnation: spec.incarnation.clone(), run: *run });
     }
@@ -40,6 +51,24 @@
     events
 }
 
+/// Returns the events for the runs of a worker's former incarnation that cannot start on the current
+/// one any more, because it has acknowledged a stop of them or lists their ends.
+fn former_run_events(former: &Worker, poll: &Poll, is_newer: bool) -> Vec<Event> {
+    let incarnation = &former.spec.incarnation;
+    let mut events = Vec::new();
+    let mut number = former.cursor;
+    for run in former.runs.keys() {
+        if let Some(end) = poll.ends.iter().find(|e| e.run == *run) {
+            number += 1;
+            let ends = vec![RunEnd { number, ..end.clone() }];
+            events.push(Event::Ended { incarnation: incarnation.clone(), ends });
+        } else if is_newer && poll.refused.contains(run) {
+            events.push(Event::Refused { incarnation: incarnation.clone(), run: *run });
+        }
+    }
+    events
+}
+
 /// Returns the orders for the agent that sent a poll. `epoch` is the leader's fencing token, and
 /// `lease` is the time for which the agent may extend its worker's leases. What `withdrawals` take
 /// away is neither ordered nor leased.
@@ -61,6 +90,11 @@
     };
     let incarnation = poll.worker.as_ref().map(|w| &w.incarnation);
     let incarnation = incarnation.filter(|i| !withdrawals.takes_worker(i));
+    if let Some(former) = incarnation.and_then(|i| ledger.former_worker(i)) {
+        orders.incarnation = incarnation.cloned();
+        orders.stops = unsettled_runs(former, poll).collect();
+        return orders;
+    }
     let Some(worker) = incarnation.and_then(|i| ledger.worker(i)) else { return orders };
     orders.incarnation = Some(worker.spec.incarnation.clone());
     orders.cursor = worker.cursor;
@@ -74,19 +108,28 @@
 /// Adds the runs that the worker has to start and to stop.
 fn add_starts_and_stops(ledger: &Ledger, worker: &Worker, poll: &Poll, orders: &mut Orders) {
     let running: HashSet<RunId> = poll.running.iter().map(|s| s.run).collect();
-    let ended = |r: &RunId| poll.ends.iter().any(|e| e.run == *r) || poll.refused.contains(r);
-    for run in worker.runs.keys().filter(|r| !ended(r) && !poll.in_flight.contains(r)) {
-        if ledger.is_unwanted(*run) {
-            orders.stops.push(*run);
-        } else if !running.contains(run) {
-            orders.starts.extend(start(ledger, *run));
+    for run in unsettled_runs(worker, poll) {
+        if ledger.is_unwanted(run) {
+            orders.stops.push(run);
+        } else if !running.contains(&run) {
+            orders.starts.extend(start(ledger, run));
         }
     }
-    let unknown =
-        |r: &&RunId| !worker.runs.contains_key(r) && !poll.in_flight.contains(r) && !ended(r);
+    let unknown = |r: &&RunId| !worker.runs.contains_key(r) && !is_settled(poll, r);
     orders.stops.extend(running.iter().filter(unknown));
 }
 
+/// Returns the runs of a worker whose ends a poll does not report and for which no call is in flight.
+fn unsettled_runs(worker: &Worker, poll: &Poll) -> impl Iterator<Item = RunId> {
+    worker.runs.keys().filter(|r| !is_settled(poll, r)).copied()
+}
+
+/// Whether a poll reports the end of a run, or a call for it that is in flight.
+fn is_settled(poll: &Poll, run: &RunId) -> bool {
+    let has_ended = || poll.ends.iter().any(|e| e.run == *run);
+    poll.in_flight.contains(run) || poll.refused.contains(run) || has_ended()
+}
+
 /// Returns the runs of a worker that are latency-sensitive or best-effort.
 fn qos_classes(ledger: &Ledger, worker: &Worker) -> Vec<(RunId, QosClass)> {
     let class = |run: &RunId| {
--- a/crates/bronzespool-batch/src/ledger/mod.rs
+++ b/crates/bronzespool-batch/src/ledger/mod.rs
@@ -81,6 +81,14 @@
         self.waves.values()
     }
 
+    /// Returns the incarnation of a worker that started before this one and whose runs have not all
+    /// ended.
+    pub fn former_worker(&self, incarnation: &WorkerIncarnation) -> Option<&Worker> {
+        let worker = self.workers.get(&incarnation.worker)?;
+        let is_former = worker.spec.incarnation.started_at < incarnation.started_at;
+        (is_former && !worker.runs.is_empty()).then_some(worker)
+    }
+
     /// Returns the worker if this is its current incarnation.
     pub fn worker(&self, incarnation: &WorkerIncarnation) -> Option<&Worker> {
         self.workers.get(&incarnation.worker).filter(|w| w.spec.incarnation == *incarnation)
--- a/crates/bronzespoold/src/control/batch/planner.rs
+++ b/crates/bronzespoold/src/control/batch/planner.rs
@@ -90,7 +90,9 @@
         let now = self.clock.now();
         let agents = self.agents.borrow();
         let polls = agents.contacts.in_contact(now);
+        let state = self.replica.state();
         let workers = polls.filter_map(|p| p.worker.as_ref().map(|w| (w, &p.running)));
+        let workers = workers.filter(|(w, _)| state.batch().worker(&w.incarnation).is_some());
         let mut cluster_view = ClusterView {
             now: self.replica.log_time(),
             wall: wall_millis(),
