fix(batch): pause before a failed stop is repeated

A failed stop is repeated after 100 ms at the earliest, with the next list; until then the run counts as in flight.

stop_answered_failed_stop_is_repeated_after_a_pause failed before (no run in flight).

--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -267,9 +267,7 @@
             StopOutcome::Noted => {
                 worker.calls.insert(run, CallState::Stopping(worker.list_serial + 1, now));
             }
-            StopOutcome::Fenced(_) | StopOutcome::Unknown => {
-                worker.calls.remove(&run);
-            }
+            StopOutcome::Fenced(_) | StopOutcome::Unknown => worker.stop_failed(now, run),
         }
     }
 
@@ -312,6 +310,7 @@
         worker.ends = ends;
         worker.ends_truncated = listing.truncated;
         worker.running = listing.running;
+        worker.end_pauses(now);
         let finished = worker.finish_calls(now, request.serial);
         has_new_ends || finished
     }
--- a/crates/bronzespool-batch/src/agent/worker.rs
+++ b/crates/bronzespool-batch/src/agent/worker.rs
@@ -14,6 +14,9 @@
 /// Time after an acknowledged stop from which the run is stopped again if the worker still lists
 /// it.
 const STOP_RETRY_DELAY: Duration = Duration::from_secs(2);
+/// Pause after a stop that was refused or had no answer. A worker that sheds load refuses at once, so
+/// that the agent would repeat the call without end.
+const CALL_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Number of check-in intervals without a check-in after which a worker counts as silent and
 /// accepts no new tasks.
 const SILENT_INTERVALS: u32 = 3;
@@ -32,6 +35,8 @@
     /// The worker has acknowledged a stop at this time, but the run may take a while to end. The
     /// serial number is that of the first list that can show the outcome.
     Stopping(u64, Time),
+    /// A stop has failed and is not repeated before this time.
+    Paused(Time),
 }
 
 /// State of the worker's current incarnation.
@@ -100,6 +105,11 @@
         self.calls.insert(run, CallState::Answered(self.list_serial + 1));
     }
 
+    /// Takes a stop that was refused or had no answer.
+    pub(super) fn stop_failed(&mut self, now: Time, run: RunId) {
+        self.calls.insert(run, CallState::Paused(now + CALL_RETRY_DELAY));
+    }
+
     /// Takes the worker's refusal of a start. It tells of this call alone: only if no other start of
     /// the run can be carried out, the run will not start.
     pub(super) fn start_refused(&mut self, run: RunId) {
@@ -138,12 +148,19 @@
         self.running.iter().any(|s| s.run == run) || self.ends.iter().any(|e| e.run == run)
     }
 
+    /// Lets the stops be repeated whose pause is over.
+    pub(super) fn end_pauses(&mut self, now: Time) {
+        self.calls.retain(|_, call| !matches!(call, CallState::Paused(until) if *until <= now));
+    }
+
     /// Ends the calls whose outcome the list with a serial number shows. Returns whether there were
     /// any.
     pub(super) fn finish_calls(&mut self, now: Time, serial: u64) -> bool {
         let running: HashSet<RunId> = self.running.iter().map(|s| s.run).collect();
         let done = |(run, call): (&RunId, &CallState)| match call {
-            CallState::StopInFlight | CallState::StartInFlight { .. } => false,
+            CallState::StopInFlight | CallState::StartInFlight { .. } | CallState::Paused(_) => {
+                false
+            }
             CallState::Answered(from) => *from <= serial,
             CallState::Stopping(from, at) => {
                 *from <= serial && (!running.contains(run) || now.since(*at) > STOP_RETRY_DELAY)
--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -312,6 +312,22 @@
     assert_eq!(poll.ends.len(), 1);
 }
 
+// A worker that shed load refused a stop every millisecond.
+#[test]
+fn stop_answered_failed_stop_is_repeated_after_a_pause() {
+    let mut a = Agent::new();
+    a.list(vec![running(1)], Vec::new());
+    a.order(orders(3, Vec::new(), vec![run(1)]));
+    a.reconciler.stop_answered(a.now, &incarnation(1), run(1), StopOutcome::Unknown);
+    a.list(vec![running(1)], Vec::new());
+    assert_eq!(a.poll().in_flight, [run(1)], "the leader orders nothing for it");
+    assert!(a.order(orders(3, Vec::new(), vec![run(1)])).is_empty());
+    a.now += Duration::from_millis(100);
+    a.list(vec![running(1)], Vec::new());
+    assert!(a.poll().in_flight.is_empty());
+    assert_eq!(a.order(orders(3, Vec::new(), vec![run(1)])).len(), 1);
+}
+
 #[test]
 fn list_request_acknowledges_recorded_ends_only() {
     let mut a = Agent::new();
