fix(consensus): grant the lease only once earlier entries are handed out

Cause: has_lease was true from the moment at which the first entry of the leader's term was committed. The entries of earlier terms, which are committed with it, reach the embedder only with the next Ready. The daemon takes messages in one task and applies entries in the driver's next step, so that a call that ran between the two saw leads() true and read a state without these entries. Polls of agents, claims, progress reports, usage reports and the controllers read the state after leads() without a read barrier.

What callers saw: an agent whose poll fell into this gap got orders and a lease of 8 s for a worker that a committed record of the former leader had declared gone, and was told to stop runs that the state did not contain yet.

Change: has_lease also requires that Ready::committed has contained the first entry of the leader's term. Reads by lease still need the commit only, since their answer leaves with or after the entries.

Why it works: the daemon applies a Ready in the synchronous step that takes it, so no other task runs between the handover and the application. Every check of leads() thereby sees a complete state, without a barrier at each reader.

--- a/crates/bronzespool-consensus/src/node/reads.rs
+++ b/crates/bronzespool-consensus/src/node/reads.rs
@@ -24,12 +24,23 @@
 }
 
 impl Node {
-    /// Whether the leader's state is current at `now`, because no other leader can exist yet.
+    /// Whether the embedder's state is current at `now`: no other leader can exist yet, and
+    /// [`super::Ready::committed`] has contained every entry of earlier terms. An embedder that
+    /// applies these entries before it calls this method may then read its state.
     pub fn has_lease(&self, now: Time) -> bool {
         let RoleState::Leader(leader) = &self.role_state else { return false };
-        if self.commit < leader.first_index {
-            return false;
-        }
+        self.applied >= leader.first_index && self.leads_alone(now)
+    }
+
+    /// Whether the leader's commit index is current at `now`, because no other leader can exist
+    /// yet. The entries up to it may still have to be applied.
+    fn has_commit_lease(&self, now: Time) -> bool {
+        let RoleState::Leader(leader) = &self.role_state else { return false };
+        self.commit >= leader.first_index && self.leads_alone(now)
+    }
+
+    /// Whether a quorum does not help to elect another leader before `now`.
+    fn leads_alone(&self, now: Time) -> bool {
         let is_alone = self.log.membership().has_quorum(|id| id == self.hard_state.id);
         is_alone || self.quorum_contact().is_some_and(|at| now < at + self.settings.lease_duration)
     }
@@ -38,7 +49,7 @@
     pub fn read(&mut self, now: Time, request_id: u64) -> Result<()> {
         self.advance_clock(now);
         self.check_leader()?;
-        if self.has_lease(self.now) {
+        if self.has_commit_lease(self.now) {
             self.output.reads.push(ReadResult { request_id, index: Some(self.commit) });
             return Ok(());
         }
--- a/crates/bronzespool-consensus/tests/reads.rs
+++ b/crates/bronzespool-consensus/tests/reads.rs
@@ -3,10 +3,29 @@
 mod common;
 
 use {
-    bronzespool_consensus::ReadResult,
-    common::{Cluster, SECOND},
+    bronzespool_consensus::{MessageBody, Node, ReadResult, VoteKind, WriteBatchId},
+    bronzespool_core::Time,
+    common::{Cluster, OWN, SECOND, follower, message, name},
 };
 
+/// Term of the only election in these tests of a single node.
+const TERM: u64 = 2;
+
+/// A new leader whose followers have answered its first heartbeat, with the batch that contains
+/// its first entry.
+fn new_leader() -> (Node, Time, WriteBatchId) {
+    let (mut node, now) = follower();
+    node.tick(now);
+    let vote = |kind| message(TERM, MessageBody::VoteResponse { kind, granted: true });
+    node.receive(now, &name(1), vote(VoteKind::PreVote));
+    let batch_id = node.ready().batch_id;
+    node.synced(now, batch_id);
+    node.receive(now, &name(1), vote(VoteKind::Regular));
+    let batch_id = node.ready().batch_id;
+    node.receive(now, &name(1), message(TERM, MessageBody::HeartbeatResponse { round: 1 }));
+    (node, now, batch_id)
+}
+
 #[test]
 fn read_lease_answers_at_once() {
     let mut c = Cluster::new(3);
@@ -68,3 +87,28 @@
     assert_eq!(c.replicas[old].reads, [ReadResult { request_id: 9, index: None }]);
     assert_eq!(c.leader(), Some(new));
 }
+
+#[test]
+fn has_lease_waits_until_entries_are_handed_out() {
+    let (mut node, now, batch_id) = new_leader();
+    assert_eq!(node.id(), OWN);
+    node.synced(now, batch_id);
+    node.receive(now, &name(1), message(TERM, MessageBody::Matched(2)));
+    assert_eq!(node.status().commit, 2);
+    // The entry is committed, and the embedder has not received it.
+    assert!(!node.has_lease(now), "a lease over a state without the committed entries");
+    let indices: Vec<_> = node.ready().committed.iter().map(|e| e.index).collect();
+    assert_eq!(indices, [1, 2]);
+    assert!(node.has_lease(now));
+}
+
+#[test]
+fn read_before_entries_are_handed_out_returns_them() {
+    let (mut node, now, batch_id) = new_leader();
+    node.synced(now, batch_id);
+    node.receive(now, &name(1), message(TERM, MessageBody::Matched(2)));
+    node.read(now, 3).unwrap();
+    let ready = node.ready();
+    assert_eq!(ready.committed.last().map(|e| e.index), Some(2));
+    assert_eq!(ready.reads, [ReadResult { request_id: 3, index: Some(2) }]);
+}
