fix(consensus): tell an identity of its removal only once it is committed

Cause: a replica judged by its newest membership, committed or not, whether the sender of a message has been removed. Between the append and the commit of the entry that ends a joint set, the outgoing identity is still a voter of the committed set, and the entry can be lost with its leader. It was told that it is retired all the same, and its messages were ignored, even those of a leader that the joint set had elected.

What callers saw: a removed identity stops its process and empties its data folder, so that a replica which came back in this moment cost a voter of the set in effect, with all that it holds, outside of the losses that are tolerated. With one more lost disk the set has no quorum any more.

Change: whether an identity is retired follows from the membership in effect at the commit index.

Why it works: a committed removal cannot be undone, and the set without the identity is then the only one that elects leaders. Until then the usual rules of votes and terms apply to it.

--- a/crates/bronzespool-consensus/src/node/join.rs
+++ b/crates/bronzespool-consensus/src/node/join.rs
@@ -96,7 +96,7 @@
             return;
         }
         let membership = self.log.membership();
-        let retired = membership.is_retired(id);
+        let retired = self.is_retired(id);
         let is_member = membership.get(id).is_some();
         let bootstrap_compacted = is_member && self.log.get(1).is_none();
         self.send_synced(
--- a/crates/bronzespool-consensus/src/node/mod.rs
+++ b/crates/bronzespool-consensus/src/node/mod.rs
@@ -263,7 +263,7 @@
         if !self.check_cluster(&message) {
             return;
         }
-        if self.log.membership().is_retired(message.from) {
+        if self.is_retired(message.from) {
             let body = MessageBody::DiscoveryResponse { retired: true, listed: false };
             self.send_to(from, message.from, self.hard_state.term, body);
             return;
@@ -320,6 +320,12 @@
         true
     }
 
+    /// Whether a committed entry has removed the identity. An identity that learns of its removal
+    /// stops for good, so that a removal which may still be undone does not count.
+    fn is_retired(&self, id: ReplicaId) -> bool {
+        self.log.membership_at(self.commit).is_retired(id)
+    }
+
     fn check_leader(&self) -> Result<()> {
         if self.is_leader() {
             return Ok(());
