fix(consensus): promote a learner only by a commit index of the leader's term

Cause: a learner counts as caught up once it holds what was committed a heartbeat ago. If its first entry was not committed within two heartbeats, this old index was the one that learners were measured by, and a learner that was never heard from in the term (matched 0) reached it.

What callers saw: after a power loss of all machines the leader made a learner a voter whose disk was lost. With a lost voter beside it, the new set had no quorum, and the cluster had no leader ever again.

Change: a commit index below the first entry of the leader's term promotes no learner.

Why it works: the first entry of the term is committed by this leader, so that a learner which holds it has acknowledged it to this leader.

--- a/crates/bronzespool-consensus/src/node/join.rs
+++ b/crates/bronzespool-consensus/src/node/join.rs
@@ -283,6 +283,11 @@
     fn caught_up_learner(&self) -> Option<ReplicaId> {
         let RoleState::Leader(leader) = &self.role_state else { return None };
         let earlier_commit = leader.recent_commits[1];
+        // Below its first entry, the commit index is only the one that this leader knew at its
+        // start. Any learner reaches it, even one that was never heard from.
+        if earlier_commit < leader.first_index {
+            return None;
+        }
         let is_caught_up =
             |id: ReplicaId| leader.peers.get(&id).is_some_and(|p| p.matched >= earlier_commit);
         let learners = self.log.membership().members.iter().filter(|m| !m.voter);
--- a/crates/bronzespool-consensus/tests/unlisted.rs
+++ b/crates/bronzespool-consensus/tests/unlisted.rs
@@ -96,3 +96,29 @@
     c.start(stopped);
     c.run_until("retirement", |c| c.node(stopped).status().role == Role::Retired);
 }
+
+#[test]
+fn advance_membership_learner_unheard_since_restart_is_not_promoted() {
+    let mut c = Cluster::with_settings(4, use_seeds);
+    c.run_until("learner", |c| {
+        let status = c.leader().map(|i| c.node(i).status());
+        status.is_some_and(|s| s.members.iter().any(|m| m.name == name(3) && !m.voter))
+    });
+    // The learner is lost for good. Then the others lose power, and one of them its disk.
+    for i in [3, 2, 1, 0] {
+        c.stop(i);
+    }
+    c.replicas[3].disk.wipe();
+    c.replicas[2].disk.wipe();
+    c.start(0);
+    c.start(1);
+    c.run_until("leader", |c| c.leader().is_some());
+    // The leader sends several heartbeats before it can commit its first entry.
+    c.isolated[0] = true;
+    c.run(SECOND / 6);
+    c.isolated[0] = false;
+    c.commit(b"a");
+    c.run(SECOND * 5);
+    c.commit(b"b");
+    assert!(!voters(&mut c).contains(&name(3).to_string()));
+}
