fix(consensus): let a voter stand until its removal is committed

Cause: a replica stands for election only if the newest membership of its log has it as a voter. A leader that is removed appends the entry that ends the joint set before anyone else holds it. If it loses leadership then, the others cannot win without its vote where the joint set needs it, since their logs are shorter, and it does not stand itself.

What callers saw: with one more lost disk, which the joint set tolerates, there was no leader ever again. The daemon removes silent voters only and never its own leader, so that only Node::remove leads here.

Change: a replica stands if any membership from the commit index on has it as a voter.

Why it works: an election still needs a majority of the candidate's newest set, and votes still go to logs that are as long. Elected, the replica commits the entry with the others and steps down, as a leader that is removed does.

--- a/crates/bronzespool-consensus/src/log.rs
+++ b/crates/bronzespool-consensus/src/log.rs
@@ -128,7 +128,16 @@
 
     /// Membership in effect at `index`.
     pub(crate) fn membership_at(&self, index: Index) -> &Membership {
-        let count = self.memberships.partition_point(|(at, _)| *at <= index).max(1);
-        &self.memberships[count - 1].1
+        &self.memberships[self.membership_position(index)].1
+    }
+
+    /// Membership in effect at `index` and all later ones.
+    pub(crate) fn memberships_from(&self, index: Index) -> impl Iterator<Item = &Membership> {
+        self.memberships[self.membership_position(index)..].iter().map(|(_, m)| m)
+    }
+
+    fn membership_position(&self, index: Index) -> usize {
+        let count = self.memberships.partition_point(|(at, _)| *at <= index);
+        count.saturating_sub(1)
     }
 }
--- a/crates/bronzespool-consensus/src/node/election.rs
+++ b/crates/bronzespool-consensus/src/node/election.rs
@@ -87,7 +87,7 @@
     pub(super) fn start_pre_vote(&mut self) {
         self.reset_election_deadline();
         self.leader = None;
-        if !self.log.membership().is_voter(self.hard_state.id) {
+        if !self.may_stand() {
             return;
         }
         self.role_state = RoleState::PreCandidate(Vec::new());
@@ -100,6 +100,12 @@
         );
     }
 
+    /// Whether this replica may be elected. A voter whose removal may not be committed yet can be
+    /// the only one that holds the last entries. If elected, it commits its removal and steps down.
+    fn may_stand(&self) -> bool {
+        self.log.memberships_from(self.commit).any(|m| m.is_voter(self.hard_state.id))
+    }
+
     pub(super) fn start_election(&mut self, kind: VoteKind) {
         self.hard_state.term += 1;
         self.hard_state.vote = Some(self.hard_state.id);
--- a/crates/bronzespool-consensus/tests/membership.rs
+++ b/crates/bronzespool-consensus/tests/membership.rs
@@ -267,6 +267,29 @@
     assert_eq!(voters(&mut c, leader), 2);
 }
 
+#[test]
+fn remove_leader_alone_with_last_entry_is_elected_again() {
+    let mut c = Cluster::new(4);
+    c.commit(b"a");
+    let old = c.elect();
+    let (now, id) = (c.now, c.node(old).id());
+    c.node(old).remove(now, &name(old)).unwrap();
+    // Only the leader holds the entry that removes it, and all lose power.
+    c.run_until("last entry of the change", |c| {
+        c.node(old).status().members.iter().all(|m| m.id != id)
+    });
+    c.in_flight.clear();
+    (0..4).for_each(|i| c.stop(i));
+    // The joint set has a majority without one of the others, together with the old leader.
+    let lost = (old + 1) % 4;
+    c.replicas[lost].disk.wipe();
+    (0..4).filter(|i| *i != lost).for_each(|i| c.start(i));
+    c.commit(b"b");
+    let leader = c.elect();
+    assert_ne!(leader, old);
+    assert_eq!(voters(&mut c, leader), 3);
+}
+
 #[test]
 fn remove_last_voter_is_refused() {
     let mut c = Cluster::new(1);
