fix(consensus): find the set that still addresses a former identity

Cause: a replica with a blank disk asks the instances of its settings for the cluster. If all others of them were removed, no one answers it, although the leader keeps sending to the identity that the lost disk had under this name. Messages to another identity were dropped without a trace.

What callers saw: the replica stayed blank, so that the set had one voter less for good and tolerated one loss less.

Change: a replica outside the set remembers who sends to a former identity of its instance, and asks these instances too. Only where unlisted instances may join.

--- a/crates/bronzespool-consensus/src/node/join.rs
+++ b/crates/bronzespool-consensus/src/node/join.rs
@@ -143,6 +143,14 @@
         self.try_bootstrap();
     }
 
+    /// Remembers an instance that sends messages to the former identity of this one. The set that it
+    /// belongs to can be joined, even if no instance of the settings is left.
+    pub(super) fn on_message_to_other(&mut self, from: &Instance) {
+        if self.settings.allow_unlisted && self.is_non_member() {
+            self.join.learned_names.insert(from.clone());
+        }
+    }
+
     /// Adds the members of a set that this replica wants to join. The leader of that set may be
     /// an instance that is not in the settings.
     pub(super) fn on_member_names(&mut self, to: ReplicaId, names: Vec<Instance>) {
--- a/crates/bronzespool-consensus/src/node/mod.rs
+++ b/crates/bronzespool-consensus/src/node/mod.rs
@@ -177,7 +177,11 @@
     pub fn receive(&mut self, now: Time, from: &Instance, message: Message) {
         self.advance_clock(now);
         let is_addressed = message.to == ReplicaId(0) || message.to == self.hard_state.id;
-        if !is_addressed || !message.is_bounded() {
+        if !is_addressed {
+            self.on_message_to_other(from);
+            return;
+        }
+        if !message.is_bounded() {
             return;
         }
         match message.body {
--- a/crates/bronzespool-consensus/tests/unlisted.rs
+++ b/crates/bronzespool-consensus/tests/unlisted.rs
@@ -69,6 +69,21 @@
     assert!(status.members.iter().any(|m| m.id == id && m.voter), "{status:?}");
 }
 
+#[test]
+fn discovery_without_seeds_finds_set_that_knows_former_identity() {
+    let mut c = cluster_of(7);
+    c.commit(b"a");
+    // All other instances that the settings name are gone.
+    c.stop(0);
+    c.stop(1);
+    c.wipe(2);
+    let id = c.node(2).id();
+    c.run_until("replacement", |c| {
+        let status = c.leader().map(|i| c.node(i).status());
+        status.is_some_and(|s| s.members.iter().any(|m| m.id == id && m.voter))
+    });
+}
+
 #[test]
 fn surplus_voter_silent_in_even_set_is_removed() {
     let mut c = cluster_of(4);
