fix(consensus): retire an identity that was removed while it was blank

Cause: a replica takes the word that its identity is removed only from its own cluster. One that was added as a learner, and displaced by another identity of its instance before any entry reached it, belongs to no cluster yet: it ignored the word, and the leader adds no identity that was removed.

What callers saw: the replica stayed blank, so that the set had one voter less for good. It takes a request to join from an earlier identity of the instance that arrives late, while the present one is silent for four election timeouts.

Change: a replica without a cluster takes the word as well. The message names its identity, which is random, and nothing is stored under that identity yet. The daemon then starts with a new one.

--- a/crates/bronzespool-consensus/src/node/join.rs
+++ b/crates/bronzespool-consensus/src/node/join.rs
@@ -128,7 +128,9 @@
         if message.to != self.hard_state.id {
             return;
         }
-        if retired && message.cluster == self.hard_state.cluster {
+        // A blank replica may have been a learner that was removed before any entry reached it.
+        let is_own_cluster = [0, message.cluster].contains(&self.hard_state.cluster);
+        if retired && is_own_cluster {
             self.retired = true;
             return;
         }
--- a/crates/bronzespool-consensus/tests/retirement.rs
+++ b/crates/bronzespool-consensus/tests/retirement.rs
@@ -5,7 +5,8 @@
 
 use {
     bronzespool_consensus::{
-        Entry, EntryPayload, Membership, Message, MessageBody, Node, ReplicaId, VoteKind,
+        Entry, EntryPayload, Membership, Message, MessageBody, Node, ReplicaId, Role, Settings,
+        Storage, VoteKind, fake::MemoryStorage,
     },
     bronzespool_core::Time,
     common::{OTHER, OWN, bodies, follower, message, name},
@@ -94,3 +95,15 @@
     assert_eq!(node.leader(), Some(&name(2)));
     assert!(node.status().joint);
 }
+
+#[test]
+fn receive_removal_of_blank_identity_retires_it() {
+    let settings = Settings::new(name(0), (0..3).map(name).collect(), 1);
+    let restored = MemoryStorage::default().load().unwrap();
+    let mut node = Node::open(settings, restored, Time::ZERO).unwrap();
+    // It was added as a learner and removed again before any entry reached it.
+    let body = MessageBody::DiscoveryResponse { retired: true, listed: false };
+    let response = Message { to: node.id(), ..message(TERM, body) };
+    node.receive(Time::ZERO, &name(1), response);
+    assert_eq!(node.status().role, Role::Retired);
+}
