fix(consensus): empty the folder of a removed identity at its next start

Cause: a replica that was removed deleted the files of its folder one by one before its process ended. After a power loss any of them can be back, and the writer thread may still replace them meanwhile.

Change: FileStorage::clear_at_next_open makes an order durable, as a file that is written like the others. The next open carries it out before it reads anything, and removes the order last.

Why it works: while the order exists no other file counts, whichever of them a power loss brought back. At the next start the former process and its writer are gone.

--- a/crates/bronzespool-consensus/src/storage/file.rs
+++ b/crates/bronzespool-consensus/src/storage/file.rs
@@ -2,7 +2,8 @@
 //!
 //! `log` contains frames of the records since the last snapshot, `snapshot` the last snapshot,
 //! and `lock` prevents a second process from opening the folder. A file is replaced by writing a
-//! new file under another name, syncing and renaming it, and then syncing the folder.
+//! new file under another name, syncing and renaming it, and then syncing the folder. While `clear`
+//! exists, the other files do not count.
 
 use {
     super::{
@@ -26,6 +27,7 @@
 const LOG_FILE: &str = "log";
 const SNAPSHOT_FILE: &str = "snapshot";
 const LOCK_FILE: &str = "lock";
+const CLEAR_FILE: &str = "clear";
 /// Extension of a replacement file that is not yet complete.
 const PARTIAL_EXTENSION: &str = "partial";
 
@@ -48,6 +50,7 @@
         fs::create_dir_all(&folder).map_err(storage_error)?;
         sync_folder(folder.parent())?;
         let lock = lock_folder(&folder)?;
+        finish_clear(&folder)?;
         let snapshot = read_snapshot(&folder)?;
         let state = read_log(&folder, snapshot)?;
         let log =
@@ -55,6 +58,13 @@
         Ok(Self { folder, log, state, failed: false, _lock: lock })
     }
 
+    /// Orders that the folder is emptied when it is next opened. The order is durable on return. A
+    /// power loss while files are removed can keep any of them, and a storage that is still open can
+    /// write again, so that removal right away could leave a part of the state.
+    pub fn clear_at_next_open(folder: &Path) -> Result<()> {
+        write_file(folder, CLEAR_FILE, &[])
+    }
+
     fn write_all(&mut self, writes: &[StorageWrite]) -> Result<()> {
         let mut records = Vec::new();
         for write in writes {
@@ -140,6 +150,25 @@
     sync_folder(Some(folder))
 }
 
+/// Empties the folder if that was ordered.
+fn finish_clear(folder: &Path) -> Result<()> {
+    if read_file(folder, CLEAR_FILE)?.is_none() {
+        return Ok(());
+    }
+    remove_file(folder, LOG_FILE)?;
+    remove_file(folder, SNAPSHOT_FILE)?;
+    sync_folder(Some(folder))?;
+    remove_file(folder, CLEAR_FILE)?;
+    sync_folder(Some(folder))
+}
+
+fn remove_file(folder: &Path, name: &str) -> Result<()> {
+    match fs::remove_file(folder.join(name)) {
+        Err(e) if e.kind() != ErrorKind::NotFound => Err(storage_error(e)),
+        _ => Ok(()),
+    }
+}
+
 fn read_file(folder: &Path, name: &str) -> Result<Option<Vec<u8>>> {
     match fs::read(folder.join(name)) {
         Ok(bytes) => Ok(Some(bytes)),
--- a/crates/bronzespool-consensus/tests/storage.rs
+++ b/crates/bronzespool-consensus/tests/storage.rs
@@ -236,6 +236,36 @@
     assert_eq!(code(load(dir.path())), Some(Code::RecordCorrupt));
 }
 
+/// A folder with a log and a snapshot.
+fn fill_with_snapshot(folder: &Path) {
+    fill(folder);
+    let mut disk = FileStorage::open(folder).unwrap();
+    disk.write(&[StorageWrite::Snapshot(snapshot(3, 2))]).unwrap();
+}
+
+#[test]
+fn clear_at_next_open_is_blank() {
+    let dir = TempDir::new().unwrap();
+    fill_with_snapshot(dir.path());
+    FileStorage::clear_at_next_open(dir.path()).unwrap();
+    assert_eq!(load(dir.path()), Ok(DurableState::default()));
+    FileStorage::open(dir.path()).unwrap().write(&batches()[0]).unwrap();
+    assert_eq!(load(dir.path()).unwrap().hard_state, Some(hard_state(1)));
+}
+
+#[test]
+fn clear_at_next_open_power_loss_meanwhile_is_blank() {
+    for kept in [&[][..], &["log"], &["snapshot"], &["log", "snapshot"]] {
+        let dir = TempDir::new().unwrap();
+        fill_with_snapshot(dir.path());
+        FileStorage::clear_at_next_open(dir.path()).unwrap();
+        for name in ["log", "snapshot"].iter().filter(|name| !kept.contains(*name)) {
+            fs::remove_file(dir.path().join(name)).unwrap();
+        }
+        assert_eq!(load(dir.path()), Ok(DurableState::default()), "kept {kept:?}");
+    }
+}
+
 #[test]
 fn open_twice_is_refused() {
     let dir = TempDir::new().unwrap();
--- a/crates/bronzespoold/src/control/start.rs
+++ b/crates/bronzespoold/src/control/start.rs
@@ -43,7 +43,7 @@
     /// the replicated log failed: {0}
     Log(consensus::Error),
     /// cannot empty the data folder: {0}
-    Clear(std::io::Error),
+    Clear(consensus::Error),
 }
 
 impl std::error::Error for Error {}
@@ -188,14 +188,11 @@
     Ok(())
 }
 
-/// Empties the data folder of an identity that is no longer a member, so that the next start joins
-/// under a new identity.
-fn clear_data_dir(data_dir: &Path) -> std::io::Result<()> {
+/// Has the data folder of an identity that is no longer a member emptied, so that the next start
+/// joins under a new identity.
+fn clear_data_dir(data_dir: &Path) -> consensus::Result<()> {
     event::ReplicaRemoved { data: data_dir.display().to_string() }.emit();
-    for entry in std::fs::read_dir(data_dir)? {
-        std::fs::remove_file(entry?.path())?;
-    }
-    std::fs::File::open(data_dir)?.sync_all()
+    FileStorage::clear_at_next_open(data_dir)
 }
 
 /// Longest time from a decision to the end of the session of an agent that has not received it: an
