--- a/crates/bronzespool-consensus/src/node/join.rs
+++ b/crates/bronzespool-consensus/src/node/join.rs
@@ -16,8 +16,11 @@
 
 /// Term of the entry that bootstraps a cluster.
 const BOOTSTRAP_TERM: Term = 1;
-/// Election timeouts of silence after which an identity may be replaced.
-const REPLACE_ELECTIONS: u32 = 4;
+/// Election timeouts of silence after which another identity of the same instance takes the place
+/// of one. Only one process can have the instance's address, so that the silent one is gone.
+const REPLACE_ELECTIONS: u32 = 1;
+/// Election timeouts of silence after which a surplus voter is removed.
+const SURPLUS_ELECTIONS: u32 = 3;
 /// Election timeouts without a leader after which a member contacts its peers again.
 const SILENT_ELECTIONS: u32 = 3;
 /// Smallest even number of voters at which a silent one may be removed.
@@ -96,7 +99,7 @@
             return;
         }
         let membership = self.log.membership();
-        let retired = membership.is_retired(id);
+        let retired = self.is_retired(id);
         let is_member = membership.get(id).is_some();
         let bootstrap_compacted = is_member && self.log.get(1).is_none();
         self.send_synced(
@@ -128,7 +131,9 @@
         if message.to != self.hard_state.id {
             return;
         }
-        if retired && message.cluster == self.hard_state.cluster {
+        // A blank replica may have been a learner that was removed before any entry reached it.
+        let is_own_cluster = [0, message.cluster].contains(&self.hard_state.cluster);
+        if retired && is_own_cluster {
             self.retired = true;
             return;
         }
@@ -143,6 +148,14 @@
         self.try_bootstrap();
     }
 
+    /// Remembers an instance that sends messages to the former identity of this one. The set that it
+    /// belongs to can be joined, even if no instance of the settings is left.
+    pub(super) fn on_message_to_other(&mut self, from: &Instance) {
+        if self.settings.allow_unlisted && self.is_non_member() {
+            self.join.learned_names.insert(from.clone());
+        }
+    }
+
     /// Adds the members of a set that this replica wants to join. The leader of that set may be
     /// an instance that is not in the settings.
     pub(super) fn on_member_names(&mut self, to: ReplicaId, names: Vec<Instance>) {
@@ -266,7 +279,7 @@
         {
             return None;
         }
-        let timeout: Duration = self.settings.election_timeout * REPLACE_ELECTIONS;
+        let timeout: Duration = self.settings.election_timeout * SURPLUS_ELECTIONS;
         let is_silent = |m: &&&Member| {
             let progress = leader.peers.get(&m.id);
             progress
@@ -283,6 +296,11 @@
     fn caught_up_learner(&self) -> Option<ReplicaId> {
         let RoleState::Leader(leader) = &self.role_state else { return None };
         let earlier_commit = leader.recent_commits[1];
+        // Below its first entry, the commit index is only the one that this leader knew at its
+        // start. Any learner reaches it, even one that was never heard from.
+        if earlier_commit < leader.first_index {
+            return None;
+        }
         let is_caught_up =
             |id: ReplicaId| leader.peers.get(&id).is_some_and(|p| p.matched >= earlier_commit);
         let learners = self.log.membership().members.iter().filter(|m| !m.voter);
--- a/crates/bronzespool-consensus/src/node/mod.rs
+++ b/crates/bronzespool-consensus/src/node/mod.rs
@@ -177,7 +177,11 @@
     pub fn receive(&mut self, now: Time, from: &Instance, message: Message) {
         self.advance_clock(now);
         let is_addressed = message.to == ReplicaId(0) || message.to == self.hard_state.id;
-        if !is_addressed || !message.is_bounded() {
+        if !is_addressed {
+            self.on_message_to_other(from);
+            return;
+        }
+        if !message.is_bounded() {
             return;
         }
         match message.body {
@@ -263,7 +267,7 @@
         if !self.check_cluster(&message) {
             return;
         }
-        if self.log.membership().is_retired(message.from) {
+        if self.is_retired(message.from) {
             let body = MessageBody::DiscoveryResponse { retired: true, listed: false };
             self.send_to(from, message.from, self.hard_state.term, body);
             return;
@@ -320,6 +324,12 @@
         true
     }
 
+    /// Whether a committed entry has removed the identity. An identity that learns of its removal
+    /// stops for good, so that a removal which may still be undone does not count.
+    fn is_retired(&self, id: ReplicaId) -> bool {
+        self.log.membership_at(self.commit).is_retired(id)
+    }
+
     fn check_leader(&self) -> Result<()> {
         if self.is_leader() {
             return Ok(());
