test(batch): model refusals, dead agents, late records and polls, restarts

It applied each record at once, lost no process with a call under way that is carried out later, and had a worker that restarts reject calls for its former incarnation, which a worker of the same name does not.

Change: the model is a folder of small modules. The worker keeps one lease for all its runs, may refuse calls, be silent, or start again under its name. The leader proposes and applies records in two moves, plans, answers polls from the state it has, and keeps grants by incarnation, as bronzespoold::control::batch does. Polls, calls, lists and check-ins may be late, doubled or overtaken. Lists take two moves. New invariants: the worker's room, and that all tasks end once nothing disturbs the system. Answers to a process that has ended reach nobody any more, as its connections end with it.

The random search finds six injected faults, and a replay the seventh, a new leader that answers before its log is applied.

--- /dev/null
+++ b/crates/bronzespool-batch/tests/model/explore.rs
@@ -0,0 +1,102 @@
+//! Searches of the code as it is, and of the code with injected faults.
+
+use crate::{
+    fault::{FaultKind, InjectedFault},
+    invariant::Invariant,
+    message::Kind,
+    moves::Move,
+    scope::Scope,
+    search::Search,
+};
+
+/// Number of random histories of one search, unless the environment variable `MODEL_HISTORIES` asks
+/// for more.
+const HISTORIES: u64 = 5_000;
+/// Most random histories in which an injected fault must be found.
+const INJECTED_HISTORIES: u64 = 4_000;
+
+#[track_caller]
+fn check_at_random(scope: Scope) {
+    let wanted = std::env::var("MODEL_HISTORIES").map_or(HISTORIES, |h| h.parse().unwrap());
+    let (violation, histories) = Search::new(scope).at_random(0..wanted);
+    if let Some(violation) = violation {
+        panic!("history {histories}: {violation}");
+    }
+}
+
+#[test]
+fn explore_no_history_violates_an_invariant() {
+    let (violation, states) = Search::new(Scope::BREADTH).by_breadth();
+    if let Some(violation) = violation {
+        panic!("after {states} states: {violation}");
+    }
+    println!("{states} states");
+    assert!(states >= 10_000, "only {states} states were explored");
+}
+
+#[test]
+fn explore_injected_faults_are_found() {
+    let faults = [
+        InjectedFault::UnknownIsRefused,
+        InjectedFault::ShortLease,
+        InjectedFault::LateGrant,
+        InjectedFault::EarlyCursor,
+        InjectedFault::FormerIncarnation,
+    ];
+    for injected in faults {
+        let search = Search { injected, ..Search::new(Scope::BREADTH) };
+        let (violation, states) = search.by_breadth();
+        let Some(violation) = violation else {
+            panic!("{injected:?} is not found in {states} states");
+        };
+        println!("{injected:?} after {states} states: {violation}");
+    }
+}
+
+#[test]
+fn search_lost_messages_and_replacements() {
+    check_at_random(Scope::DEPTH);
+}
+
+#[test]
+fn search_injected_faults_are_found() {
+    let agents = Scope { faults: &[FaultKind::Agent], ..Scope::DEPTH };
+    let refusals = Scope { faults: &[FaultKind::Message, FaultKind::Refusal], ..Scope::DEPTH };
+    let faults = [
+        (InjectedFault::UnknownIsRefused, Invariant::OneRun, Scope::DEPTH),
+        (InjectedFault::RefusedIsFinal, Invariant::OneRun, refusals),
+        (InjectedFault::UnnamedGrant, Invariant::OneRun, agents),
+        (InjectedFault::EarlyRelease, Invariant::Room, Scope::DEPTH),
+        (InjectedFault::EarlyCursor, Invariant::OneEnd, Scope::DEPTH),
+        (InjectedFault::SilentRefusal, Invariant::Progress, Scope::DEPTH),
+    ];
+    for (injected, invariant, scope) in faults {
+        let search = Search { scope, injected, invariants: &[invariant] };
+        let (violation, histories) = search.at_random(0..INJECTED_HISTORIES);
+        let Some(violation) = violation else {
+            panic!("{injected:?} is not found in {histories} histories");
+        };
+        println!("{injected:?} after {histories} histories: {violation}");
+    }
+}
+
+#[test]
+fn replay_unapplied_log_of_new_leader_is_found() {
+    let history = [
+        Move::Lose(Kind::Start, 0),
+        Move::Tick,
+        Move::Tick,
+        Move::Tick,
+        Move::Tick,
+        Move::PlanElsewhere,
+        Move::NewLeader,
+        Move::PollNow,
+        Move::Deliver(Kind::Start, 0),
+        Move::Commit,
+    ];
+    let search = Search::new(Scope { records_wait: true, ..Scope::DEPTH });
+    assert_eq!(search.replay(&history), None);
+    let injected = InjectedFault::UnappliedLog;
+    let found = Search { injected, ..search }.replay(&history);
+    assert_eq!(found, Some((Invariant::OneRun, history.len())));
+}
