--- a/crates/bronzespool-batch/tests/model/fault.rs
+++ b/crates/bronzespool-batch/tests/model/fault.rs
@@ -28,6 +28,22 @@
     Cancel,
 }
 
+impl FaultKind {
+    /// All kinds, apart from calls that arrive twice.
+    pub(crate) const ALL: &[Self] = &[
+        Self::Message,
+        Self::Refusal,
+        Self::Agent,
+        Self::Leader,
+        Self::Record,
+        Self::Poll,
+        Self::Replacement,
+        Self::Restart,
+        Self::Silence,
+        Self::Cancel,
+    ];
+}
+
 /// A fault of the code that the model injects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum InjectedFault {
--- a/crates/bronzespool-batch/tests/model/main.rs
+++ b/crates/bronzespool-batch/tests/model/main.rs
@@ -18,6 +18,7 @@
 mod leader;
 mod message;
 mod moves;
+mod regressions;
 mod scope;
 mod search;
 mod state;
--- /dev/null
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -0,0 +1,40 @@
+//! Histories that have broken an invariant. Moves that are not possible any more are left out.
+
+use crate::{
+    fault::FaultKind,
+    message::Kind,
+    moves::Move::{self, *},
+    scope::Scope,
+    search::Search,
+};
+
+/// Records are applied at once.
+const APPLIED_AT_ONCE: Scope = Scope { faults: FaultKind::ALL, ..Scope::DEPTH };
+
+#[track_caller]
+fn check(scope: Scope, history: &[Move]) {
+    if let Some((invariant, moves)) = Search::new(scope).replay(history) {
+        panic!("{invariant}, after {moves} of {} moves", history.len());
+    }
+}
+
+// The worker runs the run, but a list from before its start arrives last, and a repeated start is
+// refused.
+#[test]
+fn refused_start_after_overtaken_list_keeps_run() {
+    check(
+        APPLIED_AT_ONCE,
+        &[
+            List,
+            Deliver(Kind::List, 0),
+            Deliver(Kind::Start, 0),
+            Deliver(Kind::Answer, 0),
+            ListNow,
+            Deliver(Kind::Listing, 0),
+            PollNow,
+            Refuse(Kind::Start, 0),
+            Deliver(Kind::Answer, 0),
+            PollNow,
+        ],
+    );
+}
