--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -38,3 +38,27 @@
         ],
     );
 }
+
+// The worker runs the run, but the answer to a poll from before its start orders it again, and the
+// worker refuses this start.
+#[test]
+fn refused_start_by_earlier_poll_keeps_run() {
+    check(
+        APPLIED_AT_ONCE,
+        &[
+            Lose(Kind::Start, 0),
+            Poll,
+            Poll,
+            Deliver(Kind::Poll, 0),
+            Deliver(Kind::Orders, 0),
+            Deliver(Kind::Start, 0),
+            Deliver(Kind::Answer, 0),
+            ListNow,
+            Deliver(Kind::Poll, 0),
+            Deliver(Kind::Orders, 0),
+            Refuse(Kind::Start, 0),
+            Deliver(Kind::Answer, 0),
+            PollNow,
+        ],
+    );
+}
