--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -62,3 +62,22 @@
         ],
     );
 }
+
+// A start by the former process of the agent is carried out after the worker has refused one by the
+// next process.
+#[test]
+fn refused_start_of_next_process_keeps_run_of_former_process() {
+    check(
+        APPLIED_AT_ONCE,
+        &[
+            NewAgent,
+            Tick,
+            ListNow,
+            PollNow,
+            Refuse(Kind::Start, 1),
+            Deliver(Kind::Answer, 0),
+            PollNow,
+            Deliver(Kind::Start, 0),
+        ],
+    );
+}
