--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -10,6 +10,8 @@
 
 /// Records are applied at once.
 const APPLIED_AT_ONCE: Scope = Scope { faults: FaultKind::ALL, ..Scope::DEPTH };
+/// Records are on their way until a move applies them.
+const APPLIED_LATER: Scope = Scope { records_wait: true, ..APPLIED_AT_ONCE };
 
 #[track_caller]
 fn check(scope: Scope, history: &[Move]) {
@@ -81,3 +83,24 @@
         ],
     );
 }
+
+// The next process of the agent starts a run while the record that the worker refused it is on its
+// way.
+#[test]
+fn refused_run_is_not_started_by_next_process_before_record_is_applied() {
+    check(
+        APPLIED_LATER,
+        &[
+            Refuse(Kind::Start, 0),
+            Deliver(Kind::Answer, 0),
+            Poll,
+            Deliver(Kind::Poll, 0),
+            NewAgent,
+            Tick,
+            ListNow,
+            PollNow,
+            Deliver(Kind::Start, 0),
+            Commit,
+        ],
+    );
+}
