--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -104,3 +104,37 @@
         ],
     );
 }
+
+// As before, with a process that has run long enough that no former one has a call under way.
+#[test]
+fn refused_run_is_not_started_by_next_process_after_long_run() {
+    check(
+        APPLIED_LATER,
+        &[
+            Deliver(Kind::Start, 0),
+            Tick,
+            Tick,
+            Tick,
+            Finish(0),
+            ListNow,
+            PollNow,
+            Commit,
+            Tick,
+            Tick,
+            PollNow,
+            PlanHome,
+            Commit,
+            PollNow,
+            Refuse(Kind::Start, 0),
+            Deliver(Kind::Answer, 0),
+            PollNow,
+            NewAgent,
+            Tick,
+            PollNow,
+            ListNow,
+            PollNow,
+            Commit,
+            Deliver(Kind::Start, 0),
+        ],
+    );
+}
