--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -138,3 +138,24 @@
         ],
     );
 }
+
+// The next process of the agent reads the worker's clock, and extends its lease by orders for no
+// worker, of which the leader knows no grant.
+#[test]
+fn lease_is_not_extended_by_orders_without_incarnation() {
+    check(
+        APPLIED_AT_ONCE,
+        &[
+            Deliver(Kind::Start, 0),
+            NewAgent,
+            Tick,
+            PollNow,
+            Tick,
+            ListNow,
+            ListNow,
+            Tick,
+            Tick,
+            PlanElsewhere,
+        ],
+    );
+}
