--- a/crates/bronzespool-batch/tests/model/explore.rs
+++ b/crates/bronzespool-batch/tests/model/explore.rs
@@ -58,6 +58,13 @@
     check_at_random(Scope::DEPTH);
 }
 
+const AGENTS: &[FaultKind] = &[FaultKind::Message, FaultKind::Agent, FaultKind::Refusal];
+
+#[test]
+fn search_replaced_agents() {
+    check_at_random(Scope { faults: AGENTS, ..Scope::DEPTH });
+}
+
 #[test]
 fn search_injected_faults_are_found() {
     let agents = Scope { faults: &[FaultKind::Agent], ..Scope::DEPTH };
