--- a/crates/bronzespool-batch/tests/model/explore.rs
+++ b/crates/bronzespool-batch/tests/model/explore.rs
@@ -58,6 +58,13 @@
     check_at_random(Scope::DEPTH);
 }
 
+const REFUSALS: &[FaultKind] = &[FaultKind::Message, FaultKind::Refusal];
+
+#[test]
+fn search_refused_calls() {
+    check_at_random(Scope { faults: REFUSALS, ..Scope::DEPTH });
+}
+
 const AGENTS: &[FaultKind] = &[FaultKind::Message, FaultKind::Agent, FaultKind::Refusal];
 
 #[test]
