--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -159,3 +159,22 @@
         ],
     );
 }
+
+// The leader orders a start while the record that the worker is gone is on its way.
+#[test]
+fn poll_before_record_of_ended_leases_starts_nothing() {
+    check(
+        APPLIED_LATER,
+        &[
+            Lose(Kind::Start, 0),
+            Tick,
+            Tick,
+            Tick,
+            Tick,
+            PlanElsewhere,
+            PollNow,
+            Deliver(Kind::Start, 0),
+            Commit,
+        ],
+    );
+}
