--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -178,3 +178,23 @@
         ],
     );
 }
+
+// As before, and the leader has ended its wait for the record.
+#[test]
+fn poll_before_record_of_failed_plan_starts_nothing() {
+    check(
+        APPLIED_LATER,
+        &[
+            Lose(Kind::Start, 0),
+            Tick,
+            Tick,
+            Tick,
+            Tick,
+            PlanElsewhere,
+            FailPlan,
+            PollNow,
+            Deliver(Kind::Start, 0),
+            Commit,
+        ],
+    );
+}
