--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -198,3 +198,22 @@
         ],
     );
 }
+
+// As before, and the start is carried out while the next leader has the record.
+#[test]
+fn poll_before_record_of_former_leader_starts_nothing() {
+    check(
+        APPLIED_LATER,
+        &[
+            Lose(Kind::Start, 0),
+            Tick,
+            Tick,
+            Tick,
+            Tick,
+            PlanElsewhere,
+            PollNow,
+            NewLeader,
+            Deliver(Kind::Start, 0),
+        ],
+    );
+}
