--- a/crates/bronzespool-batch/tests/model/explore.rs
+++ b/crates/bronzespool-batch/tests/model/explore.rs
@@ -72,6 +72,13 @@
     check_at_random(Scope { faults: AGENTS, ..Scope::DEPTH });
 }
 
+const RECORDS: &[FaultKind] = &[FaultKind::Message, FaultKind::Leader, FaultKind::Record];
+
+#[test]
+fn search_delayed_records() {
+    check_at_random(Scope { faults: RECORDS, records_wait: true, ..Scope::DEPTH });
+}
+
 #[test]
 fn search_injected_faults_are_found() {
     let agents = Scope { faults: &[FaultKind::Agent], ..Scope::DEPTH };
