--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -217,3 +217,33 @@
         ],
     );
 }
+
+// A poll arrives twice and says that a worker is gone, which has come back in between.
+#[test]
+fn doubled_poll_does_not_end_worker_that_came_back() {
+    check(
+        APPLIED_AT_ONCE,
+        &[
+            Tick,
+            Cut,
+            Tick,
+            Tick,
+            List,
+            Tick,
+            Deliver(Kind::Start, 0),
+            Tick,
+            Poll,
+            Heal,
+            Duplicate(Kind::Poll, 0),
+            Deliver(Kind::Poll, 0),
+            Tick,
+            ListNow,
+            PollNow,
+            Deliver(Kind::Orders, 0),
+            PlanHome,
+            PollNow,
+            Deliver(Kind::Poll, 0),
+            Deliver(Kind::Start, 0),
+        ],
+    );
+}
