--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -247,3 +247,35 @@
         ],
     );
 }
+
+// A poll that says that a worker is gone is overtaken by one after which the worker is assigned a
+// task.
+#[test]
+fn overtaken_poll_does_not_end_worker_that_came_back() {
+    check(
+        APPLIED_AT_ONCE,
+        &[
+            Deliver(Kind::Start, 0),
+            Cut,
+            Tick,
+            Tick,
+            Tick,
+            List,
+            Tick,
+            Tick,
+            Poll,
+            PollNow,
+            Heal,
+            Deliver(Kind::Orders, 0),
+            Tick,
+            ListNow,
+            PollNow,
+            PlanHome,
+            Deliver(Kind::Orders, 0),
+            PollNow,
+            Deliver(Kind::Poll, 0),
+            Deliver(Kind::Orders, 0),
+            Deliver(Kind::Start, 0),
+        ],
+    );
+}
