--- a/crates/bronzespool-batch/tests/model/explore.rs
+++ b/crates/bronzespool-batch/tests/model/explore.rs
@@ -79,6 +79,13 @@
     check_at_random(Scope { faults: RECORDS, records_wait: true, ..Scope::DEPTH });
 }
 
+const POLLS: &[FaultKind] = &[FaultKind::Message, FaultKind::Poll, FaultKind::Silence];
+
+#[test]
+fn search_late_polls() {
+    check_at_random(Scope { faults: POLLS, ..Scope::DEPTH });
+}
+
 #[test]
 fn search_injected_faults_are_found() {
     let agents = Scope { faults: &[FaultKind::Agent], ..Scope::DEPTH };
