--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -12,6 +12,9 @@
 const APPLIED_AT_ONCE: Scope = Scope { faults: FaultKind::ALL, ..Scope::DEPTH };
 /// Records are on their way until a move applies them.
 const APPLIED_LATER: Scope = Scope { records_wait: true, ..APPLIED_AT_ONCE };
+/// Records are applied at once, and no poll overtakes another one of the same process.
+const IN_ORDER: Scope =
+    Scope { faults: &[FaultKind::Message, FaultKind::Silence], ..APPLIED_AT_ONCE };
 
 #[track_caller]
 fn check(scope: Scope, history: &[Move]) {
@@ -279,3 +282,35 @@
         ],
     );
 }
+
+// The agent drops a silent worker, takes orders for it after it has come back, and then says that it
+// is gone.
+#[test]
+fn worker_that_came_back_is_not_reported_as_gone() {
+    check(
+        IN_ORDER,
+        &[
+            Tick,
+            Deliver(Kind::Start, 0),
+            Finish(0),
+            ListNow,
+            Cut,
+            Tick,
+            ListNow,
+            PollNow,
+            PlanHome,
+            Deliver(Kind::Orders, 0),
+            Tick,
+            Tick,
+            Poll,
+            Tick,
+            Heal,
+            Deliver(Kind::Poll, 0),
+            Deliver(Kind::CheckIn, 0),
+            ListNow,
+            Deliver(Kind::Orders, 0),
+            Deliver(Kind::Start, 0),
+            PollNow,
+        ],
+    );
+}
