--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -163,6 +163,30 @@
     );
 }
 
+// A worker answers again after silence, and the agent extends its lease by orders for no worker.
+#[test]
+fn lease_is_not_extended_after_silence_by_orders_without_incarnation() {
+    check(
+        APPLIED_AT_ONCE,
+        &[
+            Cut,
+            Tick,
+            Deliver(Kind::Start, 0),
+            PollNow,
+            Tick,
+            Tick,
+            ListNow,
+            Tick,
+            PollNow,
+            Heal,
+            ListNow,
+            ListNow,
+            Tick,
+            PlanElsewhere,
+        ],
+    );
+}
+
 // The leader orders a start while the record that the worker is gone is on its way.
 #[test]
 fn poll_before_record_of_ended_leases_starts_nothing() {
