--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -338,3 +338,35 @@
         ],
     );
 }
+
+// A late check-in of a former worker makes the agent say that the current one is gone, which is
+// silent but runs a task under its lease.
+#[test]
+fn late_check_in_of_former_worker_does_not_end_current_worker() {
+    check(
+        APPLIED_AT_ONCE,
+        &[
+            Lose(Kind::Start, 0),
+            Cut,
+            Tick,
+            NewWorker,
+            Heal,
+            Deliver(Kind::CheckIn, 1),
+            ListNow,
+            PollNow,
+            PlanHome,
+            PollNow,
+            Deliver(Kind::Start, 0),
+            Cut,
+            Tick,
+            PollNow,
+            ListNow,
+            Tick,
+            Tick,
+            Tick,
+            Heal,
+            Deliver(Kind::CheckIn, 0),
+            PollNow,
+        ],
+    );
+}
