--- a/crates/bronzespool-batch/tests/model/explore.rs
+++ b/crates/bronzespool-batch/tests/model/explore.rs
@@ -86,6 +86,13 @@
     check_at_random(Scope { faults: POLLS, ..Scope::DEPTH });
 }
 
+const SILENCES: &[FaultKind] = &[FaultKind::Message, FaultKind::Silence];
+
+#[test]
+fn search_silent_workers() {
+    check_at_random(Scope { faults: SILENCES, ..Scope::DEPTH });
+}
+
 #[test]
 fn search_injected_faults_are_found() {
     let agents = Scope { faults: &[FaultKind::Agent], ..Scope::DEPTH };
