--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -370,3 +370,10 @@
         ],
     );
 }
+
+// A start for the former incarnation reaches the next one of the same name, before the agent learns
+// of it.
+#[test]
+fn start_for_former_incarnation_before_check_in_is_counted() {
+    check(APPLIED_AT_ONCE, &[RestartWorker, Deliver(Kind::Start, 0), Tick, ListNow, PollNow]);
+}
