--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -377,3 +377,10 @@
 fn start_for_former_incarnation_before_check_in_is_counted() {
     check(APPLIED_AT_ONCE, &[RestartWorker, Deliver(Kind::Start, 0), Tick, ListNow, PollNow]);
 }
+
+// A start for the former incarnation reaches the next one of the same name, after the agent has
+// listed its runs.
+#[test]
+fn start_for_former_incarnation_after_list_is_not_carried_out() {
+    check(APPLIED_AT_ONCE, &[RestartWorker, Tick, ListNow, PollNow, Deliver(Kind::Start, 0)]);
+}
