--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -384,3 +384,23 @@
 fn start_for_former_incarnation_after_list_is_not_carried_out() {
     check(APPLIED_AT_ONCE, &[RestartWorker, Tick, ListNow, PollNow, Deliver(Kind::Start, 0)]);
 }
+
+// A start for the former incarnation reaches the next one of the same name, and the run ends there
+// as done.
+#[test]
+fn done_end_of_start_for_former_incarnation_is_recorded() {
+    check(
+        APPLIED_AT_ONCE,
+        &[
+            RestartWorker,
+            Deliver(Kind::Start, 0),
+            Finish(0),
+            Tick,
+            ListNow,
+            PollNow,
+            PollNow,
+            PollNow,
+            ListNow,
+        ],
+    );
+}
