--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -404,3 +404,33 @@
         ],
     );
 }
+
+// A list request for the former incarnation reaches the next one of the same name, and lets it
+// forget an end that is not recorded.
+#[test]
+fn list_request_for_former_incarnation_forgets_no_end() {
+    check(
+        APPLIED_AT_ONCE,
+        &[
+            Deliver(Kind::Start, 0),
+            Deliver(Kind::Answer, 0),
+            Finish(0),
+            ListNow,
+            PollNow,
+            PollNow,
+            List,
+            RestartWorker,
+            Tick,
+            ListNow,
+            PollNow,
+            PlanHome,
+            PollNow,
+            Deliver(Kind::Start, 0),
+            Finish(0),
+            Deliver(Kind::List, 0),
+            Deliver(Kind::Answer, 0),
+            ListNow,
+            PollNow,
+        ],
+    );
+}
