--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -434,3 +434,13 @@
         ],
     );
 }
+
+// A start for the former incarnation reaches the next one of the same name, with a deadline by the
+// clock of the former one, while the agent cannot reach the leader.
+#[test]
+fn start_for_former_incarnation_does_not_outlive_its_lease() {
+    check(
+        APPLIED_AT_ONCE,
+        &[Tick, RestartWorker, Deliver(Kind::Start, 0), Tick, Tick, Tick, PlanElsewhere],
+    );
+}
