--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -444,3 +444,22 @@
         &[Tick, RestartWorker, Deliver(Kind::Start, 0), Tick, Tick, Tick, PlanElsewhere],
     );
 }
+
+// A repeated start reaches the next incarnation of the same name after the run has ended as done on
+// the former one.
+#[test]
+fn repeated_start_for_former_incarnation_does_not_run_again() {
+    check(
+        APPLIED_AT_ONCE,
+        &[
+            GiveUp(Kind::Start, 0),
+            PollNow,
+            Deliver(Kind::Start, 0),
+            Finish(0),
+            ListNow,
+            PollNow,
+            RestartWorker,
+            Deliver(Kind::Start, 0),
+        ],
+    );
+}
