--- a/crates/bronzespool-batch/tests/model/explore.rs
+++ b/crates/bronzespool-batch/tests/model/explore.rs
@@ -86,6 +86,13 @@
     check_at_random(Scope { faults: POLLS, ..Scope::DEPTH });
 }
 
+const RESTARTS: &[FaultKind] = &[FaultKind::Message, FaultKind::Restart, FaultKind::Silence];
+
+#[test]
+fn search_restarts_under_one_name() {
+    check_at_random(Scope { faults: RESTARTS, ..Scope::DEPTH });
+}
+
 const SILENCES: &[FaultKind] = &[FaultKind::Message, FaultKind::Silence];
 
 #[test]
