--- a/crates/bronzespool-batch/tests/model/explore.rs
+++ b/crates/bronzespool-batch/tests/model/explore.rs
@@ -100,6 +100,11 @@
     check_at_random(Scope { faults: SILENCES, ..Scope::DEPTH });
 }
 
+#[test]
+fn search_all_faults() {
+    check_at_random(Scope { faults: FaultKind::ALL, records_wait: true, ..Scope::DEPTH });
+}
+
 #[test]
 fn search_injected_faults_are_found() {
     let agents = Scope { faults: &[FaultKind::Agent], ..Scope::DEPTH };
