--- a/crates/bronzespool-batch/src/message.rs
+++ b/crates/bronzespool-batch/src/message.rs
@@ -36,9 +36,14 @@
         Self((process as u64) << u32::BITS | position as u64)
     }
 
+    /// Returns the random number of the agent's process.
+    pub const fn process(self) -> u32 {
+        (self.0 >> u32::BITS) as u32
+    }
+
     /// Whether the same process sent this poll after another one.
     pub const fn follows(self, other: Self) -> bool {
-        self.0 >> u32::BITS == other.0 >> u32::BITS && self.0 > other.0
+        self.process() == other.process() && self.0 > other.0
     }
 }
 
