fix(batch): an agent acts on no orders from before it dropped a worker

Cause: the agent drops a silent worker once its leases have ended, and reports it as gone with its next poll. If the worker came back in between, the agent still took the orders that answered an earlier poll, started a run by them, and then reported the incarnation as gone: the leader gave the task to another worker.

Fix: orders that answer a poll from before the drop are ignored, and those that the agent held are dropped. The report of the worker as gone is then older than anything that it may start.

--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -36,6 +36,8 @@
     worker: Option<WorkerState>,
     gone: Vec<WorkerIncarnation>,
     orders: Option<ReceivedOrders>,
+    /// When a worker was last dropped. Orders that answer an earlier poll do not know of this.
+    dropped_at: Time,
     /// Highest fencing token seen, in orders or by a worker's rejection.
     epoch: u64,
 }
@@ -59,6 +61,7 @@
             worker: None,
             gone: Vec::new(),
             orders: None,
+            dropped_at: Time::ZERO,
             epoch: 0,
         }
     }
@@ -134,7 +137,7 @@
     pub fn receive_orders(&mut self, sent: Time, poll: &Poll, orders: Orders) {
         let late =
             self.orders.as_ref().is_some_and(|r| r.orders.epoch == orders.epoch && sent < r.sent);
-        if orders.epoch < self.epoch || late {
+        if orders.epoch < self.epoch || late || sent < self.dropped_at {
             return;
         }
         self.epoch = orders.epoch;
@@ -337,6 +340,8 @@
             return false;
         }
         self.gone.extend(self.worker.take().map(|w| w.spec.incarnation));
+        self.orders = None;
+        self.dropped_at = now;
         true
     }
 
--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -429,6 +429,25 @@
     assert_eq!(a.poll().gone, [incarnation(1)]);
 }
 
+// The agent dropped a silent worker that came back, started a run by orders from before, and then
+// reported the worker as gone.
+#[test]
+fn expire_orders_from_before_start_nothing_on_the_worker_that_came_back() {
+    let mut a = Agent::new();
+    a.order(orders(3, Vec::new(), Vec::new()));
+    a.list(Vec::new(), Vec::new());
+    let (sent, poll) = (a.now, a.poll());
+    let list = a.reconciler.list_request(a.now).unwrap();
+    a.reconciler.list_unanswered(&list);
+    a.now += Duration::from_secs(7);
+    assert!(a.reconciler.expire(a.now));
+    assert!(a.reconciler.check_in(a.now, spec(1, false), 2));
+    a.list(Vec::new(), Vec::new());
+    a.reconciler.receive_orders(sent, &poll, orders(3, vec![start(1)], vec![run(5)]));
+    assert!(a.reconciler.actions(a.now).is_empty());
+    assert_eq!(a.list(Vec::new(), Vec::new()).until, None);
+}
+
 #[test]
 fn expire_answering_worker_stays() {
     let mut a = Agent::new();
