--- a/crates/bronzespool-batch/tests/model/explore.rs
+++ b/crates/bronzespool-batch/tests/model/explore.rs
@@ -100,6 +100,24 @@
     check_at_random(Scope { faults: SILENCES, ..Scope::DEPTH });
 }
 
+/// All faults but restarts under one name.
+const ALL_BUT_RESTARTS: &[FaultKind] = &[
+    FaultKind::Message,
+    FaultKind::Refusal,
+    FaultKind::Agent,
+    FaultKind::Leader,
+    FaultKind::Record,
+    FaultKind::Poll,
+    FaultKind::Replacement,
+    FaultKind::Silence,
+    FaultKind::Cancel,
+];
+
+#[test]
+fn search_all_faults_but_restarts() {
+    check_at_random(Scope { faults: ALL_BUT_RESTARTS, records_wait: true, ..Scope::DEPTH });
+}
+
 #[test]
 fn search_all_faults() {
     check_at_random(Scope { faults: FaultKind::ALL, records_wait: true, ..Scope::DEPTH });
