fix(batch): a lease is extended only for the incarnation that the orders name

The agent extended the lease of whatever worker it had by its latest orders, also by those for a former incarnation. If a worker had started again under its name and carried out a late start, and the agent was cut off from the leader, the run went on for up to twelve seconds, while the leader gives its task out after 8.4 s.

The planted fault of the model puts the incarnation into such orders again.

--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -281,13 +281,14 @@
         let worker = self.worker.as_mut()?;
         worker.list_serial += 1;
         let incarnation = worker.spec.incarnation.clone();
-        let received = self.orders.as_ref().filter(|r| r.orders.epoch >= self.epoch);
+        // The leader counts a lease only for the incarnation that its orders name.
+        let received = self.orders.as_ref().filter(|r| {
+            r.orders.epoch >= self.epoch && r.orders.incarnation.as_ref() == Some(&incarnation)
+        });
         let mut request =
             ListRequest { epoch, cursor: 0, until: None, incarnation, serial: worker.list_serial };
         if let Some(received) = received {
-            if received.orders.incarnation.as_ref() == Some(&worker.spec.incarnation) {
-                request.cursor = received.orders.cursor;
-            }
+            request.cursor = received.orders.cursor;
             if worker.answers || !worker.lease.is_read() {
                 let span = Duration::from_millis(received.orders.lease);
                 request.until = worker.lease.extend(now, received.sent, span, lease_max);
--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -393,6 +393,21 @@
     assert!(a.poll().refused.is_empty(), "the answer is about the old incarnation");
 }
 
+// A run that a late start began on the next incarnation was kept alive by the lease for the former
+// one, beyond the time after which the leader gave its task to another worker.
+#[test]
+fn list_request_next_incarnation_is_not_leased_by_orders_for_the_former_one() {
+    let mut a = Agent::new();
+    a.order(orders(3, Vec::new(), Vec::new()));
+    a.now += Duration::from_secs(4);
+    assert!(a.reconciler.check_in(a.now, spec(2, false), 1));
+    let first = a.reconciler.list_request(a.now).unwrap();
+    let listing = |clock| Listing { started_at: Some(2), clock, ..Listing::default() };
+    a.reconciler.receive_listing(a.now, &first, listing(200));
+    a.now += Duration::from_secs(2);
+    assert_eq!(a.reconciler.list_request(a.now).unwrap().until, None);
+}
+
 // A start that was sent to the former incarnation reached the next one under the same name.
 #[test]
 fn check_in_next_incarnation_of_the_same_name_reports_nothing_gone() {
--- a/crates/bronzespool-batch/tests/model/delivery.rs
+++ b/crates/bronzespool-batch/tests/model/delivery.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         fault::InjectedFault,
+        fixture::LEASE,
         message::{Body, ListAnswer, Message},
         state::ModelState,
     },
@@ -23,6 +24,10 @@
                     InjectedFault::LateGrant => self.now,
                     _ => sent,
                 };
+                if self.injected == InjectedFault::UnnamedGrant && orders.incarnation.is_none() {
+                    orders.incarnation = Some(self.worker.incarnation.clone());
+                    orders.lease = LEASE.as_millis() as u64;
+                }
                 if self.injected == InjectedFault::FormerIncarnation {
                     orders.incarnation = Some(self.worker.incarnation.clone());
                 }
--- a/crates/bronzespool-batch/tests/model/fault.rs
+++ b/crates/bronzespool-batch/tests/model/fault.rs
@@ -52,7 +52,7 @@
     UnknownIsRefused,
     /// The agent takes a run for refused if any call for it was refused.
     RefusedIsFinal,
-    /// The leader lets the agent extend leases by orders that name no incarnation.
+    /// The agent extends leases by orders that name no incarnation.
     UnnamedGrant,
     /// The leader considers leases as expired too soon.
     ShortLease,
--- a/crates/bronzespool-batch/tests/model/leader.rs
+++ b/crates/bronzespool-batch/tests/model/leader.rs
@@ -191,9 +191,6 @@
             self.grants.record(now, incarnation, poll.id);
             self.contact.iter_mut().for_each(|c| c.heard_at = now);
         }
-        if self.injected == InjectedFault::UnnamedGrant && orders.incarnation.is_none() {
-            orders.lease = LEASE.as_millis() as u64;
-        }
         if self.injected == InjectedFault::EarlyCursor {
             orders.cursor += 1;
         }
