fix(control): reports of an agent count once no other process of it is heard

A process A ended with two polls held up; its next process B was granted a lease and started a run. A's first poll arrived, was answered with a grant and so replaced B's as the newest; A's second poll followed it and took the run away that B was running.

An agent of the former version has one number for all its polls, so that its refusals never came after the granted poll: a stopped run that had never started held its room for ever. A refusal in the granted poll itself counts now, since the answer to that poll has not ordered the run. A worker reported as gone still needs a later poll.

poll_events_refusal_after_a_late_grant_to_a_former_process_is_ignored and poll_events_refusal_of_an_agent_of_the_former_version_is_taken failed before. The model begins with an agent that has been in contact, or its planted faults would be hidden.

--- a/crates/bronzespool-batch/src/exchange.rs
+++ b/crates/bronzespool-batch/src/exchange.rs
@@ -12,20 +12,20 @@
         message::{Orders, Poll, QosClass, Start},
         withdrawal::Withdrawals,
     },
-    bronzespool_core::HashSet,
+    bronzespool_core::{HashSet, Time},
     std::time::Duration,
 };
 
 /// Returns the events for everything in a poll that the ledger does not hold yet. What the poll takes
 /// away counts only if it is newer than the `grants`.
-pub fn poll_events(ledger: &Ledger, grants: &Grants, poll: &Poll) -> Vec<Event> {
+pub fn poll_events(now: Time, ledger: &Ledger, grants: &Grants, poll: &Poll) -> Vec<Event> {
     let mut events = Vec::new();
-    let is_newer = |i: &WorkerIncarnation| grants.precede(i, poll.id);
+    let is_newer = |i: &WorkerIncarnation| grants.precede(now, i, poll.id);
     for incarnation in poll.gone.iter().filter(|i| ledger.worker(i).is_some() && is_newer(i)) {
         events.push(Event::WorkerGone(incarnation.clone()));
     }
     let Some(spec) = &poll.worker else { return events };
-    let is_newer = is_newer(&spec.incarnation);
+    let is_newer = grants.precede_refusals(now, &spec.incarnation, poll.id);
     if let Some(former) = ledger.former_worker(&spec.incarnation) {
         let settled = former_run_events(former, poll, is_newer);
         let remain = settled.len() < former.runs.len();
--- a/crates/bronzespool-batch/src/grant.rs
+++ b/crates/bronzespool-batch/src/grant.rs
@@ -1,7 +1,7 @@
 //! Leases that the leader has granted, and which reports of an agent are newer than them.
 
 use {
-    crate::{id::WorkerIncarnation, message::PollId},
+    crate::{contact::AGENT_TIMEOUT, id::WorkerIncarnation, message::PollId},
     bronzespool_core::{HashMap, Time},
 };
 
@@ -9,8 +9,19 @@
 #[derive(Clone, Copy, Debug)]
 struct Grant {
     at: Time,
-    /// The newest poll that was answered with a grant.
+    /// The newest poll of the last process that was answered with a grant.
     poll: PollId,
+    /// Since when all grants have gone to this process.
+    process_since: Time,
+}
+
+impl Grant {
+    /// Whether no other process of the agent was answered for as long as a live one may be silent.
+    /// Polls of a process that has ended can arrive between those of the next one, and tell nothing
+    /// of what that one has started.
+    fn is_settled(&self, now: Time) -> bool {
+        now.since(self.process_since) >= AGENT_TIMEOUT
+    }
 }
 
 /// The grants of one term, by worker incarnation.
@@ -22,9 +33,15 @@
 impl Grants {
     /// Records that a poll is being answered with orders and a lease for a worker incarnation.
     pub fn record(&mut self, now: Time, incarnation: &WorkerIncarnation, poll: PollId) {
-        let former = self.grants.get(incarnation).map(|g| g.poll);
-        let poll = former.filter(|f| f.follows(poll)).unwrap_or(poll);
-        self.grants.insert(incarnation.clone(), Grant { at: now, poll });
+        let new = Grant { at: now, poll, process_since: now };
+        let grant = self.grants.entry(incarnation.clone()).or_insert(new);
+        if grant.poll.process() != poll.process() {
+            *grant = new;
+        }
+        grant.at = now;
+        if poll.follows(grant.poll) {
+            grant.poll = poll;
+        }
     }
 
     /// Returns when a worker incarnation was last granted a lease.
@@ -33,10 +50,24 @@
     }
 
     /// Whether a poll was sent after all polls that brought the worker incarnation orders. Only then
-    /// may it take the worker or a run of it away: a poll that was held up on its way does not know
-    /// of runs that the worker has started since. Unknown before the first grant of a term.
-    pub fn precede(&self, incarnation: &WorkerIncarnation, poll: PollId) -> bool {
-        self.grants.get(incarnation).is_some_and(|g| poll.follows(g.poll))
+    /// may it take the worker away: a poll that was held up on its way does not know of runs that the
+    /// worker has started since. Unknown before the first grant of a term.
+    pub fn precede(&self, now: Time, incarnation: &WorkerIncarnation, poll: PollId) -> bool {
+        let grant = self.grants.get(incarnation);
+        grant.is_some_and(|g| poll.follows(g.poll) && g.is_settled(now))
+    }
+
+    /// Whether a poll may take runs of the worker incarnation away. Unlike a report of the worker as
+    /// gone, a refusal may be in the last poll that was answered, since that answer has not ordered
+    /// the run. All polls of an agent of an earlier version are one in this respect.
+    pub fn precede_refusals(
+        &self,
+        now: Time,
+        incarnation: &WorkerIncarnation,
+        poll: PollId,
+    ) -> bool {
+        let is_last = |g: &Grant| poll == g.poll && g.is_settled(now);
+        self.precede(now, incarnation, poll) || self.grants.get(incarnation).is_some_and(is_last)
     }
 
     /// Forgets a worker incarnation that is gone.
--- a/crates/bronzespool-batch/tests/affected.rs
+++ b/crates/bronzespool-batch/tests/affected.rs
@@ -327,7 +327,8 @@
 
 /// Records a poll as the leader does; returns whether it calls for a plan.
 fn record(cluster: &Cluster, contacts: &mut Contacts, now: Time, poll: Poll) -> bool {
-    let has_events = !poll_events(&cluster.ledger, &Grants::default(), &poll).is_empty();
+    let has_events =
+        !poll_events(cluster.view.now, &cluster.ledger, &Grants::default(), &poll).is_empty();
     let poll = Rc::new(poll);
     contacts.record_poll(now, &poll).calls_for_plan || has_events
 }
--- a/crates/bronzespool-batch/tests/grant.rs
+++ b/crates/bronzespool-batch/tests/grant.rs
@@ -17,6 +17,8 @@
 };
 
 const NOW: Time = Time::from_secs(100);
+/// When no other process of the agent can be alive any more.
+const LATER: Time = Time::from_secs(102);
 /// The agent's process, and another one of the same agent.
 const PROCESS: u32 = 7;
 const OTHER_PROCESS: u32 = 8;
@@ -58,7 +60,8 @@
 
 #[test]
 fn poll_events_worker_gone_since_the_last_grant_is_taken_away() {
-    let events = poll_events(&cluster().ledger, &grants(), &gone_poll(PollId::new(PROCESS, 6)));
+    let events =
+        poll_events(LATER, &cluster().ledger, &grants(), &gone_poll(PollId::new(PROCESS, 6)));
     assert_eq!(events, [Event::WorkerGone(incarnation(0))]);
 }
 
@@ -68,14 +71,14 @@
 fn poll_events_late_poll_takes_no_worker_away_that_has_come_back() {
     let ledger = cluster().ledger;
     for id in [PollId::new(PROCESS, 3), PollId::new(PROCESS, 5), PollId::new(OTHER_PROCESS, 9)] {
-        assert_eq!(poll_events(&ledger, &grants(), &gone_poll(id)), [], "{id:?}");
+        assert_eq!(poll_events(LATER, &ledger, &grants(), &gone_poll(id)), [], "{id:?}");
     }
 }
 
 #[test]
 fn poll_events_before_the_first_grant_of_a_term_take_nothing_away() {
     let id = PollId::new(PROCESS, 6);
-    assert_eq!(poll_events(&cluster().ledger, &Grants::default(), &gone_poll(id)), []);
+    assert_eq!(poll_events(LATER, &cluster().ledger, &Grants::default(), &gone_poll(id)), []);
 }
 
 // A refusal that the agent's former process had reported arrived after the next process had been
@@ -85,7 +88,7 @@
     let cluster = cluster();
     let worker = cluster.ledger.workers().next().map(|w| w.spec.clone());
     let refusal = |id| Poll { refused: vec![run(1, 0, 0, 1)], ..poll(id, worker.clone()) };
-    let events = |id| poll_events(&cluster.ledger, &grants(), &refusal(id));
+    let events = |id| poll_events(LATER, &cluster.ledger, &grants(), &refusal(id));
     assert_eq!(events(PollId::new(OTHER_PROCESS, 1)), []);
     let refused = Event::Refused { incarnation: incarnation(0), run: run(1, 0, 0, 1) };
     assert_eq!(events(PollId::new(PROCESS, 6)), [refused]);
@@ -113,3 +116,32 @@
     assert!(!contacts.record_poll(NOW, &next).is_late);
     assert_eq!(contacts.in_contact(NOW).next(), Some(&*next));
 }
+
+// Two polls of the agent's former process were held up. The first one was answered with a grant, so
+// that the second one took away a run that the next process had started.
+#[test]
+fn poll_events_refusal_after_a_late_grant_to_a_former_process_is_ignored() {
+    let cluster = cluster();
+    let worker = cluster.ledger.workers().next().map(|w| w.spec.clone());
+    let mut grants = Grants::default();
+    grants.record(NOW, &incarnation(0), PollId::new(OTHER_PROCESS, 8));
+    grants.record(NOW, &incarnation(0), PollId::new(PROCESS, 5));
+    grants.record(LATER, &incarnation(0), PollId::new(OTHER_PROCESS, 9));
+    let late =
+        Poll { refused: vec![run(1, 0, 0, 1)], ..poll(PollId::new(OTHER_PROCESS, 10), worker) };
+    assert_eq!(poll_events(LATER, &cluster.ledger, &grants, &late), []);
+}
+
+// All polls of an agent of the former version have one identifier. Its refusals were never taken: a
+// run of a cancelled job held its room for ever, and the agent stopped it without a pause.
+#[test]
+fn poll_events_refusal_of_an_agent_of_the_former_version_is_taken() {
+    let cluster = cluster();
+    let worker = cluster.ledger.workers().next().map(|w| w.spec.clone());
+    let id = PollId::new(PROCESS, 1);
+    let mut grants = Grants::default();
+    grants.record(NOW, &incarnation(0), id);
+    let refusal = Poll { refused: vec![run(1, 0, 0, 1)], ..poll(id, worker) };
+    let refused = Event::Refused { incarnation: incarnation(0), run: run(1, 0, 0, 1) };
+    assert_eq!(poll_events(LATER, &cluster.ledger, &grants, &refusal), [refused]);
+}
--- a/crates/bronzespool-batch/tests/model/fixture.rs
+++ b/crates/bronzespool-batch/tests/model/fixture.rs
@@ -19,6 +19,8 @@
 pub(crate) const LEASE: Duration = Duration::from_millis(1_500);
 /// Rate of the worker's clock, in percent of true time.
 pub(crate) const CLOCK_RATE_PERCENT: u64 = 98;
+/// Number of the agent's first process.
+pub(crate) const FIRST_PROCESS: u32 = 1;
 /// Name of the worker that is modelled in full.
 pub(crate) const HOME: &str = "w0";
 /// Name of the ideal worker that runs the tasks which the leader assigns elsewhere.
--- a/crates/bronzespool-batch/tests/model/leader.rs
+++ b/crates/bronzespool-batch/tests/model/leader.rs
@@ -4,7 +4,10 @@
 use {
     crate::{
         fault::InjectedFault,
-        fixture::{ELSEWHERE, HOME, LEASE, config, elsewhere_spec, incarnation, job, run, spec},
+        fixture::{
+            ELSEWHERE, FIRST_PROCESS, HOME, LEASE, config, elsewhere_spec, incarnation, job, run,
+            spec,
+        },
         state::digest_of,
     },
     bronzespool_batch::{
@@ -97,7 +100,9 @@
         for id in 1..=jobs {
             leader.apply(now, Event::Submitted(Arc::new(job(id))));
         }
-        leader.apply(now, Event::Started(vec![assignment(run(1, 1), home)]));
+        leader.apply(now, Event::Started(vec![assignment(run(1, 1), home.clone())]));
+        // The agent's process has been in contact for long enough that its reports count.
+        leader.grants.record(now - AGENT_TIMEOUT, &home, PollId::new(FIRST_PROCESS, 0));
         leader
     }
 
@@ -153,7 +158,7 @@
         }
         let worker = poll.worker.as_ref().map(|w| w.incarnation.clone());
         self.contact = Some(Contact { heard_at: now, poll: poll.id, worker });
-        let events = poll_events(&self.ledger, &self.grants, &poll);
+        let events = poll_events(now, &self.ledger, &self.grants, &poll);
         let proposal = (!events.is_empty()).then(|| self.propose(events));
         self.waiting.push(WaitingPoll { sent, poll, proposal });
     }
--- a/crates/bronzespool-batch/tests/model/state.rs
+++ b/crates/bronzespool-batch/tests/model/state.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         fault::{FaultKind, InjectedFault},
-        fixture::{HOME, LIMITS, agent_name, incarnation, spec},
+        fixture::{FIRST_PROCESS, HOME, LIMITS, agent_name, incarnation, spec},
         leader::{Answer, Leader},
         message::{Body, Kind, Message},
         moves::Move,
@@ -75,8 +75,8 @@
             now,
             step: 0,
             leader: Leader::new(injected, now, scope.jobs),
-            reconciler: Reconciler::new(agent_name(), 1, LIMITS, now),
-            process: 1,
+            reconciler: Reconciler::new(agent_name(), FIRST_PROCESS, LIMITS, now),
+            process: FIRST_PROCESS,
             polls_sent: 0,
             seq: 0,
             worker: Worker::new(incarnation(HOME, 1), now),
--- a/crates/bronzespool-batch/tests/next_incarnation.rs
+++ b/crates/bronzespool-batch/tests/next_incarnation.rs
@@ -6,6 +6,7 @@
 use {
     bronzespool_batch::{
         Event, Phase, Withdrawals, WorkerIncarnation,
+        contact::AGENT_TIMEOUT,
         exchange::{poll_events, poll_orders},
         grant::Grants,
         ledger::{RunEnd, RunOutcome, WorkerSpec},
@@ -62,7 +63,7 @@
     /// Applies what a poll reports and returns the orders.
     fn answer(&mut self, poll: Poll) -> Orders {
         self.polls += 1;
-        for event in poll_events(&self.cluster.ledger, &self.grants, &poll) {
+        for event in poll_events(self.now(), &self.cluster.ledger, &self.grants, &poll) {
             self.cluster.apply(event);
         }
         let withdrawals = Withdrawals::default();
@@ -73,6 +74,11 @@
         orders
     }
 
+    /// A time at which the first grant is old enough to show that no other process polls.
+    fn now(&self) -> Time {
+        NOW + AGENT_TIMEOUT
+    }
+
     fn is_registered(&self) -> bool {
         self.cluster.ledger.worker(&next_incarnation()).is_some()
     }
@@ -83,7 +89,10 @@
 #[test]
 fn poll_events_next_incarnation_frees_no_run_before_it_has_stopped_it() {
     let mut leader = Leader::new();
-    assert!(poll_events(&leader.cluster.ledger, &leader.grants, &leader.poll()).is_empty());
+    assert!(
+        poll_events(leader.now(), &leader.cluster.ledger, &leader.grants, &leader.poll())
+            .is_empty()
+    );
     let first = Poll { refused: vec![run(1, 0, 0, 1)], ..leader.poll() };
     assert_eq!(leader.answer(first).stops, [run(1, 0, 1, 1)]);
     assert!(leader.cluster.ledger.active_run(run(1, 0, 0, 1)).is_none());
@@ -133,6 +142,6 @@
     for index in 0..2 {
         leader.cluster.end(run(1, 0, index, 1), RunOutcome::Done);
     }
-    let events = poll_events(&leader.cluster.ledger, &leader.grants, &leader.poll());
+    let events = poll_events(leader.now(), &leader.cluster.ledger, &leader.grants, &leader.poll());
     assert!(matches!(events[..], [Event::WorkerUp(_)]), "{events:?}");
 }
--- a/crates/bronzespool-bench/src/size/model.rs
+++ b/crates/bronzespool-bench/src/size/model.rs
@@ -349,7 +349,7 @@
 
     fn poll_arrives(&mut self, agent: usize, sent: Time, poll: Box<Poll>) {
         let serial = self.leader.record_poll(agent, &poll);
-        let events = poll_events(&self.leader.ledger, &self.leader.grants, &poll);
+        let events = poll_events(self.now, &self.leader.ledger, &self.leader.grants, &poll);
         let waiting = WaitingPoll { serial, sent, poll };
         if !events.is_empty() {
             return self.propose(events, After::Answer(agent, waiting));
--- a/crates/bronzespoold/src/control/batch/polls.rs
+++ b/crates/bronzespoold/src/control/batch/polls.rs
@@ -90,7 +90,8 @@
     }
 
     fn events(&self, poll: &Poll) -> Vec<Event> {
-        poll_events(self.replica.state().batch(), &self.agents.borrow().grants, poll)
+        let (now, state) = (self.clock.now(), self.replica.state());
+        poll_events(now, state.batch(), &self.agents.borrow().grants, poll)
     }
 
     fn orders(&self, poll: &Poll) -> Orders {
