test(consensus): simulate losses of many machines, leases and late messages

Why: the simulation lost single disks and cut single machines. It did not check leases at all, and nothing in it failed together.

The oracle also checks, after each message, sync and step of time, that at most one replica holds the lease and that its state is complete, and that an identity stops for good only after its removal was committed.

--- a/crates/bronzespool-consensus/src/fake.rs
+++ b/crates/bronzespool-consensus/src/fake.rs
@@ -40,6 +40,15 @@
         }
     }
 
+    /// Loses all staged writes except the first snapshot, like a storage that replaces the snapshot
+    /// before the log when it loses power between the two.
+    pub fn crash_after_snapshot(&mut self) {
+        let pending = std::mem::take(&mut self.pending);
+        if let Some(write) = pending.iter().find(|w| matches!(w, StorageWrite::Snapshot(_))) {
+            self.durable.apply(write);
+        }
+    }
+
     /// Loses all data, like a replaced disk.
     pub fn wipe(&mut self) {
         *self = Self::default();
--- a/crates/bronzespool-consensus/tests/chaos/mod.rs
+++ b/crates/bronzespool-consensus/tests/chaos/mod.rs
@@ -1,5 +1,8 @@
 //! Random fault injection with an oracle that checks the replicas after every step.
 
+pub mod injected;
+mod late;
+mod losses;
 mod oracle;
 mod simulation;
 
@@ -22,15 +25,23 @@
 ///
 /// `BRONZESPOOL_FIRST` and `BRONZESPOOL_CASES` select other cases, for example for a longer run.
 pub fn cases(faults: Faults) {
+    cases_by_default(faults, 2_000);
+}
+
+/// Like [`cases`], with another number of cases by default.
+pub fn cases_by_default(faults: Faults, default: u32) {
     let first = env_number("BRONZESPOOL_FIRST", 1);
-    let count = env_number("BRONZESPOOL_CASES", 2_000);
-    for case in first..first + count {
-        let seed = u64::from(case.wrapping_mul(0x9e37_79b9));
-        let property = |u: &mut Unstructured<'_>| run(faults, u);
-        let guard = FailurePrinter(case);
-        arbtest(property).seed(seed << 32 | CASE_BYTES).run();
-        std::mem::forget(guard);
-    }
+    let count = env_number("BRONZESPOOL_CASES", default);
+    (first..first + count).for_each(|case| run_case(faults, case));
+}
+
+/// Runs one case.
+pub fn run_case(faults: Faults, case: u32) {
+    let seed = u64::from(case.wrapping_mul(0x9e37_79b9));
+    let property = |u: &mut Unstructured<'_>| run(faults, u);
+    let guard = FailurePrinter(case);
+    arbtest(property).seed(seed << 32 | CASE_BYTES).run();
+    std::mem::forget(guard);
 }
 
 /// Prints how to repeat the case if a check fails.
--- a/crates/bronzespool-consensus/tests/chaos/oracle.rs
+++ b/crates/bronzespool-consensus/tests/chaos/oracle.rs
@@ -35,6 +35,15 @@
     }
 }
 
+/// A replica that holds the lease at this moment.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaseHolder {
+    pub term: Term,
+    pub id: ReplicaId,
+    /// Last index applied to its state machine.
+    pub index: Index,
+}
+
 /// Everything that any replica has reported as committed.
 #[derive(Default)]
 pub struct Oracle {
@@ -74,6 +83,25 @@
         assert_eq!(leader, id, "two leaders in term {term}");
     }
 
+    pub fn check_leases(&self, holders: impl Iterator<Item = LeaseHolder>) {
+        let holders: Vec<_> = holders.collect();
+        assert!(holders.len() < 2, "two replicas hold the lease: {holders:?}");
+        for holder in holders {
+            let commit = self.commit();
+            let LeaseHolder { term, id, index } = holder;
+            assert!(
+                index >= commit,
+                "state behind a lease: {id} in term {term} has applied {index} of {commit}"
+            );
+        }
+    }
+
+    /// Checks that an identity that stops for good was removed by a committed entry.
+    pub fn check_retired(&self, id: ReplicaId) {
+        let is_removed = self.members().is_some_and(|m| m.is_retired(id));
+        assert!(is_removed, "{id} has stopped before its removal was committed");
+    }
+
     pub fn record_read(&mut self, request_id: u64) {
         self.reads.insert(request_id, self.commit());
     }
@@ -94,8 +122,13 @@
 
     /// The last committed membership.
     pub fn members(&self) -> Option<&Membership> {
+        self.last_membership().map(|(_, members)| members)
+    }
+
+    /// The last committed membership and its index.
+    pub fn last_membership(&self) -> Option<(Index, &Membership)> {
         self.entries.iter().rev().find_map(|e| match &e.payload {
-            EntryPayload::Membership(members) => Some(members),
+            EntryPayload::Membership(members) => Some((e.index, members)),
             EntryPayload::Noop | EntryPayload::Command(_) => None,
         })
     }
