fix(batch): give up a run that can start no more, and what a leaving worker was not told to start

A worker that refuses starts and stops (503) kept a run in doubt for as long as it went on: it was settled by an acknowledged stop alone. Each start carries a lease, after which the worker takes it no more: a list that the worker made after the leases of all starts, and that does not name the run, settles it now.

A worker that began to leave before an order arrived: the agent starts nothing on it, the leader repeated the order, and nobody gave the run up until the worker was gone. A run that was never sent to the worker is refused at once now, any other is stopped.

--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -154,6 +154,7 @@
 
     /// Returns the calls that the worker needs now.
     pub fn actions(&mut self, now: Time) -> Vec<Action> {
+        let alone = self.former_calls_over(now);
         let Some(received) = &mut self.orders else { return Vec::new() };
         let Some(worker) = &mut self.worker else { return Vec::new() };
         if received.orders.incarnation.as_ref() != Some(&worker.spec.incarnation) || worker.departed
@@ -171,19 +172,22 @@
         }
         let stale = now.since(received.sent) > ORDERS_AGE_MAX;
         let starts = std::mem::take(&mut received.orders.starts);
-        if worker.spec.leaving || stale {
+        if stale {
             return actions;
         }
         let span = Duration::from_millis(received.orders.lease);
-        // A start that an earlier process sent carries a lease that has expired by then.
-        let alone = now.since(self.started_at) > lease_duration_max(self.limits.lease_max);
+        let leaving = worker.spec.leaving;
         for start in starts {
             let run = start.run;
             if worker.calls.contains_key(&run) || worker.refused.contains(&run) || worker.lists(run)
             {
                 continue;
             }
-            if worker.doubtful.contains(&run) {
+            if leaving && alone && !worker.started.contains_key(&run) {
+                worker.refused.insert(run);
+                continue;
+            }
+            if leaving || worker.doubtful.contains(&run) {
                 worker.calls.insert(run, CallState::StopInFlight);
                 actions.push(Action::Stop { run, epoch, incarnation: incarnation.clone() });
                 continue;
@@ -192,7 +196,7 @@
             else {
                 continue;
             };
-            let only = worker.started.insert(run) && alone;
+            let only = worker.note_start(run, until) && alone;
             worker.calls.insert(run, CallState::StartInFlight { only });
             actions.push(Action::Start { start, until, epoch, incarnation: incarnation.clone() });
         }
@@ -299,6 +303,7 @@
 
     /// Takes the worker's list. Returns whether there is something new for the leader.
     pub fn receive_listing(&mut self, now: Time, request: &ListRequest, listing: Listing) -> bool {
+        let former_calls_over = self.former_calls_over(now);
         let Some(worker) = self.current_worker(&request.incarnation) else { return false };
         if listing.started_at.is_some_and(|b| b != request.incarnation.started_at) {
             worker.departed = true;
@@ -316,6 +321,9 @@
         worker.running = listing.running;
         worker.end_pauses(now);
         let finished = worker.finish_calls(now, request.serial);
+        if former_calls_over {
+            worker.settle_expired(listing.clock);
+        }
         has_new_ends || finished
     }
 
@@ -346,6 +354,11 @@
         true
     }
 
+    /// Whether a start that an earlier process of this agent sent would be too late by now.
+    fn former_calls_over(&self, now: Time) -> bool {
+        now.since(self.started_at) > lease_duration_max(self.limits.lease_max)
+    }
+
     /// Whether there is a worker that does not answer, or has left, and whose leases have expired.
     fn is_gone(&self, now: Time) -> bool {
         let Some(worker) = &self.worker else { return false };
--- a/crates/bronzespool-batch/src/agent/worker.rs
+++ b/crates/bronzespool-batch/src/agent/worker.rs
@@ -59,8 +59,9 @@
     /// place.
     pub(super) departed: bool,
     pub(super) calls: HashMap<RunId, CallState>,
-    /// Runs for which a start was sent that may have been carried out, or may still be.
-    pub(super) started: HashSet<RunId>,
+    /// Runs for which a start was sent that may have been carried out, or may still be, each with the
+    /// latest end of a lease in these starts, on the worker's clock.
+    pub(super) started: HashMap<RunId, u64>,
     /// Runs of which a start was refused while another may be carried out. They are stopped before
     /// they count as refused.
     pub(super) doubtful: HashSet<RunId>,
@@ -84,7 +85,7 @@
             answers: false,
             departed: false,
             calls: HashMap::default(),
-            started: HashSet::default(),
+            started: HashMap::default(),
             doubtful: HashSet::default(),
             refused: HashSet::default(),
             list_serial: 0,
@@ -153,6 +154,26 @@
         self.calls.retain(|_, call| !matches!(call, CallState::Paused(until) if *until <= now));
     }
 
+    /// Notes that a start is sent under a lease up to `until`. Returns whether it is the first one.
+    pub(super) fn note_start(&mut self, run: RunId, until: u64) -> bool {
+        let former = self.started.get(&run).copied();
+        self.started.insert(run, former.unwrap_or(0).max(until));
+        former.is_none()
+    }
+
+    /// Settles the runs that neither start nor stop has settled and that cannot start any more,
+    /// because the leases in all starts had ended when the worker made its list at `clock`.
+    pub(super) fn settle_expired(&mut self, clock: u64) {
+        let has_expired = |run: &RunId| self.started.get(run).is_none_or(|until| *until < clock);
+        let is_open = |run: &RunId| !self.lists(*run) && !self.ends_truncated;
+        let expired: Vec<RunId> =
+            self.doubtful.iter().copied().filter(|r| has_expired(r) && is_open(r)).collect();
+        for run in expired {
+            self.calls.remove(&run);
+            self.settle_refused(run);
+        }
+    }
+
     /// Ends the calls whose outcome the list with a serial number shows. Returns whether there were
     /// any.
     pub(super) fn finish_calls(&mut self, now: Time, serial: u64) -> bool {
--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -138,7 +138,18 @@
 fn actions_draining_worker_is_told_to_start_nothing() {
     let mut a = Agent::new();
     a.reconciler.check_in(a.now, spec(1, true), 2);
+    // A former process may have started the run.
+    let actions = a.order(orders(3, vec![start(1)], Vec::new()));
+    assert!(matches!(actions[..], [Action::Stop { .. }]), "{actions:?}");
+}
+
+#[test]
+fn actions_draining_worker_gives_up_what_it_was_never_told_to_start() {
+    let mut a = Agent::new();
+    a.outlive_former_calls();
+    a.reconciler.check_in(a.now, spec(1, true), 2);
     assert!(a.order(orders(3, vec![start(1)], Vec::new())).is_empty());
+    assert_eq!(a.poll().refused, [run(1)]);
 }
 
 #[test]
@@ -269,6 +280,35 @@
     assert!(a.poll().refused.is_empty());
 }
 
+// A worker that refused a start refused all stops too: the run was neither started nor given up.
+#[test]
+fn stop_answered_run_of_a_worker_that_refuses_stops_is_given_up_after_its_lease() {
+    let mut a = Agent::new();
+    a.outlive_former_calls();
+    a.order(orders(3, vec![start(1)], Vec::new()));
+    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Unknown);
+    for _ in 0..40 {
+        a.now += Duration::from_millis(500);
+        for action in a.order(orders(3, vec![start(1)], Vec::new())) {
+            match action {
+                Action::Start { .. } => {
+                    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Refused);
+                }
+                Action::Stop { .. } => {
+                    let refused = StopOutcome::Unknown;
+                    a.reconciler.stop_answered(a.now, &incarnation(1), run(1), refused);
+                }
+                Action::Pace { .. } => {}
+            }
+        }
+        a.list(Vec::new(), Vec::new());
+        if a.poll().refused == [run(1)] {
+            return;
+        }
+    }
+    panic!("the run is not given up though each start's lease has ended");
+}
+
 #[test]
 fn receive_listing_requested_before_the_answer_confirms_nothing() {
     let mut a = Agent::new();
