fix(batch): propose no registration that the ledger will refuse

A worker whose clock was set back starts again under its name and looks older than the incarnation that the ledger holds. If the agent's report that the former one is gone does not count (a new term, a new process of the agent), each poll proposed the registration, which the ledger refused as outdated; a poll with events is answered at once, so that the agent and the log had no pause until the lease rule ended the former one, up to 8.4 s.

poll_events_incarnation_that_looks_older_proposes_nothing_in_vain failed before.

--- a/crates/bronzespool-batch/src/exchange.rs
+++ b/crates/bronzespool-batch/src/exchange.rs
@@ -37,7 +37,7 @@
     let current = ledger.worker(&spec.incarnation);
     // A worker that is leaving does not come back in this incarnation.
     let has_changed = |w: &Worker| w.spec != *spec && (spec.leaving || !w.spec.leaving);
-    if current.is_none_or(has_changed) {
+    if !ledger.is_outdated(&spec.incarnation) && current.is_none_or(has_changed) {
         events.push(Event::WorkerUp(Box::new(spec.clone())));
     }
     let Some(current) = current else { return events };
--- a/crates/bronzespool-batch/src/ledger/mod.rs
+++ b/crates/bronzespool-batch/src/ledger/mod.rs
@@ -89,6 +89,12 @@
         (is_former && !worker.runs.is_empty()).then_some(worker)
     }
 
+    /// Whether the ledger holds an incarnation of this worker that started later.
+    pub fn is_outdated(&self, incarnation: &WorkerIncarnation) -> bool {
+        let worker = self.workers.get(&incarnation.worker);
+        worker.is_some_and(|w| w.spec.incarnation.started_at > incarnation.started_at)
+    }
+
     /// Returns the worker if this is its current incarnation.
     pub fn worker(&self, incarnation: &WorkerIncarnation) -> Option<&Worker> {
         self.workers.get(&incarnation.worker).filter(|w| w.spec.incarnation == *incarnation)
--- a/crates/bronzespool-batch/tests/next_incarnation.rs
+++ b/crates/bronzespool-batch/tests/next_incarnation.rs
@@ -145,3 +145,36 @@
     let events = poll_events(leader.now(), &leader.cluster.ledger, &leader.grants, &leader.poll());
     assert!(matches!(events[..], [Event::WorkerUp(_)]), "{events:?}");
 }
+
+// A worker whose clock was set back started again, and each poll of its agent proposed the same
+// record in vain and was answered at once, so that the agent and the log had no pause.
+#[test]
+fn poll_events_incarnation_that_looks_older_proposes_nothing_in_vain() {
+    let mut cluster = Cluster::new(1, 1, 0);
+    let worker = cluster.ledger.workers().next().unwrap().spec.clone();
+    let younger = WorkerIncarnation { started_at: 5, ..incarnation(0) };
+    cluster.apply(Event::WorkerUp(Box::new(WorkerSpec {
+        incarnation: younger.clone(),
+        ..worker.clone()
+    })));
+    let poll = Poll {
+        agent: Instance::try_from("side-0").unwrap(),
+        id: PollId::new(1, 1),
+        relay: None,
+        worker: Some(WorkerSpec {
+            incarnation: WorkerIncarnation { started_at: 3, ..incarnation(0) },
+            ..worker
+        }),
+        gone: vec![younger],
+        running: Vec::new(),
+        ends: Vec::new(),
+        refused: Vec::new(),
+        in_flight: Vec::new(),
+    };
+    // A new leader has granted nothing yet, so the lease rule decides on the younger one.
+    let grants = Grants::default();
+    for event in poll_events(NOW, &cluster.ledger, &grants, &poll) {
+        cluster.apply(event);
+    }
+    assert_eq!(poll_events(NOW, &cluster.ledger, &grants, &poll), []);
+}
