fix(agent): wait 25 ms between two polls

The leader answers a poll at once while it has orders, and the agent polled again at once.

Two polls are 25 ms apart at least now. A report waits for that long only right after another one.

--- a/crates/bronzespoold/src/batch/agent.rs
+++ b/crates/bronzespoold/src/batch/agent.rs
@@ -41,6 +41,9 @@
 const POLL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Polls in flight at once: one that waits for orders, and one that carries a change.
 const POLLS_MAX: usize = 2;
+/// Shortest time between two polls. The leader answers a poll at once while it has orders, also those
+/// that the agent cannot carry out yet.
+const POLL_INTERVAL_MIN: Duration = Duration::from_millis(25);
 /// Pause after a failed poll.
 const POLL_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -89,6 +92,8 @@
     last_orders: Cell<Time>,
     /// Number of polls that this process has sent.
     polls_sent: Cell<u32>,
+    /// When the next poll may be sent.
+    next_poll: Cell<Time>,
     /// Wakes the poll loop when there is a change to report to the leader.
     poll_wakeup: Notify,
 }
@@ -111,6 +116,7 @@
             reconciler: RefCell::new(reconciler),
             last_orders: Cell::new(clock.now()),
             polls_sent: Cell::new(0),
+            next_poll: Cell::new(clock.now()),
             poll_wakeup: Notify::new(),
         })
     }
@@ -209,7 +215,16 @@
         }
     }
 
+    /// Waits until the next poll may be sent.
+    async fn poll_slot(&self) {
+        let now = self.clock.now();
+        let slot = self.next_poll.get().max(now);
+        self.next_poll.set(slot + POLL_INTERVAL_MIN);
+        sleep(slot.since(now)).await;
+    }
+
     async fn poll(self: &Rc<Self>) {
+        self.poll_slot().await;
         let sent = self.clock.now();
         self.polls_sent.set(self.polls_sent.get() + 1);
         let poll = self.reconciler.borrow().poll(sent, self.polls_sent.get());
