fix(control): end a withdrawal where its record is applied

A client gives an attempt up after 1 s, and its call is dropped with the proposer in it: a worker that came back after a slow commit then got neither orders nor a lease until some other withdrawal was applied, and a proposal that had never been appended (the backlog was full) stood in the way for the rest of the term. In the same slow commits the lines on gone workers, ended and refused runs were not written, so that a log without them told nothing.

The replica notes a withdrawal when it appends the record, ends it when it applies one with the same content, whoever waits, and forgets all when it does not lead. The lines are written by a task of their own.

The tests of tickets are replaced by tests of the same rules without tickets: an applied record ends just what it takes, of two equal ones one stays, the loss of leadership clears all.

--- a/crates/bronzespool-batch/tests/model/leader.rs
+++ b/crates/bronzespool-batch/tests/model/leader.rs
@@ -18,7 +18,7 @@
         grant::Grants,
         ledger::{Assignment, RunEnd, RunOutcome, Task},
         message::{Orders, Poll, PollId},
-        withdrawal::{Ticket, Withdrawals},
+        withdrawal::Withdrawals,
     },
     bronzespool_core::Time,
     std::{rc::Rc, sync::Arc, time::Duration},
@@ -29,8 +29,6 @@
 struct Proposal {
     id: u64,
     events: Vec<Event>,
-    /// What the record takes away, as long as its proposer waits for it.
-    withdrawal: Option<Ticket>,
 }
 
 /// A poll that waits for its answer.
@@ -112,8 +110,8 @@
 
     fn propose(&mut self, events: Vec<Event>) -> u64 {
         self.last_proposal += 1;
-        let withdrawal = self.withdrawals.begin(&events);
-        self.proposals.push(Proposal { id: self.last_proposal, events, withdrawal });
+        self.withdrawals.begin(&events);
+        self.proposals.push(Proposal { id: self.last_proposal, events });
         self.last_proposal
     }
 
@@ -143,9 +141,9 @@
         if self.proposals.is_empty() {
             return false;
         }
-        let Proposal { id, events, withdrawal } = self.proposals.remove(0);
+        let Proposal { id, events } = self.proposals.remove(0);
+        self.withdrawals.end(&events);
         Rc::make_mut(&mut self.ledger).apply(&Record { at: now, events });
-        withdrawal.into_iter().for_each(|ticket| self.withdrawals.end(ticket));
         self.plan.take_if(|p| *p == id);
         true
     }
@@ -206,23 +204,14 @@
     pub(crate) fn fail_poll(&mut self, i: usize) -> bool {
         let fails = self.unanswerable().any(|u| u == i);
         if fails {
-            let id = self.waiting.remove(i).proposal;
-            self.stop_waiting(id);
+            self.waiting.remove(i);
         }
         fails
     }
 
     /// Ends the wait of a plan for its proposal, which may still be applied.
     pub(crate) fn fail_plan(&mut self) -> bool {
-        let id = self.plan.take();
-        self.stop_waiting(id);
-        id.is_some()
-    }
-
-    /// Notes that the proposer of a record does not learn when it is applied.
-    fn stop_waiting(&mut self, id: Option<u64>) {
-        let proposal = self.proposals.iter_mut().find(|p| Some(p.id) == id);
-        proposal.into_iter().for_each(|p| p.withdrawal = None);
+        self.plan.take().is_some()
     }
 
     /// Whether a plan waits for its proposal.
--- a/crates/bronzespool-batch/tests/withdrawal.rs
+++ b/crates/bronzespool-batch/tests/withdrawal.rs
@@ -58,13 +58,13 @@
 fn poll_orders_worker_that_is_being_taken_away_gets_neither_order_nor_lease() {
     let mut cluster = cluster();
     let mut withdrawals = Withdrawals::default();
-    let gone = Event::WorkerGone(incarnation(0));
-    let ticket = withdrawals.begin(std::slice::from_ref(&gone)).unwrap();
+    let gone = [Event::WorkerGone(incarnation(0))];
+    withdrawals.begin(&gone);
     let during = orders(&cluster, &withdrawals);
     assert_eq!((during.incarnation, during.lease), (None, 0));
     assert!(during.starts.is_empty());
-    cluster.apply(gone);
-    withdrawals.end(ticket);
+    cluster.apply(gone[0].clone());
+    withdrawals.end(&gone);
     cluster.up(0, 0, false);
     assert_eq!(orders(&cluster, &withdrawals).incarnation, Some(incarnation(0)));
 }
@@ -72,35 +72,41 @@
 #[test]
 fn poll_orders_run_that_is_being_taken_away_is_not_started() {
     let mut withdrawals = Withdrawals::default();
-    withdrawals.begin(&[refused()]).unwrap();
+    withdrawals.begin(&[refused()]);
     let orders = orders(&cluster(), &withdrawals);
     assert!(orders.starts.is_empty());
     assert_eq!(orders.incarnation, Some(incarnation(0)), "the worker's other runs go on");
 }
 
 #[test]
-fn end_unanswered_proposal_stays_pending_until_a_later_one_is_applied() {
+fn end_takes_only_what_the_applied_record_takes() {
     let mut withdrawals = Withdrawals::default();
-    withdrawals.begin(&[Event::WorkerGone(incarnation(0))]).unwrap();
-    let later = withdrawals.begin(&[Event::WorkerGone(incarnation(1))]).unwrap();
-    assert!(withdrawals.takes_worker(&incarnation(0)));
-    withdrawals.end(later);
-    assert!(!withdrawals.takes_worker(&incarnation(0)));
+    withdrawals.begin(&[Event::WorkerGone(incarnation(0)), refused()]);
+    withdrawals.begin(&[Event::WorkerGone(incarnation(1))]);
+    withdrawals.end(&[Event::WorkerGone(incarnation(1))]);
+    assert!(withdrawals.takes_worker(&incarnation(0)) && withdrawals.takes_run(run(1, 0, 0, 1)));
+    assert!(!withdrawals.takes_worker(&incarnation(1)));
+    withdrawals.end(&[Event::WorkerGone(incarnation(0)), refused()]);
+    assert!(!withdrawals.takes_worker(&incarnation(0)) && !withdrawals.takes_run(run(1, 0, 0, 1)));
 }
 
 #[test]
-fn begin_record_that_takes_nothing_away_has_no_ticket() {
-    let event = Event::Cancelled(bronzespool_batch::JobId(1));
-    assert!(Withdrawals::default().begin(&[event]).is_none());
+fn end_of_one_of_two_equal_records_leaves_the_other_pending() {
+    let mut withdrawals = Withdrawals::default();
+    let gone = [Event::WorkerGone(incarnation(0))];
+    withdrawals.begin(&gone);
+    withdrawals.begin(&gone);
+    withdrawals.end(&gone);
+    assert!(withdrawals.takes_worker(&incarnation(0)));
+    withdrawals.end(&gone);
+    assert!(!withdrawals.takes_worker(&incarnation(0)));
 }
 
 #[test]
-fn clear_ticket_of_an_earlier_term_ends_no_later_one() {
+fn clear_forgets_all() {
     let mut withdrawals = Withdrawals::default();
-    let earlier = withdrawals.begin(&[refused()]).unwrap();
+    withdrawals.begin(&[refused()]);
     withdrawals.clear();
     assert!(!withdrawals.takes_run(run(1, 0, 0, 1)));
-    withdrawals.begin(&[refused()]).unwrap();
-    withdrawals.end(earlier);
-    assert!(withdrawals.takes_run(run(1, 0, 0, 1)));
+    withdrawals.end(&[refused()]);
 }
--- a/crates/bronzespoold/src/control/batch/agents.rs
+++ b/crates/bronzespoold/src/control/batch/agents.rs
@@ -3,8 +3,8 @@
 use {
     bronzespool::{
         batch::{
-            Withdrawals, WorkerIncarnation, agent::lease_duration_max, contact::Contacts,
-            grant::Grants, message::Poll,
+            WorkerIncarnation, agent::lease_duration_max, contact::Contacts, grant::Grants,
+            message::Poll,
         },
         core::{HashMap, Time},
     },
@@ -27,8 +27,6 @@
     /// When this replica became leader of the term.
     term_start: Time,
     pub(super) contacts: Contacts,
-    /// Records of this term that take workers or runs away and are not applied yet.
-    pub(super) withdrawals: Withdrawals,
     /// When an agent was last allowed to extend the leases of a worker incarnation.
     pub(super) grants: Grants,
     /// Processes that relay calls to the leader, and when they were last heard from.
@@ -39,9 +37,7 @@
     /// Forgets what was known in an earlier term.
     pub(super) fn enter_term(&mut self, term: u64, now: Time) {
         if self.term != term {
-            let mut withdrawals = std::mem::take(&mut self.withdrawals);
-            withdrawals.clear();
-            *self = Self { term, term_start: now, withdrawals, ..Self::default() };
+            *self = Self { term, term_start: now, ..Self::default() };
         }
     }
 
--- a/crates/bronzespoold/src/control/batch/mod.rs
+++ b/crates/bronzespoold/src/control/batch/mod.rs
@@ -31,14 +31,15 @@
         wire::message::{CallResult, Reply},
     },
     std::{cell::RefCell, net::SocketAddr, rc::Rc},
+    tokio::task::spawn_local,
 };
 
 /// The leader component for batch jobs.
 pub(in crate::control) struct BatchController {
     clock: Clock,
     replica: Rc<Replica>,
-    agents: RefCell<Agents>,
-    decision_log: RefCell<DecisionLog>,
+    agents: Rc<RefCell<Agents>>,
+    decision_log: Rc<RefCell<DecisionLog>>,
     external: RefCell<ExternalState>,
     planner: RefCell<Planner>,
     /// Name of this instance.
@@ -54,8 +55,8 @@
         Rc::new(Self {
             clock,
             replica,
-            agents: RefCell::default(),
-            decision_log: RefCell::default(),
+            agents: Rc::default(),
+            decision_log: Rc::default(),
             external: RefCell::default(),
             planner: RefCell::default(),
             instance,
@@ -89,33 +90,37 @@
         self.agents.borrow_mut().relays(self.clock.now())
     }
 
-    /// Commits events to the log and waits until they are applied.
+    /// Commits events to the log and waits until they are applied. They are logged even if the caller
+    /// stops waiting, as a call does whose client has given up.
     async fn propose(&self, events: Vec<Event>) -> Result<Vec<EventOutcome>> {
         let begun = self.clock.now();
         let prior_state = PriorState::capture(self.replica.state().batch(), &events);
-        let withdrawal = self.agents.borrow_mut().withdrawals.begin(&events);
-        let command = Command::Batch(Record { at: self.replica.log_time(), events });
-        let effect = self.replica.propose(&command).await?;
-        if let Some(ticket) = withdrawal {
-            self.agents.borrow_mut().withdrawals.end(ticket);
-        }
-        let took = self.clock.now().since(begun);
-        metrics::histogram!("bronzespool_batch_commit_seconds").record(took.as_secs_f64());
-        let (Command::Batch(record), Effect::Batch(outcomes)) = (&command, effect) else {
-            return Err(Refusal::from(Code::Internal));
-        };
-        let agents = self.agents.borrow();
-        let poll_age = |agent: &Instance| agents.contacts.heard_at(agent).map(|at| begun.since(at));
-        let mut decision_log = self.decision_log.borrow_mut();
-        decision_log.log_record(
-            self.replica.state().batch(),
-            &prior_state,
-            record,
-            &outcomes,
-            took,
-            poll_age,
-        );
-        Ok(outcomes)
+        let record = Record { at: self.replica.log_time(), events };
+        let command = Command::Batch(record);
+        let proposal = self.replica.start_proposal(&command)?;
+        let (clock, replica) = (self.clock, Rc::clone(&self.replica));
+        let (agents, decision_log) = (Rc::clone(&self.agents), Rc::clone(&self.decision_log));
+        let applied = spawn_local(async move {
+            let effect = proposal.applied().await?;
+            let took = clock.now().since(begun);
+            metrics::histogram!("bronzespool_batch_commit_seconds").record(took.as_secs_f64());
+            let (Command::Batch(record), Effect::Batch(outcomes)) = (&command, effect) else {
+                return Err(Refusal::from(Code::Internal));
+            };
+            let agents = agents.borrow();
+            let poll_age =
+                |agent: &Instance| agents.contacts.heard_at(agent).map(|at| begun.since(at));
+            decision_log.borrow_mut().log_record(
+                replica.state().batch(),
+                &prior_state,
+                record,
+                &outcomes,
+                took,
+                poll_age,
+            );
+            Ok(outcomes)
+        });
+        applied.await.unwrap_or_else(|_| Err(Refusal::from(Code::Internal)))
     }
 
     async fn propose_one(&self, event: Event) -> Result<EventOutcome> {
--- a/crates/bronzespoold/src/control/batch/polls.rs
+++ b/crates/bronzespoold/src/control/batch/polls.rs
@@ -95,8 +95,8 @@
     }
 
     fn orders(&self, poll: &Poll) -> Orders {
-        let (state, agents) = (self.replica.state(), self.agents.borrow());
+        let (state, withdrawals) = (self.replica.state(), self.replica.withdrawals());
         let term = self.replica.status().term;
-        poll_orders(state.batch(), &agents.withdrawals, poll, term, WORKER_LEASE)
+        poll_orders(state.batch(), &withdrawals, poll, term, WORKER_LEASE)
     }
 }
--- a/crates/bronzespoold/src/control/replica.rs
+++ b/crates/bronzespoold/src/control/replica.rs
@@ -12,6 +12,7 @@
         telemetry::{Event as _, event},
     },
     bronzespool::{
+        batch::Withdrawals,
         consensus::{
             Entry, Error, Index, LogClock, Message, Node, ReadResult, Ready, ReplicaId, Role,
             Snapshot, Status, Term,
@@ -76,6 +77,22 @@
     log_clock: Cell<LogClock>,
     logged_status: RefCell<Option<RoleStatus>>,
     batch_wakes: Wakes,
+    withdrawals: RefCell<Withdrawals>,
+}
+
+/// A command on its way into the log.
+pub(super) struct Proposal {
+    result: oneshot::Receiver<Option<Effect>>,
+}
+
+impl Proposal {
+    /// Waits until the command is applied.
+    pub(super) async fn applied(self) -> Result<Effect> {
+        match timeout(COMMIT_TIMEOUT, self.result).await {
+            Ok(Ok(Some(effect))) => Ok(effect),
+            _ => Err(Code::CommitUnknown.into()),
+        }
+    }
 }
 
 /// Role and membership of a replica, as last written to the process's log.
@@ -123,6 +140,7 @@
             log_clock: Cell::default(),
             logged_status: RefCell::default(),
             batch_wakes: Wakes::default(),
+            withdrawals: RefCell::default(),
         })
     }
 
@@ -201,25 +219,30 @@
         Ok(())
     }
 
+    /// What records that are proposed here and not applied take from agents.
+    pub(super) fn withdrawals(&self) -> Ref<'_, Withdrawals> {
+        self.withdrawals.borrow()
+    }
+
     /// Proposes a command and waits until it is applied.
     pub(super) async fn propose(&self, command: &Command) -> Result<Effect> {
-        let result = self.start_proposal(command)?;
-        self.driver_notify.notify_one();
-        match timeout(COMMIT_TIMEOUT, result).await {
-            Ok(Ok(Some(effect))) => Ok(effect),
-            _ => Err(Code::CommitUnknown.into()),
-        }
+        self.start_proposal(command)?.applied().await
     }
 
-    fn start_proposal(&self, command: &Command) -> Result<oneshot::Receiver<Option<Effect>>> {
+    /// Appends a command to the leader's log.
+    pub(super) fn start_proposal(&self, command: &Command) -> Result<Proposal> {
         let mut node = self.node.borrow_mut();
         let index = node
             .propose(self.clock.now(), frame::encode(command))
             .map_err(|error| refusal(&error))?;
-        let (reply, wait) = oneshot::channel();
+        let (reply, result) = oneshot::channel();
         let pending = PendingProposal { term: node.term(), reply };
         self.pending_proposals.borrow_mut().insert(index, pending);
-        Ok(wait)
+        if let Command::Batch(record) = command {
+            self.withdrawals.borrow_mut().begin(&record.events);
+        }
+        self.driver_notify.notify_one();
+        Ok(Proposal { result })
     }
 
     /// Waits until the state here is current, which only the leader can confirm.
@@ -400,6 +423,7 @@
         let Command::Batch(record) = command else { return state.apply(index, command) };
         let scope = self.batch_wakes.scope(state.batch(), record);
         let result = state.apply(index, command);
+        self.withdrawals.borrow_mut().end(&record.events);
         self.batch_wakes.record_applied(scope, state.batch(), &result.effect);
         result
     }
@@ -429,6 +453,7 @@
     /// Drops pending proposals and reads: without leadership their outcome is not known here.
     fn drop_pending(&self) {
         self.pending_proposals.borrow_mut().clear();
+        self.withdrawals.borrow_mut().clear();
         self.pending_reads.borrow_mut().clear();
     }
 
