--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -316,9 +316,7 @@
         let ends: Vec<RunEnd> = listing.ends.into_iter().filter(|e| e.number > cursor).collect();
         let has_new_ends = ends.len() > worker.ends.len()
             || ends.last().map(|e| e.number) > worker.ends.last().map(|e| e.number);
-        worker.ends = ends;
-        worker.ends_truncated = listing.truncated;
-        worker.running = listing.running;
+        worker.take_list(listing.running, ends, listing.truncated);
         worker.end_pauses(now);
         let finished = worker.finish_calls(now, request.serial);
         if former_calls_over {
--- a/crates/bronzespool-batch/src/agent/worker.rs
+++ b/crates/bronzespool-batch/src/agent/worker.rs
@@ -50,6 +50,8 @@
     pub(super) lease: Lease,
     pub(super) running: Vec<RunStatus>,
     pub(super) ends: Vec<RunEnd>,
+    /// The runs that the latest list names, as running or as ended.
+    listed: HashSet<RunId>,
     /// Whether the worker may hold more ended runs than its latest list names.
     pub(super) ends_truncated: bool,
     pub(super) has_list: bool,
@@ -80,6 +82,7 @@
             lease: Lease::default(),
             running: Vec::new(),
             ends: Vec::new(),
+            listed: HashSet::default(),
             ends_truncated: false,
             has_list: false,
             answers: false,
@@ -144,9 +147,20 @@
         self.refused.insert(run);
     }
 
+    /// Takes the runs of a list.
+    pub(super) fn take_list(
+        &mut self,
+        running: Vec<RunStatus>,
+        ends: Vec<RunEnd>,
+        truncated: bool,
+    ) {
+        self.listed = running.iter().map(|s| s.run).chain(ends.iter().map(|e| e.run)).collect();
+        (self.running, self.ends, self.ends_truncated) = (running, ends, truncated);
+    }
+
     /// Whether the worker's latest list names the run, as running or as ended.
     pub(super) fn lists(&self, run: RunId) -> bool {
-        self.running.iter().any(|s| s.run == run) || self.ends.iter().any(|e| e.run == run)
+        self.listed.contains(&run)
     }
 
     /// Lets the stops be repeated whose pause is over.
