fix(batch): acknowledge ended runs to a worker once

A list request that had no answer may reach the next incarnation of the worker. Each one carried the number of the last recorded end, so that the next incarnation forgot ends of its own that nobody had seen; the task ran again. The number is now sent only until a list that carried it was answered.

--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -292,7 +292,11 @@
         let mut request =
             ListRequest { epoch, cursor: 0, until: None, incarnation, serial: worker.list_serial };
         if let Some(received) = received {
-            request.cursor = received.orders.cursor;
+            // An acknowledgement that is repeated without need could reach the next incarnation, and
+            // make it forget ends that nobody has seen.
+            if received.orders.cursor > worker.acknowledged {
+                request.cursor = received.orders.cursor;
+            }
             if worker.answers || !worker.lease.is_read() {
                 let span = Duration::from_millis(received.orders.lease);
                 request.until = worker.lease.extend(now, received.sent, span, lease_max);
@@ -312,7 +316,8 @@
         worker.answers = true;
         worker.has_list = true;
         worker.lease.read(ClockReading { clock: listing.clock, at: now });
-        let cursor = request.cursor;
+        worker.acknowledged = worker.acknowledged.max(request.cursor);
+        let cursor = worker.acknowledged;
         let ends: Vec<RunEnd> = listing.ends.into_iter().filter(|e| e.number > cursor).collect();
         let has_new_ends = ends.len() > worker.ends.len()
             || ends.last().map(|e| e.number) > worker.ends.last().map(|e| e.number);
--- a/crates/bronzespool-batch/src/agent/worker.rs
+++ b/crates/bronzespool-batch/src/agent/worker.rs
@@ -50,6 +50,8 @@
     pub(super) lease: Lease,
     pub(super) running: Vec<RunStatus>,
     pub(super) ends: Vec<RunEnd>,
+    /// Number up to which the worker has been told that it may forget ended runs.
+    pub(super) acknowledged: u64,
     /// The runs that the latest list names, as running or as ended.
     listed: HashSet<RunId>,
     /// Whether the worker may hold more ended runs than its latest list names.
@@ -82,6 +84,7 @@
             lease: Lease::default(),
             running: Vec::new(),
             ends: Vec::new(),
+            acknowledged: 0,
             listed: HashSet::default(),
             ends_truncated: false,
             has_list: false,
--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -378,6 +378,18 @@
     assert!(a.poll().ends.is_empty());
 }
 
+// A list request of before a restart acknowledged ends of the next incarnation.
+#[test]
+fn list_request_acknowledges_each_end_once() {
+    let mut a = Agent::new();
+    a.list(Vec::new(), vec![ended(1, RunOutcome::Done)]);
+    a.order(Orders { cursor: 1, ..orders(3, Vec::new(), Vec::new()) });
+    let lost = a.reconciler.list_request(a.now).unwrap();
+    a.reconciler.list_unanswered(&lost);
+    assert_eq!(a.list(Vec::new(), Vec::new()).cursor, 1, "the first one had no answer");
+    assert_eq!(a.list(Vec::new(), Vec::new()).cursor, 0);
+}
+
 #[test]
 fn list_request_extends_leases_only_as_control_allows() {
     let mut a = Agent::new();
