fix(control): a hub renews no session of a former incarnation

Callers saw an endpoint that refused each request as for another incarnation and counted as down after a lease, while its process was alive and held a session. An announcement of the agent's former process had been held up on its way to the leader and arrived after that of the next process: its nonce was not the last one, so it made a new incarnation and ended the live one. The hub of the live process knew nothing of it and kept renewing its session.

A hub now compares the incarnation of a session with the applied state at each renewal, and retires the session of a former incarnation. Its holder opens a new session, for which it announces itself again. This heals whatever made the incarnation, and changes no stored format and no message. Remembering former nonces would need a field in the stored endpoint, or would be lost with the leader, and would heal this cause only.

Limit: two live processes under one instance name now displace each other at their renewals; before, the first one was refused until its session ended.

Test: control_announce, from.

--- a/crates/bronzespool-telemetry/src/event/daemon.rs
+++ b/crates/bronzespool-telemetry/src/event/daemon.rs
@@ -156,6 +156,11 @@
         /// Instance of the holder.
         instance: Instance,
     }
+    /// The holder of a session has a newer incarnation than the session.
+    SessionSuperseded: Info, Control, "a session belongs to a former incarnation and is not renewed" {
+        /// Instance of the holder.
+        instance: Instance,
+    }
     /// The leader has refused this hub a lease, so it cannot renew sessions.
     HubLeaseRefused: Error, Control, "the leader grants this hub no lease" {
         /// The refusal.
--- a/crates/bronzespoold/src/control/hub/sessions.rs
+++ b/crates/bronzespoold/src/control/hub/sessions.rs
@@ -149,21 +149,37 @@
     }
 
     /// Renews a session. Returns its lease in milliseconds, or zero if the session has ended or
-    /// this hub has lost contact with the leader.
+    /// belongs to a former incarnation, or this hub has lost contact with the leader. The holder
+    /// then opens a new session, for which it announces itself again.
     pub(in crate::control) fn renew(&self, id: SessionId, acked: u64) -> u32 {
+        self.retire_if_superseded(id);
         let millis = self.session_millis();
         let open = self.table.borrow_mut().renew(self.clock.now(), id, acked);
         self.renewed.notify_waiters();
         if open { millis } else { 0 }
     }
 
+    /// Retires a session whose incarnation is not the current one of its agent.
+    fn retire_if_superseded(&self, id: SessionId) {
+        let agents = self.agents.borrow();
+        let Some((instance, incarnation)) = agents.get(&id) else {
+            return;
+        };
+        let state = self.replica.state();
+        let current = state.endpoints().get(instance).map_or(0, |e| e.incarnation);
+        if *incarnation < current {
+            event::SessionSuperseded { instance: instance.clone() }.emit();
+            self.retire(id);
+        }
+    }
+
     /// Ends a session at its holder's request.
     pub(in crate::control) fn close(&self, id: SessionId) {
         self.table.borrow_mut().close(id);
         self.prune_agents();
     }
 
-    /// Stops renewing a session that cannot be pushed to. Its holder may accept work until the
+    /// Stops renewing a session that cannot be pushed to or that belongs to a former incarnation. Its holder may accept work until the
     /// lease ends, so the session counts as open until then.
     pub(super) fn retire(&self, id: SessionId) {
         self.table.borrow_mut().retire(id);
