fix(control): a planned stop drains its own incarnation alone

Callers saw an endpoint that got no new work although its process was new and served: the drain of the former process, sent at its planned stop, reached the leader after the announcement of the next process. The call named the instance alone, and the leader looked up the incarnation when it had the call and after a read barrier of up to 2 s. Nothing ended the drain while the session of the new process lasted.

An agent now sends DrainIncarnation, a new last variant of Call; the leader commits the presence of that incarnation, and whether it is the current one is decided when the record is applied. Stored formats are unchanged. An operator's drain still names the instance. Drain stays readable, so agents of the former version stop as before. A control instance of the former version cannot read the new call: the agent then logs that its drain was not reported, and still refuses new work itself. Control is upgraded before the agents (docs/operations/alerts-and-faults.md).

--- a/crates/bronzespool-wire/src/message/call.rs
+++ b/crates/bronzespool-wire/src/message/call.rs
@@ -98,6 +98,9 @@
     /// Says that an agent stops as planned: this incarnation has reported the outcome of every
     /// attempt that it started, and starts no other.
     Leave(Incarnation),
+    /// Says that an agent begins its planned stop: this incarnation accepts no new work. Later
+    /// incarnations are not concerned, unlike by [`Call::Drain`].
+    DrainIncarnation(Incarnation),
 }
 
 /// Progress of a hub's sessions.
--- a/crates/bronzespoold/src/agent/start.rs
+++ b/crates/bronzespoold/src/agent/start.rs
@@ -16,7 +16,7 @@
         telemetry::{Event as _, event},
     },
     bronzespool::{
-        core::{Capacity, Code, Place, Service, Time, name::Cluster},
+        core::{Capacity, Code, Place, Refusal, Service, Time, name::Cluster},
         flow::view::View,
         wire::{bronzespool_capnp::agent, message::Call, serve::serve_bounded},
     },
@@ -36,6 +36,8 @@
 
 /// Interval between two checks for running requests while the agent drains.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest wait for control to record that the agent drains.
+const DRAIN_REPORT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest wait for control to record that the agent has left, enough for a change of its leader.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -137,10 +139,7 @@
 /// Tells control that the endpoint is leaving and waits until no request is running and all
 /// outcomes are reported, for at most `grace`.
 async fn drain(state: &Rc<State>, grace: Duration) {
-    let call = Call::Drain { instance: state.instance().clone(), leaving: true };
-    if let Some(session_client) = state.session_client()
-        && let Err(refusal) = session_client.call(&call, grace.min(Duration::from_secs(2))).await
-    {
+    if let Err(refusal) = report_drain(state, grace.min(DRAIN_REPORT_TIMEOUT)).await {
         event::DrainReportFailed { refusal: refusal.to_string() }.emit();
     }
     let idle = async {
@@ -153,6 +152,17 @@
     }
 }
 
+/// Tells control that this incarnation drains. Without an incarnation there is nothing to tell: a
+/// session that is opened from now on announces the agent as leaving.
+async fn report_drain(state: &State, limit: Duration) -> Result<(), Refusal> {
+    let (Some(session_client), Some(incarnation)) = (state.session_client(), state.incarnation())
+    else {
+        return Ok(());
+    };
+    session_client.call(&Call::DrainIncarnation(incarnation), limit).await?;
+    Ok(())
+}
+
 /// Tells control that no attempt of this incarnation will start any more, so that control releases
 /// the claims whose requests were refused here or have not arrived. Without that, the agent's next
 /// start would seal them.
--- a/crates/bronzespoold/src/agent/state.rs
+++ b/crates/bronzespoold/src/agent/state.rs
@@ -100,6 +100,11 @@
         running || self.open_reports.get() > 0
     }
 
+    /// The incarnation of this process, if control has announced one.
+    pub(super) fn incarnation(&self) -> Option<Incarnation> {
+        self.admission.borrow().as_ref().map(|a| a.incarnation().clone())
+    }
+
     /// The incarnation of this process, if it may leave: every attempt that it started has ended,
     /// control has acknowledged the outcomes, and no attempt starts any more.
     pub(super) fn settled_incarnation(&self) -> Option<Incarnation> {
--- a/crates/bronzespoold/src/control/leader/calls.rs
+++ b/crates/bronzespoold/src/control/leader/calls.rs
@@ -16,7 +16,10 @@
     },
     bronzespool::{
         core::{Code, Instance, Refusal, Shape},
-        flow::{claim::Retention, view::Presence},
+        flow::{
+            claim::{Incarnation, Retention},
+            view::Presence,
+        },
         schedule::Planner,
         wire::message::{Announce, Call, CallResult, Reply},
     },
@@ -93,6 +96,7 @@
             Call::Explain(job) => self.explain(&job).await,
             Call::Status => self.status().await,
             Call::Drain { instance, leaving } => self.drain(instance, leaving).await,
+            Call::DrainIncarnation(incarnation) => self.drain_incarnation(incarnation).await,
             Call::Announce(announce) => self.announce(announce).await,
             Call::Progress(progress) => self.progress(progress),
             Call::Answers { holder, counts } => Ok(self.record_answers(holder, counts)),
@@ -151,6 +155,14 @@
         Ok(Reply::Acknowledged)
     }
 
+    /// Drains one incarnation of an agent. Whether it is the current one is decided when the record
+    /// is applied.
+    async fn drain_incarnation(&self, incarnation: Incarnation) -> CallResult {
+        let Incarnation { instance, number } = incarnation;
+        self.set_presence(instance, number, Presence::Draining).await?;
+        Ok(Reply::Acknowledged)
+    }
+
     pub(super) async fn set_presence(
         &self,
         instance: Instance,
