fix(batch): a fenced order counts only in the term that gave it

Operators saw a wave that stood still until the next change of leader: a process that thawed after a change of leader called the platform with the former leader's fencing token, was fenced, and reported this to the new leader, which then ordered no machine for its whole term. The report did not say which token was refused.

The process now reports ExternalResult::Fenced with the token, a new last variant, and the planner of maintenance, which knows its term's token, ignores the others. Stored formats are unchanged. TakenDown with Fenced stays readable and has no effect any more: only the leader's own process, of its own version, is given orders, so such a report belongs to another leader's order. A leader of the former version cannot read the new report; the process goes on with its next request.

Tests: upkeep fence_of_earlier_order_does_not_concern_this_leader, seen failing with the token ignored: assertion failed: !planner.is_fenced(). No test plays it with processes.

--- a/crates/bronzespool-batch/src/message.rs
+++ b/crates/bronzespool-batch/src/message.rs
@@ -229,6 +229,12 @@
         /// The answer.
         word: TakedownResult,
     },
+    /// The platform has refused an order to take a machine down, because another instance has used
+    /// a higher fencing token.
+    Fenced {
+        /// Fencing token of the order.
+        epoch: u64,
+    },
 }
 
 /// Which external calls a process makes.
--- a/crates/bronzespool-batch/src/plan/maintenance.rs
+++ b/crates/bronzespool-batch/src/plan/maintenance.rs
@@ -43,9 +43,29 @@
     draining: HashMap<Arc<str>, Time>,
     /// Machines that were ordered to go down, and when.
     ordered: HashMap<Arc<str>, Time>,
+    /// Fencing token of this leader's orders.
+    epoch: u64,
+    /// Whether the platform has refused an order with this token.
+    fenced: bool,
 }
 
 impl MaintenancePlanner {
+    /// A planner whose orders carry the fencing token `epoch`.
+    pub fn new(epoch: u64) -> Self {
+        Self { epoch, ..Self::default() }
+    }
+
+    /// Records that the platform has refused an order with the fencing token `epoch`. An order of
+    /// an earlier leader says nothing about this one's.
+    pub const fn record_fenced(&mut self, epoch: u64) {
+        self.fenced |= epoch == self.epoch;
+    }
+
+    /// Whether the platform has refused this leader's fencing token, so that orders are of no use.
+    pub const fn is_fenced(&self) -> bool {
+        self.fenced
+    }
+
     /// Replaces the list of machines.
     pub fn set_machines(&mut self, machines: Vec<Machine>) {
         self.machines = Some(machines.into_iter().map(|m| (m.name.clone(), m)).collect());
--- a/crates/bronzespool-batch/tests/upkeep.rs
+++ b/crates/bronzespool-batch/tests/upkeep.rs
@@ -181,6 +181,23 @@
     assert_eq!(orders, 2, "once, and again after two seconds");
 }
 
+// A process that thawed after a change of leader reported that the platform had refused the former
+// leader's token, and the new leader ordered no machine for its whole term.
+#[test]
+fn fence_of_earlier_order_does_not_concern_this_leader() {
+    let mut planner = MaintenancePlanner::new(7);
+    planner.record_fenced(6);
+    assert!(!planner.is_fenced());
+}
+
+#[test]
+fn fence_of_own_order_stays() {
+    let mut planner = MaintenancePlanner::new(7);
+    planner.record_fenced(7);
+    planner.record_fenced(6);
+    assert!(planner.is_fenced());
+}
+
 #[test]
 fn order_same_wave_again_is_known() {
     let mut simulation = Simulation::new(1);
--- a/crates/bronzespoold/src/batch/external.rs
+++ b/crates/bronzespoold/src/batch/external.rs
@@ -10,7 +10,7 @@
         Call, ExternalCall, ExternalCallKind, ExternalCallRequest, ExternalResult, Machine,
         Permitted, Question, Reply, TakedownResult,
     },
-    std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::sleep,
 };
 
@@ -69,8 +69,10 @@
         }
         ExternalCall::List => services.list_machines().await.map(ExternalResult::Listed),
         ExternalCall::TakeDown { wave, machine, epoch } => {
-            let word = services.take_down(wave, &machine, epoch).await;
-            Some(ExternalResult::TakenDown { wave, machine: Arc::clone(&machine), word })
+            Some(match services.take_down(wave, &machine, epoch).await {
+                TakedownResult::Fenced => ExternalResult::Fenced { epoch },
+                word => ExternalResult::TakenDown { wave, machine, word },
+            })
         }
     }
 }
--- a/crates/bronzespoold/src/control/batch/external.rs
+++ b/crates/bronzespoold/src/control/batch/external.rs
@@ -42,14 +42,13 @@
     pub(super) maintenance: MaintenancePlanner,
     /// When the machines were last listed.
     listed_at: Option<Time>,
-    /// Whether the platform has refused this term's fencing token.
-    fenced: bool,
 }
 
 impl ExternalState {
     fn enter_term(&mut self, term: u64, now: Time) {
         if self.term != term {
-            *self = Self { term, term_start: now, ..Self::default() };
+            let maintenance = MaintenancePlanner::new(term);
+            *self = Self { term, term_start: now, maintenance, ..Self::default() };
         }
     }
 }
@@ -118,11 +117,13 @@
             } => {
                 self.propose_one(Event::MaintenanceBegun { wave, machine }).await?;
             }
-            ExternalResult::TakenDown { word: TakedownResult::Fenced, .. } => {
-                self.external.borrow_mut().fenced = true;
+            ExternalResult::Fenced { epoch } => {
+                self.external.borrow_mut().maintenance.record_fenced(epoch);
             }
+            // A process of the former version reports a fenced order without its token. Only the
+            // leader's own process is given orders, so this is none of the current term.
             ExternalResult::TakenDown {
-                word: TakedownResult::Busy | TakedownResult::Unknown,
+                word: TakedownResult::Busy | TakedownResult::Unknown | TakedownResult::Fenced,
                 ..
             } => {}
         }
@@ -172,7 +173,7 @@
             let list_stale = external.listed_at.is_none_or(|at| now.since(at) > LIST_AGE_MAX);
             (
                 list_stale,
-                external.fenced || now.since(external.term_start) < ORDER_DELAY,
+                external.maintenance.is_fenced() || now.since(external.term_start) < ORDER_DELAY,
                 external.term,
             )
         };
