test(schedule): cells of a silent borrower after a slow commit of its stop

The deadline of a stop counts from the decision. While its record is being committed, hubs renew sessions from the state before it; if the push then fails, the borrower may run for a lease from then on.

--- a/crates/bronzespool-schedule/tests/reclaim.rs
+++ b/crates/bronzespool-schedule/tests/reclaim.rs
@@ -6,8 +6,12 @@
     bronzespool_core::{Level, Time},
     bronzespool_schedule::{Event, JobPhase, MemberOutcome, PolicySettings, StopReason},
     common::{Simulation, job},
+    std::time::Duration,
 };
 
+/// Time from a decision to its application on every replica, longer than a lease.
+const COMMIT_TIME: Duration = Duration::from_secs(3);
+
 fn sim() -> Simulation {
     let mut sim = Simulation::racks(PolicySettings::default(), &[&[4, 4], &[4, 4]]);
     sim.guarantees(&[("arima", &["2 x worker"]), ("couva", &["1 x rack"])]);
@@ -104,6 +108,37 @@
     );
 }
 
+// The commit of a stop took seconds, in which hubs renewed the borrower's session from the state
+// before it; the cells were granted to another job while the silent borrower could still run.
+#[test]
+fn decide_silent_borrower_keeps_cells_until_lease_end_after_slow_commit() {
+    let mut sim = sim();
+    sim.record(Event::Submitted(job("a", "arima", 4, 4, Level::Region)));
+    sim.run_granted();
+    sim.record(Event::Submitted(job("c", "couva", 2, 4, Level::Rack).urgent(true)));
+    let applied = commit_stop_slowly(&mut sim, "a");
+    let granted = until_granted(&mut sim, "c");
+    let settings = PolicySettings::default();
+    let free = applied + settings.borrowed_lease + settings.clock_error_max;
+    assert!(granted >= free, "granted at {granted}, free at {free}");
+}
+
+/// Applies decisions, each after [`COMMIT_TIME`], until `name` is told to stop; returns the time at
+/// which that record is applied.
+fn commit_stop_slowly(sim: &mut Simulation, name: &str) -> Time {
+    for _ in 0..20 {
+        let records = sim.planner.decide(&sim.state, sim.now);
+        sim.advance(COMMIT_TIME);
+        for record in &records {
+            sim.state.apply(record).unwrap();
+        }
+        if matches!(sim.phase(name), JobPhase::Active(a) if a.stop.is_some()) {
+            return sim.now;
+        }
+    }
+    panic!("{name} is never told to stop");
+}
+
 /// Work that was made borrowed may still have its former, longer lease, so its cells must not be
 /// granted to another job before that lease has expired.
 #[test]
