fix(batch): the leader plans maintenance by lists of machines that it requested

What operators could see: more machines of a wave down at once than its limit.

Cause: a word about the past is taken for the present. Any process beside a control instance could return a list of machines, and the leader took it as of the moment at which it arrived. A process that was frozen while it had the former leader's list returns it after it thaws; machines that went down since look up in it, and the next one goes down beside them. The age of a list also counted from its arrival, not from its request.

Change: the planner of maintenance notes of which process it requests a list, and when. It ignores any other list, also a repeated one, and the age of a list counts from its request. No message and no stored format changes.

Tests: upkeep receive_list_of_a_process_that_was_not_asked_is_ignored. With every list taken it fails: left: Some(Takedown { wave: 1, machine: "m1" }), right: None. The three calls of set_machines in this file now request the list first (Simulation::take_list); their checks are as they were. No test plays the frozen process itself.

--- a/crates/bronzespool-batch/src/plan/maintenance.rs
+++ b/crates/bronzespool-batch/src/plan/maintenance.rs
@@ -13,7 +13,7 @@
         plan::{ClusterView, capacity::ClusterCapacity, disruption},
     },
     bronzespool_core::{HashMap, HashSet, Time},
-    std::{sync::Arc, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// Percentage of a machine's share of the wave's duration for which its tasks may go on.
@@ -33,12 +33,23 @@
     pub machine: Arc<str>,
 }
 
+/// A request for the list of machines that a process is carrying out.
+#[derive(Clone, Copy, Debug)]
+struct ListRequest {
+    /// Control instance beside the process.
+    control: SocketAddr,
+    at: Time,
+}
+
 /// The leader's knowledge of machines. This state is not replicated: each new leader starts without
 /// it.
 #[derive(Clone, Debug, Default)]
 pub struct MaintenancePlanner {
     /// Machines by the latest list; none before the first one.
     machines: Option<HashMap<Arc<str>, Machine>>,
+    /// Log time at which this list was requested: it may lack all that happened since.
+    listed_at: Time,
+    requested: Option<ListRequest>,
     /// Machines that are being drained, and since when.
     draining: HashMap<Arc<str>, Time>,
     /// Machines that were ordered to go down, and when.
@@ -66,9 +77,23 @@
         self.fenced
     }
 
-    /// Replaces the list of machines.
-    pub fn set_machines(&mut self, machines: Vec<Machine>) {
+    /// Records that the process beside the control instance at `control` is told at the log time
+    /// `now` to list the machines.
+    pub const fn request_list(&mut self, control: SocketAddr, now: Time) {
+        self.requested = Some(ListRequest { control, at: now });
+    }
+
+    /// Replaces the list of machines. A list that this leader has not requested from that process may
+    /// be of any age, as one of a process that was frozen, and is ignored.
+    pub fn receive_list(&mut self, control: SocketAddr, machines: Vec<Machine>) {
+        let Some(request) = self.requested.take_if(|r| r.control == control) else { return };
         self.machines = Some(machines.into_iter().map(|m| (m.name.clone(), m)).collect());
+        self.listed_at = request.at;
+    }
+
+    /// Whether there is no list of machines, or one that was requested longer than `age_max` ago.
+    pub fn is_list_stale(&self, now: Time, age_max: Duration) -> bool {
+        self.machines.is_none() || now.since(self.listed_at) > age_max
     }
 
     /// Whether the planner needs a list of machines.
--- a/crates/bronzespool-batch/tests/upkeep.rs
+++ b/crates/bronzespool-batch/tests/upkeep.rs
@@ -11,10 +11,18 @@
     },
     bronzespool_core::Time,
     common::{Cluster, step},
-    std::{collections::BTreeMap, sync::Arc, time::Duration},
+    std::{
+        collections::BTreeMap,
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 const TICK: Duration = Duration::from_millis(100);
+/// Control instances of the leader and of another replica.
+const CONTROL: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7_000);
+const OTHER_CONTROL: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7_001);
 /// Time for which a machine is down.
 const DOWN: Duration = Duration::from_secs(2);
 
@@ -66,12 +74,18 @@
         workers.map(machine).collect()
     }
 
+    /// Lets the planner request this list of machines and take it at once.
+    fn take_list(&mut self, list: Vec<Machine>) {
+        self.planner.request_list(CONTROL, self.cluster.view.now);
+        self.planner.receive_list(CONTROL, list);
+    }
+
     /// Simulates one round of the leader and of the platform, in which all started tasks become
     /// ready.
     fn tick(&mut self) {
         let now = self.cluster.view.now;
         self.down.retain(|_, until| now < *until);
-        self.planner.set_machines(self.list());
+        self.take_list(self.list());
         self.cluster.view.draining = self.planner.draining_workers().cloned().collect();
         let (events, down) = self.planner.plan(&self.cluster.ledger, &self.cluster.view);
         for event in events {
@@ -133,7 +147,7 @@
 fn plan_draining_worker_gets_nothing_new() {
     let mut simulation = Simulation::new(1);
     simulation.order(&["m0"], Duration::from_secs(60), 1);
-    simulation.planner.set_machines(simulation.list());
+    simulation.take_list(simulation.list());
     simulation.planner.plan(&simulation.cluster.ledger, &simulation.cluster.view);
     simulation.cluster.view.draining = simulation.planner.draining_workers().cloned().collect();
     simulation.cluster.submit(1, 0, vec![step(1, 1)]);
@@ -168,7 +182,7 @@
     let list = simulation.list();
     let mut orders = 0;
     for _ in 0..30 {
-        simulation.planner.set_machines(list.clone());
+        simulation.take_list(list.clone());
         orders += usize::from(
             simulation
                 .planner
@@ -181,6 +195,23 @@
     assert_eq!(orders, 2, "once, and again after two seconds");
 }
 
+// A process that was frozen returned a list from before a machine went down, and the leader took a
+// second one down beside it.
+#[test]
+fn receive_list_of_a_process_that_was_not_asked_is_ignored() {
+    let mut simulation = Simulation::new(2);
+    let before = simulation.list();
+    simulation.down.insert("m0".into(), Time::MAX);
+    simulation.order(&["m0", "m1"], Duration::from_secs(10), 1);
+    simulation.cluster.apply(Event::MaintenanceBegun { wave: 1, machine: "m0".into() });
+    simulation.take_list(simulation.list());
+    simulation.planner.receive_list(CONTROL, before.clone());
+    simulation.planner.request_list(CONTROL, simulation.cluster.view.now);
+    simulation.planner.receive_list(OTHER_CONTROL, before);
+    let (_, down) = simulation.planner.plan(&simulation.cluster.ledger, &simulation.cluster.view);
+    assert_eq!(down, None);
+}
+
 // A process that thawed after a change of leader reported that the platform had refused the former
 // leader's token, and the new leader ordered no machine for its whole term.
 #[test]
--- a/crates/bronzespoold/src/control/batch/external.rs
+++ b/crates/bronzespoold/src/control/batch/external.rs
@@ -19,14 +19,14 @@
         },
         core::{Code, HashSet, Refusal, Time},
     },
-    std::{sync::Arc, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::timeout,
 };
 
 /// Longest time for which a request for an external call waits until there is a question for the
 /// advice service.
 const QUESTION_WAIT: Duration = Duration::from_millis(400);
-/// Age at which the list of machines is read again.
+/// Time since its request after which the list of machines is read again.
 const LIST_AGE_MAX: Duration = Duration::from_secs(1);
 /// Time after the start of a term before machines are ordered. The former leader's orders are
 /// finished by then, so the platform does not see two lease holders alternate.
@@ -40,8 +40,6 @@
     term_start: Time,
     pub(super) permits: Permits,
     pub(super) maintenance: MaintenancePlanner,
-    /// When the machines were last listed.
-    listed_at: Option<Time>,
 }
 
 impl ExternalState {
@@ -83,7 +81,7 @@
         self.external.borrow_mut().enter_term(self.replica.status().term, self.clock.now());
         if let Some(result) = request.result {
             event::ExternalCallDone { outcome: format!("{result:?}") }.emit();
-            self.record_result(result).await?;
+            self.record_result(request.control, result).await?;
             self.replica.batch_wakes().request_plan();
         }
         let call = match request.kind {
@@ -91,7 +89,7 @@
             ExternalCallKind::Machines
                 if name_from_address(request.control).as_ref() == Some(&self.instance) =>
             {
-                self.next_machine_call().await?
+                self.next_machine_call(request.control).await?
             }
             ExternalCallKind::Machines => None,
         };
@@ -102,13 +100,13 @@
         Ok(Reply::External(call.ok_or(true)))
     }
 
-    async fn record_result(&self, result: ExternalResult) -> Result<()> {
+    /// Processes the result of a call that the process beside the control instance at `control` has
+    /// made.
+    async fn record_result(&self, control: SocketAddr, result: ExternalResult) -> Result<()> {
         match result {
             ExternalResult::Permitted(permitted) => self.record_permits(permitted),
             ExternalResult::Listed(machines) => {
-                let mut external = self.external.borrow_mut();
-                external.maintenance.set_machines(machines);
-                external.listed_at = Some(self.clock.now());
+                self.external.borrow_mut().maintenance.receive_list(control, machines);
             }
             ExternalResult::TakenDown {
                 wave,
@@ -165,19 +163,20 @@
         self.external.borrow_mut().permits.next_question(state.batch(), &cluster_view)
     }
 
-    /// The next order for a machine, or a request to list all machines.
-    async fn next_machine_call(&self) -> Result<Option<ExternalCall>> {
-        let now = self.clock.now();
+    /// The next order for a machine, or a request to list all machines, for the process beside the
+    /// control instance at `control`.
+    async fn next_machine_call(&self, control: SocketAddr) -> Result<Option<ExternalCall>> {
+        let (now, log_time) = (self.clock.now(), self.replica.log_time());
         let (list_stale, orders_blocked, epoch) = {
             let external = self.external.borrow();
-            let list_stale = external.listed_at.is_none_or(|at| now.since(at) > LIST_AGE_MAX);
             (
-                list_stale,
+                external.maintenance.is_list_stale(log_time, LIST_AGE_MAX),
                 external.maintenance.is_fenced() || now.since(external.term_start) < ORDER_DELAY,
                 external.term,
             )
         };
         if list_stale {
+            self.external.borrow_mut().maintenance.request_list(control, log_time);
             return Ok(Some(ExternalCall::List));
         }
         if orders_blocked {
