fix(batch): a machine that joined after the list was requested is not missing

What operators could see: a wave shown as completed although one of its machines was never down.

Cause: a machine of a wave that is not in the list counts as gone, and so as having begun its maintenance; this is recorded for good. The list may be a second old. A machine that joined after the list was made, and is named by a wave at once while another wave is under way, is not in it.

Change: machines count as missing only by a list that was requested after the wave was ordered. Another list is requested within a second.

Tests: upkeep plan_machine_that_joined_after_the_list_does_not_count_as_begun. Without the condition it fails: assertion failed: simulation.begun().is_empty().

--- a/crates/bronzespool-batch/src/plan/maintenance.rs
+++ b/crates/bronzespool-batch/src/plan/maintenance.rs
@@ -115,7 +115,10 @@
         let waves: Vec<&Wave> = ledger.waves().filter(|w| !w.is_done()).collect();
         self.draining.retain(|m, _| waves.iter().any(|w| w.remaining().any(|r| r == m)));
         for wave in waves {
-            events.extend(missing_machines(wave, &machines));
+            // A machine of the wave may have joined after an earlier list was made.
+            if wave.ordered_at <= self.listed_at {
+                events.extend(missing_machines(wave, &machines));
+            }
             self.start_draining(wave, &machines, ledger, view);
             let context = WaveContext { wave, machines: &machines, ledger, view };
             for machine in wave.remaining() {
--- a/crates/bronzespool-batch/tests/upkeep.rs
+++ b/crates/bronzespool-batch/tests/upkeep.rs
@@ -80,6 +80,16 @@
         self.planner.receive_list(CONTROL, list);
     }
 
+    /// Plans once; returns the machines that count as having begun their maintenance.
+    fn begun(&mut self) -> Vec<Arc<str>> {
+        let (events, _) = self.planner.plan(&self.cluster.ledger, &self.cluster.view);
+        let machine = |e| match e {
+            Event::MaintenanceBegun { machine, .. } => Some(machine),
+            _ => None,
+        };
+        events.into_iter().filter_map(machine).collect()
+    }
+
     /// Simulates one round of the leader and of the platform, in which all started tasks become
     /// ready.
     fn tick(&mut self) {
@@ -195,6 +205,19 @@
     assert_eq!(orders, 2, "once, and again after two seconds");
 }
 
+// A list that was requested before a wave was ordered lacked a machine that had joined since: the
+// wave counted as completed although this machine was never down.
+#[test]
+fn plan_machine_that_joined_after_the_list_does_not_count_as_begun() {
+    let mut simulation = Simulation::new(1);
+    simulation.take_list(simulation.list());
+    simulation.cluster.pass(TICK);
+    simulation.order(&["m0", "m9"], Duration::from_secs(10), 1);
+    assert!(simulation.begun().is_empty());
+    simulation.take_list(simulation.list());
+    assert_eq!(simulation.begun(), [Arc::from("m9")], "not in a list made since");
+}
+
 // A process that was frozen returned a list from before a machine went down, and the leader took a
 // second one down beside it.
 #[test]
