fix(control): a denied attempt does not refuse a job that an earlier one handed in

What callers could see: 401 or 404 for a job that was accepted and runs.

Cause: the answer to one call stands for the job. An entry tries a submission again when an attempt had no answer within a second, for instance while a disk stalls. The first attempt may have been committed. If the configuration in force drops the key or the route before the second attempt, the leader denies this one, since it looks for the route and key before it looks for the job, and the entry passed the denial on. The same held for a second request of the caller after one that ended as unknown; refusals for want of a leader were already reported as unknown there.

Change: after an attempt that may have been accepted, a denied submission is unknown (504), so that the caller sends it again. A denial without such an attempt is passed on as before.

--- a/crates/bronzespoold/src/batch/leader_client/caller.rs
+++ b/crates/bronzespoold/src/batch/leader_client/caller.rs
@@ -73,8 +73,8 @@
     }
 
     /// Tracks submissions with an unknown outcome. While an earlier submission of the job may have
-    /// been committed, a later one that was not is reported as unknown, not refused: the caller
-    /// would conclude that the job never runs.
+    /// been committed, a later one that was not, or was denied, is reported as unknown, not refused:
+    /// the caller would conclude that the job never runs.
     fn track_submission(
         &self,
         job: JobId,
@@ -83,6 +83,9 @@
         let now = self.clock.now();
         let mut unconfirmed = self.unconfirmed.borrow_mut();
         match reply {
+            Ok(message::Reply::Denied(_)) if unconfirmed.contains(now, job) => {
+                Err(CallError::Unknown)
+            }
             Ok(reply) => {
                 unconfirmed.remove(job);
                 Ok(reply)
--- a/crates/bronzespoold/src/batch/leader_client/mod.rs
+++ b/crates/bronzespoold/src/batch/leader_client/mod.rs
@@ -144,6 +144,11 @@
                 return Err(if maybe_run { CallError::Unknown } else { CallError::NoLeader });
             }
             match self.attempt(&call, remaining.min(ANSWER_TIMEOUT)).await {
+                Some(Ok(Reply::Batch(reply)))
+                    if maybe_run && is_denied_submission(&call, &reply) =>
+                {
+                    return Err(CallError::Unknown);
+                }
                 Some(Ok(Reply::Batch(reply))) => return Ok(reply),
                 Some(Ok(_)) => return Err(CallError::Refused(Code::Internal.into())),
                 Some(Err(refusal)) if refusal.code == Code::NoLeader => self.leader.set(None),
@@ -245,6 +250,13 @@
     }
 }
 
+/// Whether a reply denies a submission. An earlier attempt of it may have been accepted all the same,
+/// before a change of the configuration.
+const fn is_denied_submission(call: &Call, reply: &message::Reply) -> bool {
+    matches!(call, Call::Batch(message::Call::Job(_, message::JobRequest::Submit(_))))
+        && matches!(reply, message::Reply::Denied(_))
+}
+
 async fn exchange(
     link: &Link<control::Client>,
     call: &Call,
