--- a/crates/bronzespool-batch/tests/model/fault.rs
+++ b/crates/bronzespool-batch/tests/model/fault.rs
@@ -20,16 +20,23 @@
     Poll,
     /// The worker is replaced by one with another name.
     Replacement,
+    /// The worker is replaced by one with another name that looks older, since the clock was set back.
+    ClockSetBack,
     /// The worker starts again under its name, and its check-ins may be late.
     Restart,
     /// The worker's answers and check-ins do not reach the agent for a while.
     Silence,
+    /// The worker accepts no new tasks any more.
+    Drain,
+    /// The agent's process does nothing for a while, and no time passes for its timeouts.
+    Freeze,
     /// A job is cancelled.
     Cancel,
 }
 
 impl FaultKind {
-    /// All kinds, apart from calls that arrive twice.
+    /// All kinds, apart from calls that arrive twice, clocks that are set back, draining workers and
+    /// frozen agents.
     pub(crate) const ALL: &[Self] = &[
         Self::Message,
         Self::Refusal,
--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -15,6 +15,8 @@
 /// Records are applied at once, and no poll overtakes another one of the same process.
 const IN_ORDER: Scope =
     Scope { faults: &[FaultKind::Message, FaultKind::Silence], ..APPLIED_AT_ONCE };
+/// As applied at once, with leases that outlive the wait for a former process of the agent.
+const LONG_LEASES: Scope = Scope { faults: FaultKind::ALL, ..Scope::LATE_CALLS };
 
 #[track_caller]
 fn check(scope: Scope, history: &[Move]) {
@@ -87,6 +89,50 @@
     );
 }
 
+// The former process's start is carried out, and the worker refuses the one by the next process,
+// whose reports count when its list does not show the run yet.
+#[test]
+fn refused_start_of_next_process_before_a_list_keeps_run_of_former_process() {
+    check(
+        LONG_LEASES,
+        &[
+            NewAgent,
+            Tick,
+            ListNow,
+            PollNow,
+            Deliver(Kind::Start, 0),
+            Tick,
+            Refuse(Kind::Start, 0),
+            Deliver(Kind::Answer, 0),
+            Tick,
+            Tick,
+            PollNow,
+        ],
+    );
+}
+
+// A start of the former process is on its way while the next one serves the worker, which begins to
+// drain.
+#[test]
+fn drained_worker_of_next_process_keeps_run_of_former_process() {
+    check(
+        LONG_LEASES,
+        &[
+            NewAgent,
+            Drain,
+            Tick,
+            ListNow,
+            PollNow,
+            PollNow,
+            Tick,
+            Tick,
+            Tick,
+            PollNow,
+            Deliver(Kind::Start, 0),
+        ],
+    );
+}
+
 // The next process of the agent starts a run while the record that the worker refused it is on its
 // way.
 #[test]
@@ -371,6 +417,45 @@
     );
 }
 
+// The clock is set back between two workers, and a late check-in of the one that is gone makes the
+// agent say that the current one is gone, which runs a task.
+#[test]
+fn late_check_in_of_worker_that_looks_younger_does_not_end_current_worker() {
+    check(
+        APPLIED_AT_ONCE,
+        &[
+            Deliver(Kind::Start, 0),
+            Cut,
+            Tick,
+            NewOlderWorker,
+            Heal,
+            ListNow,
+            Tick,
+            Tick,
+            Tick,
+            Tick,
+            Tick,
+            ListNow,
+            PollNow,
+            PollNow,
+            PlanHome,
+            PollNow,
+            Deliver(Kind::Start, 0),
+            Tick,
+            ListNow,
+            PollNow,
+            Tick,
+            ListNow,
+            PollNow,
+            Tick,
+            ListNow,
+            PollNow,
+            Deliver(Kind::CheckIn, 0),
+            PollNow,
+        ],
+    );
+}
+
 // A start for the former incarnation reaches the next one of the same name, before the agent learns
 // of it.
 #[test]
