fix(batch): reject late calls for a former incarnation by the fencing token

Callers saw: in the model, a task runs on a worker that has started again under its name, after its end was recorded or after it was given to another worker: a start for the former incarnation is carried out by the next one, though that one has had newer calls.

Cause: the token was the leader's term alone, and a call names the worker but not its incarnation, so nothing told the calls for two incarnations of one term apart.

Change: above the term, the token counts the restarts under one name that this process of the agent knows of, by a check-in or by the worker's answer to a list request. The worker itself then rejects each call for the former incarnation once it had one for the next. The next process of the agent counts anew and may be rejected by its worker; orders of the same term that answer a poll sent after the rejection show that no later leader gave orders, and this process then counts one more restart. `fenced`, `start_answered` and `pace_answered` take the time for this, as `stop_answered` did.

Formats: no message and no stored format changes, since the agent forms the token from the term in its orders.

Evidence: two new histories of the model violate OneRun on (the new tests run with the former sources) and pass now. The third one, next_process_of_agent_gets_past_tokens_of_former_process, passes there and guards the recovery: without it (mutation of `Fence::admit`) it fails with a task that never ends, as does fenced_orders_of_the_same_leader_count_by_a_ later_poll. Without the count (mutation of `note_incarnation`) five of the new tests fail. The four known red tests stay red: in them the late start reaches the next incarnation before any newer call.

--- a/crates/bronzespool-batch/src/agent/mod.rs
+++ b/crates/bronzespool-batch/src/agent/mod.rs
@@ -2,6 +2,7 @@
 //! leader's orders.
 
 mod call;
+mod fence;
 mod lease;
 mod pace;
 mod reconciler;
--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -10,6 +10,7 @@
     crate::{
         agent::{
             call::{Action, Limits, ListRequest, Listing, StartOutcome, StopOutcome},
+            fence::Fence,
             lease::{ClockReading, lease_duration_max},
             worker::{CallState, WorkerState},
         },
@@ -38,8 +39,7 @@
     orders: Option<ReceivedOrders>,
     /// When a worker was last dropped. Orders that answer an earlier poll do not know of this.
     dropped_at: Time,
-    /// Highest fencing token seen, in orders or by a worker's rejection.
-    epoch: u64,
+    fence: Fence,
 }
 
 /// The latest orders, and when the poll that they answer was sent.
@@ -62,7 +62,7 @@
             gone: Vec::new(),
             orders: None,
             dropped_at: Time::ZERO,
-            epoch: 0,
+            fence: Fence::default(),
         }
     }
 
@@ -70,6 +70,7 @@
     /// one of the current incarnation.
     pub fn check_in(&mut self, now: Time, spec: WorkerSpec, seq: u64) -> bool {
         let Some(worker) = &mut self.worker else {
+            self.fence.note_incarnation(&spec.incarnation);
             self.worker = Some(WorkerState::new(spec, seq, now));
             return true;
         };
@@ -95,6 +96,7 @@
         if !is_younger || old.worker != spec.incarnation.worker {
             self.gone.push(old);
         }
+        self.fence.note_incarnation(&spec.incarnation);
         self.worker = Some(WorkerState::new(spec, seq, now));
         true
     }
@@ -137,10 +139,9 @@
     pub fn receive_orders(&mut self, sent: Time, poll: &Poll, orders: Orders) {
         let late =
             self.orders.as_ref().is_some_and(|r| r.orders.epoch == orders.epoch && sent < r.sent);
-        if orders.epoch < self.epoch || late || sent < self.dropped_at {
+        if late || sent < self.dropped_at || !self.fence.admit(sent, orders.epoch) {
             return;
         }
-        self.epoch = orders.epoch;
         self.gone.retain(|i| !poll.gone.contains(i));
         let incarnation = self.worker.as_ref().map(|w| w.spec.incarnation.clone());
         if let Some(worker) = &mut self.worker
@@ -161,7 +162,8 @@
         {
             return Vec::new();
         }
-        let (epoch, incarnation) = (received.orders.epoch, worker.spec.incarnation.clone());
+        let epoch = self.fence.token(received.orders.epoch);
+        let incarnation = worker.spec.incarnation.clone();
         let mut actions = Vec::new();
         for run in std::mem::take(&mut received.orders.stops) {
             if worker.calls.contains_key(&run) {
@@ -214,7 +216,8 @@
         }
         let classes = received.orders.classes.iter().copied().collect();
         let changes = worker.pacer.update(now, &worker.running, &classes);
-        let (epoch, incarnation) = (received.orders.epoch, &worker.spec.incarnation);
+        let epoch = self.fence.token(received.orders.epoch);
+        let incarnation = &worker.spec.incarnation;
         let pace =
             |(run, percent)| Action::Pace { run, percent, epoch, incarnation: incarnation.clone() };
         changes.into_iter().map(pace).collect()
@@ -223,12 +226,13 @@
     /// Takes the worker's answer to a change of pace.
     pub fn pace_answered(
         &mut self,
+        now: Time,
         incarnation: &WorkerIncarnation,
         run: RunId,
         outcome: StopOutcome,
     ) {
         if let StopOutcome::Fenced(token) = outcome {
-            self.fenced(Some(token));
+            self.fenced(now, Some(token));
         }
         if outcome != StopOutcome::Noted
             && let Some(worker) = self.current_worker(incarnation)
@@ -240,12 +244,13 @@
     /// Takes the worker's answer to a start.
     pub fn start_answered(
         &mut self,
+        now: Time,
         incarnation: &WorkerIncarnation,
         run: RunId,
         outcome: StartOutcome,
     ) {
         if let StartOutcome::Fenced(token) = outcome {
-            self.fenced(Some(token));
+            self.fenced(now, Some(token));
         }
         let Some(worker) = self.current_worker(incarnation) else { return };
         match outcome {
@@ -267,7 +272,7 @@
         outcome: StopOutcome,
     ) {
         if let StopOutcome::Fenced(token) = outcome {
-            self.fenced(Some(token));
+            self.fenced(now, Some(token));
         }
         let Some(worker) = self.current_worker(incarnation) else { return };
         match outcome {
@@ -281,13 +286,14 @@
     /// Returns a request for the worker's list that extends its leases as far as the leader allows.
     pub fn list_request(&mut self, now: Time) -> Option<ListRequest> {
         let lease_max = self.limits.lease_max;
-        let epoch = self.orders.as_ref().map(|r| r.orders.epoch);
+        let epoch = self.orders.as_ref().map(|r| self.fence.token(r.orders.epoch));
         let worker = self.worker.as_mut()?;
         worker.list_serial += 1;
         let incarnation = worker.spec.incarnation.clone();
         // The leader counts a lease only for the incarnation that its orders name.
         let received = self.orders.as_ref().filter(|r| {
-            r.orders.epoch >= self.epoch && r.orders.incarnation.as_ref() == Some(&incarnation)
+            self.fence.is_current(r.orders.epoch)
+                && r.orders.incarnation.as_ref() == Some(&incarnation)
         });
         let mut request =
             ListRequest { epoch, cursor: 0, until: None, incarnation, serial: worker.list_serial };
@@ -309,8 +315,12 @@
     pub fn receive_listing(&mut self, now: Time, request: &ListRequest, listing: Listing) -> bool {
         let former_calls_over = self.former_calls_over(now);
         let Some(worker) = self.current_worker(&request.incarnation) else { return false };
-        if listing.started_at.is_some_and(|b| b != request.incarnation.started_at) {
+        if let Some(started_at) =
+            listing.started_at.filter(|s| *s != request.incarnation.started_at)
+        {
             worker.departed = true;
+            let worker = request.incarnation.worker.clone();
+            self.fence.note_incarnation(&WorkerIncarnation { worker, started_at });
             return false;
         }
         worker.answers = true;
@@ -337,12 +347,13 @@
         }
     }
 
-    /// Notes that the worker has rejected the fencing token of a call; from now on only orders with
-    /// a higher token count. A rejected call without a token says nothing about any orders.
-    pub fn fenced(&mut self, token: Option<u64>) {
-        let Some(token) = token else { return };
-        self.epoch = self.epoch.max(token + 1);
-        self.orders.take_if(|r| r.orders.epoch <= token);
+    /// Notes that the worker has rejected the fencing token of a call: from now on only orders of a
+    /// higher term count, or those that answer a later poll. A rejected call without a token says
+    /// nothing about any orders.
+    pub fn fenced(&mut self, now: Time, token: Option<u64>) {
+        if token.is_some_and(|t| self.fence.reject(now, t)) {
+            self.orders = None;
+        }
     }
 
     /// Drops a worker that is gone: it does not answer, or has left, and all of its leases have
--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -128,7 +128,7 @@
     assert_eq!(starts(&a.order(orders(3, vec![start(1)], Vec::new()))), 1);
     assert_eq!(a.poll().in_flight, [run(1)]);
     assert_eq!(starts(&a.order(orders(3, vec![start(1)], Vec::new()))), 0);
-    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Present);
+    a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Present);
     a.list(vec![running(1)], Vec::new());
     assert!(a.poll().in_flight.is_empty());
     assert_eq!(a.poll().running.len(), 1);
@@ -182,11 +182,71 @@
 fn fenced_orders_of_that_leader_are_ignored() {
     let mut a = Agent::new();
     a.order(orders(4, Vec::new(), Vec::new()));
-    a.reconciler.fenced(Some(4));
+    a.reconciler.fenced(a.now, Some(4));
     assert!(a.order(orders(4, vec![start(1)], Vec::new())).is_empty());
     assert_eq!(starts(&a.order(orders(5, vec![start(1)], Vec::new()))), 1);
 }
 
+#[test]
+fn fenced_orders_of_the_same_leader_count_by_a_later_poll() {
+    let mut a = Agent::new();
+    a.order(orders(4, Vec::new(), Vec::new()));
+    a.reconciler.fenced(a.now, Some(4));
+    // A former process of the agent knew of a restart of the worker.
+    a.now += Duration::from_millis(1);
+    let actions = a.order(orders(4, vec![start(1)], Vec::new()));
+    assert!(matches!(actions[..], [Action::Start { epoch, .. }] if epoch > u64::from(u32::MAX)));
+    a.now += Duration::from_millis(1);
+    assert!(a.order(orders(3, vec![start(2)], Vec::new())).is_empty());
+}
+
+#[test]
+fn fenced_call_for_former_incarnation_leaves_orders_in_force() {
+    let mut a = Agent::new();
+    a.order(orders(4, Vec::new(), Vec::new()));
+    assert!(a.reconciler.check_in(a.now, spec(2, false), 1));
+    a.order(Orders { incarnation: Some(incarnation(2)), ..orders(4, Vec::new(), Vec::new()) });
+    let token = a.reconciler.list_request(a.now).unwrap().epoch;
+    a.reconciler.fenced(a.now, Some(4));
+    assert_eq!(a.reconciler.list_request(a.now).unwrap().epoch, token);
+}
+
+#[test]
+fn list_request_token_is_higher_for_the_next_incarnation_of_one_name() {
+    let mut a = Agent::new();
+    a.order(orders(4, Vec::new(), Vec::new()));
+    assert_eq!(a.list(Vec::new(), Vec::new()).epoch, Some(4));
+    assert!(a.reconciler.check_in(a.now, spec(2, false), 1));
+    let first = a.reconciler.list_request(a.now).unwrap().epoch;
+    assert_eq!(first, Some((1 << 32) + 4));
+    // A check-in of the same incarnation is no restart.
+    assert!(a.reconciler.check_in(a.now, spec(2, false), 2));
+    assert_eq!(a.reconciler.list_request(a.now).unwrap().epoch, first);
+}
+
+#[test]
+fn list_request_token_is_higher_after_an_answer_of_the_next_incarnation() {
+    let mut a = Agent::new();
+    a.order(orders(4, Vec::new(), Vec::new()));
+    let list = a.reconciler.list_request(a.now).unwrap();
+    let listing = Listing { started_at: Some(2), ..Listing::default() };
+    a.reconciler.receive_listing(a.now, &list, listing);
+    let first = a.reconciler.list_request(a.now).unwrap().epoch;
+    assert_eq!(first, Some((1 << 32) + 4));
+    assert!(a.reconciler.check_in(a.now, spec(2, false), 1));
+    assert_eq!(a.reconciler.list_request(a.now).unwrap().epoch, first);
+}
+
+#[test]
+fn list_request_token_of_a_worker_with_another_name_is_the_term() {
+    let mut a = Agent::new();
+    a.order(orders(4, Vec::new(), Vec::new()));
+    let other = WorkerIncarnation { worker: "w1".into(), started_at: 2 };
+    let spec = WorkerSpec { incarnation: other, ..spec(2, false) };
+    assert!(a.reconciler.check_in(a.now, spec, 1));
+    assert_eq!(a.reconciler.list_request(a.now).unwrap().epoch, Some(4));
+}
+
 #[test]
 fn fenced_request_without_a_token_leaves_later_orders_in_force() {
     let now = at(10_000);
@@ -198,7 +258,7 @@
     assert_eq!(list.epoch, None);
     let mut a = Agent { reconciler, now };
     a.order(orders(4, Vec::new(), Vec::new()));
-    a.reconciler.fenced(list.epoch);
+    a.reconciler.fenced(a.now, list.epoch);
     assert_eq!(a.list(Vec::new(), Vec::new()).epoch, Some(4));
     assert_eq!(starts(&a.order(orders(4, vec![start(1)], Vec::new()))), 1);
 }
@@ -208,7 +268,7 @@
     let mut a = Agent::new();
     a.order(orders(4, vec![start(1)], Vec::new()));
     a.order(orders(5, Vec::new(), Vec::new()));
-    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Fenced(4));
+    a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Fenced(4));
     assert_eq!(a.list(Vec::new(), Vec::new()).epoch, Some(5));
     assert_eq!(starts(&a.order(orders(5, vec![start(1)], Vec::new()))), 1);
 }
@@ -217,11 +277,11 @@
 fn start_answered_unknown_is_refused_only_after_a_stop() {
     let mut a = Agent::new();
     a.order(orders(3, vec![start(1)], Vec::new()));
-    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Unknown);
+    a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Unknown);
     assert!(a.poll().refused.is_empty());
     // The worker refuses another attempt while the first call may still be carried out.
     a.order(orders(3, vec![start(1)], Vec::new()));
-    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Refused);
+    a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Refused);
     assert!(a.poll().refused.is_empty());
     assert_eq!(a.order(orders(3, Vec::new(), vec![run(1)])).len(), 1);
     a.reconciler.stop_answered(a.now, &incarnation(1), run(1), StopOutcome::Noted);
@@ -234,7 +294,7 @@
     let mut a = Agent::new();
     a.outlive_former_calls();
     a.order(orders(3, vec![start(1)], Vec::new()));
-    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Refused);
+    a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Refused);
     assert_eq!(a.poll().refused, [run(1)]);
 }
 
@@ -244,11 +304,11 @@
     let mut a = Agent::new();
     a.outlive_former_calls();
     a.order(orders(3, vec![start(1)], Vec::new()));
-    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Present);
+    a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Present);
     a.list(vec![running(1)], Vec::new());
     for action in a.order(orders(3, vec![start(1)], Vec::new())) {
         assert!(matches!(action, Action::Start { .. }), "{action:?}");
-        a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Refused);
+        a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Refused);
     }
     assert!(a.poll().refused.is_empty());
 }
@@ -258,7 +318,7 @@
 fn start_answered_refused_while_a_former_process_may_have_started_it_is_stopped_first() {
     let mut a = Agent::new();
     a.order(orders(3, vec![start(1)], Vec::new()));
-    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Refused);
+    a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Refused);
     assert!(a.poll().refused.is_empty());
     let actions = a.order(orders(3, vec![start(1)], Vec::new()));
     assert!(matches!(actions[..], [Action::Stop { .. }]), "{actions:?}");
@@ -272,9 +332,9 @@
     let mut a = Agent::new();
     a.outlive_former_calls();
     a.order(orders(3, vec![start(1)], Vec::new()));
-    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Unknown);
+    a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Unknown);
     a.order(orders(3, vec![start(1)], Vec::new()));
-    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Refused);
+    a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Refused);
     a.list(vec![running(1)], Vec::new());
     assert!(a.order(orders(3, vec![start(1)], Vec::new())).is_empty());
     assert!(a.poll().refused.is_empty());
@@ -286,13 +346,18 @@
     let mut a = Agent::new();
     a.outlive_former_calls();
     a.order(orders(3, vec![start(1)], Vec::new()));
-    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Unknown);
+    a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Unknown);
     for _ in 0..40 {
         a.now += Duration::from_millis(500);
         for action in a.order(orders(3, vec![start(1)], Vec::new())) {
             match action {
                 Action::Start { .. } => {
-                    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Refused);
+                    a.reconciler.start_answered(
+                        a.now,
+                        &incarnation(1),
+                        run(1),
+                        StartOutcome::Refused,
+                    );
                 }
                 Action::Stop { .. } => {
                     let refused = StopOutcome::Unknown;
@@ -314,7 +379,7 @@
     let mut a = Agent::new();
     a.order(orders(3, vec![start(1)], Vec::new()));
     let before = a.reconciler.list_request(a.now).unwrap();
-    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Present);
+    a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Present);
     let listing = Listing { started_at: Some(1), clock: 10_000, ..Listing::default() };
     a.reconciler.receive_listing(a.now, &before, listing);
     assert!(a.poll().refused.is_empty());
@@ -327,11 +392,11 @@
     let mut a = Agent::new();
     a.outlive_former_calls();
     a.order(orders(3, vec![start(1)], Vec::new()));
-    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Present);
+    a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Present);
     a.list_truncated(vec![ended(9, RunOutcome::Done)]);
     assert!(a.poll().refused.is_empty());
     a.order(orders(3, vec![start(1)], Vec::new()));
-    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Old);
+    a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Old);
     a.list(Vec::new(), vec![ended(1, RunOutcome::Done)]);
     let poll = a.poll();
     assert!(poll.refused.is_empty() && poll.in_flight.is_empty());
@@ -441,7 +506,7 @@
     let poll = a.poll();
     assert_eq!(poll.gone, [incarnation(1)]);
     assert!(poll.in_flight.is_empty());
-    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Refused);
+    a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Refused);
     assert!(a.poll().refused.is_empty(), "the answer is about the old incarnation");
 }
 
@@ -468,7 +533,7 @@
     assert!(a.reconciler.check_in(a.now, spec(2, false), 1));
     let poll = a.poll();
     assert!(poll.gone.is_empty() && poll.in_flight.is_empty());
-    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Refused);
+    a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Refused);
     assert!(a.poll().refused.is_empty(), "the answer is about the old incarnation");
 }
 
--- a/crates/bronzespool-batch/tests/leaving.rs
+++ b/crates/bronzespool-batch/tests/leaving.rs
@@ -58,7 +58,12 @@
         for action in reconciler.actions(now) {
             match action {
                 Action::Start { start, .. } => {
-                    reconciler.start_answered(&incarnation(0), start.run, StartOutcome::Refused);
+                    reconciler.start_answered(
+                        now,
+                        &incarnation(0),
+                        start.run,
+                        StartOutcome::Refused,
+                    );
                 }
                 Action::Stop { run, .. } => {
                     reconciler.stop_answered(now, &incarnation(0), run, StopOutcome::Noted);
--- a/crates/bronzespool-batch/tests/model/delivery.rs
+++ b/crates/bronzespool-batch/tests/model/delivery.rs
@@ -58,7 +58,7 @@
                     _ => false,
                 };
                 self.mistaken.extend(mistaken.then_some(run));
-                self.reconciler.start_answered(&incarnation, run, outcome);
+                self.reconciler.start_answered(self.now, &incarnation, run, outcome);
             }
             Body::StopAnswer(incarnation, run, outcome) => {
                 self.reconciler.stop_answered(self.now, &incarnation, run, outcome);
@@ -66,7 +66,9 @@
             Body::Listing(request, ListAnswer::Listed(listing)) => {
                 self.reconciler.receive_listing(self.now, &request, listing);
             }
-            Body::Listing(request, ListAnswer::Fenced) => self.reconciler.fenced(request.epoch),
+            Body::Listing(request, ListAnswer::Fenced) => {
+                self.reconciler.fenced(self.now, request.epoch);
+            }
             Body::Listing(request, ListAnswer::Unanswered) => {
                 self.reconciler.list_unanswered(&request);
             }
--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -463,3 +463,53 @@
         ],
     );
 }
+
+// A repeated start reaches the next incarnation of the same name after that one has answered a list
+// request; the run has ended as done on the former one.
+#[test]
+fn start_for_former_incarnation_after_call_for_next_one_is_rejected() {
+    check(
+        APPLIED_AT_ONCE,
+        &[
+            GiveUp(Kind::Start, 0),
+            PollNow,
+            Deliver(Kind::Start, 0),
+            Finish(0),
+            ListNow,
+            PollNow,
+            RestartWorker,
+            Tick,
+            ListNow,
+            Deliver(Kind::Start, 0),
+        ],
+    );
+}
+
+// As before, and the agent knows of the next incarnation by its answer to a list request alone.
+#[test]
+fn start_for_former_incarnation_after_second_list_of_next_one_is_rejected() {
+    check(
+        APPLIED_AT_ONCE,
+        &[
+            GiveUp(Kind::Start, 0),
+            PollNow,
+            Deliver(Kind::Start, 0),
+            Finish(0),
+            ListNow,
+            PollNow,
+            RestartWorker,
+            ListNow,
+            ListNow,
+            Deliver(Kind::Start, 0),
+        ],
+    );
+}
+
+// The next process of the agent knows of no restart, and the worker rejects its first calls.
+#[test]
+fn next_process_of_agent_gets_past_tokens_of_former_process() {
+    check(
+        APPLIED_AT_ONCE,
+        &[RestartWorker, Tick, ListNow, PollNow, ListNow, NewAgent, Tick, ListNow, PollNow],
+    );
+}
--- a/crates/bronzespool-batch/tests/pace.rs
+++ b/crates/bronzespool-batch/tests/pace.rs
@@ -103,7 +103,7 @@
                 self.pace = percent;
             }
             let outcome = if acknowledged { StopOutcome::Noted } else { StopOutcome::Unknown };
-            self.reconciler.pace_answered(&incarnation, run, outcome);
+            self.reconciler.pace_answered(self.now, &incarnation, run, outcome);
         }
         sent
     }
--- a/crates/bronzespool-bench/src/size/model.rs
+++ b/crates/bronzespool-bench/src/size/model.rs
@@ -457,7 +457,7 @@
         let (now, reconciler) = (self.now, &mut self.agents[agent].reconciler);
         match (action, answer) {
             (Action::Start { start, incarnation, .. }, CallAnswer::Start(outcome)) => {
-                reconciler.start_answered(incarnation, start.run, outcome);
+                reconciler.start_answered(now, incarnation, start.run, outcome);
             }
             (Action::Stop { run, incarnation, .. }, CallAnswer::Stop(outcome)) => {
                 reconciler.stop_answered(now, incarnation, *run, outcome);
--- a/crates/bronzespool-telemetry/src/event/agent.rs
+++ b/crates/bronzespool-telemetry/src/event/agent.rs
@@ -34,7 +34,7 @@
         /// Incarnation of the worker.
         life: Option<WorkerIncarnation>,
     }
-    /// The worker has refused the fencing token, since it has seen a newer leader.
+    /// The worker has refused the fencing token, since it has seen a higher one.
     WorkerFenced: Info, Agent, "the worker has seen a newer leader" {
         /// The fencing token that was refused.
         epoch: Option<u64>,
--- a/crates/bronzespoold/src/batch/agent.rs
+++ b/crates/bronzespoold/src/batch/agent.rs
@@ -187,7 +187,7 @@
             }
             ListOutcome::Fenced => {
                 event::WorkerFenced { epoch: request.epoch }.emit();
-                self.reconciler.borrow_mut().fenced(request.epoch);
+                self.reconciler.borrow_mut().fenced(self.clock.now(), request.epoch);
                 self.poll_wakeup.notify_one();
                 Some(false)
             }
@@ -266,7 +266,7 @@
             verdict: format!("{outcome:?}"),
         }
         .emit();
-        self.reconciler.borrow_mut().pace_answered(incarnation, *run, outcome);
+        self.reconciler.borrow_mut().pace_answered(self.clock.now(), incarnation, *run, outcome);
     }
 
     async fn execute(self: Rc<Self>, action: Action) {
@@ -282,7 +282,12 @@
                     verdict: format!("{outcome:?}"),
                 }
                 .emit();
-                self.reconciler.borrow_mut().start_answered(incarnation, start.run, outcome);
+                self.reconciler.borrow_mut().start_answered(
+                    self.clock.now(),
+                    incarnation,
+                    start.run,
+                    outcome,
+                );
             }
             Action::Stop { run, incarnation, epoch } => {
                 let outcome = self.worker.stop(&action).await;
