fix(batch): list requests acknowledge and extend nothing at another incarnation

Once a worker has answered a list request as another incarnation than the agent knows, and until that one checks in, each further request still carried the acknowledgement and the lease end meant for the former one. The next incarnation would forget ends that nobody has seen, and a run started there by a late call would run on, by a deadline of the former clock.

Cause: the answer of another incarnation marked the worker as departed, and only starts and stops heeded that; the acknowledgement also stayed unconfirmed, so that it was repeated.

Change: no acknowledgement and no lease end once another incarnation has answered.

Evidence: list_request_after_an_answer_of_the_next_incarnation_ acknowledges_and_extends_nothing fails with the condition taken out: the request carries (1, Some(16000)) in place of (0, None).

--- a/crates/bronzespool-batch/src/agent/fence.rs
+++ b/crates/bronzespool-batch/src/agent/fence.rs
@@ -44,6 +44,11 @@
         self.latest = Some(incarnation.clone());
     }
 
+    /// Whether no other incarnation has checked in or answered since this one.
+    pub(super) fn is_latest(&self, incarnation: &WorkerIncarnation) -> bool {
+        self.latest.as_ref() == Some(incarnation)
+    }
+
     /// Notes that the worker has rejected a token. Returns whether it is the current one: a lower
     /// one tells nothing of the current orders.
     pub(super) fn reject(&mut self, now: Time, token: u64) -> bool {
--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -290,9 +290,11 @@
         let worker = self.worker.as_mut()?;
         worker.list_serial += 1;
         let incarnation = worker.spec.incarnation.clone();
-        // The leader counts a lease only for the incarnation that its orders name.
+        // The leader counts a lease only for the incarnation that its orders name. If another one has
+        // answered since, the call reaches that one.
         let received = self.orders.as_ref().filter(|r| {
             self.fence.is_current(r.orders.epoch)
+                && self.fence.is_latest(&incarnation)
                 && r.orders.incarnation.as_ref() == Some(&incarnation)
         });
         let mut request =
--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -237,6 +237,20 @@
     assert_eq!(a.reconciler.list_request(a.now).unwrap().epoch, first);
 }
 
+// The request would let the next incarnation forget ends that nobody has seen, and run on by the
+// clock of the former one.
+#[test]
+fn list_request_after_an_answer_of_the_next_incarnation_acknowledges_and_extends_nothing() {
+    let mut a = Agent::new();
+    a.order(Orders { cursor: 1, ..orders(4, Vec::new(), Vec::new()) });
+    let list = a.reconciler.list_request(a.now).unwrap();
+    assert_eq!((list.cursor, list.until.is_some()), (1, true));
+    let listing = Listing { started_at: Some(2), ..Listing::default() };
+    a.reconciler.receive_listing(a.now, &list, listing);
+    let list = a.reconciler.list_request(a.now).unwrap();
+    assert_eq!((list.cursor, list.until), (0, None));
+}
+
 #[test]
 fn list_request_token_of_a_worker_with_another_name_is_the_term() {
     let mut a = Agent::new();
