fix(batch): an agent stops what the next incarnation runs without orders

Callers saw: in the model, a start for a former incarnation is carried out by the next one of the same name while the agent cannot reach the leader. The run goes on for up to the longest lease that the worker accepts, and the leader, whose own time for the former incarnation has ended, gives the task to another worker meanwhile: it runs twice.

Cause: an agent stopped such a run by orders alone.

Change: if this process has seen a former incarnation of the same name, and has had no orders for the current one, it stops whatever that one lists. Only late starts can run there. Once there were orders for the incarnation, it stops by orders alone, as before.

--- a/crates/bronzespool-batch/src/agent/fence.rs
+++ b/crates/bronzespool-batch/src/agent/fence.rs
@@ -26,6 +26,8 @@
     restarts: u64,
     /// The incarnation that checked in or answered last.
     latest: Option<WorkerIncarnation>,
+    /// Whether the incarnation before the latest one had the same name.
+    follows_former: bool,
     /// When the worker rejected a call with the current token.
     rejected_at: Option<Time>,
 }
@@ -37,11 +39,18 @@
         (self.restarts.min(RESTARTS_MAX) << TERM_BITS) | term.min(limit)
     }
 
+    /// Returns the token for calls without orders.
+    pub(super) fn current_token(&self) -> u64 {
+        self.token(self.term)
+    }
+
     /// Notes that a worker incarnation has checked in or answered.
     pub(super) fn note_incarnation(&mut self, incarnation: &WorkerIncarnation) {
-        let is_next = |l: &WorkerIncarnation| l.worker == incarnation.worker && l != incarnation;
-        self.restarts += u64::from(self.latest.as_ref().is_some_and(is_next));
-        self.latest = Some(incarnation.clone());
+        let Some(former) = self.latest.replace(incarnation.clone()) else { return };
+        if former != *incarnation {
+            self.follows_former = former.worker == incarnation.worker;
+            self.restarts += u64::from(self.follows_former);
+        }
     }
 
     /// Whether no other incarnation has checked in or answered since this one.
@@ -49,10 +58,15 @@
         self.latest.as_ref() == Some(incarnation)
     }
 
+    /// Whether this is the latest incarnation, and this process has seen one of the same name before.
+    pub(super) fn is_next(&self, incarnation: &WorkerIncarnation) -> bool {
+        self.follows_former && self.is_latest(incarnation)
+    }
+
     /// Notes that the worker has rejected a token. Returns whether it is the current one: a lower
     /// one tells nothing of the current orders.
     pub(super) fn reject(&mut self, now: Time, token: u64) -> bool {
-        let is_current = token >= self.token(self.term);
+        let is_current = token >= self.current_token();
         if is_current {
             self.rejected_at = Some(now);
         }
--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -147,6 +147,7 @@
         if let Some(worker) = &mut self.worker
             && orders.incarnation == incarnation
         {
+            worker.has_orders = true;
             worker.forget_ends(orders.cursor);
             worker.refused.retain(|r| !poll.refused.contains(r));
         }
@@ -205,6 +206,23 @@
         actions
     }
 
+    /// Returns stops of what the worker runs although it has started again under its name and the
+    /// leader has given no orders for this incarnation yet: late starts for the former one, whose
+    /// runs the leader may give to others meanwhile.
+    pub fn stray_stops(&mut self) -> Vec<Action> {
+        let Some(worker) = &mut self.worker else { return Vec::new() };
+        let incarnation = &worker.spec.incarnation;
+        if worker.has_orders || worker.departed || !self.fence.is_next(incarnation) {
+            return Vec::new();
+        }
+        let epoch = self.fence.current_token();
+        let is_open = |run: &RunId| !worker.calls.contains_key(run);
+        let runs: Vec<RunId> = worker.running.iter().map(|s| s.run).filter(is_open).collect();
+        worker.calls.extend(runs.iter().map(|run| (*run, CallState::StopInFlight)));
+        let stop = |run| Action::Stop { run, epoch, incarnation: incarnation.clone() };
+        runs.into_iter().map(stop).collect()
+    }
+
     /// Returns the calls that adapt the pace of best-effort runs, by the worker's latest list.
     pub fn pace_actions(&mut self, now: Time) -> Vec<Action> {
         let Some(received) = &self.orders else { return Vec::new() };
--- a/crates/bronzespool-batch/src/agent/worker.rs
+++ b/crates/bronzespool-batch/src/agent/worker.rs
@@ -57,6 +57,8 @@
     /// Whether the worker may hold more ended runs than its latest list names.
     pub(super) ends_truncated: bool,
     pub(super) has_list: bool,
+    /// Whether the leader has given orders for this incarnation.
+    pub(super) has_orders: bool,
     /// Whether the worker answered the latest request for its list.
     pub(super) answers: bool,
     /// Whether the worker has reported that it ends, or another incarnation has answered in its
@@ -88,6 +90,7 @@
             listed: HashSet::default(),
             ends_truncated: false,
             has_list: false,
+            has_orders: false,
             answers: false,
             departed: false,
             calls: HashMap::default(),
--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -98,6 +98,15 @@
         list
     }
 
+    /// Takes a list of another incarnation.
+    fn list_of(&mut self, started_at: u64, running: Vec<RunStatus>) {
+        let list = self.reconciler.list_request(self.now).unwrap();
+        let clock = self.now.as_millis();
+        let listing =
+            Listing { started_at: Some(started_at), clock, running, ..Listing::default() };
+        self.reconciler.receive_listing(self.now, &list, listing);
+    }
+
     /// Takes a list that does not name all ended runs.
     fn list_truncated(&mut self, ends: Vec<RunEnd>) {
         let list = self.reconciler.list_request(self.now).unwrap();
@@ -634,3 +643,42 @@
         Ok(())
     });
 }
+
+// A late start for the former incarnation is carried out by the next one while the agent cannot
+// reach the leader, which gives the run to another worker.
+#[test]
+fn stray_stops_run_of_the_next_incarnation_is_stopped_without_orders() {
+    let mut a = Agent::new();
+    a.order(orders(4, vec![start(1)], Vec::new()));
+    a.list(vec![running(1)], Vec::new());
+    assert!(a.reconciler.stray_stops().is_empty());
+    assert!(a.reconciler.check_in(a.now, spec(2, false), 1));
+    assert!(a.reconciler.stray_stops().is_empty());
+    a.list_of(2, vec![running(1)]);
+    let stops = a.reconciler.stray_stops();
+    assert!(matches!(stops[..], [Action::Stop { run: r, epoch, .. }] if r == run(1) && epoch > 4));
+    assert!(a.reconciler.stray_stops().is_empty());
+}
+
+#[test]
+fn stray_stops_runs_that_were_ordered_are_kept() {
+    let mut a = Agent::new();
+    assert!(a.reconciler.check_in(a.now, spec(2, false), 1));
+    a.list_of(2, Vec::new());
+    let next =
+        Orders { incarnation: Some(incarnation(2)), ..orders(4, vec![start(1)], Vec::new()) };
+    assert_eq!(starts(&a.order(next)), 1);
+    let token = a.reconciler.list_request(a.now).unwrap().epoch;
+    a.reconciler.start_answered(a.now, &incarnation(2), run(1), StartOutcome::Present);
+    a.reconciler.fenced(a.now, token);
+    a.list_of(2, vec![running(1)]);
+    assert!(a.reconciler.stray_stops().is_empty());
+}
+
+// The next process of the agent cannot tell which process started a run.
+#[test]
+fn stray_stops_first_incarnation_of_a_process_keeps_its_runs() {
+    let mut a = Agent::new();
+    a.list(vec![running(1)], Vec::new());
+    assert!(a.reconciler.stray_stops().is_empty());
+}
--- a/crates/bronzespool-batch/tests/model/delivery.rs
+++ b/crates/bronzespool-batch/tests/model/delivery.rs
@@ -65,6 +65,9 @@
             }
             Body::Listing(request, ListAnswer::Listed(listing)) => {
                 self.reconciler.receive_listing(self.now, &request, listing);
+                let stops = self.reconciler.stray_stops();
+                let calls = stops.into_iter().map(|a| Message::new(self.now, Body::Call(a)));
+                self.messages.extend(calls);
             }
             Body::Listing(request, ListAnswer::Fenced) => {
                 self.reconciler.fenced(self.now, request.epoch);
--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -513,3 +513,23 @@
         &[RestartWorker, Tick, ListNow, PollNow, ListNow, NewAgent, Tick, ListNow, PollNow],
     );
 }
+
+// A start for the former incarnation runs on the next one of the same name, with a deadline by the
+// clock of the former one. The agent cannot reach the leader, and stops the run by itself.
+#[test]
+fn run_of_next_incarnation_is_stopped_without_orders() {
+    check(
+        APPLIED_AT_ONCE,
+        &[
+            Tick,
+            RestartWorker,
+            Deliver(Kind::Start, 0),
+            Tick,
+            ListNow,
+            Deliver(Kind::Stop, 0),
+            Tick,
+            Tick,
+            PlanElsewhere,
+        ],
+    );
+}
--- a/crates/bronzespoold/src/batch/agent.rs
+++ b/crates/bronzespoold/src/batch/agent.rs
@@ -161,6 +161,9 @@
                 self.poll_wakeup.notify_one();
             }
             let answered = self.list(LIST_WAIT).await;
+            for action in self.reconciler.borrow_mut().stray_stops() {
+                spawn_local(Rc::clone(&self).execute(action));
+            }
             sleep(match answered {
                 Some(true) => LIST_PAUSE,
                 Some(false) => UNANSWERED_PAUSE,
--- a/crates/bronzespoold/tests/batch_agent.rs
+++ b/crates/bronzespoold/tests/batch_agent.rs
@@ -189,6 +189,8 @@
     RefusesStops,
     /// It cannot be connected to for a start.
     Unreachable,
+    /// It runs a run, in each incarnation, until it is stopped.
+    RunsUntilStopped,
 }
 
 struct FakeWorker {
@@ -197,6 +199,7 @@
     /// Start time of the incarnation that answers.
     started_at: Cell<u64>,
     lists: Cell<u32>,
+    stops: Cell<u32>,
 }
 
 /// The agent's client for the worker.
@@ -206,12 +209,16 @@
     async fn start(&self, _: &Action) -> StartOutcome {
         match self.0.answers {
             Answers::Unreachable => StartOutcome::Late,
-            Answers::Starts | Answers::RefusesStops => StartOutcome::Present,
+            _ => StartOutcome::Present,
         }
     }
 
     async fn stop(&self, _: &Action) -> StopOutcome {
-        StopOutcome::Unknown
+        self.0.stops.set(self.0.stops.get() + 1);
+        match self.0.answers {
+            Answers::RunsUntilStopped => StopOutcome::Noted,
+            _ => StopOutcome::Unknown,
+        }
     }
 
     async fn pace(&self, _: &Action) -> StopOutcome {
@@ -222,7 +229,11 @@
         sleep(wait).await;
         self.0.lists.set(self.0.lists.get() + 1);
         let status = RunStatus { run: run(9), checkpoint: "".into(), percent: 0, usage: 0 };
-        let runs = self.0.answers == Answers::RefusesStops && self.0.started_at.get() == 1;
+        let runs = match self.0.answers {
+            Answers::RefusesStops => self.0.started_at.get() == 1,
+            Answers::RunsUntilStopped => self.0.stops.get() == 0,
+            Answers::Starts | Answers::Unreachable => false,
+        };
         ListOutcome::Listed(Listing {
             started_at: Some(self.0.started_at.get()),
             clock: self.0.clock.now().as_millis(),
@@ -249,7 +260,8 @@
         spawn_local(serve_bounded(listener, server, |_| true));
         let clock = Clock::start();
         let (started_at, lists) = (Cell::new(1), Cell::new(0));
-        let worker = Rc::new(FakeWorker { answers, clock, started_at, lists });
+        let stops = Cell::new(0);
+        let worker = Rc::new(FakeWorker { answers, clock, started_at, lists, stops });
         let options = AgentOptions {
             instance: Instance::try_from("side-1").unwrap(),
             limits: LIMITS,
@@ -315,3 +327,30 @@
     let polls = count_polls(Answers::Starts, |worker| worker.started_at.set(2), |_| {});
     assert!(polls <= POLLS_MAX, "{polls} polls in {COUNT_TIME:?}");
 }
+
+// A start for the former incarnation was carried out by the next one, and ran on while the agent
+// could not reach the leader.
+#[test]
+fn run_listing_next_incarnation_is_stopped_without_the_leader() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(LocalSet::new().run_until(async {
+        let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let clock = Clock::start();
+        let leader_client = Rc::new(LeaderClient::new(clock, vec![silent.local_addr().unwrap()]));
+        let (started_at, lists, stops) = (Cell::new(1), Cell::new(0), Cell::new(0));
+        let answers = Answers::RunsUntilStopped;
+        let worker = Rc::new(FakeWorker { answers, clock, started_at, lists, stops });
+        let instance = Instance::try_from("side-1").unwrap();
+        let options = AgentOptions { instance, limits: LIMITS, relay: None };
+        let agent = Agent::new(options, clock, leader_client, Client(Rc::clone(&worker)));
+        agent.check_in(spec(false), 1);
+        agent.start();
+        wait_listed(&worker).await;
+        assert_eq!(worker.stops.get(), 0);
+        worker.started_at.set(2);
+        agent.check_in(WorkerSpec { incarnation: incarnation(2), ..spec(false) }, 1);
+        wait_listed(&worker).await;
+        wait_listed(&worker).await;
+        assert_eq!(worker.stops.get(), 1);
+    }));
+}
