fix(batch): repeat a start without an answer only after a list

Callers saw: in the model, a run that has ended as done starts again on the next incarnation of its worker's name (repeated_start_for_former_ incarnation_does_not_run_again, known as red), or a run starts twice though its first start was carried out and only the answer was lost.

Cause: the agent repeated a start by the next orders, before a list had shown whether the first one was carried out. The copy was not needed, and stayed on its way while the run ended and the worker started again.

Change: a start without an answer is repeated once a list that was requested after it does not name the run. The agent's loop requests this list at once, so the repeated start waits for one answer of the worker; until then the run is reported as in flight. Such a list refuses nothing: the start may still be carried out.

--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -275,9 +275,7 @@
             StartOutcome::Present | StartOutcome::Old => worker.await_list(run),
             StartOutcome::Refused => worker.start_refused(run),
             StartOutcome::Late | StartOutcome::Fenced(_) => worker.start_void(run),
-            StartOutcome::Unknown => {
-                worker.calls.remove(&run);
-            }
+            StartOutcome::Unknown => worker.start_unanswered(run),
         }
     }
 
--- a/crates/bronzespool-batch/src/agent/worker.rs
+++ b/crates/bronzespool-batch/src/agent/worker.rs
@@ -32,6 +32,10 @@
     /// The worker has answered; the first list requested with this serial number or a later one
     /// shows the outcome.
     Answered(u64),
+    /// A start had no answer. It is not repeated before the list requested with this serial number,
+    /// or a later one, shows whether it was carried out: each copy that is on its way can outlive the
+    /// run.
+    Unanswered(u64),
     /// The worker has acknowledged a stop at this time, but the run may take a while to end. The
     /// serial number is that of the first list that can show the outcome.
     Stopping(u64, Time),
@@ -115,6 +119,11 @@
         self.calls.insert(run, CallState::Answered(self.list_serial + 1));
     }
 
+    /// Takes a start that had no answer.
+    pub(super) fn start_unanswered(&mut self, run: RunId) {
+        self.calls.insert(run, CallState::Unanswered(self.list_serial + 1));
+    }
+
     /// Takes a stop that was refused or had no answer.
     pub(super) fn stop_failed(&mut self, now: Time, run: RunId) {
         self.calls.insert(run, CallState::Paused(now + CALL_RETRY_DELAY));
@@ -202,15 +211,16 @@
             CallState::StopInFlight | CallState::StartInFlight { .. } | CallState::Paused(_) => {
                 false
             }
-            CallState::Answered(from) => *from <= serial,
+            CallState::Answered(from) | CallState::Unanswered(from) => *from <= serial,
             CallState::Stopping(from, at) => {
                 *from <= serial && (!running.contains(run) || now.since(*at) > STOP_RETRY_DELAY)
             }
         };
         let runs: Vec<RunId> = self.calls.iter().filter(|d| done(*d)).map(|(r, _)| *r).collect();
         for run in &runs {
-            self.calls.remove(run);
-            if !self.lists(*run) && !self.ends_truncated {
+            let call = self.calls.remove(run);
+            let is_answered = !matches!(call, Some(CallState::Unanswered(_)));
+            if is_answered && !self.lists(*run) && !self.ends_truncated {
                 self.settle_refused(*run);
             }
         }
--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -303,7 +303,8 @@
     a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Unknown);
     assert!(a.poll().refused.is_empty());
     // The worker refuses another attempt while the first call may still be carried out.
-    a.order(orders(3, vec![start(1)], Vec::new()));
+    a.list(Vec::new(), Vec::new());
+    assert_eq!(starts(&a.order(orders(3, vec![start(1)], Vec::new()))), 1);
     a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Refused);
     assert!(a.poll().refused.is_empty());
     assert_eq!(a.order(orders(3, Vec::new(), vec![run(1)])).len(), 1);
@@ -312,6 +313,26 @@
     assert_eq!(a.poll().refused, [run(1)]);
 }
 
+// Each copy of a start that is on its way can outlive the run, and be carried out by the worker's
+// next incarnation of the same name.
+#[test]
+fn start_answered_unknown_is_repeated_after_a_later_list() {
+    let mut a = Agent::new();
+    a.order(orders(3, vec![start(1)], Vec::new()));
+    let earlier = a.reconciler.list_request(a.now).unwrap();
+    a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Unknown);
+    assert!(a.order(orders(3, vec![start(1)], Vec::new())).is_empty());
+    let listing = Listing { started_at: Some(1), clock: a.now.as_millis(), ..Listing::default() };
+    a.reconciler.receive_listing(a.now, &earlier, listing);
+    assert!(a.order(orders(3, vec![start(1)], Vec::new())).is_empty());
+    a.list(Vec::new(), Vec::new());
+    assert!(a.poll().refused.is_empty());
+    assert_eq!(starts(&a.order(orders(3, vec![start(1)], Vec::new()))), 1);
+    a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Unknown);
+    a.list(vec![running(1)], Vec::new());
+    assert!(a.order(orders(3, vec![start(1)], Vec::new())).is_empty());
+}
+
 #[test]
 fn start_answered_only_start_refused_is_reported_at_once() {
     let mut a = Agent::new();
@@ -356,7 +377,8 @@
     a.outlive_former_calls();
     a.order(orders(3, vec![start(1)], Vec::new()));
     a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Unknown);
-    a.order(orders(3, vec![start(1)], Vec::new()));
+    a.list(Vec::new(), Vec::new());
+    assert_eq!(starts(&a.order(orders(3, vec![start(1)], Vec::new()))), 1);
     a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Refused);
     a.list(vec![running(1)], Vec::new());
     assert!(a.order(orders(3, vec![start(1)], Vec::new())).is_empty());
--- a/crates/bronzespool-batch/tests/model/explore.rs
+++ b/crates/bronzespool-batch/tests/model/explore.rs
@@ -149,6 +149,7 @@
 fn replay_unapplied_log_of_new_leader_is_found() {
     let history = [
         Move::Lose(Kind::Start, 0),
+        Move::ListNow,
         Move::Tick,
         Move::Tick,
         Move::Tick,
--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -52,6 +52,7 @@
         APPLIED_AT_ONCE,
         &[
             Lose(Kind::Start, 0),
+            ListNow,
             Poll,
             Poll,
             Deliver(Kind::Poll, 0),
@@ -194,6 +195,7 @@
         APPLIED_LATER,
         &[
             Lose(Kind::Start, 0),
+            ListNow,
             Tick,
             Tick,
             Tick,
@@ -213,6 +215,7 @@
         APPLIED_LATER,
         &[
             Lose(Kind::Start, 0),
+            ListNow,
             Tick,
             Tick,
             Tick,
@@ -233,6 +236,7 @@
         APPLIED_LATER,
         &[
             Lose(Kind::Start, 0),
+            ListNow,
             Tick,
             Tick,
             Tick,
@@ -472,6 +476,7 @@
         APPLIED_AT_ONCE,
         &[
             GiveUp(Kind::Start, 0),
+            ListNow,
             PollNow,
             Deliver(Kind::Start, 0),
             Finish(0),
@@ -492,6 +497,8 @@
         APPLIED_AT_ONCE,
         &[
             GiveUp(Kind::Start, 0),
+            ListNow,
+            Tick,
             PollNow,
             Deliver(Kind::Start, 0),
             Finish(0),
@@ -533,3 +540,42 @@
         ],
     );
 }
+
+// As in repeated_start_for_former_incarnation_does_not_run_again, but the agent has listed the runs
+// before it repeats the start.
+#[test]
+fn start_repeated_after_list_for_former_incarnation_does_not_run_again() {
+    check(
+        APPLIED_AT_ONCE,
+        &[
+            GiveUp(Kind::Start, 0),
+            ListNow,
+            PollNow,
+            Deliver(Kind::Start, 0),
+            Finish(0),
+            ListNow,
+            PollNow,
+            RestartWorker,
+            Deliver(Kind::Start, 0),
+        ],
+    );
+}
+
+// The answer to a start is lost, the run is done, and the agent has not listed it yet when it gets
+// the next orders. A repeated start would reach the next incarnation of the same name.
+#[test]
+fn start_without_answer_is_not_repeated_before_a_list() {
+    check(
+        APPLIED_AT_ONCE,
+        &[
+            Deliver(Kind::Start, 0),
+            Lose(Kind::Answer, 0),
+            Finish(0),
+            PollNow,
+            ListNow,
+            RestartWorker,
+            PollNow,
+            Deliver(Kind::Start, 0),
+        ],
+    );
+}
