--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -10,6 +10,7 @@
     crate::{
         agent::{
             call::{Action, Limits, ListRequest, Listing, StartOutcome, StopOutcome},
+            fence::Fence,
             lease::{ClockReading, lease_duration_max},
             worker::{CallState, WorkerState},
         },
@@ -40,8 +41,7 @@
     orders: Option<ReceivedOrders>,
     /// When a worker was last dropped. Orders that answer an earlier poll do not know of this.
     dropped_at: Time,
-    /// Highest fencing token seen, in orders or by a worker's rejection.
-    epoch: u64,
+    fence: Fence,
 }
 
 /// The latest orders, and when the poll that they answer was sent.
@@ -65,7 +65,7 @@
             dropped: Vec::new(),
             orders: None,
             dropped_at: Time::ZERO,
-            epoch: 0,
+            fence: Fence::default(),
         }
     }
 
@@ -73,6 +73,7 @@
     /// one of the current incarnation.
     pub fn check_in(&mut self, now: Time, spec: WorkerSpec, seq: u64) -> bool {
         let Some(worker) = &mut self.worker else {
+            self.fence.note_incarnation(&spec.incarnation);
             self.worker = Some(WorkerState::new(spec, seq, now));
             return true;
         };
@@ -103,6 +104,7 @@
         if !is_younger || old.worker != spec.incarnation.worker {
             self.gone.push(old);
         }
+        self.fence.note_incarnation(&spec.incarnation);
         self.worker = Some(WorkerState::new(spec, seq, now));
         true
     }
@@ -145,15 +147,15 @@
     pub fn receive_orders(&mut self, sent: Time, poll: &Poll, orders: Orders) {
         let late =
             self.orders.as_ref().is_some_and(|r| r.orders.epoch == orders.epoch && sent < r.sent);
-        if orders.epoch < self.epoch || late || sent < self.dropped_at {
+        if late || sent < self.dropped_at || !self.fence.admit(sent, orders.epoch) {
             return;
         }
-        self.epoch = orders.epoch;
         self.gone.retain(|i| !poll.gone.contains(i));
         let incarnation = self.worker.as_ref().map(|w| w.spec.incarnation.clone());
         if let Some(worker) = &mut self.worker
             && orders.incarnation == incarnation
         {
+            worker.has_orders = true;
             worker.forget_ends(orders.cursor);
             worker.refused.retain(|r| !poll.refused.contains(r));
         }
@@ -169,7 +171,8 @@
         {
             return Vec::new();
         }
-        let (epoch, incarnation) = (received.orders.epoch, worker.spec.incarnation.clone());
+        let epoch = self.fence.token(received.orders.epoch);
+        let incarnation = worker.spec.incarnation.clone();
         let mut actions = Vec::new();
         for run in std::mem::take(&mut received.orders.stops) {
             if worker.calls.contains_key(&run) {
@@ -211,6 +214,23 @@
         actions
     }
 
+    /// Returns stops of what the worker runs although it has started again under its name and the
+    /// leader has given no orders for this incarnation yet: late starts for the former one, whose
+    /// runs the leader may give to others meanwhile.
+    pub fn stray_stops(&mut self) -> Vec<Action> {
+        let Some(worker) = &mut self.worker else { return Vec::new() };
+        let incarnation = &worker.spec.incarnation;
+        if worker.has_orders || worker.departed || !self.fence.is_next(incarnation) {
+            return Vec::new();
+        }
+        let epoch = self.fence.current_token();
+        let is_open = |run: &RunId| !worker.calls.contains_key(run);
+        let runs: Vec<RunId> = worker.running.iter().map(|s| s.run).filter(is_open).collect();
+        worker.calls.extend(runs.iter().map(|run| (*run, CallState::StopInFlight)));
+        let stop = |run| Action::Stop { run, epoch, incarnation: incarnation.clone() };
+        runs.into_iter().map(stop).collect()
+    }
+
     /// Returns the calls that adapt the pace of best-effort runs, by the worker's latest list.
     pub fn pace_actions(&mut self, now: Time) -> Vec<Action> {
         let Some(received) = &self.orders else { return Vec::new() };
@@ -222,7 +242,8 @@
         }
         let classes = received.orders.classes.iter().copied().collect();
         let changes = worker.pacer.update(now, &worker.running, &classes);
-        let (epoch, incarnation) = (received.orders.epoch, &worker.spec.incarnation);
+        let epoch = self.fence.token(received.orders.epoch);
+        let incarnation = &worker.spec.incarnation;
         let pace =
             |(run, percent)| Action::Pace { run, percent, epoch, incarnation: incarnation.clone() };
         changes.into_iter().map(pace).collect()
@@ -231,12 +252,13 @@
     /// Takes the worker's answer to a change of pace.
     pub fn pace_answered(
         &mut self,
+        now: Time,
         incarnation: &WorkerIncarnation,
         run: RunId,
         outcome: StopOutcome,
     ) {
         if let StopOutcome::Fenced(token) = outcome {
-            self.fenced(Some(token));
+            self.fenced(now, Some(token));
         }
         if outcome != StopOutcome::Noted
             && let Some(worker) = self.current_worker(incarnation)
@@ -248,21 +270,20 @@
     /// Takes the worker's answer to a start.
     pub fn start_answered(
         &mut self,
+        now: Time,
         incarnation: &WorkerIncarnation,
         run: RunId,
         outcome: StartOutcome,
     ) {
         if let StartOutcome::Fenced(token) = outcome {
-            self.fenced(Some(token));
+            self.fenced(now, Some(token));
         }
         let Some(worker) = self.current_worker(incarnation) else { return };
         match outcome {
             StartOutcome::Present | StartOutcome::Old => worker.await_list(run),
             StartOutcome::Refused => worker.start_refused(run),
             StartOutcome::Late | StartOutcome::Fenced(_) => worker.start_void(run),
-            StartOutcome::Unknown => {
-                worker.calls.remove(&run);
-            }
+            StartOutcome::Unknown => worker.start_unanswered(run),
         }
     }
 
@@ -275,7 +296,7 @@
         outcome: StopOutcome,
     ) {
         if let StopOutcome::Fenced(token) = outcome {
-            self.fenced(Some(token));
+            self.fenced(now, Some(token));
         }
         let Some(worker) = self.current_worker(incarnation) else { return };
         match outcome {
@@ -289,13 +310,16 @@
     /// Returns a request for the worker's list that extends its leases as far as the leader allows.
     pub fn list_request(&mut self, now: Time) -> Option<ListRequest> {
         let lease_max = self.limits.lease_max;
-        let epoch = self.orders.as_ref().map(|r| r.orders.epoch);
+        let epoch = self.orders.as_ref().map(|r| self.fence.token(r.orders.epoch));
         let worker = self.worker.as_mut()?;
         worker.list_serial += 1;
         let incarnation = worker.spec.incarnation.clone();
-        // The leader counts a lease only for the incarnation that its orders name.
+        // The leader counts a lease only for the incarnation that its orders name. If another one has
+        // answered since, the call reaches that one.
         let received = self.orders.as_ref().filter(|r| {
-            r.orders.epoch >= self.epoch && r.orders.incarnation.as_ref() == Some(&incarnation)
+            self.fence.is_current(r.orders.epoch)
+                && self.fence.is_latest(&incarnation)
+                && r.orders.incarnation.as_ref() == Some(&incarnation)
         });
         let mut request =
             ListRequest { epoch, cursor: 0, until: None, incarnation, serial: worker.list_serial };
@@ -317,8 +341,12 @@
     pub fn receive_listing(&mut self, now: Time, request: &ListRequest, listing: Listing) -> bool {
         let former_calls_over = self.former_calls_over(now);
         let Some(worker) = self.current_worker(&request.incarnation) else { return false };
-        if listing.started_at.is_some_and(|b| b != request.incarnation.started_at) {
+        if let Some(started_at) =
+            listing.started_at.filter(|s| *s != request.incarnation.started_at)
+        {
             worker.departed = true;
+            let worker = request.incarnation.worker.clone();
+            self.fence.note_incarnation(&WorkerIncarnation { worker, started_at });
             return false;
         }
         worker.answers = true;
@@ -345,12 +373,13 @@
         }
     }
 
-    /// Notes that the worker has rejected the fencing token of a call; from now on only orders with
-    /// a higher token count. A rejected call without a token says nothing about any orders.
-    pub fn fenced(&mut self, token: Option<u64>) {
-        let Some(token) = token else { return };
-        self.epoch = self.epoch.max(token + 1);
-        self.orders.take_if(|r| r.orders.epoch <= token);
+    /// Notes that the worker has rejected the fencing token of a call: from now on only orders of a
+    /// higher term count, or those that answer a later poll. A rejected call without a token says
+    /// nothing about any orders.
+    pub fn fenced(&mut self, now: Time, token: Option<u64>) {
+        if token.is_some_and(|t| self.fence.reject(now, t)) {
+            self.orders = None;
+        }
     }
 
     /// Drops a worker that is gone: it does not answer, or has left, and all of its leases have
--- a/crates/bronzespool-batch/tests/model/delivery.rs
+++ b/crates/bronzespool-batch/tests/model/delivery.rs
@@ -57,15 +57,20 @@
                     _ => false,
                 };
                 self.mistaken.extend(mistaken.then_some(run));
-                self.reconciler.start_answered(&incarnation, run, outcome);
+                self.reconciler.start_answered(self.now, &incarnation, run, outcome);
             }
             Body::StopAnswer(incarnation, run, outcome) => {
                 self.reconciler.stop_answered(self.now, &incarnation, run, outcome);
             }
             Body::Listing(request, ListAnswer::Listed(listing)) => {
                 self.reconciler.receive_listing(self.now, &request, listing);
+                let stops = self.reconciler.stray_stops();
+                let calls = stops.into_iter().map(|a| Message::new(self.now, Body::Call(a)));
+                self.messages.extend(calls);
+            }
+            Body::Listing(request, ListAnswer::Fenced) => {
+                self.reconciler.fenced(self.now, request.epoch);
             }
-            Body::Listing(request, ListAnswer::Fenced) => self.reconciler.fenced(request.epoch),
             Body::Listing(request, ListAnswer::Unanswered) => {
                 self.reconciler.list_unanswered(&request);
             }
--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -54,6 +54,7 @@
         APPLIED_AT_ONCE,
         &[
             Lose(Kind::Start, 0),
+            ListNow,
             Poll,
             Poll,
             Deliver(Kind::Poll, 0),
@@ -240,6 +241,7 @@
         APPLIED_LATER,
         &[
             Lose(Kind::Start, 0),
+            ListNow,
             Tick,
             Tick,
             Tick,
@@ -259,6 +261,7 @@
         APPLIED_LATER,
         &[
             Lose(Kind::Start, 0),
+            ListNow,
             Tick,
             Tick,
             Tick,
@@ -279,6 +282,7 @@
         APPLIED_LATER,
         &[
             Lose(Kind::Start, 0),
+            ListNow,
             Tick,
             Tick,
             Tick,
@@ -548,3 +552,115 @@
         ],
     );
 }
+
+// A repeated start reaches the next incarnation of the same name after that one has answered a list
+// request; the run has ended as done on the former one.
+#[test]
+fn start_for_former_incarnation_after_call_for_next_one_is_rejected() {
+    check(
+        APPLIED_AT_ONCE,
+        &[
+            GiveUp(Kind::Start, 0),
+            ListNow,
+            PollNow,
+            Deliver(Kind::Start, 0),
+            Finish(0),
+            ListNow,
+            PollNow,
+            RestartWorker,
+            Tick,
+            ListNow,
+            Deliver(Kind::Start, 0),
+        ],
+    );
+}
+
+// As before, and the agent knows of the next incarnation by its answer to a list request alone.
+#[test]
+fn start_for_former_incarnation_after_second_list_of_next_one_is_rejected() {
+    check(
+        APPLIED_AT_ONCE,
+        &[
+            GiveUp(Kind::Start, 0),
+            ListNow,
+            Tick,
+            PollNow,
+            Deliver(Kind::Start, 0),
+            Finish(0),
+            ListNow,
+            PollNow,
+            RestartWorker,
+            ListNow,
+            ListNow,
+            Deliver(Kind::Start, 0),
+        ],
+    );
+}
+
+// The next process of the agent knows of no restart, and the worker rejects its first calls.
+#[test]
+fn next_process_of_agent_gets_past_tokens_of_former_process() {
+    check(
+        APPLIED_AT_ONCE,
+        &[RestartWorker, Tick, ListNow, PollNow, ListNow, NewAgent, Tick, ListNow, PollNow],
+    );
+}
+
+// A start for the former incarnation runs on the next one of the same name, with a deadline by the
+// clock of the former one. The agent cannot reach the leader, and stops the run by itself.
+#[test]
+fn run_of_next_incarnation_is_stopped_without_orders() {
+    check(
+        APPLIED_AT_ONCE,
+        &[
+            Tick,
+            RestartWorker,
+            Deliver(Kind::Start, 0),
+            Tick,
+            ListNow,
+            Deliver(Kind::Stop, 0),
+            Tick,
+            Tick,
+            PlanElsewhere,
+        ],
+    );
+}
+
+// As in repeated_start_for_former_incarnation_does_not_run_again, but the agent has listed the runs
+// before it repeats the start.
+#[test]
+fn start_repeated_after_list_for_former_incarnation_does_not_run_again() {
+    check(
+        APPLIED_AT_ONCE,
+        &[
+            GiveUp(Kind::Start, 0),
+            ListNow,
+            PollNow,
+            Deliver(Kind::Start, 0),
+            Finish(0),
+            ListNow,
+            PollNow,
+            RestartWorker,
+            Deliver(Kind::Start, 0),
+        ],
+    );
+}
+
+// The answer to a start is lost, the run is done, and the agent has not listed it yet when it gets
+// the next orders. A repeated start would reach the next incarnation of the same name.
+#[test]
+fn start_without_answer_is_not_repeated_before_a_list() {
+    check(
+        APPLIED_AT_ONCE,
+        &[
+            Deliver(Kind::Start, 0),
+            Lose(Kind::Answer, 0),
+            Finish(0),
+            PollNow,
+            ListNow,
+            RestartWorker,
+            PollNow,
+            Deliver(Kind::Start, 0),
+        ],
+    );
+}
--- a/crates/bronzespoold/src/batch/agent.rs
+++ b/crates/bronzespoold/src/batch/agent.rs
@@ -161,6 +161,9 @@
                 self.poll_wakeup.notify_one();
             }
             let answered = self.list(LIST_WAIT).await;
+            for action in self.reconciler.borrow_mut().stray_stops() {
+                spawn_local(Rc::clone(&self).execute(action));
+            }
             sleep(match answered {
                 Some(true) => LIST_PAUSE,
                 Some(false) => UNANSWERED_PAUSE,
@@ -187,7 +190,7 @@
             }
             ListOutcome::Fenced => {
                 event::WorkerFenced { epoch: request.epoch }.emit();
-                self.reconciler.borrow_mut().fenced(request.epoch);
+                self.reconciler.borrow_mut().fenced(self.clock.now(), request.epoch);
                 self.poll_wakeup.notify_one();
                 Some(false)
             }
@@ -266,7 +269,7 @@
             verdict: format!("{outcome:?}"),
         }
         .emit();
-        self.reconciler.borrow_mut().pace_answered(incarnation, *run, outcome);
+        self.reconciler.borrow_mut().pace_answered(self.clock.now(), incarnation, *run, outcome);
     }
 
     async fn execute(self: Rc<Self>, action: Action) {
@@ -282,7 +285,12 @@
                     verdict: format!("{outcome:?}"),
                 }
                 .emit();
-                self.reconciler.borrow_mut().start_answered(incarnation, start.run, outcome);
+                self.reconciler.borrow_mut().start_answered(
+                    self.clock.now(),
+                    incarnation,
+                    start.run,
+                    outcome,
+                );
             }
             Action::Stop { run, incarnation, epoch } => {
                 let outcome = self.worker.stop(&action).await;
