fix(schedule): count the leases of a stop from when sessions have it

Callers saw nothing yet: a test showed that guaranteed cells are granted while a task of the former borrower can still run there, so that two jobs use the same accelerators. The deadline of a stop counts from the decision. While its record is committed, hubs renew sessions from the state before it, and a hub whose log lags goes on after the leader has applied it; if the push then fails, the borrower runs for a lease from then on.

The planner now remembers when it first saw a stop applied and counts the lease again from there. The leader tells it the lowest index that the sessions of all hubs have acknowledged, which hubs report already for "in force"; cells of silent workers wait until the stop is reached, and one session lease more. The memory belongs to a term: a new leader counts from its own first decision, which is later than the truth.

The free functions decide and wake are gone: without the planner's memory they could not tell when cells are free. Whether the revision is in force now also asks hubs that are no members any more but were heard within a lease.

Three are new: a lagging hub, a change of leader, and no delay once sessions have the stop. Tests call wake on the planner now.

--- a/crates/bronzespool-bench/src/policies/scheduler.rs
+++ b/crates/bronzespool-bench/src/policies/scheduler.rs
@@ -7,7 +7,7 @@
         Time,
     },
     bronzespool_schedule::{
-        Cell, Event, JobSpec, MemberOutcome, Planner, Record, SchedulerState, admit, wake,
+        Cell, Event, JobSpec, MemberOutcome, Planner, Record, SchedulerState, admit,
     },
 };
 
@@ -242,7 +242,7 @@
     }
 
     fn next_wake(&self, now: Time) -> Option<Time> {
-        Some(wake(&self.state, now)).filter(|&at| at != Time::MAX)
+        Some(self.planner.wake(&self.state, now)).filter(|&at| at != Time::MAX)
     }
 
     fn internal_errors(&self) -> u64 {
--- a/crates/bronzespool-schedule/src/lib.rs
+++ b/crates/bronzespool-schedule/src/lib.rs
@@ -2,13 +2,13 @@
 //! without any I/O.
 //!
 //! A [`SchedulerState`] holds all durable state and changes only through [`SchedulerState::apply`].
-//! [`decide`] reads the state and returns the records to apply next. The caller replicates these
-//! records, applies them and calls [`decide`] again until it returns none; [`wake`] then gives the
-//! time of the next decision.
+//! [`Planner::decide`] reads the state and returns the records to apply next. The caller replicates
+//! these records, applies them and calls it again until it returns none; [`Planner::wake`] then gives
+//! the time of the next decision.
 //!
 //! ```
 //! use bronzespool_core::{Capacity, Level, Need, Place, Time};
-//! use bronzespool_schedule::{SchedulerState, Event, JobSpec, Record, decide};
+//! use bronzespool_schedule::{SchedulerState, Event, JobSpec, Planner, Record};
 //!
 //! let mut state = SchedulerState::default();
 //! let place = Place {
@@ -25,7 +25,7 @@
 //!     .adjacent(Level::Worker)
 //!     .restartable(true);
 //! state.apply(&Record::new(Time::ZERO, Event::Submitted(spec))).unwrap();
-//! let records = decide(&state, Time::ZERO);
+//! let records = Planner::default().decide(&state, Time::ZERO);
 //! assert!(matches!(records[0].event, Event::Granted { borrowed: true, .. }));
 //! # Ok::<(), bronzespool_core::name::Error>(())
 //! ```
@@ -50,7 +50,7 @@
     fragmentation::{GangShape, WorkloadMix, fragmentation},
     job::{Attempt, JobPhase, JobSpec, JobState, MemberState},
     pack::{FailureReserve, GuaranteeConflict, Packing, pack},
-    policy::{Planner, decide, wake},
+    policy::{Delivery, Planner},
     record::{Event, JobOutcome, MemberOutcome, Record, StopReason},
     settings::PolicySettings,
     state::SchedulerState,
--- a/crates/bronzespool-schedule/src/policy/lifecycle.rs
+++ b/crates/bronzespool-schedule/src/policy/lifecycle.rs
@@ -1,6 +1,7 @@
 //! Lifecycle of attempts: start, stop, lease expiry, end and retry.
 
 use {
+    super::stops::Stops,
     crate::{
         admit::admit,
         job::{Attempt, JobPhase, JobState, MemberState, PendingStop},
@@ -18,17 +19,17 @@
 const PRUNE_MAX: usize = 256;
 
 /// Records for all jobs that are due at `now`.
-pub(super) fn advance_attempts(state: &SchedulerState, now: Time) -> Vec<Record> {
-    let events = state.due(now).filter_map(|job| next_event(state, job, now));
+pub(super) fn advance_attempts(stops: &Stops, state: &SchedulerState, now: Time) -> Vec<Record> {
+    let events = state.due(now).filter_map(|job| next_event(stops, state, job, now));
     events.map(|event| Record::new(now, event)).collect()
 }
 
-fn next_event(state: &SchedulerState, job: &JobState, now: Time) -> Option<Event> {
+fn next_event(stops: &Stops, state: &SchedulerState, job: &JobState, now: Time) -> Option<Event> {
     match &job.phase {
-        JobPhase::Active(attempt) => Some(match attempt.stop {
-            Some(stop) => advance_stopping(state, job, attempt, stop, now),
-            None => advance_running(state, job, attempt, now),
-        }),
+        JobPhase::Active(attempt) => match attempt.stop {
+            Some(stop) => advance_stopping(stops, state, job, attempt, stop, now),
+            None => Some(advance_running(state, job, attempt, now)),
+        },
         JobPhase::Waiting { .. } => refuse_waiting(state, job, now),
         JobPhase::Reserved { .. } | JobPhase::Ended { .. } => None,
     }
@@ -92,21 +93,24 @@
     Event::Stopping { job: job.spec.job.clone(), attempt: attempt.number, reason, deadline }
 }
 
+/// Next event of a stopping attempt; `None` while a lease may still be running.
 fn advance_stopping(
+    stops: &Stops,
     state: &SchedulerState,
     job: &JobState,
     attempt: &Attempt,
     pending: PendingStop,
     now: Time,
-) -> Event {
-    let name = job.spec.job.clone();
+) -> Option<Event> {
     if pending.deadline == Time::MAX {
-        return stop_event(state, job, attempt, pending.reason, Duration::ZERO, now);
+        return Some(stop_event(state, job, attempt, pending.reason, Duration::ZERO, now));
     }
     if attempt.holds() {
-        return Event::Expired { job: name, attempt: attempt.number };
+        let end = stops.leases_end(state.settings(), job, attempt, pending)?;
+        let expired = Event::Expired { job: job.spec.job.clone(), attempt: attempt.number };
+        return (end <= now).then_some(expired);
     }
-    finish_attempt(state, job, attempt, pending.reason, now)
+    Some(finish_attempt(state, job, attempt, pending.reason, now))
 }
 
 /// Event that ends or requeues a job whose members have all stopped.
--- a/crates/bronzespool-schedule/src/policy/mod.rs
+++ b/crates/bronzespool-schedule/src/policy/mod.rs
@@ -15,7 +15,9 @@
 mod queue;
 mod reclaim;
 mod reserve;
+mod stops;
 
+pub use stops::Delivery;
 use {
     crate::{
         job::JobNumber,
@@ -25,6 +27,7 @@
     bronzespool_core::{HashMap, Time},
     place::PlacementClass,
     std::{rc::Rc, time::Duration},
+    stops::Stops,
 };
 
 /// Largest number of grants in one pass, so that a burst of jobs does not delay other input.
@@ -33,9 +36,11 @@
 /// Accelerators are costly to reclaim if their work would lose more run time than this.
 const UNSAVED_MAX: Duration = Duration::from_secs(300);
 
-/// Cache of placement results between the decisions on one state; nothing in it is durable.
+/// Memory between the decisions on one state: placement results, and when stops were seen applied.
 ///
-/// Create a new planner when the state is replaced by another one.
+/// Nothing in it is durable. Create a new planner when the state is replaced by another one. Cells
+/// of silent workers are freed only by a planner that lives as long as their leases, since it counts
+/// these from the decision in which it first sees the stop.
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
     /// Placement classes for which no cells were found, with the capacity epoch at that time.
@@ -46,6 +51,7 @@
     /// Jobs for which other work of their team was made borrowed, with the time of the last
     /// demotion.
     last_demotions: HashMap<JobNumber, Time>,
+    stops: Stops,
 }
 
 /// One decision pass over a state.
@@ -88,28 +94,43 @@
 }
 
 impl Planner {
+    /// Sets how far the sessions of agents have followed the log, for the next decisions.
+    pub const fn set_delivery(&mut self, delivery: Delivery) {
+        self.stops.set_delivery(delivery);
+    }
+
     /// Decides the next records. The caller applies them and calls this again until none are
     /// returned.
     pub fn decide(&mut self, state: &SchedulerState, now: Time) -> Vec<Record> {
-        let records = lifecycle::advance_attempts(state, now);
+        self.stops.observe(state, now);
+        let records = lifecycle::advance_attempts(&self.stops, state, now);
         if !records.is_empty() {
             return records;
         }
         let records = queue::plan_grants(self, state, now);
         if records.is_empty() { lifecycle::prune(state, now) } else { records }
     }
-}
 
-/// Decides the next records without a cache of earlier decisions.
-pub fn decide(state: &SchedulerState, now: Time) -> Vec<Record> {
-    Planner::default().decide(state, now)
-}
+    /// Time of the next decision if no other record is applied before; [`Time::MAX`] if there is
+    /// none.
+    pub fn wake(&self, state: &SchedulerState, now: Time) -> Time {
+        let due = self.next_due(state);
+        let delayed = state.next_delayed(now).unwrap_or(Time::MAX);
+        let exclusive = reserve::next_exclusive(state, now).unwrap_or(Time::MAX);
+        let probe = health::next_probe(state).unwrap_or(Time::MAX);
+        due.min(delayed).min(exclusive).min(probe)
+    }
 
-/// Time of the next decision if no other record is applied before; [`Time::MAX`] if there is none.
-pub fn wake(state: &SchedulerState, now: Time) -> Time {
-    let due = state.next_due().unwrap_or(Time::MAX);
-    let delayed = state.next_delayed(now).unwrap_or(Time::MAX);
-    let exclusive = reserve::next_exclusive(state, now).unwrap_or(Time::MAX);
-    let probe = health::next_probe(state).unwrap_or(Time::MAX);
-    due.min(delayed).min(exclusive).min(probe)
+    /// First time at which a job is due for a record. The leases of a stopped attempt may end after
+    /// its timer.
+    fn next_due(&self, state: &SchedulerState) -> Time {
+        let mut first = Time::MAX;
+        for (due, job) in state.timers() {
+            if due >= first {
+                break;
+            }
+            first = first.min(self.stops.next_look(state, job, due));
+        }
+        first
+    }
 }
--- a/crates/bronzespool-schedule/src/policy/predict.rs
+++ b/crates/bronzespool-schedule/src/policy/predict.rs
@@ -55,7 +55,7 @@
 /// quarter of the run time so far, so that it grows as the job exceeds its expected run time.
 pub fn expected_end(state: &SchedulerState, job: &JobState, attempt: &Attempt, now: Time) -> Time {
     if let Some(stop) = attempt.stop {
-        return stop.deadline;
+        return stop.deadline.max(now);
     }
     let done = progress(job, now);
     let total = expected_runtime(state, job);
--- a/crates/bronzespool-schedule/src/state/index.rs
+++ b/crates/bronzespool-schedule/src/state/index.rs
@@ -17,6 +17,7 @@
     /// Sort key in the team's queue: `false` for urgent jobs, which come first.
     queued: Option<bool>,
     reserved: bool,
+    stopping: bool,
     active: bool,
     ended: Option<Time>,
 }
@@ -42,6 +43,9 @@
         if entry.reserved {
             index.reserved.insert(id);
         }
+        if entry.stopping {
+            index.stopping.insert(id);
+        }
         if entry.active {
             index.active.entry(job.spec.team.clone()).or_default().insert(id);
         }
@@ -74,6 +78,9 @@
         if entry.reserved {
             index.reserved.remove(&id);
         }
+        if entry.stopping {
+            index.stopping.remove(&id);
+        }
         if entry.active
             && let Some(active) = index.active.get_mut(&self.durable.jobs[&id].spec.team)
         {
@@ -98,6 +105,7 @@
             JobPhase::Reserved { .. } => entry.reserved = true,
             JobPhase::Active(attempt) => {
                 entry.active = true;
+                entry.stopping = attempt.stop.is_some();
                 entry.due = self.attempt_due(job, attempt);
             }
             JobPhase::Ended { at, .. } => entry.ended = Some(*at),
--- a/crates/bronzespool-schedule/src/state/mod.rs
+++ b/crates/bronzespool-schedule/src/state/mod.rs
@@ -12,7 +12,7 @@
     crate::{
         estimate::RuntimeEstimate,
         fragmentation::WorkloadMix,
-        job::{JobNumber, JobPhase, JobState},
+        job::{Attempt, JobNumber, JobPhase, JobState},
         settings::PolicySettings,
     },
     bronzespool_core::{Capacity, HashMap, Instance, Job, Kind, Place, Service, Team, Time},
@@ -107,6 +107,8 @@
     /// Jobs by the time at which they are due for a record.
     due: BTreeSet<(Time, JobNumber)>,
     reserved: BTreeSet<JobNumber>,
+    /// Jobs whose attempt is being stopped.
+    stopping: BTreeSet<JobNumber>,
     ended: BTreeSet<(Time, JobNumber)>,
     suspects: BTreeSet<Instance>,
     active: BTreeMap<Team, BTreeSet<JobNumber>>,
@@ -270,9 +272,15 @@
         ids.filter_map(|(_, id)| self.durable.jobs.get(id))
     }
 
-    /// First time at which a job is due for a record.
-    pub(crate) fn next_due(&self) -> Option<Time> {
-        self.index.due.first().map(|(at, _)| *at)
+    /// The timers of jobs, the first one in front.
+    pub(crate) fn timers(&self) -> impl Iterator<Item = (Time, &JobState)> {
+        self.index.due.iter().filter_map(|(at, id)| Some((*at, self.durable.jobs.get(id)?)))
+    }
+
+    /// Attempts that are being stopped.
+    pub(crate) fn stopping(&self) -> impl Iterator<Item = (&JobState, &Attempt)> {
+        let jobs = self.index.stopping.iter().filter_map(|id| self.durable.jobs.get(id));
+        jobs.filter_map(|job| Some((job, job.attempt()?)))
     }
 
     /// First time after `now` at which a delayed job may be attempted.
--- a/crates/bronzespool-schedule/tests/common/mod.rs
+++ b/crates/bronzespool-schedule/tests/common/mod.rs
@@ -5,7 +5,6 @@
     bronzespool_core::{Capacity, Instance, Level, Need, Place, Shape, Team, Time},
     bronzespool_schedule::{
         Event, JobPhase, JobSpec, MemberOutcome, Planner, PolicySettings, Record, SchedulerState,
-        wake,
     },
     std::time::Duration,
 };
@@ -129,7 +128,7 @@
 
     /// Advances the clock to the time of the next decision.
     pub(crate) fn advance_to_wake(&mut self) {
-        self.now = wake(&self.state, self.now).max(self.now);
+        self.now = self.planner.wake(&self.state, self.now).max(self.now);
     }
 
     pub(crate) fn phase(&self, name: &str) -> &JobPhase {
--- a/crates/bronzespool-schedule/tests/random.rs
+++ b/crates/bronzespool-schedule/tests/random.rs
@@ -10,7 +10,6 @@
         Event, JobOutcome, JobPhase, JobSpec, MemberOutcome, PolicySettings, Record,
         SchedulerState, admit, pack,
         policy::fit::{Demand, demand, shortfall, weight},
-        wake,
     },
     common::{Simulation, instance, job, team},
     fastrand::Rng,
@@ -474,7 +473,8 @@
             b.tasks.sort_unstable();
             assert_eq!(a, b, "the index differs from one built anew");
         }
-        assert_eq!(wake(&copy, self.sim.now), wake(&self.sim.state, self.sim.now));
+        let wake = |state| self.sim.planner.wake(state, self.sim.now);
+        assert_eq!(wake(&copy), wake(&self.sim.state));
     }
 
     /// Ends all faults and checks that every job ends, unless the guarantee that it needs was
@@ -491,7 +491,7 @@
         self.step();
         for _ in 0..20_000 {
             let next_event = self.pending.first_key_value().map_or(Time::MAX, |((at, _), _)| *at);
-            let next = next_event.min(wake(&self.sim.state, self.sim.now));
+            let next = next_event.min(self.sim.planner.wake(&self.sim.state, self.sim.now));
             if next == Time::MAX {
                 break;
             }
--- a/crates/bronzespool-schedule/tests/reclaim.rs
+++ b/crates/bronzespool-schedule/tests/reclaim.rs
@@ -4,7 +4,9 @@
 
 use {
     bronzespool_core::{Level, Time},
-    bronzespool_schedule::{Event, JobPhase, MemberOutcome, PolicySettings, StopReason},
+    bronzespool_schedule::{
+        Delivery, Event, JobPhase, MemberOutcome, Planner, PolicySettings, StopReason,
+    },
     common::{Simulation, job},
     std::time::Duration,
 };
@@ -139,6 +141,69 @@
     panic!("{name} is never told to stop");
 }
 
+/// A job `c` that waits for the cells of the silent borrower `a`, whose stop is applied.
+fn sim_with_silent_borrower() -> Simulation {
+    let mut sim = sim();
+    sim.record(Event::Submitted(job("a", "arima", 4, 4, Level::Region)));
+    sim.run_granted();
+    sim.record(Event::Submitted(job("c", "couva", 2, 4, Level::Rack).urgent(true)));
+    sim.run_granted();
+    sim
+}
+
+// A hub whose log lagged renewed the borrower's session after the leader had applied the stop.
+#[test]
+fn decide_silent_borrower_keeps_cells_until_sessions_reach_stop() {
+    let mut sim = sim();
+    let settle_time = Duration::from_secs(1);
+    let lagging = Delivery { applied: 7, reached: 6, settle_time };
+    sim.planner.set_delivery(lagging);
+    sim.record(Event::Submitted(job("a", "arima", 4, 4, Level::Region)));
+    sim.run_granted();
+    sim.record(Event::Submitted(job("c", "couva", 2, 4, Level::Rack).urgent(true)));
+    for _ in 0..100 {
+        sim.run_granted();
+        assert!(!sim.is_started("c"), "granted at {}", sim.now);
+        let before = sim.now;
+        sim.advance_to_wake();
+        assert!(sim.now > before, "no later look at {before}");
+    }
+    let reached = sim.now;
+    sim.planner.set_delivery(Delivery { reached: 7, ..lagging });
+    let granted = until_granted(&mut sim, "c");
+    let settings = PolicySettings::default();
+    assert_eq!(granted, reached + settle_time + settings.clock_error_max);
+}
+
+#[test]
+fn decide_silent_borrower_frees_cells_once_sessions_reached_stop() {
+    let mut sim = sim();
+    sim.planner.set_delivery(Delivery { applied: 7, reached: 7, ..Delivery::default() });
+    sim.record(Event::Submitted(job("a", "arima", 4, 4, Level::Region)));
+    sim.run_granted();
+    let start = sim.now;
+    sim.record(Event::Submitted(job("c", "couva", 2, 4, Level::Rack).urgent(true)));
+    sim.run_granted();
+    // A session that was opened later is at an earlier index until its first renewal.
+    sim.planner.set_delivery(Delivery { applied: 9, reached: 0, ..Delivery::default() });
+    let granted = until_granted(&mut sim, "c");
+    let settings = PolicySettings::default();
+    let bound = settings.urgent_grace + settings.borrowed_lease + settings.clock_error_max;
+    assert_eq!(granted, start + bound);
+}
+
+// A new leader does not know when the stop was applied, so it counts from its own first decision.
+#[test]
+fn decide_silent_borrower_keeps_cells_after_change_of_leader() {
+    let mut sim = sim_with_silent_borrower();
+    sim.advance(COMMIT_TIME);
+    sim.planner = Planner::default();
+    let first = sim.now;
+    let granted = until_granted(&mut sim, "c");
+    let settings = PolicySettings::default();
+    assert_eq!(granted, first + settings.borrowed_lease + settings.clock_error_max);
+}
+
 /// Work that was made borrowed may still have its former, longer lease, so its cells must not be
 /// granted to another job before that lease has expired.
 #[test]
--- a/crates/bronzespoold/src/control/leader/presence.rs
+++ b/crates/bronzespoold/src/control/leader/presence.rs
@@ -99,16 +99,23 @@
         if state.config().config().revision < revision {
             return false;
         }
-        let index = state.config_index();
+        self.reached_index() >= state.config_index()
+    }
+
+    /// Log index that every session that may be open has acknowledged. Sessions of a hub that has
+    /// been silent for a lease have ended.
+    pub(super) fn reached_index(&self) -> u64 {
         let now = self.clock.now();
         let mut hubs = self.hubs.borrow_mut();
         let status = self.replica.status();
         hubs.begin_term(status.term, now);
-        status.members.iter().all(|member| match hubs.hubs.get(&member.name) {
-            Some(hub) if now.since(hub.heard_at) < self.lease => hub.acked >= index,
-            Some(_) => true,
-            None => now.since(hubs.term_start) >= self.lease,
-        })
+        let mut members = status.members.iter();
+        let all_known = members.all(|member| hubs.hubs.contains_key(&member.name));
+        if !all_known && now.since(hubs.term_start) < self.lease {
+            return 0;
+        }
+        let heard = hubs.hubs.values().filter(|hub| now.since(hub.heard_at) < self.lease);
+        heard.map(|hub| hub.acked).min().unwrap_or(u64::MAX)
     }
 
     /// Commits the changes that bring the recorded presence of the agents in line with the hubs'
--- a/crates/bronzespoold/src/control/leader/schedule.rs
+++ b/crates/bronzespoold/src/control/leader/schedule.rs
@@ -13,8 +13,8 @@
         core::{Code, Job, Refusal, Time},
         flow::config::ConfigUpdate,
         schedule::{
-            Explanation, FailureReserve, GuaranteeConflict, JobSpec, Planner, Record, admit,
-            explain, pack, policy::drain::drain_records, wake,
+            Delivery, Explanation, FailureReserve, GuaranteeConflict, JobSpec, Planner, Record,
+            admit, explain, pack, policy::drain::drain_records,
         },
         wire::message::{CallResult, ExplainView, HolderView, Reply},
     },
@@ -62,7 +62,7 @@
                 records = drain_records(self.replica.state().scheduler(), now);
             }
             if records.is_empty() {
-                let next = wake(self.replica.state().scheduler(), now);
+                let next = self.planner.borrow().1.wake(self.replica.state().scheduler(), now);
                 return Ok(next.since(now).clamp(PASS_INTERVAL_MIN, PASS_INTERVAL_MAX));
             }
             self.commit_records(records).await?;
@@ -73,13 +73,22 @@
     /// reset at each new term.
     fn decide(&self, now: Time) -> Vec<Record> {
         let term = self.replica.status().term;
+        let delivery = self.delivery();
         let mut planner = self.planner.borrow_mut();
         if planner.0 != term {
             *planner = (term, Planner::default());
         }
+        planner.1.set_delivery(delivery);
         planner.1.decide(self.replica.state().scheduler(), now)
     }
 
+    /// How far the sessions have followed the log. After that a borrowed task runs for one session
+    /// lease at most: an agent that is told to stop it renews the worker's lease no more.
+    fn delivery(&self) -> Delivery {
+        let applied = self.replica.state().index();
+        Delivery { applied, reached: self.reached_index(), settle_time: self.lease }
+    }
+
     /// Updates the agents' presence and expires claims, for as long as this process lives.
     pub(in crate::control) async fn run_controllers(self: Rc<Self>) {
         loop {
