fix(batch): a relay answers before its caller's wait is over

Callers saw 504, of unknown outcome, for a job that was certainly not accepted, where 503 tells them when to come back. A process that cannot reach control makes its call through a relay and waits 1 s for it, less near the end of its caller's time. The relay looked for a leader for 1 s too, so its "no leader" arrived when nobody waited any more, and the sender had to take the call for one that may have run. Beside load the relay is later to notice that control is gone, and the needless 504 becomes likely.

A relayed call now carries the time within which the relay answers: the sender's wait less a quarter, at least 150 ms, for the way there and back and a busy relay. With less than twice that left, no relay is asked. Relayed is a new last variant of Call; stored formats are unchanged. A relay of the former version refuses it unread, and the sender repeats the call without the time, as before. A sender of the former version gets the answer of a new relay after 750 ms.

Tests: bronzespoold/tests/relay. The first, without load, was seen failing three times of three on the former source (left: CommitUnknown, right: NoLeader). The others hold the time in the call, no call without time for it, and a relay of the former version.

--- a/crates/bronzespool-wire/src/link/error.rs
+++ b/crates/bronzespool-wire/src/link/error.rs
@@ -38,6 +38,12 @@
             && error.extra.contains(crate::serve::CONNECTION_REFUSED))
     }
 
+    /// Whether the peer could not read the call, as a process of a former version cannot read a call
+    /// that it does not know. Then the call was not carried out.
+    pub fn is_unread(&self) -> bool {
+        matches!(self, Self::Call(error) if error.kind == capnp::ErrorKind::Failed)
+    }
+
     /// Whether the connection itself has failed.
     pub fn is_disconnected(&self) -> bool {
         matches!(self, Self::Call(error) if error.kind == capnp::ErrorKind::Disconnected)
--- a/crates/bronzespool-wire/src/message/call.rs
+++ b/crates/bronzespool-wire/src/message/call.rs
@@ -101,6 +101,15 @@
     /// Says that an agent begins its planned stop: this incarnation accepts no new work. Later
     /// incarnations are not concerned, unlike by [`Call::Drain`].
     DrainIncarnation(Incarnation),
+    /// A call about batch jobs that the receiver passes on to the leader, for a process that cannot
+    /// reach control itself.
+    Relayed {
+        /// The call.
+        call: Box<batch::Call>,
+        /// Milliseconds within which the receiver answers, so that the answer arrives while the
+        /// sender still waits.
+        within_millis: u32,
+    },
 }
 
 /// Progress of a hub's sessions.
--- a/crates/bronzespoold/src/batch/leader_client/mod.rs
+++ b/crates/bronzespoold/src/batch/leader_client/mod.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod discovery;
+mod relays;
 
 pub use caller::CallerRequest;
 
@@ -195,35 +196,6 @@
         }
     }
 
-    /// Makes one attempt through a relay; `None` if its outcome is unknown.
-    async fn call_relay(&self, call: &Call, timeout: Duration) -> Option<CallResult> {
-        let relay = self.relays.borrow().front().copied();
-        let Some(relay) = relay else { return Some(Err(Code::NoLeader.into())) };
-        match exchange(&self.link(relay), call, timeout).await {
-            Ok(result) => Some(result),
-            Err(error) => {
-                log::debug!(relay:%, error:%; "a relay did not answer");
-                self.relays.borrow_mut().rotate_left(1);
-                error.is_unsent().then(|| Err(Code::NoLeader.into()))
-            }
-        }
-    }
-
-    /// Makes a call for another process that cannot reach control itself. It is refused if this
-    /// process cannot reach control either.
-    pub async fn relay(&self, call: Call) -> CallResult {
-        let Call::Batch(call) = call else { return Err(Code::Internal.into()) };
-        if self.cut_off.get() {
-            return Err(Code::NoLeader.into());
-        }
-        match self.call(call, ANSWER_TIMEOUT).await {
-            Ok(reply) => Ok(Reply::Batch(reply)),
-            Err(CallError::NoLeader) => Err(Code::NoLeader.into()),
-            Err(CallError::Unknown) => Err(Code::CommitUnknown.into()),
-            Err(CallError::Refused(refusal)) => Err(refusal),
-        }
-    }
-
     /// Whether an address is that of a seed, a member, a relay or the leader.
     fn knows(&self, address: SocketAddr) -> bool {
         let leads = self.leader.get().is_some_and(|l| l.address == address);
--- a/crates/bronzespoold/src/control/leader/calls.rs
+++ b/crates/bronzespoold/src/control/leader/calls.rs
@@ -104,8 +104,8 @@
             Call::Shares { holder, reports } => self.shares(holder, reports).await,
             Call::Report(report) => self.report(&report).await,
             Call::Batch(call) => self.batch.answer(call).await,
-            // Every control instance answers this call itself.
-            Call::LocateControl => Err(Code::Internal.into()),
+            // Every control instance answers the first call itself; the other one goes to relays.
+            Call::LocateControl | Call::Relayed { .. } => Err(Code::Internal.into()),
         }
     }
 
