fix(schedule): count the former lease of demoted work from when sessions have it

Nothing was seen by callers; a test showed it. Work that is made borrowed may run on under the lease that it had on its guarantee, which the scheduler counted from the decision. Until the record is applied, hubs go on granting the longer lease, so cells were handed on while a task of a silent worker could still run there.

The planner remembers demotions as it does stops: the longer lease counts from when it first saw the demotion applied, and one session lease after all sessions have reached it. No record or stored format changes. After a change of leader the cells of demoted work on a silent worker wait for up to the lease on a guarantee, since a new leader cannot know how old the demotion is for the hubs.

The scenario of decide_demoted_silent_work_keeps_cells_until_old_lease_end and the slow commit moved into functions that the new tests share; both check what they did.

--- a/crates/bronzespool-schedule/src/policy/stops.rs
+++ b/crates/bronzespool-schedule/src/policy/stops.rs
@@ -3,7 +3,8 @@
 //! The deadline in the record of a stop counts from the decision. Until the record is applied, hubs
 //! renew sessions from the state before it, and a hub whose log lags does so for longer. The planner
 //! therefore counts again from the time at which it first saw the stop applied, and waits until
-//! every session has the stop or has ended. A planner without this memory, as that of a new leader,
+//! every session has the stop or has ended. The same holds for the longer lease of an attempt that
+//! was made borrowed. A planner without this memory, as that of a new leader,
 //! counts from its own first decision.
 
 use {
@@ -32,25 +33,28 @@
     pub settle_time: Duration,
 }
 
-/// A stop that was seen applied.
+/// A change of an attempt that was seen applied.
 #[derive(Clone, Copy, Debug)]
-struct SeenStop {
+struct SeenChange {
     attempt: u32,
     /// Time at which it was first seen.
     at: Time,
     /// Log index of the state in which it was first seen.
     index: u64,
-    /// Time at which it was first known that every session has the stop or has ended.
+    /// Time at which it was first known that every session has the change or has ended.
     reached: Option<Time>,
 }
 
-/// The stops in progress, as one planner has seen them.
+type SeenChanges = HashMap<JobNumber, SeenChange>;
+
+/// The stops in progress and the attempts that were made borrowed, as one planner has seen them.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Stops {
     delivery: Delivery,
     /// Time of the last decision.
     checked: Time,
-    seen: HashMap<JobNumber, SeenStop>,
+    stops: SeenChanges,
+    demotions: SeenChanges,
 }
 
 impl Stops {
@@ -58,24 +62,32 @@
         self.delivery = delivery;
     }
 
-    /// Notes the stops that are new in the state and those that all sessions have reached; forgets
-    /// the attempts that have ended.
+    /// Notes the changes that are new in the state and those that all sessions have reached;
+    /// forgets the attempts that have ended.
     pub(super) fn observe(&mut self, state: &SchedulerState, now: Time) {
         self.checked = now;
-        let before = std::mem::take(&mut self.seen);
-        for (job, attempt) in state.stopping() {
-            let known = before.get(&job.id).filter(|s| s.attempt == attempt.number);
-            let mut seen = known.copied().unwrap_or(SeenStop {
-                attempt: attempt.number,
-                at: now,
-                index: self.delivery.applied,
-                reached: None,
-            });
-            if seen.reached.is_none() && self.delivery.reached >= seen.index {
-                seen.reached = Some(now);
+        self.stops = self.seen(&self.stops, state.stopping(), now);
+        self.demotions = self.seen(&self.demotions, state.demoted_attempts(), now);
+    }
+
+    fn seen<'a>(
+        &self,
+        before: &SeenChanges,
+        attempts: impl Iterator<Item = (&'a JobState, &'a Attempt)>,
+        now: Time,
+    ) -> SeenChanges {
+        let Delivery { applied, reached, .. } = self.delivery;
+        let changes = attempts.map(|(job, attempt)| {
+            let known = before.get(&job.id).filter(|c| c.attempt == attempt.number).copied();
+            let new =
+                SeenChange { attempt: attempt.number, at: now, index: applied, reached: None };
+            let mut change = known.unwrap_or(new);
+            if change.reached.is_none() && reached >= change.index {
+                change.reached = Some(now);
             }
-            self.seen.insert(job.id, seen);
-        }
+            (job.id, change)
+        });
+        changes.collect()
     }
 
     /// Time at which the last lease of a stopped attempt has ended; `None` until all sessions have
@@ -87,13 +99,27 @@
         attempt: &Attempt,
         stop: PendingStop,
     ) -> Option<Time> {
-        let Some(seen) = self.seen.get(&job.id).filter(|_| attempt.started.is_some()) else {
+        let Some(seen) = self.stops.get(&job.id).filter(|_| attempt.started.is_some()) else {
             return Some(stop.deadline);
         };
-        let grace = attempt.lease.saturating_sub(settings.borrowed_lease);
-        let settled = seen.reached? + self.delivery.settle_time + grace + settings.clock_error_max;
-        let end = attempt.leases_end(seen.at, Duration::ZERO, settings);
-        Some(stop.deadline.max(end).max(settled))
+        let mut end = stop.deadline.max(self.lease_end(settings, seen, attempt.lease)?);
+        if let Some(demotion) = self.demotions.get(&job.id) {
+            end = end.max(self.lease_end(settings, demotion, settings.guaranteed_lease)?);
+        }
+        Some(end)
+    }
+
+    /// End of the last lease of this duration that was granted before a change; `None` until all
+    /// sessions have reached the change.
+    fn lease_end(
+        &self,
+        settings: &PolicySettings,
+        change: &SeenChange,
+        lease: Duration,
+    ) -> Option<Time> {
+        let grace = lease.saturating_sub(settings.borrowed_lease);
+        let settled = change.reached? + self.delivery.settle_time + grace;
+        Some(settled.max(change.at + lease) + settings.clock_error_max)
     }
 
     /// Time at which a job with the timer `due` is to be looked at.
--- a/crates/bronzespool-schedule/src/state/index.rs
+++ b/crates/bronzespool-schedule/src/state/index.rs
@@ -18,6 +18,7 @@
     queued: Option<bool>,
     reserved: bool,
     stopping: bool,
+    demoted: bool,
     active: bool,
     ended: Option<Time>,
 }
@@ -46,6 +47,9 @@
         if entry.stopping {
             index.stopping.insert(id);
         }
+        if entry.demoted {
+            index.demoted.insert(id);
+        }
         if entry.active {
             index.active.entry(job.spec.team.clone()).or_default().insert(id);
         }
@@ -81,6 +85,9 @@
         if entry.stopping {
             index.stopping.remove(&id);
         }
+        if entry.demoted {
+            index.demoted.remove(&id);
+        }
         if entry.active
             && let Some(active) = index.active.get_mut(&self.durable.jobs[&id].spec.team)
         {
@@ -106,6 +113,7 @@
             JobPhase::Active(attempt) => {
                 entry.active = true;
                 entry.stopping = attempt.stop.is_some();
+                entry.demoted = attempt.demoted.is_some();
                 entry.due = self.attempt_due(job, attempt);
             }
             JobPhase::Ended { at, .. } => entry.ended = Some(*at),
--- a/crates/bronzespool-schedule/src/state/mod.rs
+++ b/crates/bronzespool-schedule/src/state/mod.rs
@@ -109,6 +109,8 @@
     reserved: BTreeSet<JobNumber>,
     /// Jobs whose attempt is being stopped.
     stopping: BTreeSet<JobNumber>,
+    /// Jobs whose attempt was made borrowed.
+    demoted: BTreeSet<JobNumber>,
     ended: BTreeSet<(Time, JobNumber)>,
     suspects: BTreeSet<Instance>,
     active: BTreeMap<Team, BTreeSet<JobNumber>>,
@@ -279,7 +281,19 @@
 
     /// Attempts that are being stopped.
     pub(crate) fn stopping(&self) -> impl Iterator<Item = (&JobState, &Attempt)> {
-        let jobs = self.index.stopping.iter().filter_map(|id| self.durable.jobs.get(id));
+        self.attempts(&self.index.stopping)
+    }
+
+    /// Attempts that were granted on their team's guarantee and made borrowed.
+    pub(crate) fn demoted_attempts(&self) -> impl Iterator<Item = (&JobState, &Attempt)> {
+        self.attempts(&self.index.demoted)
+    }
+
+    fn attempts<'a>(
+        &'a self,
+        ids: &'a BTreeSet<JobNumber>,
+    ) -> impl Iterator<Item = (&'a JobState, &'a Attempt)> {
+        let jobs = ids.iter().filter_map(|id| self.durable.jobs.get(id));
         jobs.filter_map(|job| Some((job, job.attempt()?)))
     }
 
--- a/crates/bronzespool-schedule/tests/reclaim.rs
+++ b/crates/bronzespool-schedule/tests/reclaim.rs
@@ -5,7 +5,7 @@
 use {
     bronzespool_core::{Level, Time},
     bronzespool_schedule::{
-        Delivery, Event, JobPhase, MemberOutcome, Planner, PolicySettings, StopReason,
+        Attempt, Delivery, Event, JobPhase, MemberOutcome, Planner, PolicySettings, StopReason,
     },
     common::{Simulation, job},
     std::time::Duration,
@@ -118,27 +118,27 @@
     sim.record(Event::Submitted(job("a", "arima", 4, 4, Level::Region)));
     sim.run_granted();
     sim.record(Event::Submitted(job("c", "couva", 2, 4, Level::Rack).urgent(true)));
-    let applied = commit_stop_slowly(&mut sim, "a");
+    let applied = commit_slowly(&mut sim, "a", |attempt| attempt.stop.is_some());
     let granted = until_granted(&mut sim, "c");
     let settings = PolicySettings::default();
     let free = applied + settings.borrowed_lease + settings.clock_error_max;
     assert!(granted >= free, "granted at {granted}, free at {free}");
 }
 
-/// Applies decisions, each after [`COMMIT_TIME`], until `name` is told to stop; returns the time at
-/// which that record is applied.
-fn commit_stop_slowly(sim: &mut Simulation, name: &str) -> Time {
+/// Applies decisions, each after [`COMMIT_TIME`], until the attempt of `name` is as wanted; returns
+/// the time at which that record is applied.
+fn commit_slowly(sim: &mut Simulation, name: &str, wanted: fn(&Attempt) -> bool) -> Time {
     for _ in 0..20 {
         let records = sim.planner.decide(&sim.state, sim.now);
         sim.advance(COMMIT_TIME);
         for record in &records {
             sim.state.apply(record).unwrap();
         }
-        if matches!(sim.phase(name), JobPhase::Active(a) if a.stop.is_some()) {
+        if matches!(sim.phase(name), JobPhase::Active(a) if wanted(a)) {
             return sim.now;
         }
     }
-    panic!("{name} is never told to stop");
+    panic!("{name} is never changed");
 }
 
 /// A job `c` that waits for the cells of the silent borrower `a`, whose stop is applied.
@@ -204,10 +204,9 @@
     assert_eq!(granted, first + settings.borrowed_lease + settings.clock_error_max);
 }
 
-/// Work that was made borrowed may still have its former, longer lease, so its cells must not be
-/// granted to another job before that lease has expired.
-#[test]
-fn decide_demoted_silent_work_keeps_cells_until_old_lease_end() {
+/// Work of `arima` that is scattered over its guaranteed cells, and the claim of `big` for one of
+/// them.
+fn sim_with_scattered_work() -> Simulation {
     let mut sim = Simulation::racks(PolicySettings::default(), &[&[4], &[4]]);
     sim.guarantees(&[("arima", &["2 x block-4"])]);
     for name in ["a", "b", "c", "d", "e", "f"] {
@@ -217,9 +216,17 @@
     for name in ["b", "c", "d", "f"] {
         sim.stop(name, MemberOutcome::Done);
     }
-    let start = sim.now;
     let claim = job("big", "arima", 1, 4, Level::Region).restartable(false).urgent(true);
     sim.record(Event::Submitted(claim));
+    sim
+}
+
+/// Work that was made borrowed may still have its former, longer lease, so its cells must not be
+/// granted to another job before that lease has expired.
+#[test]
+fn decide_demoted_silent_work_keeps_cells_until_old_lease_end() {
+    let mut sim = sim_with_scattered_work();
+    let start = sim.now;
     let events = sim.run_granted();
     assert!(events.iter().any(|e| matches!(e, Event::Demoted { .. })), "{events:?}");
     let granted = until_granted(&mut sim, "big");
@@ -229,3 +236,29 @@
         "{granted}"
     );
 }
+
+// Hubs granted the longer lease until the demotion was applied, seconds after its decision.
+#[test]
+fn decide_demoted_silent_work_keeps_cells_until_old_lease_end_after_slow_commit() {
+    let mut sim = sim_with_scattered_work();
+    let applied = commit_slowly(&mut sim, "a", |attempt| attempt.demoted.is_some());
+    let granted = until_granted(&mut sim, "big");
+    let settings = PolicySettings::default();
+    let free = applied + settings.guaranteed_lease + settings.clock_error_max;
+    assert!(granted >= free, "granted at {granted}, free at {free}");
+}
+
+#[test]
+fn decide_demoted_silent_work_keeps_cells_until_sessions_reach_demotion() {
+    let mut sim = sim_with_scattered_work();
+    let (settings, settle_time) = (PolicySettings::default(), Duration::from_secs(1));
+    let lagging = Delivery { applied: 7, reached: 6, settle_time };
+    sim.planner.set_delivery(lagging);
+    sim.decide_all();
+    sim.advance(settings.guaranteed_lease);
+    sim.planner.set_delivery(Delivery { applied: 8, reached: 8, ..lagging });
+    let reached = sim.now;
+    let granted = until_granted(&mut sim, "big");
+    let grace = settings.guaranteed_lease - settings.borrowed_lease;
+    assert!(granted >= reached + settle_time + grace + settings.clock_error_max, "{granted}");
+}
