test(batch): model frozen agents, draining workers and calls that stay late

The model had no agent that stands still while its calls and their answers wait, no worker that drains, and two properties that hid faults of a former process of the agent: its leases (1.5 s) ended about when the leader begins to count the reports of the next process (1.2 s), while a lease lasts 8 s in use; and a call whose sender had gone was mostly delivered next.

Three searches use it: frozen agents, draining workers, and all faults but restarts under one name with the later kinds.

Where nothing disturbs a draining worker, the tasks are planned elsewhere. The former searches have the same scope, weights and seeds as before.

--- a/crates/bronzespool-batch/tests/model/delivery.rs
+++ b/crates/bronzespool-batch/tests/model/delivery.rs
@@ -3,7 +3,6 @@
 use {
     crate::{
         fault::InjectedFault,
-        fixture::LEASE,
         message::{Body, ListAnswer, Message},
         state::ModelState,
     },
@@ -26,7 +25,7 @@
                 };
                 if self.injected == InjectedFault::UnnamedGrant && orders.incarnation.is_none() {
                     orders.incarnation = Some(self.worker.incarnation.clone());
-                    orders.lease = LEASE.as_millis() as u64;
+                    orders.lease = self.scope.lease.as_millis() as u64;
                 }
                 if self.injected == InjectedFault::FormerIncarnation {
                     orders.incarnation = Some(self.worker.incarnation.clone());
--- a/crates/bronzespool-batch/tests/model/explore.rs
+++ b/crates/bronzespool-batch/tests/model/explore.rs
@@ -107,6 +107,35 @@
     check_at_random(Scope { faults: CLOCKS, ..Scope::DEPTH });
 }
 
+const FREEZES: &[FaultKind] = &[
+    FaultKind::Message,
+    FaultKind::Refusal,
+    FaultKind::Agent,
+    FaultKind::Leader,
+    FaultKind::Silence,
+    FaultKind::Freeze,
+];
+
+#[test]
+fn search_frozen_agents() {
+    check_at_random(Scope { faults: FREEZES, records_wait: true, ..Scope::LATE_CALLS });
+}
+
+const DRAINS: &[FaultKind] = &[
+    FaultKind::Message,
+    FaultKind::Refusal,
+    FaultKind::Agent,
+    FaultKind::Leader,
+    FaultKind::Cancel,
+    FaultKind::Drain,
+    FaultKind::Replacement,
+];
+
+#[test]
+fn search_draining_workers() {
+    check_at_random(Scope { faults: DRAINS, records_wait: true, ..Scope::LATE_CALLS });
+}
+
 /// All faults but restarts under one name.
 const ALL_BUT_RESTARTS: &[FaultKind] = &[
     FaultKind::Message,
@@ -125,6 +154,27 @@
     check_at_random(Scope { faults: ALL_BUT_RESTARTS, records_wait: true, ..Scope::DEPTH });
 }
 
+/// As before, with the kinds of faults that were added later.
+const LATER_KINDS: &[FaultKind] = &[
+    FaultKind::Message,
+    FaultKind::Refusal,
+    FaultKind::Agent,
+    FaultKind::Leader,
+    FaultKind::Record,
+    FaultKind::Poll,
+    FaultKind::Replacement,
+    FaultKind::ClockSetBack,
+    FaultKind::Silence,
+    FaultKind::Drain,
+    FaultKind::Freeze,
+    FaultKind::Cancel,
+];
+
+#[test]
+fn search_all_faults_but_restarts_with_freezes_drains_and_clocks() {
+    check_at_random(Scope { faults: LATER_KINDS, records_wait: true, ..Scope::LATE_CALLS });
+}
+
 #[test]
 fn search_all_faults() {
     check_at_random(Scope { faults: FaultKind::ALL, records_wait: true, ..Scope::DEPTH });
--- a/crates/bronzespool-batch/tests/model/fault.rs
+++ b/crates/bronzespool-batch/tests/model/fault.rs
@@ -26,12 +26,17 @@
     Restart,
     /// The worker's answers and check-ins do not reach the agent for a while.
     Silence,
+    /// The worker accepts no new tasks any more.
+    Drain,
+    /// The agent's process does nothing for a while, and no time passes for its timeouts.
+    Freeze,
     /// A job is cancelled.
     Cancel,
 }
 
 impl FaultKind {
-    /// All kinds, apart from calls that arrive twice and clocks that are set back.
+    /// All kinds, apart from calls that arrive twice, clocks that are set back, draining workers and
+    /// frozen agents.
     pub(crate) const ALL: &[Self] = &[
         Self::Message,
         Self::Refusal,
--- a/crates/bronzespool-batch/tests/model/invariant.rs
+++ b/crates/bronzespool-batch/tests/model/invariant.rs
@@ -67,6 +67,7 @@
 fn settles(state: &ModelState) -> bool {
     let mut state = state.clone();
     state.apply_move(Move::Heal);
+    state.apply_move(Move::Thaw);
     for _ in 0..SETTLE_TICKS_MAX {
         for _ in 0..SETTLE_ROUNDS {
             state.run_undisturbed();
--- a/crates/bronzespool-batch/tests/model/leader.rs
+++ b/crates/bronzespool-batch/tests/model/leader.rs
@@ -5,9 +5,9 @@
     crate::{
         fault::InjectedFault,
         fixture::{
-            ELSEWHERE, FIRST_PROCESS, HOME, LEASE, config, elsewhere_spec, incarnation, job, run,
-            spec,
+            ELSEWHERE, FIRST_PROCESS, HOME, config, elsewhere_spec, incarnation, job, run, spec,
         },
+        scope::Scope,
         state::digest_of,
     },
     bronzespool_batch::{
@@ -59,6 +59,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Leader {
     injected: InjectedFault,
+    /// Time for which it lets the agent extend leases.
+    lease: Duration,
     pub(crate) ledger: Rc<Ledger>,
     /// Digest of the ledger, with its count of changes.
     ledger_digest: Option<(u64, u64)>,
@@ -76,9 +78,10 @@
 
 impl Leader {
     /// Returns a leader that has assigned the first run of the first job to the worker.
-    pub(crate) fn new(injected: InjectedFault, now: Time, jobs: u64) -> Self {
+    pub(crate) fn new(injected: InjectedFault, now: Time, scope: &Scope) -> Self {
         let mut leader = Self {
             injected,
+            lease: scope.lease,
             ledger: Rc::default(),
             ledger_digest: None,
             epoch: 1,
@@ -95,7 +98,7 @@
         leader.apply(now, Event::Configured(Arc::new(config())));
         leader.apply(now, Event::WorkerUp(Box::new(spec(&home))));
         leader.apply(now, Event::WorkerUp(Box::new(elsewhere_spec())));
-        for id in 1..=jobs {
+        for id in 1..=scope.jobs {
             leader.apply(now, Event::Submitted(Arc::new(job(id))));
         }
         leader.apply(now, Event::Started(vec![assignment(run(1, 1), home.clone())]));
@@ -189,7 +192,8 @@
             return None;
         }
         let WaitingPoll { sent, poll, .. } = self.waiting.remove(i);
-        let mut orders = poll_orders(&self.ledger, &self.withdrawals, &poll, self.epoch, LEASE);
+        let mut orders =
+            poll_orders(&self.ledger, &self.withdrawals, &poll, self.epoch, self.lease);
         if let Some(incarnation) = &orders.incarnation {
             self.grants.record(now, incarnation, poll.id);
             self.contact.iter_mut().for_each(|c| c.heard_at = now);
@@ -255,7 +259,7 @@
         let last = self.grants.last_at(incarnation).unwrap_or(self.leading_since);
         let lease_duration = match self.injected {
             InjectedFault::ShortLease => Duration::from_millis(400),
-            _ => lease_duration_max(LEASE),
+            _ => lease_duration_max(self.lease),
         };
         now.since(last.max(self.leading_since)) > lease_duration
     }
--- a/crates/bronzespool-batch/tests/model/message.rs
+++ b/crates/bronzespool-batch/tests/model/message.rs
@@ -41,6 +41,11 @@
         matches!(self, Self::Start | Self::Stop | Self::List)
     }
 
+    /// Whether the message goes to the agent.
+    pub(crate) const fn is_for_agent(self) -> bool {
+        matches!(self, Self::Orders) || self.is_from_worker()
+    }
+
     /// Whether the message goes from the worker to its agent.
     pub(crate) const fn is_from_worker(self) -> bool {
         matches!(self, Self::Answer | Self::Listing | Self::CheckIn)
--- a/crates/bronzespool-batch/tests/model/moves.rs
+++ b/crates/bronzespool-batch/tests/model/moves.rs
@@ -31,6 +31,8 @@
     FinishElsewhere(usize),
     /// The worker's answers and check-ins reach the agent again.
     Heal,
+    /// The agent's process goes on.
+    Thaw,
     /// A message is lost; the sender of a call learns that there is no answer.
     Lose(Kind, usize),
     /// The sender of a call learns that there is no answer; the call may still arrive.
@@ -57,6 +59,10 @@
     RestartWorker,
     /// The worker's answers and check-ins do not reach the agent.
     Cut,
+    /// The worker accepts no new tasks any more.
+    Drain,
+    /// The agent's process stands still.
+    Freeze,
     /// A job is cancelled.
     Cancel(u64),
 }
@@ -76,18 +82,21 @@
             Self::NewOlderWorker => Some(FaultKind::ClockSetBack),
             Self::RestartWorker => Some(FaultKind::Restart),
             Self::Cut => Some(FaultKind::Silence),
+            Self::Drain => Some(FaultKind::Drain),
+            Self::Freeze => Some(FaultKind::Freeze),
             Self::Cancel(_) => Some(FaultKind::Cancel),
             _ => None,
         }
     }
 
     /// Returns how often a random history contains the move, relative to others.
-    pub(crate) const fn weight(self) -> usize {
+    pub(crate) fn weight(self, state: &ModelState) -> usize {
         match self {
+            Self::Deliver(kind, place) if state.lingers(kind, place) => 1,
             Self::Deliver(_, 0) => 8,
             Self::ListNow | Self::PollNow | Self::Commit | Self::Answer(_) => 5,
             Self::Tick => 4,
-            Self::Poll | Self::List | Self::Heal => 2,
+            Self::Poll | Self::List | Self::Heal | Self::Thaw => 2,
             Self::PlanHome | Self::PlanElsewhere => 3,
             _ => 1,
         }
@@ -117,6 +126,7 @@
         moves.extend(state.leader.answerable().map(Move::Answer));
     }
     moves.extend(state.cut.then_some(Move::Heal));
+    moves.extend(state.frozen.then_some(Move::Thaw));
     moves.extend((0..state.worker.runs.len()).map(Move::Finish));
     moves.extend((0..state.leader.runs_elsewhere().count()).map(Move::FinishElsewhere));
     moves
@@ -144,6 +154,8 @@
         FaultKind::ClockSetBack => vec![Move::NewOlderWorker],
         FaultKind::Restart => vec![Move::RestartWorker],
         FaultKind::Silence => vec![Move::Cut],
+        FaultKind::Drain => vec![Move::Drain],
+        FaultKind::Freeze => vec![Move::Freeze],
         FaultKind::Cancel => (1..=state.scope.jobs).map(Move::Cancel).collect(),
     }
 }
--- a/crates/bronzespool-batch/tests/model/regressions.rs
+++ b/crates/bronzespool-batch/tests/model/regressions.rs
@@ -15,6 +15,8 @@
 /// Records are applied at once, and no poll overtakes another one of the same process.
 const IN_ORDER: Scope =
     Scope { faults: &[FaultKind::Message, FaultKind::Silence], ..APPLIED_AT_ONCE };
+/// As applied at once, with leases that outlive the wait for a former process of the agent.
+const LONG_LEASES: Scope = Scope { faults: FaultKind::ALL, ..Scope::LATE_CALLS };
 
 #[track_caller]
 fn check(scope: Scope, history: &[Move]) {
@@ -87,6 +89,50 @@
     );
 }
 
+// The former process's start is carried out, and the worker refuses the one by the next process,
+// whose reports count when its list does not show the run yet.
+#[test]
+fn refused_start_of_next_process_before_a_list_keeps_run_of_former_process() {
+    check(
+        LONG_LEASES,
+        &[
+            NewAgent,
+            Tick,
+            ListNow,
+            PollNow,
+            Deliver(Kind::Start, 0),
+            Tick,
+            Refuse(Kind::Start, 0),
+            Deliver(Kind::Answer, 0),
+            Tick,
+            Tick,
+            PollNow,
+        ],
+    );
+}
+
+// A start of the former process is on its way while the next one serves the worker, which begins to
+// drain.
+#[test]
+fn drained_worker_of_next_process_keeps_run_of_former_process() {
+    check(
+        LONG_LEASES,
+        &[
+            NewAgent,
+            Drain,
+            Tick,
+            ListNow,
+            PollNow,
+            PollNow,
+            Tick,
+            Tick,
+            Tick,
+            PollNow,
+            Deliver(Kind::Start, 0),
+        ],
+    );
+}
+
 // The next process of the agent starts a run while the record that the worker refused it is on its
 // way.
 #[test]
--- a/crates/bronzespool-batch/tests/model/search.rs
+++ b/crates/bronzespool-batch/tests/model/search.rs
@@ -262,10 +262,10 @@
         return rng.choice(fault_moves(state, *kind));
     }
     let moves = regular_moves(state);
-    let mut left = rng.usize(0..moves.iter().map(|m| m.weight()).sum());
+    let mut left = rng.usize(0..moves.iter().map(|m| m.weight(state)).sum());
     moves.into_iter().find(|m| {
-        let found = left < m.weight();
-        left = left.saturating_sub(m.weight());
+        let found = left < m.weight(state);
+        left = left.saturating_sub(m.weight(state));
         found
     })
 }
--- a/crates/bronzespool-batch/tests/model/state.rs
+++ b/crates/bronzespool-batch/tests/model/state.rs
@@ -3,14 +3,18 @@
 use {
     crate::{
         fault::{FaultKind, InjectedFault},
-        fixture::{FIRST_PROCESS, HOME, LIMITS, agent_name, incarnation, spec},
+        fixture::{FIRST_PROCESS, HOME, agent_name, incarnation, spec},
         leader::{Answer, Leader},
         message::{Body, Kind, Message},
         moves::Move,
         scope::Scope,
         worker::Worker,
     },
-    bronzespool_batch::{JobId, RunId, WorkerIncarnation, agent::Reconciler, ledger::RunOutcome},
+    bronzespool_batch::{
+        JobId, RunId, WorkerIncarnation,
+        agent::Reconciler,
+        ledger::{RunOutcome, WorkerSpec},
+    },
     bronzespool_core::Time,
     std::{
         fmt,
@@ -49,6 +53,10 @@
     pub(crate) faults: u8,
     /// Whether the worker's answers and check-ins do not reach the agent.
     pub(crate) cut: bool,
+    /// Whether the agent's process stands still.
+    pub(crate) frozen: bool,
+    /// Whether the worker accepts no new tasks any more.
+    draining: bool,
     /// Number of the latest change after which the leader considered the task of each job free.
     pub(crate) free_at: Vec<Option<u32>>,
     /// Ends as done that were acknowledged, each with its job and the number of the change that ended
@@ -74,15 +82,17 @@
             injected,
             now,
             step: 0,
-            leader: Leader::new(injected, now, scope.jobs),
-            reconciler: Reconciler::new(agent_name(), FIRST_PROCESS, LIMITS, now),
+            leader: Leader::new(injected, now, &scope),
+            reconciler: Reconciler::new(agent_name(), FIRST_PROCESS, scope.limits, now),
             process: FIRST_PROCESS,
             polls_sent: 0,
             seq: 0,
-            worker: Worker::new(incarnation(HOME, 1), now),
+            worker: Worker::new(incarnation(HOME, 1), now, scope.limits.lease_max),
             messages: Vec::new(),
             faults: 0,
             cut: false,
+            frozen: false,
+            draining: false,
             free_at: vec![None; scope.jobs as usize],
             acknowledged: Vec::new(),
             finished_elsewhere: Vec::new(),
@@ -97,12 +107,12 @@
 
     /// Whether the agent may request the worker's list before time passes.
     pub(crate) const fn may_list(&self) -> bool {
-        self.lists < self.scope.rounds
+        self.lists < self.scope.rounds && !self.frozen
     }
 
     /// Whether the agent may poll before time passes.
     pub(crate) const fn may_poll(&self) -> bool {
-        self.polls < self.scope.rounds
+        self.polls < self.scope.rounds && !self.frozen
     }
 
     /// Lets the agent list and poll again before time passes.
@@ -118,7 +128,7 @@
     /// Whether a message may arrive next. A poll waits for older ones of the same process, unless
     /// polls may overtake each other.
     pub(crate) fn is_deliverable(&self, kind: Kind, place: usize) -> bool {
-        if self.cut && kind.is_from_worker() {
+        if self.cut && kind.is_from_worker() || self.frozen && kind.is_for_agent() {
             return false;
         }
         let in_order = self.scope.plans && !self.scope.has(FaultKind::Poll);
@@ -127,6 +137,12 @@
         !in_order || !self.poll_processes().take(place).any(|p| p == process)
     }
 
+    /// Whether a message is a call that is likely to be late: its sender does not wait any more.
+    pub(crate) fn lingers(&self, kind: Kind, place: usize) -> bool {
+        let message = self.messages.iter().filter(|m| m.kind() == kind).nth(place);
+        self.scope.late_calls && kind.is_call() && message.is_some_and(|m| !m.awaited)
+    }
+
     /// Returns the process that sent each of the polls in flight.
     fn poll_processes(&self) -> impl Iterator<Item = u32> {
         self.messages.iter().filter_map(|m| match &m.body {
@@ -191,6 +207,7 @@
                 self.finished_elsewhere.push((run.task.step.job, self.step));
             }
             Move::Heal => std::mem::take(&mut self.cut).then_some(())?,
+            Move::Thaw => std::mem::take(&mut self.frozen).then_some(())?,
             _ => self.try_fault(next)?,
         }
         Some(())
@@ -234,6 +251,8 @@
                 self.replace_worker(WorkerIncarnation { worker, started_at: started_at + 1 });
             }
             Move::Cut => self.cut = true,
+            Move::Drain => self.draining = true,
+            Move::Freeze => self.frozen = true,
             Move::Cancel(job) => self.leader.cancel(job),
             _ => return None,
         }
@@ -242,8 +261,8 @@
 
     fn check_in(&mut self) {
         self.seq += 1;
-        let spec = spec(&self.worker.incarnation);
-        if self.cut {
+        let spec = WorkerSpec { leaving: self.draining, ..spec(&self.worker.incarnation) };
+        if self.cut || self.frozen {
             let body = Body::CheckIn(Box::new(spec), self.seq);
             return self.messages.push(Message::new(self.now, body));
         }
@@ -251,14 +270,16 @@
     }
 
     fn replace_worker(&mut self, incarnation: WorkerIncarnation) {
-        self.worker = Worker::new(incarnation, self.now);
+        self.worker = Worker::new(incarnation, self.now, self.scope.limits.lease_max);
         self.seq = 0;
+        self.draining = false;
     }
 
     /// Answers to a process that has ended reach nobody; its calls are still on their way.
     fn replace_agent(&mut self) {
         self.process += 1;
-        self.reconciler = Reconciler::new(agent_name(), self.process, LIMITS, self.now);
+        self.frozen = false;
+        self.reconciler = Reconciler::new(agent_name(), self.process, self.scope.limits, self.now);
         let is_answer =
             |m: &Message| matches!(m.kind(), Kind::Orders | Kind::Answer | Kind::Listing);
         self.messages.retain(|m| !is_answer(m));
@@ -276,10 +297,12 @@
         self.reset_rounds();
         self.worker.expire_lease(self.now, self.step);
         self.check_in();
-        if self.scope.plans {
-            self.time_out();
+        if !self.frozen {
+            if self.scope.plans {
+                self.time_out();
+            }
+            self.reconciler.expire(self.now);
         }
-        self.reconciler.expire(self.now);
         if !self.scope.plans {
             self.leader.record_gone(self.now);
         }
@@ -380,7 +403,7 @@
         self.reset_rounds();
         self.apply_move(Move::ListNow);
         self.apply_move(Move::Poll);
-        self.apply_move(Move::PlanHome);
+        self.apply_move(if self.draining { Move::PlanElsewhere } else { Move::PlanHome });
         while self.apply_oldest() {}
     }
 
@@ -394,9 +417,10 @@
     /// Returns a digest by which equal states are recognized.
     pub(crate) fn digest(&mut self) -> u64 {
         let observed = (&self.free_at, &self.acknowledged, &self.finished_elsewhere, &self.started);
-        let agent = (&self.reconciler, self.process, self.seq, self.lists, self.polls, self.cut);
+        let agent = (&self.reconciler, self.process, self.seq, self.lists, self.polls);
+        let conditions = (self.cut, self.frozen, self.draining);
         let rest = (self.now, self.step, self.faults, &self.worker, &self.messages, &self.mistaken);
-        digest_of(&(self.leader.digest(), observed, agent, rest))
+        digest_of(&(self.leader.digest(), observed, agent, conditions, rest))
     }
 
     /// Notes what the invariants refer to.
--- a/crates/bronzespool-batch/tests/model/worker.rs
+++ b/crates/bronzespool-batch/tests/model/worker.rs
@@ -1,7 +1,7 @@
 //! The worker, as its interface describes it.
 
 use {
-    crate::fixture::{CLOCK_RATE_PERCENT, LIMITS},
+    crate::fixture::CLOCK_RATE_PERCENT,
     bronzespool_batch::{
         RunId, TaskId, WorkerIncarnation,
         agent::{ListRequest, Listing, StartOutcome, StopOutcome},
@@ -9,7 +9,7 @@
         message::RunStatus,
     },
     bronzespool_core::Time,
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// A run that has ended.
@@ -26,6 +26,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
     pub(crate) incarnation: WorkerIncarnation,
+    /// Longest lease that it accepts.
+    lease_max: Duration,
     /// When the incarnation began.
     since: Time,
     highest_epoch: u64,
@@ -45,9 +47,10 @@
 
 impl Worker {
     /// Returns a worker that runs nothing and knows nothing.
-    pub(crate) fn new(incarnation: WorkerIncarnation, now: Time) -> Self {
+    pub(crate) fn new(incarnation: WorkerIncarnation, now: Time, lease_max: Duration) -> Self {
         Self {
             incarnation,
+            lease_max,
             since: now,
             highest_epoch: 0,
             until: 0,
@@ -146,7 +149,7 @@
     }
 
     fn extend(&mut self, now: Time, until: u64) {
-        let limit = self.clock(now) + LIMITS.lease_max.as_millis() as u64;
+        let limit = self.clock(now) + self.lease_max.as_millis() as u64;
         self.until = self.until.max(until.min(limit));
     }
 
