fix(control): a hub pushes an agent's tasks before the view of their index

No caller saw it; found while tracing how a hub's report of acknowledged indexes may serve for stops. Where a push holds both a change of the view and changed tasks, the view went first. The agent's renewals acknowledge the index of its view, so between the two pushes the session counted as having followed the log up to an index whose tasks it did not have. If the second push failed, the leader took a borrower for told to stop that was not, and could free its cells a lease early.

The tasks now go first: once the view is at an index, the tasks of that index have been acknowledged. Message formats are unchanged; agents take tasks and view independently of each other.

Test: push_tasks_come_before_the_view_of_their_index holds the answer to a push until a job is granted and the configuration changed.

--- a/crates/bronzespoold/src/control/hub/pusher.rs
+++ b/crates/bronzespoold/src/control/hub/pusher.rs
@@ -136,10 +136,8 @@
             return NextPush::TooFarBehind;
         };
         let mut updates = Vec::new();
-        if !delta.updates.is_empty() {
-            updates.push(Update::Delta(Delta { from: self.view_index, ..delta }));
-            self.view_index = index;
-        }
+        // The tasks go first: renewals acknowledge the index of the view, which must not be ahead
+        // of the tasks.
         if agent {
             let tasks = assignments(state.scheduler(), &self.instance);
             if tasks != self.tasks {
@@ -147,6 +145,10 @@
                 updates.push(Update::Tasks { index, tasks });
             }
         }
+        if !delta.updates.is_empty() {
+            updates.push(Update::Delta(Delta { from: self.view_index, ..delta }));
+            self.view_index = index;
+        }
         if updates.is_empty() { NextPush::Current(index) } else { NextPush::Push(updates, index) }
     }
 
