fix(batch): a call to a peer that cannot be connected to ends in its time

Callers behind a relay whose leader was cut off got 504 for a call that was certainly not sent. Connecting had its own limit of 1 s, which did not count in the time of the attempt, so the relay's answer came after its caller had given up and taken the outcome as unknown.

The leader's client now connects within the time of the attempt, and reports a peer that it cannot connect to as not sent. Link::connect is new; Link::call is as it was for all others. A call that is sent over a late connection may still end late: then its outcome is unknown indeed.

Test: call_relay_without_connection_to_the_leader_is_not_carried_out, with a leader whose queue of connections is full.

--- a/crates/bronzespool-wire/src/link/connection.rs
+++ b/crates/bronzespool-wire/src/link/connection.rs
@@ -95,6 +95,18 @@
         self.address
     }
 
+    /// Connects if there is no connection, within `time` and [`CONNECT_TIMEOUT`].
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Connect`] or [`Error::ConnectTimeout`].
+    pub async fn connect(&self, time: Duration) -> Result<()> {
+        match timeout(time, self.connection()).await {
+            Ok(connected) => connected.map(drop),
+            Err(_) => Err(Error::ConnectTimeout(time)),
+        }
+    }
+
     /// Calls the peer and waits for the answer for at most `time`, connecting first if needed.
     pub async fn call<T, F, A>(&self, time: Duration, f: F) -> Result<T>
     where
@@ -137,7 +149,7 @@
         if let Some(handle) = self.current_handle() {
             return Ok(handle);
         }
-        let stream = self.connect().await?;
+        let stream = self.open_stream().await?;
         Ok(self.start_rpc(stream))
     }
 
@@ -146,7 +158,7 @@
         state.connection.as_ref().map(|connection| connection.handle(state.generation))
     }
 
-    async fn connect(&self) -> Result<TcpStream> {
+    async fn open_stream(&self) -> Result<TcpStream> {
         match timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await {
             Ok(Ok(stream)) => {
                 stream.set_nodelay(true).map_err(Error::Connect)?;
--- a/crates/bronzespoold/src/batch/leader_client/mod.rs
+++ b/crates/bronzespoold/src/batch/leader_client/mod.rs
@@ -217,11 +217,14 @@
     }
 }
 
+/// Makes one call. A peer that cannot be connected to within the timeout is not sent the call, so
+/// that whoever waits for the outcome learns in time that it was not carried out.
 async fn exchange(
     link: &Link<control::Client>,
     call: &Call,
     timeout: Duration,
 ) -> LinkResult<CallResult> {
+    link.connect(timeout).await?;
     let bytes = frame::encode(call);
     link.call(timeout, |client| async move {
         let mut request = client.forward_request();
--- a/crates/bronzespoold/tests/relay.rs
+++ b/crates/bronzespoold/tests/relay.rs
@@ -22,16 +22,21 @@
         time::Duration,
     },
     tokio::{
-        net::TcpListener,
+        net::{TcpListener, TcpSocket, TcpStream},
         task::{LocalSet, spawn_local},
+        time::timeout,
     },
 };
 
 /// Time for which a caller's call is tried: more than one try of the relay.
 const CALL_TIME: Duration = Duration::from_millis(2_500);
 
-/// A control instance that does not lead and knows no leader.
+/// Time after which a connection counts as not accepted.
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+
+/// A control instance that does not lead.
 struct Control {
+    leader: Option<SocketAddr>,
     relays: Vec<SocketAddr>,
 }
 
@@ -44,7 +49,7 @@
         let call: Call = frame::decode(params.get()?.get_call()?).unwrap();
         let reply: CallResult = match call {
             Call::LocateControl => Ok(Reply::ControlMap(ControlMap {
-                leader: None,
+                leader: self.leader,
                 term: 1,
                 members: Vec::new(),
                 relays: self.relays.clone(),
@@ -92,13 +97,35 @@
     (listener, address)
 }
 
-async fn start_control(relays: Vec<SocketAddr>) -> SocketAddr {
+async fn start_control(leader: Option<SocketAddr>, relays: Vec<SocketAddr>) -> SocketAddr {
     let (listener, address) = bind().await;
-    let server: control::Client = capnp_rpc::new_client(Control { relays });
+    let server: control::Client = capnp_rpc::new_client(Control { leader, relays });
     spawn_local(serve_bounded(listener, server, |_| true));
     address
 }
 
+/// Starts a relay whose control names `leader`.
+async fn start_relay(leader: Option<SocketAddr>) -> SocketAddr {
+    let (listener, address) = bind().await;
+    let control = start_control(leader, Vec::new()).await;
+    let client = Rc::new(LeaderClient::new(Clock::start(), vec![control]));
+    spawn_local(serve_relay(listener, client));
+    address
+}
+
+/// A listener to which nobody can connect, since its queue is full.
+async fn full_listener() -> (TcpListener, Vec<TcpStream>) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut queued = Vec::new();
+    while let Ok(stream) = timeout(CONNECT_TIME, TcpStream::connect(address)).await {
+        queued.push(stream.unwrap());
+    }
+    (listener, queued)
+}
+
 async fn start_fake_relay(former: bool) -> (SocketAddr, Rc<FakeRelay>) {
     let (listener, address) = bind().await;
     let relay = FakeRelay { former, calls: RefCell::default(), reads: Cell::new(0) };
@@ -110,7 +137,7 @@
 
 /// A client that can reach control only through `relay`.
 async fn cut_off_client(relay: SocketAddr) -> LeaderClient {
-    LeaderClient::new(Clock::start(), vec![start_control(vec![relay]).await])
+    LeaderClient::new(Clock::start(), vec![start_control(None, vec![relay]).await])
 }
 
 // A relay looked for a leader for as long as its caller waited for it, so the caller took a call
@@ -118,16 +145,25 @@
 #[test]
 fn call_relay_without_leader_is_not_carried_out() {
     run_test(async {
-        let (listener, relay) = bind().await;
-        let second = start_control(Vec::new()).await;
-        let relaying = Rc::new(LeaderClient::new(Clock::start(), vec![second]));
-        spawn_local(serve_relay(listener, relaying));
+        let relay = start_relay(None).await;
         let client = cut_off_client(relay).await;
         let refused = client.call(BatchCall::ReadConfig, CALL_TIME).await.unwrap_err();
         assert_eq!(refused.code(), Code::NoLeader, "no leader was found: {refused}");
     });
 }
 
+// The leader could not be connected to, as if cut off. Connecting did not count in the relay's time.
+#[test]
+fn call_relay_without_connection_to_the_leader_is_not_carried_out() {
+    run_test(async {
+        let (listener, _queued) = full_listener().await;
+        let relay = start_relay(Some(listener.local_addr().unwrap())).await;
+        let client = cut_off_client(relay).await;
+        let refused = client.call(BatchCall::ReadConfig, CALL_TIME).await.unwrap_err();
+        assert_eq!(refused.code(), Code::NoLeader, "the leader was not reached: {refused}");
+    });
+}
+
 #[test]
 fn call_relay_gives_it_less_time_than_the_caller_waits() {
     run_test(async {
