test(schedule): gangs and drains after a slow commit of their stop

The end of a gang that lost a member and the move of work away from a draining worker use the same deadline as reclaim, so they had the fault that was mended for it.

--- a/crates/bronzespool-schedule/tests/common/mod.rs
+++ b/crates/bronzespool-schedule/tests/common/mod.rs
@@ -9,6 +9,10 @@
     std::time::Duration,
 };
 
+/// Time from a decision to its application on every replica in a slow commit; longer than a lease of
+/// borrowed cells.
+pub(crate) const COMMIT_TIME: Duration = Duration::from_secs(3);
+
 /// A scheduler state with its planner, a simulated clock and the log of applied records.
 pub(crate) struct Simulation {
     pub state: SchedulerState,
@@ -70,6 +74,15 @@
         self.log.push(record);
     }
 
+    /// Applies decisions after [`COMMIT_TIME`].
+    pub(crate) fn commit_slowly(&mut self, records: Vec<Record>) {
+        self.advance(COMMIT_TIME);
+        for record in records {
+            self.state.apply(&record).unwrap();
+            self.log.push(record);
+        }
+    }
+
     /// Applies decisions until there are none left, and returns their events.
     pub(crate) fn decide_all(&mut self) -> Vec<Event> {
         let mut all = Vec::new();
--- a/crates/bronzespool-schedule/tests/drain.rs
+++ b/crates/bronzespool-schedule/tests/drain.rs
@@ -63,6 +63,27 @@
     assert!(stop_deadline(&records) >= demoted + lease, "{records:?}");
 }
 
+// Work on a draining worker was placed elsewhere while it could still run there, since hubs granted
+// leases during the slow commit of its stop.
+#[test]
+fn drain_records_work_is_placed_after_its_lease_after_slow_commit() {
+    let mut sim = sim();
+    let grace = settings().grace;
+    let records = drain(&mut sim);
+    let deadline = stop_deadline(&records);
+    // The commit takes longer than the grace.
+    sim.advance(grace);
+    sim.commit_slowly(records);
+    let applied = sim.now;
+    sim.decide_all();
+    while !sim.is_waiting("a") {
+        sim.advance_to_wake();
+        sim.decide_all();
+    }
+    assert!(sim.now > deadline, "{}", sim.now);
+    assert_eq!(sim.now, applied + settings().guaranteed_lease + settings().clock_error_max);
+}
+
 #[test]
 fn drain_records_leaves_work_without_checkpoints() {
     let mut sim = Simulation::racks(settings(), &[&[4]]);
--- a/crates/bronzespool-schedule/tests/gang.rs
+++ b/crates/bronzespool-schedule/tests/gang.rs
@@ -49,6 +49,26 @@
     assert!(sim.now.since(start) <= settings.borrowed_lease + settings.clock_error_max);
 }
 
+// The gang was started anew while a member of its former attempt could still run: hubs renewed that
+// member's session during the slow commit of its stop.
+#[test]
+fn decide_lost_member_waits_for_leases_of_rest_after_slow_commit() {
+    let mut sim = sim();
+    sim.record(Event::Submitted(job("a", "arima", 4, 4, Level::Region)));
+    sim.run_granted();
+    sim.record(Event::WorkerDown { instance: instance("r0w0") });
+    let records = sim.planner.decide(&sim.state, sim.now);
+    sim.commit_slowly(records);
+    let applied = sim.now;
+    sim.decide_all();
+    let settings = PolicySettings::default();
+    while !sim.is_waiting("a") {
+        sim.advance_to_wake();
+        sim.decide_all();
+    }
+    assert_eq!(sim.now, applied + settings.borrowed_lease + settings.clock_error_max);
+}
+
 #[test]
 fn decide_restart_keeps_last_checkpoint() {
     let mut sim = sim();
--- a/crates/bronzespool-schedule/tests/reclaim.rs
+++ b/crates/bronzespool-schedule/tests/reclaim.rs
@@ -7,13 +7,10 @@
     bronzespool_schedule::{
         Attempt, Delivery, Event, JobPhase, MemberOutcome, Planner, PolicySettings, StopReason,
     },
-    common::{Simulation, job},
+    common::{COMMIT_TIME, Simulation, job},
     std::time::Duration,
 };
 
-/// Time from a decision to its application on every replica, longer than a lease.
-const COMMIT_TIME: Duration = Duration::from_secs(3);
-
 fn sim() -> Simulation {
     let mut sim = Simulation::racks(PolicySettings::default(), &[&[4, 4], &[4, 4]]);
     sim.guarantees(&[("arima", &["2 x worker"]), ("couva", &["1 x rack"])]);
@@ -118,22 +115,19 @@
     sim.record(Event::Submitted(job("a", "arima", 4, 4, Level::Region)));
     sim.run_granted();
     sim.record(Event::Submitted(job("c", "couva", 2, 4, Level::Rack).urgent(true)));
-    let applied = commit_slowly(&mut sim, "a", |attempt| attempt.stop.is_some());
+    let applied = commit_until(&mut sim, "a", |attempt| attempt.stop.is_some());
     let granted = until_granted(&mut sim, "c");
     let settings = PolicySettings::default();
     let free = applied + settings.borrowed_lease + settings.clock_error_max;
     assert!(granted >= free, "granted at {granted}, free at {free}");
 }
 
-/// Applies decisions, each after [`COMMIT_TIME`], until the attempt of `name` is as wanted; returns
+/// Commits decisions slowly until the attempt of `name` is as wanted; returns
 /// the time at which that record is applied.
-fn commit_slowly(sim: &mut Simulation, name: &str, wanted: fn(&Attempt) -> bool) -> Time {
+fn commit_until(sim: &mut Simulation, name: &str, wanted: fn(&Attempt) -> bool) -> Time {
     for _ in 0..20 {
         let records = sim.planner.decide(&sim.state, sim.now);
-        sim.advance(COMMIT_TIME);
-        for record in &records {
-            sim.state.apply(record).unwrap();
-        }
+        sim.commit_slowly(records);
         if matches!(sim.phase(name), JobPhase::Active(a) if wanted(a)) {
             return sim.now;
         }
@@ -241,7 +235,7 @@
 #[test]
 fn decide_demoted_silent_work_keeps_cells_until_old_lease_end_after_slow_commit() {
     let mut sim = sim_with_scattered_work();
-    let applied = commit_slowly(&mut sim, "a", |attempt| attempt.demoted.is_some());
+    let applied = commit_until(&mut sim, "a", |attempt| attempt.demoted.is_some());
     let granted = until_granted(&mut sim, "big");
     let settings = PolicySettings::default();
     let free = applied + settings.guaranteed_lease + settings.clock_error_max;
