--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -687,7 +687,7 @@
     a.list(Vec::new(), Vec::new());
     a.now += Duration::from_millis(10);
     assert_eq!(starts(&a.order(orders(3, vec![start(1)], Vec::new()))), 1);
-    a.reconciler.start_answered(&incarnation(1), run(1), StartOutcome::Refused);
+    a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Refused);
     assert!(a.poll().refused.is_empty(), "the second start may still be carried out");
     let actions = a.order(orders(3, vec![start(1)], Vec::new()));
     assert!(matches!(actions[..], [Action::Stop { .. }]), "{actions:?}");
