--- a/crates/bronzespool-wire/src/link/connection.rs
+++ b/crates/bronzespool-wire/src/link/connection.rs
@@ -95,7 +95,7 @@
         self.address
     }
 
-    /// Connects if there is no connection, within `time` and [`CONNECT_TIMEOUT`].
+    /// Connects if there is no connection, within `time` and at most the time limit for connecting.
     ///
     /// # Errors
     ///
