feat(bench): time single plans of a full cluster with a backlog

`bronzespool-bench plan-time` fills a cluster with the size model's jobs, lets 2,000 more wait, and times one plan after each small change: a run ended, a job submitted, a gang of 150, a step of 470. It prints a hash of all decisions, so that two versions of the planner can be compared. The planner counts the groups, workers and runs that a plan examines (`Planner::steps`).

--- a/crates/bronzespool-batch/src/plan/capacity.rs
+++ b/crates/bronzespool-batch/src/plan/capacity.rs
@@ -8,6 +8,7 @@
             ClusterView, Permits, TaskGroup,
             health::{Health, worker_health},
             place::Placement,
+            steps::StepCounter,
         },
         spec::{Resources, Step},
     },
@@ -67,6 +68,8 @@
     now: Time,
     /// Services with at most half of their capacity in use.
     idle: HashSet<Arc<str>>,
+    /// What the plan has examined so far.
+    pub(super) steps: StepCounter,
 }
 
 impl<'a> ClusterCapacity<'a> {
@@ -84,6 +87,7 @@
             permits: &view.permits,
             now: view.now,
             idle: HashSet::default(),
+            steps: StepCounter::default(),
         };
         for worker in ledger.workers().filter(schedulable) {
             let slot = capacity.slot(worker, view);
@@ -114,6 +118,7 @@
             releasing: Resources::default(),
             steps: HashMap::default(),
         };
+        self.steps.add_runs(worker.runs.len());
         for (run, allocation) in &worker.runs {
             *slot.steps.entry(run.task.step).or_default() += 1;
             if self.ledger.is_unwanted(*run) {
@@ -126,6 +131,7 @@
 
     /// Returns the capacity of a worker incarnation, if it may be assigned tasks.
     pub(super) fn slot_of(&self, incarnation: &WorkerIncarnation) -> Option<&WorkerSlot<'a>> {
+        self.steps.add_workers(self.slots.len());
         self.slots.iter().find(|s| s.incarnation() == incarnation)
     }
 
@@ -173,6 +179,7 @@
     pub(super) fn allocate(&mut self, group: &TaskGroup<'_>, placement: &Placement) {
         let allocation = group.spec.allocation();
         for incarnation in placement {
+            self.steps.add_workers(self.slots.len());
             if let Some(slot) = self.slots.iter_mut().find(|s| s.incarnation() == incarnation) {
                 slot.free = slot.free.minus(&allocation);
                 if slot.health == Health::Probation {
@@ -186,6 +193,7 @@
     /// Reserves capacity for a task group that starts once other runs have ended.
     pub(super) fn reserve(&mut self, reservation: &Reservation<'_>) {
         for victim in reservation.victims {
+            self.steps.add_workers(self.slots.len());
             self.stopping.insert(*victim);
             for slot in &mut self.slots {
                 if let Some(allocation) = slot.worker.runs.get(victim) {
@@ -195,6 +203,7 @@
         }
         let allocation = reservation.group.spec.allocation();
         for incarnation in reservation.placement {
+            self.steps.add_workers(self.slots.len());
             if let Some(slot) = self.slots.iter_mut().find(|s| s.incarnation() == incarnation) {
                 let rest = allocation.minus(&slot.free);
                 slot.free = slot.free.minus(&allocation);
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -14,6 +14,7 @@
 mod place;
 mod precedence;
 mod reclaim;
+mod steps;
 mod time_left;
 mod urgency;
 
@@ -22,6 +23,7 @@
     maintenance::{MaintenancePlanner, Takedown},
     permit::Permits,
     precedence::Precedence,
+    steps::PlanSteps,
 };
 
 use {
@@ -81,9 +83,15 @@
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
     held: HeldPlacements,
+    steps: PlanSteps,
 }
 
 impl Planner {
+    /// Returns what the latest plan examined.
+    pub const fn steps(&self) -> PlanSteps {
+        self.steps
+    }
+
     /// Returns the events that the scheduling policy proposes next.
     pub fn plan(&mut self, ledger: &Ledger, view: &ClusterView) -> Vec<Event> {
         let mut pass = PlanPass::new(ledger, view, &mut self.held);
@@ -102,8 +110,10 @@
             if pass.starts >= STARTS_MAX {
                 break;
             }
+            pass.capacity.steps.add_groups(1);
             pass.schedule(group, urgency);
         }
+        self.steps = pass.capacity.steps.steps();
         pass.events
     }
 }
--- a/crates/bronzespool-batch/src/plan/place.rs
+++ b/crates/bronzespool-batch/src/plan/place.rs
@@ -108,6 +108,7 @@
         let need = group.spec.allocation();
         let worker_max = if group.spec.worker_max == 0 { u32::MAX } else { group.spec.worker_max };
         let mut options: Vec<WorkerOption> = Vec::with_capacity(among.len());
+        capacity.steps.add_workers(among.len());
         for &slot in among {
             let worker = &capacity.slots[slot];
             if !allowed(worker) || !capacity.can_run(group, worker) {
@@ -118,6 +119,7 @@
         }
         let mut placement = Vec::with_capacity(group.tasks.len());
         for task in &group.tasks {
+            capacity.steps.add_workers(options.len());
             let fits = |o: &&mut WorkerOption| o.count < worker_max && o.free.fits(&need);
             let key = |o: &&mut WorkerOption| {
                 let worker = &capacity.slots[o.slot];
--- a/crates/bronzespool-batch/src/plan/reclaim.rs
+++ b/crates/bronzespool-batch/src/plan/reclaim.rs
@@ -139,6 +139,7 @@
     ) -> Option<ReleasePlan> {
         let mut placement: Vec<WorkerIncarnation> = Vec::with_capacity(self.group.tasks.len());
         for task in &self.group.tasks {
+            self.capacity.steps.add_workers(among.len());
             let options = among.iter().filter(|i| allowed(&self.capacity.slots[**i]));
             let options = options.filter_map(|i| self.worker_option(*i));
             let need = self.group.spec.allocation();
@@ -160,6 +161,7 @@
         if full || !self.capacity.can_run(self.group, &self.capacity.slots[slot]) {
             return None;
         }
+        self.capacity.steps.add_runs(self.candidates[slot].len());
         let need = spec.allocation();
         let mut available = self.available[slot];
         let mut option = WorkerOption { slot, victims: Vec::new(), loss: 0 };
@@ -229,7 +231,8 @@
     mode: ReleaseMode,
 ) -> Vec<Vec<Candidate>> {
     let mut estimate = TimeLeft::new(capacity, view);
-    let on_slot = |slot| match mode {
+    capacity.steps.add_workers(capacity.slots.len());
+    let on_slot = |slot: &WorkerSlot<'_>| match mode {
         ReleaseMode::Preempt => {
             preemption_candidates(group, slot, capacity, precedence, view, &mut estimate)
         }
@@ -248,6 +251,7 @@
     view: &ClusterView,
     estimate: &mut TimeLeft<'_, '_>,
 ) -> Vec<Candidate> {
+    capacity.steps.add_runs(slot.worker.runs.len());
     let runs = slot.worker.runs.iter().filter(|(run, _)| !capacity.stopping.contains(run));
     let candidates = runs.filter_map(|(run, allocation)| {
         let job = capacity.ledger.job(run.task.step.job)?;
@@ -291,6 +295,7 @@
     capacity: &ClusterCapacity<'_>,
     estimate: &mut TimeLeft<'_, '_>,
 ) -> Vec<Candidate> {
+    capacity.steps.add_runs(slot.worker.runs.len());
     let runs = slot.worker.runs.iter().filter(|(run, _)| !capacity.stopping.contains(run));
     let candidates = runs.filter_map(|(run, allocation)| {
         let spec = capacity.ledger.job(run.task.step.job)?.step_spec(run.task.step.step)?;
--- a/crates/bronzespool-bench/src/main.rs
+++ b/crates/bronzespool-bench/src/main.rs
@@ -23,6 +23,10 @@
 bronzespool-bench size --workers N [--seed N] [--load FACTOR] [--plan-millis N]
     plays the stream of jobs of steps on N workers in virtual time and prints what the placement
     rules make of it; a plan takes 20 ms of virtual time by default
+bronzespool-bench plan-time [--workers 240,890] [--teams 24,350] [--waiting 2000] [--rounds 100]
+                            [--seed N]
+    times plans after small changes of a full cluster in front of which jobs wait, and prints a hash
+    of all decisions, by which two versions of the planner can be compared
 bronzespool-bench size [--sizes 30,100,300] [--seed N] [--results FILE] [--page FILE]
     fits the growth of all counts over the sizes, and writes it with the decisions for 240 workers
     into the results file and the page; docs/measurements/size.json and docs/measurements/size.md
@@ -47,6 +51,7 @@
         Some("decisions") => run_decisions(args),
         Some("decision-time") => run_decision_time(args),
         Some("capacity") => run_capacity(args),
+        Some("plan-time") => run_plan_time(args),
         Some("size") => run_size(args),
         _ => {
             print!("{HELP}");
@@ -127,6 +132,26 @@
     Ok(())
 }
 
+fn run_plan_time(mut args: Arguments) -> Result<()> {
+    let numbers = |text: Option<String>, default: &str| {
+        let text = text.unwrap_or_else(|| default.to_owned());
+        text.split(',').map(str::parse).collect::<std::result::Result<Vec<usize>, _>>()
+    };
+    let workers = numbers(args.opt_value_from_str("--workers")?, "240,890")?;
+    let teams = numbers(args.opt_value_from_str("--teams")?, "24,350")?;
+    let waiting = args.opt_value_from_str("--waiting")?.unwrap_or(2_000);
+    let rounds = args.opt_value_from_str("--rounds")?.unwrap_or(100);
+    let seed = args.opt_value_from_str("--seed")?.unwrap_or(suite::SEED);
+    println!("{}", size::PlanTimes::HEAD);
+    for workers in workers {
+        for teams in &teams {
+            let backlog = size::Backlog { workers, teams: *teams, waiting, rounds, seed };
+            print!("{}", size::plan_times(&backlog));
+        }
+    }
+    Ok(())
+}
+
 fn run_decision_time(mut args: Arguments) -> Result<()> {
     let events = args.opt_value_from_str("--events")?.unwrap_or(1_000);
     let hours = args.opt_value_from_str("--fill")?.unwrap_or(decision_time::FILL_HOURS);
--- a/crates/bronzespool-bench/src/size/load.rs
+++ b/crates/bronzespool-bench/src/size/load.rs
@@ -32,8 +32,6 @@
 const ACTUAL_FACTOR: (f64, f64) = (0.7, 1.3);
 /// Workers in one rack.
 const RACK_WORKERS: usize = 20;
-/// Number of teams.
-const TEAMS: usize = 24;
 /// Share of the accelerators that are guaranteed to teams.
 const GUARANTEED_SHARE: f64 = 0.62;
 /// Labels, each on the same number of workers.
@@ -219,7 +217,7 @@
     let spec = JobSpec {
         id: JobId(rng.u64(..)),
         queue: kind.queue.into(),
-        team: Some(team_name(rng.usize(0..TEAMS))),
+        team: Some(team_name(rng.usize(0..options.teams))),
         text: "x".repeat(TEXT_BYTES).into(),
         steps: (0..steps).map(|i| split_step(&proto, tasks, i, steps)).collect(),
         times: 0,
@@ -276,7 +274,7 @@
 /// Returns the configuration: a queue for each kind and the guarantees of all teams.
 pub(super) fn config(options: &Options) -> Config {
     let accelerators = options.workers as f64 * WORKER_ACCELERATORS as f64;
-    let guaranteed = (accelerators * GUARANTEED_SHARE / TEAMS as f64) as u64;
+    let guaranteed = (accelerators * GUARANTEED_SHARE / options.teams as f64) as u64;
     let team = |i| Team { name: team_name(i), keys: Vec::new(), guaranteed };
     let queue = |kind: &Kind| Queue {
         name: kind.queue.into(),
@@ -295,7 +293,7 @@
         version: 1,
         queues: KINDS.iter().map(queue).collect(),
         pools: vec![Pool { name: SERVICE.into(), sheds_load: false, standby: false }],
-        teams: (0..TEAMS).map(team).collect(),
+        teams: (0..options.teams).map(team).collect(),
         ..Config::default()
     }
 }
--- a/crates/bronzespool-bench/src/size/mod.rs
+++ b/crates/bronzespool-bench/src/size/mod.rs
@@ -16,6 +16,7 @@
 mod model_run;
 mod options;
 mod page;
+mod plan_time;
 mod site;
 mod tally;
 mod worker;
@@ -28,4 +29,5 @@
     model_run::ModelRun,
     options::{Options, Planted},
     page::{TABLE_BEGIN, TABLE_END, decision_table, growth_table, insert},
+    plan_time::{Backlog, PlanTimes, plan_times},
 };
--- a/crates/bronzespool-bench/src/size/options.rs
+++ b/crates/bronzespool-bench/src/size/options.rs
@@ -38,6 +38,8 @@
     /// Size of the cluster for which gangs are made to fit; the widest gang takes half of its
     /// workers.
     pub gang_base: usize,
+    /// Number of teams.
+    pub teams: usize,
     /// Fault that is planted.
     pub planted: Planted,
 }
@@ -49,6 +51,8 @@
     pub const PLAN_TIME: Duration = Duration::from_millis(20);
     /// Time after which the remaining jobs count as jobs that do not end.
     pub const DRAIN_MAX: Duration = Duration::from_secs(300);
+    /// Number of teams.
+    pub const TEAMS: usize = 24;
 
     /// The whole stream on a cluster.
     pub const fn new(workers: usize, seed: u64) -> Self {
@@ -60,6 +64,7 @@
             load: 1.0,
             plan_time: Self::PLAN_TIME,
             gang_base: workers,
+            teams: Self::TEAMS,
             planted: Planted::None,
         }
     }
