perf(batch): determine the runs that can release capacity once per plan

Each search for capacity walked all runs of all workers, with a look-up of job, task and progress for each, and estimated each gang's time left anew. What can be stopped, and at which cost, depends on the group's precedence alone (inside the guarantee, or its priority; or waiting for ends), so that a plan needs it once for each of a few classes. Runs that the plan stops are removed; if one of them has a disruption budget, all classes are determined anew.

--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -4,6 +4,7 @@
 //! either has changed; the returned events take effect once they are committed to the log. Between
 //! two plans the planner keeps only the placements for which it has stopped other runs.
 
+mod candidate;
 mod capacity;
 mod disruption;
 mod group;
@@ -28,12 +29,13 @@
 
 use {
     self::{
+        candidate::{Candidates, ReleaseMode},
         capacity::{ClusterCapacity, Reservation},
         group::task_groups,
         hold::{HeldPlacements, HoldState},
         place::{Placement, PlacementScope, place},
         precedence::precedence_of,
-        reclaim::{ReleaseMode, place_by_release},
+        reclaim::{ReleasePlan, place_by_release},
         urgency::Urgency,
     },
     crate::{
@@ -123,6 +125,7 @@
     view: &'a ClusterView,
     capacity: ClusterCapacity<'a>,
     precedence: Precedence,
+    candidates: Candidates<'a>,
     held: &'a mut HeldPlacements,
     events: Vec<Event>,
     /// Number of tasks started so far.
@@ -136,7 +139,16 @@
         let capacity = ClusterCapacity::new(ledger, view);
         let reservations_left = capacity.slots.len().div_ceil(WORKERS_PER_RESERVATION);
         let precedence = precedence_of(ledger);
-        Self { view, capacity, precedence, held, events: Vec::new(), starts: 0, reservations_left }
+        Self {
+            view,
+            capacity,
+            precedence,
+            candidates: Candidates::new(ledger, view),
+            held,
+            events: Vec::new(),
+            starts: 0,
+            reservations_left,
+        }
     }
 
     /// Starts a task group, preempts other runs for it or reserves capacity for it, trying the
@@ -188,12 +200,12 @@
     }
 
     fn preempt(&mut self, group: &TaskGroup<'_>, urgency: &Urgency, scope: PlacementScope) -> bool {
-        let (capacity, precedence, view) = (&self.capacity, &self.precedence, self.view);
-        let found = find_preemption(group, urgency, capacity, precedence, view, scope);
+        let found = self.find_preemption(group, urgency, scope);
         let Some((placement, victims)) = found else { return false };
         self.capacity.reserve(&Reservation { group, placement: &placement, victims: &victims });
-        self.held.hold(group, placement, view.now);
+        self.held.hold(group, placement, self.view.now);
         if !victims.is_empty() {
+            self.candidates.remove_stopped(&victims, &self.capacity);
             let cause = StopCause::Reclaimed(group.step.job);
             self.events.push(Event::Stopping { runs: victims, cause });
         }
@@ -204,13 +216,56 @@
         if self.reservations_left == 0 {
             return false;
         }
-        let (capacity, precedence, view) = (&self.capacity, &self.precedence, self.view);
-        let found = find_reservation(group, urgency, capacity, precedence, view, scope);
-        let Some(placement) = found else { return false };
+        let Some(placement) = self.find_reservation(group, urgency, scope) else { return false };
         self.reservations_left -= 1;
         self.capacity.reserve(&Reservation { group, placement: &placement, victims: &[] });
         true
     }
+
+    /// Finds a placement for a task group and the runs to preempt for it. A job outside its team's
+    /// guarantee must not discard more work than it contributes.
+    fn find_preemption(
+        &mut self,
+        group: &TaskGroup<'_>,
+        urgency: &Urgency,
+        scope: PlacementScope,
+    ) -> Option<(Placement, Vec<RunId>)> {
+        let guaranteed = self.precedence.is_guaranteed(group);
+        let first = guaranteed || self.precedence.priority(group.job) == 0;
+        let waits = !first && urgency.can_wait();
+        if waits || (!guaranteed && urgency.misses_cutoff()) {
+            return None;
+        }
+        let (placement, victims, loss) = self.release(group, scope, ReleaseMode::Preempt)?;
+        let count = group.tasks.len() as u64;
+        let contributed =
+            group.spec.allocation().times(count).weight().saturating_mul(group.spec.estimate);
+        (guaranteed || loss <= contributed).then_some((placement, victims))
+    }
+
+    /// Finds a placement that a large task group can wait for. Without a reservation, small groups
+    /// would take each piece of capacity as it is freed.
+    fn find_reservation(
+        &mut self,
+        group: &TaskGroup<'_>,
+        urgency: &Urgency,
+        scope: PlacementScope,
+    ) -> Option<Placement> {
+        if urgency.misses_cutoff() || self.view.now.since(group.ready_at) < RESERVE_AFTER {
+            return None;
+        }
+        self.release(group, scope, ReleaseMode::Wait).map(|(placement, ..)| placement)
+    }
+
+    fn release(
+        &mut self,
+        group: &TaskGroup<'_>,
+        scope: PlacementScope,
+        mode: ReleaseMode,
+    ) -> Option<ReleasePlan> {
+        let candidates = self.candidates.of_group(group, &self.capacity, &self.precedence, mode);
+        place_by_release(group, &self.capacity, candidates, scope)
+    }
 }
 
 /// Placement scopes to try for a task group, the preferred one first.
@@ -234,47 +289,6 @@
     view.now.since(group.ready_at) > RELAX_AFTER && capacity.is_idle(group.service)
 }
 
-/// Finds a placement for a task group and the runs to preempt for it. A job outside its team's
-/// guarantee must not discard more work than it contributes.
-fn find_preemption(
-    group: &TaskGroup<'_>,
-    urgency: &Urgency,
-    capacity: &ClusterCapacity<'_>,
-    precedence: &Precedence,
-    view: &ClusterView,
-    scope: PlacementScope,
-) -> Option<(Placement, Vec<RunId>)> {
-    let guaranteed = precedence.is_guaranteed(group);
-    let first = guaranteed || precedence.priority(group.job) == 0;
-    let waits = !first && urgency.can_wait();
-    if waits || (!guaranteed && urgency.misses_cutoff()) {
-        return None;
-    }
-    let mode = (scope, ReleaseMode::Preempt);
-    let (placement, victims, loss) = place_by_release(group, capacity, precedence, view, mode)?;
-    let count = group.tasks.len() as u64;
-    let contributed =
-        group.spec.allocation().times(count).weight().saturating_mul(group.spec.estimate);
-    (guaranteed || loss <= contributed).then_some((placement, victims))
-}
-
-/// Finds a placement that a large task group can wait for. Without a reservation, small groups
-/// would take each piece of capacity as it is freed.
-fn find_reservation(
-    group: &TaskGroup<'_>,
-    urgency: &Urgency,
-    capacity: &ClusterCapacity<'_>,
-    precedence: &Precedence,
-    view: &ClusterView,
-    scope: PlacementScope,
-) -> Option<Placement> {
-    if urgency.misses_cutoff() || view.now.since(group.ready_at) < RESERVE_AFTER {
-        return None;
-    }
-    let mode = (scope, ReleaseMode::Wait);
-    place_by_release(group, capacity, precedence, view, mode).map(|(placement, ..)| placement)
-}
-
 fn assignments(group: &TaskGroup, placement: &Placement, view: &ClusterView) -> Vec<Assignment> {
     let assign =
         |(task, incarnation): (&group::PendingTask, &crate::id::WorkerIncarnation)| Assignment {
--- a/crates/bronzespool-batch/src/plan/reclaim.rs
+++ b/crates/bronzespool-batch/src/plan/reclaim.rs
@@ -8,46 +8,16 @@
     crate::{
         id::{RunId, StepId, WorkerIncarnation},
         plan::{
-            ClusterView, Precedence, TaskGroup,
+            TaskGroup,
+            candidate::Candidate,
             capacity::{ClusterCapacity, WorkerSlot, is_eligible},
-            disruption,
             place::{Placement, PlacementScope, fits_empty, tightness},
-            time_left::{NEARLY_DONE, TimeLeft},
         },
         spec::Resources,
     },
     bronzespool_core::{HashMap, HashSet},
 };
 
-/// Least cost of stopping a run, in milliseconds of its work: stopping and restarting take time
-/// even if progress is saved.
-const RESTART_COST_MILLIS: u64 = 300;
-
-/// How capacity is released.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum ReleaseMode {
-    /// Runs are stopped, those that lose the least work first.
-    Preempt,
-    /// Runs are left to finish, those with the least time left first.
-    Wait,
-}
-
-/// A run that can release capacity.
-struct Candidate {
-    run: RunId,
-    allocation: Resources,
-    /// Work lost if the run is stopped, including that of its gang, and reduced for a lower
-    /// priority; remaining milliseconds if the run is waited for.
-    loss: u64,
-    /// Step of the run if its tasks are a gang.
-    gang: Option<StepId>,
-    /// Whether the run ends so soon that it does not have to be stopped.
-    nearly_done: bool,
-    /// Number of tasks of its step that may still be stopped; none if the step has no budget or the
-    /// run is not ready.
-    budget_left: Option<u32>,
-}
-
 /// State of a search for a placement of one task group.
 struct PlacementSearch<'a, 'b> {
     group: &'a TaskGroup<'a>,
@@ -80,13 +50,11 @@
 pub(super) fn place_by_release(
     group: &TaskGroup<'_>,
     capacity: &ClusterCapacity<'_>,
-    precedence: &Precedence,
-    view: &ClusterView,
-    (scope, mode): (PlacementScope, ReleaseMode),
+    candidates: &[Vec<Candidate>],
+    scope: PlacementScope,
 ) -> Option<ReleasePlan> {
-    let candidates = candidates(group, capacity, precedence, view, mode);
     let all: Vec<usize> = (0..capacity.slots.len()).collect();
-    let search = || PlacementSearch::new(group, capacity, &candidates);
+    let search = || PlacementSearch::new(group, capacity, candidates);
     match scope {
         PlacementScope::Local => {}
         PlacementScope::AnyRack => return search().place_on(&all, is_eligible),
@@ -221,108 +189,3 @@
         self.counts[slot] += 1;
     }
 }
-
-/// Returns the runs that can release capacity, by worker.
-fn candidates(
-    group: &TaskGroup<'_>,
-    capacity: &ClusterCapacity<'_>,
-    precedence: &Precedence,
-    view: &ClusterView,
-    mode: ReleaseMode,
-) -> Vec<Vec<Candidate>> {
-    let mut estimate = TimeLeft::new(capacity, view);
-    capacity.steps.add_workers(capacity.slots.len());
-    let on_slot = |slot: &WorkerSlot<'_>| match mode {
-        ReleaseMode::Preempt => {
-            preemption_candidates(group, slot, capacity, precedence, view, &mut estimate)
-        }
-        ReleaseMode::Wait => finishing_candidates(slot, capacity, &mut estimate),
-    };
-    capacity.slots.iter().map(on_slot).collect()
-}
-
-/// Returns the runs on a worker that may be stopped, and those that end so soon that they need not
-/// be.
-fn preemption_candidates(
-    group: &TaskGroup<'_>,
-    slot: &WorkerSlot<'_>,
-    capacity: &ClusterCapacity<'_>,
-    precedence: &Precedence,
-    view: &ClusterView,
-    estimate: &mut TimeLeft<'_, '_>,
-) -> Vec<Candidate> {
-    capacity.steps.add_runs(slot.worker.runs.len());
-    let runs = slot.worker.runs.iter().filter(|(run, _)| !capacity.stopping.contains(run));
-    let candidates = runs.filter_map(|(run, allocation)| {
-        let job = capacity.ledger.job(run.task.step.job)?;
-        let spec = job.step_spec(run.task.step.step)?;
-        if !spec.long_lived && estimate.of_run(*run, spec) < NEARLY_DONE {
-            return Some(Candidate {
-                run: *run,
-                allocation: *allocation,
-                loss: 0,
-                gang: None,
-                nearly_done: true,
-                budget_left: None,
-            });
-        }
-        if !precedence.may_stop(group, job) {
-            return None;
-        }
-        let run_loss =
-            lost_millis(capacity, *run, view, spec.checkpoints).saturating_mul(allocation.weight());
-        let count = if spec.gang { u64::from(spec.count) } else { 1 };
-        let gang = spec.gang.then_some(run.task.step);
-        // Of two runs with the same cost, the one with the lower priority is preempted.
-        let loss =
-            run_loss.saturating_mul(count) / (1 + u64::from(precedence.priority(job).min(8)));
-        let budget_left = disruption::remaining_budget(capacity, view, job, *run);
-        Some(Candidate {
-            run: *run,
-            allocation: *allocation,
-            loss,
-            gang,
-            nearly_done: false,
-            budget_left,
-        })
-    });
-    candidates.collect()
-}
-
-/// Returns the runs on a worker that end by themselves, with the time that they have left.
-fn finishing_candidates(
-    slot: &WorkerSlot<'_>,
-    capacity: &ClusterCapacity<'_>,
-    estimate: &mut TimeLeft<'_, '_>,
-) -> Vec<Candidate> {
-    capacity.steps.add_runs(slot.worker.runs.len());
-    let runs = slot.worker.runs.iter().filter(|(run, _)| !capacity.stopping.contains(run));
-    let candidates = runs.filter_map(|(run, allocation)| {
-        let spec = capacity.ledger.job(run.task.step.job)?.step_spec(run.task.step.step)?;
-        let loss = estimate.of_run(*run, spec).as_millis() as u64;
-        let candidate = Candidate {
-            run: *run,
-            allocation: *allocation,
-            loss,
-            gang: None,
-            nearly_done: true,
-            budget_left: None,
-        };
-        (!spec.long_lived).then_some(candidate)
-    });
-    candidates.collect()
-}
-
-/// Returns the milliseconds of work that are lost if a run is stopped.
-fn lost_millis(
-    capacity: &ClusterCapacity<'_>,
-    run: RunId,
-    view: &ClusterView,
-    checkpoints: bool,
-) -> u64 {
-    if checkpoints {
-        return RESTART_COST_MILLIS;
-    }
-    let since = capacity.ledger.active_run(run).map(|r| r.assigned_at);
-    since.map_or(0, |s| view.now.since(s).as_millis() as u64) + RESTART_COST_MILLIS
-}
--- a/crates/bronzespool-batch/src/plan/time_left.rs
+++ b/crates/bronzespool-batch/src/plan/time_left.rs
@@ -6,7 +6,8 @@
 use {
     crate::{
         id::{RunId, StepId},
-        plan::{ClusterView, capacity::ClusterCapacity},
+        ledger::Ledger,
+        plan::ClusterView,
         spec::Step,
     },
     bronzespool_core::HashMap,
@@ -17,16 +18,16 @@
 pub(super) const NEARLY_DONE: Duration = Duration::from_millis(700);
 
 /// Estimates the time that runs have left.
-pub(super) struct TimeLeft<'a, 'b> {
-    capacity: &'a ClusterCapacity<'b>,
+pub(super) struct TimeLeft<'a> {
+    ledger: &'a Ledger,
     view: &'a ClusterView,
-    /// Time that the gangs that were asked for have left.
+    /// Time that the gangs that were asked about have left.
     gangs: HashMap<StepId, Duration>,
 }
 
-impl<'a, 'b> TimeLeft<'a, 'b> {
-    pub(super) fn new(capacity: &'a ClusterCapacity<'b>, view: &'a ClusterView) -> Self {
-        Self { capacity, view, gangs: HashMap::default() }
+impl<'a> TimeLeft<'a> {
+    pub(super) fn new(ledger: &'a Ledger, view: &'a ClusterView) -> Self {
+        Self { ledger, view, gangs: HashMap::default() }
     }
 
     /// Returns the time that a run has left. The members of a gang end together, when the slowest
@@ -39,8 +40,7 @@
         if let Some(known) = self.gangs.get(&step) {
             return *known;
         }
-        let state =
-            self.capacity.ledger.job(step.job).and_then(|j| j.step(step.occurrence, step.step));
+        let state = self.ledger.job(step.job).and_then(|j| j.step(step.occurrence, step.step));
         let tasks = state.into_iter().flat_map(|s| s.tasks.iter().enumerate());
         let runs = tasks.flat_map(|(i, task)| {
             let id = step.task(i as u32);
@@ -55,7 +55,7 @@
     /// known, else from its declared duration.
     fn of_task(&self, run: RunId, spec: &Step) -> Duration {
         const FULL_PERCENT: u32 = 100;
-        let Some(active) = self.capacity.ledger.active_run(run) else { return Duration::ZERO };
+        let Some(active) = self.ledger.active_run(run) else { return Duration::ZERO };
         let age = self.view.now.since(active.assigned_at);
         let done = self.view.progress.get(&run).map_or(0, |p| p.percent.min(FULL_PERCENT));
         if done > 0 && active.checkpoint.is_empty() {
