perf(batch): decide once on like tasks of a step that cannot be placed

A step of 78 tasks on average (470 at most) waits as that many groups, and each of them searched all workers in vain, and had the step's urgency computed anew. A task that waits since the same time, has failed on the same workers and has no held placement gets the same result as the one before it as long as nothing was started or reserved in between, so it is passed over. Urgency is computed once a step.

--- a/crates/bronzespool-batch/src/plan/group.rs
+++ b/crates/bronzespool-batch/src/plan/group.rs
@@ -54,6 +54,15 @@
         }
         task.last_run + 1
     }
+
+    /// Whether a decision on this group holds for another one too: both are single tasks of one
+    /// step, wait for the same time and have failed on the same workers.
+    pub(super) fn is_like(&self, other: &Self) -> bool {
+        let ([task], [other_task]) = (&*self.tasks, &*other.tasks) else { return false };
+        self.step == other.step
+            && self.ready_at == other.ready_at
+            && task.failed_on == other_task.failed_on
+    }
 }
 
 /// Returns all task groups that can be started now.
@@ -93,10 +102,11 @@
     let new_group =
         |tasks, ready_at| TaskGroup { job, step, spec, tasks, service, needs_permit, ready_at };
     let Some(state) = state else {
+        let none: Arc<str> = "".into();
         let fresh = (0..spec.count).map(|index| PendingTask {
             index,
             last_run: 0,
-            checkpoint: "".into(),
+            checkpoint: none.clone(),
             failed_on: Vec::new(),
         });
         split_tasks(spec, fresh.collect(), job.submitted, new_group, groups);
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -39,7 +39,7 @@
         urgency::Urgency,
     },
     crate::{
-        id::RunId,
+        id::{RunId, StepId},
         ledger::{Assignment, Event, Ledger, StopCause},
     },
     bronzespool_core::{HashMap, HashSet, Time},
@@ -101,20 +101,12 @@
         if !broken.is_empty() {
             pass.events.push(Event::Stopping { runs: broken, cause: StopCause::Broken });
         }
-        let urgency = |g: &TaskGroup<'_>| Urgency::of(ledger, g, view);
-        let mut waiting: Vec<_> =
-            task_groups(ledger, view).into_iter().map(|g| (urgency(&g), g)).collect();
+        let mut waiting = with_urgency(ledger, view, task_groups(ledger, view));
         pass.held.retain_waiting(waiting.iter().map(|(_, group)| group));
         waiting.sort_by_cached_key(|(urgency, group)| {
             pass.precedence.rank(group, urgency, pass.held.contains(group))
         });
-        for (urgency, group) in &waiting {
-            if pass.starts >= STARTS_MAX {
-                break;
-            }
-            pass.capacity.steps.add_groups(1);
-            pass.schedule(group, urgency);
-        }
+        pass.schedule_all(&waiting);
         self.steps = pass.capacity.steps.steps();
         pass.events
     }
@@ -151,22 +143,35 @@
         }
     }
 
+    /// Schedules task groups in the order of their precedence. A task like the one before it, for
+    /// which nothing could be done, is passed over: the plan has not changed since.
+    fn schedule_all(&mut self, waiting: &[(Urgency, TaskGroup<'_>)]) {
+        let mut failed: Option<&TaskGroup<'_>> = None;
+        for (urgency, group) in waiting {
+            if self.starts >= STARTS_MAX {
+                return;
+            }
+            if failed.is_some_and(|f| f.is_like(group)) && !self.held.contains(group) {
+                continue;
+            }
+            self.capacity.steps.add_groups(1);
+            failed = (!self.schedule(group, urgency)).then_some(group);
+        }
+    }
+
     /// Starts a task group, preempts other runs for it or reserves capacity for it, trying the
-    /// strictest scope first.
-    fn schedule(&mut self, group: &TaskGroup<'_>, urgency: &Urgency) {
+    /// strictest scope first. Returns false if none of these was possible.
+    fn schedule(&mut self, group: &TaskGroup<'_>, urgency: &Urgency) -> bool {
         if self.follow_held(group) {
-            return;
+            return true;
         }
         let scopes = scopes(group, urgency, &self.capacity, self.view);
-        for (i, scope) in scopes.iter().enumerate() {
+        scopes.iter().enumerate().any(|(i, scope)| {
             let last = i + 1 == scopes.len();
-            let scheduled = self.start(group, *scope)
+            self.start(group, *scope)
                 || self.preempt(group, urgency, *scope)
-                || last && self.reserve(group, urgency, *scope);
-            if scheduled {
-                return;
-            }
-        }
+                || last && self.reserve(group, urgency, *scope)
+        })
     }
 
     /// Starts a task group on its held placement, or goes on waiting for it. Returns false if it
@@ -268,6 +273,23 @@
     }
 }
 
+/// Adds the urgency to each task group. It is the same for all groups of a step, which follow each
+/// other.
+fn with_urgency<'a>(
+    ledger: &Ledger,
+    view: &ClusterView,
+    groups: Vec<TaskGroup<'a>>,
+) -> Vec<(Urgency, TaskGroup<'a>)> {
+    let mut known: Option<(StepId, Urgency)> = None;
+    let of_step = |group: TaskGroup<'a>| {
+        let same = known.filter(|(step, _)| *step == group.step);
+        let urgency = same.map_or_else(|| Urgency::of(ledger, &group, view), |(_, u)| u);
+        known = Some((group.step, urgency));
+        (urgency, group)
+    };
+    groups.into_iter().map(of_step).collect()
+}
+
 /// Placement scopes to try for a task group, the preferred one first.
 fn scopes(
     group: &TaskGroup<'_>,
