perf(batch): search workers only for a group that fits into free capacity

A search copied the capacity of all workers, summed the accelerators of all racks, compared service and label of each worker, and, for a gang that wants one rack, did so once for each rack and once more for each empty rack. Whether a group fits follows from the number of its tasks that fit into each worker, since its tasks are alike: these numbers are kept for each kind of task (service, label, resources), summed by rack, and updated for the workers that the plan has changed. Limits of tasks per worker and permits only lower them, and are considered by the search; into an empty rack the group fits by the same sum.

--- a/crates/bronzespool-batch/src/plan/capacity.rs
+++ b/crates/bronzespool-batch/src/plan/capacity.rs
@@ -20,6 +20,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct WorkerSlot<'a> {
     pub(super) worker: &'a Worker,
+    /// Position of the worker's rack among the racks.
+    pub(super) rack: usize,
     /// The worker's health by its recent failures.
     pub(super) health: Health,
     /// Resources that are neither allocated to a run nor reserved.
@@ -36,11 +38,21 @@
     }
 
     /// Whether the worker belongs to the service and has the label that the step requires.
-    fn meets_requirements(&self, service: &Arc<str>, step: &Step) -> bool {
+    pub(super) fn meets_requirements(&self, service: &Arc<str>, step: &Step) -> bool {
         let label = step.label.as_ref();
         let spec = &self.worker.spec;
         spec.service == *service && label.is_none_or(|l| spec.labels.contains(l))
     }
+
+    /// Returns how many more tasks of a group's step the worker may be assigned by the limit of the
+    /// step.
+    pub(super) fn remaining_tasks(&self, group: &TaskGroup<'_>) -> u32 {
+        let limit = group.spec.worker_max;
+        if limit == 0 {
+            return u32::MAX;
+        }
+        limit.saturating_sub(self.steps.get(&group.step).copied().unwrap_or(0))
+    }
 }
 
 /// Whether a worker may be assigned tasks that could run elsewhere.
@@ -60,8 +72,14 @@
 pub(super) struct ClusterCapacity<'a> {
     pub(super) ledger: &'a Ledger,
     pub(super) slots: Vec<WorkerSlot<'a>>,
-    /// Positions of the workers of each rack among the slots.
-    pub(super) racks: BTreeMap<&'a str, Vec<usize>>,
+    /// Positions of the workers of each rack among the slots, by the rack's name.
+    pub(super) racks: Vec<Vec<usize>>,
+    rack_names: BTreeMap<&'a str, usize>,
+    /// Accelerators of each rack that are neither allocated nor reserved.
+    pub(super) rack_free: Vec<u64>,
+    /// Positions of the workers whose free capacity has changed during the plan, in the order of the
+    /// changes.
+    pub(super) changed: Vec<usize>,
     /// Runs that are being stopped, or that this plan stops.
     pub(super) stopping: HashSet<RunId>,
     permits: &'a Permits,
@@ -82,7 +100,10 @@
         let mut capacity = Self {
             ledger,
             slots: Vec::new(),
-            racks: BTreeMap::new(),
+            racks: Vec::new(),
+            rack_names: BTreeMap::new(),
+            rack_free: Vec::new(),
+            changed: Vec::new(),
             stopping: HashSet::default(),
             permits: &view.permits,
             now: view.now,
@@ -91,14 +112,28 @@
         };
         for worker in ledger.workers().filter(schedulable) {
             let slot = capacity.slot(worker, view);
-            capacity.racks.entry(worker.spec.rack()).or_default().push(capacity.slots.len());
             capacity.slots.push(slot);
         }
+        capacity.form_racks();
         capacity.relax_quarantine();
         capacity.idle = capacity.idle_services();
         capacity
     }
 
+    /// Groups the workers by rack.
+    fn form_racks(&mut self) {
+        let mut racks: BTreeMap<&'a str, Vec<usize>> = BTreeMap::new();
+        for (i, slot) in self.slots.iter().enumerate() {
+            racks.entry(slot.worker.spec.rack()).or_default().push(i);
+        }
+        self.rack_names = racks.keys().enumerate().map(|(rack, name)| (*name, rack)).collect();
+        self.racks = racks.into_values().collect();
+        for (rack, members) in self.racks.iter().enumerate() {
+            members.iter().for_each(|i| self.slots[*i].rack = rack);
+            self.rack_free.push(members.iter().map(|i| self.slots[*i].free.gpu).sum());
+        }
+    }
+
     /// Downgrades quarantined workers to suspect ones if they are more than half of all workers:
     /// then the fault is probably not theirs.
     fn relax_quarantine(&mut self) {
@@ -113,6 +148,7 @@
     fn slot(&mut self, worker: &'a Worker, view: &ClusterView) -> WorkerSlot<'a> {
         let mut slot = WorkerSlot {
             worker,
+            rack: 0,
             health: worker_health(worker, view.now),
             free: worker.free(),
             releasing: Resources::default(),
@@ -131,32 +167,37 @@
 
     /// Returns the capacity of a worker incarnation, if it may be assigned tasks.
     pub(super) fn slot_of(&self, incarnation: &WorkerIncarnation) -> Option<&WorkerSlot<'a>> {
-        self.steps.add_workers(self.slots.len());
-        self.slots.iter().find(|s| s.incarnation() == incarnation)
+        self.position(incarnation).map(|i| &self.slots[i])
     }
 
     /// Whether a worker meets the requirements of a task group and has a permit for it where one is
     /// required.
     pub(super) fn can_run(&self, group: &TaskGroup<'_>, slot: &WorkerSlot<'_>) -> bool {
+        slot.meets_requirements(group.service, group.spec) && self.is_permitted(group, slot)
+    }
+
+    /// Whether a worker has a permit for a task group if one is required.
+    pub(super) fn is_permitted(&self, group: &TaskGroup<'_>, slot: &WorkerSlot<'_>) -> bool {
         let permit = || self.permits.get(group.step, slot.incarnation(), self.now);
-        slot.meets_requirements(group.service, group.spec)
-            && (!group.needs_permit || permit().is_some())
+        !group.needs_permit || permit().is_some()
     }
 
-    /// Returns the positions of a rack's workers among the slots.
-    pub(super) fn rack(&self, rack: &str) -> &[usize] {
-        self.racks.get(rack).map_or(&[], Vec::as_slice)
+    /// Returns the position of a rack.
+    pub(super) fn rack(&self, name: &str) -> Option<usize> {
+        self.rack_names.get(name).copied()
     }
 
-    /// Returns the accelerators of each rack that are neither allocated nor reserved, by the
-    /// position of its workers.
-    pub(super) fn free_by_rack(&self) -> Vec<u64> {
-        let mut free = vec![0; self.slots.len()];
-        for members in self.racks.values() {
-            let sum = members.iter().map(|i| self.slots[*i].free.gpu).sum();
-            members.iter().for_each(|i| free[*i] = sum);
-        }
-        free
+    /// Changes the free capacity of a worker.
+    fn set_free(&mut self, slot: usize, free: Resources) {
+        let former = std::mem::replace(&mut self.slots[slot].free, free);
+        let rack_free = &mut self.rack_free[self.slots[slot].rack];
+        *rack_free = *rack_free - former.gpu + free.gpu;
+        self.changed.push(slot);
+    }
+
+    fn position(&self, incarnation: &WorkerIncarnation) -> Option<usize> {
+        self.steps.add_workers(self.slots.len());
+        self.slots.iter().position(|s| s.incarnation() == incarnation)
     }
 
     /// Whether at most half of a service's capacity was in use when the plan began.
@@ -179,22 +220,20 @@
     pub(super) fn allocate(&mut self, group: &TaskGroup<'_>, placement: &Placement) {
         let allocation = group.spec.allocation();
         for incarnation in placement {
-            self.steps.add_workers(self.slots.len());
-            if let Some(slot) = self.slots.iter_mut().find(|s| s.incarnation() == incarnation) {
-                slot.free = slot.free.minus(&allocation);
-                if slot.health == Health::Probation {
-                    slot.free = Resources::default();
-                }
-                *slot.steps.entry(group.step).or_default() += 1;
-            }
+            let Some(i) = self.position(incarnation) else { continue };
+            let slot = &mut self.slots[i];
+            *slot.steps.entry(group.step).or_default() += 1;
+            let probation = slot.health == Health::Probation;
+            let rest = slot.free.minus(&allocation);
+            self.set_free(i, if probation { Resources::default() } else { rest });
         }
     }
 
     /// Reserves capacity for a task group that starts once other runs have ended.
     pub(super) fn reserve(&mut self, reservation: &Reservation<'_>) {
         for victim in reservation.victims {
-            self.steps.add_workers(self.slots.len());
             self.stopping.insert(*victim);
+            self.steps.add_workers(self.slots.len());
             for slot in &mut self.slots {
                 if let Some(allocation) = slot.worker.runs.get(victim) {
                     slot.releasing = slot.releasing.plus(allocation);
@@ -203,13 +242,12 @@
         }
         let allocation = reservation.group.spec.allocation();
         for incarnation in reservation.placement {
-            self.steps.add_workers(self.slots.len());
-            if let Some(slot) = self.slots.iter_mut().find(|s| s.incarnation() == incarnation) {
-                let rest = allocation.minus(&slot.free);
-                slot.free = slot.free.minus(&allocation);
-                slot.releasing = slot.releasing.minus(&rest);
-                *slot.steps.entry(reservation.group.step).or_default() += 1;
-            }
+            let Some(i) = self.position(incarnation) else { continue };
+            let slot = &mut self.slots[i];
+            *slot.steps.entry(reservation.group.step).or_default() += 1;
+            slot.releasing = slot.releasing.minus(&allocation.minus(&slot.free));
+            let free = slot.free.minus(&allocation);
+            self.set_free(i, free);
         }
     }
 }
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -13,6 +13,7 @@
 mod maintenance;
 mod permit;
 mod place;
+mod places;
 mod precedence;
 mod reclaim;
 mod steps;
@@ -34,6 +35,7 @@
         group::task_groups,
         hold::{HeldPlacements, HoldState},
         place::{Placement, PlacementScope, place},
+        places::PlaceIndex,
         precedence::precedence_of,
         reclaim::{ReleasePlan, place_by_release},
         urgency::Urgency,
@@ -118,6 +120,7 @@
     capacity: ClusterCapacity<'a>,
     precedence: Precedence,
     candidates: Candidates<'a>,
+    places: PlaceIndex,
     held: &'a mut HeldPlacements,
     events: Vec<Event>,
     /// Number of tasks started so far.
@@ -136,6 +139,7 @@
             capacity,
             precedence,
             candidates: Candidates::new(ledger, view),
+            places: PlaceIndex::default(),
             held,
             events: Vec::new(),
             starts: 0,
@@ -192,7 +196,9 @@
     }
 
     fn start(&mut self, group: &TaskGroup<'_>, scope: PlacementScope) -> bool {
-        let Some(placement) = place(group, &self.capacity, scope) else { return false };
+        let Some(placement) = place(group, &self.capacity, &mut self.places, scope) else {
+            return false;
+        };
         self.start_on(group, &placement);
         true
     }
@@ -269,7 +275,8 @@
         mode: ReleaseMode,
     ) -> Option<ReleasePlan> {
         let candidates = self.candidates.of_group(group, &self.capacity, &self.precedence, mode);
-        place_by_release(group, &self.capacity, candidates, scope)
+        let places = self.places.of_group(group, &self.capacity);
+        place_by_release(group, &self.capacity, candidates, places, scope)
     }
 }
 
--- a/crates/bronzespool-batch/src/plan/place.rs
+++ b/crates/bronzespool-batch/src/plan/place.rs
@@ -9,6 +9,7 @@
     plan::{
         TaskGroup,
         capacity::{ClusterCapacity, WorkerSlot, is_eligible},
+        places::{PlaceIndex, Places},
     },
     spec::Resources,
 };
@@ -32,14 +33,14 @@
 pub(super) fn place(
     group: &TaskGroup<'_>,
     capacity: &ClusterCapacity<'_>,
+    index: &mut PlaceIndex,
     scope: PlacementScope,
 ) -> Option<Placement> {
-    let free: Vec<Resources> = capacity.slots.iter().map(|s| s.free).collect();
-    let search = Search { group, capacity, free, rack_free: capacity.free_by_rack() };
+    let search = Search { group, capacity, places: index.of_group(group, capacity) };
     match scope {
         PlacementScope::Local => search.place_local(),
-        PlacementScope::AnyRack => search.place_on(&search.all_slots(), is_eligible),
-        PlacementScope::AnyWorker => search.place_on(&search.all_slots(), |_| true),
+        PlacementScope::AnyRack => search.place_anywhere(),
+        PlacementScope::AnyWorker => search.place_on(0..capacity.slots.len(), |_| true),
     }
 }
 
@@ -47,89 +48,112 @@
 pub(super) fn fits_empty(
     group: &TaskGroup<'_>,
     capacity: &ClusterCapacity<'_>,
-    rack: &str,
+    places: &Places,
+    rack: usize,
 ) -> bool {
-    let free = capacity.slots.iter().map(|s| s.worker.spec.capacity).collect();
-    let rack_free = vec![0; capacity.slots.len()];
-    let search = Search { group, capacity, free, rack_free };
-    search.place_on(capacity.rack(rack), |_| true).is_some()
+    let count = group.tasks.len() as u64;
+    if places.empty_in(rack) < count {
+        return false;
+    }
+    if !group.needs_permit && group.spec.worker_max == 0 {
+        return true;
+    }
+    let need = group.spec.allocation();
+    let on_worker = |i: &usize| {
+        let slot = &capacity.slots[*i];
+        let places = slot.worker.spec.capacity.count(&need);
+        places.min(u64::from(slot.remaining_tasks(group)))
+    };
+    let members = capacity.racks[rack].iter();
+    let usable = members
+        .filter(|i| places.matching[**i] && capacity.is_permitted(group, &capacity.slots[**i]));
+    usable.map(on_worker).fold(0, u64::saturating_add) >= count
 }
 
 /// A search for a placement of one task group.
 struct Search<'a, 'b> {
     group: &'a TaskGroup<'a>,
     capacity: &'a ClusterCapacity<'b>,
-    /// Capacity that the search may use, by worker.
-    free: Vec<Resources>,
-    /// Free accelerators of the rack of each worker.
-    rack_free: Vec<u64>,
+    places: &'a Places,
 }
 
 impl Search<'_, '_> {
-    fn all_slots(&self) -> Vec<usize> {
-        (0..self.capacity.slots.len()).collect()
-    }
-
     fn place_local(&self) -> Option<Placement> {
-        let Self { group, capacity, .. } = self;
+        let Self { group, capacity, places } = self;
         if group.spec.single_rack && group.tasks.len() > 1 {
             if let Some(found) = self.place_in_fullest_rack() {
                 return Some(found);
             }
-            if capacity.racks.keys().any(|r| fits_empty(group, capacity, r)) {
+            let mut racks = 0..capacity.racks.len();
+            if racks.any(|r| fits_empty(group, capacity, places, r)) {
                 return None;
             }
         }
-        if let Some(rack) = group.spec.rack.as_deref() {
-            if let Some(found) = self.place_on(capacity.rack(rack), is_eligible) {
+        if let Some(rack) = group.spec.rack.as_deref().and_then(|r| capacity.rack(r)) {
+            if let Some(found) = self.place_in_rack(rack) {
                 return Some(found);
             }
-            if fits_empty(group, capacity, rack) {
+            if fits_empty(group, capacity, places, rack) {
                 return None;
             }
         }
-        self.place_on(&self.all_slots(), is_eligible)
+        self.place_anywhere()
     }
 
     /// Places the group in the fullest of the racks into which it fits, so that emptier racks stay
     /// free for larger gangs.
     fn place_in_fullest_rack(&self) -> Option<Placement> {
-        let mut racks: Vec<&Vec<usize>> = self.capacity.racks.values().collect();
-        racks.sort_by_key(|members| members.first().map_or(0, |i| self.rack_free[*i]));
-        racks.into_iter().find_map(|members| self.place_on(members, is_eligible))
+        let mut racks: Vec<usize> = (0..self.capacity.racks.len()).collect();
+        racks.retain(|r| self.places.free_in(*r) >= self.group.tasks.len() as u64);
+        racks.sort_by_key(|r| self.capacity.rack_free[*r]);
+        racks.into_iter().find_map(|r| self.place_in_rack(r))
+    }
+
+    fn place_in_rack(&self, rack: usize) -> Option<Placement> {
+        if self.places.free_in(rack) < self.group.tasks.len() as u64 {
+            return None;
+        }
+        self.place_on(self.capacity.racks[rack].iter().copied(), is_eligible)
+    }
+
+    fn place_anywhere(&self) -> Option<Placement> {
+        if self.places.free() < self.group.tasks.len() as u64 {
+            return None;
+        }
+        self.place_on(0..self.capacity.slots.len(), is_eligible)
     }
 
     fn place_on(
         &self,
-        among: &[usize],
+        among: impl Iterator<Item = usize>,
         allowed: impl Fn(&WorkerSlot<'_>) -> bool,
     ) -> Option<Placement> {
-        let Self { group, capacity, .. } = self;
+        let Self { group, capacity, places } = self;
         let need = group.spec.allocation();
-        let worker_max = if group.spec.worker_max == 0 { u32::MAX } else { group.spec.worker_max };
-        let mut options: Vec<WorkerOption> = Vec::with_capacity(among.len());
-        capacity.steps.add_workers(among.len());
-        for &slot in among {
+        let usable = among.filter(|i| {
+            capacity.steps.add_workers(1);
+            places.matching[*i]
+                && allowed(&capacity.slots[*i])
+                && capacity.is_permitted(group, &capacity.slots[*i])
+        });
+        let option = |slot: usize| {
             let worker = &capacity.slots[slot];
-            if !allowed(worker) || !capacity.can_run(group, worker) {
-                continue;
-            }
-            let count = worker.steps.get(&group.step).copied().unwrap_or(0);
-            options.push(WorkerOption { slot, free: self.free[slot], count });
-        }
+            WorkerOption { slot, free: worker.free, tasks_left: worker.remaining_tasks(group) }
+        };
+        let mut options: Vec<WorkerOption> = usable.map(option).collect();
         let mut placement = Vec::with_capacity(group.tasks.len());
         for task in &group.tasks {
             capacity.steps.add_workers(options.len());
-            let fits = |o: &&mut WorkerOption| o.count < worker_max && o.free.fits(&need);
+            let fits = |o: &&mut WorkerOption| o.tasks_left > 0 && o.free.fits(&need);
             let key = |o: &&mut WorkerOption| {
-                let worker = &capacity.slots[o.slot];
-                let failed_before = task.failed_on.contains(&worker.incarnation().worker);
-                let rack_free = self.rack_free[o.slot];
-                (failed_before, worker.health, tightness(&o.free, &need), rack_free)
+                let slot = &capacity.slots[o.slot];
+                let failed_before = task.failed_on.contains(&slot.incarnation().worker);
+                let rack_free = capacity.rack_free[slot.rack];
+                (failed_before, slot.health, tightness(&o.free, &need), rack_free)
             };
             let best = options.iter_mut().filter(fits).min_by_key(key)?;
             best.free = best.free.minus(&need);
-            best.count += 1;
+            best.tasks_left -= 1;
             placement.push(capacity.slots[best.slot].incarnation().clone());
         }
         Some(placement)
@@ -140,8 +164,8 @@
 struct WorkerOption {
     slot: usize,
     free: Resources,
-    /// Number of tasks of the step on the worker.
-    count: u32,
+    /// Number of tasks of the step that it may be assigned.
+    tasks_left: u32,
 }
 
 /// Returns the accelerators and the processor left on a worker after a task is placed on it; used
--- a/crates/bronzespool-batch/src/plan/reclaim.rs
+++ b/crates/bronzespool-batch/src/plan/reclaim.rs
@@ -12,6 +12,7 @@
             candidate::Candidate,
             capacity::{ClusterCapacity, WorkerSlot, is_eligible},
             place::{Placement, PlacementScope, fits_empty, tightness},
+            places::Places,
         },
         spec::Resources,
     },
@@ -51,6 +52,7 @@
     group: &TaskGroup<'_>,
     capacity: &ClusterCapacity<'_>,
     candidates: &[Vec<Candidate>],
+    places: &Places,
     scope: PlacementScope,
 ) -> Option<ReleasePlan> {
     let all: Vec<usize> = (0..capacity.slots.len()).collect();
@@ -62,17 +64,17 @@
     }
     if group.spec.single_rack && group.tasks.len() > 1 {
         let racks = &capacity.racks;
-        let found = racks.values().filter_map(|members| search().place_on(members, is_eligible));
+        let found = racks.iter().filter_map(|members| search().place_on(members, is_eligible));
         if let Some(best) = found.min_by_key(|(_, _, loss)| *loss) {
             return Some(best);
         }
-        if racks.keys().any(|rack| fits_empty(group, capacity, rack)) {
+        if (0..racks.len()).any(|rack| fits_empty(group, capacity, places, rack)) {
             return None;
         }
     }
-    match group.spec.rack.as_deref() {
-        Some(rack) if fits_empty(group, capacity, rack) => {
-            search().place_on(capacity.rack(rack), is_eligible)
+    match group.spec.rack.as_deref().and_then(|rack| capacity.rack(rack)) {
+        Some(rack) if fits_empty(group, capacity, places, rack) => {
+            search().place_on(&capacity.racks[rack], is_eligible)
         }
         _ => search().place_on(&all, is_eligible),
     }
--- a/crates/bronzespool-batch/src/spec.rs
+++ b/crates/bronzespool-batch/src/spec.rs
@@ -41,7 +41,7 @@
 impl std::error::Error for Error {}
 
 /// Resources of a worker, or of one task.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Resources {
     /// Processor in thousandths of a core.
     pub cpu: u64,
@@ -57,6 +57,13 @@
         self.cpu >= need.cpu && self.memory >= need.memory && self.gpu >= need.gpu
     }
 
+    /// Returns how many times `need` fits into these resources; `u64::MAX` if it is nothing.
+    pub fn count(&self, need: &Self) -> u64 {
+        let fits = |whole: u64, each: u64| whole.checked_div(each).unwrap_or(u64::MAX);
+        let cpu = fits(self.cpu, need.cpu);
+        cpu.min(fits(self.memory, need.memory)).min(fits(self.gpu, need.gpu))
+    }
+
     /// Returns the sum, saturating at the numeric bounds.
     #[must_use]
     pub const fn plus(&self, other: &Self) -> Self {
