perf(batch): look again only at workers that a search has changed

For each task of a gang, the search for runs to stop built and sorted the options of all workers anew, and for each rack it copied the capacity of the whole cluster. It now keeps the option of each worker among those that it may use, and renews those of the worker it has chosen, of workers with further members of a stopped gang, and of those with tasks of a step whose budget has changed. A worker whose runs together are too small has no option, without sorting them. A rack is given up once it costs as much as the best one, and a placement once it costs more than the job contributes: neither would be taken.

--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -37,7 +37,7 @@
         place::{Placement, PlacementScope, place},
         places::PlaceIndex,
         precedence::precedence_of,
-        reclaim::{ReleasePlan, place_by_release},
+        reclaim::{ReleasePlan, ReleaseSearch},
         urgency::Urgency,
     },
     crate::{
@@ -247,11 +247,12 @@
         if waits || (!guaranteed && urgency.misses_cutoff()) {
             return None;
         }
-        let (placement, victims, loss) = self.release(group, scope, ReleaseMode::Preempt)?;
         let count = group.tasks.len() as u64;
         let contributed =
             group.spec.allocation().times(count).weight().saturating_mul(group.spec.estimate);
-        (guaranteed || loss <= contributed).then_some((placement, victims))
+        let loss_max = if guaranteed { u64::MAX } else { contributed };
+        let (placement, victims, _) = self.release(group, scope, ReleaseMode::Preempt, loss_max)?;
+        Some((placement, victims))
     }
 
     /// Finds a placement that a large task group can wait for. Without a reservation, small groups
@@ -265,7 +266,8 @@
         if urgency.misses_cutoff() || self.view.now.since(group.ready_at) < RESERVE_AFTER {
             return None;
         }
-        self.release(group, scope, ReleaseMode::Wait).map(|(placement, ..)| placement)
+        let found = self.release(group, scope, ReleaseMode::Wait, u64::MAX);
+        found.map(|(placement, ..)| placement)
     }
 
     fn release(
@@ -273,10 +275,12 @@
         group: &TaskGroup<'_>,
         scope: PlacementScope,
         mode: ReleaseMode,
+        loss_max: u64,
     ) -> Option<ReleasePlan> {
-        let candidates = self.candidates.of_group(group, &self.capacity, &self.precedence, mode);
-        let places = self.places.of_group(group, &self.capacity);
-        place_by_release(group, &self.capacity, candidates, places, scope)
+        let capacity = &self.capacity;
+        let candidates = self.candidates.of_group(group, capacity, &self.precedence, mode);
+        let places = self.places.of_group(group, capacity);
+        ReleaseSearch { group, capacity, candidates, places, loss_max }.place(scope)
     }
 }
 
--- a/crates/bronzespool-batch/src/plan/reclaim.rs
+++ b/crates/bronzespool-batch/src/plan/reclaim.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        id::{RunId, StepId, WorkerIncarnation},
+        id::{RunId, StepId},
         plan::{
             TaskGroup,
             candidate::Candidate,
@@ -19,16 +19,112 @@
     bronzespool_core::{HashMap, HashSet},
 };
 
-/// State of a search for a placement of one task group.
-struct PlacementSearch<'a, 'b> {
-    group: &'a TaskGroup<'a>,
-    capacity: &'a ClusterCapacity<'b>,
+/// A placement, the runs to stop for it, and the cost of stopping them: lost work in thousandths of
+/// a core times milliseconds, weighted by priority.
+pub(super) type ReleasePlan = (Placement, Vec<RunId>, u64);
+
+/// What a search for a placement by release reads.
+pub(super) struct ReleaseSearch<'a, 'b> {
+    pub(super) group: &'a TaskGroup<'a>,
+    pub(super) capacity: &'a ClusterCapacity<'b>,
     /// Runs that can release capacity, by worker.
-    candidates: &'a [Vec<Candidate>],
+    pub(super) candidates: &'a [Vec<Candidate>],
+    pub(super) places: &'a Places,
+    /// Cost beyond which a placement is of no use.
+    pub(super) loss_max: u64,
+}
+
+impl ReleaseSearch<'_, '_> {
+    /// Returns the placement that costs the least, and the runs that have to be stopped for it.
+    pub(super) fn place(&self, scope: PlacementScope) -> Option<ReleasePlan> {
+        let Self { group, capacity, places, .. } = self;
+        match scope {
+            PlacementScope::Local => {}
+            PlacementScope::AnyRack => return self.place_anywhere(is_eligible),
+            PlacementScope::AnyWorker => return self.place_anywhere(|_| true),
+        }
+        if group.spec.single_rack && group.tasks.len() > 1 {
+            if let Some(best) = self.place_in_cheapest_rack(self.loss_max) {
+                return Some(best);
+            }
+            let mut racks = 0..capacity.racks.len();
+            let waits = racks.any(|rack| fits_empty(group, capacity, places, rack));
+            // A rack that costs too much rules out all that is not in one rack.
+            if waits || self.place_in_cheapest_rack(u64::MAX).is_some() {
+                return None;
+            }
+        }
+        match group.spec.rack.as_deref().and_then(|rack| capacity.rack(rack)) {
+            Some(rack) if fits_empty(group, capacity, places, rack) => {
+                self.place_in_rack(rack, self.loss_max)
+            }
+            _ => self.place_anywhere(is_eligible),
+        }
+    }
+
+    /// Returns the placement in the first of the racks that cost the least.
+    fn place_in_cheapest_rack(&self, loss_max: u64) -> Option<ReleasePlan> {
+        let (mut best, mut loss_max): (Option<ReleasePlan>, _) = (None, Some(loss_max));
+        for rack in 0..self.capacity.racks.len() {
+            let Some(max) = loss_max else { break };
+            if let Some(found) = self.place_in_rack(rack, max) {
+                loss_max = found.2.checked_sub(1);
+                best = Some(found);
+            }
+        }
+        best
+    }
+
+    fn place_in_rack(&self, rack: usize, loss_max: u64) -> Option<ReleasePlan> {
+        self.place_on(self.capacity.racks[rack].iter().copied(), is_eligible, loss_max)
+    }
+
+    fn place_anywhere(&self, allowed: impl Fn(&WorkerSlot<'_>) -> bool) -> Option<ReleasePlan> {
+        self.place_on(0..self.capacity.slots.len(), allowed, self.loss_max)
+    }
+
+    /// Places all tasks on allowed workers; none if that is not possible or costs too much.
+    fn place_on(
+        &self,
+        among: impl Iterator<Item = usize>,
+        allowed: impl Fn(&WorkerSlot<'_>) -> bool,
+        loss_max: u64,
+    ) -> Option<ReleasePlan> {
+        let Self { group, capacity, places, .. } = self;
+        let usable = among.filter(|i| {
+            capacity.steps.add_workers(1);
+            let slot = &capacity.slots[*i];
+            places.matching[*i] && allowed(slot) && capacity.is_permitted(group, slot)
+        });
+        let mut state = SearchState::new(self, usable);
+        let need = group.spec.allocation();
+        let mut placement = Vec::with_capacity(group.tasks.len());
+        for task in &group.tasks {
+            capacity.steps.add_workers(state.workers.len());
+            let key = |(_, w): &(usize, &WorkerState)| {
+                let slot = &capacity.slots[w.slot];
+                let failed_before = task.failed_on.contains(&slot.incarnation().worker);
+                let loss = w.option.as_ref().map_or(0, |o| o.loss);
+                (failed_before, slot.health, loss, tightness(&w.available, &need))
+            };
+            let options = state.workers.iter().enumerate().filter(|(_, w)| w.option.is_some());
+            let (best, worker) = options.min_by_key(key)?;
+            placement.push(capacity.slots[worker.slot].incarnation().clone());
+            state.accept(best);
+            if state.loss > loss_max {
+                return None;
+            }
+        }
+        Some((placement, state.victims, state.loss))
+    }
+}
+
+/// State of a search among some workers.
+struct SearchState<'a, 'b, 'c> {
+    search: &'c ReleaseSearch<'a, 'b>,
+    workers: Vec<WorkerState>,
     /// Candidates that the search has used.
     used: HashSet<RunId>,
-    available: Vec<Resources>,
-    counts: Vec<u32>,
     victims: Vec<RunId>,
     stopped_gangs: HashSet<StepId>,
     /// Number of ready tasks that are stopped, by step.
@@ -36,118 +132,79 @@
     loss: u64,
 }
 
-/// A worker for one task and the runs that have to release capacity on it.
-struct WorkerOption {
+/// A worker that a search may use.
+struct WorkerState {
     slot: usize,
-    victims: Vec<usize>,
-    loss: u64,
+    available: Resources,
+    /// Number of tasks of the step that it may still be assigned.
+    tasks_left: u32,
+    /// What placing one more task on it takes; none if that is not possible.
+    option: Option<ReleaseOption>,
 }
 
-/// A placement, the runs to stop for it, and the cost of stopping them: lost work in thousandths of
-/// a core times milliseconds, weighted by priority.
-pub(super) type ReleasePlan = (Placement, Vec<RunId>, u64);
-
-/// Returns the placement that costs the least, and the runs that have to be stopped for it.
-pub(super) fn place_by_release(
-    group: &TaskGroup<'_>,
-    capacity: &ClusterCapacity<'_>,
-    candidates: &[Vec<Candidate>],
-    places: &Places,
-    scope: PlacementScope,
-) -> Option<ReleasePlan> {
-    let all: Vec<usize> = (0..capacity.slots.len()).collect();
-    let search = || PlacementSearch::new(group, capacity, candidates);
-    match scope {
-        PlacementScope::Local => {}
-        PlacementScope::AnyRack => return search().place_on(&all, is_eligible),
-        PlacementScope::AnyWorker => return search().place_on(&all, |_| true),
-    }
-    if group.spec.single_rack && group.tasks.len() > 1 {
-        let racks = &capacity.racks;
-        let found = racks.iter().filter_map(|members| search().place_on(members, is_eligible));
-        if let Some(best) = found.min_by_key(|(_, _, loss)| *loss) {
-            return Some(best);
-        }
-        if (0..racks.len()).any(|rack| fits_empty(group, capacity, places, rack)) {
-            return None;
-        }
-    }
-    match group.spec.rack.as_deref().and_then(|rack| capacity.rack(rack)) {
-        Some(rack) if fits_empty(group, capacity, places, rack) => {
-            search().place_on(&capacity.racks[rack], is_eligible)
-        }
-        _ => search().place_on(&all, is_eligible),
-    }
+/// The runs that have to release capacity on a worker for one task.
+struct ReleaseOption {
+    victims: Vec<usize>,
+    loss: u64,
 }
 
-impl<'a, 'b> PlacementSearch<'a, 'b> {
-    fn new(
-        group: &'a TaskGroup<'a>,
-        capacity: &'a ClusterCapacity<'b>,
-        candidates: &'a [Vec<Candidate>],
-    ) -> Self {
-        let steps = |s: &WorkerSlot<'_>| s.steps.get(&group.step).copied().unwrap_or(0);
-        Self {
-            group,
-            capacity,
-            candidates,
+impl<'a, 'b, 'c> SearchState<'a, 'b, 'c> {
+    fn new(search: &'c ReleaseSearch<'a, 'b>, usable: impl Iterator<Item = usize>) -> Self {
+        let worker = |slot: usize| {
+            let capacity = &search.capacity.slots[slot];
+            WorkerState {
+                slot,
+                available: capacity.free.plus(&capacity.releasing),
+                tasks_left: capacity.remaining_tasks(search.group),
+                option: None,
+            }
+        };
+        let mut state = Self {
+            search,
+            workers: usable.map(worker).collect(),
             used: HashSet::default(),
-            available: capacity.slots.iter().map(|s| s.free.plus(&s.releasing)).collect(),
-            counts: capacity.slots.iter().map(steps).collect(),
             victims: Vec::new(),
             stopped_gangs: HashSet::default(),
             stopped_ready: HashMap::default(),
             loss: 0,
-        }
+        };
+        (0..state.workers.len()).for_each(|i| state.update_option(i));
+        state
     }
 
-    /// Places all tasks on allowed workers; none if that is not possible.
-    fn place_on(
-        mut self,
-        among: &[usize],
-        allowed: impl Fn(&WorkerSlot<'_>) -> bool,
-    ) -> Option<ReleasePlan> {
-        let mut placement: Vec<WorkerIncarnation> = Vec::with_capacity(self.group.tasks.len());
-        for task in &self.group.tasks {
-            self.capacity.steps.add_workers(among.len());
-            let options = among.iter().filter(|i| allowed(&self.capacity.slots[**i]));
-            let options = options.filter_map(|i| self.worker_option(*i));
-            let need = self.group.spec.allocation();
-            let best = options.min_by_key(|o| {
-                let slot = &self.capacity.slots[o.slot];
-                let failed_before = task.failed_on.contains(&slot.incarnation().worker);
-                (failed_before, slot.health, o.loss, tightness(&self.available[o.slot], &need))
-            })?;
-            placement.push(self.capacity.slots[best.slot].incarnation().clone());
-            self.accept(best);
-        }
-        Some((placement, self.victims, self.loss))
+    fn update_option(&mut self, worker: usize) {
+        self.workers[worker].option = self.option(&self.workers[worker]);
     }
 
     /// Returns what placing one more task on a worker takes; none if that is not possible.
-    fn worker_option(&self, slot: usize) -> Option<WorkerOption> {
-        let spec = self.group.spec;
-        let full = spec.worker_max > 0 && self.counts[slot] >= spec.worker_max;
-        if full || !self.capacity.can_run(self.group, &self.capacity.slots[slot]) {
+    fn option(&self, worker: &WorkerState) -> Option<ReleaseOption> {
+        let need = self.search.group.spec.allocation();
+        let mut available = worker.available;
+        let mut option = ReleaseOption { victims: Vec::new(), loss: 0 };
+        if worker.tasks_left == 0 {
             return None;
         }
-        self.capacity.steps.add_runs(self.candidates[slot].len());
-        let need = spec.allocation();
-        let mut available = self.available[slot];
-        let mut option = WorkerOption { slot, victims: Vec::new(), loss: 0 };
-        let unused = |i: &usize| !self.used.contains(&self.candidates[slot][*i].run);
-        let mut order: Vec<usize> = (0..self.candidates[slot].len()).filter(unused).collect();
-        order.sort_by_key(|i| self.marginal_cost(&self.candidates[slot][*i]));
+        if available.fits(&need) {
+            return Some(option);
+        }
+        let candidates = &self.search.candidates[worker.slot];
+        self.search.capacity.steps.add_runs(candidates.len());
+        let unused = |i: &usize| !self.used.contains(&candidates[*i].run);
+        let mut order: Vec<usize> = (0..candidates.len()).filter(unused).collect();
+        let most = order.iter().fold(available, |sum, i| sum.plus(&candidates[*i].allocation));
+        if !most.fits(&need) {
+            return None;
+        }
+        order.sort_by_key(|i| self.marginal_cost(&candidates[*i]));
         for i in order {
             if available.fits(&need) {
                 break;
             }
-            let candidate = &self.candidates[slot][i];
-            if self.is_over_budget(slot, &option, candidate) {
+            if self.is_over_budget(worker.slot, &option, &candidates[i]) {
                 continue;
             }
-            available = available.plus(&candidate.allocation);
-            option.loss += self.marginal_cost(candidate);
+            available = available.plus(&candidates[i].allocation);
+            option.loss += self.marginal_cost(&candidates[i]);
             option.victims.push(i);
         }
         available.fits(&need).then_some(option)
@@ -155,10 +212,10 @@
 
     /// Whether stopping a run in addition to those of an option exceeds the disruption budget of
     /// its step.
-    fn is_over_budget(&self, slot: usize, option: &WorkerOption, candidate: &Candidate) -> bool {
+    fn is_over_budget(&self, slot: usize, option: &ReleaseOption, candidate: &Candidate) -> bool {
         let Some(budget_left) = candidate.budget_left else { return false };
         let step = candidate.run.task.step;
-        let beside = option.victims.iter().map(|i| &self.candidates[slot][*i]);
+        let beside = option.victims.iter().map(|i| &self.search.candidates[slot][*i]);
         let beside = beside.filter(|c| c.budget_left.is_some() && c.run.task.step == step).count();
         self.stopped_ready.get(&step).copied().unwrap_or(0) + beside as u32 >= budget_left
     }
@@ -172,22 +229,52 @@
         }
     }
 
-    fn accept(&mut self, option: WorkerOption) {
-        let WorkerOption { slot, victims, loss } = option;
+    /// Places one more task on a worker.
+    fn accept(&mut self, worker: usize) {
+        let Some(ReleaseOption { victims, loss }) = self.workers[worker].option.take() else {
+            return;
+        };
         self.loss += loss;
-        for i in victims {
-            let candidate = &self.candidates[slot][i];
-            self.used.insert(candidate.run);
-            self.available[slot] = self.available[slot].plus(&candidate.allocation);
-            self.stopped_gangs.extend(candidate.gang);
-            if candidate.budget_left.is_some() {
-                *self.stopped_ready.entry(candidate.run.task.step).or_default() += 1;
-            }
-            if !candidate.nearly_done {
-                self.victims.push(candidate.run);
+        let candidates = &self.search.candidates[self.workers[worker].slot];
+        let stopped: Vec<&Candidate> = victims.iter().map(|i| &candidates[*i]).collect();
+        for candidate in &stopped {
+            self.stop(candidate);
+            let available = &mut self.workers[worker].available;
+            *available = available.plus(&candidate.allocation);
+        }
+        let state = &mut self.workers[worker];
+        state.available = state.available.minus(&self.search.group.spec.allocation());
+        state.tasks_left -= 1;
+        self.update_option(worker);
+        self.update_beside(&stopped);
+    }
+
+    fn stop(&mut self, candidate: &Candidate) {
+        self.used.insert(candidate.run);
+        self.stopped_gangs.extend(candidate.gang);
+        if candidate.budget_left.is_some() {
+            *self.stopped_ready.entry(candidate.run.task.step).or_default() += 1;
+        }
+        if !candidate.nearly_done {
+            self.victims.push(candidate.run);
+        }
+    }
+
+    /// Updates the workers with further members of stopped gangs, which cost nothing more, and with
+    /// tasks of steps whose disruption budget has changed.
+    fn update_beside(&mut self, stopped: &[&Candidate]) {
+        let shared = |c: &&&Candidate| c.gang.is_some() || c.budget_left.is_some();
+        let steps: HashSet<StepId> =
+            stopped.iter().filter(shared).map(|c| c.run.task.step).collect();
+        if steps.is_empty() {
+            return;
+        }
+        for i in 0..self.workers.len() {
+            let candidates = &self.search.candidates[self.workers[i].slot];
+            self.search.capacity.steps.add_runs(candidates.len());
+            if candidates.iter().any(|c| steps.contains(&c.run.task.step)) {
+                self.update_option(i);
             }
         }
-        self.available[slot] = self.available[slot].minus(&self.group.spec.allocation());
-        self.counts[slot] += 1;
     }
 }
--- a/crates/bronzespool-batch/tests/decisions.rs
+++ b/crates/bronzespool-batch/tests/decisions.rs
@@ -16,8 +16,9 @@
     std::{fmt::Write, fs, path::PathBuf, sync::Arc, time::Duration},
 };
 
-/// Clusters that are compared.
+/// Clusters that are compared: with jobs of all forms, and with gangs in the way of gangs.
 const CLUSTERS: u64 = 80;
+const CLUSTERS_OF_GANGS: u64 = 80;
 /// Plans of each cluster.
 const PLANS: usize = 40;
 const SERVICES: [&str; 2] = ["desk", "kiln"];
@@ -61,6 +62,8 @@
     planner: Planner,
     racks: usize,
     jobs: u64,
+    /// Whether gangs of a lower priority fill the cluster before those of the first come.
+    of_gangs: bool,
 }
 
 impl RandomCluster {
@@ -73,7 +76,8 @@
             ..ClusterView::default()
         };
         let (ledger, planner) = (Ledger::default(), Planner::default());
-        let mut cluster = Self { rng, ledger, view, planner, racks, jobs: 0 };
+        let of_gangs = seed >= CLUSTERS;
+        let mut cluster = Self { rng, ledger, view, planner, racks, jobs: 0, of_gangs };
         cluster.configure(1);
         let workers = cluster.rng.usize(1..5) * racks;
         for worker in 0..workers {
@@ -137,8 +141,12 @@
         self.apply(Event::WorkerUp(Box::new(spec)));
     }
 
-    fn submit(&mut self) {
+    fn submit(&mut self, plan: usize) {
         self.jobs += 1;
+        if self.of_gangs {
+            let spec = self.job_of_gangs(plan);
+            return self.apply(Event::Submitted(Arc::new(spec)));
+        }
         let steps = self.rng.u16(1..4);
         let repeated = self.rng.usize(0..8) == 0;
         let spec = JobSpec {
@@ -154,6 +162,33 @@
         self.apply(Event::Submitted(Arc::new(spec)));
     }
 
+    fn job_of_gangs(&mut self, plan: usize) -> JobSpec {
+        let rng = &mut self.rng;
+        let late = plan >= 8;
+        let queue = if late { ["q0", "q1"][rng.usize(0..2)] } else { "q2" };
+        let gang = rng.usize(0..5) > 0;
+        let step = Step {
+            count: rng.u32(2..8),
+            need: Resources { cpu: 4_000, memory: 4_000, gpu: rng.choice([1, 2, 3]).unwrap() },
+            estimate: rng.u64(10..200) * 100,
+            checkpoints: rng.usize(0..3) == 0,
+            gang,
+            single_rack: late && rng.bool(),
+            disruption_budget: (!gang && rng.bool()).then(|| rng.u32(0..4)),
+            ..Step::default()
+        };
+        JobSpec {
+            id: JobId(rng.u64(..) << 20 | self.jobs),
+            queue: queue.into(),
+            team: Some(TEAMS[rng.usize(0..3)].into()),
+            text: "".into(),
+            steps: vec![step],
+            times: 0,
+            start: 0,
+            interval: 0,
+        }
+    }
+
     fn step(&mut self, index: u16) -> Step {
         let rng = &mut self.rng;
         let mut one_in = |n: usize| rng.usize(0..n) == 0;
@@ -275,7 +310,7 @@
         self.view.now += Duration::from_millis(span);
         self.view.wall += span;
         let jobs = self.rng.usize(0..if plan < 8 { 6 } else { 3 });
-        (0..jobs).for_each(|_| self.submit());
+        (0..jobs).for_each(|_| self.submit(plan));
         self.end_some();
         self.report_progress();
         match self.rng.usize(0..24) {
@@ -315,7 +350,7 @@
 fn plan_random_clusters_as_on_record() {
     let mut text = String::new();
     let mut sums = [0; 4];
-    for seed in 0..CLUSTERS {
+    for seed in 0..CLUSTERS + CLUSTERS_OF_GANGS {
         let Decisions { hash, started, gangs, reclaimed, broken } =
             RandomCluster::new(seed).decisions();
         writeln!(text, "{seed} {hash:016x} {started} {gangs} {reclaimed} {broken}").unwrap();
