perf(batch): search for runs to stop only where they can be enough

A gang that wants one rack was searched for in each rack, although in most racks all that is free or can be released is too little for it. How many of its tasks fit into that at most is now kept for each kind of task and class of precedence, by worker and rack, and only racks that can hold the group are searched. Budgets, limits per worker and permits only lower the number.

--- a/crates/bronzespool-batch/src/plan/candidate.rs
+++ b/crates/bronzespool-batch/src/plan/candidate.rs
@@ -9,8 +9,9 @@
         ledger::Ledger,
         plan::{
             ClusterView, Precedence, TaskGroup,
-            capacity::{ClusterCapacity, WorkerSlot},
+            capacity::{ClusterCapacity, WorkerSlot, is_eligible},
             disruption,
+            places::{Places, TaskCounts, TaskKind},
             time_left::{NEARLY_DONE, TimeLeft},
         },
         spec::Resources,
@@ -69,11 +70,20 @@
     }
 }
 
-/// The runs that can release capacity, by class and worker.
+/// The runs that can release capacity for the groups of one class.
+#[derive(Default)]
+pub(super) struct ClassCandidates {
+    /// The runs by worker.
+    pub(super) by_slot: Vec<Vec<Candidate>>,
+    /// Tasks that fit at most into what is free or can be released, by kind of task.
+    counts: HashMap<TaskKind, TaskCounts>,
+}
+
+/// The runs that can release capacity, by class.
 pub(super) struct Candidates<'a> {
     view: &'a ClusterView,
     estimate: TimeLeft<'a>,
-    by_class: HashMap<ReleaseClass, Vec<Vec<Candidate>>>,
+    by_class: HashMap<ReleaseClass, ClassCandidates>,
 }
 
 impl<'a> Candidates<'a> {
@@ -81,17 +91,19 @@
         Self { view, estimate: TimeLeft::new(ledger, view), by_class: HashMap::default() }
     }
 
-    /// Returns the runs that can release capacity for a group, by worker.
+    /// Returns the runs that can release capacity for a group, by worker, and how many of its tasks
+    /// fit at most if all of them do.
     pub(super) fn of_group(
         &mut self,
         group: &TaskGroup<'_>,
         capacity: &ClusterCapacity<'_>,
+        places: &Places,
         precedence: &Precedence,
         mode: ReleaseMode,
-    ) -> &[Vec<Candidate>] {
+    ) -> (&[Vec<Candidate>], &TaskCounts) {
         let class = ReleaseClass::of(group, precedence, mode);
         let Self { view, estimate, by_class } = self;
-        by_class.entry(class).or_insert_with(|| {
+        let class = by_class.entry(class).or_insert_with(|| {
             capacity.steps.add_workers(capacity.slots.len());
             let on_slot = |slot: &WorkerSlot<'_>| match mode {
                 ReleaseMode::Preempt => {
@@ -99,8 +111,15 @@
                 }
                 ReleaseMode::Wait => finishing_candidates(slot, capacity, estimate),
             };
-            capacity.slots.iter().map(on_slot).collect()
-        })
+            let by_slot = capacity.slots.iter().map(on_slot).collect();
+            ClassCandidates { by_slot, counts: HashMap::default() }
+        });
+        let ClassCandidates { by_slot, counts } = class;
+        let count = released_tasks(group, capacity, places, by_slot);
+        let counts = counts.entry(TaskKind::of(group));
+        let counts = counts.or_insert_with(|| TaskCounts::new(capacity, &count));
+        counts.update(capacity, &count);
+        (by_slot, counts)
     }
 
     /// Forgets runs that this plan stops. The others of their steps are determined anew if there is
@@ -115,12 +134,32 @@
             self.by_class.clear();
             return;
         }
-        for on_slot in self.by_class.values_mut().flatten() {
+        for on_slot in self.by_class.values_mut().flat_map(|c| &mut c.by_slot) {
             on_slot.retain(|c| !capacity.stopping.contains(&c.run));
         }
     }
 }
 
+/// Returns the number of a group's tasks that fit at most into what is free or can be released on a
+/// worker. It only falls during a plan: stopped runs are still counted until they have ended.
+fn released_tasks(
+    group: &TaskGroup<'_>,
+    capacity: &ClusterCapacity<'_>,
+    places: &Places,
+    by_slot: &[Vec<Candidate>],
+) -> impl Fn(usize) -> u64 {
+    let need = group.spec.allocation();
+    move |i| {
+        let slot = &capacity.slots[i];
+        if !places.matching[i] || !is_eligible(slot) {
+            return 0;
+        }
+        capacity.steps.add_runs(by_slot[i].len());
+        let available = slot.free.plus(&slot.releasing);
+        by_slot[i].iter().fold(available, |sum, c| sum.plus(&c.allocation)).count(&need)
+    }
+}
+
 /// Returns the runs on a worker that may be stopped, and those that end so soon that they need not
 /// be.
 fn preemption_candidates(
--- a/crates/bronzespool-batch/src/plan/capacity.rs
+++ b/crates/bronzespool-batch/src/plan/capacity.rs
@@ -37,6 +37,11 @@
         &self.worker.spec.incarnation
     }
 
+    /// Returns the worker's resources if nothing runs on it.
+    pub(super) const fn whole(&self) -> &Resources {
+        &self.worker.spec.capacity
+    }
+
     /// Whether the worker belongs to the service and has the label that the step requires.
     pub(super) fn meets_requirements(&self, service: &Arc<str>, step: &Step) -> bool {
         let label = step.label.as_ref();
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -278,9 +278,10 @@
         loss_max: u64,
     ) -> Option<ReleasePlan> {
         let capacity = &self.capacity;
-        let candidates = self.candidates.of_group(group, capacity, &self.precedence, mode);
         let places = self.places.of_group(group, capacity);
-        ReleaseSearch { group, capacity, candidates, places, loss_max }.place(scope)
+        let (candidates, counts) =
+            self.candidates.of_group(group, capacity, places, &self.precedence, mode);
+        ReleaseSearch { group, capacity, candidates, counts, places, loss_max }.place(scope)
     }
 }
 
--- a/crates/bronzespool-batch/src/plan/place.rs
+++ b/crates/bronzespool-batch/src/plan/place.rs
@@ -52,7 +52,7 @@
     rack: usize,
 ) -> bool {
     let count = group.tasks.len() as u64;
-    if places.empty_in(rack) < count {
+    if places.empty.in_rack(rack) < count {
         return false;
     }
     if !group.needs_permit && group.spec.worker_max == 0 {
@@ -61,7 +61,7 @@
     let need = group.spec.allocation();
     let on_worker = |i: &usize| {
         let slot = &capacity.slots[*i];
-        let places = slot.worker.spec.capacity.count(&need);
+        let places = slot.whole().count(&need);
         places.min(u64::from(slot.remaining_tasks(group)))
     };
     let members = capacity.racks[rack].iter();
@@ -104,20 +104,20 @@
     /// free for larger gangs.
     fn place_in_fullest_rack(&self) -> Option<Placement> {
         let mut racks: Vec<usize> = (0..self.capacity.racks.len()).collect();
-        racks.retain(|r| self.places.free_in(*r) >= self.group.tasks.len() as u64);
+        racks.retain(|r| self.places.free.in_rack(*r) >= self.group.tasks.len() as u64);
         racks.sort_by_key(|r| self.capacity.rack_free[*r]);
         racks.into_iter().find_map(|r| self.place_in_rack(r))
     }
 
     fn place_in_rack(&self, rack: usize) -> Option<Placement> {
-        if self.places.free_in(rack) < self.group.tasks.len() as u64 {
+        if self.places.free.in_rack(rack) < self.group.tasks.len() as u64 {
             return None;
         }
         self.place_on(self.capacity.racks[rack].iter().copied(), is_eligible)
     }
 
     fn place_anywhere(&self) -> Option<Placement> {
-        if self.places.free() < self.group.tasks.len() as u64 {
+        if self.places.free.sum() < self.group.tasks.len() as u64 {
             return None;
         }
         self.place_on(0..self.capacity.slots.len(), is_eligible)
--- a/crates/bronzespool-batch/src/plan/places.rs
+++ b/crates/bronzespool-batch/src/plan/places.rs
@@ -7,7 +7,7 @@
     crate::{
         plan::{
             TaskGroup,
-            capacity::{ClusterCapacity, WorkerSlot, is_eligible},
+            capacity::{ClusterCapacity, is_eligible},
         },
         spec::Resources,
     },
@@ -17,25 +17,82 @@
 
 /// What a task requires of a worker, permits and limits per worker aside.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct TaskKind {
+pub(super) struct TaskKind {
     service: Arc<str>,
     label: Option<Arc<str>>,
     need: Resources,
 }
 
-/// Tasks of one kind that fit into free capacity, and into workers on which nothing runs.
+impl TaskKind {
+    pub(super) fn of(group: &TaskGroup<'_>) -> Self {
+        Self {
+            service: Arc::clone(group.service),
+            label: group.spec.label.clone(),
+            need: group.spec.allocation(),
+        }
+    }
+}
+
+/// Numbers of tasks of one kind by worker and rack.
+#[derive(Debug, Default)]
+pub(super) struct TaskCounts {
+    by_slot: Vec<u64>,
+    by_rack: Vec<u64>,
+    /// Number of changes of capacity that are considered.
+    changes: usize,
+}
+
+impl TaskCounts {
+    /// Counts the tasks on each worker by `count`.
+    pub(super) fn new(capacity: &ClusterCapacity<'_>, count: impl Fn(usize) -> u64) -> Self {
+        capacity.steps.add_workers(capacity.slots.len());
+        let mut counts = Self {
+            by_slot: (0..capacity.slots.len()).map(count).collect(),
+            by_rack: Vec::new(),
+            changes: capacity.changed.len(),
+        };
+        counts.by_rack = capacity.racks.iter().map(|members| counts.sum_of(members)).collect();
+        counts
+    }
+
+    fn sum_of(&self, members: &[usize]) -> u64 {
+        members.iter().fold(0, |sum, i| self.by_slot[*i].saturating_add(sum))
+    }
+
+    /// Counts the tasks anew on the workers that have changed since the last call.
+    pub(super) fn update(&mut self, capacity: &ClusterCapacity<'_>, count: impl Fn(usize) -> u64) {
+        let changed = &capacity.changed[self.changes..];
+        self.changes = capacity.changed.len();
+        for &slot in changed {
+            capacity.steps.add_workers(1);
+            let now = count(slot);
+            if std::mem::replace(&mut self.by_slot[slot], now) != now {
+                let rack = capacity.slots[slot].rack;
+                self.by_rack[rack] = self.sum_of(&capacity.racks[rack]);
+            }
+        }
+    }
+
+    /// Returns the sum over all workers.
+    pub(super) fn sum(&self) -> u64 {
+        self.by_rack.iter().fold(0, |sum, count| count.saturating_add(sum))
+    }
+
+    /// Returns the sum over the workers of a rack.
+    pub(super) fn in_rack(&self, rack: usize) -> u64 {
+        self.by_rack[rack]
+    }
+}
+
+/// Workers and capacity for tasks of one kind.
 #[derive(Debug, Default)]
 pub(super) struct Places {
     /// Whether each worker meets the requirements.
     pub(super) matching: Vec<bool>,
-    /// Tasks that fit into the free capacity of each eligible worker.
-    free: Vec<u64>,
-    /// Sums of these by rack.
-    free_by_rack: Vec<u64>,
-    /// Tasks that fit into each rack if nothing runs on it.
-    empty_by_rack: Vec<u64>,
-    /// Number of changes of capacity that are considered.
-    changes: usize,
+    /// Tasks that fit into the free capacity of eligible workers at most.
+    pub(super) free: TaskCounts,
+    /// Tasks that fit into workers on which nothing runs at most.
+    pub(super) empty: TaskCounts,
 }
 
 /// The places for all kinds of tasks that a plan has met.
@@ -51,14 +108,10 @@
         group: &TaskGroup<'_>,
         capacity: &ClusterCapacity<'_>,
     ) -> &Places {
-        let kind = TaskKind {
-            service: Arc::clone(group.service),
-            label: group.spec.label.clone(),
-            need: group.spec.allocation(),
-        };
-        let places = self.by_kind.entry(kind);
+        let places = self.by_kind.entry(TaskKind::of(group));
         let places = places.or_insert_with(|| Places::new(group, capacity));
-        places.update(group, capacity);
+        let Places { matching, free, .. } = places;
+        free.update(capacity, free_tasks(group, capacity, matching));
         places
     }
 }
@@ -67,64 +120,23 @@
     fn new(group: &TaskGroup<'_>, capacity: &ClusterCapacity<'_>) -> Self {
         let need = group.spec.allocation();
         let slots = &capacity.slots;
-        capacity.steps.add_workers(slots.len());
-        let mut places = Self {
-            matching: slots
-                .iter()
-                .map(|s| s.meets_requirements(group.service, group.spec))
-                .collect(),
-            free: vec![0; slots.len()],
-            free_by_rack: vec![0; capacity.racks.len()],
-            empty_by_rack: vec![0; capacity.racks.len()],
-            changes: capacity.changed.len(),
-        };
-        for (i, slot) in slots.iter().enumerate().filter(|(i, _)| places.matching[*i]) {
-            let empty = &mut places.empty_by_rack[slot.rack];
-            *empty = empty.saturating_add(slot.worker.spec.capacity.count(&need));
-            places.free[i] = free_places(slot, &need);
-        }
-        for (rack, members) in capacity.racks.iter().enumerate() {
-            places.free_by_rack[rack] = places.sum(members);
-        }
-        places
-    }
-
-    fn sum(&self, members: &[usize]) -> u64 {
-        members.iter().fold(0, |sum, i| self.free[*i].saturating_add(sum))
-    }
-
-    /// Considers the changes of capacity since the last call.
-    fn update(&mut self, group: &TaskGroup<'_>, capacity: &ClusterCapacity<'_>) {
-        let need = group.spec.allocation();
-        let changed = &capacity.changed[self.changes..];
-        self.changes = capacity.changed.len();
-        for &i in changed.iter().filter(|i| self.matching[**i]) {
-            capacity.steps.add_workers(1);
-            self.free[i] = free_places(&capacity.slots[i], &need);
-        }
-        for &i in changed.iter().filter(|i| self.matching[**i]) {
-            let rack = capacity.slots[i].rack;
-            self.free_by_rack[rack] = self.sum(&capacity.racks[rack]);
-        }
-    }
-
-    /// Returns how many tasks fit into free capacity at most.
-    pub(super) fn free(&self) -> u64 {
-        self.free_by_rack.iter().fold(0, |sum, f| f.saturating_add(sum))
-    }
-
-    /// Returns how many tasks fit into the free capacity of a rack at most.
-    pub(super) fn free_in(&self, rack: usize) -> u64 {
-        self.free_by_rack[rack]
-    }
-
-    /// Returns how many tasks fit into a rack on which nothing runs at most.
-    pub(super) fn empty_in(&self, rack: usize) -> u64 {
-        self.empty_by_rack[rack]
+        let matches = |i: usize| slots[i].meets_requirements(group.service, group.spec);
+        let matching: Vec<bool> = (0..slots.len()).map(matches).collect();
+        let empty = |i: usize| if matching[i] { slots[i].whole().count(&need) } else { 0 };
+        let empty = TaskCounts::new(capacity, empty);
+        let free = TaskCounts::new(capacity, free_tasks(group, capacity, &matching));
+        Self { matching, free, empty }
     }
 }
 
-/// Returns how many tasks fit into the free capacity of a worker.
-fn free_places(slot: &WorkerSlot<'_>, need: &Resources) -> u64 {
-    if is_eligible(slot) { slot.free.count(need) } else { 0 }
+fn free_tasks(
+    group: &TaskGroup<'_>,
+    capacity: &ClusterCapacity<'_>,
+    matching: &[bool],
+) -> impl Fn(usize) -> u64 {
+    let need = group.spec.allocation();
+    move |i| {
+        let slot = &capacity.slots[i];
+        if matching[i] && is_eligible(slot) { slot.free.count(&need) } else { 0 }
+    }
 }
--- a/crates/bronzespool-batch/src/plan/reclaim.rs
+++ b/crates/bronzespool-batch/src/plan/reclaim.rs
@@ -12,7 +12,7 @@
             candidate::Candidate,
             capacity::{ClusterCapacity, WorkerSlot, is_eligible},
             place::{Placement, PlacementScope, fits_empty, tightness},
-            places::Places,
+            places::{Places, TaskCounts},
         },
         spec::Resources,
     },
@@ -29,6 +29,8 @@
     pub(super) capacity: &'a ClusterCapacity<'b>,
     /// Runs that can release capacity, by worker.
     pub(super) candidates: &'a [Vec<Candidate>],
+    /// Tasks of the group that fit at most into what is free or can be released.
+    pub(super) counts: &'a TaskCounts,
     pub(super) places: &'a Places,
     /// Cost beyond which a placement is of no use.
     pub(super) loss_max: u64,
@@ -40,8 +42,10 @@
         let Self { group, capacity, places, .. } = self;
         match scope {
             PlacementScope::Local => {}
-            PlacementScope::AnyRack => return self.place_anywhere(is_eligible),
-            PlacementScope::AnyWorker => return self.place_anywhere(|_| true),
+            PlacementScope::AnyRack => return self.place_anywhere(),
+            PlacementScope::AnyWorker => {
+                return self.place_on(0..capacity.slots.len(), |_| true, self.loss_max);
+            }
         }
         if group.spec.single_rack && group.tasks.len() > 1 {
             if let Some(best) = self.place_in_cheapest_rack(self.loss_max) {
@@ -58,7 +62,7 @@
             Some(rack) if fits_empty(group, capacity, places, rack) => {
                 self.place_in_rack(rack, self.loss_max)
             }
-            _ => self.place_anywhere(is_eligible),
+            _ => self.place_anywhere(),
         }
     }
 
@@ -76,11 +80,17 @@
     }
 
     fn place_in_rack(&self, rack: usize, loss_max: u64) -> Option<ReleasePlan> {
+        if self.counts.in_rack(rack) < self.group.tasks.len() as u64 {
+            return None;
+        }
         self.place_on(self.capacity.racks[rack].iter().copied(), is_eligible, loss_max)
     }
 
-    fn place_anywhere(&self, allowed: impl Fn(&WorkerSlot<'_>) -> bool) -> Option<ReleasePlan> {
-        self.place_on(0..self.capacity.slots.len(), allowed, self.loss_max)
+    fn place_anywhere(&self) -> Option<ReleasePlan> {
+        if self.counts.sum() < self.group.tasks.len() as u64 {
+            return None;
+        }
+        self.place_on(0..self.capacity.slots.len(), is_eligible, self.loss_max)
     }
 
     /// Places all tasks on allowed workers; none if that is not possible or costs too much.
