perf(batch): keep the waiting tasks of a step that never ran as one

Every waiting task was a group of its own, built, ranked and sorted in each plan: some 20,000 with 2,000 jobs. Single tasks of one step that have never run differ in their index only and have one rank, so they are kept as one until the plan comes to them, apart from those of a step that holds a placement, which come before the others.

--- a/crates/bronzespool-batch/src/plan/group.rs
+++ b/crates/bronzespool-batch/src/plan/group.rs
@@ -65,8 +65,41 @@
     }
 }
 
+/// Task groups that differ only in the index of their task: single tasks of one step that have never
+/// run. Any other group is alone.
+#[derive(Clone, Debug)]
+pub(super) struct LikeGroups<'a> {
+    /// The first group.
+    pub(super) first: TaskGroup<'a>,
+    /// Number of groups; their tasks follow each other.
+    pub(super) count: u32,
+}
+
+impl<'a> LikeGroups<'a> {
+    pub(super) const fn one(group: TaskGroup<'a>) -> Self {
+        Self { first: group, count: 1 }
+    }
+
+    /// Returns the groups one by one.
+    pub(super) fn groups(&self) -> impl Iterator<Item = TaskGroup<'a>> {
+        (0..self.count).map(|i| {
+            let mut group = self.first.clone();
+            group.tasks.iter_mut().for_each(|t| t.index += i);
+            group
+        })
+    }
+
+    /// Whether a task of the same step follows these groups and differs in its index only.
+    fn is_followed_by(&self, step: StepId, index: usize, task: &Task) -> bool {
+        let next = |first: &PendingTask| {
+            first.last_run == 0 && (first.index + self.count) as usize == index
+        };
+        task.last_run == 0 && self.first.step == step && self.first.tasks.first().is_some_and(next)
+    }
+}
+
 /// Returns all task groups that can be started now.
-pub(super) fn task_groups<'a>(ledger: &'a Ledger, view: &ClusterView) -> Vec<TaskGroup<'a>> {
+pub(super) fn task_groups<'a>(ledger: &'a Ledger, view: &ClusterView) -> Vec<LikeGroups<'a>> {
     let active = ledger.jobs().filter(|j| j.phase.is_active());
     let mut groups = Vec::new();
     for job in active {
@@ -96,20 +129,24 @@
     step: StepId,
     spec: &'a Step,
     view: &ClusterView,
-    groups: &mut Vec<TaskGroup<'a>>,
+    groups: &mut Vec<LikeGroups<'a>>,
 ) {
     let state = job.step(step.occurrence, step.step);
     let new_group =
         |tasks, ready_at| TaskGroup { job, step, spec, tasks, service, needs_permit, ready_at };
     let Some(state) = state else {
+        let count = if spec.gang { 1 } else { spec.count };
+        let tasks = if spec.gang { spec.count } else { spec.count.min(1) };
         let none: Arc<str> = "".into();
-        let fresh = (0..spec.count).map(|index| PendingTask {
+        let fresh = (0..tasks).map(|index| PendingTask {
             index,
             last_run: 0,
             checkpoint: none.clone(),
             failed_on: Vec::new(),
         });
-        split_tasks(spec, fresh.collect(), job.submitted, new_group, groups);
+        if count > 0 {
+            groups.push(LikeGroups { first: new_group(fresh.collect(), job.submitted), count });
+        }
         return;
     };
     if spec.gang {
@@ -122,28 +159,20 @@
             return;
         }
         let pending = |(i, t): (usize, &Task)| pending_task(i, t, checkpoint.clone());
-        groups.push(new_group(state.tasks.iter().enumerate().map(pending).collect(), ended));
+        let tasks = state.tasks.iter().enumerate().map(pending).collect();
+        groups.push(LikeGroups::one(new_group(tasks, ended)));
         return;
     }
     let idle = |t: &Task| !t.done && t.active_runs.is_empty();
     let delayed = |t: &Task| t.failures > 0 && view.now.since(t.ended_at) < RETRY_DELAY;
     for (i, task) in state.tasks.iter().enumerate().filter(|(_, t)| idle(t) && !delayed(t)) {
-        groups.push(new_group(vec![pending_task(i, task, task.checkpoint.clone())], task.ended_at));
-    }
-}
-
-fn split_tasks<'a>(
-    spec: &Step,
-    tasks: Vec<PendingTask>,
-    ready_at: Time,
-    new_group: impl Fn(Vec<PendingTask>, Time) -> TaskGroup<'a>,
-    groups: &mut Vec<TaskGroup<'a>>,
-) {
-    if spec.gang {
-        groups.push(new_group(tasks, ready_at));
-        return;
+        if let Some(last) = groups.last_mut().filter(|g| g.is_followed_by(step, i, task)) {
+            last.count += 1;
+            continue;
+        }
+        let tasks = vec![pending_task(i, task, task.checkpoint.clone())];
+        groups.push(LikeGroups::one(new_group(tasks, task.ended_at)));
     }
-    groups.extend(tasks.into_iter().map(|t| new_group(vec![t], ready_at)));
 }
 
 fn pending_task(index: usize, task: &Task, checkpoint: Arc<str>) -> PendingTask {
--- a/crates/bronzespool-batch/src/plan/hold.rs
+++ b/crates/bronzespool-batch/src/plan/hold.rs
@@ -10,6 +10,7 @@
         plan::{
             TaskGroup,
             capacity::{ClusterCapacity, is_eligible},
+            group::LikeGroups,
             place::Placement,
         },
     },
@@ -63,12 +64,30 @@
         self.holds.contains_key(&key(group))
     }
 
-    /// Forgets the placements of all groups that no longer wait.
-    pub(super) fn retain_waiting<'a>(&mut self, waiting: impl Iterator<Item = &'a TaskGroup<'a>>) {
+    /// Takes groups apart of which one holds a placement, since it comes before the others.
+    pub(super) fn set_apart<'a>(&self, groups: Vec<LikeGroups<'a>>) -> Vec<LikeGroups<'a>> {
+        let steps: HashSet<StepId> = self.holds.keys().map(|(step, _)| *step).collect();
+        if steps.is_empty() {
+            return groups;
+        }
+        let mut apart = Vec::with_capacity(groups.len());
+        for like in groups {
+            if like.count > 1 && steps.contains(&like.first.step) {
+                apart.extend(like.groups().map(LikeGroups::one));
+            } else {
+                apart.push(like);
+            }
+        }
+        apart
+    }
+
+    /// Forgets the placements of all groups that no longer wait. The groups of steps that hold one
+    /// are set apart.
+    pub(super) fn retain_waiting<'a>(&mut self, waiting: impl Iterator<Item = &'a LikeGroups<'a>>) {
         if self.holds.is_empty() {
             return;
         }
-        let keys: HashSet<GroupKey> = waiting.map(key).collect();
+        let keys: HashSet<GroupKey> = waiting.map(|like| key(&like.first)).collect();
         self.holds.retain(|k, _| keys.contains(k));
     }
 
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -32,7 +32,7 @@
     self::{
         candidate::{Candidates, ReleaseMode},
         capacity::{ClusterCapacity, Reservation},
-        group::task_groups,
+        group::{LikeGroups, task_groups},
         hold::{HeldPlacements, HoldState},
         place::{Placement, PlacementScope, place},
         places::PlaceIndex,
@@ -103,10 +103,12 @@
         if !broken.is_empty() {
             pass.events.push(Event::Stopping { runs: broken, cause: StopCause::Broken });
         }
-        let mut waiting = with_urgency(ledger, view, task_groups(ledger, view));
-        pass.held.retain_waiting(waiting.iter().map(|(_, group)| group));
-        waiting.sort_by_cached_key(|(urgency, group)| {
-            pass.precedence.rank(group, urgency, pass.held.contains(group))
+        let like_groups = pass.held.set_apart(task_groups(ledger, view));
+        let mut waiting = with_urgency(ledger, view, like_groups);
+        pass.held.retain_waiting(waiting.iter().map(|(_, like)| like));
+        waiting.sort_by_cached_key(|(urgency, like)| {
+            let held = pass.held.contains(&like.first);
+            pass.precedence.rank(&like.first, urgency, held)
         });
         pass.schedule_all(&waiting);
         self.steps = pass.capacity.steps.steps();
@@ -149,17 +151,24 @@
 
     /// Schedules task groups in the order of their precedence. A task like the one before it, for
     /// which nothing could be done, is passed over: the plan has not changed since.
-    fn schedule_all(&mut self, waiting: &[(Urgency, TaskGroup<'_>)]) {
+    fn schedule_all(&mut self, waiting: &[(Urgency, LikeGroups<'_>)]) {
         let mut failed: Option<&TaskGroup<'_>> = None;
-        for (urgency, group) in waiting {
-            if self.starts >= STARTS_MAX {
-                return;
-            }
-            if failed.is_some_and(|f| f.is_like(group)) && !self.held.contains(group) {
+        for (urgency, like) in waiting {
+            let is_like_failed = failed.is_some_and(|f| f.is_like(&like.first));
+            if is_like_failed && !self.held.contains(&like.first) {
                 continue;
             }
-            self.capacity.steps.add_groups(1);
-            failed = (!self.schedule(group, urgency)).then_some(group);
+            for group in like.groups() {
+                if self.starts >= STARTS_MAX {
+                    return;
+                }
+                self.capacity.steps.add_groups(1);
+                let scheduled = self.schedule(&group, urgency);
+                failed = (!scheduled).then_some(&like.first);
+                if !scheduled {
+                    break;
+                }
+            }
         }
     }
 
@@ -290,14 +299,14 @@
 fn with_urgency<'a>(
     ledger: &Ledger,
     view: &ClusterView,
-    groups: Vec<TaskGroup<'a>>,
-) -> Vec<(Urgency, TaskGroup<'a>)> {
+    groups: Vec<LikeGroups<'a>>,
+) -> Vec<(Urgency, LikeGroups<'a>)> {
     let mut known: Option<(StepId, Urgency)> = None;
-    let of_step = |group: TaskGroup<'a>| {
-        let same = known.filter(|(step, _)| *step == group.step);
-        let urgency = same.map_or_else(|| Urgency::of(ledger, &group, view), |(_, u)| u);
-        known = Some((group.step, urgency));
-        (urgency, group)
+    let of_step = |like: LikeGroups<'a>| {
+        let same = known.filter(|(step, _)| *step == like.first.step);
+        let urgency = same.map_or_else(|| Urgency::of(ledger, &like.first, view), |(_, u)| u);
+        known = Some((like.first.step, urgency));
+        (urgency, like)
     };
     groups.into_iter().map(of_step).collect()
 }
--- a/crates/bronzespool-batch/src/plan/permit.rs
+++ b/crates/bronzespool-batch/src/plan/permit.rs
@@ -87,8 +87,9 @@
         self.permits.retain(|_, permit| now < permit.until);
         self.asked.retain(|step, _| ledger.job(step.job).is_some_and(|j| j.phase.is_active()));
         let precedence = precedence_of(ledger);
-        let due_groups =
-            task_groups(ledger, view).into_iter().filter(|g| g.needs_permit && self.is_due(g, now));
+        // The groups of a step have the same rank, and one question is for all of them.
+        let groups = task_groups(ledger, view).into_iter().map(|like| like.first);
+        let due_groups = groups.filter(|g| g.needs_permit && self.is_due(g, now));
         let group =
             due_groups.min_by_key(|g| precedence.rank(g, &Urgency::of(ledger, g, view), false))?;
         let workers = candidates(ledger, view, &group);
