perf(batch): keep each worker's option for a first task between searches

Up to one reservation for each twelve workers is made in a plan, and each of these searches determined anew which runs release capacity on all workers. What a first task takes on a worker depends on class of precedence and kind of task alone, so it is kept until the worker's capacity changes. Candidates are sorted once, by cost and then run, which is the order that the sort in each option had.

--- a/crates/bronzespool-batch/src/plan/candidate.rs
+++ b/crates/bronzespool-batch/src/plan/candidate.rs
@@ -17,6 +17,7 @@
         spec::Resources,
     },
     bronzespool_core::HashMap,
+    std::{cell::OnceCell, rc::Rc},
 };
 
 /// Least cost of stopping a run, in milliseconds of its work: stopping and restarting take time
@@ -71,12 +72,63 @@
 }
 
 /// The runs that can release capacity for the groups of one class.
-#[derive(Default)]
-pub(super) struct ClassCandidates {
-    /// The runs by worker.
-    pub(super) by_slot: Vec<Vec<Candidate>>,
-    /// Tasks that fit at most into what is free or can be released, by kind of task.
-    counts: HashMap<TaskKind, TaskCounts>,
+struct ClassCandidates {
+    /// The runs by worker, those that cost the least first.
+    by_slot: Vec<Vec<Candidate>>,
+    by_kind: HashMap<TaskKind, KindReleases>,
+}
+
+/// What can be released for tasks of one kind.
+pub(super) struct KindReleases {
+    /// Tasks that fit at most into what is free or can be released.
+    pub(super) counts: TaskCounts,
+    /// What placing a first task on each worker takes.
+    pub(super) options: FirstOptions,
+}
+
+impl KindReleases {
+    fn new(capacity: &ClusterCapacity<'_>, count: impl Fn(usize) -> u64) -> Self {
+        let counts = TaskCounts::new(capacity, count);
+        Self { counts, options: FirstOptions::new(capacity) }
+    }
+}
+
+/// What placing a first task on each worker takes, as far as a search has asked for it.
+pub(super) struct FirstOptions {
+    by_slot: Vec<OnceCell<Option<Rc<ReleaseOption>>>>,
+    /// Number of changes of capacity that are considered.
+    changes: usize,
+}
+
+/// The runs that have to release capacity on a worker for one task.
+pub(super) struct ReleaseOption {
+    /// Positions among the worker's candidates.
+    pub(super) victims: Vec<usize>,
+    pub(super) loss: u64,
+}
+
+impl FirstOptions {
+    fn new(capacity: &ClusterCapacity<'_>) -> Self {
+        let by_slot = capacity.slots.iter().map(|_| OnceCell::new()).collect();
+        Self { by_slot, changes: capacity.changed.len() }
+    }
+
+    /// Forgets the options of workers that have changed since the last call.
+    fn update(&mut self, capacity: &ClusterCapacity<'_>) {
+        for slot in &capacity.changed[self.changes..] {
+            self.by_slot[*slot].take();
+        }
+        self.changes = capacity.changed.len();
+    }
+
+    /// Returns the option of a worker, which `find` determines if it is not known.
+    pub(super) fn get(
+        &self,
+        slot: usize,
+        find: impl FnOnce() -> Option<ReleaseOption>,
+    ) -> Option<Rc<ReleaseOption>> {
+        self.by_slot[slot].get_or_init(|| find().map(Rc::new)).clone()
+    }
 }
 
 /// The runs that can release capacity, by class.
@@ -91,8 +143,8 @@
         Self { view, estimate: TimeLeft::new(ledger, view), by_class: HashMap::default() }
     }
 
-    /// Returns the runs that can release capacity for a group, by worker, and how many of its tasks
-    /// fit at most if all of them do.
+    /// Returns the runs that can release capacity for a group, by worker, and what they release for
+    /// tasks of its kind.
     pub(super) fn of_group(
         &mut self,
         group: &TaskGroup<'_>,
@@ -100,26 +152,31 @@
         places: &Places,
         precedence: &Precedence,
         mode: ReleaseMode,
-    ) -> (&[Vec<Candidate>], &TaskCounts) {
+    ) -> (&[Vec<Candidate>], &KindReleases) {
         let class = ReleaseClass::of(group, precedence, mode);
         let Self { view, estimate, by_class } = self;
         let class = by_class.entry(class).or_insert_with(|| {
             capacity.steps.add_workers(capacity.slots.len());
-            let on_slot = |slot: &WorkerSlot<'_>| match mode {
-                ReleaseMode::Preempt => {
-                    preemption_candidates(group, slot, capacity, precedence, view, estimate)
-                }
-                ReleaseMode::Wait => finishing_candidates(slot, capacity, estimate),
+            let on_slot = |slot: &WorkerSlot<'_>| {
+                let mut candidates = match mode {
+                    ReleaseMode::Preempt => {
+                        preemption_candidates(group, slot, capacity, precedence, view, estimate)
+                    }
+                    ReleaseMode::Wait => finishing_candidates(slot, capacity, estimate),
+                };
+                candidates.sort_by_key(|c| (c.loss, c.run));
+                candidates
             };
             let by_slot = capacity.slots.iter().map(on_slot).collect();
-            ClassCandidates { by_slot, counts: HashMap::default() }
+            ClassCandidates { by_slot, by_kind: HashMap::default() }
         });
-        let ClassCandidates { by_slot, counts } = class;
+        let ClassCandidates { by_slot, by_kind } = class;
+        let kind = by_kind.entry(TaskKind::of(group));
         let count = released_tasks(group, capacity, places, by_slot);
-        let counts = counts.entry(TaskKind::of(group));
-        let counts = counts.or_insert_with(|| TaskCounts::new(capacity, &count));
-        counts.update(capacity, &count);
-        (by_slot, counts)
+        let kind = kind.or_insert_with(|| KindReleases::new(capacity, &count));
+        kind.counts.update(capacity, &count);
+        kind.options.update(capacity);
+        (by_slot, kind)
     }
 
     /// Forgets runs that this plan stops. The others of their steps are determined anew if there is
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -288,9 +288,9 @@
     ) -> Option<ReleasePlan> {
         let capacity = &self.capacity;
         let places = self.places.of_group(group, capacity);
-        let (candidates, counts) =
+        let (candidates, releases) =
             self.candidates.of_group(group, capacity, places, &self.precedence, mode);
-        ReleaseSearch { group, capacity, candidates, counts, places, loss_max }.place(scope)
+        ReleaseSearch { group, capacity, candidates, releases, places, loss_max }.place(scope)
     }
 }
 
--- a/crates/bronzespool-batch/src/plan/reclaim.rs
+++ b/crates/bronzespool-batch/src/plan/reclaim.rs
@@ -9,14 +9,15 @@
         id::{RunId, StepId},
         plan::{
             TaskGroup,
-            candidate::Candidate,
+            candidate::{Candidate, KindReleases, ReleaseOption},
             capacity::{ClusterCapacity, WorkerSlot, is_eligible},
             place::{Placement, PlacementScope, fits_empty, tightness},
-            places::{Places, TaskCounts},
+            places::Places,
         },
         spec::Resources,
     },
     bronzespool_core::{HashMap, HashSet},
+    std::rc::Rc,
 };
 
 /// A placement, the runs to stop for it, and the cost of stopping them: lost work in thousandths of
@@ -29,8 +30,8 @@
     pub(super) capacity: &'a ClusterCapacity<'b>,
     /// Runs that can release capacity, by worker.
     pub(super) candidates: &'a [Vec<Candidate>],
-    /// Tasks of the group that fit at most into what is free or can be released.
-    pub(super) counts: &'a TaskCounts,
+    /// What can be released for tasks of the group's kind.
+    pub(super) releases: &'a KindReleases,
     pub(super) places: &'a Places,
     /// Cost beyond which a placement is of no use.
     pub(super) loss_max: u64,
@@ -80,14 +81,14 @@
     }
 
     fn place_in_rack(&self, rack: usize, loss_max: u64) -> Option<ReleasePlan> {
-        if self.counts.in_rack(rack) < self.group.tasks.len() as u64 {
+        if self.releases.counts.in_rack(rack) < self.group.tasks.len() as u64 {
             return None;
         }
         self.place_on(self.capacity.racks[rack].iter().copied(), is_eligible, loss_max)
     }
 
     fn place_anywhere(&self) -> Option<ReleasePlan> {
-        if self.counts.sum() < self.group.tasks.len() as u64 {
+        if self.releases.counts.sum() < self.group.tasks.len() as u64 {
             return None;
         }
         self.place_on(0..self.capacity.slots.len(), is_eligible, self.loss_max)
@@ -149,13 +150,7 @@
     /// Number of tasks of the step that it may still be assigned.
     tasks_left: u32,
     /// What placing one more task on it takes; none if that is not possible.
-    option: Option<ReleaseOption>,
-}
-
-/// The runs that have to release capacity on a worker for one task.
-struct ReleaseOption {
-    victims: Vec<usize>,
-    loss: u64,
+    option: Option<Rc<ReleaseOption>>,
 }
 
 impl<'a, 'b, 'c> SearchState<'a, 'b, 'c> {
@@ -178,12 +173,18 @@
             stopped_ready: HashMap::default(),
             loss: 0,
         };
-        (0..state.workers.len()).for_each(|i| state.update_option(i));
+        for i in 0..state.workers.len() {
+            let worker = &state.workers[i];
+            if worker.tasks_left > 0 {
+                let find = || state.option(worker);
+                state.workers[i].option = search.releases.options.get(worker.slot, find);
+            }
+        }
         state
     }
 
     fn update_option(&mut self, worker: usize) {
-        self.workers[worker].option = self.option(&self.workers[worker]);
+        self.workers[worker].option = self.option(&self.workers[worker]).map(Rc::new);
     }
 
     /// Returns what placing one more task on a worker takes; none if that is not possible.
@@ -199,14 +200,11 @@
         }
         let candidates = &self.search.candidates[worker.slot];
         self.search.capacity.steps.add_runs(candidates.len());
-        let unused = |i: &usize| !self.used.contains(&candidates[*i].run);
-        let mut order: Vec<usize> = (0..candidates.len()).filter(unused).collect();
-        let most = order.iter().fold(available, |sum, i| sum.plus(&candidates[*i].allocation));
-        if !most.fits(&need) {
+        let all = candidates.iter().fold(available, |sum, c| sum.plus(&c.allocation));
+        if !all.fits(&need) {
             return None;
         }
-        order.sort_by_key(|i| self.marginal_cost(&candidates[*i]));
-        for i in order {
+        for i in self.by_marginal_cost(candidates) {
             if available.fits(&need) {
                 break;
             }
@@ -220,6 +218,19 @@
         available.fits(&need).then_some(option)
     }
 
+    /// Returns the positions of candidates that are not used, those with the least additional cost
+    /// first. At first that is the order that they have.
+    fn by_marginal_cost(&self, candidates: &[Candidate]) -> impl Iterator<Item = usize> + use<> {
+        let as_is = self.used.is_empty().then_some(0..candidates.len());
+        let unused = |i: &usize| !self.used.contains(&candidates[*i].run);
+        let mut order = Vec::new();
+        if as_is.is_none() {
+            order.extend((0..candidates.len()).filter(unused));
+            order.sort_by_key(|i| (self.marginal_cost(&candidates[*i]), candidates[*i].run));
+        }
+        as_is.into_iter().flatten().chain(order)
+    }
+
     /// Whether stopping a run in addition to those of an option exceeds the disruption budget of
     /// its step.
     fn is_over_budget(&self, slot: usize, option: &ReleaseOption, candidate: &Candidate) -> bool {
@@ -241,12 +252,10 @@
 
     /// Places one more task on a worker.
     fn accept(&mut self, worker: usize) {
-        let Some(ReleaseOption { victims, loss }) = self.workers[worker].option.take() else {
-            return;
-        };
-        self.loss += loss;
+        let Some(option) = self.workers[worker].option.take() else { return };
+        self.loss += option.loss;
         let candidates = &self.search.candidates[self.workers[worker].slot];
-        let stopped: Vec<&Candidate> = victims.iter().map(|i| &candidates[*i]).collect();
+        let stopped: Vec<&Candidate> = option.victims.iter().map(|i| &candidates[*i]).collect();
         for candidate in &stopped {
             self.stop(candidate);
             let available = &mut self.workers[worker].available;
