perf(batch): find workers and stopped runs without walking all workers

Each task that a plan placed walked the workers to find its own by name, and each run that it stopped was looked up on all of them, though it is always on a worker of the placement. A map by name replaces the first; the second looks at the placement only.

The test of decisions fails if only the first stopped run of a worker is counted.

--- a/crates/bronzespool-batch/src/plan/capacity.rs
+++ b/crates/bronzespool-batch/src/plan/capacity.rs
@@ -13,7 +13,10 @@
         spec::{Resources, Step},
     },
     bronzespool_core::{HashMap, HashSet, Time},
-    std::{collections::BTreeMap, sync::Arc},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
 };
 
 /// Capacity of one worker that may be assigned tasks.
@@ -77,6 +80,8 @@
 pub(super) struct ClusterCapacity<'a> {
     pub(super) ledger: &'a Ledger,
     pub(super) slots: Vec<WorkerSlot<'a>>,
+    /// Positions among the slots by the worker's name.
+    positions: HashMap<&'a str, usize>,
     /// Positions of the workers of each rack among the slots, by the rack's name.
     pub(super) racks: Vec<Vec<usize>>,
     rack_names: BTreeMap<&'a str, usize>,
@@ -105,6 +110,7 @@
         let mut capacity = Self {
             ledger,
             slots: Vec::new(),
+            positions: HashMap::default(),
             racks: Vec::new(),
             rack_names: BTreeMap::new(),
             rack_free: Vec::new(),
@@ -117,6 +123,7 @@
         };
         for worker in ledger.workers().filter(schedulable) {
             let slot = capacity.slot(worker, view);
+            capacity.positions.insert(&worker.spec.incarnation.worker, capacity.slots.len());
             capacity.slots.push(slot);
         }
         capacity.form_racks();
@@ -201,8 +208,9 @@
     }
 
     fn position(&self, incarnation: &WorkerIncarnation) -> Option<usize> {
-        self.steps.add_workers(self.slots.len());
-        self.slots.iter().position(|s| s.incarnation() == incarnation)
+        self.steps.add_workers(1);
+        let position = self.positions.get(&*incarnation.worker).copied();
+        position.filter(|i| self.slots[*i].incarnation() == incarnation)
     }
 
     /// Whether at most half of a service's capacity was in use when the plan began.
@@ -236,15 +244,7 @@
 
     /// Reserves capacity for a task group that starts once other runs have ended.
     pub(super) fn reserve(&mut self, reservation: &Reservation<'_>) {
-        for victim in reservation.victims {
-            self.stopping.insert(*victim);
-            self.steps.add_workers(self.slots.len());
-            for slot in &mut self.slots {
-                if let Some(allocation) = slot.worker.runs.get(victim) {
-                    slot.releasing = slot.releasing.plus(allocation);
-                }
-            }
-        }
+        self.release(reservation);
         let allocation = reservation.group.spec.allocation();
         for incarnation in reservation.placement {
             let Some(i) = self.position(incarnation) else { continue };
@@ -255,4 +255,20 @@
             self.set_free(i, free);
         }
     }
+
+    /// Counts the victims, which run on the workers of the placement, as being stopped.
+    fn release(&mut self, reservation: &Reservation<'_>) {
+        self.stopping.extend(reservation.victims);
+        if reservation.victims.is_empty() {
+            return;
+        }
+        let workers = reservation.placement.iter().filter_map(|w| self.position(w));
+        for i in workers.collect::<BTreeSet<_>>() {
+            let slot = &mut self.slots[i];
+            self.steps.add_runs(reservation.victims.len());
+            for allocation in reservation.victims.iter().filter_map(|v| slot.worker.runs.get(v)) {
+                slot.releasing = slot.releasing.plus(allocation);
+            }
+        }
+    }
 }
