perf(batch): look a team's guarantee up by name

For each job of the first priority the plan walked the configuration's teams, 350 at the two-year size. A map is made once a plan; of teams with one name the first counts, as before.

--- a/crates/bronzespool-batch/src/plan/precedence.rs
+++ b/crates/bronzespool-batch/src/plan/precedence.rs
@@ -65,6 +65,11 @@
     let Some(config) = ledger.config() else { return precedence };
     let mut active: Vec<&Job> = ledger.jobs().filter(|j| j.phase.is_active()).collect();
     active.sort_by_key(|j| (j.submitted, j.spec.id));
+    // Of teams with one name the first counts, as in the configuration.
+    let mut guaranteed: HashMap<&str, u64> = HashMap::default();
+    for team in &config.teams {
+        guaranteed.entry(&team.name).or_insert(team.guaranteed);
+    }
     let mut used = HashMap::default();
     for job in active {
         let priority = ledger.priority(job);
@@ -73,7 +78,7 @@
         let sum: &mut u64 = used.entry(team).or_default();
         let need = accelerators(job);
         let whole = sum.saturating_add(need);
-        if whole <= config.guaranteed(team) {
+        if whole <= guaranteed.get(team).copied().unwrap_or(0) {
             *sum = whole;
             precedence.guaranteed.insert(job.spec.id);
         }
