perf(batch): drop workers without an option from a search for runs to stop

Each task of a gang compared all workers, also those on which nothing can be released for it. A search only takes capacity and budgets, so that such a worker gets no option later, and it is left out from the start.

--- a/crates/bronzespool-batch/src/plan/reclaim.rs
+++ b/crates/bronzespool-batch/src/plan/reclaim.rs
@@ -180,6 +180,8 @@
                 state.workers[i].option = search.releases.options.get(worker.slot, find);
             }
         }
+        // A worker without an option gets none later: the search only takes capacity and budgets.
+        state.workers.retain(|w| w.option.is_some());
         state
     }
 
