--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -4,6 +4,7 @@
 //! either has changed; the returned events take effect once they are committed to the log. Between
 //! two plans the planner keeps only the placements for which it has stopped other runs.
 
+mod candidate;
 mod capacity;
 mod disruption;
 mod group;
@@ -12,8 +13,10 @@
 mod maintenance;
 mod permit;
 mod place;
+mod places;
 mod precedence;
 mod reclaim;
+mod steps;
 mod time_left;
 mod urgency;
 
@@ -22,20 +25,23 @@
     maintenance::{MaintenancePlanner, Takedown},
     permit::Permits,
     precedence::Precedence,
+    steps::PlanSteps,
 };
 
 use {
     self::{
+        candidate::{Candidates, ReleaseMode},
         capacity::{ClusterCapacity, Reservation},
-        group::task_groups,
+        group::{LikeGroups, task_groups},
         hold::{HeldPlacements, HoldState},
         place::{Placement, PlacementScope, place},
+        places::PlaceIndex,
         precedence::precedence_of,
-        reclaim::{ReleaseMode, place_by_release},
+        reclaim::{ReleasePlan, ReleaseSearch},
         urgency::Urgency,
     },
     crate::{
-        id::RunId,
+        id::{RunId, StepId},
         ledger::{Assignment, Event, Ledger, StopCause},
     },
     bronzespool_core::{HashMap, HashSet, Time},
@@ -81,9 +87,15 @@
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
     held: HeldPlacements,
+    steps: PlanSteps,
 }
 
 impl Planner {
+    /// Returns what the latest plan examined.
+    pub const fn steps(&self) -> PlanSteps {
+        self.steps
+    }
+
     /// Returns the events that the scheduling policy proposes next.
     pub fn plan(&mut self, ledger: &Ledger, view: &ClusterView) -> Vec<Event> {
         let mut pass = PlanPass::new(ledger, view, &mut self.held);
@@ -91,19 +103,15 @@
         if !broken.is_empty() {
             pass.events.push(Event::Stopping { runs: broken, cause: StopCause::Broken });
         }
-        let urgency = |g: &TaskGroup<'_>| Urgency::of(ledger, g, view);
-        let mut waiting: Vec<_> =
-            task_groups(ledger, view).into_iter().map(|g| (urgency(&g), g)).collect();
-        pass.held.retain_waiting(waiting.iter().map(|(_, group)| group));
-        waiting.sort_by_cached_key(|(urgency, group)| {
-            pass.precedence.rank(group, urgency, pass.held.contains(group))
+        let like_groups = pass.held.set_apart(task_groups(ledger, view));
+        let mut waiting = with_urgency(ledger, view, like_groups);
+        pass.held.retain_waiting(waiting.iter().map(|(_, like)| like));
+        waiting.sort_by_cached_key(|(urgency, like)| {
+            let held = pass.held.contains(&like.first);
+            pass.precedence.rank(&like.first, urgency, held)
         });
-        for (urgency, group) in &waiting {
-            if pass.starts >= STARTS_MAX {
-                break;
-            }
-            pass.schedule(group, urgency);
-        }
+        pass.schedule_all(&waiting);
+        self.steps = pass.capacity.steps.steps();
         pass.events
     }
 }
@@ -113,6 +121,8 @@
     view: &'a ClusterView,
     capacity: ClusterCapacity<'a>,
     precedence: Precedence,
+    candidates: Candidates<'a>,
+    places: PlaceIndex,
     held: &'a mut HeldPlacements,
     events: Vec<Event>,
     /// Number of tasks started so far.
@@ -126,25 +136,55 @@
         let capacity = ClusterCapacity::new(ledger, view);
         let reservations_left = capacity.slots.len().div_ceil(WORKERS_PER_RESERVATION);
         let precedence = precedence_of(ledger);
-        Self { view, capacity, precedence, held, events: Vec::new(), starts: 0, reservations_left }
+        Self {
+            view,
+            capacity,
+            precedence,
+            candidates: Candidates::new(ledger, view),
+            places: PlaceIndex::default(),
+            held,
+            events: Vec::new(),
+            starts: 0,
+            reservations_left,
+        }
+    }
+
+    /// Schedules task groups in the order of their precedence. A task like the one before it, for
+    /// which nothing could be done, is passed over: the plan has not changed since.
+    fn schedule_all(&mut self, waiting: &[(Urgency, LikeGroups<'_>)]) {
+        let mut failed: Option<&TaskGroup<'_>> = None;
+        for (urgency, like) in waiting {
+            let is_like_failed = failed.is_some_and(|f| f.is_like(&like.first));
+            if is_like_failed && !self.held.contains(&like.first) {
+                continue;
+            }
+            for group in like.groups() {
+                if self.starts >= STARTS_MAX {
+                    return;
+                }
+                self.capacity.steps.add_groups(1);
+                let scheduled = self.schedule(&group, urgency);
+                failed = (!scheduled).then_some(&like.first);
+                if !scheduled {
+                    break;
+                }
+            }
+        }
     }
 
     /// Starts a task group, preempts other runs for it or reserves capacity for it, trying the
-    /// strictest scope first.
-    fn schedule(&mut self, group: &TaskGroup<'_>, urgency: &Urgency) {
+    /// strictest scope first. Returns false if none of these was possible.
+    fn schedule(&mut self, group: &TaskGroup<'_>, urgency: &Urgency) -> bool {
         if self.follow_held(group) {
-            return;
+            return true;
         }
         let scopes = scopes(group, urgency, &self.capacity, self.view);
-        for (i, scope) in scopes.iter().enumerate() {
+        scopes.iter().enumerate().any(|(i, scope)| {
             let last = i + 1 == scopes.len();
-            let scheduled = self.start(group, *scope)
+            self.start(group, *scope)
                 || self.preempt(group, urgency, *scope)
-                || last && self.reserve(group, urgency, *scope);
-            if scheduled {
-                return;
-            }
-        }
+                || last && self.reserve(group, urgency, *scope)
+        })
     }
 
     /// Starts a task group on its held placement, or goes on waiting for it. Returns false if it
@@ -165,7 +205,9 @@
     }
 
     fn start(&mut self, group: &TaskGroup<'_>, scope: PlacementScope) -> bool {
-        let Some(placement) = place(group, &self.capacity, scope) else { return false };
+        let Some(placement) = place(group, &self.capacity, &mut self.places, scope) else {
+            return false;
+        };
         self.start_on(group, &placement);
         true
     }
@@ -178,12 +220,12 @@
     }
 
     fn preempt(&mut self, group: &TaskGroup<'_>, urgency: &Urgency, scope: PlacementScope) -> bool {
-        let (capacity, precedence, view) = (&self.capacity, &self.precedence, self.view);
-        let found = find_preemption(group, urgency, capacity, precedence, view, scope);
+        let found = self.find_preemption(group, urgency, scope);
         let Some((placement, victims)) = found else { return false };
         self.capacity.reserve(&Reservation { group, placement: &placement, victims: &victims });
-        self.held.hold(group, placement, view.now);
+        self.held.hold(group, placement, self.view.now);
         if !victims.is_empty() {
+            self.candidates.remove_stopped(&victims, &self.capacity);
             let cause = StopCause::Reclaimed(group.step.job);
             self.events.push(Event::Stopping { runs: victims, cause });
         }
@@ -194,13 +236,79 @@
         if self.reservations_left == 0 {
             return false;
         }
-        let (capacity, precedence, view) = (&self.capacity, &self.precedence, self.view);
-        let found = find_reservation(group, urgency, capacity, precedence, view, scope);
-        let Some(placement) = found else { return false };
+        let Some(placement) = self.find_reservation(group, urgency, scope) else { return false };
         self.reservations_left -= 1;
         self.capacity.reserve(&Reservation { group, placement: &placement, victims: &[] });
         true
     }
+
+    /// Finds a placement for a task group and the runs to preempt for it. A job outside its team's
+    /// guarantee must not discard more work than it contributes.
+    fn find_preemption(
+        &mut self,
+        group: &TaskGroup<'_>,
+        urgency: &Urgency,
+        scope: PlacementScope,
+    ) -> Option<(Placement, Vec<RunId>)> {
+        let guaranteed = self.precedence.is_guaranteed(group);
+        let first = guaranteed || self.precedence.priority(group.job) == 0;
+        let waits = !first && urgency.can_wait();
+        if waits || (!guaranteed && urgency.misses_cutoff()) {
+            return None;
+        }
+        let count = group.tasks.len() as u64;
+        let contributed =
+            group.spec.allocation().times(count).weight().saturating_mul(group.spec.estimate);
+        let loss_max = if guaranteed { u64::MAX } else { contributed };
+        let (placement, victims, _) = self.release(group, scope, ReleaseMode::Preempt, loss_max)?;
+        Some((placement, victims))
+    }
+
+    /// Finds a placement that a large task group can wait for. Without a reservation, small groups
+    /// would take each piece of capacity as it is freed.
+    fn find_reservation(
+        &mut self,
+        group: &TaskGroup<'_>,
+        urgency: &Urgency,
+        scope: PlacementScope,
+    ) -> Option<Placement> {
+        if urgency.misses_cutoff() || self.view.now.since(group.ready_at) < RESERVE_AFTER {
+            return None;
+        }
+        let found = self.release(group, scope, ReleaseMode::Wait, u64::MAX);
+        found.map(|(placement, ..)| placement)
+    }
+
+    fn release(
+        &mut self,
+        group: &TaskGroup<'_>,
+        scope: PlacementScope,
+        mode: ReleaseMode,
+        loss_max: u64,
+    ) -> Option<ReleasePlan> {
+        let capacity = &self.capacity;
+        let places = self.places.of_group(group, capacity);
+        let (candidates, releases) =
+            self.candidates.of_group(group, capacity, places, &self.precedence, mode);
+        ReleaseSearch { group, capacity, candidates, releases, places, loss_max }.place(scope)
+    }
+}
+
+/// Adds the urgency to each task group. It is the same for all groups of a step, which follow each
+/// other.
+fn with_urgency<'a>(
+    ledger: &Ledger,
+    view: &ClusterView,
+    groups: Vec<LikeGroups<'a>>,
+) -> Vec<(Urgency, LikeGroups<'a>)> {
+    let mut known: Option<(StepId, Urgency)> = None;
+    let of_step = |like: LikeGroups<'a>| {
+        let same = known.filter(|(step, _)| *step == like.first.step);
+        let urgency = same.map_or_else(|| Urgency::of(ledger, &like.first, view), |(_, u)| u);
+        known = Some((like.first.step, urgency));
+        (urgency, like)
+    };
+    groups.into_iter().map(of_step).collect()
 }
 
 /// Placement scopes to try for a task group, the preferred one first.
@@ -224,47 +332,6 @@
     view.now.since(group.ready_at) > RELAX_AFTER && capacity.is_idle(group.service)
 }
 
-/// Finds a placement for a task group and the runs to preempt for it. A job outside its team's
-/// guarantee must not discard more work than it contributes.
-fn find_preemption(
-    group: &TaskGroup<'_>,
-    urgency: &Urgency,
-    capacity: &ClusterCapacity<'_>,
-    precedence: &Precedence,
-    view: &ClusterView,
-    scope: PlacementScope,
-) -> Option<(Placement, Vec<RunId>)> {
-    let guaranteed = precedence.is_guaranteed(group);
-    let first = guaranteed || precedence.priority(group.job) == 0;
-    let waits = !first && urgency.can_wait();
-    if waits || (!guaranteed && urgency.misses_cutoff()) {
-        return None;
-    }
-    let mode = (scope, ReleaseMode::Preempt);
-    let (placement, victims, loss) = place_by_release(group, capacity, precedence, view, mode)?;
-    let count = group.tasks.len() as u64;
-    let contributed =
-        group.spec.allocation().times(count).weight().saturating_mul(group.spec.estimate);
-    (guaranteed || loss <= contributed).then_some((placement, victims))
-}
-
-/// Finds a placement that a large task group can wait for. Without a reservation, small groups
-/// would take each piece of capacity as it is freed.
-fn find_reservation(
-    group: &TaskGroup<'_>,
-    urgency: &Urgency,
-    capacity: &ClusterCapacity<'_>,
-    precedence: &Precedence,
-    view: &ClusterView,
-    scope: PlacementScope,
-) -> Option<Placement> {
-    if urgency.misses_cutoff() || view.now.since(group.ready_at) < RESERVE_AFTER {
-        return None;
-    }
-    let mode = (scope, ReleaseMode::Wait);
-    place_by_release(group, capacity, precedence, view, mode).map(|(placement, ..)| placement)
-}
-
 fn assignments(group: &TaskGroup, placement: &Placement, view: &ClusterView) -> Vec<Assignment> {
     let assign =
         |(task, incarnation): (&group::PendingTask, &crate::id::WorkerIncarnation)| Assignment {
--- a/crates/bronzespool-batch/src/plan/reclaim.rs
+++ b/crates/bronzespool-batch/src/plan/reclaim.rs
@@ -6,58 +6,136 @@
 
 use {
     crate::{
-        id::{RunId, StepId, WorkerIncarnation},
+        id::{RunId, StepId},
         plan::{
-            ClusterView, Precedence, TaskGroup,
+            TaskGroup,
+            candidate::{Candidate, KindReleases, ReleaseOption},
             capacity::{ClusterCapacity, WorkerSlot, is_eligible},
-            disruption,
             place::{Placement, PlacementScope, fits_empty, tightness},
-            time_left::{NEARLY_DONE, TimeLeft},
+            places::Places,
         },
         spec::Resources,
     },
     bronzespool_core::{HashMap, HashSet},
+    std::rc::Rc,
 };
 
-/// Least cost of stopping a run, in milliseconds of its work: stopping and restarting take time
-/// even if progress is saved.
-const RESTART_COST_MILLIS: u64 = 300;
+/// A placement, the runs to stop for it, and the cost of stopping them: lost work in thousandths of
+/// a core times milliseconds, weighted by priority.
+pub(super) type ReleasePlan = (Placement, Vec<RunId>, u64);
 
-/// How capacity is released.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum ReleaseMode {
-    /// Runs are stopped, those that lose the least work first.
-    Preempt,
-    /// Runs are left to finish, those with the least time left first.
-    Wait,
+/// What a search for a placement by release reads.
+pub(super) struct ReleaseSearch<'a, 'b> {
+    pub(super) group: &'a TaskGroup<'a>,
+    pub(super) capacity: &'a ClusterCapacity<'b>,
+    /// Runs that can release capacity, by worker.
+    pub(super) candidates: &'a [Vec<Candidate>],
+    /// What can be released for tasks of the group's kind.
+    pub(super) releases: &'a KindReleases,
+    pub(super) places: &'a Places,
+    /// Cost beyond which a placement is of no use.
+    pub(super) loss_max: u64,
 }
 
-/// A run that can release capacity.
-struct Candidate {
-    run: RunId,
-    allocation: Resources,
-    /// Work lost if the run is stopped, including that of its gang, and reduced for a lower
-    /// priority; remaining milliseconds if the run is waited for.
-    loss: u64,
-    /// Step of the run if its tasks are a gang.
-    gang: Option<StepId>,
-    /// Whether the run ends so soon that it does not have to be stopped.
-    nearly_done: bool,
-    /// Number of tasks of its step that may still be stopped; none if the step has no budget or the
-    /// run is not ready.
-    budget_left: Option<u32>,
+impl ReleaseSearch<'_, '_> {
+    /// Returns the placement that costs the least, and the runs that have to be stopped for it.
+    pub(super) fn place(&self, scope: PlacementScope) -> Option<ReleasePlan> {
+        let Self { group, capacity, places, .. } = self;
+        match scope {
+            PlacementScope::Local => {}
+            PlacementScope::AnyRack => return self.place_anywhere(),
+            PlacementScope::AnyWorker => {
+                return self.place_on(0..capacity.slots.len(), |_| true, self.loss_max);
+            }
+        }
+        if group.spec.single_rack && group.tasks.len() > 1 {
+            if let Some(best) = self.place_in_cheapest_rack(self.loss_max) {
+                return Some(best);
+            }
+            let mut racks = 0..capacity.racks.len();
+            let waits = racks.any(|rack| fits_empty(group, capacity, places, rack));
+            // A rack that costs too much rules out all that is not in one rack.
+            if waits || self.place_in_cheapest_rack(u64::MAX).is_some() {
+                return None;
+            }
+        }
+        match group.spec.rack.as_deref().and_then(|rack| capacity.rack(rack)) {
+            Some(rack) if fits_empty(group, capacity, places, rack) => {
+                self.place_in_rack(rack, self.loss_max)
+            }
+            _ => self.place_anywhere(),
+        }
+    }
+
+    /// Returns the placement in the first of the racks that cost the least.
+    fn place_in_cheapest_rack(&self, loss_max: u64) -> Option<ReleasePlan> {
+        let (mut best, mut loss_max): (Option<ReleasePlan>, _) = (None, Some(loss_max));
+        for rack in 0..self.capacity.racks.len() {
+            let Some(max) = loss_max else { break };
+            if let Some(found) = self.place_in_rack(rack, max) {
+                loss_max = found.2.checked_sub(1);
+                best = Some(found);
+            }
+        }
+        best
+    }
+
+    fn place_in_rack(&self, rack: usize, loss_max: u64) -> Option<ReleasePlan> {
+        if self.releases.counts.in_rack(rack) < self.group.tasks.len() as u64 {
+            return None;
+        }
+        self.place_on(self.capacity.racks[rack].iter().copied(), is_eligible, loss_max)
+    }
+
+    fn place_anywhere(&self) -> Option<ReleasePlan> {
+        if self.releases.counts.sum() < self.group.tasks.len() as u64 {
+            return None;
+        }
+        self.place_on(0..self.capacity.slots.len(), is_eligible, self.loss_max)
+    }
+
+    /// Places all tasks on allowed workers; none if that is not possible or costs too much.
+    fn place_on(
+        &self,
+        among: impl Iterator<Item = usize>,
+        allowed: impl Fn(&WorkerSlot<'_>) -> bool,
+        loss_max: u64,
+    ) -> Option<ReleasePlan> {
+        let Self { group, capacity, places, .. } = self;
+        let usable = among.filter(|i| {
+            capacity.steps.add_workers(1);
+            let slot = &capacity.slots[*i];
+            places.matching[*i] && allowed(slot) && capacity.is_permitted(group, slot)
+        });
+        let mut state = SearchState::new(self, usable);
+        let need = group.spec.allocation();
+        let mut placement = Vec::with_capacity(group.tasks.len());
+        for task in &group.tasks {
+            capacity.steps.add_workers(state.workers.len());
+            let key = |(_, w): &(usize, &WorkerState)| {
+                let slot = &capacity.slots[w.slot];
+                let failed_before = task.failed_on.contains(&slot.incarnation().worker);
+                let loss = w.option.as_ref().map_or(0, |o| o.loss);
+                (failed_before, slot.health, loss, tightness(&w.available, &need))
+            };
+            let options = state.workers.iter().enumerate().filter(|(_, w)| w.option.is_some());
+            let (best, worker) = options.min_by_key(key)?;
+            placement.push(capacity.slots[worker.slot].incarnation().clone());
+            state.accept(best);
+            if state.loss > loss_max {
+                return None;
+            }
+        }
+        Some((placement, state.victims, state.loss))
+    }
 }
 
-/// State of a search for a placement of one task group.
-struct PlacementSearch<'a, 'b> {
-    group: &'a TaskGroup<'a>,
-    capacity: &'a ClusterCapacity<'b>,
-    /// Runs that can release capacity, by worker.
-    candidates: &'a [Vec<Candidate>],
+/// State of a search among some workers.
+struct SearchState<'a, 'b, 'c> {
+    search: &'c ReleaseSearch<'a, 'b>,
+    workers: Vec<WorkerState>,
     /// Candidates that the search has used.
     used: HashSet<RunId>,
-    available: Vec<Resources>,
-    counts: Vec<u32>,
     victims: Vec<RunId>,
     stopped_gangs: HashSet<StepId>,
     /// Number of ready tasks that are stopped, by step.
@@ -65,128 +143,102 @@
     loss: u64,
 }
 
-/// A worker for one task and the runs that have to release capacity on it.
-struct WorkerOption {
+/// A worker that a search may use.
+struct WorkerState {
     slot: usize,
-    victims: Vec<usize>,
-    loss: u64,
-}
-
-/// A placement, the runs to stop for it, and the cost of stopping them: lost work in thousandths of
-/// a core times milliseconds, weighted by priority.
-pub(super) type ReleasePlan = (Placement, Vec<RunId>, u64);
-
-/// Returns the placement that costs the least, and the runs that have to be stopped for it.
-pub(super) fn place_by_release(
-    group: &TaskGroup<'_>,
-    capacity: &ClusterCapacity<'_>,
-    precedence: &Precedence,
-    view: &ClusterView,
-    (scope, mode): (PlacementScope, ReleaseMode),
-) -> Option<ReleasePlan> {
-    let candidates = candidates(group, capacity, precedence, view, mode);
-    let all: Vec<usize> = (0..capacity.slots.len()).collect();
-    let search = || PlacementSearch::new(group, capacity, &candidates);
-    match scope {
-        PlacementScope::Local => {}
-        PlacementScope::AnyRack => return search().place_on(&all, is_eligible),
-        PlacementScope::AnyWorker => return search().place_on(&all, |_| true),
-    }
-    if group.spec.single_rack && group.tasks.len() > 1 {
-        let racks = &capacity.racks;
-        let found = racks.values().filter_map(|members| search().place_on(members, is_eligible));
-        if let Some(best) = found.min_by_key(|(_, _, loss)| *loss) {
-            return Some(best);
-        }
-        if racks.keys().any(|rack| fits_empty(group, capacity, rack)) {
-            return None;
-        }
-    }
-    match group.spec.rack.as_deref() {
-        Some(rack) if fits_empty(group, capacity, rack) => {
-            search().place_on(capacity.rack(rack), is_eligible)
-        }
-        _ => search().place_on(&all, is_eligible),
-    }
+    available: Resources,
+    /// Number of tasks of the step that it may still be assigned.
+    tasks_left: u32,
+    /// What placing one more task on it takes; none if that is not possible.
+    option: Option<Rc<ReleaseOption>>,
 }
 
-impl<'a, 'b> PlacementSearch<'a, 'b> {
-    fn new(
-        group: &'a TaskGroup<'a>,
-        capacity: &'a ClusterCapacity<'b>,
-        candidates: &'a [Vec<Candidate>],
-    ) -> Self {
-        let steps = |s: &WorkerSlot<'_>| s.steps.get(&group.step).copied().unwrap_or(0);
-        Self {
-            group,
-            capacity,
-            candidates,
+impl<'a, 'b, 'c> SearchState<'a, 'b, 'c> {
+    fn new(search: &'c ReleaseSearch<'a, 'b>, usable: impl Iterator<Item = usize>) -> Self {
+        let worker = |slot: usize| {
+            let capacity = &search.capacity.slots[slot];
+            WorkerState {
+                slot,
+                available: capacity.free.plus(&capacity.releasing),
+                tasks_left: capacity.remaining_tasks(search.group),
+                option: None,
+            }
+        };
+        let mut state = Self {
+            search,
+            workers: usable.map(worker).collect(),
             used: HashSet::default(),
-            available: capacity.slots.iter().map(|s| s.free.plus(&s.releasing)).collect(),
-            counts: capacity.slots.iter().map(steps).collect(),
             victims: Vec::new(),
             stopped_gangs: HashSet::default(),
             stopped_ready: HashMap::default(),
             loss: 0,
+        };
+        for i in 0..state.workers.len() {
+            let worker = &state.workers[i];
+            if worker.tasks_left > 0 {
+                let find = || state.option(worker);
+                state.workers[i].option = search.releases.options.get(worker.slot, find);
+            }
         }
+        // A worker without an option gets none later: the search only takes capacity and budgets.
+        state.workers.retain(|w| w.option.is_some());
+        state
     }
 
-    /// Places all tasks on allowed workers; none if that is not possible.
-    fn place_on(
-        mut self,
-        among: &[usize],
-        allowed: impl Fn(&WorkerSlot<'_>) -> bool,
-    ) -> Option<ReleasePlan> {
-        let mut placement: Vec<WorkerIncarnation> = Vec::with_capacity(self.group.tasks.len());
-        for task in &self.group.tasks {
-            let options = among.iter().filter(|i| allowed(&self.capacity.slots[**i]));
-            let options = options.filter_map(|i| self.worker_option(*i));
-            let need = self.group.spec.allocation();
-            let best = options.min_by_key(|o| {
-                let slot = &self.capacity.slots[o.slot];
-                let failed_before = task.failed_on.contains(&slot.incarnation().worker);
-                (failed_before, slot.health, o.loss, tightness(&self.available[o.slot], &need))
-            })?;
-            placement.push(self.capacity.slots[best.slot].incarnation().clone());
-            self.accept(best);
-        }
-        Some((placement, self.victims, self.loss))
+    fn update_option(&mut self, worker: usize) {
+        self.workers[worker].option = self.option(&self.workers[worker]).map(Rc::new);
     }
 
     /// Returns what placing one more task on a worker takes; none if that is not possible.
-    fn worker_option(&self, slot: usize) -> Option<WorkerOption> {
-        let spec = self.group.spec;
-        let full = spec.worker_max > 0 && self.counts[slot] >= spec.worker_max;
-        if full || !self.capacity.can_run(self.group, &self.capacity.slots[slot]) {
+    fn option(&self, worker: &WorkerState) -> Option<ReleaseOption> {
+        let need = self.search.group.spec.allocation();
+        let mut available = worker.available;
+        let mut option = ReleaseOption { victims: Vec::new(), loss: 0 };
+        if worker.tasks_left == 0 {
             return None;
         }
-        let need = spec.allocation();
-        let mut available = self.available[slot];
-        let mut option = WorkerOption { slot, victims: Vec::new(), loss: 0 };
-        let unused = |i: &usize| !self.used.contains(&self.candidates[slot][*i].run);
-        let mut order: Vec<usize> = (0..self.candidates[slot].len()).filter(unused).collect();
-        order.sort_by_key(|i| self.marginal_cost(&self.candidates[slot][*i]));
-        for i in order {
+        if available.fits(&need) {
+            return Some(option);
+        }
+        let candidates = &self.search.candidates[worker.slot];
+        self.search.capacity.steps.add_runs(candidates.len());
+        let all = candidates.iter().fold(available, |sum, c| sum.plus(&c.allocation));
+        if !all.fits(&need) {
+            return None;
+        }
+        for i in self.by_marginal_cost(candidates) {
             if available.fits(&need) {
                 break;
             }
-            let candidate = &self.candidates[slot][i];
-            if self.is_over_budget(slot, &option, candidate) {
+            if self.is_over_budget(worker.slot, &option, &candidates[i]) {
                 continue;
             }
-            available = available.plus(&candidate.allocation);
-            option.loss += self.marginal_cost(candidate);
+            available = available.plus(&candidates[i].allocation);
+            option.loss += self.marginal_cost(&candidates[i]);
             option.victims.push(i);
         }
         available.fits(&need).then_some(option)
     }
 
+    /// Returns the positions of candidates that are not used, those with the least additional cost
+    /// first. At first that is the order that they have.
+    fn by_marginal_cost(&self, candidates: &[Candidate]) -> impl Iterator<Item = usize> + use<> {
+        let as_is = self.used.is_empty().then_some(0..candidates.len());
+        let unused = |i: &usize| !self.used.contains(&candidates[*i].run);
+        let mut order = Vec::new();
+        if as_is.is_none() {
+            order.extend((0..candidates.len()).filter(unused));
+            order.sort_by_key(|i| (self.marginal_cost(&candidates[*i]), candidates[*i].run));
+        }
+        as_is.into_iter().flatten().chain(order)
+    }
+
     /// Whether stopping a run in addition to those of an option exceeds the disruption budget of
     /// its step.
-    fn is_over_budget(&self, slot: usize, option: &WorkerOption, candidate: &Candidate) -> bool {
+    fn is_over_budget(&self, slot: usize, option: &ReleaseOption, candidate: &Candidate) -> bool {
         let Some(budget_left) = candidate.budget_left else { return false };
         let step = candidate.run.task.step;
-        let beside = option.victims.iter().map(|i| &self.candidates[slot][*i]);
+        let beside = option.victims.iter().map(|i| &self.search.candidates[slot][*i]);
         let beside = beside.filter(|c| c.budget_left.is_some() && c.run.task.step == step).count();
         self.stopped_ready.get(&step).copied().unwrap_or(0) + beside as u32 >= budget_left
     }
@@ -200,124 +252,50 @@
         }
     }
 
-    fn accept(&mut self, option: WorkerOption) {
-        let WorkerOption { slot, victims, loss } = option;
-        self.loss += loss;
-        for i in victims {
-            let candidate = &self.candidates[slot][i];
-            self.used.insert(candidate.run);
-            self.available[slot] = self.available[slot].plus(&candidate.allocation);
-            self.stopped_gangs.extend(candidate.gang);
-            if candidate.budget_left.is_some() {
-                *self.stopped_ready.entry(candidate.run.task.step).or_default() += 1;
-            }
-            if !candidate.nearly_done {
-                self.victims.push(candidate.run);
-            }
+    /// Places one more task on a worker.
+    fn accept(&mut self, worker: usize) {
+        let Some(option) = self.workers[worker].option.take() else { return };
+        self.loss += option.loss;
+        let candidates = &self.search.candidates[self.workers[worker].slot];
+        let stopped: Vec<&Candidate> = option.victims.iter().map(|i| &candidates[*i]).collect();
+        for candidate in &stopped {
+            self.stop(candidate);
+            let available = &mut self.workers[worker].available;
+            *available = available.plus(&candidate.allocation);
         }
-        self.available[slot] = self.available[slot].minus(&self.group.spec.allocation());
-        self.counts[slot] += 1;
+        let state = &mut self.workers[worker];
+        state.available = state.available.minus(&self.search.group.spec.allocation());
+        state.tasks_left -= 1;
+        self.update_option(worker);
+        self.update_beside(&stopped);
     }
-}
 
-/// Returns the runs that can release capacity, by worker.
-fn candidates(
-    group: &TaskGroup<'_>,
-    capacity: &ClusterCapacity<'_>,
-    precedence: &Precedence,
-    view: &ClusterView,
-    mode: ReleaseMode,
-) -> Vec<Vec<Candidate>> {
-    let mut estimate = TimeLeft::new(capacity, view);
-    let on_slot = |slot| match mode {
-        ReleaseMode::Preempt => {
-            preemption_candidates(group, slot, capacity, precedence, view, &mut estimate)
+    fn stop(&mut self, candidate: &Candidate) {
+        self.used.insert(candidate.run);
+        self.stopped_gangs.extend(candidate.gang);
+        if candidate.budget_left.is_some() {
+            *self.stopped_ready.entry(candidate.run.task.step).or_default() += 1;
         }
-        ReleaseMode::Wait => finishing_candidates(slot, capacity, &mut estimate),
-    };
-    capacity.slots.iter().map(on_slot).collect()
-}
+        if !candidate.nearly_done {
+            self.victims.push(candidate.run);
+        }
+    }
 
-/// Returns the runs on a worker that may be stopped, and those that end so soon that they need not
-/// be.
-fn preemption_candidates(
-    group: &TaskGroup<'_>,
-    slot: &WorkerSlot<'_>,
-    capacity: &ClusterCapacity<'_>,
-    precedence: &Precedence,
-    view: &ClusterView,
-    estimate: &mut TimeLeft<'_, '_>,
-) -> Vec<Candidate> {
-    let runs = slot.worker.runs.iter().filter(|(run, _)| !capacity.stopping.contains(run));
-    let candidates = runs.filter_map(|(run, allocation)| {
-        let job = capacity.ledger.job(run.task.step.job)?;
-        let spec = job.step_spec(run.task.step.step)?;
-        if !spec.long_lived && estimate.of_run(*run, spec) < NEARLY_DONE {
-            return Some(Candidate {
-                run: *run,
-                allocation: *allocation,
-                loss: 0,
-                gang: None,
-                nearly_done: true,
-                budget_left: None,
-            });
+    /// Updates the workers with further members of stopped gangs, which cost nothing more, and with
+    /// tasks of steps whose disruption budget has changed.
+    fn update_beside(&mut self, stopped: &[&Candidate]) {
+        let shared = |c: &&&Candidate| c.gang.is_some() || c.budget_left.is_some();
+        let steps: HashSet<StepId> =
+            stopped.iter().filter(shared).map(|c| c.run.task.step).collect();
+        if steps.is_empty() {
+            return;
         }
-        if !precedence.may_stop(group, job) {
-            return None;
+        for i in 0..self.workers.len() {
+            let candidates = &self.search.candidates[self.workers[i].slot];
+            self.search.capacity.steps.add_runs(candidates.len());
+            if candidates.iter().any(|c| steps.contains(&c.run.task.step)) {
+                self.update_option(i);
+            }
         }
-        let run_loss =
-            lost_millis(capacity, *run, view, spec.checkpoints).saturating_mul(allocation.weight());
-        let count = if spec.gang { u64::from(spec.count) } else { 1 };
-        let gang = spec.gang.then_some(run.task.step);
-        // Of two runs with the same cost, the one with the lower priority is preempted.
-        let loss =
-            run_loss.saturating_mul(count) / (1 + u64::from(precedence.priority(job).min(8)));
-        let budget_left = disruption::remaining_budget(capacity, view, job, *run);
-        Some(Candidate {
-            run: *run,
-            allocation: *allocation,
-            loss,
-            gang,
-            nearly_done: false,
-            budget_left,
-        })
-    });
-    candidates.collect()
-}
-
-/// Returns the runs on a worker that end by themselves, with the time that they have left.
-fn finishing_candidates(
-    slot: &WorkerSlot<'_>,
-    capacity: &ClusterCapacity<'_>,
-    estimate: &mut TimeLeft<'_, '_>,
-) -> Vec<Candidate> {
-    let runs = slot.worker.runs.iter().filter(|(run, _)| !capacity.stopping.contains(run));
-    let candidates = runs.filter_map(|(run, allocation)| {
-        let spec = capacity.ledger.job(run.task.step.job)?.step_spec(run.task.step.step)?;
-        let loss = estimate.of_run(*run, spec).as_millis() as u64;
-        let candidate = Candidate {
-            run: *run,
-            allocation: *allocation,
-            loss,
-            gang: None,
-            nearly_done: true,
-            budget_left: None,
-        };
-        (!spec.long_lived).then_some(candidate)
-    });
-    candidates.collect()
-}
-
-/// Returns the milliseconds of work that are lost if a run is stopped.
-fn lost_millis(
-    capacity: &ClusterCapacity<'_>,
-    run: RunId,
-    view: &ClusterView,
-    checkpoints: bool,
-) -> u64 {
-    if checkpoints {
-        return RESTART_COST_MILLIS;
     }
-    let since = capacity.ledger.active_run(run).map(|r| r.assigned_at);
-    since.map_or(0, |s| view.now.since(s).as_millis() as u64) + RESTART_COST_MILLIS
 }
