feat(agent): log how a worker was last seen before another one checks in

The logs did not tell a crash from a cut, a planned stop or lost power: the agent knew the error of each request for the worker's list and kept none of it. A failed list request now counts as closed (the connection was closed or refused, or another worker answers there) or as silent; the line of the next incarnation's check-in says how the former one was last seen, and how many runs it may have held. No decision reads it.

--- a/crates/bronzespool-batch/src/agent/call.rs
+++ b/crates/bronzespool-batch/src/agent/call.rs
@@ -33,6 +33,29 @@
     pub truncated: bool,
 }
 
+/// Why a request for the worker's list has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListFailure {
+    /// The connection was closed or refused, or another worker answers there, as it is when the
+    /// worker's process has ended.
+    Closed,
+    /// Nothing arrived in time, or nothing that can be read.
+    Silent,
+}
+
+/// How an incarnation was last seen before another one took its place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LastSeen {
+    /// It answered the latest request.
+    Answering,
+    /// Since its last answer, all connections were closed or refused.
+    Closed,
+    /// It was silent at some time since its last answer, as if it were cut off.
+    Silent,
+    /// It had announced that it leaves.
+    Leaving,
+}
+
 /// The worker's answer to a start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StartOutcome {
--- a/crates/bronzespool-batch/src/agent/mod.rs
+++ b/crates/bronzespool-batch/src/agent/mod.rs
@@ -9,7 +9,9 @@
 mod worker;
 
 pub use {
-    call::{Action, Limits, ListRequest, Listing, StartOutcome, StopOutcome},
+    call::{
+        Action, LastSeen, Limits, ListFailure, ListRequest, Listing, StartOutcome, StopOutcome,
+    },
     lease::{ClockReading, Lease, lease_duration_max},
     reconciler::Reconciler,
 };
--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -9,7 +9,10 @@
 use {
     crate::{
         agent::{
-            call::{Action, Limits, ListRequest, Listing, StartOutcome, StopOutcome},
+            call::{
+                Action, LastSeen, Limits, ListFailure, ListRequest, Listing, StartOutcome,
+                StopOutcome,
+            },
             fence::Fence,
             lease::{ClockReading, lease_duration_max},
             worker::{CallState, WorkerState},
@@ -127,6 +130,12 @@
         self.worker.as_ref().map(|w| &w.spec.incarnation)
     }
 
+    /// Returns how the worker's current incarnation was last seen, and the number of runs that it may
+    /// hold.
+    pub fn last_seen(&self) -> Option<(LastSeen, usize)> {
+        self.worker.as_ref().map(|w| (w.last_seen(), w.started.len()))
+    }
+
     /// Returns the report for the leader. `position` counts the polls of this process.
     pub fn poll(&self, now: Time, position: u32) -> Poll {
         let worker = self.worker.as_ref().filter(|w| w.is_reportable(now, &self.limits));
@@ -369,9 +378,9 @@
     }
 
     /// Notes that the worker has not answered a request for its list.
-    pub fn list_unanswered(&mut self, request: &ListRequest) {
+    pub fn list_unanswered(&mut self, request: &ListRequest, failure: ListFailure) {
         if let Some(worker) = self.current_worker(&request.incarnation) {
-            worker.answers = false;
+            worker.list_failed(failure);
         }
     }
 
--- a/crates/bronzespool-batch/src/agent/worker.rs
+++ b/crates/bronzespool-batch/src/agent/worker.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        agent::{Limits, lease::Lease, pace::Pacer},
+        agent::{LastSeen, Limits, ListFailure, lease::Lease, pace::Pacer},
         id::RunId,
         ledger::{RunEnd, WorkerSpec},
         message::RunStatus,
@@ -65,6 +65,8 @@
     pub(super) has_orders: bool,
     /// Whether the worker answered the latest request for its list.
     pub(super) answers: bool,
+    /// Why it has not answered since its last list; silence outweighs closed connections.
+    failure: Option<ListFailure>,
     /// Whether the worker has reported that it ends, or another incarnation has answered in its
     /// place.
     pub(super) departed: bool,
@@ -96,6 +98,7 @@
             has_list: false,
             has_orders: false,
             answers: false,
+            failure: None,
             departed: false,
             calls: HashMap::default(),
             started: HashMap::default(),
@@ -110,6 +113,24 @@
         now.since(self.last_heartbeat) > limits.heartbeat_interval * SILENT_INTERVALS
     }
 
+    /// Takes a request for the list that had no answer.
+    pub(super) fn list_failed(&mut self, failure: ListFailure) {
+        self.answers = false;
+        if self.failure != Some(ListFailure::Silent) {
+            self.failure = Some(failure);
+        }
+    }
+
+    /// Returns how the incarnation was last seen.
+    pub(super) const fn last_seen(&self) -> LastSeen {
+        match self.failure {
+            _ if self.spec.leaving => LastSeen::Leaving,
+            Some(ListFailure::Closed) => LastSeen::Closed,
+            Some(ListFailure::Silent) => LastSeen::Silent,
+            None => LastSeen::Answering,
+        }
+    }
+
     /// Whether the worker answers, or at least checks in, and its runs are known.
     pub(super) fn is_reportable(&self, now: Time, limits: &Limits) -> bool {
         self.has_list && (self.answers || !self.is_silent(now, limits))
@@ -169,6 +190,7 @@
         ends: Vec<RunEnd>,
         truncated: bool,
     ) {
+        self.failure = None;
         self.listed = running.iter().map(|s| s.run).chain(ends.iter().map(|e| e.run)).collect();
         (self.running, self.ends, self.ends_truncated) = (running, ends, truncated);
     }
--- a/crates/bronzespool-batch/tests/model/delivery.rs
+++ b/crates/bronzespool-batch/tests/model/delivery.rs
@@ -8,7 +8,7 @@
     },
     bronzespool_batch::{
         RunId, WorkerIncarnation,
-        agent::{Action, ListRequest, StartOutcome, StopOutcome},
+        agent::{Action, ListFailure, ListRequest, StartOutcome, StopOutcome},
     },
 };
 
@@ -72,7 +72,7 @@
                 self.reconciler.fenced(self.now, request.epoch);
             }
             Body::Listing(request, ListAnswer::Unanswered) => {
-                self.reconciler.list_unanswered(&request);
+                self.reconciler.list_unanswered(&request, ListFailure::Silent);
             }
             Body::CheckIn(spec, seq) => {
                 self.reconciler.check_in(self.now, *spec, seq);
--- a/crates/bronzespool-telemetry/src/event/agent.rs
+++ b/crates/bronzespool-telemetry/src/event/agent.rs
@@ -16,6 +16,8 @@
         life: WorkerIncarnation,
         /// Incarnation that was known before.
         before: Option<WorkerIncarnation>,
+        /// How that incarnation was last seen, and how many runs it may have held.
+        last_seen: Option<String>,
     }
     /// The worker has announced that it stops taking new runs, or that it takes them again.
     WorkerDrainingChanged: Info, Agent, "whether the worker leaves has changed" {
--- a/crates/bronzespoold/src/agent/endpoint.rs
+++ b/crates/bronzespoold/src/agent/endpoint.rs
@@ -185,7 +185,9 @@
 
 const fn error_completion(error: &Error) -> Completion {
     match error {
-        Error::Connect(_) | Error::Unsent => Completion::NotRun(Code::NoEndpoint),
+        Error::Connect(_) | Error::Refused(_) | Error::Unsent => {
+            Completion::NotRun(Code::NoEndpoint)
+        }
         Error::Timeout(_) => Completion::Unknown(Code::InProgress),
         Error::Body(ReadError::Large(_)) => Completion::Unknown(Code::AnswerTooLarge),
         Error::Transfer(_) | Error::Body(ReadError::Short) => {
--- a/crates/bronzespoold/src/batch/agent.rs
+++ b/crates/bronzespoold/src/batch/agent.rs
@@ -5,11 +5,15 @@
     crate::{
         batch::leader_client::LeaderClient,
         clock::Clock,
+        http::Error,
         telemetry::{Event as _, event},
     },
     bronzespool::{
         batch::{
-            agent::{Action, Limits, ListRequest, Listing, Reconciler, StartOutcome, StopOutcome},
+            agent::{
+                Action, Limits, ListFailure, ListRequest, Listing, Reconciler, StartOutcome,
+                StopOutcome,
+            },
             ledger::WorkerSpec,
             message::{Call, Orders, Poll, Reply},
         },
@@ -67,7 +71,16 @@
     /// The worker has seen a higher fencing token than the request's, or the request had none.
     Fenced,
     /// No answer.
-    Unanswered,
+    Unanswered(ListFailure),
+}
+
+impl From<&Error> for ListOutcome {
+    fn from(error: &Error) -> Self {
+        Self::Unanswered(match error.is_closed() {
+            true => ListFailure::Closed,
+            false => ListFailure::Silent,
+        })
+    }
 }
 
 /// Options of an agent.
@@ -130,6 +143,7 @@
     /// Handles a check-in of the worker; `seq` orders the check-ins of one incarnation.
     pub fn check_in(&self, spec: WorkerSpec, seq: u64) {
         let before = self.reconciler.borrow().incarnation().cloned();
+        let last_seen = self.reconciler.borrow().last_seen();
         let was_leaving = self.reconciler.borrow().is_leaving();
         let incarnation = spec.incarnation.clone();
         if !self.reconciler.borrow_mut().check_in(self.clock.now(), spec, seq) {
@@ -137,7 +151,8 @@
             return;
         }
         if before.as_ref() != Some(&incarnation) {
-            event::CheckedIn { life: incarnation.clone(), before }.emit();
+            let last_seen = last_seen.map(|(l, runs)| format!("{l:?} with {runs} runs"));
+            event::CheckedIn { life: incarnation.clone(), before, last_seen }.emit();
         }
         let is_leaving = self.reconciler.borrow().is_leaving();
         if is_leaving != was_leaving {
@@ -194,8 +209,8 @@
                 self.poll_wakeup.notify_one();
                 Some(false)
             }
-            ListOutcome::Unanswered => {
-                self.reconciler.borrow_mut().list_unanswered(&request);
+            ListOutcome::Unanswered(failure) => {
+                self.reconciler.borrow_mut().list_unanswered(&request, failure);
                 Some(false)
             }
         }
--- a/crates/bronzespoold/src/http/connection.rs
+++ b/crates/bronzespoold/src/http/connection.rs
@@ -9,7 +9,7 @@
         client::conn::http1::{SendRequest, handshake},
     },
     hyper_util::rt::TokioIo,
-    std::{net::SocketAddr, time::Duration},
+    std::{io::ErrorKind, net::SocketAddr, time::Duration},
     tokio::{
         net::TcpStream,
         task::{AbortHandle, spawn_local},
@@ -39,11 +39,16 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Connect`] if the connection is not established in time.
+    /// [`Error::Refused`] if nothing listens at the address, [`Error::Connect`] if the connection is
+    /// not established in time for another reason.
     pub async fn open(address: SocketAddr, time: Duration) -> Result<Self> {
         let connecting = timeout(CONNECT_TIMEOUT.min(time), TcpStream::connect(address));
-        let Ok(Ok(stream)) = connecting.await else {
-            return Err(Error::Connect(address));
+        let stream = match connecting.await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                return Err(Error::Refused(address));
+            }
+            Ok(Err(_)) | Err(_) => return Err(Error::Connect(address)),
         };
         let _ = stream.set_nodelay(true);
         let (sender, connection) =
--- a/crates/bronzespoold/src/http/fetch.rs
+++ b/crates/bronzespoold/src/http/fetch.rs
@@ -20,6 +20,8 @@
 pub enum Error {
     /// cannot connect to {0}
     Connect(SocketAddr),
+    /// nothing listens at {0}
+    Refused(SocketAddr),
     /// the connection ended before the request was sent
     Unsent,
     /// the connection failed: {0}
@@ -35,7 +37,16 @@
 impl Error {
     /// Whether no byte of the request was sent, so that the request cannot have run.
     pub const fn is_unsent(&self) -> bool {
-        matches!(self, Self::Connect(_) | Self::Unsent)
+        matches!(self, Self::Connect(_) | Self::Refused(_) | Self::Unsent)
+    }
+
+    /// Whether the host of the peer has closed or refused the connection. No answer in time says
+    /// nothing of the peer's process; this says that it has ended, unless the network did it.
+    pub const fn is_closed(&self) -> bool {
+        matches!(
+            self,
+            Self::Refused(_) | Self::Unsent | Self::Transfer(_) | Self::Body(ReadError::Short)
+        )
     }
 }
 
