--- a/crates/bronzespool-batch/src/affected.rs
+++ b/crates/bronzespool-batch/src/affected.rs
@@ -60,7 +60,13 @@
             Event::Configured(_)
             | Event::Submitted(_)
             | Event::WaveOrdered(_)
-            | Event::MaintenanceBegun { .. } => {}
+            | Event::MaintenanceBegun { .. }
+            | Event::TakenDown(_) => {}
+            Event::Crashed(crash) => {
+                let jobs = crash.runs.iter().map(|r| r.run.task.step.job);
+                let is_active = |id: &JobId| ledger.job(*id).is_some_and(|j| j.phase.is_active());
+                self.jobs.extend(jobs.filter(is_active));
+            }
             Event::Cancelled(id) => self.add_cancelled(ledger, *id),
             Event::WorkerUp(spec) => {
                 self.workers.insert(Arc::clone(&spec.incarnation.worker));
--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -17,6 +17,7 @@
             lease::{ClockReading, lease_duration_max},
             worker::{CallState, WorkerState},
         },
+        crash::Crash,
         id::{RunId, WorkerIncarnation},
         ledger::{RunEnd, WorkerSpec},
         message::{Orders, Poll, PollId},
@@ -29,6 +30,10 @@
 /// since.
 const ORDERS_AGE_MAX: Duration = Duration::from_millis(900);
 
+/// Failed reports after which a crash is not reported any more. They outlast an election; a leader of
+/// a former version cannot read a report at all, and each one delays a poll.
+const CRASH_REPORTS_MAX: u32 = 10;
+
 /// State of the agent of one worker.
 #[derive(Clone, Debug)]
 pub struct Reconciler {
@@ -39,6 +44,8 @@
     started_at: Time,
     worker: Option<WorkerState>,
     gone: Vec<WorkerIncarnation>,
+    /// Crashes that the leader has not recorded, each with the number of failed reports.
+    crashes: Vec<(Crash, u32)>,
     /// Incarnations that were dropped because they were silent or had left.
     dropped: Vec<WorkerIncarnation>,
     orders: Option<ReceivedOrders>,
@@ -65,6 +72,7 @@
             started_at: now,
             worker: None,
             gone: Vec::new(),
+            crashes: Vec::new(),
             dropped: Vec::new(),
             orders: None,
             dropped_at: Time::ZERO,
@@ -93,13 +101,15 @@
         // If the clock was set back, a new incarnation may look older than one that is gone. A late
         // check-in of an earlier incarnation looks the same while the current one is cut off. Nor
         // does the start time of one that was dropped tell which of the two lives.
-        let old = worker.spec.incarnation.clone();
+        let (old, crash) = (worker.spec.incarnation.clone(), worker.crash(now));
         let was_dropped = self.dropped.contains(&spec.incarnation);
         let is_younger = spec.incarnation.started_at > old.started_at && !was_dropped;
         if !is_younger && !self.is_gone(now) {
             return false;
         }
-        if !is_younger {
+        if is_younger {
+            self.crashes.extend(crash.map(|c| (c, 0)));
+        } else {
             self.note_dropped(old.clone());
         }
         // The leader ends the runs of the former incarnation under the same name itself, once the
@@ -136,6 +146,28 @@
         self.worker.as_ref().map(|w| (w.last_seen(), w.started.len()))
     }
 
+    /// Returns a crash that the leader has to be told of, before it is told of the next incarnation.
+    pub fn crash(&self) -> Option<&Crash> {
+        self.crashes.first().map(|(crash, _)| crash)
+    }
+
+    /// Notes that the leader has recorded the crash of an incarnation.
+    pub fn crash_reported(&mut self, incarnation: &WorkerIncarnation) {
+        self.crashes.retain(|(c, _)| c.incarnation != *incarnation);
+    }
+
+    /// Notes that the leader could not be told of the crash of an incarnation. Returns whether it
+    /// will be told again.
+    pub fn crash_unreported(&mut self, incarnation: &WorkerIncarnation) -> bool {
+        let before = self.crashes.len();
+        for (_, attempts) in self.crashes.iter_mut().filter(|(c, _)| c.incarnation == *incarnation)
+        {
+            *attempts += 1;
+        }
+        self.crashes.retain(|(_, attempts)| *attempts < CRASH_REPORTS_MAX);
+        self.crashes.len() == before
+    }
+
     /// Returns the report for the leader. `position` counts the polls of this process.
     pub fn poll(&self, now: Time, position: u32) -> Poll {
         let worker = self.worker.as_ref().filter(|w| w.is_reportable(now, &self.limits));
@@ -291,7 +323,11 @@
         }
         let Some(worker) = self.current_worker(incarnation) else { return };
         match outcome {
-            StartOutcome::Present | StartOutcome::Old => worker.await_list(run),
+            StartOutcome::Present => {
+                worker.note_running(now, run);
+                worker.await_list(run);
+            }
+            StartOutcome::Old => worker.await_list(run),
             StartOutcome::Refused => worker.start_refused(run),
             StartOutcome::Late | StartOutcome::Fenced(_) => worker.start_void(run),
             StartOutcome::Unknown => worker.start_unanswered(run),
@@ -368,7 +404,7 @@
         let ends: Vec<RunEnd> = listing.ends.into_iter().filter(|e| e.number > cursor).collect();
         let has_new_ends = ends.len() > worker.ends.len()
             || ends.last().map(|e| e.number) > worker.ends.last().map(|e| e.number);
-        worker.take_list(listing.running, ends, listing.truncated);
+        worker.take_list(now, listing.running, ends, listing.truncated);
         worker.end_pauses(now);
         let finished = worker.finish_calls(now, request.serial);
         if former_calls_over {
@@ -378,9 +414,9 @@
     }
 
     /// Notes that the worker has not answered a request for its list.
-    pub fn list_unanswered(&mut self, request: &ListRequest, failure: ListFailure) {
+    pub fn list_unanswered(&mut self, now: Time, request: &ListRequest, failure: ListFailure) {
         if let Some(worker) = self.current_worker(&request.incarnation) {
-            worker.list_failed(failure);
+            worker.list_failed(now, failure);
         }
     }
 
@@ -400,6 +436,7 @@
             return false;
         }
         if let Some(worker) = self.worker.take() {
+            self.crashes.extend(worker.crash(now).map(|c| (c, 0)));
             self.note_dropped(worker.spec.incarnation.clone());
             self.gone.push(worker.spec.incarnation);
         }
--- a/crates/bronzespool-batch/src/agent/worker.rs
+++ b/crates/bronzespool-batch/src/agent/worker.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         agent::{LastSeen, Limits, ListFailure, lease::Lease, pace::Pacer},
+        crash::{Crash, CrashedRun},
         id::RunId,
         ledger::{RunEnd, WorkerSpec},
         message::RunStatus,
@@ -67,6 +68,10 @@
     pub(super) answers: bool,
     /// Why it has not answered since its last list; silence outweighs closed connections.
     failure: Option<ListFailure>,
+    /// When its first request since its last list failed.
+    failed_at: Time,
+    /// When runs were first known to run.
+    running_since: HashMap<RunId, Time>,
     /// Whether the worker has reported that it ends, or another incarnation has answered in its
     /// place.
     pub(super) departed: bool,
@@ -99,6 +104,8 @@
             has_orders: false,
             answers: false,
             failure: None,
+            failed_at: now,
+            running_since: HashMap::default(),
             departed: false,
             calls: HashMap::default(),
             started: HashMap::default(),
@@ -114,8 +121,11 @@
     }
 
     /// Takes a request for the list that had no answer.
-    pub(super) fn list_failed(&mut self, failure: ListFailure) {
+    pub(super) fn list_failed(&mut self, now: Time, failure: ListFailure) {
         self.answers = false;
+        if self.failure.is_none() {
+            self.failed_at = now;
+        }
         if self.failure != Some(ListFailure::Silent) {
             self.failure = Some(failure);
         }
@@ -131,6 +141,38 @@
         }
     }
 
+    /// Returns the crash of this incarnation, which has ended by `now`; none if it was not seen to
+    /// crash, or held no run.
+    pub(super) fn crash(&self, now: Time) -> Option<Crash> {
+        let ended_at = match self.last_seen() {
+            LastSeen::Answering => now,
+            LastSeen::Closed => self.failed_at,
+            LastSeen::Silent | LastSeen::Leaving => return None,
+        };
+        let listed = self.running.iter().map(|s| s.run);
+        let sent = self.started.keys().copied().filter(|r| !self.has_ended(*r));
+        let held: HashSet<RunId> = listed.chain(sent).collect();
+        let mut runs: Vec<CrashedRun> =
+            held.into_iter().map(|run| CrashedRun { run, age: self.age(run, ended_at) }).collect();
+        runs.sort_by_key(|r| r.run);
+        let incarnation = self.spec.incarnation.clone();
+        (!runs.is_empty()).then_some(Crash { incarnation, runs })
+    }
+
+    /// Returns for how many milliseconds a run has been known to run.
+    fn age(&self, run: RunId, now: Time) -> u64 {
+        self.running_since.get(&run).map_or(0, |at| now.since(*at).as_millis() as u64)
+    }
+
+    fn has_ended(&self, run: RunId) -> bool {
+        self.ends.iter().any(|e| e.run == run)
+    }
+
+    /// Notes that the worker has answered that a run is there.
+    pub(super) fn note_running(&mut self, now: Time, run: RunId) {
+        self.running_since.entry(run).or_insert(now);
+    }
+
     /// Whether the worker answers, or at least checks in, and its runs are known.
     pub(super) fn is_reportable(&self, now: Time, limits: &Limits) -> bool {
         self.has_list && (self.answers || !self.is_silent(now, limits))
@@ -186,12 +228,18 @@
     /// Takes the runs of a list.
     pub(super) fn take_list(
         &mut self,
+        now: Time,
         running: Vec<RunStatus>,
         ends: Vec<RunEnd>,
         truncated: bool,
     ) {
         self.failure = None;
         self.listed = running.iter().map(|s| s.run).chain(ends.iter().map(|e| e.run)).collect();
+        let (listed, started) = (&self.listed, &self.started);
+        self.running_since.retain(|run, _| listed.contains(run) || started.contains_key(run));
+        for status in &running {
+            self.running_since.entry(status.run).or_insert(now);
+        }
         (self.running, self.ends, self.ends_truncated) = (running, ends, truncated);
     }
 
--- a/crates/bronzespool-batch/src/ledger/apply.rs
+++ b/crates/bronzespool-batch/src/ledger/apply.rs
@@ -43,6 +43,8 @@
             Event::Refused { incarnation, run } => self.refuse(incarnation, *run),
             Event::WaveOrdered(spec) => self.order_wave(spec),
             Event::MaintenanceBegun { wave, machine } => self.begin_maintenance(*wave, machine),
+            Event::Crashed(crash) => self.record_crash(crash),
+            Event::TakenDown(worker) => self.take_down(worker),
         }
     }
 
@@ -70,6 +72,8 @@
         let at = self.log_time;
         let old = |j: &Job| j.finished.is_some_and(|f| at.since(f) > JOB_RETENTION);
         self.jobs.retain(|_, j| !old(j) || j.has_active_run());
+        let jobs = &self.jobs;
+        self.crashes.expire(at, |id| jobs.contains_key(&id));
     }
 
     fn configure(&mut self, config: &Arc<Config>) -> EventOutcome {
@@ -109,6 +113,7 @@
         }
         job.phase = Phase::Cancelled;
         job.finished = Some(at);
+        self.crashes.forget_tasks_of(id);
         EventOutcome::Applied
     }
 
@@ -322,6 +327,9 @@
         if !checkpoint.is_empty() {
             task.checkpoint = checkpoint.clone();
         }
+        if outcome == RunOutcome::Done {
+            self.crashes.forget_task(run.task);
+        }
         match outcome {
             RunOutcome::Done if !spec.long_lived => mark_done(job, run.task, spec.gang),
             RunOutcome::Failed if !spec.long_lived => count_failure(job, run, spec.gang),
@@ -355,6 +363,9 @@
             job.phase = Phase::Completed;
             job.finished = Some(at);
         }
+        if failed || all {
+            self.crashes.forget_tasks_of(task.step.job);
+        }
     }
 }
 
--- /dev/null
+++ b/crates/bronzespool-batch/src/ledger/crash.rs
@@ -0,0 +1,198 @@
+//! Crashes of workers, and the tasks that may have caused them.
+//!
+//! Covers a task that crashes each worker that starts it. Tasks that ran beside it are lost with the
+//! same workers, so a crash counts as evidence against a task only where no other one can have
+//! caused it: of all runs on the worker, those that had just started are suspected first.
+
+use {
+    crate::{
+        crash::{Crash, CrashedRun},
+        id::{JobId, RunId, StepId, TaskId, WorkerIncarnation},
+        ledger::{EventOutcome, Job, Ledger, Phase},
+    },
+    bronzespool_core::Time,
+    serde::{Deserialize, Deserializer, Serialize},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+};
+
+/// Age below which a run has just started: a task crashes its worker at its start, and a late answer
+/// of the worker may delay by this much what the agent knows of it.
+const JUST_STARTED: Duration = Duration::from_secs(1);
+/// Age from which a run has shown that its task does not crash workers at its start, so that earlier
+/// crashes were not its fault.
+const SURVIVED: Duration = Duration::from_secs(30);
+/// Crashes that only one task can have caused, after which its job fails. The platform allows two.
+const SOLE_CRASHES_MAX: u32 = 2;
+/// Time for which a crash is remembered, so that a repeated report of it counts once.
+const REPORT_RETENTION: Duration = Duration::from_secs(600);
+
+/// Evidence against a task.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashEvidence {
+    /// Workers that have crashed with a run of the task on them.
+    pub workers: Vec<Arc<str>>,
+    /// Number of these crashes that no task of another gang, or no other task, can have caused.
+    pub sole: u32,
+}
+
+/// Why a job has failed although no task has used up its attempts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashFailure {
+    /// The task that crashes its workers.
+    pub task: TaskId,
+    /// Workers that have crashed under it.
+    pub workers: Vec<Arc<str>>,
+}
+
+/// All crashes that matter to jobs in the ledger.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashLog {
+    tasks: BTreeMap<TaskId, CrashEvidence>,
+    failures: BTreeMap<JobId, CrashFailure>,
+    /// Crashes that were reported, and when.
+    reported: BTreeMap<WorkerIncarnation, Time>,
+    /// Workers whose machines were taken down for maintenance, and when. Their end is no crash.
+    taken_down: BTreeMap<WorkerIncarnation, Time>,
+}
+
+impl CrashLog {
+    /// Whether there is no evidence against any task.
+    pub fn is_empty(&self) -> bool {
+        self.tasks.is_empty()
+    }
+
+    /// Returns the evidence against a task.
+    pub fn of_task(&self, task: TaskId) -> Option<&CrashEvidence> {
+        self.tasks.get(&task)
+    }
+
+    /// Returns the task of a job under which the most workers have crashed.
+    pub fn worst_of_job(&self, job: JobId) -> Option<(TaskId, &CrashEvidence)> {
+        let of_job = self.tasks.iter().filter(|(task, _)| task.step.job == job);
+        of_job.max_by_key(|(_, e)| (e.sole, e.workers.len())).map(|(task, e)| (*task, e))
+    }
+
+    /// Returns why a job has failed, if crashes were the reason.
+    pub fn failure(&self, job: JobId) -> Option<&CrashFailure> {
+        self.failures.get(&job)
+    }
+
+    /// Whether a crash was reported before.
+    pub fn is_reported(&self, incarnation: &WorkerIncarnation) -> bool {
+        self.reported.contains_key(incarnation)
+    }
+
+    /// Forgets the evidence against a task that is done.
+    pub(super) fn forget_task(&mut self, task: TaskId) {
+        self.tasks.remove(&task);
+    }
+
+    /// Forgets the evidence against all tasks of a job, which is in a final phase.
+    pub(super) fn forget_tasks_of(&mut self, job: JobId) {
+        self.tasks.retain(|task, _| task.step.job != job);
+    }
+
+    /// Forgets what is not needed any more. `has_job` tells which jobs the ledger holds.
+    pub(super) fn expire(&mut self, now: Time, has_job: impl Fn(JobId) -> bool) {
+        let recent = |at: &Time| now.since(*at) <= REPORT_RETENTION;
+        self.reported.retain(|_, at| recent(at));
+        self.taken_down.retain(|_, at| recent(at));
+        self.failures.retain(|job, _| has_job(*job));
+        self.tasks.retain(|task, _| has_job(task.step.job));
+    }
+
+    fn add(&mut self, worker: &Arc<str>, suspect: CrashedRun, is_sole: bool) {
+        let evidence = self.tasks.entry(suspect.run.task).or_default();
+        if Duration::from_millis(suspect.age) >= SURVIVED {
+            *evidence = CrashEvidence::default();
+        }
+        evidence.workers.push(Arc::clone(worker));
+        evidence.sole += u32::from(is_sole);
+    }
+}
+
+/// Reads a crash log, which snapshots of former versions end without.
+pub(super) fn read_or_default<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<CrashLog, D::Error> {
+    // Only the end of the bytes can fail here: they are checksummed, and a rest is refused.
+    Ok(CrashLog::deserialize(deserializer).unwrap_or_default())
+}
+
+impl Ledger {
+    /// Returns the crashes of workers.
+    pub const fn crashes(&self) -> &CrashLog {
+        &self.crashes
+    }
+
+    pub(super) fn record_crash(&mut self, crash: &Crash) -> EventOutcome {
+        let incarnation = &crash.incarnation;
+        if self.crashes.is_reported(incarnation) {
+            return EventOutcome::Known;
+        }
+        self.crashes.reported.insert(incarnation.clone(), self.log_time);
+        if self.crashes.taken_down.contains_key(incarnation) {
+            return EventOutcome::Stale;
+        }
+        let is_suspect = |r: &&CrashedRun| self.may_be_at_fault(r.run);
+        let suspects: Vec<CrashedRun> = crash.runs.iter().filter(is_suspect).copied().collect();
+        let just_started = |r: &CrashedRun| Duration::from_millis(r.age) < JUST_STARTED;
+        let any_started = suspects.iter().any(just_started);
+        let is_blamed = |r: &CrashedRun| !any_started || just_started(r);
+        let is_sole = self.are_one_unit(suspects.iter().filter(|r| is_blamed(r)).map(|r| r.run));
+        for suspect in &suspects {
+            let is_sole = is_sole && is_blamed(suspect);
+            self.crashes.add(&incarnation.worker, *suspect, is_sole);
+        }
+        for suspect in suspects {
+            self.give_up(suspect.run.task);
+        }
+        EventOutcome::Applied
+    }
+
+    /// Records that the machine of a worker goes down for maintenance.
+    pub(super) fn take_down(&mut self, worker: &str) -> EventOutcome {
+        let Some(worker) = self.workers.get(worker) else { return EventOutcome::Stale };
+        let incarnation = worker.spec.incarnation.clone();
+        self.crashes.taken_down.insert(incarnation, self.log_time);
+        EventOutcome::Applied
+    }
+
+    /// Whether a run can have crashed its worker, and its task may be started again.
+    fn may_be_at_fault(&self, run: RunId) -> bool {
+        let Some(job) = self.job(run.task.step.job) else { return false };
+        let task = job.task(run.task);
+        job.phase.is_active() && task.is_some_and(|t| !t.done && t.last_run >= run.run)
+    }
+
+    /// Whether the runs are of one task, or of one gang, whose tasks only start together.
+    fn are_one_unit(&self, runs: impl Iterator<Item = RunId>) -> bool {
+        let unit = |run: RunId| (run.task.step, self.is_gang(run.task.step), run.task.index);
+        let mut units = runs.map(unit).map(|(step, gang, i)| (step, if gang { 0 } else { i }));
+        let first = units.next();
+        units.all(|u| Some(u) == first)
+    }
+
+    fn is_gang(&self, step: StepId) -> bool {
+        let spec = self.job(step.job).and_then(|j| j.step_spec(step.step));
+        spec.is_some_and(|s| s.gang)
+    }
+
+    /// Fails the job of a task under which too many workers have crashed.
+    fn give_up(&mut self, task: TaskId) {
+        let Some(evidence) = self.crashes.of_task(task) else { return };
+        if evidence.sole < SOLE_CRASHES_MAX {
+            return;
+        }
+        let failure = CrashFailure { task, workers: evidence.workers.clone() };
+        let id = task.step.job;
+        let at = self.log_time;
+        let Some(job) = self.jobs.get_mut(&id).filter(|j: &&mut Job| j.phase.is_active()) else {
+            return;
+        };
+        job.phase = Phase::Failed;
+        job.finished = Some(at);
+        self.crashes.failures.insert(id, failure);
+        self.crashes.forget_tasks_of(id);
+    }
+}
--- a/crates/bronzespool-batch/src/ledger/mod.rs
+++ b/crates/bronzespool-batch/src/ledger/mod.rs
@@ -1,12 +1,16 @@
 //! Replicated state of jobs, workers and configuration. It changes only by applying records.
 
 mod apply;
+mod crash;
+mod explain;
 mod job;
 mod record;
 mod wave;
 mod worker;
 
 pub use {
+    crash::{CrashEvidence, CrashFailure, CrashLog},
+    explain::{Explanation, FailureCause},
     job::{ActiveRun, Job, Phase, StepState, Task},
     record::{Assignment, Event, EventOutcome, Record, RunEnd, RunOutcome, StopCause, WorkerSpec},
     wave::{Error as WaveError, Wave, WaveSpec},
@@ -38,6 +42,9 @@
     waves: BTreeMap<u64, Wave>,
     /// Rises with each applied record.
     change_count: u64,
+    /// Crashes of workers. It comes last, since snapshots of former versions end before it.
+    #[serde(deserialize_with = "crash::read_or_default")]
+    crashes: CrashLog,
 }
 
 impl Ledger {
--- a/crates/bronzespool-batch/src/ledger/record.rs
+++ b/crates/bronzespool-batch/src/ledger/record.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         config::Config,
+        crash::Crash,
         id::{JobId, RunId, WorkerIncarnation},
         ledger::wave::WaveSpec,
         spec::{JobSpec, Resources},
@@ -139,6 +140,10 @@
         /// The machine.
         machine: Arc<str>,
     },
+    /// A worker has crashed.
+    Crashed(Box<Crash>),
+    /// The machine of the worker with this name goes down for maintenance.
+    TakenDown(Arc<str>),
 }
 
 /// Events that are applied together.
--- a/crates/bronzespool-batch/src/lib.rs
+++ b/crates/bronzespool-batch/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod agent;
 pub mod config;
 pub mod contact;
+pub mod crash;
 pub mod exchange;
 pub mod grant;
 pub mod id;
--- a/crates/bronzespool-batch/src/message.rs
+++ b/crates/bronzespool-batch/src/message.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         config::Config,
+        crash::Crash,
         id::{JobId, RunId, StepId, WorkerIncarnation},
         ledger::{Phase, RunEnd, WaveSpec, WorkerSpec},
         spec::JobSpec,
@@ -278,6 +279,10 @@
     /// Asks whether the leader serves requests, and reports the address at which the sender relays
     /// calls.
     Ping(Option<SocketAddr>),
+    /// An agent's report of a crash of its worker.
+    Crash(Box<Crash>),
+    /// Asks why a job is in its phase.
+    Explain(JobId),
 }
 
 /// Why a call was rejected.
@@ -316,6 +321,8 @@
     External(std::result::Result<ExternalCall, bool>),
     /// The call was rejected and will never be carried out.
     Denied(Denial),
+    /// Why a job is in its phase, as text.
+    Explained(String),
 }
 
 /// Addresses of the control instances, as one of them knows them.
--- a/crates/bronzespool-batch/src/plan/capacity.rs
+++ b/crates/bronzespool-batch/src/plan/capacity.rs
@@ -5,7 +5,7 @@
         id::{RunId, StepId, WorkerIncarnation},
         ledger::{Ledger, Worker},
         plan::{
-            ClusterView, Permits, TaskGroup,
+            ClusterView, Permits, TaskGroup, apart,
             health::{Health, worker_health},
             place::Placement,
             steps::StepCounter,
@@ -40,6 +40,11 @@
         &self.worker.spec.incarnation
     }
 
+    /// Whether nothing runs on the worker, and nothing is reserved on it.
+    pub(super) fn is_idle(&self) -> bool {
+        self.worker.runs.is_empty() && self.free == *self.whole()
+    }
+
     /// Returns the worker's resources if nothing runs on it.
     pub(super) const fn whole(&self) -> &Resources {
         &self.worker.spec.capacity
@@ -162,7 +167,10 @@
             worker,
             rack: 0,
             health: worker_health(worker, view.now),
-            free: worker.free(),
+            free: match apart::is_occupied(self.ledger, worker, view.now) {
+                true => Resources::default(),
+                false => worker.free(),
+            },
             releasing: Resources::default(),
             steps: HashMap::default(),
         };
@@ -238,7 +246,8 @@
             *slot.steps.entry(group.step).or_default() += 1;
             let probation = slot.health == Health::Probation;
             let rest = slot.free.minus(&allocation);
-            self.set_free(i, if probation { Resources::default() } else { rest });
+            let is_full = probation || group.apart;
+            self.set_free(i, if is_full { Resources::default() } else { rest });
         }
     }
 
--- a/crates/bronzespool-batch/src/plan/group.rs
+++ b/crates/bronzespool-batch/src/plan/group.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         id::{RunId, StepId},
-        ledger::{Job, Ledger, StepState, Task, step_id},
+        ledger::{CrashLog, Job, Ledger, StepState, Task, step_id},
         plan::ClusterView,
         spec::Step,
     },
@@ -44,6 +44,9 @@
     pub needs_permit: bool,
     /// Log time since which the group could have been started, as far as known.
     pub ready_at: Time,
+    /// Whether a worker has crashed under one of the tasks, so that they are started apart from all
+    /// others.
+    pub apart: bool,
 }
 
 impl TaskGroup<'_> {
@@ -61,6 +64,7 @@
         let ([task], [other_task]) = (&*self.tasks, &*other.tasks) else { return false };
         self.step == other.step
             && self.ready_at == other.ready_at
+            && self.apart == other.apart
             && task.failed_on == other_task.failed_on
     }
 }
@@ -114,7 +118,7 @@
                         (job, ledger.service(job), needs_permit),
                         step,
                         spec,
-                        view,
+                        (view, ledger.crashes()),
                         &mut groups,
                     );
                 }
@@ -128,12 +132,15 @@
     (job, service, needs_permit): (&'a Job, &'a Arc<str>, bool),
     step: StepId,
     spec: &'a Step,
-    view: &ClusterView,
+    (view, crashes): (&ClusterView, &CrashLog),
     groups: &mut Vec<LikeGroups<'a>>,
 ) {
     let state = job.step(step.occurrence, step.step);
-    let new_group =
-        |tasks, ready_at| TaskGroup { job, step, spec, tasks, service, needs_permit, ready_at };
+    let new_group = |tasks: Vec<PendingTask>, ready_at| {
+        let is_suspect = |t: &PendingTask| crashes.of_task(step.task(t.index)).is_some();
+        let apart = !crashes.is_empty() && tasks.iter().any(is_suspect);
+        TaskGroup { job, step, spec, tasks, service, needs_permit, ready_at, apart }
+    };
     let Some(state) = state else {
         let count = if spec.gang { 1 } else { spec.count };
         let tasks = if spec.gang { spec.count } else { spec.count.min(1) };
--- a/crates/bronzespool-batch/src/plan/maintenance.rs
+++ b/crates/bronzespool-batch/src/plan/maintenance.rs
@@ -101,6 +101,11 @@
         ledger.waves().any(|w| !w.is_done())
     }
 
+    /// Returns the worker on a machine, by the latest list.
+    pub fn worker_of(&self, machine: &str) -> Option<&Arc<str>> {
+        self.machines.as_ref()?.get(machine)?.worker.as_ref()
+    }
+
     /// Workers that are assigned no new tasks because their machines go down next.
     pub fn draining_workers(&self) -> impl Iterator<Item = &Arc<str>> {
         let machines = self.machines.iter();
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -4,6 +4,7 @@
 //! either has changed; the returned events take effect once they are committed to the log. Between
 //! two plans the planner keeps only the placements for which it has stopped other runs.
 
+mod apart;
 mod candidate;
 mod capacity;
 mod disruption;
@@ -178,6 +179,9 @@
         if self.follow_held(group) {
             return true;
         }
+        if group.apart {
+            return self.start_apart(group, urgency);
+        }
         let scopes = scopes(group, urgency, &self.capacity, self.view);
         scopes.iter().enumerate().any(|(i, scope)| {
             let last = i + 1 == scopes.len();
@@ -187,6 +191,23 @@
         })
     }
 
+    /// Starts a task group under which a worker has crashed. Only a guaranteed one may stop others.
+    fn start_apart(&mut self, group: &TaskGroup<'_>, urgency: &Urgency) -> bool {
+        let is_guaranteed = self.precedence.is_guaranteed(group);
+        let waits = !is_guaranteed && apart::may_wait(group, self.view.now);
+        let idle = apart::place_apart(group, &self.capacity, false);
+        let found = idle.or_else(|| match waits {
+            true => None,
+            false => apart::place_apart(group, &self.capacity, true),
+        });
+        if let Some(placement) = found {
+            self.start_on(group, &placement);
+            return true;
+        }
+        let scope = PlacementScope::AnyRack;
+        is_guaranteed && self.preempt(group, urgency, scope) || self.reserve(group, urgency, scope)
+    }
+
     /// Starts a task group on its held placement, or goes on waiting for it. Returns false if it
     /// has none that still holds.
     fn follow_held(&mut self, group: &TaskGroup<'_>) -> bool {
@@ -194,7 +215,7 @@
         match self.held.state(group, &self.capacity, now) {
             HoldState::Free(placement) => self.start_on(group, &placement),
             HoldState::Pending(placement) => {
-                if !self.start(group, PlacementScope::Local) {
+                if group.apart || !self.start(group, PlacementScope::Local) {
                     let reservation = Reservation { group, placement: &placement, victims: &[] };
                     self.capacity.reserve(&reservation);
                 }
--- a/crates/bronzespool-batch/tests/affected.rs
+++ b/crates/bronzespool-batch/tests/affected.rs
@@ -8,6 +8,7 @@
         Event, EventOutcome, JobId, Record, RunId, Withdrawals, WorkerIncarnation,
         affected::{RecordScope, WaitingPolls, calls_for_plan},
         contact::{AGENT_TIMEOUT, Contacts},
+        crash::{Crash, CrashedRun},
         exchange::{poll_events, poll_orders},
         grant::Grants,
         ledger::{Assignment, RunEnd, RunOutcome, StopCause, WorkerSpec},
@@ -249,7 +250,11 @@
     let active = cluster.ledger.active_run(held_run);
     let holder = active.map_or_else(|| incarnation(i), |r| r.incarnation.clone());
     let current = spec_of(cluster, i).map_or_else(|| incarnation(i), |s| s.incarnation);
-    match rng.u32(0..20) {
+    match rng.u32(0..21) {
+        20 => {
+            let runs = vec![CrashedRun { run: held_run, age: rng.u64(0..2_000) }];
+            Event::Crashed(Box::new(Crash { incarnation: holder, runs }))
+        }
         0 => Event::Cancelled(JobId(id)),
         1 => Event::WorkerUp(Box::new(random_worker(rng, i, &current))),
         2 => Event::WorkerGone(current),
--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -495,7 +495,7 @@
     a.list(Vec::new(), vec![ended(1, RunOutcome::Done)]);
     a.order(Orders { cursor: 1, ..orders(3, Vec::new(), Vec::new()) });
     let lost = a.reconciler.list_request(a.now).unwrap();
-    a.reconciler.list_unanswered(&lost, ListFailure::Silent);
+    a.reconciler.list_unanswered(a.now, &lost, ListFailure::Silent);
     assert_eq!(a.list(Vec::new(), Vec::new()).cursor, 1, "the first one had no answer");
     assert_eq!(a.list(Vec::new(), Vec::new()).cursor, 0);
 }
@@ -532,7 +532,7 @@
     a.order(orders(3, Vec::new(), Vec::new()));
     a.list(vec![running(1)], Vec::new());
     let list = a.reconciler.list_request(a.now).unwrap();
-    a.reconciler.list_unanswered(&list, ListFailure::Silent);
+    a.reconciler.list_unanswered(a.now, &list, ListFailure::Silent);
     assert!(!a.reconciler.check_in(a.now, spec(0, false), 1));
     a.now += Duration::from_secs(5);
     assert!(!a.reconciler.check_in(a.now, spec(0, false), 2), "its leases have not ended");
@@ -561,7 +561,7 @@
 fn check_in_late_one_of_a_worker_that_is_gone_ends_no_worker_that_looks_older() {
     let mut a = Agent::new();
     let list = a.reconciler.list_request(a.now).unwrap();
-    a.reconciler.list_unanswered(&list, ListFailure::Silent);
+    a.reconciler.list_unanswered(a.now, &list, ListFailure::Silent);
     a.now += Duration::from_secs(7);
     let mut other = spec(0, false);
     other.incarnation.worker = "w1".into();
@@ -576,7 +576,7 @@
 fn check_in_late_one_of_a_worker_that_was_dropped_ends_no_worker_that_looks_older() {
     let mut a = Agent::new();
     let list = a.reconciler.list_request(a.now).unwrap();
-    a.reconciler.list_unanswered(&list, ListFailure::Silent);
+    a.reconciler.list_unanswered(a.now, &list, ListFailure::Silent);
     a.now += Duration::from_secs(7);
     assert!(a.reconciler.expire(a.now));
     let mut other = spec(0, false);
@@ -592,7 +592,7 @@
 fn check_in_worker_that_was_replaced_comes_back_once_the_other_one_is_gone() {
     let mut a = Agent::new();
     let list = a.reconciler.list_request(a.now).unwrap();
-    a.reconciler.list_unanswered(&list, ListFailure::Silent);
+    a.reconciler.list_unanswered(a.now, &list, ListFailure::Silent);
     a.now += Duration::from_secs(7);
     let mut other = spec(0, false);
     other.incarnation.worker = "w1".into();
@@ -645,7 +645,7 @@
     a.list(Vec::new(), Vec::new());
     let last = a.now;
     let list = a.reconciler.list_request(a.now).unwrap();
-    a.reconciler.list_unanswered(&list, ListFailure::Silent);
+    a.reconciler.list_unanswered(a.now, &list, ListFailure::Silent);
     a.now = last + Duration::from_millis(6_000);
     assert!(!a.reconciler.expire(a.now));
     a.now = last + lease_duration_max(LIMITS.lease_max) + Duration::from_millis(100);
@@ -662,7 +662,7 @@
     a.list(Vec::new(), Vec::new());
     let (sent, poll) = (a.now, a.poll());
     let list = a.reconciler.list_request(a.now).unwrap();
-    a.reconciler.list_unanswered(&list, ListFailure::Silent);
+    a.reconciler.list_unanswered(a.now, &list, ListFailure::Silent);
     a.now += Duration::from_secs(7);
     assert!(a.reconciler.expire(a.now));
     assert!(a.reconciler.check_in(a.now, spec(1, false), 2));
@@ -680,7 +680,7 @@
     a.outlive_former_calls();
     assert_eq!(starts(&a.order(orders(3, vec![start(1)], Vec::new()))), 1);
     let list = a.reconciler.list_request(a.now).unwrap();
-    a.reconciler.list_unanswered(&list, ListFailure::Silent);
+    a.reconciler.list_unanswered(a.now, &list, ListFailure::Silent);
     a.now += Duration::from_secs(7);
     assert!(a.reconciler.expire(a.now));
     assert!(a.reconciler.check_in(a.now, spec(1, false), 2));
--- /dev/null
+++ b/crates/bronzespool-batch/tests/crash.rs
@@ -0,0 +1,331 @@
+//! Crashes of workers: which task is blamed, when its job is given up, and where it is started.
+
+mod common;
+
+use {
+    bronzespool_batch::{
+        Event, EventOutcome, JobId, Ledger, Phase, RunId,
+        crash::{Crash, CrashedRun},
+        ledger::{Assignment, Explanation, FailureCause, RunOutcome},
+    },
+    common::{Cluster, SECOND, gang, incarnation, run, step},
+    std::{sync::Arc, time::Duration},
+};
+
+/// Age of a run that has not just started.
+const OLD_MILLIS: u64 = 5_000;
+/// Age of a run that has survived its start for long.
+const SURVIVED_MILLIS: u64 = 60_000;
+/// Pause after which a task waits for an idle worker no longer.
+const PATIENCE: Duration = Duration::from_millis(1_600);
+
+/// Starts a run on a worker.
+fn assign(cluster: &mut Cluster, run: RunId, worker: usize) {
+    let incarnation = incarnation_of(cluster, worker);
+    let assignment = Assignment { run, incarnation, checkpoint: "".into(), permit: None };
+    assert_eq!(cluster.apply(Event::Started(vec![assignment])), EventOutcome::Applied);
+}
+
+fn incarnation_of(cluster: &Cluster, worker: usize) -> bronzespool_batch::WorkerIncarnation {
+    let name = incarnation(worker).worker;
+    let found = cluster.ledger.workers().find(|w| w.spec.incarnation.worker == name);
+    found.map_or_else(|| incarnation(worker), |w| w.spec.incarnation.clone())
+}
+
+/// Returns the report of a worker's crash with runs of these ages in milliseconds.
+fn crash(cluster: &Cluster, worker: usize, runs: &[(RunId, u64)]) -> Event {
+    let runs = runs.iter().map(|(run, age)| CrashedRun { run: *run, age: *age }).collect();
+    Event::Crashed(Box::new(Crash { incarnation: incarnation_of(cluster, worker), runs }))
+}
+
+/// Lets a worker crash with runs of these ages, and start again under its name.
+fn crash_and_restart(cluster: &mut Cluster, worker: usize, runs: &[(RunId, u64)]) {
+    let report = crash(cluster, worker, runs);
+    assert_eq!(cluster.apply(report), EventOutcome::Applied);
+    restart(cluster, worker);
+}
+
+fn restart(cluster: &mut Cluster, worker: usize) {
+    let name = incarnation(worker).worker;
+    let found = cluster.ledger.workers().find(|w| w.spec.incarnation.worker == name);
+    let mut spec = found.unwrap().spec.clone();
+    spec.incarnation.started_at += 1;
+    assert_eq!(cluster.apply(Event::WorkerUp(Box::new(spec))), EventOutcome::Applied);
+}
+
+fn sole_crashes(cluster: &Cluster, run: RunId) -> Option<u32> {
+    cluster.ledger.crashes().of_task(run.task).map(|e| e.sole)
+}
+
+fn workers_of(started: &[Assignment]) -> Vec<Arc<str>> {
+    started.iter().map(|a| a.incarnation.worker.clone()).collect()
+}
+
+// A task was started on worker after worker, each of which it crashed.
+#[test]
+fn record_crash_second_crash_under_one_task_fails_its_job() {
+    let mut cluster = Cluster::new(1, 3, 0);
+    cluster.submit(1, 0, vec![step(1, 1)]);
+    for number in 1..=2 {
+        assert_eq!(cluster.phase(1), if number == 1 { Phase::Queued } else { Phase::Running });
+        let run = run(1, 0, 0, number);
+        assign(&mut cluster, run, number as usize);
+        crash_and_restart(&mut cluster, number as usize, &[(run, 10)]);
+    }
+    assert_eq!(cluster.phase(1), Phase::Failed);
+    let Some(Explanation::Failed(cause)) = cluster.ledger.explain(JobId(1)) else {
+        panic!("{:?}", cluster.ledger.explain(JobId(1)));
+    };
+    let FailureCause::Crashes(failure) = &cause else { panic!("{cause}") };
+    assert_eq!(failure.workers, ["w1".into(), "w2".into()]);
+    assert!(cause.to_string().contains("0000000000000001.0.0.0 crashes the workers"), "{cause}");
+    assert_eq!(cluster.started().len(), 0);
+}
+
+#[test]
+fn record_crash_run_that_just_started_is_blamed_alone() {
+    let mut cluster = Cluster::new(1, 2, 0);
+    cluster.submit(1, 0, vec![step(1, 1)]);
+    cluster.submit(2, 0, vec![step(4, 1)]);
+    let deadly = run(1, 0, 0, 1);
+    let neighbors: Vec<RunId> = (0..4).map(|i| run(2, 0, i, 1)).collect();
+    for r in neighbors.iter().chain([&deadly]) {
+        assign(&mut cluster, *r, 0);
+    }
+    let mut runs: Vec<_> = neighbors.iter().map(|r| (*r, OLD_MILLIS)).collect();
+    runs.push((deadly, 10));
+    crash_and_restart(&mut cluster, 0, &runs);
+    assert_eq!(sole_crashes(&cluster, deadly), Some(1));
+    assert_eq!(sole_crashes(&cluster, neighbors[0]), Some(0));
+}
+
+#[test]
+fn record_crash_tasks_that_started_together_are_not_given_up() {
+    let mut cluster = Cluster::new(1, 4, 0);
+    for id in 1..=2 {
+        cluster.submit(id, 0, vec![step(1, 1)]);
+    }
+    for number in 1..=3 {
+        let runs = [run(1, 0, 0, number), run(2, 0, 0, number)];
+        runs.iter().for_each(|r| assign(&mut cluster, *r, number as usize));
+        crash_and_restart(&mut cluster, number as usize, &runs.map(|r| (r, 10)));
+    }
+    assert_eq!((cluster.phase(1), cluster.phase(2)), (Phase::Running, Phase::Running));
+    assert_eq!(sole_crashes(&cluster, run(1, 0, 0, 1)), Some(0));
+}
+
+// An agent repeats a report until it is answered, and the answer may be lost.
+#[test]
+fn record_crash_repeated_report_counts_once() {
+    let mut cluster = Cluster::new(1, 2, 0);
+    cluster.submit(1, 0, vec![step(1, 1)]);
+    let first = run(1, 0, 0, 1);
+    assign(&mut cluster, first, 0);
+    let report = crash(&cluster, 0, &[(first, 10)]);
+    assert_eq!(cluster.apply(report.clone()), EventOutcome::Applied);
+    assert_eq!(cluster.apply(report.clone()), EventOutcome::Known);
+    restart(&mut cluster, 0);
+    assert_eq!(cluster.apply(report), EventOutcome::Known);
+    assert_eq!(sole_crashes(&cluster, first), Some(1));
+}
+
+// The leader may count a worker as gone before its agent reaches it with the report.
+#[test]
+fn record_crash_report_after_the_worker_is_gone_counts() {
+    let mut cluster = Cluster::new(1, 2, 0);
+    cluster.submit(1, 0, vec![step(1, 1)]);
+    let first = run(1, 0, 0, 1);
+    assign(&mut cluster, first, 0);
+    let report = crash(&cluster, 0, &[(first, 10)]);
+    cluster.apply(Event::WorkerGone(incarnation(0)));
+    assert_eq!(cluster.apply(report), EventOutcome::Applied);
+    assert_eq!(sole_crashes(&cluster, first), Some(1));
+}
+
+#[test]
+fn record_crash_machine_taken_down_blames_no_task() {
+    let mut cluster = Cluster::new(1, 2, 0);
+    cluster.submit(1, 0, vec![step(1, 1)]);
+    let first = run(1, 0, 0, 1);
+    assign(&mut cluster, first, 0);
+    assert_eq!(cluster.apply(Event::TakenDown("w0".into())), EventOutcome::Applied);
+    let report = crash(&cluster, 0, &[(first, 10)]);
+    assert_eq!(cluster.apply(report), EventOutcome::Stale);
+    assert_eq!(sole_crashes(&cluster, first), None);
+    // The next incarnation may crash.
+    restart(&mut cluster, 0);
+    assign(&mut cluster, run(1, 0, 0, 2), 0);
+    crash_and_restart(&mut cluster, 0, &[(run(1, 0, 0, 2), 10)]);
+    assert_eq!(sole_crashes(&cluster, first), Some(1));
+}
+
+// A service that runs for hours loses a worker now and then, which is not its fault.
+#[test]
+fn record_crash_run_that_survived_its_start_clears_its_task() {
+    let mut cluster = Cluster::new(1, 8, 0);
+    cluster.submit(1, 0, vec![step(1, 1)]);
+    for number in 1..=6 {
+        let run = run(1, 0, 0, number);
+        assign(&mut cluster, run, number as usize);
+        crash_and_restart(&mut cluster, number as usize, &[(run, SURVIVED_MILLIS)]);
+    }
+    assert_eq!(cluster.phase(1), Phase::Running);
+    assert_eq!(sole_crashes(&cluster, run(1, 0, 0, 1)), Some(1));
+}
+
+#[test]
+fn record_crash_task_that_is_done_is_cleared() {
+    let mut cluster = Cluster::new(1, 3, 0);
+    cluster.submit(1, 0, vec![step(2, 1)]);
+    let first = run(1, 0, 0, 1);
+    assign(&mut cluster, first, 0);
+    crash_and_restart(&mut cluster, 0, &[(first, 10)]);
+    assign(&mut cluster, run(1, 0, 0, 2), 1);
+    cluster.end(run(1, 0, 0, 2), RunOutcome::Done);
+    assert_eq!(sole_crashes(&cluster, first), None);
+    assert!(cluster.ledger.crashes().is_empty());
+}
+
+#[test]
+fn record_crash_members_of_a_gang_on_one_worker_are_one_cause() {
+    let mut cluster = Cluster::new(1, 3, 0);
+    cluster.submit(1, 0, vec![gang(2, 1)]);
+    for number in 1..=2 {
+        let runs = [run(1, 0, 0, number), run(1, 0, 1, number)];
+        runs.iter().for_each(|r| assign(&mut cluster, *r, number as usize));
+        crash_and_restart(&mut cluster, number as usize, &runs.map(|r| (r, 10)));
+    }
+    assert_eq!(cluster.phase(1), Phase::Failed);
+}
+
+#[test]
+fn record_crash_gang_member_on_another_worker_is_not_blamed() {
+    let mut cluster = Cluster::new(1, 3, 0);
+    cluster.submit(1, 0, vec![gang(2, 1)]);
+    assign(&mut cluster, run(1, 0, 0, 1), 0);
+    assign(&mut cluster, run(1, 0, 1, 1), 1);
+    crash_and_restart(&mut cluster, 0, &[(run(1, 0, 0, 1), 10)]);
+    assert_eq!(sole_crashes(&cluster, run(1, 0, 0, 1)), Some(1));
+    assert_eq!(sole_crashes(&cluster, run(1, 0, 1, 1)), None);
+}
+
+#[test]
+fn record_crash_ended_or_unknown_jobs_are_left_alone() {
+    let mut cluster = Cluster::new(1, 3, 0);
+    cluster.submit(1, 0, vec![step(1, 1)]);
+    assign(&mut cluster, run(1, 0, 0, 1), 0);
+    cluster.apply(Event::Cancelled(JobId(1)));
+    crash_and_restart(&mut cluster, 0, &[(run(1, 0, 0, 1), 10), (run(9, 0, 0, 1), 10)]);
+    assert_eq!(cluster.phase(1), Phase::Cancelled);
+    assert!(cluster.ledger.crashes().is_empty());
+}
+
+#[test]
+fn plan_suspect_is_started_alone_on_an_idle_worker() {
+    let mut cluster = Cluster::new(1, 3, 0);
+    cluster.submit(1, 0, vec![step(1, 1)]);
+    cluster.submit(2, 0, vec![step(1, 1)]);
+    assign(&mut cluster, run(1, 0, 0, 1), 0);
+    assign(&mut cluster, run(2, 0, 0, 1), 1);
+    crash_and_restart(&mut cluster, 0, &[(run(1, 0, 0, 1), 10)]);
+    cluster.submit(3, 0, vec![step(4, 1)]);
+    let started = cluster.started();
+    let suspect: Vec<_> = started.iter().filter(|a| a.run == run(1, 0, 0, 2)).collect();
+    assert_eq!(suspect[0].incarnation.worker, "w2".into(), "not where it has crashed a worker");
+    assert!(
+        started
+            .iter()
+            .all(|a| a.run.task.step.job != JobId(3) || a.incarnation.worker != "w2".into())
+    );
+    // Nor does a later plan put anything beside it, until its start has passed.
+    cluster.submit(4, 0, vec![step(20, 1)]);
+    let beside = cluster.started();
+    assert!(!workers_of(&beside).contains(&"w2".into()), "{beside:?}");
+    cluster.pass(3 * SECOND);
+    assert!(workers_of(&cluster.started()).contains(&"w2".into()));
+}
+
+#[test]
+fn plan_suspects_of_one_crash_are_started_on_different_workers() {
+    let mut cluster = Cluster::new(1, 3, 0);
+    cluster.submit(1, 0, vec![step(2, 1)]);
+    let runs = [run(1, 0, 0, 1), run(1, 0, 1, 1)];
+    runs.iter().for_each(|r| assign(&mut cluster, *r, 0));
+    crash_and_restart(&mut cluster, 0, &runs.map(|r| (r, 10)));
+    let started = cluster.started();
+    assert_eq!(started.len(), 2);
+    assert_ne!(started[0].incarnation, started[1].incarnation);
+}
+
+// While every worker is in use, a suspect takes the one on which the least would be lost.
+#[test]
+fn plan_suspect_shares_the_least_used_worker_after_a_wait() {
+    let mut cluster = Cluster::new(1, 2, 0);
+    cluster.submit(1, 1, vec![step(1, 1)]);
+    cluster.submit(2, 1, vec![step(4, 1)]);
+    assign(&mut cluster, run(1, 0, 0, 1), 0);
+    crash_and_restart(&mut cluster, 0, &[(run(1, 0, 0, 1), 10)]);
+    assign(&mut cluster, run(2, 0, 0, 1), 0);
+    (1..4).for_each(|i| assign(&mut cluster, run(2, 0, i, 1), 1));
+    assert_eq!(cluster.started(), []);
+    cluster.pass(PATIENCE);
+    let started = cluster.started();
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].incarnation.worker, "w1".into(), "w0 has crashed under it");
+}
+
+#[test]
+fn plan_guaranteed_suspect_does_not_wait() {
+    let mut cluster = Cluster::new(1, 2, 16);
+    cluster.submit(1, 0, vec![step(1, 1)]);
+    cluster.submit(2, 1, vec![step(2, 1)]);
+    assign(&mut cluster, run(1, 0, 0, 1), 0);
+    crash_and_restart(&mut cluster, 0, &[(run(1, 0, 0, 1), 10)]);
+    (0..2).for_each(|i| assign(&mut cluster, run(2, 0, i, 1), i as usize));
+    assert_eq!(cluster.started().len(), 1);
+}
+
+// A task may crash its workers later than at its start, beside tasks that have just started.
+#[test]
+fn plan_task_under_two_crashes_keeps_its_worker_to_itself() {
+    let mut cluster = Cluster::new(1, 4, 0);
+    cluster.submit(1, 0, vec![step(1, 1)]);
+    cluster.submit(2, 0, vec![step(2, 1)]);
+    for number in 1..=2 {
+        let late = run(1, 0, 0, number);
+        let fresh = run(2, 0, number - 1, 1);
+        assign(&mut cluster, late, number as usize);
+        assign(&mut cluster, fresh, number as usize);
+        crash_and_restart(&mut cluster, number as usize, &[(late, OLD_MILLIS), (fresh, 10)]);
+    }
+    assert_eq!(cluster.phase(1), Phase::Running);
+    let started = cluster.started();
+    let late = started.iter().find(|a| a.run == run(1, 0, 0, 3)).unwrap();
+    cluster.pass(10 * SECOND);
+    cluster.submit(3, 0, vec![step(32, 1)]);
+    assert!(!workers_of(&cluster.started()).contains(&late.incarnation.worker));
+}
+
+// A snapshot of a former version ends before the crashes.
+#[test]
+fn ledger_of_a_former_version_has_no_crashes() {
+    let mut cluster = Cluster::new(1, 2, 0);
+    cluster.submit(1, 0, vec![step(1, 1)]);
+    let bytes = postcard::to_stdvec(&cluster.ledger).unwrap();
+    let empty = postcard::to_stdvec(cluster.ledger.crashes()).unwrap();
+    let former = bytes.strip_suffix(&*empty).unwrap();
+    let read: Ledger = postcard::from_bytes(former).unwrap();
+    assert_eq!(read, cluster.ledger);
+}
+
+#[test]
+fn ledger_keeps_crashes_in_a_snapshot() {
+    let mut cluster = Cluster::new(1, 2, 0);
+    cluster.submit(1, 0, vec![step(1, 1)]);
+    assign(&mut cluster, run(1, 0, 0, 1), 0);
+    crash_and_restart(&mut cluster, 0, &[(run(1, 0, 0, 1), 10)]);
+    let bytes = postcard::to_stdvec(&cluster.ledger).unwrap();
+    let (read, rest): (Ledger, _) = postcard::take_from_bytes(&bytes).unwrap();
+    assert_eq!((&read, rest), (&cluster.ledger, &[][..]));
+    assert_eq!(read.crashes().of_task(run(1, 0, 0, 1).task).unwrap().sole, 1);
+}
--- a/crates/bronzespool-batch/tests/model/delivery.rs
+++ b/crates/bronzespool-batch/tests/model/delivery.rs
@@ -72,7 +72,7 @@
                 self.reconciler.fenced(self.now, request.epoch);
             }
             Body::Listing(request, ListAnswer::Unanswered) => {
-                self.reconciler.list_unanswered(&request, ListFailure::Silent);
+                self.reconciler.list_unanswered(self.now, &request, ListFailure::Silent);
             }
             Body::CheckIn(spec, seq) => {
                 self.reconciler.check_in(self.now, *spec, seq);
--- a/crates/bronzespool-telemetry/examples/cost.rs
+++ b/crates/bronzespool-telemetry/examples/cost.rs
@@ -16,7 +16,7 @@
     let begun = Instant::now();
     for i in 0..COUNT {
         let phase = bronzespool_batch::Phase::Completed;
-        JobEnded { job: JobId(u64::from(i)), phase, took_ms: 20 }.emit();
+        JobEnded { job: JobId(u64::from(i)), phase, took_ms: 20, cause: None }.emit();
     }
     println!("{:?} an event", begun.elapsed() / COUNT);
     Ok(())
--- a/crates/bronzespool-telemetry/src/event/agent.rs
+++ b/crates/bronzespool-telemetry/src/event/agent.rs
@@ -19,6 +19,23 @@
         /// How that incarnation was last seen, and how many runs it may have held.
         last_seen: Option<String>,
     }
+    /// The worker has crashed: another incarnation has taken its place, or all of its leases have
+    /// ended, and all connections to it were closed or refused since its last answer.
+    WorkerCrashed: Warn, Agent, "the worker has crashed" {
+        /// Incarnation that has crashed.
+        life: WorkerIncarnation,
+        /// The runs that it may have held, and for how long they were known to run.
+        runs: String,
+    }
+    /// The leader could not be told of a crash.
+    CrashUnreported: Warn, Agent, "a crash was not reported" {
+        /// Incarnation that has crashed.
+        life: WorkerIncarnation,
+        /// Whether it is told again before the next poll.
+        again: bool,
+        /// The error.
+        error: String,
+    }
     /// The worker has announced that it stops taking new runs, or that it takes them again.
     WorkerDrainingChanged: Info, Agent, "whether the worker leaves has changed" {
         /// Incarnation of the worker.
--- a/crates/bronzespool-telemetry/src/event/control.rs
+++ b/crates/bronzespool-telemetry/src/event/control.rs
@@ -1,7 +1,9 @@
 //! Events of control instances.
 
 use {
-    bronzespool_batch::{EventOutcome, JobId, Phase, RunId, WorkerIncarnation, ledger::RunOutcome},
+    bronzespool_batch::{
+        EventOutcome, JobId, Phase, RunId, TaskId, WorkerIncarnation, ledger::RunOutcome,
+    },
     bronzespool_core::Instance,
     std::sync::Arc,
 };
@@ -95,6 +97,37 @@
         phase: Phase,
         /// Milliseconds since its submission.
         took_ms: u64,
+        /// Why it has failed, if it has.
+        cause: Option<String>,
+    }
+    /// A worker has crashed, and these tasks may have caused it.
+    CrashRecorded: Warn, Leader, "a crash was recorded" {
+        /// Incarnation that has crashed.
+        life: WorkerIncarnation,
+        /// Number of runs that the worker may have held.
+        runs: usize,
+        /// Milliseconds from the decision until it was applied.
+        commit_ms: u64,
+        /// Whether this is a change.
+        verdict: EventOutcome,
+    }
+    /// A worker has crashed under a task, of a job that goes on.
+    TaskSuspected: Warn, Leader, "a task is suspected of crashes" {
+        /// The job.
+        job: JobId,
+        /// The task.
+        task: TaskId,
+        /// Number of crashes under the task.
+        crashes: usize,
+        /// Number of these that nothing else on the worker can have caused.
+        sole: u32,
+    }
+    /// The machine of a worker was taken down for maintenance, so that its end is no crash.
+    WorkerTakenDown: Info, Leader, "a worker was taken down" {
+        /// Name of the worker.
+        worker: Arc<str>,
+        /// Whether this is a change.
+        verdict: EventOutcome,
     }
     /// A worker is available, or has changed what it announces.
     WorkerUp: Info, Leader, "a worker is there" {
--- a/crates/bronzespoold/src/batch/agent.rs
+++ b/crates/bronzespoold/src/batch/agent.rs
@@ -43,6 +43,8 @@
 const IDLE_PAUSE: Duration = Duration::from_millis(100);
 /// Timeout of a poll, including the time for which the leader holds it open.
 const POLL_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Longest wait for the leader to record a crash. The poll after it does not wait longer.
+const CRASH_TIMEOUT: Duration = Duration::from_secs(1);
 /// Polls in flight at once: one that waits for orders, and one that carries a change.
 const POLLS_MAX: usize = 2;
 /// Shortest time between two polls. The leader answers a poll at once while it has orders, also those
@@ -153,6 +155,7 @@
         if before.as_ref() != Some(&incarnation) {
             let last_seen = last_seen.map(|(l, runs)| format!("{l:?} with {runs} runs"));
             event::CheckedIn { life: incarnation.clone(), before, last_seen }.emit();
+            self.log_crash();
         }
         let is_leaving = self.reconciler.borrow().is_leaving();
         if is_leaving != was_leaving {
@@ -161,6 +164,15 @@
         }
     }
 
+    fn log_crash(&self) {
+        let reconciler = self.reconciler.borrow();
+        if let Some(crash) = reconciler.crash() {
+            let runs = crash.runs.iter().map(|r| format!("{} for {} ms", r.run, r.age));
+            let runs = runs.collect::<Vec<_>>().join(", ");
+            event::WorkerCrashed { life: crash.incarnation.clone(), runs }.emit();
+        }
+    }
+
     /// Handles the worker's notice that it is ending.
     pub fn leave(&self, worker: &str) {
         event::WorkerEnds { worker: worker.to_owned() }.emit();
@@ -173,6 +185,7 @@
             let incarnation = self.reconciler.borrow().incarnation().cloned();
             if self.reconciler.borrow_mut().expire(self.clock.now()) {
                 event::LeasesEnded { life: incarnation }.emit();
+                self.log_crash();
                 self.poll_wakeup.notify_one();
             }
             let answered = self.list(LIST_WAIT).await;
@@ -210,7 +223,8 @@
                 Some(false)
             }
             ListOutcome::Unanswered(failure) => {
-                self.reconciler.borrow_mut().list_unanswered(&request, failure);
+                let now = self.clock.now();
+                self.reconciler.borrow_mut().list_unanswered(now, &request, failure);
                 Some(false)
             }
         }
@@ -241,8 +255,28 @@
         sleep(slot.since(now)).await;
     }
 
+    /// Tells the leader of crashes, before a poll tells it of the next incarnation: it would start
+    /// the tasks elsewhere without knowing of the crash.
+    async fn report_crashes(&self) {
+        loop {
+            let Some(crash) = self.reconciler.borrow().crash().cloned() else { return };
+            let incarnation = crash.incarnation.clone();
+            let call = Call::Crash(Box::new(crash));
+            match self.leader_client.call(call, CRASH_TIMEOUT).await {
+                Ok(_) => self.reconciler.borrow_mut().crash_reported(&incarnation),
+                Err(error) => {
+                    let again = self.reconciler.borrow_mut().crash_unreported(&incarnation);
+                    let error = error.to_string();
+                    event::CrashUnreported { life: incarnation, again, error }.emit();
+                    return;
+                }
+            }
+        }
+    }
+
     async fn poll(self: &Rc<Self>) {
         self.poll_slot().await;
+        self.report_crashes().await;
         let sent = self.clock.now();
         self.polls_sent.set(self.polls_sent.get() + 1);
         let poll = self.reconciler.borrow().poll(sent, self.polls_sent.get());
--- a/crates/bronzespoold/src/batch/mod.rs
+++ b/crates/bronzespoold/src/batch/mod.rs
@@ -2,6 +2,7 @@
 //! processes that serve callers, workers and operators.
 
 mod agent;
+mod explain;
 mod external;
 mod leader_client;
 mod ready;
--- a/crates/bronzespoold/src/batch/role/control.rs
+++ b/crates/bronzespoold/src/batch/role/control.rs
@@ -4,7 +4,9 @@
 use {
     super::{Error, HEAD_TIMEOUT, ProcessOptions, Result, Signals, bind},
     crate::{
-        batch::{ExternalServices, LeaderClient, follow_seeds, run_external_calls},
+        batch::{
+            ExternalServices, LeaderClient, explain::WithExplain, follow_seeds, run_external_calls,
+        },
         clock::Clock,
         control,
         http::{Handler, serve_bounded},
@@ -43,7 +45,8 @@
     let leader_client = Rc::new(LeaderClient::new(clock, with_own(options.seeds.clone())));
     let (stop, stopped) = watch::channel(false);
     let listener = bind(listen).await?;
-    let handler = Rc::new(operators(Rc::clone(&leader_client)));
+    let operators = operators(Rc::clone(&leader_client));
+    let handler = Rc::new(WithExplain::new(operators, Rc::clone(&leader_client)));
     let bound = Listener::Local.bound();
     let server =
         spawn_local(serve_bounded(listener, handler, HEAD_TIMEOUT, stopped.clone(), bound));
--- a/crates/bronzespoold/src/control/batch/decision_log.rs
+++ b/crates/bronzespoold/src/control/batch/decision_log.rs
@@ -5,6 +5,7 @@
     bronzespool::{
         batch::{
             Event, EventOutcome, JobId, Ledger, Phase, Record, RunId, WorkerIncarnation,
+            crash::Crash,
             ledger::{Assignment, Job, RunEnd, RunOutcome, StopCause},
         },
         core::{HashMap, Instance, Time},
@@ -70,6 +71,7 @@
     match event {
         Event::Cancelled(id) => vec![*id],
         Event::Ended { ends, .. } => ends.iter().map(|e| e.run.task.step.job).collect(),
+        Event::Crashed(crash) => crash.runs.iter().map(|r| r.run.task.step.job).collect(),
         Event::WorkerGone(incarnation) => {
             let runs = ledger.worker(incarnation).into_iter().flat_map(|w| w.runs.keys());
             runs.map(|r| r.task.step.job).collect()
@@ -97,7 +99,7 @@
         for (id, before) in &prior_state.phases {
             let Some(job) = ledger.job(*id) else { continue };
             if before.is_active() && !job.phase.is_active() {
-                log_job_end(*id, job);
+                log_job_end(ledger, *id, job);
             }
         }
     }
@@ -131,11 +133,32 @@
     }
 }
 
-fn log_job_end(id: JobId, job: &Job) {
+fn log_job_end(ledger: &Ledger, id: JobId, job: &Job) {
     let took = job.finished.map_or(0, |f| f.since(job.submitted).as_millis() as u64);
     metrics::counter!("bronzespool_batch_jobs_total", "phase" => phase_name(job.phase))
         .increment(1);
-    event::JobEnded { job: id, phase: job.phase, took_ms: took }.emit();
+    let failure = ledger.failure(id);
+    if let Some(failure) = &failure {
+        let cause = failure.name();
+        metrics::counter!("bronzespool_batch_failed_jobs_total", "cause" => cause).increment(1);
+    }
+    let cause = failure.map(|f| f.to_string());
+    event::JobEnded { job: id, phase: job.phase, took_ms: took, cause }.emit();
+}
+
+fn log_crash(ledger: &Ledger, crash: &Crash, outcome: EventOutcome, commit_ms: u64) {
+    let life = crash.incarnation.clone();
+    event::CrashRecorded { life, runs: crash.runs.len(), commit_ms, verdict: outcome }.emit();
+    if outcome != EventOutcome::Applied {
+        return;
+    }
+    metrics::counter!("bronzespool_batch_crashes_total").increment(1);
+    for run in &crash.runs {
+        let task = run.run.task;
+        let Some(evidence) = ledger.crashes().of_task(task) else { continue };
+        let crashes = evidence.workers.len();
+        event::TaskSuspected { job: task.step.job, task, crashes, sole: evidence.sole }.emit();
+    }
 }
 
 const fn phase_name(phase: Phase) -> &'static str {
@@ -199,6 +222,10 @@
             let (job, life) = (run.task.step.job, incarnation.clone());
             event::RunRefused { job, run: *run, life, commit_ms }.emit();
         }
+        Event::Crashed(crash) => log_crash(ledger, crash, outcome, commit_ms),
+        Event::TakenDown(worker) => {
+            event::WorkerTakenDown { worker: worker.clone(), verdict: outcome }.emit();
+        }
         Event::WaveOrdered(spec) => {
             let machines = spec.machines.len();
             event::WaveOrdered { wave: spec.id, machines, most: spec.down_max, verdict: outcome }
--- a/crates/bronzespoold/src/control/batch/external.rs
+++ b/crates/bronzespoold/src/control/batch/external.rs
@@ -113,7 +113,10 @@
                 machine,
                 word: TakedownResult::Done | TakedownResult::Foreign,
             } => {
-                self.propose_one(Event::MaintenanceBegun { wave, machine }).await?;
+                let worker = self.external.borrow().maintenance.worker_of(&machine).cloned();
+                let mut events: Vec<Event> = worker.into_iter().map(Event::TakenDown).collect();
+                events.push(Event::MaintenanceBegun { wave, machine });
+                self.propose(events).await?;
             }
             ExternalResult::Fenced { epoch } => {
                 self.external.borrow_mut().maintenance.record_fenced(epoch);
--- a/crates/bronzespoold/src/control/batch/mod.rs
+++ b/crates/bronzespoold/src/control/batch/mod.rs
@@ -68,6 +68,8 @@
         let reply = match call {
             message::Call::Job(caller, request) => self.job_request(&caller, request).await?,
             message::Call::Poll(poll) => self.poll(*poll).await?,
+            message::Call::Crash(crash) => self.record_crash(crash).await?,
+            message::Call::Explain(id) => self.explain(id).await?,
             message::Call::Configure(config) => self.configure(config).await?,
             message::Call::ReadConfig => self.read_config().await?,
             message::Call::OrderWave(spec) => self.order_wave(spec).await?,
--- a/crates/bronzespoold/src/control/batch/polls.rs
+++ b/crates/bronzespoold/src/control/batch/polls.rs
@@ -9,6 +9,7 @@
         batch::{
             Event, WorkerIncarnation,
             contact::Arrival,
+            crash::Crash,
             exchange::{poll_events, poll_orders},
             message::{Orders, Poll, Reply},
         },
@@ -56,6 +57,15 @@
         }
     }
 
+    pub(super) async fn record_crash(&self, crash: Box<Crash>) -> Result<Reply> {
+        self.replica.read_barrier().await?;
+        let is_known = self.replica.state().batch().crashes().is_reported(&crash.incarnation);
+        if !is_known {
+            self.propose(vec![Event::Crashed(crash)]).await?;
+        }
+        Ok(Reply::Done)
+    }
+
     fn record_poll(&self, poll: &Rc<Poll>) -> Arrival {
         let now = self.clock.now();
         let mut agents = self.agents.borrow_mut();
--- a/crates/bronzespoold/src/control/batch/requests.rs
+++ b/crates/bronzespoold/src/control/batch/requests.rs
@@ -71,6 +71,14 @@
         })
     }
 
+    /// Tells why a job is in its phase.
+    pub(super) async fn explain(&self, id: JobId) -> Result<Reply> {
+        self.replica.read_barrier().await?;
+        let explanation = self.replica.state().batch().explain(id);
+        let text = explanation.map(|e| e.to_string());
+        Ok(text.map_or(Reply::Denied(Denial::NoJob), Reply::Explained))
+    }
+
     fn job_state(&self, id: JobId) -> Reply {
         let state = self.replica.state();
         let job = state.batch().job(id);
--- a/crates/bronzespoold/src/control/leader/schedule.rs
+++ b/crates/bronzespoold/src/control/leader/schedule.rs
@@ -10,6 +10,7 @@
         telemetry::{Event as _, event},
     },
     bronzespool::{
+        batch::Ledger,
         core::{Code, Job, Refusal, Time},
         flow::config::ConfigUpdate,
         schedule::{
@@ -137,11 +138,25 @@
         let state = self.replica.state();
         match explain(state.scheduler(), job, now) {
             Some(explanation) => Ok(Reply::Explained(Box::new(explain_view(explanation, now)))),
-            None => Err(Refusal::new(Code::UnknownJob, format!("no job {job}"))),
+            None => explain_batch(state.batch(), job),
         }
     }
 }
 
+/// Explains a batch job, which is named by its identifier.
+fn explain_batch(ledger: &Ledger, job: &Job) -> CallResult {
+    let id = job.as_str().parse().ok();
+    match id.and_then(|id| ledger.explain(id)) {
+        Some(explanation) => Ok(Reply::Explained(Box::new(ExplainView {
+            job: job.clone(),
+            reason: explanation.to_string(),
+            latest_ms: None,
+            holders: Vec::new(),
+        }))),
+        None => Err(Refusal::new(Code::UnknownJob, format!("no job {job}"))),
+    }
+}
+
 fn conflict_message(conflict: &GuaranteeConflict) -> String {
     let teams: Vec<_> = conflict.teams.iter().map(ToString::to_string).collect();
     let shapes: Vec<_> = conflict.shapes.iter().map(ToString::to_string).collect();
