fix(agent): recognise a crash of a worker that leaves calls unanswered

Cause: the agent took any request for the list without an answer as a sign of a cut, until the next list. Three of six crashes came after a list that had no answer or was refused, so they were not reported, although the worker had just answered a start or closed an open connection.

Change: any answer, a refusal too, shows that the worker is there; so does the end of an open connection. Only silence right before a worker is absent makes it a cut. A run counts as just started for 500 ms in place of 1 s, which tells it better from those beside it; a task that crashes workers later is found by its second crash.

--- a/crates/bronzespool-batch/src/agent/call.rs
+++ b/crates/bronzespool-batch/src/agent/call.rs
@@ -36,10 +36,13 @@
 /// Why a request for the worker's list has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListFailure {
-    /// The connection was closed or refused, or another worker answers there, as it is when the
-    /// worker's process has ended.
+    /// An open connection was closed before the answer.
     Closed,
-    /// Nothing arrived in time, or nothing that can be read.
+    /// Nothing listens at the address, or another worker answers there.
+    Absent,
+    /// The worker has refused the request, or its answer cannot be read.
+    Refused,
+    /// Nothing arrived in time.
     Silent,
 }
 
@@ -48,9 +51,9 @@
 pub enum LastSeen {
     /// It answered the latest request.
     Answering,
-    /// Since its last answer, all connections were closed or refused.
+    /// It closed its last connection, and has not been silent since.
     Closed,
-    /// It was silent at some time since its last answer, as if it were cut off.
+    /// It was silent since its last answer, as if it were cut off.
     Silent,
     /// It had announced that it leaves.
     Leaving,
--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -322,6 +322,9 @@
             self.fenced(now, Some(token));
         }
         let Some(worker) = self.current_worker(incarnation) else { return };
+        if !matches!(outcome, StartOutcome::Late | StartOutcome::Unknown) {
+            worker.note_answer();
+        }
         match outcome {
             StartOutcome::Present => {
                 worker.note_running(now, run);
@@ -346,6 +349,9 @@
             self.fenced(now, Some(token));
         }
         let Some(worker) = self.current_worker(incarnation) else { return };
+        if outcome != StopOutcome::Unknown {
+            worker.note_answer();
+        }
         match outcome {
             StopOutcome::Noted => {
                 worker.calls.insert(run, CallState::Stopping(worker.list_serial + 1, now));
--- a/crates/bronzespool-batch/src/agent/worker.rs
+++ b/crates/bronzespool-batch/src/agent/worker.rs
@@ -66,10 +66,10 @@
     pub(super) has_orders: bool,
     /// Whether the worker answered the latest request for its list.
     pub(super) answers: bool,
-    /// Why it has not answered since its last list; silence outweighs closed connections.
-    failure: Option<ListFailure>,
-    /// When its first request since its last list failed.
-    failed_at: Time,
+    /// What it has been since its last answer.
+    last_seen: LastSeen,
+    /// When it was first seen to be closed, if it is.
+    closed_at: Time,
     /// When runs were first known to run.
     running_since: HashMap<RunId, Time>,
     /// Whether the worker has reported that it ends, or another incarnation has answered in its
@@ -103,8 +103,8 @@
             has_list: false,
             has_orders: false,
             answers: false,
-            failure: None,
-            failed_at: now,
+            last_seen: LastSeen::Answering,
+            closed_at: now,
             running_since: HashMap::default(),
             departed: false,
             calls: HashMap::default(),
@@ -123,22 +123,29 @@
     /// Takes a request for the list that had no answer.
     pub(super) fn list_failed(&mut self, now: Time, failure: ListFailure) {
         self.answers = false;
-        if self.failure.is_none() {
-            self.failed_at = now;
-        }
-        if self.failure != Some(ListFailure::Silent) {
-            self.failure = Some(failure);
+        let last_seen = match (failure, self.last_seen) {
+            (ListFailure::Refused, _) => LastSeen::Answering,
+            (ListFailure::Silent, _) => LastSeen::Silent,
+            // A connection that was open a moment ago ends a silence. A worker that is absent after
+            // one may have ended at any time in it.
+            (ListFailure::Closed, _) => LastSeen::Closed,
+            (ListFailure::Absent, LastSeen::Answering) => LastSeen::Closed,
+            (ListFailure::Absent, last_seen) => last_seen,
+        };
+        if last_seen == LastSeen::Closed && self.last_seen != LastSeen::Closed {
+            self.closed_at = now;
         }
+        self.last_seen = last_seen;
+    }
+
+    /// Notes that the worker has answered a call.
+    pub(super) const fn note_answer(&mut self) {
+        self.last_seen = LastSeen::Answering;
     }
 
     /// Returns how the incarnation was last seen.
     pub(super) const fn last_seen(&self) -> LastSeen {
-        match self.failure {
-            _ if self.spec.leaving => LastSeen::Leaving,
-            Some(ListFailure::Closed) => LastSeen::Closed,
-            Some(ListFailure::Silent) => LastSeen::Silent,
-            None => LastSeen::Answering,
-        }
+        if self.spec.leaving { LastSeen::Leaving } else { self.last_seen }
     }
 
     /// Returns the crash of this incarnation, which has ended by `now`; none if it was not seen to
@@ -146,7 +153,7 @@
     pub(super) fn crash(&self, now: Time) -> Option<Crash> {
         let ended_at = match self.last_seen() {
             LastSeen::Answering => now,
-            LastSeen::Closed => self.failed_at,
+            LastSeen::Closed => self.closed_at,
             LastSeen::Silent | LastSeen::Leaving => return None,
         };
         let listed = self.running.iter().map(|s| s.run);
@@ -233,7 +240,7 @@
         ends: Vec<RunEnd>,
         truncated: bool,
     ) {
-        self.failure = None;
+        self.note_answer();
         self.listed = running.iter().map(|s| s.run).chain(ends.iter().map(|e| e.run)).collect();
         let (listed, started) = (&self.listed, &self.started);
         self.running_since.retain(|run, _| listed.contains(run) || started.contains_key(run));
--- a/crates/bronzespool-batch/src/ledger/crash.rs
+++ b/crates/bronzespool-batch/src/ledger/crash.rs
@@ -15,9 +15,9 @@
     std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
 
-/// Age below which a run has just started: a task crashes its worker at its start, and a late answer
-/// of the worker may delay by this much what the agent knows of it.
-const JUST_STARTED: Duration = Duration::from_secs(1);
+/// Age below which a run has just started: a task crashes its worker at its start, and the agent may
+/// learn of the crash by this much later.
+const JUST_STARTED: Duration = Duration::from_millis(500);
 /// Age from which a run has shown that its task does not crash workers at its start, so that earlier
 /// crashes were not its fault.
 const SURVIVED: Duration = Duration::from_secs(30);
--- a/crates/bronzespool-telemetry/src/event/agent.rs
+++ b/crates/bronzespool-telemetry/src/event/agent.rs
@@ -20,7 +20,7 @@
         last_seen: Option<String>,
     }
     /// The worker has crashed: another incarnation has taken its place, or all of its leases have
-    /// ended, and all connections to it were closed or refused since its last answer.
+    /// ended, and it was not silent since its last answer or closed connection.
     WorkerCrashed: Warn, Agent, "the worker has crashed" {
         /// Incarnation that has crashed.
         life: WorkerIncarnation,
--- a/crates/bronzespoold/src/batch/agent.rs
+++ b/crates/bronzespoold/src/batch/agent.rs
@@ -78,9 +78,11 @@
 
 impl From<&Error> for ListOutcome {
     fn from(error: &Error) -> Self {
-        Self::Unanswered(match error.is_closed() {
-            true => ListFailure::Closed,
-            false => ListFailure::Silent,
+        Self::Unanswered(match error {
+            Error::Refused(_) => ListFailure::Absent,
+            _ if error.is_closed() => ListFailure::Closed,
+            Error::Body(_) => ListFailure::Refused,
+            _ => ListFailure::Silent,
         })
     }
 }
--- a/crates/bronzespoold/src/http/fetch.rs
+++ b/crates/bronzespoold/src/http/fetch.rs
@@ -40,13 +40,9 @@
         matches!(self, Self::Connect(_) | Self::Refused(_) | Self::Unsent)
     }
 
-    /// Whether the host of the peer has closed or refused the connection. No answer in time says
-    /// nothing of the peer's process; this says that it has ended, unless the network did it.
+    /// Whether an open connection was closed before the whole answer.
     pub const fn is_closed(&self) -> bool {
-        matches!(
-            self,
-            Self::Refused(_) | Self::Unsent | Self::Transfer(_) | Self::Body(ReadError::Short)
-        )
+        matches!(self, Self::Unsent | Self::Transfer(_) | Self::Body(ReadError::Short))
     }
 }
 
