fix(agent): name no worker to the leader while its process is down

What callers saw: for some 3 s after a crash, tasks were still given to the worker that had crashed, and waited until it was back; its agent tried to start them every 25 ms.

Cause: a worker counts as there for three check-in intervals after its last check-in, whatever its agent sees.

Change: once connections have been closed or refused for 300 ms, and not silent, a poll names no worker, so that the leader assigns it nothing. Leases are not touched.

Evidence: poll_names_no_worker_that_is_down.

--- a/crates/bronzespool-batch/src/agent/worker.rs
+++ b/crates/bronzespool-batch/src/agent/worker.rs
@@ -18,6 +18,9 @@
 /// Pause after a stop that was refused or had no answer. A worker that sheds load refuses at once, so
 /// that the agent would repeat the call without end.
 const CALL_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Time for which connections are closed or refused before the worker's process counts as ended; two
+/// requests for the list are made in it.
+const DOWN_DELAY: Duration = Duration::from_millis(300);
 /// Number of check-in intervals without a check-in after which a worker counts as silent and
 /// accepts no new tasks.
 const SILENT_INTERVALS: u32 = 3;
@@ -180,9 +183,16 @@
         self.running_since.entry(run).or_insert(now);
     }
 
+    /// Whether the worker's process has certainly ended: connections have been closed or refused for
+    /// longer than a reset of them lasts.
+    fn is_down(&self, now: Time) -> bool {
+        self.last_seen == LastSeen::Closed && now.since(self.closed_at) >= DOWN_DELAY
+    }
+
     /// Whether the worker answers, or at least checks in, and its runs are known.
     pub(super) fn is_reportable(&self, now: Time, limits: &Limits) -> bool {
-        self.has_list && (self.answers || !self.is_silent(now, limits))
+        let is_there = self.answers || !self.is_silent(now, limits);
+        self.has_list && is_there && !self.is_down(now)
     }
 
     pub(super) fn await_list(&mut self, run: RunId) {
--- a/crates/bronzespool-batch/tests/agent_crash.rs
+++ b/crates/bronzespool-batch/tests/agent_crash.rs
@@ -265,3 +265,25 @@
     a.reconciler.crash_reported(&incarnation("w0", 1));
     assert_eq!(a.reconciler.crash(), None);
 }
+
+// Tasks were given to a worker that had crashed, and waited until it was back.
+#[test]
+fn poll_names_no_worker_that_is_down() {
+    let mut a = Agent::new();
+    a.start(&[run(0)], StartOutcome::Present);
+    a.fail_list(ListFailure::Closed);
+    assert!(a.reconciler.poll(a.now, 1).worker.is_some(), "a reset of one connection");
+    a.pass(300);
+    a.fail_list(ListFailure::Absent);
+    assert!(a.reconciler.poll(a.now, 2).worker.is_none());
+    a.list();
+    assert!(a.reconciler.poll(a.now, 3).worker.is_some());
+}
+
+#[test]
+fn poll_names_a_worker_that_was_cut_off_briefly() {
+    let mut a = Agent::new();
+    a.fail_list(ListFailure::Silent);
+    a.pass(1_000);
+    assert!(a.reconciler.poll(a.now, 1).worker.is_some());
+}
