fix(batch): start nothing over a capacity that has shrunk

What callers would see: on the platform a worker's capacity may shrink while it runs, and a start that brings it over it breaks LIMIT.

Cause: the leader orders all runs that it has assigned, however long ago. A run whose start had no answer, or was refused, was ordered again after its worker had shrunk. The planner also took all that stopped runs release for free, although it first makes up for what exceeds the capacity.

Change: while a worker's runs exceed its capacity, a run that is not there is ordered only if it fits beside what the worker lists or may hold, runs that are being stopped included; otherwise it is stopped before it starts, and planned anew. The planner counts what is released against the excess first.

--- a/crates/bronzespool-batch/src/exchange.rs
+++ b/crates/bronzespool-batch/src/exchange.rs
@@ -10,6 +10,7 @@
         id::{RunId, WorkerIncarnation},
         ledger::{ActiveRun, Event, Ledger, RunEnd, Worker},
         message::{Orders, Poll, QosClass, Start},
+        spec::{Resources, Step},
         withdrawal::Withdrawals,
     },
     bronzespool_core::{HashSet, Time},
@@ -105,20 +106,43 @@
     orders
 }
 
-/// Adds the runs that the worker has to start and to stop.
+/// Adds the runs that the worker has to start and to stop. A run that does not fit beside what is
+/// there, since the capacity has shrunk after it was assigned, is stopped before it starts.
 fn add_starts_and_stops(ledger: &Ledger, worker: &Worker, poll: &Poll, orders: &mut Orders) {
     let running: HashSet<RunId> = poll.running.iter().map(|s| s.run).collect();
+    // The list of a poll that has waited may name runs that have ended since, so it decides only if
+    // the capacity is exceeded.
+    let is_over = worker.excess() != Resources::default();
+    let mut room = worker.spec.capacity.minus(&present_resources(ledger, worker, poll));
     for run in unsettled_runs(worker, poll) {
         if ledger.is_unwanted(run) {
             orders.stops.push(run);
         } else if !running.contains(&run) {
-            orders.starts.extend(start(ledger, run));
+            let need = worker.runs.get(&run).copied().unwrap_or_default();
+            if !is_over || room.fits(&need) {
+                room = room.minus(&need);
+                orders.starts.extend(start(ledger, run));
+            } else {
+                orders.stops.push(run);
+            }
         }
     }
     let unknown = |r: &&RunId| !worker.runs.contains_key(r) && !is_settled(poll, r);
     orders.stops.extend(running.iter().filter(unknown));
 }
 
+/// Returns the resources of all runs that a worker lists, or may hold because of a call for them.
+fn present_resources(ledger: &Ledger, worker: &Worker, poll: &Poll) -> Resources {
+    let listed = poll.running.iter().map(|s| s.run);
+    let present: HashSet<RunId> = listed.chain(poll.in_flight.iter().copied()).collect();
+    let of_run = |run: &RunId| {
+        let step = run.task.step;
+        let spec = || ledger.job(step.job)?.step_spec(step.step);
+        worker.runs.get(run).copied().or_else(|| spec().map(Step::allocation))
+    };
+    present.iter().filter_map(of_run).fold(Resources::default(), |sum, r| sum.plus(&r))
+}
+
 /// Returns the runs of a worker whose ends a poll does not report and for which no call is in flight.
 fn unsettled_runs(worker: &Worker, poll: &Poll) -> impl Iterator<Item = RunId> {
     worker.runs.keys().filter(|r| !is_settled(poll, r)).copied()
--- a/crates/bronzespool-batch/src/ledger/worker.rs
+++ b/crates/bronzespool-batch/src/ledger/worker.rs
@@ -41,6 +41,11 @@
         self.runs.values().fold(Resources::default(), |sum, r| sum.plus(r))
     }
 
+    /// Returns the resources by which the runs exceed a capacity that has shrunk.
+    pub fn excess(&self) -> Resources {
+        self.used().minus(&self.spec.capacity)
+    }
+
     /// Returns the resources that are not allocated.
     pub fn free(&self) -> Resources {
         self.spec.capacity.minus(&self.used())
--- a/crates/bronzespool-batch/src/plan/candidate.rs
+++ b/crates/bronzespool-batch/src/plan/candidate.rs
@@ -213,7 +213,8 @@
         }
         capacity.steps.add_runs(by_slot[i].len());
         let available = slot.free.plus(&slot.releasing);
-        by_slot[i].iter().fold(available, |sum, c| sum.plus(&c.allocation)).count(&need)
+        let all = by_slot[i].iter().fold(available, |sum, c| sum.plus(&c.allocation));
+        all.minus(&slot.excess).count(&need)
     }
 }
 
--- a/crates/bronzespool-batch/src/plan/capacity.rs
+++ b/crates/bronzespool-batch/src/plan/capacity.rs
@@ -31,6 +31,9 @@
     pub(super) free: Resources,
     /// Resources of runs that are being stopped, as far as they are not reserved.
     pub(super) releasing: Resources,
+    /// Resources by which the other runs exceed a capacity that has shrunk. What they release counts
+    /// against it first.
+    pub(super) excess: Resources,
     /// Number of tasks on the worker, by step.
     pub(super) steps: HashMap<StepId, u32>,
 }
@@ -40,6 +43,12 @@
         &self.worker.spec.incarnation
     }
 
+    /// Counts a run as being stopped.
+    fn add_releasing(&mut self, allocation: &Resources) {
+        self.releasing = self.releasing.plus(&allocation.minus(&self.excess));
+        self.excess = self.excess.minus(allocation);
+    }
+
     /// Whether nothing runs on the worker, and nothing is reserved on it.
     pub(super) fn is_idle(&self) -> bool {
         self.worker.runs.is_empty() && self.free == *self.whole()
@@ -172,13 +181,14 @@
                 false => worker.free(),
             },
             releasing: Resources::default(),
+            excess: worker.excess(),
             steps: HashMap::default(),
         };
         self.steps.add_runs(worker.runs.len());
         for (run, allocation) in &worker.runs {
             *slot.steps.entry(run.task.step).or_default() += 1;
             if self.ledger.is_unwanted(*run) {
-                slot.releasing = slot.releasing.plus(allocation);
+                slot.add_releasing(allocation);
                 self.stopping.insert(*run);
             }
         }
@@ -276,7 +286,7 @@
             let slot = &mut self.slots[i];
             self.steps.add_runs(reservation.victims.len());
             for allocation in reservation.victims.iter().filter_map(|v| slot.worker.runs.get(v)) {
-                slot.releasing = slot.releasing.plus(allocation);
+                slot.add_releasing(allocation);
             }
         }
     }
--- a/crates/bronzespool-batch/src/plan/reclaim.rs
+++ b/crates/bronzespool-batch/src/plan/reclaim.rs
@@ -147,6 +147,8 @@
 struct WorkerState {
     slot: usize,
     available: Resources,
+    /// Resources that have to be released before any are available.
+    excess: Resources,
     /// Number of tasks of the step that it may still be assigned.
     tasks_left: u32,
     /// What placing one more task on it takes; none if that is not possible.
@@ -160,6 +162,7 @@
             WorkerState {
                 slot,
                 available: capacity.free.plus(&capacity.releasing),
+                excess: capacity.excess,
                 tasks_left: capacity.remaining_tasks(search.group),
                 option: None,
             }
@@ -191,7 +194,7 @@
 
     /// Returns what placing one more task on a worker takes; none if that is not possible.
     fn option(&self, worker: &WorkerState) -> Option<ReleaseOption> {
-        let need = self.search.group.spec.allocation();
+        let need = self.search.group.spec.allocation().plus(&worker.excess);
         let mut available = worker.available;
         let mut option = ReleaseOption { victims: Vec::new(), loss: 0 };
         if worker.tasks_left == 0 {
@@ -264,7 +267,9 @@
             *available = available.plus(&candidate.allocation);
         }
         let state = &mut self.workers[worker];
-        state.available = state.available.minus(&self.search.group.spec.allocation());
+        let taken = self.search.group.spec.allocation().plus(&state.excess);
+        state.available = state.available.minus(&taken);
+        state.excess = Resources::default();
         state.tasks_left -= 1;
         self.update_option(worker);
         self.update_beside(&stopped);
