fix(batch): give a task up for crashes on two machines, or three in all

Cause: two crashes on one machine counted like two on different ones, though they may be the machine's fault; and the run of a job that had ended when the crash was recorded was not suspected, so that an older run beside it counted as the only one.

Change: a report names the agent beside the worker. A job fails once only its task can have caused crashes on two machines, or three in all, since there may be no other machine. All runs of the report are suspects, whatever has become of their jobs. A suspect is not started again on the machine where it has crashed a worker while there is another.

Evidence: record_crash_crashes_on_one_machine_fail_a_job_only_the_third_time and record_crash_run_of_an_ended_job_may_be_at_fault.

--- a/crates/bronzespool-batch/src/agent/worker.rs
+++ b/crates/bronzespool-batch/src/agent/worker.rs
@@ -165,8 +165,8 @@
         let mut runs: Vec<CrashedRun> =
             held.into_iter().map(|run| CrashedRun { run, age: self.age(run, ended_at) }).collect();
         runs.sort_by_key(|r| r.run);
-        let incarnation = self.spec.incarnation.clone();
-        (!runs.is_empty()).then_some(Crash { incarnation, runs })
+        let WorkerSpec { incarnation, agent, .. } = self.spec.clone();
+        (!runs.is_empty()).then_some(Crash { incarnation, agent, runs })
     }
 
     /// Returns for how many milliseconds a run has been known to run.
--- a/crates/bronzespool-batch/src/crash.rs
+++ b/crates/bronzespool-batch/src/crash.rs
@@ -6,6 +6,7 @@
 
 use {
     crate::id::{RunId, WorkerIncarnation},
+    bronzespool_core::Instance,
     serde::{Deserialize, Serialize},
 };
 
@@ -24,6 +25,8 @@
 pub struct Crash {
     /// The worker incarnation that has crashed.
     pub incarnation: WorkerIncarnation,
+    /// Instance of the agent beside it.
+    pub agent: Instance,
     /// All runs that may have caused it.
     pub runs: Vec<CrashedRun>,
 }
--- a/crates/bronzespool-batch/src/ledger/crash.rs
+++ b/crates/bronzespool-batch/src/ledger/crash.rs
@@ -10,9 +10,13 @@
         id::{JobId, RunId, StepId, TaskId, WorkerIncarnation},
         ledger::{EventOutcome, Job, Ledger, Phase},
     },
-    bronzespool_core::Time,
+    bronzespool_core::{Instance, Time},
     serde::{Deserialize, Deserializer, Serialize},
-    std::{collections::BTreeMap, sync::Arc, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 /// Age below which a run has just started: a task crashes its worker at its start, and the agent may
@@ -21,18 +25,54 @@
 /// Age from which a run has shown that its task does not crash workers at its start, so that earlier
 /// crashes were not its fault.
 const SURVIVED: Duration = Duration::from_secs(30);
-/// Crashes that only one task can have caused, after which its job fails. The platform allows two.
-const SOLE_CRASHES_MAX: u32 = 2;
+/// Machines on which only one task can have caused a crash, after which its job fails. Two crashes on
+/// one machine may be the machine's fault.
+const MACHINES_MAX: usize = 2;
+/// Crashes that only one task can have caused, after which its job fails, all on one machine too:
+/// there may be no other.
+const SOLE_CRASHES_MAX: usize = 3;
 /// Time for which a crash is remembered, so that a repeated report of it counts once.
 const REPORT_RETENTION: Duration = Duration::from_secs(600);
 
-/// Evidence against a task.
+/// A crash under a task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashUnder {
+    /// Name of the worker.
+    pub worker: Arc<str>,
+    /// Instance of the agent beside it.
+    pub agent: Instance,
+    /// Whether nothing but the task, or its gang, can have caused it.
+    pub sole: bool,
+}
+
+/// Evidence against a task: the crashes with a run of it on the worker.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashEvidence {
-    /// Workers that have crashed with a run of the task on them.
-    pub workers: Vec<Arc<str>>,
-    /// Number of these crashes that no task of another gang, or no other task, can have caused.
-    pub sole: u32,
+    /// The crashes, by time.
+    pub crashes: Vec<CrashUnder>,
+}
+
+impl CrashEvidence {
+    /// Returns the number of crashes that nothing but the task can have caused.
+    pub fn sole(&self) -> usize {
+        self.crashes.iter().filter(|c| c.sole).count()
+    }
+
+    /// Whether a worker beside an agent has crashed under the task.
+    pub fn includes(&self, agent: &Instance) -> bool {
+        self.crashes.iter().any(|c| c.agent == *agent)
+    }
+
+    /// Returns the names of the workers that have crashed.
+    pub fn workers(&self) -> Vec<Arc<str>> {
+        self.crashes.iter().map(|c| Arc::clone(&c.worker)).collect()
+    }
+
+    fn is_enough(&self) -> bool {
+        let sole = self.crashes.iter().filter(|c| c.sole);
+        let machines: BTreeSet<&Instance> = sole.map(|c| &c.agent).collect();
+        machines.len() >= MACHINES_MAX || self.sole() >= SOLE_CRASHES_MAX
+    }
 }
 
 /// Why a job has failed although no task has used up its attempts.
@@ -69,7 +109,7 @@
     /// Returns the task of a job under which the most workers have crashed.
     pub fn worst_of_job(&self, job: JobId) -> Option<(TaskId, &CrashEvidence)> {
         let of_job = self.tasks.iter().filter(|(task, _)| task.step.job == job);
-        of_job.max_by_key(|(_, e)| (e.sole, e.workers.len())).map(|(task, e)| (*task, e))
+        of_job.max_by_key(|(_, e)| (e.sole(), e.crashes.len())).map(|(task, e)| (*task, e))
     }
 
     /// Returns why a job has failed, if crashes were the reason.
@@ -101,13 +141,13 @@
         self.tasks.retain(|task, _| has_job(task.step.job));
     }
 
-    fn add(&mut self, worker: &Arc<str>, suspect: CrashedRun, is_sole: bool) {
+    fn add(&mut self, crash: &Crash, suspect: CrashedRun, sole: bool) {
         let evidence = self.tasks.entry(suspect.run.task).or_default();
         if Duration::from_millis(suspect.age) >= SURVIVED {
             *evidence = CrashEvidence::default();
         }
-        evidence.workers.push(Arc::clone(worker));
-        evidence.sole += u32::from(is_sole);
+        let worker = Arc::clone(&crash.incarnation.worker);
+        evidence.crashes.push(CrashUnder { worker, agent: crash.agent.clone(), sole });
     }
 }
 
@@ -134,15 +174,16 @@
         if self.crashes.taken_down.contains_key(incarnation) {
             return EventOutcome::Stale;
         }
-        let is_suspect = |r: &&CrashedRun| self.may_be_at_fault(r.run);
-        let suspects: Vec<CrashedRun> = crash.runs.iter().filter(is_suspect).copied().collect();
+        // A run of a job that has ended since may be at fault too.
         let just_started = |r: &CrashedRun| Duration::from_millis(r.age) < JUST_STARTED;
-        let any_started = suspects.iter().any(just_started);
+        let any_started = crash.runs.iter().any(just_started);
         let is_blamed = |r: &CrashedRun| !any_started || just_started(r);
-        let is_sole = self.are_one_unit(suspects.iter().filter(|r| is_blamed(r)).map(|r| r.run));
+        let blamed = crash.runs.iter().filter(|r| is_blamed(r));
+        let is_sole = self.are_one_unit(blamed.map(|r| r.run));
+        let is_open = |r: &&CrashedRun| self.may_start_again(r.run);
+        let suspects: Vec<CrashedRun> = crash.runs.iter().filter(is_open).copied().collect();
         for suspect in &suspects {
-            let is_sole = is_sole && is_blamed(suspect);
-            self.crashes.add(&incarnation.worker, *suspect, is_sole);
+            self.crashes.add(crash, *suspect, is_sole && is_blamed(suspect));
         }
         for suspect in suspects {
             self.give_up(suspect.run.task);
@@ -158,8 +199,8 @@
         EventOutcome::Applied
     }
 
-    /// Whether a run can have crashed its worker, and its task may be started again.
-    fn may_be_at_fault(&self, run: RunId) -> bool {
+    /// Whether a run is known, and its task may be started again.
+    fn may_start_again(&self, run: RunId) -> bool {
         let Some(job) = self.job(run.task.step.job) else { return false };
         let task = job.task(run.task);
         job.phase.is_active() && task.is_some_and(|t| !t.done && t.last_run >= run.run)
@@ -181,10 +222,10 @@
     /// Fails the job of a task under which too many workers have crashed.
     fn give_up(&mut self, task: TaskId) {
         let Some(evidence) = self.crashes.of_task(task) else { return };
-        if evidence.sole < SOLE_CRASHES_MAX {
+        if !evidence.is_enough() {
             return;
         }
-        let failure = CrashFailure { task, workers: evidence.workers.clone() };
+        let failure = CrashFailure { task, workers: evidence.workers() };
         let id = task.step.job;
         let at = self.log_time;
         let Some(job) = self.jobs.get_mut(&id).filter(|j: &&mut Job| j.phase.is_active()) else {
--- a/crates/bronzespool-batch/src/ledger/explain.rs
+++ b/crates/bronzespool-batch/src/ledger/explain.rs
@@ -87,7 +87,7 @@
     fn explain_running(&self, id: JobId) -> Explanation {
         let suspect = self.crashes.worst_of_job(id);
         suspect.map_or(Explanation::Running, |(task, evidence)| {
-            Explanation::Suspected(task, WorkerNames(evidence.workers.clone()))
+            Explanation::Suspected(task, WorkerNames(evidence.workers()))
         })
     }
 }
--- a/crates/bronzespool-batch/src/ledger/mod.rs
+++ b/crates/bronzespool-batch/src/ledger/mod.rs
@@ -9,7 +9,7 @@
 mod worker;
 
 pub use {
-    crash::{CrashEvidence, CrashFailure, CrashLog},
+    crash::{CrashEvidence, CrashFailure, CrashLog, CrashUnder},
     explain::{Explanation, FailureCause},
     job::{ActiveRun, Job, Phase, StepState, Task},
     record::{Assignment, Event, EventOutcome, Record, RunEnd, RunOutcome, StopCause, WorkerSpec},
--- a/crates/bronzespool-batch/src/plan/apart.rs
+++ b/crates/bronzespool-batch/src/plan/apart.rs
@@ -39,7 +39,7 @@
     let Some(evidence) = crashes.of_task(run.task) else { return false };
     let started_at = ledger.active_run(run).map(|r| r.assigned_at);
     let is_new = started_at.is_some_and(|at| now.since(at) < ALONE_TIME);
-    is_new || evidence.workers.len() >= LATE_CRASHES
+    is_new || evidence.crashes.len() >= LATE_CRASHES
 }
 
 /// Whether a group waits for idle workers for now.
@@ -83,9 +83,8 @@
         let fits = |o: &&mut WorkerOption| o.tasks_left > 0 && o.free.fits(&need);
         let key = |o: &&mut WorkerOption| {
             let slot = &capacity.slots[o.slot];
-            let worker = &slot.incarnation().worker;
             let evidence = capacity.ledger.crashes().of_task(group.step.task(task.index));
-            let crashed_before = evidence.is_some_and(|e| e.workers.contains(worker));
+            let crashed_before = evidence.is_some_and(|e| e.includes(&slot.worker.spec.agent));
             let is_remote =
                 group.spec.rack.as_deref().is_some_and(|r| r != slot.worker.spec.rack());
             let at_stake = slot.worker.used().weight();
--- a/crates/bronzespool-batch/tests/affected.rs
+++ b/crates/bronzespool-batch/tests/affected.rs
@@ -253,7 +253,7 @@
     match rng.u32(0..21) {
         20 => {
             let runs = vec![CrashedRun { run: held_run, age: rng.u64(0..2_000) }];
-            Event::Crashed(Box::new(Crash { incarnation: holder, runs }))
+            Event::Crashed(Box::new(Crash { incarnation: holder, agent: agent(i), runs }))
         }
         0 => Event::Cancelled(JobId(id)),
         1 => Event::WorkerUp(Box::new(random_worker(rng, i, &current))),
--- a/crates/bronzespool-batch/tests/crash.rs
+++ b/crates/bronzespool-batch/tests/crash.rs
@@ -6,8 +6,9 @@
     bronzespool_batch::{
         Event, EventOutcome, JobId, Ledger, Phase, RunId,
         crash::{Crash, CrashedRun},
-        ledger::{Assignment, Explanation, FailureCause, RunOutcome},
+        ledger::{Assignment, CrashEvidence, Explanation, FailureCause, RunOutcome},
     },
+    bronzespool_core::Instance,
     common::{Cluster, SECOND, gang, incarnation, run, step},
     std::{sync::Arc, time::Duration},
 };
@@ -35,7 +36,9 @@
 /// Returns the report of a worker's crash with runs of these ages in milliseconds.
 fn crash(cluster: &Cluster, worker: usize, runs: &[(RunId, u64)]) -> Event {
     let runs = runs.iter().map(|(run, age)| CrashedRun { run: *run, age: *age }).collect();
-    Event::Crashed(Box::new(Crash { incarnation: incarnation_of(cluster, worker), runs }))
+    let incarnation = incarnation_of(cluster, worker);
+    let agent = Instance::try_from(format!("side-{worker}")).unwrap();
+    Event::Crashed(Box::new(Crash { incarnation, agent, runs }))
 }
 
 /// Lets a worker crash with runs of these ages, and start again under its name.
@@ -53,8 +56,8 @@
     assert_eq!(cluster.apply(Event::WorkerUp(Box::new(spec))), EventOutcome::Applied);
 }
 
-fn sole_crashes(cluster: &Cluster, run: RunId) -> Option<u32> {
-    cluster.ledger.crashes().of_task(run.task).map(|e| e.sole)
+fn sole_crashes(cluster: &Cluster, run: RunId) -> Option<usize> {
+    cluster.ledger.crashes().of_task(run.task).map(CrashEvidence::sole)
 }
 
 fn workers_of(started: &[Assignment]) -> Vec<Arc<str>> {
@@ -82,6 +85,33 @@
     assert_eq!(cluster.started().len(), 0);
 }
 
+// A worker that crashes twice under one task may be at fault itself, unless there is no other one.
+#[test]
+fn record_crash_crashes_on_one_machine_fail_a_job_only_the_third_time() {
+    let mut cluster = Cluster::new(1, 3, 0);
+    cluster.submit(1, 0, vec![step(1, 1)]);
+    for number in 1..=3 {
+        assert_ne!(cluster.phase(1), Phase::Failed, "run {number}");
+        let run = run(1, 0, 0, number);
+        assign(&mut cluster, run, 0);
+        crash_and_restart(&mut cluster, 0, &[(run, 10)]);
+    }
+    assert_eq!(cluster.phase(1), Phase::Failed);
+}
+
+// A run of a job that was cancelled meanwhile may have crashed the worker.
+#[test]
+fn record_crash_run_of_an_ended_job_may_be_at_fault() {
+    let mut cluster = Cluster::new(1, 3, 0);
+    cluster.submit(1, 0, vec![step(1, 1)]);
+    cluster.submit(2, 0, vec![step(1, 1)]);
+    let (innocent, ended) = (run(1, 0, 0, 1), run(2, 0, 0, 1));
+    [innocent, ended].iter().for_each(|r| assign(&mut cluster, *r, 0));
+    cluster.apply(Event::Cancelled(JobId(2)));
+    crash_and_restart(&mut cluster, 0, &[(innocent, OLD_MILLIS), (ended, 10)]);
+    assert_eq!(sole_crashes(&cluster, innocent), Some(0));
+}
+
 #[test]
 fn record_crash_run_that_just_started_is_blamed_alone() {
     let mut cluster = Cluster::new(1, 2, 0);
@@ -327,5 +357,5 @@
     let bytes = postcard::to_stdvec(&cluster.ledger).unwrap();
     let (read, rest): (Ledger, _) = postcard::take_from_bytes(&bytes).unwrap();
     assert_eq!((&read, rest), (&cluster.ledger, &[][..]));
-    assert_eq!(read.crashes().of_task(run(1, 0, 0, 1).task).unwrap().sole, 1);
+    assert_eq!(read.crashes().of_task(run(1, 0, 0, 1).task).unwrap().sole(), 1);
 }
--- a/crates/bronzespool-telemetry/src/event/control.rs
+++ b/crates/bronzespool-telemetry/src/event/control.rs
@@ -120,7 +120,7 @@
         /// Number of crashes under the task.
         crashes: usize,
         /// Number of these that nothing else on the worker can have caused.
-        sole: u32,
+        sole: usize,
     }
     /// The machine of a worker was taken down for maintenance, so that its end is no crash.
     WorkerTakenDown: Info, Leader, "a worker was taken down" {
--- a/crates/bronzespoold/src/control/batch/decision_log.rs
+++ b/crates/bronzespoold/src/control/batch/decision_log.rs
@@ -156,8 +156,8 @@
     for run in &crash.runs {
         let task = run.run.task;
         let Some(evidence) = ledger.crashes().of_task(task) else { continue };
-        let crashes = evidence.workers.len();
-        event::TaskSuspected { job: task.step.job, task, crashes, sole: evidence.sole }.emit();
+        let (crashes, sole) = (evidence.crashes.len(), evidence.sole());
+        event::TaskSuspected { job: task.step.job, task, crashes, sole }.emit();
     }
 }
 
