fix(batch): tell a task that just started from starts without an answer

Change: a run that is known to have just started outweighs starts without an answer, and these outweigh runs that have been there for a while. A suspect is placed on other machines first, and beside others only where nothing was started within 2 s if that is possible. After four crashes under a task, of which only it can have caused one, its job fails.

Evidence: record_crash_run_that_just_started_outweighs_starts_without_an_answer and record_crash_fourth_crash_fails_a_job_that_alone_caused_one.

--- a/crates/bronzespool-batch/src/agent/worker.rs
+++ b/crates/bronzespool-batch/src/agent/worker.rs
@@ -170,8 +170,8 @@
     }
 
     /// Returns for how many milliseconds a run has been known to run.
-    fn age(&self, run: RunId, now: Time) -> u64 {
-        self.running_since.get(&run).map_or(0, |at| now.since(*at).as_millis() as u64)
+    fn age(&self, run: RunId, now: Time) -> Option<u64> {
+        self.running_since.get(&run).map(|at| now.since(*at).as_millis() as u64)
     }
 
     fn has_ended(&self, run: RunId) -> bool {
--- a/crates/bronzespool-batch/src/crash.rs
+++ b/crates/bronzespool-batch/src/crash.rs
@@ -15,9 +15,9 @@
 pub struct CrashedRun {
     /// The run.
     pub run: RunId,
-    /// Milliseconds from when the agent first knew that it ran until the crash; zero if it was not
-    /// known to run.
-    pub age: u64,
+    /// Milliseconds from when the agent first knew that it ran until the crash; none if its start had
+    /// no answer.
+    pub age: Option<u64>,
 }
 
 /// A crash of a worker.
--- a/crates/bronzespool-batch/src/ledger/crash.rs
+++ b/crates/bronzespool-batch/src/ledger/crash.rs
@@ -31,9 +31,33 @@
 /// Crashes that only one task can have caused, after which its job fails, all on one machine too:
 /// there may be no other.
 const SOLE_CRASHES_MAX: usize = 3;
+/// Crashes under a task after which its job fails if only it can have caused one of them. The platform
+/// allows no more than two starts after the third crash.
+const CRASHES_MAX: usize = 4;
 /// Time for which a crash is remembered, so that a repeated report of it counts once.
 const REPORT_RETENTION: Duration = Duration::from_secs(600);
 
+/// How much a run is suspected of a crash, beside the other runs on the worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Suspicion {
+    /// It has run for a while.
+    Running,
+    /// Its start had no answer: it may have begun at any time, or not at all.
+    Unanswered,
+    /// It had just started.
+    JustStarted,
+}
+
+impl Suspicion {
+    fn of(run: &CrashedRun) -> Self {
+        match run.age {
+            None => Self::Unanswered,
+            Some(age) if Duration::from_millis(age) < JUST_STARTED => Self::JustStarted,
+            Some(_) => Self::Running,
+        }
+    }
+}
+
 /// A crash under a task.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashUnder {
@@ -71,7 +95,8 @@
     fn is_enough(&self) -> bool {
         let sole = self.crashes.iter().filter(|c| c.sole);
         let machines: BTreeSet<&Instance> = sole.map(|c| &c.agent).collect();
-        machines.len() >= MACHINES_MAX || self.sole() >= SOLE_CRASHES_MAX
+        let (sole, all) = (self.sole(), self.crashes.len());
+        machines.len() >= MACHINES_MAX || sole >= SOLE_CRASHES_MAX || sole > 0 && all >= CRASHES_MAX
     }
 }
 
@@ -143,7 +168,7 @@
 
     fn add(&mut self, crash: &Crash, suspect: CrashedRun, sole: bool) {
         let evidence = self.tasks.entry(suspect.run.task).or_default();
-        if Duration::from_millis(suspect.age) >= SURVIVED {
+        if suspect.age.is_some_and(|age| Duration::from_millis(age) >= SURVIVED) {
             *evidence = CrashEvidence::default();
         }
         let worker = Arc::clone(&crash.incarnation.worker);
@@ -175,9 +200,8 @@
             return EventOutcome::Stale;
         }
         // A run of a job that has ended since may be at fault too.
-        let just_started = |r: &CrashedRun| Duration::from_millis(r.age) < JUST_STARTED;
-        let any_started = crash.runs.iter().any(just_started);
-        let is_blamed = |r: &CrashedRun| !any_started || just_started(r);
+        let suspicion = crash.runs.iter().map(Suspicion::of).max();
+        let is_blamed = |r: &CrashedRun| Some(Suspicion::of(r)) == suspicion;
         let blamed = crash.runs.iter().filter(|r| is_blamed(r));
         let is_sole = self.are_one_unit(blamed.map(|r| r.run));
         let is_open = |r: &&CrashedRun| self.may_start_again(r.run);
--- a/crates/bronzespool-batch/src/plan/apart.rs
+++ b/crates/bronzespool-batch/src/plan/apart.rs
@@ -54,18 +54,63 @@
     tasks_left: u32,
     /// Whether a task of the group is placed on it.
     chosen: bool,
+    /// Whether something else has just been started on it.
+    is_busy: bool,
 }
 
-/// Places a group on workers on which nothing else runs, or, if `shared`, on those on which the
-/// least does. Tasks of a gang share a worker only if there are not enough.
+/// Which workers a placement may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Scope {
+    /// Those on which nothing runs, on machines on which the group has crashed no worker.
+    IdleElsewhere,
+    /// All on such machines.
+    Elsewhere,
+    /// All.
+    Any,
+}
+
+/// Places a group on workers on which nothing else runs, or, unless it `waits` for these, on those on
+/// which the least does.
 pub(super) fn place_apart(
     group: &TaskGroup<'_>,
     capacity: &ClusterCapacity<'_>,
-    shared: bool,
+    now: Time,
+    waits: bool,
+) -> Option<Placement> {
+    let scopes: &[Scope] = match waits {
+        true => &[Scope::IdleElsewhere],
+        false => &[Scope::IdleElsewhere, Scope::Elsewhere, Scope::Any],
+    };
+    scopes.iter().find_map(|scope| place_in(group, capacity, now, *scope))
+}
+
+/// Whether a run on a worker has begun so recently that a crash could be its fault as well.
+fn has_new_run(slot: &WorkerSlot<'_>, ledger: &Ledger, now: Time) -> bool {
+    let started_at = |run: &RunId| ledger.active_run(*run).map(|r| r.assigned_at);
+    let is_new = |at: Time| now.since(at) < ALONE_TIME;
+    slot.free != slot.worker.free() || slot.worker.runs.keys().filter_map(started_at).any(is_new)
+}
+
+/// Places a group. Tasks of a gang share a worker only if there are not enough.
+fn place_in(
+    group: &TaskGroup<'_>,
+    capacity: &ClusterCapacity<'_>,
+    now: Time,
+    scope: Scope,
 ) -> Option<Placement> {
     let need = group.spec.allocation();
+    let crashes = capacity.ledger.crashes();
+    let has_crashed = |slot: &WorkerSlot<'_>| {
+        let tasks = group.tasks.iter().filter_map(|t| crashes.of_task(group.step.task(t.index)));
+        tasks.into_iter().any(|e| e.includes(&slot.worker.spec.agent))
+    };
+    let is_in_scope = |slot: &WorkerSlot<'_>| match scope {
+        Scope::IdleElsewhere => slot.is_idle() && !has_crashed(slot),
+        Scope::Elsewhere => !has_crashed(slot),
+        Scope::Any => true,
+    };
     let usable = |slot: &WorkerSlot<'_>| {
-        is_eligible(slot) && capacity.can_run(group, slot) && (shared || slot.is_idle())
+        is_eligible(slot) && capacity.can_run(group, slot) && is_in_scope(slot)
     };
     capacity.steps.add_workers(capacity.slots.len());
     let slots = capacity.slots.iter().enumerate().filter(|(_, s)| usable(s));
@@ -75,21 +120,20 @@
             free: s.free,
             tasks_left: s.remaining_tasks(group),
             chosen: false,
+            is_busy: has_new_run(s, capacity.ledger, now),
         })
         .collect();
     let mut placement = Vec::with_capacity(group.tasks.len());
-    for task in &group.tasks {
+    for _ in &group.tasks {
         capacity.steps.add_workers(options.len());
         let fits = |o: &&mut WorkerOption| o.tasks_left > 0 && o.free.fits(&need);
         let key = |o: &&mut WorkerOption| {
             let slot = &capacity.slots[o.slot];
-            let evidence = capacity.ledger.crashes().of_task(group.step.task(task.index));
-            let crashed_before = evidence.is_some_and(|e| e.includes(&slot.worker.spec.agent));
             let is_remote =
                 group.spec.rack.as_deref().is_some_and(|r| r != slot.worker.spec.rack());
             let at_stake = slot.worker.used().weight();
             let left = tightness(&o.free, &need);
-            (crashed_before, o.chosen, at_stake, is_remote, slot.health, left)
+            (o.chosen, o.is_busy, at_stake, is_remote, slot.health, left)
         };
         let best = options.iter_mut().filter(fits).min_by_key(key)?;
         best.free = best.free.minus(&need);
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -195,11 +195,7 @@
     fn start_apart(&mut self, group: &TaskGroup<'_>, urgency: &Urgency) -> bool {
         let is_guaranteed = self.precedence.is_guaranteed(group);
         let waits = !is_guaranteed && apart::may_wait(group, self.view.now);
-        let idle = apart::place_apart(group, &self.capacity, false);
-        let found = idle.or_else(|| match waits {
-            true => None,
-            false => apart::place_apart(group, &self.capacity, true),
-        });
+        let found = apart::place_apart(group, &self.capacity, self.view.now, waits);
         if let Some(placement) = found {
             self.start_on(group, &placement);
             return true;
--- a/crates/bronzespool-batch/tests/affected.rs
+++ b/crates/bronzespool-batch/tests/affected.rs
@@ -252,7 +252,7 @@
     let current = spec_of(cluster, i).map_or_else(|| incarnation(i), |s| s.incarnation);
     match rng.u32(0..21) {
         20 => {
-            let runs = vec![CrashedRun { run: held_run, age: rng.u64(0..2_000) }];
+            let runs = vec![CrashedRun { run: held_run, age: Some(rng.u64(0..2_000)) }];
             Event::Crashed(Box::new(Crash { incarnation: holder, agent: agent(i), runs }))
         }
         0 => Event::Cancelled(JobId(id)),
--- a/crates/bronzespool-batch/tests/agent_crash.rs
+++ b/crates/bronzespool-batch/tests/agent_crash.rs
@@ -122,7 +122,7 @@
     a.fail_list(ListFailure::Closed);
     let runs = a.replaced_by(incarnation("w9", 9)).unwrap();
     let ages: Vec<_> = runs.iter().map(|r| (r.run, r.age)).collect();
-    assert_eq!(ages, [(run(0), 5_010), (run(1), 10)]);
+    assert_eq!(ages, [(run(0), Some(5_010)), (run(1), Some(10))]);
 }
 
 #[test]
@@ -135,13 +135,13 @@
 
 // A worker may crash before it answers the start.
 #[test]
-fn crash_run_without_an_answer_counts_as_just_started() {
+fn crash_run_without_an_answer_has_no_age() {
     let mut a = Agent::new();
     a.start(&[run(0)], StartOutcome::Unknown);
     a.pass(4_000);
     a.fail_list(ListFailure::Closed);
     let runs = a.replaced_by(incarnation("w9", 9)).unwrap();
-    assert_eq!(runs, [CrashedRun { run: run(0), age: 0 }]);
+    assert_eq!(runs, [CrashedRun { run: run(0), age: None }]);
 }
 
 #[test]
@@ -241,7 +241,7 @@
     }
     a.fail_list(ListFailure::Closed);
     let runs = a.replaced_by(incarnation("w9", 9)).unwrap();
-    assert_eq!(runs, [CrashedRun { run: run(0), age: 5_000 }]);
+    assert_eq!(runs, [CrashedRun { run: run(0), age: Some(5_000) }]);
 }
 
 #[test]
--- a/crates/bronzespool-batch/tests/crash.rs
+++ b/crates/bronzespool-batch/tests/crash.rs
@@ -35,7 +35,7 @@
 
 /// Returns the report of a worker's crash with runs of these ages in milliseconds.
 fn crash(cluster: &Cluster, worker: usize, runs: &[(RunId, u64)]) -> Event {
-    let runs = runs.iter().map(|(run, age)| CrashedRun { run: *run, age: *age }).collect();
+    let runs = runs.iter().map(|(run, age)| CrashedRun { run: *run, age: Some(*age) }).collect();
     let incarnation = incarnation_of(cluster, worker);
     let agent = Instance::try_from(format!("side-{worker}")).unwrap();
     Event::Crashed(Box::new(Crash { incarnation, agent, runs }))
@@ -99,6 +99,40 @@
     assert_eq!(cluster.phase(1), Phase::Failed);
 }
 
+// Starts without an answer may be carried out at any time, so that they were taken for the cause.
+#[test]
+fn record_crash_run_that_just_started_outweighs_starts_without_an_answer() {
+    let mut cluster = Cluster::new(1, 2, 0);
+    cluster.submit(1, 0, vec![step(1, 1)]);
+    cluster.submit(2, 0, vec![step(1, 1)]);
+    let (deadly, unanswered) = (run(1, 0, 0, 1), run(2, 0, 0, 1));
+    [deadly, unanswered].iter().for_each(|r| assign(&mut cluster, *r, 0));
+    let Event::Crashed(mut report) = crash(&cluster, 0, &[(deadly, 10), (unanswered, 0)]) else {
+        panic!("a crash");
+    };
+    report.runs[1].age = None;
+    cluster.apply(Event::Crashed(report));
+    assert_eq!(sole_crashes(&cluster, deadly), Some(1));
+    assert_eq!(sole_crashes(&cluster, unanswered), Some(0));
+}
+
+// Late orders and stopped agents hid who was at fault, and the task was started six times.
+#[test]
+fn record_crash_fourth_crash_fails_a_job_that_alone_caused_one() {
+    let mut cluster = Cluster::new(1, 5, 0);
+    cluster.submit(1, 0, vec![step(1, 1)]);
+    cluster.submit(2, 0, vec![step(9, 1)]);
+    for number in 1..=4 {
+        assert_ne!(cluster.phase(1), Phase::Failed, "run {number}");
+        let (task, beside) = (run(1, 0, 0, number), run(2, 0, number, 1));
+        [task, beside].iter().for_each(|r| assign(&mut cluster, *r, number as usize));
+        let age = if number == 2 { OLD_MILLIS } else { 10 };
+        crash_and_restart(&mut cluster, number as usize, &[(task, 10), (beside, age)]);
+    }
+    assert_eq!(cluster.phase(1), Phase::Failed);
+    assert_eq!(cluster.phase(2), Phase::Running);
+}
+
 // A run of a job that was cancelled meanwhile may have crashed the worker.
 #[test]
 fn record_crash_run_of_an_ended_job_may_be_at_fault() {
--- a/crates/bronzespoold/src/batch/agent.rs
+++ b/crates/bronzespoold/src/batch/agent.rs
@@ -169,7 +169,10 @@
     fn log_crash(&self) {
         let reconciler = self.reconciler.borrow();
         if let Some(crash) = reconciler.crash() {
-            let runs = crash.runs.iter().map(|r| format!("{} for {} ms", r.run, r.age));
+            let runs = crash.runs.iter().map(|r| match r.age {
+                Some(age) => format!("{} for {age} ms", r.run),
+                None => format!("{} without an answer", r.run),
+            });
             let runs = runs.collect::<Vec<_>>().join(", ");
             event::WorkerCrashed { life: crash.incarnation.clone(), runs }.emit();
         }
