--- a/crates/bronzespool-batch/src/ledger/explain.rs
+++ b/crates/bronzespool-batch/src/ledger/explain.rs
@@ -6,6 +6,7 @@
         ledger::{CrashFailure, Job, Ledger, Phase},
     },
     displaydoc::Display,
+    std::{fmt, sync::Arc},
 };
 
 /// Why a job has failed.
@@ -46,16 +47,16 @@
 
 /// Names of workers.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WorkerNames(Vec<std::sync::Arc<str>>);
+pub struct WorkerNames(Vec<Arc<str>>);
 
-impl std::fmt::Display for WorkerNames {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl fmt::Display for WorkerNames {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.0.join(", "))
     }
 }
 
-impl std::fmt::Display for CrashFailure {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl fmt::Display for CrashFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let workers = self.workers.join(", ");
         write!(f, "task {} crashes the workers that start it: {workers}", self.task)
     }
