feat(estimate): interface of learned run times and worker speeds

Cause: no decision knows how fast a worker is, and declared durations are far off. Decisions are unchanged, since nothing reads the field.

--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -46,6 +46,7 @@
         ledger::{Assignment, Event, Ledger, StopCause},
     },
     bronzespool_core::{HashMap, HashSet, Time},
+    bronzespool_estimate::Estimates,
     std::{sync::Arc, time::Duration},
 };
 
@@ -82,6 +83,8 @@
     pub draining: HashSet<Arc<str>>,
     /// Permits issued by the advice service.
     pub permits: Permits,
+    /// Learned run times and worker speeds.
+    pub estimates: Estimates,
 }
 
 /// The scheduling policy, with the placements that it keeps between two plans.
--- a/crates/bronzespool/src/lib.rs
+++ b/crates/bronzespool/src/lib.rs
@@ -7,6 +7,7 @@
 //! |---|---|
 //! | [`core`] | validated types, result codes, time, settings |
 //! | [`consensus`] | replicated log |
+//! | [`estimate`] | learned run times and worker speeds |
 //! | [`batch`] | jobs that consist of steps of tasks |
 //! | [`schedule`] | team guarantees, placement, queues, gang scheduling |
 //! | [`flow`] | claims, limits, retries, routing, sessions |
@@ -21,7 +22,8 @@
 
 pub use {
     bronzespool_batch as batch, bronzespool_consensus as consensus, bronzespool_core as core,
-    bronzespool_flow as flow, bronzespool_schedule as schedule, bronzespool_wire as wire,
+    bronzespool_estimate as estimate, bronzespool_flow as flow, bronzespool_schedule as schedule,
+    bronzespool_wire as wire,
 };
 
 /// Types that most programs need.
