feat(estimate): fit run times and worker speeds to samples

Decisions trusted declared durations and took all workers for equal, although declarations are up to 90 % off and workers differ.

The model holds 16 runs for each worker and fits the work of steps and the speeds of workers by backfitting with Huber weights. A speed stays 1.0 until it differs by more than its uncertainty. The work of a kind is a Bayesian regression whose prior is the declared duration.

A kind may hold more than 64 steps: those with runs in the windows of workers are held too. With 256 running tasks of one kind a limit of 64 steps evicted steps between two reports of their runs, and a worker slower by a factor of 8 was not recognized.

--- a/crates/bronzespool-estimate/src/lib.rs
+++ b/crates/bronzespool-estimate/src/lib.rs
@@ -16,11 +16,18 @@
 //! ```
 
 mod estimates;
+mod fit;
+mod kind;
 mod model;
 mod sample;
+mod speeds;
+mod stats;
+mod window;
 
 pub use {
     estimates::{Estimates, Speed, Work},
     model::Model,
     sample::{Kind, Sample, StepKey},
+    stats::{ErrorQuantiles, Stats},
+    window::{KIND_STEPS_MAX, KINDS_MAX, WORKER_SAMPLES_MAX, WORKERS_MAX},
 };
--- a/crates/bronzespool-estimate/src/sample.rs
+++ b/crates/bronzespool-estimate/src/sample.rs
@@ -20,6 +20,9 @@
 pub struct StepKey(pub u64);
 
 /// What one run tells about its task and its worker.
+///
+/// Runs whose duration says nothing about either are not recorded: those that were stopped,
+/// crashed, throttled, cold, away from their data or their gang, or disturbed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Sample {
     /// Identifies the run among those of its step, so that a later sample of it replaces an
