feat(estimate): save and restore a model, and bound it

A new leader would start from nothing and decide by declared durations until runs told it otherwise.

Long tasks are in progress for longer, so that they are frequent among the runs in progress. Their refreshed samples always counted as the latest ones of a worker: of 64 equal workers, 0.8 % of the worker-seconds had a speed other than 1.0.

--- a/crates/bronzespool-estimate/src/estimates.rs
+++ b/crates/bronzespool-estimate/src/estimates.rs
@@ -110,9 +110,12 @@
         to_work(log_work, log_high, step.samples)
     }
 
-    /// Reported speeds of the workers that the model holds, in no particular order.
-    pub(crate) fn speeds(&self) -> Vec<f64> {
-        self.inner.speeds.values().map(|s| s.factor).collect()
+    /// Reported speeds of the workers that the model holds, in the order of their names.
+    pub fn speeds(&self) -> Vec<(Instance, Speed)> {
+        let speeds = self.inner.speeds.iter().map(|(instance, speed)| (instance.clone(), *speed));
+        let mut speeds: Vec<_> = speeds.collect();
+        speeds.sort_unstable_by(|(a, _), (b, _)| a.cmp(b));
+        speeds
     }
 
     fn kind(&self, kind: &Kind) -> Option<&KindFit> {
--- a/crates/bronzespool-estimate/src/fit.rs
+++ b/crates/bronzespool-estimate/src/fit.rs
@@ -11,7 +11,7 @@
         window::{Prior, Run, Windows},
     },
     bronzespool_core::{HashMap, Instance},
-    std::ops::Range,
+    std::{cmp::Reverse, ops::Range},
 };
 
 /// Sweeps of one fit. Fits start from the previous one, so that few suffice.
@@ -59,6 +59,8 @@
     aged: f64,
     /// Share of the run's information about its worker; zero if only this worker has run the step.
     share: f64,
+    latest: u64,
+    may_be_long: bool,
 }
 
 /// Effect of one worker.
@@ -109,8 +111,10 @@
         let mut indexes: HashMap<StepKey, usize> = HashMap::default();
         for (instance, worker) in &windows.workers {
             let begin = fit.rows.len();
+            let mut runs: Vec<&Run> = worker.runs.iter().collect();
+            runs.sort_unstable_by_key(|run| Reverse(run.order));
             let mut age = 1.0;
-            for run in worker.runs.iter().rev() {
+            for run in runs {
                 fit.add(run, age, windows, &mut indexes);
                 age *= AGING;
             }
@@ -146,7 +150,16 @@
         });
         let weight = run.weight();
         let (observed, aged) = (run.observed, weight * age);
-        self.rows.push(Row { step: index, observed, weight, aged, share: 0.0 });
+        let (latest, may_be_long) = (run.latest, run.may_be_long());
+        self.rows.push(Row {
+            step: index,
+            observed,
+            weight,
+            aged,
+            share: 0.0,
+            latest,
+            may_be_long,
+        });
     }
 
     /// Computes how much each run says about its worker: nothing of what the worker's own runs say
@@ -169,7 +182,8 @@
             worker.weight = rows.iter().map(|r| r.aged * r.share).sum();
             worker.weight += prior.map_or(0.0, |p| p.weight);
             let informative = rows.iter().filter(|r| r.share > 0.0).count();
-            worker.samples = u32::try_from(informative).unwrap_or(u32::MAX);
+            let restored = prior.map_or(0, |p| p.weight.round() as usize);
+            worker.samples = u32::try_from(informative + restored).unwrap_or(u32::MAX);
         }
     }
 
@@ -285,17 +299,23 @@
         }
     }
 
-    /// Workers whose latest runs agree on another speed than the older ones, with the number of
-    /// these latest runs.
-    pub(crate) fn changes(&self) -> Vec<(Instance, usize)> {
+    /// Workers whose latest runs agree on another speed than the older ones, with the number
+    /// of the first sample of these latest runs.
+    pub(crate) fn changes(&self) -> Vec<(Instance, u64)> {
         let mut changed = Vec::new();
         for (worker, (rows, prior)) in self.workers.iter().zip(&self.ranges) {
-            let rows = self.rows[rows.clone()].iter().enumerate().filter(|(_, r)| r.share > 0.0);
-            let speed = |r: &Row| self.steps[r.step] - r.observed;
-            let seen: Vec<_> = rows.map(|(place, r)| (place, speed(r))).collect();
+            let rows = self.rows[rows.clone()].iter().filter(|r| r.share > 0.0);
+            let mut seen = Vec::new();
+            for row in rows {
+                let speed = self.steps[row.step] - row.observed;
+                if !row.may_be_long || speed > worker.speed {
+                    seen.push((row.latest, speed));
+                }
+            }
+            seen.sort_unstable_by_key(|(latest, _)| Reverse(*latest));
             let prior = prior.map(|p| p.speed);
-            if let Some(kept) = change_point(&seen, prior, self.noise) {
-                changed.push((worker.instance.clone(), kept));
+            if let Some(first) = change_point(&seen, prior, self.noise) {
+                changed.push((worker.instance.clone(), first));
             }
         }
         changed
@@ -369,9 +389,9 @@
     }
 }
 
-/// Finds the number of latest runs that agree on another speed than the older ones. `seen` holds
-/// places and speeds, the latest first.
-fn change_point(seen: &[(usize, f64)], prior: Option<f64>, noise: f64) -> Option<usize> {
+/// Finds the first of the latest runs that agree on another speed than the older ones. `seen` holds
+/// numbers of samples and speeds, the latest first.
+fn change_point(seen: &[(u64, f64)], prior: Option<f64>, noise: f64) -> Option<u64> {
     let least = CHANGE_MIN.max(CHANGE_SDS * noise);
     let speeds: Vec<f64> = seen.iter().map(|(_, speed)| *speed).collect();
     for count in CHANGE_RUNS_MIN..=CHANGE_RUNS_MAX.min(speeds.len()) {
@@ -382,7 +402,7 @@
         let change = now - older;
         let agree = latest.iter().all(|s| (s - older) * change.signum() > least / 2.0);
         if change.abs() > least && agree {
-            return Some(seen[count - 1].0 + 1);
+            return Some(seen[count - 1].0);
         }
     }
     None
--- a/crates/bronzespool-estimate/src/kind.rs
+++ b/crates/bronzespool-estimate/src/kind.rs
@@ -32,6 +32,9 @@
 const RATIO_ONE: f64 = 512.0;
 /// Largest histogram value.
 const RATIO_MAX: u64 = 1_023;
+/// Evidence of a restored fit counts as at most this number of steps, so that a few steps of the
+/// present correct it.
+const RESTORED_STEPS_MAX: f64 = 16.0;
 /// Variance of the logarithm of the declared durations that a fit in the role of a prior is taken
 /// to rest on.
 const PRIOR_X_VARIANCE: f64 = 0.3;
@@ -46,9 +49,9 @@
     /// Change of that mean with the logarithm of the declared duration.
     pub(crate) slope: f64,
     /// Variances of intercept and slope, and their covariance.
-    covariance: [f64; 3],
+    pub(crate) covariance: [f64; 3],
     /// Variance of a step's work around the line.
-    spread: f64,
+    pub(crate) spread: f64,
     /// Logarithm of the high quantile of runs, divided by the expectation of their step.
     pub(crate) high_by_step: f64,
     /// Logarithm of the high quantile of runs, divided by the expectation of their kind.
@@ -73,6 +76,20 @@
         samples: 0,
     };
 
+    /// Returns a fit read from a summary.
+    pub(crate) fn restored(
+        [origin, intercept, slope]: [f64; 3],
+        [high_by_step, high_by_kind]: [f64; 2],
+        steps: f64,
+        samples: u32,
+    ) -> Self {
+        let steps = steps.min(RESTORED_STEPS_MAX);
+        let fit =
+            Self { origin, intercept, slope, high_by_step, high_by_kind, steps, ..Self::DECLARED };
+        let [a, _, c] = fit.precision();
+        Self { covariance: [1.0 / a, 0.0, 1.0 / c], samples, ..fit }
+    }
+
     /// Precision of intercept and slope when the fit serves as a prior.
     fn precision(&self) -> [f64; 3] {
         let steps = self.steps / (SPREAD_SD * SPREAD_SD);
@@ -223,8 +240,15 @@
     }
 }
 
-/// Weight of a residual in units of its standard deviation: one up to `limit`, then falling.
+/// Weight of a residual in units of its standard deviation: one up to `limit`, then falling, and
+/// falling faster beyond twice that.
 pub(crate) fn huber(residual: f64, limit: f64) -> f64 {
     let size = residual.abs();
-    if size <= limit { 1.0 } else { limit / size }
+    if size <= limit {
+        1.0
+    } else if size <= 2.0 * limit {
+        limit / size
+    } else {
+        2.0 * limit * limit / (size * size)
+    }
 }
--- a/crates/bronzespool-estimate/src/lib.rs
+++ b/crates/bronzespool-estimate/src/lib.rs
@@ -22,6 +22,7 @@
 mod sample;
 mod speeds;
 mod stats;
+mod summary;
 mod window;
 
 pub use {
@@ -29,5 +30,6 @@
     model::Model,
     sample::{Kind, Sample, StepKey},
     stats::{ErrorQuantiles, Stats},
+    summary::{SUMMARY_WORKERS_MAX, Summary},
     window::{KIND_STEPS_MAX, KINDS_MAX, WORKER_SAMPLES_MAX, WORKERS_MAX},
 };
--- a/crates/bronzespool-estimate/src/model.rs
+++ b/crates/bronzespool-estimate/src/model.rs
@@ -80,7 +80,7 @@
         let mut fit = self.sweep();
         let changes = fit.changes();
         if !changes.is_empty() {
-            changes.iter().for_each(|(instance, kept)| self.windows.truncate(instance, *kept));
+            changes.iter().for_each(|(instance, first)| self.windows.truncate(instance, *first));
             fit = self.sweep();
         }
         self.shift(fit.center());
@@ -99,6 +99,10 @@
         self.estimates.clone()
     }
 
+    pub(crate) fn set_estimates(&mut self, estimates: Estimates) {
+        self.estimates = estimates;
+    }
+
     fn sweep(&mut self) -> Fit {
         let mut fit = Fit::new(&self.windows, self.noise);
         fit.sweep();
--- a/crates/bronzespool-estimate/src/speeds.rs
+++ b/crates/bronzespool-estimate/src/speeds.rs
@@ -11,10 +11,10 @@
 };
 
 /// Deviation, in standard errors, up to which a worker counts as typical.
-const GATE_CLOSED: f64 = 2.5;
+const GATE_CLOSED: f64 = 2.0;
 /// Deviation, in standard errors, from which an estimate is reported in full. Between the two it
 /// is reported in part, so that it does not jump.
-const GATE_OPEN: f64 = 4.0;
+const GATE_OPEN: f64 = 3.0;
 /// Deviation, in standard errors, from which a worker is taken for an exception.
 const EXCEPTION: f64 = 4.0;
 /// Fewest runs of an exception: a single run may be in the tail.
--- a/crates/bronzespool-estimate/src/stats.rs
+++ b/crates/bronzespool-estimate/src/stats.rs
@@ -49,6 +49,7 @@
     /// Returns figures about the model.
     pub fn stats(&self) -> Stats {
         let speeds = self.estimates().speeds();
+        let speeds: Vec<f64> = speeds.into_iter().map(|(_, speed)| speed.factor).collect();
         let over = |init: f64, pick: fn(f64, f64) -> f64| speeds.iter().copied().fold(init, pick);
         Stats {
             samples: self.windows.len(),
--- a/crates/bronzespool-estimate/src/window.rs
+++ b/crates/bronzespool-estimate/src/window.rs
@@ -29,6 +29,8 @@
 const PROGRESS_WEIGHT: f64 = 0.5;
 /// Largest weight, in complete runs, of runs of a step that have left the windows.
 const PAST_WEIGHT_MAX: f64 = 16.0;
+/// Smallest growth of the extrapolated duration of a run that was slowed, as a logarithm: 20 %.
+const SLOWED_MIN: f64 = 0.18;
 /// Fewest runs of a step from whose mean single runs are measured.
 const RESIDUAL_RUNS_MIN: u32 = 3;
 /// Shortest duration that is taken as a logarithm, in seconds.
@@ -47,6 +49,13 @@
     /// Logarithm of the seconds that were expected at the first sample of the run.
     pub(crate) expected: f64,
     pub(crate) complete: bool,
+    /// Logarithm of the seconds that the first sample of the run showed.
+    first: f64,
+    /// Number of the sample that places the run in time: its first one while it is in progress,
+    /// its last one when it is complete.
+    pub(crate) order: u64,
+    /// Number of the latest sample.
+    pub(crate) latest: u64,
     at: Time,
 }
 
@@ -55,6 +64,13 @@
     pub(crate) const fn weight(&self) -> f64 {
         if self.complete { 1.0 } else { PROGRESS_WEIGHT }
     }
+
+    /// Whether the run may be a long task rather than one on a slow worker: its rate has been low
+    /// from the start. Long tasks are in progress for longer, so that they are frequent among the
+    /// runs in progress.
+    pub(crate) fn may_be_long(&self) -> bool {
+        !self.complete && self.observed - self.first < SLOWED_MIN
+    }
 }
 
 /// Speed of a worker from a summary.
@@ -202,8 +218,14 @@
             kind: self.add_step(sample.step, kind, declared),
             declared,
             observed,
-            expected: earlier.map_or(expected, |run| run.expected),
             complete: sample.complete,
+            first: earlier.as_ref().map_or(observed, |run| run.first),
+            order: match &earlier {
+                Some(run) if !sample.complete => run.order,
+                _ => self.recorded,
+            },
+            expected: earlier.map_or(expected, |run| run.expected),
+            latest: self.recorded,
             at: sample.at,
         };
         self.insert(sample.instance.clone(), run.clone(), restored.0);
@@ -282,13 +304,15 @@
         }
     }
 
-    /// Drops all but the latest `kept` runs of a worker, and its prior.
-    pub(crate) fn truncate(&mut self, instance: &Instance, kept: usize) {
+    /// Drops the runs of a worker whose latest sample is before that with number `first`, and its
+    /// prior.
+    pub(crate) fn truncate(&mut self, instance: &Instance, first: u64) {
         let Some(worker) = self.workers.get_mut(instance) else { return };
         worker.prior = None;
         worker.changed = true;
-        let older = worker.runs.len().saturating_sub(kept);
-        let dropped: Vec<Run> = worker.runs.drain(..older).collect();
+        let (kept, dropped) = worker.runs.drain(..).partition(|run| run.latest >= first);
+        worker.runs = kept;
+        let dropped: VecDeque<Run> = dropped;
         dropped.iter().for_each(|run| self.forget_run(run));
     }
 
