feat(batch): samples of run times from polls and ended runs

Cause: the model of run times needs one sample for each run that shows how fast its worker is. Most disturbances are visible to the leader only.

Change: module `sampling` of bronzespool-batch, free of I/O. A `Sampler` follows the runs of one term by the applied events and the polls and makes a sample of a run that progresses or completes. Left out are runs that are stopped or do not complete, long-lived and best-effort runs, runs beside best-effort ones, away from the rack of their data, of single-rack gangs in several racks, on cold workers, and on workers that were out of contact for longer than AGENT_TIMEOUT. The time of a resumed run, and of one that began before the term, counts from its first sight; that of a gang member from the first poll that shows progress to the first that shows all of it, since the members end together. `SavedState` and `SpeedWatch` tell when estimates have changed enough for a record or a log line.

--- a/crates/bronzespool-batch/src/lib.rs
+++ b/crates/bronzespool-batch/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod ledger;
 pub mod message;
 pub mod plan;
+pub mod sampling;
 pub mod spec;
 pub mod withdrawal;
 
