feat(estimate): placeholder of a model's summary

Cause: the leader saves and restores the model, whose summary is built apart.

Change: `Summary`, `Model::summary` and `Model::restore` without content, so that the leader's part compiles and is tested. The model's own types replace them.

--- a/crates/bronzespool-estimate/src/lib.rs
+++ b/crates/bronzespool-estimate/src/lib.rs
@@ -21,6 +21,6 @@
 
 pub use {
     estimates::{Estimates, Speed, Work},
-    model::Model,
+    model::{Model, Summary},
     sample::{Kind, Sample, StepKey},
 };
--- a/crates/bronzespool-estimate/src/model.rs
+++ b/crates/bronzespool-estimate/src/model.rs
@@ -3,8 +3,13 @@
 use {
     crate::{estimates::Estimates, sample::Sample},
     bronzespool_core::Time,
+    serde::{Deserialize, Serialize},
 };
 
+/// What is kept of a model when its process ends.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Summary {}
+
 /// Learns run times and worker speeds from samples.
 #[derive(Clone, Debug, Default)]
 pub struct Model {}
@@ -21,6 +26,16 @@
     /// Fits the effects of workers and steps to the samples.
     pub fn refit(&mut self, _now: Time) {}
 
+    /// Returns a summary, from which another process continues.
+    pub const fn summary(&self) -> Summary {
+        Summary {}
+    }
+
+    /// Returns the model of a summary.
+    pub fn restore(_summary: Summary) -> Self {
+        Self::default()
+    }
+
     /// Returns the estimates of the latest fit.
     pub fn estimates(&self) -> Estimates {
         Estimates::default()
