feat(batch): learned run times of a term, and their summary in the log

Cause: a new leader would begin without evidence, and its decisions would be those of declared run times until enough runs have ended.

The event `EstimatesSaved` and the ledger's last field carry it as opaque bytes, so that a change of the model's format changes no record; a summary that cannot be read counts as none. The event wakes no poll and calls for no plan.

--- a/crates/bronzespool-batch/src/affected.rs
+++ b/crates/bronzespool-batch/src/affected.rs
@@ -18,7 +18,7 @@
 
 /// What a record may change, determined before the record is applied.
 ///
-/// A configuration, a new job and the records of a maintenance wave change no orders:
+/// A configuration, a new job, the records of a maintenance wave and saved estimates change no orders:
 /// [`crate::exchange::poll_orders`] reads workers, their runs and the jobs of these only.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RecordScope {
@@ -61,7 +61,8 @@
             | Event::Submitted(_)
             | Event::WaveOrdered(_)
             | Event::MaintenanceBegun { .. }
-            | Event::TakenDown(_) => {}
+            | Event::TakenDown(_)
+            | Event::EstimatesSaved(_) => {}
             Event::Crashed(crash) => {
                 let jobs = crash.runs.iter().map(|r| r.run.task.step.job);
                 let is_active = |id: &JobId| ledger.job(*id).is_some_and(|j| j.phase.is_active());
@@ -139,11 +140,18 @@
     job.active_runs().map(|(_, run)| Arc::clone(&run.incarnation.worker))
 }
 
-/// Whether an applied record has changed anything that a plan reads.
+/// Whether events with these outcomes have changed anything that a plan may read.
 pub fn calls_for_plan(outcomes: &[EventOutcome]) -> bool {
     outcomes.contains(&EventOutcome::Applied)
 }
 
+/// Whether an applied record calls for a plan. No plan reads the saved estimates.
+pub fn record_calls_for_plan(record: &Record, outcomes: &[EventOutcome]) -> bool {
+    let is_read = |event: &Event| !matches!(event, Event::EstimatesSaved(_));
+    let events = record.events.iter().zip(outcomes).filter(|(event, _)| is_read(event));
+    calls_for_plan(&events.map(|(_, outcome)| *outcome).collect::<Vec<_>>())
+}
+
 /// A waiting poll.
 #[derive(Clone, Debug)]
 struct Waiter<T> {
--- a/crates/bronzespool-batch/src/ledger/apply.rs
+++ b/crates/bronzespool-batch/src/ledger/apply.rs
@@ -45,6 +45,7 @@
             Event::MaintenanceBegun { wave, machine } => self.begin_maintenance(*wave, machine),
             Event::Crashed(crash) => self.record_crash(crash),
             Event::TakenDown(worker) => self.take_down(worker),
+            Event::EstimatesSaved(summary) => self.save_run_times(summary),
         }
     }
 
--- a/crates/bronzespool-batch/src/ledger/mod.rs
+++ b/crates/bronzespool-batch/src/ledger/mod.rs
@@ -5,6 +5,7 @@
 mod explain;
 mod job;
 mod record;
+mod run_times;
 mod wave;
 mod worker;
 
@@ -42,9 +43,12 @@
     waves: BTreeMap<u64, Wave>,
     /// Rises with each applied record.
     change_count: u64,
-    /// Crashes of workers. It comes last, since snapshots of former versions end before it.
+    /// Crashes of workers. Snapshots of former versions end before this field, or before a later one.
     #[serde(deserialize_with = "crash::read_or_default")]
     crashes: CrashLog,
+    /// Summary of the learned run times.
+    #[serde(deserialize_with = "run_times::read_or_default")]
+    run_times: Arc<[u8]>,
 }
 
 impl Ledger {
--- a/crates/bronzespool-batch/src/ledger/record.rs
+++ b/crates/bronzespool-batch/src/ledger/record.rs
@@ -144,6 +144,8 @@
     Crashed(Box<Crash>),
     /// The machine of the worker with this name goes down for maintenance.
     TakenDown(Arc<str>),
+    /// The leader's summary of the learned run times, encoded.
+    EstimatesSaved(Arc<[u8]>),
 }
 
 /// Events that are applied together.
--- a/crates/bronzespool-batch/src/sampling/mod.rs
+++ b/crates/bronzespool-batch/src/sampling/mod.rs
@@ -9,11 +9,13 @@
 mod drift;
 mod evidence;
 mod expectation;
+mod learner;
 mod track;
 
 pub use {
     drift::{KindState, SavedState, SpeedChange, SpeedWatch, worker_speeds},
     expectation::{StepExpectation, expected_duration, kind_of, step_expectations, step_key},
+    learner::{Learner, REFIT_INTERVAL, Refit, SAVE_INTERVAL},
 };
 
 use {
--- a/crates/bronzespool-batch/tests/affected.rs
+++ b/crates/bronzespool-batch/tests/affected.rs
@@ -6,7 +6,7 @@
 use {
     bronzespool_batch::{
         Event, EventOutcome, JobId, Record, RunId, Withdrawals, WorkerIncarnation,
-        affected::{RecordScope, WaitingPolls, calls_for_plan},
+        affected::{RecordScope, WaitingPolls, calls_for_plan, record_calls_for_plan},
         contact::{AGENT_TIMEOUT, Contacts},
         crash::{Crash, CrashedRun},
         exchange::{poll_events, poll_orders},
@@ -425,3 +425,21 @@
     assert!(!calls_for_plan(&[known, stale]));
     assert!(!calls_for_plan(&[]));
 }
+
+// A summary is saved while a cluster is busy; a plan after it would find nothing new.
+#[test]
+fn record_calls_for_plan_saved_estimates_call_for_none() {
+    let mut cluster = Cluster::new(1, 2, 0);
+    let saved = Event::EstimatesSaved(Arc::from([1_u8, 2]));
+    let record = Record { at: cluster.view.now, events: vec![saved.clone()] };
+    let scope = RecordScope::of(&cluster.ledger, &record);
+    let outcomes = cluster.ledger.apply(&record);
+    assert_eq!(outcomes, [EventOutcome::Applied]);
+    assert!(!record_calls_for_plan(&record, &outcomes));
+    assert!(scope.affected_workers(&cluster.ledger).is_empty());
+    let events = vec![saved, Event::Configured(Arc::new(config(2, 0)))];
+    let record = Record { at: cluster.view.now, events };
+    let outcomes = cluster.ledger.apply(&record);
+    assert_eq!(outcomes, [EventOutcome::Known, EventOutcome::Applied]);
+    assert!(record_calls_for_plan(&record, &outcomes), "the other event does");
+}
--- a/crates/bronzespool-batch/tests/crash.rs
+++ b/crates/bronzespool-batch/tests/crash.rs
@@ -376,7 +376,9 @@
     let mut cluster = Cluster::new(1, 2, 0);
     cluster.submit(1, 0, vec![step(1, 1)]);
     let bytes = postcard::to_stdvec(&cluster.ledger).unwrap();
-    let empty = postcard::to_stdvec(cluster.ledger.crashes()).unwrap();
+    // The run times follow the crashes.
+    let tail = (cluster.ledger.crashes(), cluster.ledger.run_times());
+    let empty = postcard::to_stdvec(&tail).unwrap();
     let former = bytes.strip_suffix(&*empty).unwrap();
     let read: Ledger = postcard::from_bytes(former).unwrap();
     assert_eq!(read, cluster.ledger);
--- a/crates/bronzespool-batch/tests/ledger.rs
+++ b/crates/bronzespool-batch/tests/ledger.rs
@@ -305,3 +305,24 @@
         Ok(())
     });
 }
+
+#[test]
+fn ledger_keeps_run_times_in_a_snapshot() {
+    let mut cluster = Cluster::new(1, 2, 0);
+    cluster.apply(Event::EstimatesSaved(Arc::from([7_u8, 8, 9])));
+    let bytes = postcard::to_stdvec(&cluster.ledger).unwrap();
+    let (read, rest): (Ledger, _) = postcard::take_from_bytes(&bytes).unwrap();
+    assert_eq!((&read, rest), (&cluster.ledger, &[][..]));
+    assert_eq!(**read.run_times(), [7, 8, 9]);
+}
+
+// A snapshot of a former version ends before the run times.
+#[test]
+fn ledger_of_a_former_version_has_no_run_times() {
+    let cluster = Cluster::new(1, 2, 0);
+    let bytes = postcard::to_stdvec(&cluster.ledger).unwrap();
+    let (last, former) = bytes.split_last().unwrap();
+    assert_eq!(*last, 0, "an empty summary is one byte");
+    let read: Ledger = postcard::from_bytes(former).unwrap();
+    assert_eq!(read, cluster.ledger);
+}
--- a/crates/bronzespool-telemetry/src/event/control.rs
+++ b/crates/bronzespool-telemetry/src/event/control.rs
@@ -129,6 +129,31 @@
         /// Whether this is a change.
         verdict: EventOutcome,
     }
+    /// A worker is recognised as slower or faster than before, by a factor of 1.5 or more.
+    WorkerSpeedChanged: Info, Leader, "a worker's speed has changed" {
+        /// Instance of the agent beside the worker.
+        agent: Instance,
+        /// Speed that was reported before, as a multiple of a typical worker's.
+        before: String,
+        /// Estimated speed.
+        factor: String,
+        /// Number of runs behind the estimate.
+        samples: u32,
+    }
+    /// A summary of the learned run times was saved for the next leader.
+    EstimatesSaved: Info, Leader, "the learned run times were saved" {
+        /// Size of the summary.
+        bytes: usize,
+        /// Milliseconds from the decision until it was applied.
+        commit_ms: u64,
+    }
+    /// A summary of the learned run times could not be saved. The next one follows with a change.
+    EstimatesNotSaved: Warn, Leader, "the learned run times could not be saved" {
+        /// Result code.
+        code: u16,
+        /// Why it failed.
+        refusal: String,
+    }
     /// A worker is available, or has changed what it announces.
     WorkerUp: Info, Leader, "a worker is there" {
         /// Incarnation of the worker.
--- a/crates/bronzespoold/src/control/batch/decision_log.rs
+++ b/crates/bronzespoold/src/control/batch/decision_log.rs
@@ -226,6 +226,10 @@
         Event::TakenDown(worker) => {
             event::WorkerTakenDown { worker: worker.clone(), verdict: outcome }.emit();
         }
+        Event::EstimatesSaved(summary) => {
+            metrics::counter!("bronzespool_batch_estimates_saved_total").increment(1);
+            event::EstimatesSaved { bytes: summary.len(), commit_ms }.emit();
+        }
         Event::WaveOrdered(spec) => {
             let machines = spec.machines.len();
             event::WaveOrdered { wave: spec.id, machines, most: spec.down_max, verdict: outcome }
--- a/crates/bronzespoold/src/control/batch/wakes.rs
+++ b/crates/bronzespoold/src/control/batch/wakes.rs
@@ -8,7 +8,7 @@
     bronzespool::{
         batch::{
             Ledger, Record,
-            affected::{RecordScope, WaitingPolls, calls_for_plan},
+            affected::{RecordScope, WaitingPolls, record_calls_for_plan},
         },
         core::Instance,
     },
@@ -70,6 +70,7 @@
         &self,
         scope: Option<RecordScope>,
         ledger: &Ledger,
+        record: &Record,
         effect: &Effect,
     ) {
         let polls = self.polls.borrow();
@@ -77,7 +78,7 @@
             polls.of_worker(&worker).for_each(|n| n.notify_one());
         }
         if let Effect::Batch(outcomes) = effect
-            && calls_for_plan(outcomes)
+            && record_calls_for_plan(record, outcomes)
         {
             self.request_plan();
         }
--- a/crates/bronzespoold/src/control/replica.rs
+++ b/crates/bronzespoold/src/control/replica.rs
@@ -424,7 +424,7 @@
         let scope = self.batch_wakes.scope(state.batch(), record);
         let result = state.apply(index, command);
         self.withdrawals.borrow_mut().end(&record.events);
-        self.batch_wakes.record_applied(scope, state.batch(), &result.effect);
+        self.batch_wakes.record_applied(scope, state.batch(), record, &result.effect);
         result
     }
 
