feat(control): setting for declared or learned run times

Cause: decisions use declared durations, which are up to 90 % off, and take all workers to be equally fast.

Change: `--run-times declared|learned` of an adapter's program and `run-times` in `[control]`, default declared. With `learned` the leader feeds polls and applied records to the learner and puts its estimates into `ClusterView::estimates`. A loop of its own fits the model and saves the summary. Each term begins from the summary in the ledger.

--- a/crates/bronzespool-core/src/settings/mod.rs
+++ b/crates/bronzespool-core/src/settings/mod.rs
@@ -36,7 +36,7 @@
     fault::{Fault, Faults, Result},
     process::{
         AgentSettings, ControlSettings, EntrySettings, LogLevel, Peer, ProcessSettings, Role,
-        parse_process, read_process,
+        RunTimes, parse_process, read_process,
     },
     service::parse_service,
     service_file::{ServiceFile, merge_services, read_services},
--- a/crates/bronzespool-core/src/settings/process/mod.rs
+++ b/crates/bronzespool-core/src/settings/process/mod.rs
@@ -58,6 +58,16 @@
     Trace,
 }
 
+/// Run times that decisions on jobs of steps use.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum RunTimes {
+    /// Those that the jobs declare.
+    #[default]
+    Declared,
+    /// Those that the leader learns from runs, with the speeds of workers.
+    Learned,
+}
+
 /// Settings of one process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ProcessSettings {
@@ -92,6 +102,8 @@
     pub peers: Vec<Peer>,
     /// Capacity kept free of guarantees, as a reserve for failures.
     pub reserve: Option<Shape>,
+    /// Run times that decisions on jobs of steps use.
+    pub run_times: RunTimes,
 }
 
 /// Settings of an entry instance.
--- a/crates/bronzespool-core/src/settings/process/schema.rs
+++ b/crates/bronzespool-core/src/settings/process/schema.rs
@@ -52,6 +52,12 @@
             "1 x worker",
             "Capacity that guarantees leave free for failures.",
         ),
+        defaulted(
+            "run-times",
+            "declared or learned",
+            "declared",
+            "Run times that decisions on jobs of steps use; the same at all control instances.",
+        ),
     ],
 };
 
--- a/crates/bronzespool-core/src/settings/process/sections.rs
+++ b/crates/bronzespool-core/src/settings/process/sections.rs
@@ -56,6 +56,7 @@
     let listen = reader.get("listen").and_then(|addr| reachable_listen(&mut reader, addr));
     let peers = reader.optional::<List<Peer>>("peers");
     let reserve = reader.get::<Reserve>("reserve");
+    let run_times = reader.get("run-times");
     let instance = &identity?.1;
     let (listen, peers) = (listen?, peers?);
     let only_self = || vec![Peer { instance: instance.clone(), addr: listen }];
@@ -63,7 +64,7 @@
     if let Some(message) = check_peers(&peers, instance) {
         reader.push_fault("peers", message);
     }
-    Some(ControlSettings { listen, peers, reserve: reserve?.0 })
+    Some(ControlSettings { listen, peers, reserve: reserve?.0, run_times: run_times? })
 }
 
 fn check_peers(peers: &[Peer], instance: &Instance) -> Option<String> {
--- a/crates/bronzespool-core/src/settings/process/value.rs
+++ b/crates/bronzespool-core/src/settings/process/value.rs
@@ -1,7 +1,7 @@
 //! Values that only occur in process settings and deployments.
 
 use {
-    super::{LogLevel, Peer, Role},
+    super::{LogLevel, Peer, Role, RunTimes},
     crate::{
         name::Instance,
         settings::value::{Error, ReachableAddr, Result},
@@ -42,6 +42,18 @@
     }
 }
 
+impl TryFrom<&str> for RunTimes {
+    type Error = Error;
+
+    fn try_from(text: &str) -> Result<Self> {
+        match text {
+            "declared" => Ok(Self::Declared),
+            "learned" => Ok(Self::Learned),
+            _ => Err(Error::choice(text, "declared, learned")),
+        }
+    }
+}
+
 impl TryFrom<&str> for LogLevel {
     type Error = Error;
 
--- a/crates/bronzespool-core/tests/settings_process.rs
+++ b/crates/bronzespool-core/tests/settings_process.rs
@@ -3,7 +3,7 @@
 use {
     bronzespool_core::{
         Level, Shape,
-        settings::{Fault, LogLevel, Role, Timing, parse_process},
+        settings::{Fault, LogLevel, Role, RunTimes, Timing, parse_process},
     },
     std::time::Duration,
 };
@@ -157,3 +157,16 @@
         faults(&process_section("agents"))[0].to_string().contains("control, entry, agent, all")
     );
 }
+
+#[test]
+fn parse_process_run_times_are_declared_or_learned() {
+    let parse = |line: &str| {
+        let text = format!("{}data = d\n{CONTROL}{line}\n", process_section("control"));
+        parse_process("p.ini", &text).map(|s| s.control.unwrap().run_times)
+    };
+    assert_eq!(parse(""), Ok(RunTimes::Declared));
+    assert_eq!(parse("run-times = declared"), Ok(RunTimes::Declared));
+    assert_eq!(parse("run-times = learned"), Ok(RunTimes::Learned));
+    let faults = parse("run-times = guessed").unwrap_err().to_string();
+    assert!(faults.contains("is not one of declared, learned"), "{faults}");
+}
--- a/crates/bronzespoold/src/batch/role/command.rs
+++ b/crates/bronzespoold/src/batch/role/command.rs
@@ -3,6 +3,7 @@
 use {
     super::{Error, Result},
     crate::telemetry,
+    bronzespool::core::settings::RunTimes,
     std::{fmt::Display, process::ExitCode},
     tokio::task::LocalSet,
 };
@@ -21,14 +22,26 @@
 /// Help on the options that every adapter's program has.
 const FLAGS_HELP: &str = "
   --metrics PORT  serve metrics at /metrics on this port of the machine's address
+  --run-times KIND
+                  run times that decisions use: declared (the default) or learned; only the
+                  control role reads this, and all its instances need the same
   --log LEVEL     lowest level of log lines: off, error, warn, info (the default), debug
   --check         read the settings, report faults and exit
   --help          print this text
 ";
 
+/// Options of the command line that roles read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RoleFlags {
+    /// Port for metrics.
+    pub metrics: Option<u16>,
+    /// Run times that decisions use; only the control role reads this.
+    pub run_times: RunTimes,
+}
+
 /// Options of the command line.
 struct Flags {
-    metrics: Option<u16>,
+    role: RoleFlags,
     log: Option<String>,
     check: bool,
     help: bool,
@@ -36,7 +49,13 @@
 
 fn parse_flags(mut args: pico_args::Arguments) -> Result<Flags> {
     let flags = Flags {
-        metrics: args.opt_value_from_str("--metrics").map_err(Error::Arguments)?,
+        role: RoleFlags {
+            metrics: args.opt_value_from_str("--metrics").map_err(Error::Arguments)?,
+            run_times: args
+                .opt_value_from_fn("--run-times", parse_run_times)
+                .map_err(Error::Arguments)?
+                .unwrap_or_default(),
+        },
         log: args.opt_value_from_str("--log").map_err(Error::Arguments)?,
         check: args.contains("--check"),
         help: args.contains("--help"),
@@ -47,13 +66,17 @@
     }
 }
 
+fn parse_run_times(text: &str) -> std::result::Result<RunTimes, String> {
+    RunTimes::try_from(text).map_err(|e| format!("--run-times: {e}"))
+}
+
 impl<S, E: Display> Program<S, E> {
-    /// Reads the command line and the settings and runs `serve` with the settings and the port for
-    /// metrics.
+    /// Reads the command line and the settings and runs `serve` with the settings and the options of
+    /// the command line.
     pub fn run<F: Future<Output = Result<()>>>(
         &self,
         args: pico_args::Arguments,
-        serve: impl FnOnce(S, Option<u16>) -> F,
+        serve: impl FnOnce(S, RoleFlags) -> F,
     ) -> ExitCode {
         match parse_flags(args).and_then(|f| self.start(&f, serve)) {
             Ok(()) => ExitCode::SUCCESS,
@@ -67,7 +90,7 @@
     fn start<F: Future<Output = Result<()>>>(
         &self,
         flags: &Flags,
-        serve: impl FnOnce(S, Option<u16>) -> F,
+        serve: impl FnOnce(S, RoleFlags) -> F,
     ) -> Result<()> {
         if flags.help {
             print!("{}{FLAGS_HELP}", self.about);
@@ -85,6 +108,6 @@
             .enable_all()
             .build()
             .map_err(Error::Runtime)?;
-        runtime.block_on(LocalSet::new().run_until(serve(settings, flags.metrics)))
+        runtime.block_on(LocalSet::new().run_until(serve(settings, flags.role)))
     }
 }
--- a/crates/bronzespoold/src/batch/role/control.rs
+++ b/crates/bronzespoold/src/batch/role/control.rs
@@ -13,13 +13,23 @@
         limits::Listener,
         telemetry::{Event, event},
     },
-    bronzespool::batch::message::ExternalCallKind,
+    bronzespool::{batch::message::ExternalCallKind, core::settings::RunTimes},
     std::{net::SocketAddr, path::PathBuf, rc::Rc},
     tokio::{sync::watch, task::spawn_local, time::timeout},
 };
 
-/// Runs a control instance until a signal asks the process to stop. `data` is the folder of the
-/// log; `may_bootstrap` says whether the instance may bootstrap the cluster with the seeds.
+/// Options of a control instance.
+#[derive(Clone, Debug)]
+pub struct ControlOptions {
+    /// Folder of the log.
+    pub data: PathBuf,
+    /// Whether the instance may bootstrap the cluster with the seeds.
+    pub may_bootstrap: bool,
+    /// Run times that decisions use.
+    pub run_times: RunTimes,
+}
+
+/// Runs a control instance until a signal asks the process to stop.
 ///
 /// # Errors
 ///
@@ -27,15 +37,16 @@
 pub async fn run_control<H: Handler, O: ExternalServices>(
     options: &ProcessOptions,
     clock: Clock,
-    (data, may_bootstrap): (PathBuf, bool),
+    control: ControlOptions,
     (listen, services): (SocketAddr, O),
     mut signals: Signals,
     operators: impl FnOnce(Rc<LeaderClient>) -> H,
 ) -> Result<()> {
     let control_options =
-        control::Options::from_addresses(options.advertised, &options.seeds, data)
+        control::Options::from_addresses(options.advertised, &options.seeds, control.data)
             .ok_or(Error::Address)?
-            .may_bootstrap(may_bootstrap)
+            .may_bootstrap(control.may_bootstrap)
+            .run_times(control.run_times)
             .listen(options.listen);
     let own = options.advertised;
     let with_own = move |mut seeds: Vec<SocketAddr>| {
--- a/crates/bronzespoold/src/batch/role/mod.rs
+++ b/crates/bronzespoold/src/batch/role/mod.rs
@@ -7,8 +7,8 @@
 
 pub use {
     agent::run_agent,
-    command::Program,
-    control::run_control,
+    command::{Program, RoleFlags},
+    control::{ControlOptions, run_control},
     entry::{EntryAddresses, run_entry},
 };
 
--- a/crates/bronzespoold/src/control/batch/mod.rs
+++ b/crates/bronzespoold/src/control/batch/mod.rs
@@ -8,6 +8,7 @@
 mod planner;
 mod polls;
 mod requests;
+mod run_times;
 mod wakes;
 
 pub(in crate::control) use wakes::Wakes;
@@ -20,6 +21,7 @@
                 agents::Agents,
                 decision_log::{DecisionLog, PriorState},
                 external::ExternalState,
+                run_times::RunTimeLearner,
             },
             replica::{Replica, Result},
             state::{Command, Effect},
@@ -27,7 +29,7 @@
     },
     bronzespool::{
         batch::{Event, EventOutcome, Record, message, plan::Planner},
-        core::{Code, Instance, Refusal},
+        core::{Code, Instance, Refusal, settings::RunTimes},
         wire::message::{CallResult, Reply},
     },
     std::{cell::RefCell, net::SocketAddr, rc::Rc},
@@ -42,6 +44,7 @@
     decision_log: Rc<RefCell<DecisionLog>>,
     external: RefCell<ExternalState>,
     planner: RefCell<Planner>,
+    run_times: Rc<RefCell<RunTimeLearner>>,
     /// Name of this instance.
     instance: Instance,
 }
@@ -51,6 +54,7 @@
         clock: Clock,
         replica: Rc<Replica>,
         instance: Instance,
+        run_times: RunTimes,
     ) -> Rc<Self> {
         Rc::new(Self {
             clock,
@@ -59,6 +63,7 @@
             decision_log: Rc::default(),
             external: RefCell::default(),
             planner: RefCell::default(),
+            run_times: Rc::new(RefCell::new(RunTimeLearner::new(run_times))),
             instance,
         })
     }
@@ -102,6 +107,7 @@
         let proposal = self.replica.start_proposal(&command)?;
         let (clock, replica) = (self.clock, Rc::clone(&self.replica));
         let (agents, decision_log) = (Rc::clone(&self.agents), Rc::clone(&self.decision_log));
+        let (run_times, term) = (Rc::clone(&self.run_times), self.replica.status().term);
         let applied = spawn_local(async move {
             let effect = proposal.applied().await?;
             let took = clock.now().since(begun);
@@ -109,6 +115,7 @@
             let (Command::Batch(record), Effect::Batch(outcomes)) = (&command, effect) else {
                 return Err(Refusal::from(Code::Internal));
             };
+            run_times.borrow_mut().record_applied(term, replica.state().batch(), record, &outcomes);
             let agents = agents.borrow();
             let poll_age =
                 |agent: &Instance| agents.contacts.heard_at(agent).map(|at| begun.since(at));
--- a/crates/bronzespoold/src/control/batch/planner.rs
+++ b/crates/bronzespoold/src/control/batch/planner.rs
@@ -46,7 +46,9 @@
 
     async fn plan_once(&self) -> Result<()> {
         self.replica.read_barrier().await?;
-        self.agents.borrow_mut().enter_term(self.replica.status().term, self.clock.now());
+        let term = self.replica.status().term;
+        self.agents.borrow_mut().enter_term(term, self.clock.now());
+        self.run_times.borrow_mut().enter_term(term, self.replica.state().batch());
         let mut events = self.gone_workers();
         let begun = self.clock.now();
         let planned =
@@ -111,6 +113,8 @@
         let external = self.external.borrow();
         cluster_view.draining = external.maintenance.draining_workers().cloned().collect();
         cluster_view.permits = external.permits.clone();
+        let term = self.replica.status().term;
+        cluster_view.estimates = self.run_times.borrow().estimates(term).unwrap_or_default();
         cluster_view
     }
 }
--- a/crates/bronzespoold/src/control/batch/polls.rs
+++ b/crates/bronzespoold/src/control/batch/polls.rs
@@ -28,7 +28,10 @@
         record_tail_latencies(self.replica.state().batch(), &poll);
         let events = match arrival.is_late {
             true => Vec::new(),
-            false => self.events(&poll),
+            false => {
+                self.sample_poll(&poll);
+                self.events(&poll)
+            }
         };
         let has_events = !events.is_empty();
         self.revoke_permits(&poll);
@@ -79,6 +82,12 @@
         arrival
     }
 
+    fn sample_poll(&self, poll: &Poll) {
+        let (term, at) = (self.replica.status().term, self.replica.log_time());
+        let state = self.replica.state();
+        self.run_times.borrow_mut().record_poll(term, at, state.batch(), poll);
+    }
+
     fn record_grant(&self, now: Time, poll: &Poll, incarnation: &WorkerIncarnation) {
         if self.agents.borrow_mut().record_grant(now, poll, incarnation) {
             self.replica.batch_wakes().request_plan();
--- a/crates/bronzespoold/src/control/leader/calls.rs
+++ b/crates/bronzespoold/src/control/leader/calls.rs
@@ -15,7 +15,7 @@
         telemetry::{Event as _, event},
     },
     bronzespool::{
-        core::{Code, Instance, Refusal, Shape},
+        core::{Code, Instance, Refusal, Shape, settings::RunTimes},
         flow::{
             claim::{Incarnation, Retention},
             view::Presence,
@@ -56,10 +56,11 @@
         reserve: Option<Shape>,
         lease: Duration,
         own: Instance,
+        run_times: RunTimes,
     ) -> Rc<Self> {
         Rc::new(Self {
             clock,
-            batch: BatchController::new(clock, Rc::clone(&replica), own),
+            batch: BatchController::new(clock, Rc::clone(&replica), own, run_times),
             replica,
             hubs: RefCell::default(),
             burn_aggregator: RefCell::default(),
--- a/crates/bronzespoold/src/control/start.rs
+++ b/crates/bronzespoold/src/control/start.rs
@@ -17,7 +17,7 @@
     },
     bronzespool::{
         consensus::{self, FileStorage, Settings, Storage},
-        core::{Code, Instance, Shape, name::Cluster},
+        core::{Code, Instance, Shape, name::Cluster, settings::RunTimes},
         flow::claim::Retention,
         wire::{bronzespool_capnp::control, serve::serve_bounded},
     },
@@ -68,6 +68,8 @@
     pub data_dir: PathBuf,
     /// Capacity that guarantees must leave free.
     pub reserve: Option<Shape>,
+    /// Run times that decisions on jobs of steps use.
+    pub run_times: RunTimes,
     /// Interval between two heartbeats of the leader.
     pub heartbeat_interval: Duration,
     /// Shortest silence of the leader before an election.
@@ -109,6 +111,7 @@
             allow_unlisted: true,
             data_dir,
             reserve: None,
+            run_times: RunTimes::default(),
             heartbeat_interval: HEARTBEAT,
             election_timeout: ELECTION,
             session_lease: SESSION,
@@ -126,6 +129,13 @@
         self
     }
 
+    /// Sets the run times that decisions on jobs of steps use.
+    #[must_use]
+    pub const fn run_times(mut self, run_times: RunTimes) -> Self {
+        self.run_times = run_times;
+        self
+    }
+
     /// Sets an address to listen on that differs from the address that others use, as behind a
     /// proxy.
     #[must_use]
@@ -167,6 +177,7 @@
     spawn_local(Rc::clone(&node.leader).run_cancels());
     spawn_local(Rc::clone(&node.leader.batch).run());
     spawn_local(Rc::clone(&node.leader.batch).run_gauges());
+    spawn_local(Rc::clone(&node.leader.batch).run_estimates());
     event::RoleStarted { role: "control", instance: options.instance.clone() }.emit();
     let planned_stop = async {
         let _ = stop.wait_for(|s| *s).await;
@@ -236,6 +247,7 @@
         options.reserve,
         lease,
         options.instance.clone(),
+        options.run_times,
     );
     Rc::new(ControlNode {
         clock,
--- a/crates/bronzespoold/src/process.rs
+++ b/crates/bronzespoold/src/process.rs
@@ -171,6 +171,7 @@
         allow_unlisted: false,
         data_dir: settings.data.clone()?,
         reserve: control.reserve,
+        run_times: control.run_times,
         heartbeat_interval: timing.heartbeat,
         election_timeout: timing.election,
         session_lease: timing.session,
