feat(batch): nothing is started in a drained data centre

Two sites have an operator who takes a data centre out of use; nothing answered the order. The planner, the questions for permits and the ledger's check of a start leave their workers out; runs that are assigned and do not run yet are withdrawn; `explain` names the drains that hold a job back.

--- a/crates/bronzespool-batch/src/affected.rs
+++ b/crates/bronzespool-batch/src/affected.rs
@@ -62,6 +62,10 @@
             | Event::WaveOrdered(_)
             | Event::MaintenanceBegun { .. }
             | Event::TakenDown(_) => {}
+            Event::CenterDrained { center, .. } | Event::CenterRestored { center, .. } => {
+                let inside = ledger.workers().filter(|w| w.spec.center == *center);
+                self.workers.extend(inside.map(|w| Arc::clone(&w.spec.incarnation.worker)));
+            }
             Event::Crashed(crash) => {
                 let jobs = crash.runs.iter().map(|r| r.run.task.step.job);
                 let is_active = |id: &JobId| ledger.job(*id).is_some_and(|j| j.phase.is_active());
--- a/crates/bronzespool-batch/src/exchange.rs
+++ b/crates/bronzespool-batch/src/exchange.rs
@@ -107,19 +107,22 @@
 }
 
 /// Adds the runs that the worker has to start and to stop. A run that does not fit beside what is
-/// there, since the capacity has shrunk after it was assigned, is stopped before it starts.
+/// there, since the capacity has shrunk after it was assigned, is stopped before it starts, and so is
+/// each one whose data centre was drained. A stop that the worker acknowledges keeps a late start from
+/// being carried out.
 fn add_starts_and_stops(ledger: &Ledger, worker: &Worker, poll: &Poll, orders: &mut Orders) {
     let running: HashSet<RunId> = poll.running.iter().map(|s| s.run).collect();
     // The list of a poll that has waited may name runs that have ended since, so it decides only if
     // the capacity is exceeded.
     let is_over = worker.excess() != Resources::default();
+    let is_drained = ledger.is_worker_drained(worker);
     let mut room = worker.spec.capacity.minus(&present_resources(ledger, worker, poll));
     for run in unsettled_runs(worker, poll) {
         if ledger.is_unwanted(run) {
             orders.stops.push(run);
         } else if !running.contains(&run) {
             let need = worker.runs.get(&run).copied().unwrap_or_default();
-            if !is_over || room.fits(&need) {
+            if !is_drained && (!is_over || room.fits(&need)) {
                 room = room.minus(&need);
                 orders.starts.extend(start(ledger, run));
             } else {
--- a/crates/bronzespool-batch/src/ledger/apply.rs
+++ b/crates/bronzespool-batch/src/ledger/apply.rs
@@ -45,6 +45,8 @@
             Event::MaintenanceBegun { wave, machine } => self.begin_maintenance(*wave, machine),
             Event::Crashed(crash) => self.record_crash(crash),
             Event::TakenDown(worker) => self.take_down(worker),
+            Event::CenterDrained { center, base } => self.set_drained(center, *base, true),
+            Event::CenterRestored { center, base } => self.set_drained(center, *base, false),
         }
     }
 
@@ -207,6 +209,7 @@
                 && open
                 && fits
                 && !worker.spec.leaving
+                && !self.is_worker_drained(worker)
                 && job.is_ready(step.occurrence, step.step)
         })
     }
--- a/crates/bronzespool-batch/src/ledger/explain.rs
+++ b/crates/bronzespool-batch/src/ledger/explain.rs
@@ -6,7 +6,7 @@
         ledger::{CrashFailure, Job, Ledger, Phase},
     },
     displaydoc::Display,
-    std::{fmt, sync::Arc},
+    std::{collections::BTreeSet, fmt, sync::Arc},
 };
 
 /// Why a job has failed.
@@ -33,6 +33,8 @@
 pub enum Explanation {
     /// no task has started yet
     Queued,
+    /// it waits: only workers of drained data centres have room for it: {0}
+    Drained(CenterNames),
     /// it has started, and no worker has crashed under its tasks
     Running,
     /// it has started; workers have crashed under task {0}: {1}
@@ -45,6 +47,17 @@
     Cancelled,
 }
 
+/// Names of data centres.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CenterNames(pub BTreeSet<Arc<str>>);
+
+impl fmt::Display for CenterNames {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let names: Vec<&str> = self.0.iter().map(|n| &**n).collect();
+        f.write_str(&names.join(", "))
+    }
+}
+
 /// Names of workers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerNames(Vec<Arc<str>>);
@@ -67,7 +80,7 @@
     pub fn explain(&self, id: JobId) -> Option<Explanation> {
         let job = self.job(id)?;
         Some(match job.phase {
-            Phase::Queued => Explanation::Queued,
+            Phase::Queued => self.explain_drained(id).unwrap_or(Explanation::Queued),
             Phase::Running => self.explain_running(id),
             Phase::Completed => Explanation::Completed,
             Phase::Cancelled => Explanation::Cancelled,
@@ -87,9 +100,13 @@
 
     fn explain_running(&self, id: JobId) -> Explanation {
         let suspect = self.crashes.worst_of_job(id);
-        suspect.map_or(Explanation::Running, |(task, evidence)| {
-            Explanation::Suspected(task, WorkerNames(evidence.workers()))
-        })
+        let suspected = suspect
+            .map(|(task, evidence)| Explanation::Suspected(task, WorkerNames(evidence.workers())));
+        suspected.or_else(|| self.explain_drained(id)).unwrap_or(Explanation::Running)
+    }
+
+    fn explain_drained(&self, id: JobId) -> Option<Explanation> {
+        self.holding_drains(id).map(|c| Explanation::Drained(CenterNames(c)))
     }
 }
 
--- a/crates/bronzespool-batch/src/ledger/mod.rs
+++ b/crates/bronzespool-batch/src/ledger/mod.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod crash;
+mod drain;
 mod explain;
 mod job;
 mod record;
@@ -10,7 +11,8 @@
 
 pub use {
     crash::{CrashEvidence, CrashFailure, CrashLog, CrashUnder},
-    explain::{Explanation, FailureCause},
+    drain::{CenterState, Drains},
+    explain::{CenterNames, Explanation, FailureCause},
     job::{ActiveRun, Job, Phase, StepState, Task},
     record::{Assignment, Event, EventOutcome, Record, RunEnd, RunOutcome, StopCause, WorkerSpec},
     wave::{Error as WaveError, Wave, WaveSpec},
@@ -42,9 +44,12 @@
     waves: BTreeMap<u64, Wave>,
     /// Rises with each applied record.
     change_count: u64,
-    /// Crashes of workers. It comes last, since snapshots of former versions end before it.
+    /// Crashes of workers. Snapshots of former versions end before it, or after it.
     #[serde(deserialize_with = "crash::read_or_default")]
     crashes: CrashLog,
+    /// Drained data centres. It comes last, since snapshots of former versions end before it.
+    #[serde(deserialize_with = "drain::read_or_default")]
+    drains: Drains,
 }
 
 impl Ledger {
--- a/crates/bronzespool-batch/src/ledger/record.rs
+++ b/crates/bronzespool-batch/src/ledger/record.rs
@@ -144,6 +144,20 @@
     Crashed(Box<Crash>),
     /// The machine of the worker with this name goes down for maintenance.
     TakenDown(Arc<str>),
+    /// Nothing more is started in a data centre.
+    CenterDrained {
+        /// The data centre.
+        center: Arc<str>,
+        /// Revision of its state that the command is based on.
+        base: u64,
+    },
+    /// Tasks may be started in a data centre again.
+    CenterRestored {
+        /// The data centre.
+        center: Arc<str>,
+        /// Revision of its state that the command is based on.
+        base: u64,
+    },
 }
 
 /// Events that are applied together.
--- a/crates/bronzespool-batch/src/plan/capacity.rs
+++ b/crates/bronzespool-batch/src/plan/capacity.rs
@@ -119,7 +119,8 @@
         let schedulable = |w: &&Worker| {
             let incarnation = &w.spec.incarnation;
             let worker = &incarnation.worker;
-            !w.spec.leaving && view.schedulable.contains(worker) && !view.draining.contains(worker)
+            let is_draining = view.draining.contains(worker) || ledger.is_worker_drained(w);
+            !w.spec.leaving && view.schedulable.contains(worker) && !is_draining
         };
         let mut capacity = Self {
             ledger,
--- a/crates/bronzespool-batch/src/plan/permit.rs
+++ b/crates/bronzespool-batch/src/plan/permit.rs
@@ -116,6 +116,7 @@
     let mut found: Vec<_> = ledger
         .workers()
         .filter(|w| !w.spec.leaving && view.schedulable.contains(&w.spec.incarnation.worker))
+        .filter(|w| !ledger.is_worker_drained(w))
         .filter(|w| w.spec.service == *service && w.spec.capacity.fits(&need))
         .filter(|w| label.is_none_or(|l| w.spec.labels.contains(l)))
         .collect();
--- a/crates/bronzespool-batch/tests/affected.rs
+++ b/crates/bronzespool-batch/tests/affected.rs
@@ -250,7 +250,15 @@
     let active = cluster.ledger.active_run(held_run);
     let holder = active.map_or_else(|| incarnation(i), |r| r.incarnation.clone());
     let current = spec_of(cluster, i).map_or_else(|| incarnation(i), |s| s.incarnation);
-    match rng.u32(0..21) {
+    match rng.u32(0..22) {
+        21 => {
+            let (center, state) = ("c1".into(), cluster.ledger.drains().state("c1"));
+            let base = state.revision.saturating_sub(rng.u64(0..2));
+            match state.drained {
+                true => Event::CenterRestored { center, base },
+                false => Event::CenterDrained { center, base },
+            }
+        }
         20 => {
             let runs = vec![CrashedRun { run: held_run, age: Some(rng.u64(0..2_000)) }];
             Event::Crashed(Box::new(Crash { incarnation: holder, agent: agent(i), runs }))
--- a/crates/bronzespool-batch/tests/crash.rs
+++ b/crates/bronzespool-batch/tests/crash.rs
@@ -376,7 +376,8 @@
     let mut cluster = Cluster::new(1, 2, 0);
     cluster.submit(1, 0, vec![step(1, 1)]);
     let bytes = postcard::to_stdvec(&cluster.ledger).unwrap();
-    let empty = postcard::to_stdvec(cluster.ledger.crashes()).unwrap();
+    let last = (cluster.ledger.crashes(), cluster.ledger.drains());
+    let empty = postcard::to_stdvec(&last).unwrap();
     let former = bytes.strip_suffix(&*empty).unwrap();
     let read: Ledger = postcard::from_bytes(former).unwrap();
     assert_eq!(read, cluster.ledger);
--- a/crates/bronzespool-telemetry/src/event/control.rs
+++ b/crates/bronzespool-telemetry/src/event/control.rs
@@ -229,6 +229,24 @@
         /// Whether this is a change.
         verdict: EventOutcome,
     }
+    /// An operator's command to start nothing more in a data centre was applied.
+    CenterDrained: Warn, Leader, "a data centre is drained" {
+        /// The data centre.
+        center: Arc<str>,
+        /// Revision of its state.
+        revision: u64,
+        /// Whether the command was applied; otherwise another one came first.
+        verdict: EventOutcome,
+    }
+    /// An operator's command to start tasks in a data centre again was applied.
+    CenterRestored: Warn, Leader, "a data centre is in use again" {
+        /// The data centre.
+        center: Arc<str>,
+        /// Revision of its state.
+        revision: u64,
+        /// Whether the command was applied; otherwise another one came first.
+        verdict: EventOutcome,
+    }
     /// A process was assigned a call to the platform on behalf of the leader.
     ExternalCallAssigned: Info, Leader, "a chore was given out" {
         /// The call.
--- a/crates/bronzespoold/src/control/batch/decision_log.rs
+++ b/crates/bronzespoold/src/control/batch/decision_log.rs
@@ -161,6 +161,15 @@
     }
 }
 
+fn log_center(ledger: &Ledger, center: &Arc<str>, drained: bool, verdict: EventOutcome) {
+    let revision = ledger.drains().state(center).revision;
+    let center = Arc::clone(center);
+    match drained {
+        true => event::CenterDrained { center, revision, verdict }.emit(),
+        false => event::CenterRestored { center, revision, verdict }.emit(),
+    }
+}
+
 const fn phase_name(phase: Phase) -> &'static str {
     match phase {
         Phase::Queued => "queued",
@@ -223,6 +232,8 @@
             event::RunRefused { job, run: *run, life, commit_ms }.emit();
         }
         Event::Crashed(crash) => log_crash(ledger, crash, outcome, commit_ms),
+        Event::CenterDrained { center, .. } => log_center(ledger, center, true, outcome),
+        Event::CenterRestored { center, .. } => log_center(ledger, center, false, outcome),
         Event::TakenDown(worker) => {
             event::WorkerTakenDown { worker: worker.clone(), verdict: outcome }.emit();
         }
