feat(platform): operators drain a data centre and revoke it

`POST /-/Evacuate.Start/ZONE` and `/-/Evacuate.Stop/ZONE` had no answer, which two sites need. A control instance reads the data centre's revision from the leader, and sends the change that is based on it; the leader answers once the record is applied. Another change that came first is code 5001, status 503, unless it has the same outcome; a data centre that neither the settings nor a worker name is code 5006, status 404. A gauge tells for each data centre whether it is drained.

--- a/crates/bronzespool-batch/src/message.rs
+++ b/crates/bronzespool-batch/src/message.rs
@@ -5,7 +5,7 @@
         config::Config,
         crash::Crash,
         id::{JobId, RunId, StepId, WorkerIncarnation},
-        ledger::{Phase, RunEnd, WaveSpec, WorkerSpec},
+        ledger::{CenterState, Phase, RunEnd, WaveSpec, WorkerSpec},
         spec::JobSpec,
     },
     bronzespool_core::Instance,
@@ -283,6 +283,21 @@
     Crash(Box<Crash>),
     /// Asks why a job is in its phase.
     Explain(JobId),
+    /// Reads the state of a data centre.
+    ReadCenter(Arc<str>),
+    /// Drains a data centre, or revokes its drain.
+    SetCenter(CenterCommand),
+}
+
+/// An operator's command for a data centre.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CenterCommand {
+    /// The data centre.
+    pub center: Arc<str>,
+    /// Whether nothing more is started there from now on.
+    pub drained: bool,
+    /// Revision of the data centre's state that the command is based on.
+    pub base: u64,
 }
 
 /// Why a call was rejected.
@@ -323,6 +338,13 @@
     Denied(Denial),
     /// Why a job is in its phase, as text.
     Explained(String),
+    /// State of a data centre.
+    Center {
+        /// The state.
+        state: CenterState,
+        /// Whether a worker or an earlier command has named the data centre.
+        known: bool,
+    },
 }
 
 /// Addresses of the control instances, as one of them knows them.
--- a/crates/bronzespool-core/src/code.rs
+++ b/crates/bronzespool-core/src/code.rs
@@ -121,6 +121,7 @@
     5003 ConfigInvalid NotRun 422 "a file has faults: the message names file, line and key";
     5004 OperationReused NotRun 422 "this operation id was used with another change";
     5005 UnknownInstance NotRun 404 "no such instance is announced";
+    5006 UnknownCenter NotRun 404 "no such data centre: neither the settings nor a worker name it";
     6001 RecordCorrupt NotRun 500 "a log record fails its checksum before the end of the log: replace this replica's disk";
     6002 SnapshotCorrupt NotRun 500 "the snapshot fails its checksum: replace this replica's disk";
     6003 VersionUnknown NotRun 500 "a record, snapshot or message has a version that this program does not know: upgrade it";
--- a/crates/bronzespoold/src/batch/leader_client/mod.rs
+++ b/crates/bronzespoold/src/batch/leader_client/mod.rs
@@ -112,6 +112,11 @@
         }
     }
 
+    /// Clock of this process.
+    pub(in crate::batch) const fn clock(&self) -> Clock {
+        self.clock
+    }
+
     /// Replaces the seed addresses.
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
         *self.seeds.borrow_mut() = seeds;
--- a/crates/bronzespoold/src/batch/mod.rs
+++ b/crates/bronzespoold/src/batch/mod.rs
@@ -2,6 +2,7 @@
 //! processes that serve callers, workers and operators.
 
 mod agent;
+mod drain;
 mod explain;
 mod external;
 mod leader_client;
@@ -13,6 +14,7 @@
 
 pub use {
     agent::{Agent, AgentOptions, ListOutcome, Worker},
+    drain::DrainRequest,
     external::{ExternalServices, run_external_calls},
     leader_client::{CallError, CallerRequest, LeaderClient, Result},
     ready::watch_control,
--- a/crates/bronzespoold/src/control/batch/gauges.rs
+++ b/crates/bronzespoold/src/control/batch/gauges.rs
@@ -29,6 +29,12 @@
         let oldest = queued().map(|j| now.since(j.submitted)).max().unwrap_or_default();
         metrics::gauge!("bronzespool_batch_queued_jobs").set(queued().count() as f64);
         metrics::gauge!("bronzespool_batch_oldest_seconds").set(oldest.as_secs_f64());
+        for center in ledger.centers() {
+            let drained = ledger.drains().is_drained(center);
+            let gauge =
+                metrics::gauge!("bronzespool_batch_center_drained", "center" => center.to_string());
+            gauge.set(f64::from(u8::from(drained)));
+        }
         let now = self.clock.now();
         let agents = self.agents.borrow();
         let responsive = agents.contacts.in_contact(now).count();
--- a/crates/bronzespoold/src/control/batch/mod.rs
+++ b/crates/bronzespoold/src/control/batch/mod.rs
@@ -3,6 +3,7 @@
 
 mod agents;
 mod decision_log;
+mod drain;
 mod external;
 mod gauges;
 mod planner;
@@ -74,6 +75,8 @@
             message::Call::ReadConfig => self.read_config().await?,
             message::Call::OrderWave(spec) => self.order_wave(spec).await?,
             message::Call::ReadWave(id) => self.read_wave(id).await?,
+            message::Call::ReadCenter(center) => self.read_center(&center).await?,
+            message::Call::SetCenter(command) => self.set_center(command).await?,
             message::Call::External(request) => self.external_call(*request).await?,
             message::Call::Ping(relay) => {
                 self.replica.read_barrier().await?;
