fix(batch): a drain command that is read late is dropped

Cause: a control instance that was frozen reads a command after its operator has turned to another instance and has revoked the drain there. It read the newer revision, and drained the data centre again for good.

Change: a server tells the handler of a request whether its caller has closed the connection, and the command is dropped if so, after the state was read and before the change is sent. All other requests are handled as before.

--- a/crates/bronzespoold/src/batch/drain.rs
+++ b/crates/bronzespoold/src/batch/drain.rs
@@ -3,9 +3,15 @@
 //! The state is read first, and the command is based on its revision. A copy of the command that is
 //! held up after that changes nothing once another command was applied. A command that has lost to
 //! another one is not tried again on a newer revision: whoever sent it decides.
+//!
+//! A copy that is read late, as by a process that was frozen, would read the newer revision. So a
+//! command whose sender has gone is dropped once the state is read.
 
 use {
-    crate::batch::{CallError, LeaderClient, leader_client::Result},
+    crate::{
+        batch::{CallError, LeaderClient, leader_client::Result},
+        http::CallerPresence,
+    },
     bronzespool::{
         batch::message::{Call, CenterCommand, Reply},
         core::{Code, Refusal},
@@ -14,7 +20,7 @@
 };
 
 /// A command for a data centre.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct DrainRequest {
     /// The data centre.
     pub center: Arc<str>,
@@ -22,6 +28,8 @@
     pub drained: bool,
     /// Whether the settings of this process name the data centre.
     pub listed: bool,
+    /// Whether its sender still waits for the answer.
+    pub sender: CallerPresence,
 }
 
 impl LeaderClient {
@@ -30,17 +38,20 @@
     /// # Errors
     ///
     /// [`CallError::Refused`] with [`Code::UnknownCenter`] if neither the settings nor a worker name
-    /// the data centre, and with [`Code::Conflict`] if another command came first; else as
-    /// [`LeaderClient::call`].
+    /// the data centre, with [`Code::DeadlinePassed`] if the sender has gone, and with
+    /// [`Code::Conflict`] if another command came first; else as [`LeaderClient::call`].
     pub async fn set_drained(&self, request: DrainRequest, timeout: Duration) -> Result<()> {
         let end = self.clock().now() + timeout;
-        let DrainRequest { center, drained, listed } = request;
+        let DrainRequest { center, drained, listed, sender } = request;
         let read = self.call(Call::ReadCenter(Arc::clone(&center)), timeout).await?;
         let Reply::Center { state, known } = read else { return Err(mismatch()) };
         if !known && !listed {
             let message = format!("neither the settings nor a worker name data centre {center}");
             return Err(CallError::Refused(Refusal::new(Code::UnknownCenter, message)));
         }
+        if sender.is_gone() {
+            return Err(CallError::Refused(Code::DeadlinePassed.into()));
+        }
         let command = CenterCommand { center, drained, base: state.revision };
         let left = end.since(self.clock().now());
         match self.call(Call::SetCenter(command), left).await? {
--- a/crates/bronzespoold/src/http/mod.rs
+++ b/crates/bronzespoold/src/http/mod.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod fetch;
 mod pool;
+mod presence;
 mod refuse;
 mod response;
 mod server;
@@ -15,6 +16,7 @@
     connection::Connection,
     fetch::{Error, FetchedResponse, Result, fetch},
     pool::ConnectionPool,
+    presence::CallerPresence,
     response::{
         FailureBody, FullResponse, body_response, headers, json_response, refusal_response,
         set_code_headers, text_response,
--- a/crates/bronzespoold/src/http/server.rs
+++ b/crates/bronzespoold/src/http/server.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        http::{FullResponse, refuse::refuse},
+        http::{CallerPresence, FullResponse, refuse::refuse},
         limits::{self, Listener},
         telemetry::{Event as _, event},
     },
@@ -108,10 +108,16 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        let presence = CallerPresence::default();
+        let guard = presence.guard();
+        request.extensions_mut().insert(presence);
         // A separate task, so that the request is still handled if the caller disconnects.
         let work = spawn_local(Rc::clone(&handler).handle(request));
-        async move { Ok::<_, Infallible>(task_response(work.await)) }
+        async move {
+            let _guard = guard;
+            Ok::<_, Infallible>(task_response(work.await))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
