--- a/crates/bronzespool-batch/src/ledger/apply.rs
+++ b/crates/bronzespool-batch/src/ledger/apply.rs
@@ -46,6 +46,8 @@
             Event::Crashed(crash) => self.record_crash(crash),
             Event::TakenDown(worker) => self.take_down(worker),
             Event::EstimatesSaved(summary) => self.save_run_times(summary),
+            Event::CenterDrained { center, base } => self.set_drained(center, *base, true),
+            Event::CenterRestored { center, base } => self.set_drained(center, *base, false),
         }
     }
 
@@ -208,6 +210,7 @@
                 && open
                 && fits
                 && !worker.spec.leaving
+                && !self.is_worker_drained(worker)
                 && job.is_ready(step.occurrence, step.step)
         })
     }
--- a/crates/bronzespool-batch/src/ledger/mod.rs
+++ b/crates/bronzespool-batch/src/ledger/mod.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod crash;
+mod drain;
 mod explain;
 mod job;
 mod record;
@@ -11,7 +12,8 @@
 
 pub use {
     crash::{CrashEvidence, CrashFailure, CrashLog, CrashUnder},
-    explain::{Explanation, FailureCause},
+    drain::{CenterState, Drains},
+    explain::{CenterNames, Explanation, FailureCause},
     job::{ActiveRun, Job, Phase, StepState, Task},
     record::{Assignment, Event, EventOutcome, Record, RunEnd, RunOutcome, StopCause, WorkerSpec},
     wave::{Error as WaveError, Wave, WaveSpec},
@@ -49,6 +51,9 @@
     /// Summary of the learned run times.
     #[serde(deserialize_with = "run_times::read_or_default")]
     run_times: Arc<[u8]>,
+    /// Drained data centres.
+    #[serde(deserialize_with = "drain::read_or_default")]
+    drains: Drains,
 }
 
 impl Ledger {
--- a/crates/bronzespool-batch/src/ledger/record.rs
+++ b/crates/bronzespool-batch/src/ledger/record.rs
@@ -146,6 +146,20 @@
     TakenDown(Arc<str>),
     /// The leader's summary of the learned run times, encoded.
     EstimatesSaved(Arc<[u8]>),
+    /// Nothing more is started in a data centre.
+    CenterDrained {
+        /// The data centre.
+        center: Arc<str>,
+        /// Revision of its state that the command is based on.
+        base: u64,
+    },
+    /// Tasks may be started in a data centre again.
+    CenterRestored {
+        /// The data centre.
+        center: Arc<str>,
+        /// Revision of its state that the command is based on.
+        base: u64,
+    },
 }
 
 /// Events that are applied together.
