--- a/crates/bronzespool-batch/src/plan/capacity.rs
+++ b/crates/bronzespool-batch/src/plan/capacity.rs
@@ -8,6 +8,7 @@
             ClusterView, Permits, TaskGroup, apart,
             health::{Health, worker_health},
             place::Placement,
+            speed::SpeedClass,
             steps::StepCounter,
         },
         spec::{Resources, Step},
@@ -27,6 +28,8 @@
     pub(super) rack: usize,
     /// The worker's health by its recent failures.
     pub(super) health: Health,
+    /// Class of the worker's learned speed.
+    pub(super) speed: SpeedClass,
     /// Resources that are neither allocated to a run nor reserved.
     pub(super) free: Resources,
     /// Resources of runs that are being stopped, as far as they are not reserved.
@@ -110,6 +113,8 @@
     now: Time,
     /// Services with at most half of their capacity in use.
     idle: HashSet<Arc<str>>,
+    /// Whether a worker is known to be slower or faster than a typical one.
+    pub(super) has_uneven_speeds: bool,
     /// What the plan has examined so far.
     pub(super) steps: StepCounter,
 }
@@ -133,6 +138,7 @@
             permits: &view.permits,
             now: view.now,
             idle: HashSet::default(),
+            has_uneven_speeds: false,
             steps: StepCounter::default(),
         };
         for worker in ledger.workers().filter(schedulable) {
@@ -143,6 +149,7 @@
         capacity.form_racks();
         capacity.relax_quarantine();
         capacity.idle = capacity.idle_services();
+        capacity.has_uneven_speeds = capacity.slots.iter().any(|s| !s.speed.is_typical());
         capacity
     }
 
@@ -176,6 +183,7 @@
             worker,
             rack: 0,
             health: worker_health(worker, view.now),
+            speed: SpeedClass::of_worker(&view.estimates, &worker.spec.agent),
             free: match apart::is_occupied(self.ledger, worker, view.now) {
                 true => Resources::default(),
                 false => worker.free(),
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -9,6 +9,7 @@
 mod capacity;
 mod disruption;
 mod group;
+mod headroom;
 mod health;
 mod hold;
 mod maintenance;
@@ -17,6 +18,7 @@
 mod places;
 mod precedence;
 mod reclaim;
+mod speed;
 mod steps;
 mod time_left;
 mod urgency;
@@ -34,11 +36,13 @@
         candidate::{Candidates, ReleaseMode},
         capacity::{ClusterCapacity, Reservation},
         group::{LikeGroups, task_groups},
+        headroom::UrgentDemand,
         hold::{HeldPlacements, HoldState},
         place::{Placement, PlacementScope, place},
         places::PlaceIndex,
         precedence::precedence_of,
         reclaim::{ReleasePlan, ReleaseSearch},
+        speed::SpeedNeed,
         urgency::Urgency,
     },
     crate::{
@@ -91,6 +95,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
     held: HeldPlacements,
+    urgent: UrgentDemand,
     steps: PlanSteps,
 }
 
@@ -103,6 +108,7 @@
     /// Returns the events that the scheduling policy proposes next.
     pub fn plan(&mut self, ledger: &Ledger, view: &ClusterView) -> Vec<Event> {
         let mut pass = PlanPass::new(ledger, view, &mut self.held);
+        pass.headroom = self.urgent.headroom(ledger, &pass.precedence, &pass.capacity, view.now);
         let broken = group::runs_of_broken_gangs(ledger);
         if !broken.is_empty() {
             pass.events.push(Event::Stopping { runs: broken, cause: StopCause::Broken });
@@ -129,6 +135,8 @@
     places: PlaceIndex,
     held: &'a mut HeldPlacements,
     events: Vec<Event>,
+    /// Accelerators to keep free for urgent jobs, by service.
+    headroom: HashMap<Arc<str>, u64>,
     /// Number of tasks started so far.
     starts: usize,
     /// Number of reservations that may still be made.
@@ -148,6 +156,7 @@
             places: PlaceIndex::default(),
             held,
             events: Vec::new(),
+            headroom: HashMap::default(),
             starts: 0,
             reservations_left,
         }
@@ -179,21 +188,38 @@
     /// Starts a task group, preempts other runs for it or reserves capacity for it, trying the
     /// strictest scope first. Returns false if none of these was possible.
     fn schedule(&mut self, group: &TaskGroup<'_>, urgency: &Urgency) -> bool {
-        if self.follow_held(group) {
+        if self.follow_held(group, urgency) {
             return true;
         }
+        if self.needs_headroom(group) {
+            return false;
+        }
         if group.apart {
             return self.start_apart(group, urgency);
         }
         let scopes = scopes(group, urgency, &self.capacity, self.view);
         scopes.iter().enumerate().any(|(i, scope)| {
             let last = i + 1 == scopes.len();
-            self.start(group, *scope)
+            self.start(group, urgency, *scope)
                 || self.preempt(group, urgency, *scope)
                 || last && self.reserve(group, urgency, *scope)
         })
     }
 
+    /// Whether starting a group would take accelerators that are kept free for urgent jobs.
+    fn needs_headroom(&self, group: &TaskGroup<'_>) -> bool {
+        let is_first = self.precedence.priority(group.job) == 0;
+        if is_first || self.precedence.is_guaranteed(group) || self.capacity.is_idle(group.service)
+        {
+            return false;
+        }
+        let keep = self.headroom.get(group.service).copied().unwrap_or(0);
+        let need = group.spec.allocation().gpu * group.tasks.len() as u64;
+        let slots = self.capacity.slots.iter().filter(|s| s.worker.spec.service == *group.service);
+        let free: u64 = slots.map(|s| s.free.gpu).sum();
+        free < keep + need
+    }
+
     /// Starts a task group under which a worker has crashed. Only a guaranteed one may stop others.
     fn start_apart(&mut self, group: &TaskGroup<'_>, urgency: &Urgency) -> bool {
         let is_guaranteed = self.precedence.is_guaranteed(group);
@@ -209,12 +235,12 @@
 
     /// Starts a task group on its held placement, or goes on waiting for it. Returns false if it
     /// has none that still holds.
-    fn follow_held(&mut self, group: &TaskGroup<'_>) -> bool {
+    fn follow_held(&mut self, group: &TaskGroup<'_>, urgency: &Urgency) -> bool {
         let now = self.view.now;
         match self.held.state(group, &self.capacity, now) {
             HoldState::Free(placement) => self.start_on(group, &placement),
             HoldState::Pending(placement) => {
-                if group.apart || !self.start(group, PlacementScope::Local) {
+                if group.apart || !self.start(group, urgency, PlacementScope::Local) {
                     let reservation = Reservation { group, placement: &placement, victims: &[] };
                     self.capacity.reserve(&reservation);
                 }
@@ -224,10 +250,10 @@
         true
     }
 
-    fn start(&mut self, group: &TaskGroup<'_>, scope: PlacementScope) -> bool {
-        let Some(placement) = place(group, &self.capacity, &mut self.places, scope) else {
-            return false;
-        };
+    fn start(&mut self, group: &TaskGroup<'_>, urgency: &Urgency, scope: PlacementScope) -> bool {
+        let need = SpeedNeed::of(urgency);
+        let found = place(group, need, &self.capacity, &mut self.places, scope);
+        let Some(placement) = found else { return false };
         self.start_on(group, &placement);
         true
     }
@@ -280,7 +306,8 @@
         let contributed =
             group.spec.allocation().times(count).weight().saturating_mul(group.spec.estimate);
         let loss_max = if guaranteed { u64::MAX } else { contributed };
-        let (placement, victims, _) = self.release(group, scope, ReleaseMode::Preempt, loss_max)?;
+        let (placement, victims, _) =
+            self.release(group, urgency, scope, ReleaseMode::Preempt, loss_max)?;
         Some((placement, victims))
     }
 
@@ -295,13 +322,14 @@
         if urgency.misses_cutoff() || self.view.now.since(group.ready_at) < RESERVE_AFTER {
             return None;
         }
-        let found = self.release(group, scope, ReleaseMode::Wait, u64::MAX);
+        let found = self.release(group, urgency, scope, ReleaseMode::Wait, u64::MAX);
         found.map(|(placement, ..)| placement)
     }
 
     fn release(
         &mut self,
         group: &TaskGroup<'_>,
+        urgency: &Urgency,
         scope: PlacementScope,
         mode: ReleaseMode,
         loss_max: u64,
@@ -310,7 +338,8 @@
         let places = self.places.of_group(group, capacity);
         let (candidates, releases) =
             self.candidates.of_group(group, capacity, places, &self.precedence, mode);
-        ReleaseSearch { group, capacity, candidates, releases, places, loss_max }.place(scope)
+        let need = SpeedNeed::of(urgency);
+        ReleaseSearch { group, need, capacity, candidates, releases, places, loss_max }.place(scope)
     }
 }
 
--- a/crates/bronzespool-batch/src/plan/place.rs
+++ b/crates/bronzespool-batch/src/plan/place.rs
@@ -10,6 +10,7 @@
         TaskGroup,
         capacity::{ClusterCapacity, WorkerSlot, is_eligible},
         places::{PlaceIndex, Places},
+        speed::{SpeedNeed, SpeedRank},
     },
     spec::Resources,
 };
@@ -32,11 +33,12 @@
 /// Places a task group into capacity that is free now.
 pub(super) fn place(
     group: &TaskGroup<'_>,
+    need: SpeedNeed,
     capacity: &ClusterCapacity<'_>,
     index: &mut PlaceIndex,
     scope: PlacementScope,
 ) -> Option<Placement> {
-    let search = Search { group, capacity, places: index.of_group(group, capacity) };
+    let search = Search { group, need, capacity, places: index.of_group(group, capacity) };
     match scope {
         PlacementScope::Local => search.place_local(),
         PlacementScope::AnyRack => search.place_anywhere(),
@@ -73,15 +75,16 @@
 /// A search for a placement of one task group.
 struct Search<'a, 'b> {
     group: &'a TaskGroup<'a>,
+    need: SpeedNeed,
     capacity: &'a ClusterCapacity<'b>,
     places: &'a Places,
 }
 
 impl Search<'_, '_> {
     fn place_local(&self) -> Option<Placement> {
-        let Self { group, capacity, places } = self;
+        let Self { group, capacity, places, .. } = self;
         if group.spec.single_rack && group.tasks.len() > 1 {
-            if let Some(found) = self.place_in_fullest_rack() {
+            if let Some(found) = self.place_in_one_rack() {
                 return Some(found);
             }
             let mut racks = 0..capacity.racks.len();
@@ -100,13 +103,23 @@
         self.place_anywhere()
     }
 
-    /// Places the group in the fullest of the racks into which it fits, so that emptier racks stay
-    /// free for larger gangs.
-    fn place_in_fullest_rack(&self) -> Option<Placement> {
+    /// Places the group in one rack: where the worst of its workers is best by speed, and of racks
+    /// alike in the fullest one, so that emptier racks stay free for larger gangs.
+    fn place_in_one_rack(&self) -> Option<Placement> {
         let mut racks: Vec<usize> = (0..self.capacity.racks.len()).collect();
         racks.retain(|r| self.places.free.in_rack(*r) >= self.group.tasks.len() as u64);
         racks.sort_by_key(|r| self.capacity.rack_free[*r]);
-        racks.into_iter().find_map(|r| self.place_in_rack(r))
+        let mut found = racks.into_iter().filter_map(|r| self.place_in_rack(r));
+        if !self.capacity.has_uneven_speeds {
+            return found.next();
+        }
+        found.min_by_key(|placement| self.worst_rank(placement))
+    }
+
+    /// Returns the rank of the worker by which a gang is held up most.
+    fn worst_rank(&self, placement: &Placement) -> Option<SpeedRank> {
+        let slots = placement.iter().filter_map(|worker| self.capacity.slot_of(worker));
+        slots.map(|slot| self.need.rank(slot.speed)).max()
     }
 
     fn place_in_rack(&self, rack: usize) -> Option<Placement> {
@@ -128,7 +141,7 @@
         among: impl Iterator<Item = usize>,
         allowed: impl Fn(&WorkerSlot<'_>) -> bool,
     ) -> Option<Placement> {
-        let Self { group, capacity, places } = self;
+        let Self { group, capacity, places, .. } = self;
         let need = group.spec.allocation();
         let usable = among.filter(|i| {
             capacity.steps.add_workers(1);
@@ -149,7 +162,8 @@
                 let slot = &capacity.slots[o.slot];
                 let failed_before = task.failed_on.contains(&slot.incarnation().worker);
                 let rack_free = capacity.rack_free[slot.rack];
-                (failed_before, slot.health, tightness(&o.free, &need), rack_free)
+                let speed = self.need.rank(slot.speed);
+                (failed_before, slot.health, speed, tightness(&o.free, &need), rack_free)
             };
             let best = options.iter_mut().filter(fits).min_by_key(key)?;
             best.free = best.free.minus(&need);
--- a/crates/bronzespool-batch/src/plan/reclaim.rs
+++ b/crates/bronzespool-batch/src/plan/reclaim.rs
@@ -13,6 +13,7 @@
             capacity::{ClusterCapacity, WorkerSlot, is_eligible},
             place::{Placement, PlacementScope, fits_empty, tightness},
             places::Places,
+            speed::SpeedNeed,
         },
         spec::Resources,
     },
@@ -27,6 +28,7 @@
 /// What a search for a placement by release reads.
 pub(super) struct ReleaseSearch<'a, 'b> {
     pub(super) group: &'a TaskGroup<'a>,
+    pub(super) need: SpeedNeed,
     pub(super) capacity: &'a ClusterCapacity<'b>,
     /// Runs that can release capacity, by worker.
     pub(super) candidates: &'a [Vec<Candidate>],
@@ -116,7 +118,8 @@
                 let slot = &capacity.slots[w.slot];
                 let failed_before = task.failed_on.contains(&slot.incarnation().worker);
                 let loss = w.option.as_ref().map_or(0, |o| o.loss);
-                (failed_before, slot.health, loss, tightness(&w.available, &need))
+                let speed = self.need.rank(slot.speed);
+                (failed_before, slot.health, loss, speed, tightness(&w.available, &need))
             };
             let options = state.workers.iter().enumerate().filter(|(_, w)| w.option.is_some());
             let (best, worker) = options.min_by_key(key)?;
--- a/crates/bronzespool-batch/src/plan/urgency.rs
+++ b/crates/bronzespool-batch/src/plan/urgency.rs
@@ -58,6 +58,14 @@
         self.elapsed + self.remaining > self.allowed * CUTOFF_FACTOR
     }
 
+    /// Returns the time in which the rest of the job has to complete: until its allowed duration ends
+    /// or, if it will be exceeded, until the cutoff.
+    pub(super) fn time_left(&self) -> Duration {
+        let is_late = self.elapsed + self.remaining > self.allowed;
+        let whole = if is_late { self.allowed * CUTOFF_FACTOR } else { self.allowed };
+        whole.saturating_sub(self.elapsed)
+    }
+
     /// Whether there is enough time to wait for capacity before other runs are preempted.
     pub(super) fn can_wait(&self) -> bool {
         self.elapsed < self.allowed.saturating_sub(self.remaining + PREEMPTION_TIME)
