test(batch): the model of orders drains the worker's data centre

A new kind of fault, in a search of its own; the other searches draw what they drew before. The ideal worker is in another data centre, so that tasks can go on there.

--- a/crates/bronzespool-batch/tests/model/explore.rs
+++ b/crates/bronzespool-batch/tests/model/explore.rs
@@ -136,6 +136,21 @@
     check_at_random(Scope { faults: DRAINS, records_wait: true, ..Scope::LATE_CALLS });
 }
 
+const CENTER_DRAINS: &[FaultKind] = &[
+    FaultKind::Message,
+    FaultKind::Refusal,
+    FaultKind::Agent,
+    FaultKind::Leader,
+    FaultKind::Record,
+    FaultKind::CenterDrain,
+];
+
+// A run that is withdrawn from a drained data centre never runs beside the one that replaces it.
+#[test]
+fn search_drained_centers() {
+    check_at_random(Scope { faults: CENTER_DRAINS, records_wait: true, ..Scope::LATE_CALLS });
+}
+
 /// All faults but restarts under one name.
 const ALL_BUT_RESTARTS: &[FaultKind] = &[
     FaultKind::Message,
--- a/crates/bronzespool-batch/tests/model/fault.rs
+++ b/crates/bronzespool-batch/tests/model/fault.rs
@@ -28,6 +28,8 @@
     Silence,
     /// The worker accepts no new tasks any more.
     Drain,
+    /// The worker's data centre is drained, or the drain is revoked.
+    CenterDrain,
     /// The agent's process does nothing for a while, and no time passes for its timeouts.
     Freeze,
     /// A job is cancelled.
@@ -36,7 +38,7 @@
 
 impl FaultKind {
     /// All kinds, apart from calls that arrive twice, clocks that are set back, draining workers and
-    /// frozen agents.
+    /// data centres, and frozen agents.
     pub(crate) const ALL: &[Self] = &[
         Self::Message,
         Self::Refusal,
--- a/crates/bronzespool-batch/tests/model/fixture.rs
+++ b/crates/bronzespool-batch/tests/model/fixture.rs
@@ -23,6 +23,8 @@
 pub(crate) const FIRST_PROCESS: u32 = 1;
 /// Name of the worker that is modelled in full.
 pub(crate) const HOME: &str = "w0";
+/// Data centre of that worker.
+pub(crate) const HOME_CENTER: &str = "c1";
 /// Name of the ideal worker that runs the tasks which the leader assigns elsewhere.
 pub(crate) const ELSEWHERE: &str = "w9";
 
@@ -48,7 +50,7 @@
         incarnation: incarnation.clone(),
         agent: agent_name(),
         service: "desk".into(),
-        center: "c1".into(),
+        center: HOME_CENTER.into(),
         labels: vec!["r0".into()],
         capacity: Resources { cpu: 1_000, memory: 1_000, gpu: 1 },
         leaving: false,
@@ -59,6 +61,7 @@
 pub(crate) fn elsewhere_spec() -> WorkerSpec {
     WorkerSpec {
         agent: Instance::try_from("side-2").unwrap(),
+        center: "c2".into(),
         capacity: Resources { cpu: 1_000, memory: 1_000, gpu: 1_000 },
         ..spec(&incarnation(ELSEWHERE, 1))
     }
--- a/crates/bronzespool-batch/tests/model/leader.rs
+++ b/crates/bronzespool-batch/tests/model/leader.rs
@@ -5,7 +5,8 @@
     crate::{
         fault::InjectedFault,
         fixture::{
-            ELSEWHERE, FIRST_PROCESS, HOME, config, elsewhere_spec, incarnation, job, run, spec,
+            ELSEWHERE, FIRST_PROCESS, HOME, HOME_CENTER, config, elsewhere_spec, incarnation, job,
+            run, spec,
         },
         scope::Scope,
         state::digest_of,
@@ -309,6 +310,21 @@
         self.ledger.job(JobId(job))?.task(run(job, 1).task)
     }
 
+    /// Proposes that the data centre of the worker is drained, or that its drain is revoked.
+    pub(crate) fn toggle_center(&mut self) {
+        let (center, state) = (HOME_CENTER.into(), self.ledger.drains().state(HOME_CENTER));
+        let base = state.revision;
+        self.propose(vec![match state.drained {
+            true => Event::CenterRestored { center, base },
+            false => Event::CenterDrained { center, base },
+        }]);
+    }
+
+    /// Whether the data centre of the worker is drained.
+    pub(crate) fn is_home_drained(&self) -> bool {
+        self.ledger.drains().is_drained(HOME_CENTER)
+    }
+
     /// Proposes that a job is cancelled.
     pub(crate) fn cancel(&mut self, job: u64) {
         let mut events = vec![Event::Cancelled(JobId(job))];
--- a/crates/bronzespool-batch/tests/model/moves.rs
+++ b/crates/bronzespool-batch/tests/model/moves.rs
@@ -61,6 +61,8 @@
     Cut,
     /// The worker accepts no new tasks any more.
     Drain,
+    /// The worker's data centre is drained, or the drain is revoked.
+    ToggleCenter,
     /// The agent's process stands still.
     Freeze,
     /// A job is cancelled.
@@ -83,6 +85,7 @@
             Self::RestartWorker => Some(FaultKind::Restart),
             Self::Cut => Some(FaultKind::Silence),
             Self::Drain => Some(FaultKind::Drain),
+            Self::ToggleCenter => Some(FaultKind::CenterDrain),
             Self::Freeze => Some(FaultKind::Freeze),
             Self::Cancel(_) => Some(FaultKind::Cancel),
             _ => None,
@@ -155,6 +158,7 @@
         FaultKind::Restart => vec![Move::RestartWorker],
         FaultKind::Silence => vec![Move::Cut],
         FaultKind::Drain => vec![Move::Drain],
+        FaultKind::CenterDrain => vec![Move::ToggleCenter],
         FaultKind::Freeze => vec![Move::Freeze],
         FaultKind::Cancel => (1..=state.scope.jobs).map(Move::Cancel).collect(),
     }
--- a/crates/bronzespool-batch/tests/model/state.rs
+++ b/crates/bronzespool-batch/tests/model/state.rs
@@ -252,6 +252,7 @@
             }
             Move::Cut => self.cut = true,
             Move::Drain => self.draining = true,
+            Move::ToggleCenter => self.leader.toggle_center(),
             Move::Freeze => self.frozen = true,
             Move::Cancel(job) => self.leader.cancel(job),
             _ => return None,
@@ -403,7 +404,8 @@
         self.reset_rounds();
         self.apply_move(Move::ListNow);
         self.apply_move(Move::Poll);
-        self.apply_move(if self.draining { Move::PlanElsewhere } else { Move::PlanHome });
+        let elsewhere = self.draining || self.leader.is_home_drained();
+        self.apply_move(if elsewhere { Move::PlanElsewhere } else { Move::PlanHome });
         while self.apply_oldest() {}
     }
 
