feat(batch): cold workers of a restored data centre are loaded gradually

All workers of a data centre are idle when its drain is revoked, so that those which have just started and are still slow got all waiting work at once. An agent now reports the cold time of its worker's check-ins to the leader, in a call of its own since the records and messages about workers are positional. The planner holds back a share of such a worker that falls evenly until it is warm, except for the first task on an idle one, and only in data centres that a command has named. Plans are as before elsewhere.

`plan_cold_workers_of_a_restored_center_are_loaded_gradually` fails if nothing is held back.

--- a/crates/bronzespool-batch/src/lib.rs
+++ b/crates/bronzespool-batch/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub mod affected;
 pub mod agent;
+pub mod cold;
 pub mod config;
 pub mod contact;
 pub mod crash;
--- a/crates/bronzespool-batch/src/message.rs
+++ b/crates/bronzespool-batch/src/message.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        cold::ColdReport,
         config::Config,
         crash::Crash,
         id::{JobId, RunId, StepId, WorkerIncarnation},
@@ -287,6 +288,8 @@
     ReadCenter(Arc<str>),
     /// Drains a data centre, or revokes its drain.
     SetCenter(CenterCommand),
+    /// An agent's report that its worker is slow for a while.
+    ReportCold(ColdReport),
 }
 
 /// An operator's command for a data centre.
--- a/crates/bronzespool-batch/src/plan/capacity.rs
+++ b/crates/bronzespool-batch/src/plan/capacity.rs
@@ -29,6 +29,8 @@
     pub(super) health: Health,
     /// Resources that are neither allocated to a run nor reserved.
     pub(super) free: Resources,
+    /// Resources that are held back from all but the first task because the worker is cold.
+    held_back: Resources,
     /// Resources of runs that are being stopped, as far as they are not reserved.
     pub(super) releasing: Resources,
     /// Resources by which the other runs exceed a capacity that has shrunk. What they release counts
@@ -173,14 +175,20 @@
     }
 
     fn slot(&mut self, worker: &'a Worker, view: &ClusterView) -> WorkerSlot<'a> {
+        let cold = view.cold.held_back(self.ledger, worker, view.now);
+        let (now, later) = match worker.runs.is_empty() {
+            true => (Resources::default(), cold),
+            false => (cold, Resources::default()),
+        };
         let mut slot = WorkerSlot {
             worker,
             rack: 0,
             health: worker_health(worker, view.now),
             free: match apart::is_occupied(self.ledger, worker, view.now) {
                 true => Resources::default(),
-                false => worker.free(),
+                false => worker.free().minus(&now),
             },
+            held_back: later,
             releasing: Resources::default(),
             excess: worker.excess(),
             steps: HashMap::default(),
@@ -256,7 +264,8 @@
             let slot = &mut self.slots[i];
             *slot.steps.entry(group.step).or_default() += 1;
             let probation = slot.health == Health::Probation;
-            let rest = slot.free.minus(&allocation);
+            let held_back = std::mem::take(&mut slot.held_back);
+            let rest = slot.free.minus(&allocation).minus(&held_back);
             let is_full = probation || group.apart;
             self.set_free(i, if is_full { Resources::default() } else { rest });
         }
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -42,6 +42,7 @@
         urgency::Urgency,
     },
     crate::{
+        cold::ColdWorkers,
         id::{RunId, StepId},
         ledger::{Assignment, Event, Ledger, StopCause},
     },
@@ -81,6 +82,8 @@
     pub progress: HashMap<RunId, Progress>,
     /// Workers that are assigned no new tasks because their machines go down for maintenance next.
     pub draining: HashSet<Arc<str>>,
+    /// Workers that are slow because they have just started.
+    pub cold: ColdWorkers,
     /// Permits issued by the advice service.
     pub permits: Permits,
     /// Learned run times and worker speeds.
--- a/crates/bronzespool-batch/tests/drain.rs
+++ b/crates/bronzespool-batch/tests/drain.rs
@@ -7,6 +7,7 @@
     bronzespool_batch::{
         Event, EventOutcome, JobId, Ledger, Phase, RunId, Withdrawals,
         affected::RecordScope,
+        cold::ColdReport,
         config::Advice,
         exchange::poll_orders,
         ledger::{Assignment, CenterState, RunOutcome, StopCause, WorkerSpec},
@@ -14,7 +15,7 @@
         plan::Permits,
     },
     bronzespool_core::Instance,
-    common::{Cluster, SECOND, config, gang, incarnation, run, step},
+    common::{Cluster, SECOND, WORKER_CAPACITY, config, gang, incarnation, run, step},
     std::{collections::BTreeSet, sync::Arc},
 };
 
@@ -152,6 +153,61 @@
     assert_eq!(started_on(&mut cluster), names(&[2, 3]));
 }
 
+/// Lets a worker report that it stays cold for ten seconds.
+fn report_cold(cluster: &mut Cluster, worker: usize) {
+    let report = ColdReport { incarnation: incarnation(worker), remaining: 10_000 };
+    cluster.view.cold.record(cluster.view.now, report);
+}
+
+// All workers of a restored data centre are idle, so cold ones got all waiting work at once.
+#[test]
+fn plan_cold_workers_of_a_restored_center_are_loaded_gradually() {
+    let mut cluster = cluster(0);
+    CENTERS.iter().for_each(|c| set(&mut cluster, c, true));
+    set(&mut cluster, "north", false);
+    report_cold(&mut cluster, 0);
+    cluster.submit(1, 0, vec![step(16, 1)]);
+    let on_cold = |cluster: &Cluster| cluster.ledger.worker(&incarnation(0)).unwrap().runs.len();
+    cluster.plan();
+    assert_eq!(on_cold(&cluster), 1, "an idle worker may take one task");
+    assert_eq!(cluster.ledger.worker(&incarnation(1)).unwrap().runs.len(), 8, "a warm one is full");
+    for (span, runs) in [(1, 1), (4, 4), (2, 5), (2, 7), (1, 8)] {
+        cluster.pass(span * SECOND);
+        while !cluster.plan().is_empty() {}
+        assert_eq!(on_cold(&cluster), runs);
+    }
+}
+
+#[test]
+fn plan_worker_that_is_warm_early_is_loaded_at_once() {
+    let mut cluster = cluster(0);
+    set(&mut cluster, "north", true);
+    set(&mut cluster, "north", false);
+    report_cold(&mut cluster, 0);
+    let warm = ColdReport { incarnation: incarnation(0), remaining: 0 };
+    cluster.view.cold.record(cluster.view.now, warm);
+    cluster.submit(1, 0, vec![step(48, 1)]);
+    assert_eq!(cluster.started().len(), 48);
+}
+
+#[test]
+fn plan_cold_worker_takes_a_task_that_needs_all_of_it() {
+    let mut cluster = cluster(0);
+    CENTERS.iter().for_each(|c| set(&mut cluster, c, true));
+    set(&mut cluster, "north", false);
+    (0..2).for_each(|i| report_cold(&mut cluster, i));
+    cluster.submit(1, 0, vec![gang(2, WORKER_CAPACITY.gpu)]);
+    assert_eq!(started_on(&mut cluster), names(&[0, 1]));
+}
+
+#[test]
+fn plan_cold_worker_of_a_center_that_was_never_drained_is_as_any_other() {
+    let mut cluster = cluster(0);
+    (0..6).for_each(|i| report_cold(&mut cluster, i));
+    cluster.submit(1, 0, vec![step(48, 1)]);
+    assert_eq!(cluster.started().len(), 48);
+}
+
 #[test]
 fn plan_all_drained_jobs_wait_and_are_explained() {
     let mut cluster = cluster(0);
--- a/crates/bronzespoold/src/batch/agent.rs
+++ b/crates/bronzespoold/src/batch/agent.rs
@@ -10,10 +10,12 @@
     },
     bronzespool::{
         batch::{
+            WorkerIncarnation,
             agent::{
                 Action, Limits, ListFailure, ListRequest, Listing, Reconciler, StartOutcome,
                 StopOutcome,
             },
+            cold::ColdReport,
             ledger::WorkerSpec,
             message::{Call, Orders, Poll, Reply},
         },
@@ -45,6 +47,8 @@
 const POLL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Longest wait for the leader to record a crash. The poll after it does not wait longer.
 const CRASH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest wait for the leader to note that the worker is cold. The poll after it is delayed as long.
+const COLD_TIMEOUT: Duration = Duration::from_millis(300);
 /// Polls in flight at once: one that waits for orders, and one that carries a change.
 const POLLS_MAX: usize = 2;
 /// Shortest time between two polls. The leader answers a poll at once while it has orders, also those
@@ -111,6 +115,10 @@
     polls_sent: Cell<u32>,
     /// When the next poll may be sent.
     next_poll: Cell<Time>,
+    /// Report that the worker is cold, which the leader gets before the next poll.
+    cold: RefCell<Option<ColdReport>>,
+    /// Whether the worker was cold at its last check-in.
+    was_cold: Cell<bool>,
     /// Wakes the poll loop when there is a change to report to the leader.
     poll_wakeup: Notify,
 }
@@ -134,6 +142,8 @@
             last_orders: Cell::new(clock.now()),
             polls_sent: Cell::new(0),
             next_poll: Cell::new(clock.now()),
+            cold: RefCell::default(),
+            was_cold: Cell::default(),
             poll_wakeup: Notify::new(),
         })
     }
@@ -166,6 +176,25 @@
         }
     }
 
+    /// Handles a worker's word in its check-in that it stays slow for a while after its start.
+    pub fn note_cold(&self, incarnation: WorkerIncarnation, remaining: Duration) {
+        let remaining = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+        // A worker that is warm earlier than it said is reported once.
+        if self.was_cold.replace(remaining > 0) || remaining > 0 {
+            self.cold.replace(Some(ColdReport { incarnation, remaining }));
+        }
+    }
+
+    /// Tells the leader that the worker is cold, before a poll tells it of the worker. A report without
+    /// an answer is not repeated: the next check-in brings another one.
+    async fn report_cold(&self) {
+        let Some(report) = self.cold.take() else { return };
+        let call = Call::ReportCold(report);
+        if let Err(error) = self.leader_client.call(call, COLD_TIMEOUT).await {
+            log::debug!(error:%; "the leader was not told that the worker is cold");
+        }
+    }
+
     fn log_crash(&self) {
         let reconciler = self.reconciler.borrow();
         if let Some(crash) = reconciler.crash() {
@@ -282,6 +311,7 @@
     async fn poll(self: &Rc<Self>) {
         self.poll_slot().await;
         self.report_crashes().await;
+        self.report_cold().await;
         let sent = self.clock.now();
         self.polls_sent.set(self.polls_sent.get() + 1);
         let poll = self.reconciler.borrow().poll(sent, self.polls_sent.get());
--- a/crates/bronzespoold/src/control/batch/drain.rs
+++ b/crates/bronzespoold/src/control/batch/drain.rs
@@ -1,10 +1,11 @@
-//! Drains of data centres that operators order and revoke.
+//! Drains of data centres that operators order and revoke, and workers that are cold after them.
 
 use {
     crate::control::{batch::BatchController, replica::Result},
     bronzespool::{
         batch::{
             Event, EventOutcome,
+            cold::ColdReport,
             ledger::CenterState,
             message::{CenterCommand, Reply},
         },
@@ -45,6 +46,12 @@
         Err(Refusal::new(Code::Conflict, message))
     }
 
+    /// Notes that a worker is slow for a while. A next leader learns of it by the next check-in.
+    pub(super) fn record_cold(&self, report: ColdReport) -> Reply {
+        self.cold.borrow_mut().record(self.replica.log_time(), report);
+        Reply::Done
+    }
+
     fn center_state(&self, center: &str) -> CenterState {
         self.replica.state().batch().drains().state(center)
     }
--- a/crates/bronzespoold/src/control/batch/mod.rs
+++ b/crates/bronzespoold/src/control/batch/mod.rs
@@ -27,7 +27,7 @@
         },
     },
     bronzespool::{
-        batch::{Event, EventOutcome, Record, message, plan::Planner},
+        batch::{Event, EventOutcome, Record, cold::ColdWorkers, message, plan::Planner},
         core::{Code, Instance, Refusal},
         wire::message::{CallResult, Reply},
     },
@@ -43,6 +43,7 @@
     decision_log: Rc<RefCell<DecisionLog>>,
     external: RefCell<ExternalState>,
     planner: RefCell<Planner>,
+    cold: RefCell<ColdWorkers>,
     /// Name of this instance.
     instance: Instance,
 }
@@ -60,6 +61,7 @@
             decision_log: Rc::default(),
             external: RefCell::default(),
             planner: RefCell::default(),
+            cold: RefCell::default(),
             instance,
         })
     }
@@ -77,6 +79,7 @@
             message::Call::ReadWave(id) => self.read_wave(id).await?,
             message::Call::ReadCenter(center) => self.read_center(&center).await?,
             message::Call::SetCenter(command) => self.set_center(command).await?,
+            message::Call::ReportCold(report) => self.record_cold(report),
             message::Call::External(request) => self.external_call(*request).await?,
             message::Call::Ping(relay) => {
                 self.replica.read_barrier().await?;
--- a/crates/bronzespoold/src/control/batch/planner.rs
+++ b/crates/bronzespoold/src/control/batch/planner.rs
@@ -110,6 +110,7 @@
         cluster_view.progress = progress;
         let external = self.external.borrow();
         cluster_view.draining = external.maintenance.draining_workers().cloned().collect();
+        cluster_view.cold = self.cold.borrow().clone();
         cluster_view.permits = external.permits.clone();
         cluster_view
     }
