--- a/crates/bronzespoold/src/control/batch/mod.rs
+++ b/crates/bronzespoold/src/control/batch/mod.rs
@@ -29,7 +29,7 @@
         },
     },
     bronzespool::{
-        batch::{Event, EventOutcome, Record, message, plan::Planner},
+        batch::{Event, EventOutcome, Record, cold::ColdWorkers, message, plan::Planner},
         core::{Code, Instance, Refusal, settings::RunTimes},
         wire::message::{CallResult, Reply},
     },
@@ -46,6 +46,7 @@
     external: RefCell<ExternalState>,
     planner: RefCell<Planner>,
     run_times: Rc<RefCell<RunTimeLearner>>,
+    cold: RefCell<ColdWorkers>,
     /// Name of this instance.
     instance: Instance,
 }
@@ -65,6 +66,7 @@
             external: RefCell::default(),
             planner: RefCell::default(),
             run_times: Rc::new(RefCell::new(RunTimeLearner::new(run_times))),
+            cold: RefCell::default(),
             instance,
         })
     }
@@ -82,6 +84,7 @@
             message::Call::ReadWave(id) => self.read_wave(id).await?,
             message::Call::ReadCenter(center) => self.read_center(&center).await?,
             message::Call::SetCenter(command) => self.set_center(command).await?,
+            message::Call::ReportCold(report) => self.record_cold(report),
             message::Call::External(request) => self.external_call(*request).await?,
             message::Call::Ping(relay) => {
                 self.replica.read_barrier().await?;
--- a/crates/bronzespoold/src/control/batch/planner.rs
+++ b/crates/bronzespoold/src/control/batch/planner.rs
@@ -112,6 +112,7 @@
         cluster_view.progress = progress;
         let external = self.external.borrow();
         cluster_view.draining = external.maintenance.draining_workers().cloned().collect();
+        cluster_view.cold = self.cold.borrow().clone();
         cluster_view.permits = external.permits.clone();
         let term = self.replica.status().term;
         let run_times = self.run_times.borrow();
