refactor(batch): compare summaries by the model's own measure

Cause: the model's summary can tell whether another one says about the same (`Summary::is_near`), so the comparison of estimates here was a second one, with its own memory, and it took a summary for saved whose commit had failed.

The learner tells the model the data centres of workers. The placeholder in bronzespool-estimate has the model's signatures. `explain_steps` describes the expectations for the steps of a job that are not done.

--- a/crates/bronzespool-batch/src/sampling/expectation.rs
+++ b/crates/bronzespool-batch/src/sampling/expectation.rs
@@ -11,6 +11,9 @@
     std::{fmt, time::Duration},
 };
 
+/// Most steps that an explanation names.
+const EXPLAINED_STEPS_MAX: usize = 8;
+
 /// Expected duration of the tasks of a step on a typical worker.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StepExpectation {
@@ -29,7 +32,7 @@
         let (expected, high) = (seconds(work.expected), seconds(work.high));
         let (samples, declared) = (work.samples, seconds(*declared));
         write!(f, "step {step}: expected {expected}, 9 of 10 within {high}, ")?;
-        write!(f, "from {samples} runs; declared {declared}")
+        write!(f, "from {samples} runs, declared {declared}")
     }
 }
 
@@ -88,3 +91,14 @@
     };
     steps().filter(|s| !is_done(occurrence, *s)).filter_map(expectation).collect()
 }
+
+/// Describes the expectations for the steps of a job that are not done; empty if there are none.
+pub fn explain_steps(estimates: &Estimates, job: &Job) -> String {
+    let steps = step_expectations(estimates, job);
+    let mut parts: Vec<String> =
+        steps.iter().take(EXPLAINED_STEPS_MAX).map(ToString::to_string).collect();
+    if steps.len() > EXPLAINED_STEPS_MAX {
+        parts.push(format!("{} more steps", steps.len() - EXPLAINED_STEPS_MAX));
+    }
+    parts.join("; ")
+}
--- a/crates/bronzespool-batch/src/sampling/learner.rs
+++ b/crates/bronzespool-batch/src/sampling/learner.rs
@@ -1,13 +1,13 @@
 //! Run times that a leader learns during its term.
 
 use {
-    super::{CompletedRun, Sampler, SavedState, SpeedChange, SpeedWatch, worker_speeds},
+    super::{CompletedRun, Sampler, SpeedChange, SpeedWatch, worker_speeds},
     crate::{
         ledger::{Event, EventOutcome, Ledger, Record},
         message::Poll,
     },
-    bronzespool_core::Time,
-    bronzespool_estimate::{Estimates, Model},
+    bronzespool_core::{Center, HashMap, Instance, Time},
+    bronzespool_estimate::{Estimates, Model, Summary},
     std::{sync::Arc, time::Duration},
 };
 
@@ -36,8 +36,11 @@
     /// Whether there are samples since the latest fit.
     has_samples: bool,
     refit_at: Option<Time>,
-    saved: SavedState,
+    /// Whether there was a fit since the estimates were last compared with the saved ones.
+    has_fit: bool,
     saved_at: Option<Time>,
+    /// Data centres of the workers as the model knows them.
+    centers: HashMap<Instance, Arc<str>>,
     watch: SpeedWatch,
 }
 
@@ -47,13 +50,11 @@
         if self.term == term {
             return;
         }
-        let mut model = restore(ledger.run_times());
-        model.refit(ledger.log_time());
+        let model = Model::restore(&saved_summary(ledger));
         let estimates = model.estimates();
         let mut watch = SpeedWatch::default();
         watch.changes(worker_speeds(ledger, &estimates));
-        let saved = SavedState::default().next(ledger, &estimates);
-        *self = Self { term, model, estimates, saved, watch, ..Self::default() };
+        *self = Self { term, model, estimates, watch, ..Self::default() };
     }
 
     /// Returns the estimates of the latest fit of a term; none has been made before it has begun.
@@ -115,6 +116,8 @@
             return None;
         }
         self.refit_at = Some(now);
+        self.has_fit = true;
+        self.update_centers(ledger);
         self.model.refit(now);
         self.estimates = self.model.estimates();
         let mut factors: Vec<f64> =
@@ -127,26 +130,40 @@
         })
     }
 
-    /// Returns the event that saves a summary, if the estimates differ noticeably from the saved ones
-    /// and the latest summary is [`SAVE_INTERVAL`] ago.
+    /// Returns the event that saves a summary, if the estimates differ noticeably from those in the
+    /// ledger and the latest attempt to save them is [`SAVE_INTERVAL`] ago.
     pub fn summary(&mut self, now: Time, ledger: &Ledger) -> Option<Event> {
         let is_recent = self.saved_at.is_some_and(|at| now.since(at) < SAVE_INTERVAL);
-        if is_recent {
+        if is_recent || !std::mem::take(&mut self.has_fit) {
             return None;
         }
-        let state = self.saved.next(ledger, &self.estimates);
-        if !state.differs(&self.saved) {
+        let summary = self.model.summary();
+        if summary.is_near(&saved_summary(ledger)) {
             return None;
         }
-        let summary = postcard::to_stdvec(&self.model.summary()).ok()?;
-        self.saved = state;
+        let bytes = postcard::to_stdvec(&summary).ok()?;
         self.saved_at = Some(now);
-        Some(Event::EstimatesSaved(summary.into()))
+        Some(Event::EstimatesSaved(bytes.into()))
+    }
+
+    /// Tells the model in which data centres the workers are.
+    fn update_centers(&mut self, ledger: &Ledger) {
+        let mut centers = HashMap::default();
+        for worker in ledger.workers() {
+            let (agent, center) = (&worker.spec.agent, &worker.spec.center);
+            if self.centers.get(agent) != Some(center)
+                && let Ok(name) = Center::try_from(&**center)
+            {
+                self.model.set_center(agent, &name);
+            }
+            centers.insert(agent.clone(), Arc::clone(center));
+        }
+        self.centers = centers;
     }
 }
 
-/// Returns the model of a summary in the ledger. One that cannot be read, since it was saved by
-/// another version, leaves the model without evidence.
-fn restore(summary: &Arc<[u8]>) -> Model {
-    postcard::from_bytes(summary).map_or_else(|_| Model::new(), Model::restore)
+/// Returns the summary in a ledger. One that cannot be read, since another version has saved it, is
+/// empty.
+fn saved_summary(ledger: &Ledger) -> Summary {
+    postcard::from_bytes(ledger.run_times()).unwrap_or_default()
 }
--- a/crates/bronzespool-batch/src/sampling/mod.rs
+++ b/crates/bronzespool-batch/src/sampling/mod.rs
@@ -6,16 +6,18 @@
 //! times, so that they stay comparable after a change of leader.
 
 mod contact;
-mod drift;
 mod evidence;
 mod expectation;
 mod learner;
+mod speeds;
 mod track;
 
 pub use {
-    drift::{KindState, SavedState, SpeedChange, SpeedWatch, worker_speeds},
-    expectation::{StepExpectation, expected_duration, kind_of, step_expectations, step_key},
+    expectation::{
+        StepExpectation, expected_duration, explain_steps, kind_of, step_expectations, step_key,
+    },
     learner::{Learner, REFIT_INTERVAL, Refit, SAVE_INTERVAL},
+    speeds::{SpeedChange, SpeedWatch, worker_speeds},
 };
 
 use {
--- a/crates/bronzespool-estimate/src/model.rs
+++ b/crates/bronzespool-estimate/src/model.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{estimates::Estimates, sample::Sample},
-    bronzespool_core::Time,
+    bronzespool_core::{Center, Instance, Time},
     serde::{Deserialize, Serialize},
 };
 
@@ -10,6 +10,13 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Summary {}
 
+impl Summary {
+    /// Whether another summary says about the same.
+    pub const fn is_near(&self, _other: &Self) -> bool {
+        true
+    }
+}
+
 /// Learns run times and worker speeds from samples.
 #[derive(Clone, Debug, Default)]
 pub struct Model {}
@@ -23,6 +30,9 @@
     /// Adds a sample, which replaces an earlier one of the same run.
     pub fn record(&mut self, _sample: Sample) {}
 
+    /// Tells in which data centre a worker is. Workers with little evidence take after it.
+    pub const fn set_center(&mut self, _instance: &Instance, _center: &Center) {}
+
     /// Fits the effects of workers and steps to the samples.
     pub fn refit(&mut self, _now: Time) {}
 
@@ -32,7 +42,7 @@
     }
 
     /// Returns the model of a summary.
-    pub fn restore(_summary: Summary) -> Self {
+    pub fn restore(_summary: &Summary) -> Self {
         Self::default()
     }
 
