feat(control): expected durations in the explanation of a job

Cause: with learned run times an operator could not see what decisions expect of a job, and on how much evidence.

Change: with `--run-times learned` the explanation of a job names for up to eight steps that are not done the expected duration, the one that nine of ten tasks do not exceed, the number of runs behind it and the declared one.

--- a/crates/bronzespoold/src/control/batch/requests.rs
+++ b/crates/bronzespoold/src/control/batch/requests.rs
@@ -74,8 +74,11 @@
     /// Tells why a job is in its phase.
     pub(super) async fn explain(&self, id: JobId) -> Result<Reply> {
         self.replica.read_barrier().await?;
-        let explanation = self.replica.state().batch().explain(id);
-        let text = explanation.map(|e| e.to_string());
+        let term = self.replica.status().term;
+        let state = self.replica.state();
+        let explained = state.batch().job(id).zip(state.batch().explain(id));
+        let run_times = self.run_times.borrow();
+        let text = explained.map(|(job, e)| run_times.explain(term, job, e.to_string()));
         Ok(text.map_or(Reply::Denied(Denial::NoJob), Reply::Explained))
     }
 
--- a/crates/bronzespoold/src/control/batch/run_times.rs
+++ b/crates/bronzespoold/src/control/batch/run_times.rs
@@ -8,8 +8,9 @@
     bronzespool::{
         batch::{
             Event, EventOutcome, Ledger, Record,
+            ledger::Job,
             message::Poll,
-            sampling::{CompletedRun, Learner, REFIT_INTERVAL, Refit, SpeedChange},
+            sampling::{CompletedRun, Learner, REFIT_INTERVAL, Refit, SpeedChange, explain_steps},
         },
         core::{Time, settings::RunTimes},
         estimate::Estimates,
@@ -45,6 +46,12 @@
         self.learner.as_ref().map(|l| l.estimates(term))
     }
 
+    /// Returns an explanation of a job with the expectations for its steps, if run times are learned.
+    pub(super) fn explain(&self, term: u64, job: &Job, explanation: String) -> String {
+        let steps = self.estimates(term).map(|e| explain_steps(&e, job)).unwrap_or_default();
+        if steps.is_empty() { explanation } else { format!("{explanation}; {steps}") }
+    }
+
     /// Records a poll that arrived at a log time and was not late.
     pub(super) fn record_poll(&mut self, term: u64, at: Time, ledger: &Ledger, poll: &Poll) {
         let Some(learner) = &mut self.learner else { return };
