--- a/crates/bronzespool-telemetry/src/event/control.rs
+++ b/crates/bronzespool-telemetry/src/event/control.rs
@@ -147,7 +147,7 @@
         /// Milliseconds from the decision until it was applied.
         commit_ms: u64,
     }
-    /// A summary of the learned run times could not be saved. The next one follows with a change.
+    /// A summary of the learned run times could not be saved. The next attempt follows a fit, at least 10 s later.
     EstimatesNotSaved: Warn, Leader, "the learned run times could not be saved" {
         /// Result code.
         code: u16,
--- a/crates/bronzespoold/src/telemetry/mod.rs
+++ b/crates/bronzespoold/src/telemetry/mod.rs
@@ -11,7 +11,7 @@
         bound::{Bound, BoundReport},
     },
     bronzespool_telemetry::LogQueue,
-    metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
+    metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle},
     std::{
         sync::OnceLock,
         time::{Duration, Instant},
@@ -26,13 +26,19 @@
 const LATENCY_BUCKETS_SECONDS: [f64; 12] =
     [0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 1.0, 5.0, 30.0];
 
+/// Histogram of actual durations as multiples of expected ones, and its bucket bounds.
+const RATIO_METRIC: &str = "bronzespool_batch_run_time_ratio";
+const RATIO_BUCKETS: [f64; 12] = [0.125, 0.25, 0.5, 0.7, 0.8, 0.9, 1.0, 1.1, 1.25, 1.5, 2.0, 8.0];
+
 /// Starts the metrics recorder.
 ///
 /// # Errors
 ///
 /// If the recorder cannot be built.
 pub fn start_metrics() -> Result<(), BuildError> {
-    let builder = PrometheusBuilder::new().set_buckets(&LATENCY_BUCKETS_SECONDS)?;
+    let builder = PrometheusBuilder::new()
+        .set_buckets(&LATENCY_BUCKETS_SECONDS)?
+        .set_buckets_for_metric(Matcher::Full(RATIO_METRIC.to_owned()), &RATIO_BUCKETS)?;
     let handle = METRICS.get_or_init(|| {
         let recorder = builder.build_recorder();
         let handle = recorder.handle();
