refactor(control): cheaper bookkeeping of learned run times

Cause: the term was read from the whole status of the replica, with its members, for each poll and proposal; ended runs were searched for twice a second; a run whose first poll came before its event was recorded had no expectation.

Change: the replica tells its term alone; ended runs are searched for every 10 s; the expectation is set when the event is recorded. Tests share one way to make a poll.

--- a/crates/bronzespool-batch/src/sampling/learner.rs
+++ b/crates/bronzespool-batch/src/sampling/learner.rs
@@ -16,6 +16,9 @@
 /// Shortest time between two summaries in the log.
 pub const SAVE_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Time between two searches for runs that no worker holds any more. Most are forgotten at their end.
+const FORGET_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Result of a fit.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Refit {
@@ -36,6 +39,7 @@
     /// Whether there are samples since the latest fit.
     has_samples: bool,
     refit_at: Option<Time>,
+    forgotten_at: Time,
     /// Whether there was a fit since the estimates were last compared with the saved ones.
     has_fit: bool,
     saved_at: Option<Time>,
@@ -111,7 +115,10 @@
         if is_recent {
             return None;
         }
-        self.sampler.forget_ended(ledger);
+        if now.since(self.forgotten_at) >= FORGET_INTERVAL {
+            self.forgotten_at = now;
+            self.sampler.forget_ended(ledger);
+        }
         if !std::mem::take(&mut self.has_samples) {
             return None;
         }
--- a/crates/bronzespool-batch/src/sampling/mod.rs
+++ b/crates/bronzespool-batch/src/sampling/mod.rs
@@ -74,7 +74,7 @@
         let interrupted = state == ContactState::Restored;
         let disturbs_all = is_cold || interrupted || has_best_effort_run(ledger, worker);
         for run in worker.runs.keys() {
-            let Some(track) = self.track(ledger, worker, *run, None) else { continue };
+            let Some(track) = self.track(ledger, worker, *run) else { continue };
             if disturbs_all || ledger.is_unwanted(*run) {
                 track.disturb();
             }
@@ -148,7 +148,10 @@
             expected_duration(estimates, job, run.task.step, &worker.spec.agent)
         };
         let expected = expected();
-        self.track(ledger, worker, run, expected);
+        // A poll may have been recorded before this event.
+        if let Some(track) = self.track(ledger, worker, run) {
+            track.expected = track.expected.or(expected);
+        }
     }
 
     fn record_end(&mut self, at: Time, ledger: &Ledger, end: &RunEnd) -> Option<CompletedRun> {
@@ -159,13 +162,7 @@
     }
 
     /// Returns the track of a run that a worker holds, and creates it on first use.
-    fn track(
-        &mut self,
-        ledger: &Ledger,
-        worker: &Worker,
-        run: RunId,
-        expected: Option<Duration>,
-    ) -> Option<&mut RunTrack> {
+    fn track(&mut self, ledger: &Ledger, worker: &Worker, run: RunId) -> Option<&mut RunTrack> {
         if !self.runs.contains_key(&run) {
             if self.runs.len() >= RUNS_MAX {
                 return None;
@@ -175,8 +172,8 @@
             let active = job.active_run(run)?;
             let agent = worker.spec.agent.clone();
             let since = self.contacts.since(&agent);
-            let is_whole = since.is_some_and(|since| since <= active.assigned_at);
-            let mut track = RunTrack::new(agent, active, step, is_whole, expected);
+            let is_in_contact = since.is_some_and(|since| since <= active.assigned_at);
+            let mut track = RunTrack::new(agent, active, step, is_in_contact);
             if !is_evidence(job, step, run, |i: &WorkerIncarnation| ledger.worker(i)) {
                 track.disturb();
             }
--- a/crates/bronzespool-batch/src/sampling/track.rs
+++ b/crates/bronzespool-batch/src/sampling/track.rs
@@ -53,11 +53,10 @@
         active: &ActiveRun,
         step: &Step,
         is_in_contact: bool,
-        expected: Option<Duration>,
     ) -> Self {
         Self {
             agent,
-            expected,
+            expected: None,
             is_over: false,
             assigned_at: active.assigned_at,
             is_whole: is_in_contact && active.checkpoint.is_empty() && !step.gang,
--- a/crates/bronzespool-batch/tests/common/mod.rs
+++ b/crates/bronzespool-batch/tests/common/mod.rs
@@ -8,6 +8,7 @@
         WorkerIncarnation,
         config::{Pool, Queue, Team},
         ledger::{Assignment, RunEnd, RunOutcome, WorkerSpec},
+        message::{Poll, PollId, RunStatus},
         plan::{ClusterView, Planner},
         spec::{JobSpec, Resources},
     },
@@ -69,6 +70,10 @@
     WorkerIncarnation { worker: format!("w{i}").into(), started_at: 1 }
 }
 
+pub fn agent(i: usize) -> Instance {
+    Instance::try_from(format!("side-{i}")).unwrap()
+}
+
 /// A ledger and a view in which all workers are in contact.
 pub struct Cluster {
     pub ledger: Ledger,
@@ -97,7 +102,7 @@
     pub fn up(&mut self, i: usize, rack: usize, leaving: bool) -> EventOutcome {
         let spec = WorkerSpec {
             incarnation: incarnation(i),
-            agent: Instance::try_from(format!("side-{i}")).unwrap(),
+            agent: agent(i),
             service: "desk".into(),
             center: "c1".into(),
             labels: vec!["a".into(), format!("r{rack}").into()],
@@ -171,6 +176,27 @@
         unwanted.len()
     }
 
+    /// Returns a poll of the agent of a worker that lists runs with their progress.
+    pub fn poll(&self, i: usize, position: u32, running: &[(RunId, u32)]) -> Poll {
+        let status = |(run, percent): &(RunId, u32)| RunStatus {
+            run: *run,
+            checkpoint: "".into(),
+            percent: *percent,
+            usage: 0,
+        };
+        Poll {
+            agent: agent(i),
+            id: PollId::new(1, position),
+            relay: None,
+            worker: self.ledger.worker(&incarnation(i)).map(|w| w.spec.clone()),
+            gone: Vec::new(),
+            running: running.iter().map(status).collect(),
+            ends: Vec::new(),
+            refused: Vec::new(),
+            in_flight: Vec::new(),
+        }
+    }
+
     pub fn phase(&self, id: u64) -> Phase {
         self.ledger.job(JobId(id)).expect("a job").phase
     }
--- a/crates/bronzespool-batch/tests/learner.rs
+++ b/crates/bronzespool-batch/tests/learner.rs
@@ -6,12 +6,10 @@
     bronzespool_batch::{
         Event, JobId, Record, RunId, StepId, TaskId,
         ledger::{Assignment, RunEnd, RunOutcome},
-        message::{Poll, PollId, RunStatus},
         sampling::{CompletedRun, Learner, REFIT_INTERVAL, Refit},
     },
-    bronzespool_core::Instance,
     bronzespool_estimate::Speed,
-    common::{Cluster, SECOND, incarnation, run, step},
+    common::{Cluster, SECOND, agent, incarnation, run, step},
     std::{sync::Arc, time::Duration},
 };
 
@@ -62,18 +60,7 @@
     /// Polls with the progress of a run on a worker; returns the number of samples.
     fn poll(&mut self, term: u64, worker: usize, run: RunId, percent: u32) -> usize {
         self.polls += 1;
-        let status = RunStatus { run, checkpoint: "".into(), percent, usage: 0 };
-        let poll = Poll {
-            agent: agent(worker),
-            id: PollId::new(1, self.polls),
-            relay: None,
-            worker: self.cluster.ledger.worker(&incarnation(worker)).map(|w| w.spec.clone()),
-            gone: Vec::new(),
-            running: vec![status],
-            ends: Vec::new(),
-            refused: Vec::new(),
-            in_flight: Vec::new(),
-        };
+        let poll = self.cluster.poll(worker, self.polls, &[(run, percent)]);
         let (now, ledger) = (self.cluster.view.now, &self.cluster.ledger);
         self.learner.record_poll(term, now, ledger, &poll, false)
     }
@@ -145,7 +132,3 @@
     led.learner.enter_term(2, &led.cluster.ledger);
     assert_eq!(led.learner.estimates(2).speed(&agent(0)), Speed::UNKNOWN);
 }
-
-fn agent(worker: usize) -> Instance {
-    Instance::try_from(format!("side-{worker}")).unwrap()
-}
--- a/crates/bronzespool-batch/tests/sampling.rs
+++ b/crates/bronzespool-batch/tests/sampling.rs
@@ -6,12 +6,10 @@
     bronzespool_batch::{
         Event, JobId, RunId, Step, StepId, TaskId,
         ledger::{Assignment, RunEnd, RunOutcome, StopCause},
-        message::{Poll, PollId, RunStatus},
         sampling::{CompletedRun, Sampler, SpeedWatch, explain_steps, step_key},
     },
-    bronzespool_core::Instance,
     bronzespool_estimate::{Estimates, Sample, Speed},
-    common::{Cluster, SECOND, gang, incarnation, run, step},
+    common::{Cluster, SECOND, agent, gang, incarnation, run, step},
     std::time::Duration,
 };
 
@@ -65,24 +63,7 @@
     }
 
     fn poll_as(&mut self, worker: usize, running: &[(RunId, u32)], position: u32) -> Vec<Sample> {
-        let spec = self.cluster.ledger.worker(&incarnation(worker)).map(|w| w.spec.clone());
-        let status = |(run, percent): &(RunId, u32)| RunStatus {
-            run: *run,
-            checkpoint: "".into(),
-            percent: *percent,
-            usage: 0,
-        };
-        let poll = Poll {
-            agent: agent(worker),
-            id: PollId::new(worker as u32, position),
-            relay: None,
-            worker: spec,
-            gone: Vec::new(),
-            running: running.iter().map(status).collect(),
-            ends: Vec::new(),
-            refused: Vec::new(),
-            in_flight: Vec::new(),
-        };
+        let poll = self.cluster.poll(worker, position, running);
         self.sampler.record_poll(self.cluster.view.now, &self.cluster.ledger, &poll, self.cold)
     }
 
@@ -280,10 +261,6 @@
     assert_eq!(step_key(FIRST.task.step).0, 15_762_493_511_577_377_688);
 }
 
-fn agent(worker: usize) -> Instance {
-    Instance::try_from(format!("side-{worker}")).unwrap()
-}
-
 #[test]
 fn speed_watch_reports_a_change_once() {
     let mut watch = SpeedWatch::default();
--- a/crates/bronzespoold/src/control/batch/mod.rs
+++ b/crates/bronzespoold/src/control/batch/mod.rs
@@ -107,7 +107,7 @@
         let proposal = self.replica.start_proposal(&command)?;
         let (clock, replica) = (self.clock, Rc::clone(&self.replica));
         let (agents, decision_log) = (Rc::clone(&self.agents), Rc::clone(&self.decision_log));
-        let (run_times, term) = (Rc::clone(&self.run_times), self.replica.status().term);
+        let (run_times, term) = (Rc::clone(&self.run_times), self.replica.term());
         let applied = spawn_local(async move {
             let effect = proposal.applied().await?;
             let took = clock.now().since(begun);
--- a/crates/bronzespoold/src/control/batch/planner.rs
+++ b/crates/bronzespoold/src/control/batch/planner.rs
@@ -46,7 +46,7 @@
 
     async fn plan_once(&self) -> Result<()> {
         self.replica.read_barrier().await?;
-        let term = self.replica.status().term;
+        let term = self.replica.term();
         self.agents.borrow_mut().enter_term(term, self.clock.now());
         self.run_times.borrow_mut().enter_term(term, self.replica.state().batch());
         let mut events = self.gone_workers();
@@ -113,8 +113,8 @@
         let external = self.external.borrow();
         cluster_view.draining = external.maintenance.draining_workers().cloned().collect();
         cluster_view.permits = external.permits.clone();
-        let term = self.replica.status().term;
-        cluster_view.estimates = self.run_times.borrow().estimates(term).unwrap_or_default();
+        let estimates = self.run_times.borrow().estimates(self.replica.term());
+        cluster_view.estimates = estimates.unwrap_or_default();
         cluster_view
     }
 }
--- a/crates/bronzespoold/src/control/batch/polls.rs
+++ b/crates/bronzespoold/src/control/batch/polls.rs
@@ -83,7 +83,7 @@
     }
 
     fn sample_poll(&self, poll: &Poll) {
-        let (term, at) = (self.replica.status().term, self.replica.log_time());
+        let (term, at) = (self.replica.term(), self.replica.log_time());
         let state = self.replica.state();
         self.run_times.borrow_mut().record_poll(term, at, state.batch(), poll);
     }
--- a/crates/bronzespoold/src/control/batch/requests.rs
+++ b/crates/bronzespoold/src/control/batch/requests.rs
@@ -74,7 +74,7 @@
     /// Tells why a job is in its phase.
     pub(super) async fn explain(&self, id: JobId) -> Result<Reply> {
         self.replica.read_barrier().await?;
-        let term = self.replica.status().term;
+        let term = self.replica.term();
         let state = self.replica.state();
         let explained = state.batch().job(id).zip(state.batch().explain(id));
         let run_times = self.run_times.borrow();
--- a/crates/bronzespoold/src/control/batch/run_times.rs
+++ b/crates/bronzespoold/src/control/batch/run_times.rs
@@ -127,7 +127,7 @@
         if self.replica.read_barrier().await.is_err() {
             return Ok(());
         }
-        let term = self.replica.status().term;
+        let term = self.replica.term();
         let now = self.replica.log_time();
         let summary = self.refit(term, now);
         if let Some(summary) = summary {
--- a/crates/bronzespoold/src/control/replica.rs
+++ b/crates/bronzespoold/src/control/replica.rs
@@ -169,6 +169,11 @@
         self.node.borrow().status()
     }
 
+    /// Term of the consensus node.
+    pub(super) fn term(&self) -> Term {
+        self.node.borrow().term()
+    }
+
     /// Whether this replica leads and holds the leader lease, so that no other replica can lead.
     pub(super) fn leads(&self) -> bool {
         self.node.borrow().has_lease(self.clock.now())
