--- a/crates/bronzespoold/src/control/batch/planner.rs
+++ b/crates/bronzespoold/src/control/batch/planner.rs
@@ -46,7 +46,7 @@
 
     async fn plan_once(&self) -> Result<()> {
         self.replica.read_barrier().await?;
-        let term = self.replica.status().term;
+        let term = self.replica.term();
         self.agents.borrow_mut().enter_term(term, self.clock.now());
         self.run_times.borrow_mut().enter_term(term, self.replica.state().batch());
         let mut events = self.gone_workers();
@@ -114,10 +114,9 @@
         cluster_view.draining = external.maintenance.draining_workers().cloned().collect();
         cluster_view.cold = self.cold.borrow().clone();
         cluster_view.permits = external.permits.clone();
-        let term = self.replica.status().term;
         let run_times = self.run_times.borrow();
         cluster_view.urgent_headroom = run_times.is_enabled();
-        cluster_view.estimates = run_times.estimates(term).unwrap_or_default();
+        cluster_view.estimates = run_times.estimates(self.replica.term()).unwrap_or_default();
         cluster_view
     }
 }
