--- a/crates/bronzespool-estimate/src/fit.rs
+++ b/crates/bronzespool-estimate/src/fit.rs
@@ -32,6 +32,9 @@
 const MAD_TO_SD: f64 = 1.4826;
 /// Number of runs that the noise counts as in the noise of one worker.
 const SCATTER_PRIOR_RUNS: f64 = 4.0;
+/// Largest residual in the noise of one worker, in units of the noise, so that one run in the tail
+/// does not hide the worker's speed.
+const SCATTER_MAX: f64 = 4.0;
 /// Variance of a step's work in units of that of one run; covers runs in the tail.
 const STEP_VARIANCE: f64 = 2.0;
 /// Fewest latest runs that show a change of speed.
@@ -77,6 +80,8 @@
     pub(crate) samples: u32,
     /// Whether the speed has changed and few runs have been seen since.
     pub(crate) changed: bool,
+    /// Whether the former fit reported a speed that is not typical.
+    pub(crate) atypical: bool,
 }
 
 /// The fit's data, laid out for the sweeps.
@@ -127,6 +132,7 @@
                 noise: fit.noise,
                 samples: 0,
                 changed: worker.changed,
+                atypical: worker.reported.is_some_and(|speed| speed != 0.0),
             });
         }
         fit.weigh(windows);
@@ -290,7 +296,8 @@
             let (mut squares, mut count) = (0.0, 0.0);
             for row in self.rows[rows.clone()].iter().filter(|r| r.share > 0.0) {
                 let residual = self.steps[row.step] - row.observed - worker.speed;
-                squares += residual * residual * row.aged;
+                let bounded = residual.abs().min(SCATTER_MAX * self.noise);
+                squares += bounded * bounded * row.aged;
                 count += row.aged;
             }
             let prior = SCATTER_PRIOR_RUNS * self.noise * self.noise;
--- a/crates/bronzespool-estimate/src/model.rs
+++ b/crates/bronzespool-estimate/src/model.rs
@@ -88,6 +88,7 @@
         fit.store(&mut self.windows);
         let centers: Vec<_> = self.windows.workers.values().map(|w| w.center.as_ref()).collect();
         let reported = speeds::reported(fit.workers(), &centers);
+        self.shift_reported(&fit, &reported);
         fit.store_work(&reported, &mut self.windows);
         self.visits += fit.visits;
         self.fit_kinds(&reported);
@@ -111,22 +112,38 @@
         fit
     }
 
-    /// Adapts all that is kept in logarithms to a typical worker that is faster by `shift`.
+    /// Adapts what the fit of speeds keeps to a typical worker that is faster by `shift`, in
+    /// logarithms.
     fn shift(&mut self, shift: f64) {
-        if shift == 0.0 {
-            return;
-        }
         for worker in self.windows.workers.values_mut() {
             worker.prior.iter_mut().for_each(|p| p.speed -= shift);
         }
-        self.restored.values_mut().for_each(|s| s.speed -= shift);
         for step in self.windows.steps.values_mut() {
             step.past.shift(shift);
             step.effect = step.effect.map(|e| e - shift);
-            step.work = step.work.map(|(work, variance)| (work - shift, variance));
         }
-        self.windows.kinds.values_mut().for_each(|k| k.model.shift(shift));
+    }
+
+    /// Adapts what was learned with the reported speeds of the former fit, if another worker has
+    /// become typical: then the reported speeds of the workers behind it change by the same factor.
+    fn shift_reported(&mut self, fit: &Fit, reported: &[f64]) {
+        let mut changes = Vec::with_capacity(reported.len());
+        let windows = self.windows.workers.values_mut();
+        for ((window, effect), speed) in windows.zip(fit.workers()).zip(reported) {
+            let former = window.reported.replace(*speed);
+            let known = former.filter(|_| effect.samples > 0);
+            changes.extend(known.map(|former| (speed - former, window.runs_seen)));
+        }
+        let shift = -weighted_median(&mut changes);
+        if shift == 0.0 {
+            return;
+        }
+        self.restored.values_mut().for_each(|s| s.speed -= shift);
         self.restored_kinds.values_mut().for_each(|k| k.intercept -= shift);
+        self.windows.kinds.values_mut().for_each(|k| k.model.shift(shift));
+        for step in self.windows.steps.values_mut() {
+            step.work = step.work.map(|(work, variance)| (work - shift, variance));
+        }
     }
 
     fn fit_kinds(&mut self, reported: &[f64]) {
@@ -173,3 +190,17 @@
         inner.into()
     }
 }
+
+/// Median of values with weights; zero without values.
+fn weighted_median(values: &mut [(f64, u32)]) -> f64 {
+    values.sort_unstable_by(|(a, _), (b, _)| a.total_cmp(b));
+    let whole: u64 = values.iter().map(|(_, weight)| u64::from(*weight)).sum();
+    let mut sum = 0;
+    for (value, weight) in values {
+        sum += u64::from(*weight);
+        if sum * 2 >= whole {
+            return *value;
+        }
+    }
+    0.0
+}
--- a/crates/bronzespool-estimate/src/speeds.rs
+++ b/crates/bronzespool-estimate/src/speeds.rs
@@ -17,18 +17,23 @@
 const GATE_OPEN: f64 = 3.0;
 /// Deviation, in standard errors, from which a worker is taken for an exception.
 const EXCEPTION: f64 = 4.0;
+/// Deviation, in standard errors, down to which it stays one.
+const EXCEPTION_STAYS: f64 = 2.5;
 /// Fewest runs of an exception: a single run may be in the tail.
 const EXCEPTION_RUNS: u32 = 3;
 /// Prior standard deviation of the logarithm of an exception's speed.
 const EXCEPTION_SD: f64 = 1.0;
-/// Smallest deviation that is reported, as a logarithm: 5 %.
-const DEAD_BAND: f64 = 0.05;
+/// Smallest deviation that is reported, as a logarithm: 8 %.
+const DEAD_BAND: f64 = 0.08;
 /// Least evidence, in complete runs, of a worker that says something about the others.
 const WEIGHT_MIN: f64 = 0.5;
 /// Standard deviations by which the workers' spread must exceed that of equal workers.
 const SPREAD_SDS: f64 = 2.0;
 /// Variance of a median in units of that of a mean.
 const MEDIAN_VARIANCE: f64 = 1.57;
+/// Smallest level of a data centre that is reported, as a logarithm: 16 %. Below it, the data
+/// centre of most workers got a level from the error of the typical worker.
+const LEVEL_MIN: f64 = 0.15;
 /// Largest deviation that is reported, as a logarithm: a factor of 32.
 const DEVIATION_MAX: f64 = 3.47;
 
@@ -76,7 +81,7 @@
     let squares: f64 = known.iter().map(|e| (e.speed - middle).powi(2)).sum();
     let errors: f64 = known.iter().map(|e| error(e)).sum();
     let variance = squares.max(errors) / count * MEDIAN_VARIANCE / count;
-    middle * gate(middle / variance.sqrt())
+    if middle.abs() < LEVEL_MIN { 0.0 } else { middle * gate(middle / variance.sqrt()) }
 }
 
 /// Variance of the speeds of workers of one data centre, beyond what their errors explain.
@@ -102,7 +107,8 @@
         return 0.0;
     }
     let (error, deviation) = (error(effect), effect.speed - level);
-    let far = deviation.abs() > EXCEPTION * error.sqrt() && effect.samples >= EXCEPTION_RUNS;
+    let limit = if effect.atypical { EXCEPTION_STAYS } else { EXCEPTION };
+    let far = deviation.abs() > limit * error.sqrt() && effect.samples >= EXCEPTION_RUNS;
     let exception = far || effect.changed;
     let prior = if exception { spread.max(EXCEPTION_SD * EXCEPTION_SD) } else { spread };
     let share = prior / (prior + error);
--- a/crates/bronzespool-estimate/src/window.rs
+++ b/crates/bronzespool-estimate/src/window.rs
@@ -31,6 +31,9 @@
 const PAST_WEIGHT_MAX: f64 = 16.0;
 /// Smallest growth of the extrapolated duration of a run that was slowed, as a logarithm: 20 %.
 const SLOWED_MIN: f64 = 0.18;
+/// Number of runs up to which those of a worker are counted. Evidence about kinds is older than
+/// the windows of workers, but fades too.
+const RUNS_SEEN_MAX: u32 = 64;
 /// Fewest runs of a step from whose mean single runs are measured.
 const RESIDUAL_RUNS_MIN: u32 = 3;
 /// Shortest duration that is taken as a logarithm, in seconds.
@@ -96,10 +99,14 @@
     pub(crate) runs: VecDeque<Run>,
     /// Logarithm of the speed in the latest fit, before it is shrunk and gated.
     pub(crate) speed: f64,
+    /// Logarithm of the speed that the latest fit reported.
+    pub(crate) reported: Option<f64>,
     /// Speed from a summary, until it is outweighed by runs.
     pub(crate) prior: Option<Prior>,
     /// Whether the speed has changed and few runs have been seen since.
     pub(crate) changed: bool,
+    /// Number of completed runs, at most [`RUNS_SEEN_MAX`].
+    pub(crate) runs_seen: u32,
     pub(crate) center: Option<Center>,
     used: u64,
 }
@@ -204,10 +211,10 @@
     ) -> Option<Run> {
         let observed = log_seconds(sample.observed)?;
         self.recorded += 1;
-        let earlier = self.take(sample);
+        let (instance, earlier) = self.take(sample).unzip();
         let outdated = |run: &Run| sample.at < run.at || (run.complete && !sample.complete);
         if earlier.as_ref().is_some_and(outdated) {
-            self.insert(sample.instance.clone(), earlier?, restored.0);
+            self.insert(instance?, earlier?, restored.0);
             return None;
         }
         let declared = log_seconds(sample.declared);
@@ -233,13 +240,13 @@
     }
 
     /// Removes the earlier sample of the same run.
-    fn take(&mut self, sample: &Sample) -> Option<Run> {
-        let step = self.steps.get_mut(&sample.step);
-        let instance = step.and_then(|s| s.runs.remove(&sample.run));
-        let worker = self.workers.get_mut(instance.as_ref().unwrap_or(&sample.instance))?;
+    fn take(&mut self, sample: &Sample) -> Option<(Instance, Run)> {
+        let step = self.steps.get_mut(&sample.step)?;
+        let instance = step.runs.remove(&sample.run)?;
+        let worker = self.workers.get_mut(&instance)?;
         let same = |r: &Run| r.step == sample.step && r.number == sample.run;
         let at = worker.runs.iter().position(same)?;
-        worker.runs.remove(at)
+        Some((instance, worker.runs.remove(at)?))
     }
 
     fn insert(&mut self, instance: Instance, run: Run, prior: Option<Prior>) {
@@ -247,6 +254,7 @@
             step.runs.insert(run.number, instance.clone());
         }
         let worker = self.worker(instance.clone(), prior);
+        worker.runs_seen = RUNS_SEEN_MAX.min(worker.runs_seen + u32::from(run.complete));
         worker.runs.push_back(run);
         let (speed, over) = (worker.speed, worker.runs.len() > WORKER_SAMPLES_MAX);
         let oldest = over.then(|| worker.runs.pop_front()).flatten();
--- a/crates/bronzespool-estimate/tests/common/mod.rs
+++ b/crates/bronzespool-estimate/tests/common/mod.rs
@@ -101,6 +101,11 @@
         }
     }
 
+    /// Drops the runs of a worker that is lost.
+    pub(crate) fn end_runs(&mut self, worker: usize) {
+        self.running[worker].clear();
+    }
+
     /// Logarithm of the reported speed of a worker divided by the true one, relative to a speed.
     pub(crate) fn speed_error(&self, worker: usize, typical: f64) -> f64 {
         let reported = self.model.estimates().speed(&instance(worker)).factor;
@@ -180,7 +185,7 @@
 }
 
 /// Tells a model in which data centres the workers are.
-pub(crate) fn place(model: &mut Model, load: &Load) {
+fn place(model: &mut Model, load: &Load) {
     for (worker, center) in load.centers.iter().enumerate() {
         let center = Center::try_from(format!("center-{center}").as_str()).unwrap();
         model.set_center(&instance(worker), &center);
--- a/crates/bronzespool-estimate/tests/model.rs
+++ b/crates/bronzespool-estimate/tests/model.rs
@@ -118,3 +118,28 @@
         assert!((factor / expected - 1.0).abs() < 0.1, "worker {worker}: {factor}");
     }
 }
+
+/// Guards against work that is left behind when fast workers join and another worker becomes
+/// typical: the time that a task takes on a given worker stays.
+#[test]
+fn work_follows_the_typical_worker() {
+    let mut model = Model::new();
+    let speed = |worker: u64| if worker < 6 { 0.7 } else { 1.7 };
+    let mut play = |steps: std::ops::Range<u64>, workers: u64| {
+        for step in steps {
+            for worker in 0..workers {
+                model.record(sample(step, worker, worker as usize, 2.0, 2.0 / speed(worker)));
+            }
+            model.refit(Time::ZERO);
+        }
+        let estimates = model.estimates();
+        let slow = estimates.speed(&instance(0)).factor;
+        (secs(estimates.work(&kind("checks"), None, Duration::from_secs(2)).expected), slow)
+    };
+    let (before, slow) = play(0..200, 9);
+    assert!((0.95..=1.05).contains(&slow), "{slow}");
+    let (after, slow) = play(200..206, 24);
+    assert!(slow < 0.5, "{slow}");
+    let ratio = after / slow / before;
+    assert!((0.9..=1.1).contains(&ratio), "{before} s, then {after} s at {slow}");
+}
--- a/crates/bronzespool-estimate/tests/summary.rs
+++ b/crates/bronzespool-estimate/tests/summary.rs
@@ -5,7 +5,7 @@
 use {
     bronzespool_core::Time,
     bronzespool_estimate::{Kind, Model, Sample, StepKey, Summary},
-    common::{Load, Simulation, instance, kind, place, sample},
+    common::{Load, Simulation, instance, kind, sample},
     std::time::Duration,
 };
 
@@ -87,9 +87,7 @@
         let mut sim = uneven(seed);
         sim.play(40);
         let before = error(&sim);
-        let mut model = Model::restore(&sim.model.summary());
-        place(&mut model, &sim.load);
-        sim.model = model;
+        sim.model = Model::restore(&sim.model.summary());
         for second in 0..10 {
             sim.play(1);
             let after = error(&sim);
@@ -103,10 +101,8 @@
 fn restore_wrong_summary_is_corrected() {
     let mut sim = uneven(1);
     sim.play(40);
-    let mut model = Model::restore(&sim.model.summary());
-    let equal = Load::new(vec![1.0; 64]);
-    place(&mut model, &equal);
-    let mut sim = Simulation::new(equal, 2);
+    let model = Model::restore(&sim.model.summary());
+    let mut sim = Simulation::new(Load::new(vec![1.0; 64]), 2);
     sim.model = model;
     sim.play(30);
     let claimed = sim.claimed();
