--- a/crates/bronzespool-bench/src/lib.rs
+++ b/crates/bronzespool-bench/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod decisions;
 pub mod policies;
 pub mod report;
+pub mod run_times;
 pub mod size;
 pub mod suite;
--- a/crates/bronzespool-bench/src/main.rs
+++ b/crates/bronzespool-bench/src/main.rs
@@ -4,7 +4,7 @@
     bronzespool_bench::{
         capacity, decision_time,
         decisions::{Scale, Stream},
-        report, size, suite,
+        report, run_times, size, suite,
     },
     pico_args::Arguments,
     std::{fs, path::PathBuf, process::ExitCode, time::Duration},
@@ -31,6 +31,11 @@
     fits the growth of all counts over the sizes, and writes it with the decisions for 240 workers
     into the results file and the page; docs/measurements/size.json and docs/measurements/size.md
     by default
+bronzespool-bench run-times [--seeds 1,2,3] [--page FILE]
+    plays one stream with declared, learned and true run times and speeds, prints what came of it
+    and writes it into the page; docs/measurements/run-times.md by default
+bronzespool-bench fit-time [--workers 64,890] [--rounds 100]
+    times fits of run times and speeds with 16 runs on each worker
 ";
 
 type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
@@ -53,6 +58,8 @@
         Some("capacity") => run_capacity(args),
         Some("plan-time") => run_plan_time(args),
         Some("size") => run_size(args),
+        Some("run-times") => run_run_times(args),
+        Some("fit-time") => run_fit_time(args),
         _ => {
             print!("{HELP}");
             Ok(())
@@ -132,6 +139,32 @@
     Ok(())
 }
 
+fn run_run_times(mut args: Arguments) -> Result<()> {
+    let page: Option<PathBuf> = args.opt_value_from_str("--page")?;
+    let page = page.unwrap_or_else(|| "docs/measurements/run-times.md".into());
+    let seeds = args.opt_value_from_fn("--seeds", parse_numbers)?;
+    let seeds = seeds.unwrap_or_else(|| run_times::SEEDS.to_vec());
+    let compare = |deployment| (deployment, run_times::compare(deployment, &seeds));
+    let results: Vec<_> = run_times::Deployment::ALL.into_iter().map(compare).collect();
+    let table = run_times::table(&results);
+    let text = run_times::insert(&fs::read_to_string(&page)?, &table);
+    fs::write(page, text.ok_or("the page lacks the marker lines of the table")?)?;
+    print!("{table}");
+    Ok(())
+}
+
+fn run_fit_time(mut args: Arguments) -> Result<()> {
+    let workers = args.opt_value_from_fn("--workers", parse_numbers)?.unwrap_or(vec![64, 890]);
+    let rounds = args.opt_value_from_str("--rounds")?.unwrap_or(100);
+    println!("{}", run_times::FitTimes::HEAD);
+    workers.into_iter().for_each(|n| println!("{}", run_times::fit_times(n as usize, rounds)));
+    Ok(())
+}
+
+fn parse_numbers(text: &str) -> std::result::Result<Vec<u64>, std::num::ParseIntError> {
+    text.split(',').map(str::parse).collect()
+}
+
 fn run_plan_time(mut args: Arguments) -> Result<()> {
     let numbers = |text: Option<String>, default: &str| {
         let text = text.unwrap_or_else(|| default.to_owned());
