test(estimate): make the test of a new leader see lost priors

On the final fit the test passed although restored speeds did not become priors: runs in progress bring the speeds back within seconds. The bound falls from 0.1 to 0.025.

--- a/crates/bronzespool-estimate/tests/summary.rs
+++ b/crates/bronzespool-estimate/tests/summary.rs
@@ -91,7 +91,7 @@
         for second in 0..10 {
             sim.play(1);
             let after = error(&sim);
-            assert!(after < before + 0.1, "seed {seed}, {second} s: {before} to {after}");
+            assert!(after < before + 0.025, "seed {seed}, {second} s: {before} to {after}");
         }
     }
 }
