perf(estimate): compute roots and past evidence once for each fit

A fit took a square root at each visit of a run, and looked up the step of each run in a tree. Both are now done once.

--- a/crates/bronzespool-estimate/src/fit.rs
+++ b/crates/bronzespool-estimate/src/fit.rs
@@ -66,6 +66,8 @@
     observed: f64,
     /// Weight in units of a complete run.
     weight: f64,
+    /// Square root of `weight`.
+    root: f64,
     /// Weight with the age of the run.
     aged: f64,
     /// Share of the run's information about its worker; zero if only this worker has run the step.
@@ -169,6 +171,7 @@
             step: index,
             observed,
             weight,
+            root: weight.sqrt(),
             aged,
             share: 0.0,
             latest,
@@ -181,13 +184,16 @@
     fn weigh(&mut self, windows: &Windows) {
         let mut whole: Vec<f64> = self.past.iter().map(|(weight, _)| *weight).collect();
         self.rows.iter().for_each(|row| whole[row.step] += row.aged);
+        let pasts: Vec<_> =
+            self.keys.iter().map(|key| windows.steps.get(key).map(|s| &s.past)).collect();
         for (worker, (rows, prior)) in self.workers.iter_mut().zip(&self.ranges) {
             let rows = &mut self.rows[rows.clone()];
             for i in 0..rows.len() {
                 let step = rows[i].step;
                 let mut own: f64 = rows.iter().filter(|r| r.step == step).map(|r| r.aged).sum();
-                let past = windows.steps.get(&self.keys[step]).map(|s| &s.past);
-                if let Some(past) = past.filter(|p| p.first.as_ref() == Some(&worker.instance)) {
+                if let Some(past) =
+                    pasts[step].filter(|p| p.first.as_ref() == Some(&worker.instance))
+                {
                     own += past.own.0;
                 }
                 let share = 1.0 - own / whole[step];
@@ -233,7 +239,7 @@
         for (worker, (rows, _)) in self.workers.iter().zip(&self.ranges) {
             for row in &self.rows[rows.clone()] {
                 let work = row.observed + worker.speed;
-                let weight = row.aged * self.huber(work - self.steps[row.step], row.weight);
+                let weight = row.aged * self.huber(work - self.steps[row.step], row.root);
                 let (total, weighted) = &mut sums[row.step];
                 *total += weight;
                 *weighted += weight * work;
@@ -258,7 +264,7 @@
             };
             for row in self.rows[rows.clone()].iter().filter(|r| r.share > 0.0) {
                 let seen = self.steps[row.step] - row.observed;
-                add(seen, row.aged * self.huber(seen - speed, row.weight));
+                add(seen, row.aged * self.huber(seen - speed, row.root));
             }
             if let Some(prior) = prior {
                 add(prior.speed, prior.weight * self.huber(prior.speed - speed, 1.0));
@@ -268,9 +274,9 @@
         self.visits += self.rows.len() as u64;
     }
 
-    /// Weight of a residual of a run whose variance is that of a complete one over `weight`.
-    fn huber(&self, residual: f64, weight: f64) -> f64 {
-        huber(residual * weight.sqrt() / self.noise, HUBER)
+    /// Weight of a residual of a run whose weight has the square root `root`.
+    fn huber(&self, residual: f64, root: f64) -> f64 {
+        huber(residual * root / self.noise, HUBER)
     }
 
     /// Estimates the noise from the median absolute residual, and the scatter of each worker.
@@ -391,7 +397,7 @@
             for (speed, (rows, _)) in reported.iter().zip(&self.ranges) {
                 for row in &self.rows[rows.clone()] {
                     let work = row.observed + speed;
-                    let weight = row.weight * self.huber(work - self.steps[row.step], row.weight);
+                    let weight = row.weight * self.huber(work - self.steps[row.step], row.root);
                     sums[row.step].0 += weight;
                     sums[row.step].1 += weight * work;
                     counts[row.step] += 1;
