test(batch): what passes from one leader to the next

Cause: without the summary the next leader would place work as if all workers were equally fast, until enough runs have ended.

--- a/crates/bronzespool-batch/tests/learner.rs
+++ b/crates/bronzespool-batch/tests/learner.rs
@@ -72,6 +72,24 @@
     fn summary(&mut self) -> Option<Event> {
         self.learner.summary(self.cluster.view.now, &self.cluster.ledger)
     }
+
+    /// Runs a job on all workers, of which each takes its own time in seconds for a task.
+    fn work(&mut self, term: u64, job: u64, seconds: &[u32]) {
+        self.start(term, job);
+        let mut order: Vec<usize> = (0..seconds.len()).collect();
+        order.sort_by_key(|worker| seconds[*worker]);
+        let begun = self.cluster.view.now;
+        for worker in order {
+            let until = begun + seconds[worker] * SECOND;
+            while self.cluster.view.now < until {
+                self.cluster.pass(SECOND);
+                for worker in 0..seconds.len() {
+                    self.poll(term, worker, run(job, 0, worker as u32, 1), 0);
+                }
+            }
+            self.end(term, job, worker);
+        }
+    }
 }
 
 const FIRST: RunId = RunId {
@@ -132,3 +150,35 @@
     led.learner.enter_term(2, &led.cluster.ledger);
     assert_eq!(led.learner.estimates(2).speed(&agent(0)), Speed::UNKNOWN);
 }
+
+// The next leader would place work as if all workers were equally fast until enough runs have ended.
+#[test]
+fn summary_of_a_term_is_the_start_of_the_next() {
+    let mut led = Led::new(4);
+    let mut changes = Vec::new();
+    for job in 1..=8 {
+        led.work(1, job, &[4, 4, 4, 8]);
+        changes.extend(led.refit().unwrap().changes);
+    }
+    let slow: Vec<_> = changes.iter().map(|c| &c.agent).collect();
+    assert_eq!(slow, [&agent(3)], "recognised once");
+    let learned = led.learner.estimates(1).speed(&agent(3)).factor;
+    assert!(learned < 0.67, "{learned}");
+    led.summary().expect("a summary, which is not committed");
+    led.work(1, 9, &[4, 4, 4, 8]);
+    assert!(led.refit().is_some());
+    assert_eq!(led.summary(), None, "8 s after the last attempt");
+    led.work(1, 10, &[4, 4, 4, 8]);
+    assert!(led.refit().is_some());
+    let saved = led.summary().expect("the summary once more");
+    led.apply(1, saved);
+    (11..=12).for_each(|job| led.work(1, job, &[4, 4, 4, 8]));
+    assert!(led.refit().is_some());
+    assert_eq!(led.summary(), None, "hardly changed, 16 s after the last attempt");
+    led.learner.enter_term(2, &led.cluster.ledger);
+    let restored = led.learner.estimates(2).speed(&agent(3)).factor;
+    assert!(restored < 0.75, "{restored} after {learned}");
+    led.work(2, 13, &[4, 4, 4, 8]);
+    assert_eq!(led.refit().unwrap().changes, [], "reported by the former leader");
+    assert_eq!(led.learner.estimates(3).speed(&agent(3)), Speed::UNKNOWN, "of no term");
+}
