feat(core): result codes of drained and unknown data centres

Cause: the daemon cannot refuse work because of the drain of a data centre, nor an order about one that is not announced, with a code that says so.

Change: codes 3015 and 5006, and the reading of fields at the end of positional structs that former versions do not write.

--- a/crates/bronzespool-core/src/code.rs
+++ b/crates/bronzespool-core/src/code.rs
@@ -108,6 +108,7 @@
     3012 IncarnationGone NotRun 503 "the addressed incarnation of the agent is not this one";
     3013 RevisionBehind NotRun 503 "entry and agent hold different revisions of the configuration: come back after Retry-After";
     3014 BoundReached NotRun 503 "this process holds as many connections or sessions as it may: come back after Retry-After or try another process";
+    3015 CenterDrained NotRun 503 "the data centre is drained by an operator and takes no new work: come back after Retry-After";
     4001 Sealed Unknown 502 "the endpoint was lost before its outcome was known: it is never run again, ask with the same key";
     4002 InProgress Unknown 504 "started and not finished in time: ask again with the same key for the outcome";
     4003 AnswerShort Unknown 502 "the endpoint's answer was cut short: ask again with the same key";
@@ -121,6 +122,7 @@
     5003 ConfigInvalid NotRun 422 "a file has faults: the message names file, line and key";
     5004 OperationReused NotRun 422 "this operation id was used with another change";
     5005 UnknownInstance NotRun 404 "no such instance is announced";
+    5006 UnknownCenter NotRun 404 "no instance of such a data centre is announced: the message names those that are known";
     6001 RecordCorrupt NotRun 500 "a log record fails its checksum before the end of the log: replace this replica's disk";
     6002 SnapshotCorrupt NotRun 500 "the snapshot fails its checksum: replace this replica's disk";
     6003 VersionUnknown NotRun 500 "a record, snapshot or message has a version that this program does not know: upgrade it";
--- a/crates/bronzespool-core/src/lib.rs
+++ b/crates/bronzespool-core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod shape;
 pub mod spec;
 pub mod time;
+pub mod trailing;
 
 pub use crate::{
     code::{Code, Outcome},
