feat(schedule): place nothing in drained data centres

Cause: only single workers can be drained. Draining the workers of a data centre one by one ends for each of them with its agent's next start.

Change: the scheduler is told which data centres are drained. Nothing is placed there, grants and starts that were decided before are refused when they are applied, work with checkpoints moves, guarantees are met elsewhere, and explain names the drains where a job waits for them.

--- a/crates/bronzespool-schedule/src/explain.rs
+++ b/crates/bronzespool-schedule/src/explain.rs
@@ -8,11 +8,14 @@
         policy::{
             claim::claim_cells,
             evict::{CostTotal, plan_eviction},
-            place::{GangRequest, free_cells},
+            place::{GangRequest, fits_idle, free_cells},
             predict,
         },
         record::{JobOutcome, StopReason},
-        state::{SchedulerState, occupancy::Occupancy},
+        state::{
+            SchedulerState,
+            occupancy::{Occupancy, WorkerSlot},
+        },
     },
     bronzespool_core::{Job, Team, Time},
     displaydoc::Display,
@@ -44,6 +47,8 @@
     KeptForGang,
     /// no known worker can hold a member
     Infeasible,
+    /// the data centres {0} are drained, and the others have no room for it now
+    CentersDrained(String),
 }
 
 /// A job that holds cells which the explained job could use.
@@ -112,6 +117,11 @@
     if claimed.is_some() && (request.order.is_some() || !job.spec.preemptible()) {
         return (StatusReason::Grantable, Some(now + reclaim_bound(state)), Vec::new());
     }
+    if waits_for_drains(state, job, &request) {
+        let names: Vec<_> = state.drained_centers().iter().map(ToString::to_string).collect();
+        let reason = StatusReason::CentersDrained(names.join(", "));
+        return (reason, None, holders(state, job, &request, now));
+    }
     if !job.spec.preemptible() && request.order.is_some() {
         return (StatusReason::GuaranteeInUse, None, holders(state, job, &request, now));
     }
@@ -127,6 +137,31 @@
     (reason, latest_start, holders(state, job, &request, now))
 }
 
+/// Whether a job that cannot be placed now could be if no data centre were drained, or whether the
+/// other data centres could not hold it even if they were idle.
+fn waits_for_drains(state: &SchedulerState, job: &JobState, request: &GangRequest) -> bool {
+    if state.drained_centers().is_empty() {
+        return false;
+    }
+    let occupancy = state.occupancy();
+    let may_borrow = job.spec.preemptible() || request.order.is_none();
+    if may_borrow && free_cells(occupancy, request, &[]).is_some() {
+        return false;
+    }
+    let is_drained = |slot: &WorkerSlot| state.is_center_drained(&slot.instance);
+    let excluded: Vec<_> =
+        occupancy.slots.iter().map(|slot| if is_drained(slot) { u64::MAX } else { 0 }).collect();
+    if !fits_idle(occupancy, request, &excluded) {
+        return true;
+    }
+    let mut open = state.undrained_occupancy();
+    if may_borrow && free_cells(&open, request, &[]).is_some() {
+        return true;
+    }
+    let own = request.guaranteed(&open, &job.spec);
+    own.is_some_and(|own| claim_cells(state, &mut open, &job.spec.team, &own, &[], &[]).is_some())
+}
+
 /// Longest time from a stop until the last lease has expired and the next job is prepared.
 fn reclaim_bound(state: &SchedulerState) -> std::time::Duration {
     let settings = state.settings();
--- a/crates/bronzespool-schedule/src/policy/drain.rs
+++ b/crates/bronzespool-schedule/src/policy/drain.rs
@@ -1,4 +1,4 @@
-//! Moves work away from draining workers.
+//! Moves work away from draining workers and drained data centres.
 //!
 //! An attempt of a job with checkpoints is moved, an attempt without them runs to its end, and an
 //! attempt that has not started yet is placed on another worker.
@@ -13,15 +13,17 @@
     bronzespool_core::Time,
 };
 
-/// Records that stop the attempts with a member on a draining worker.
+/// Records that stop the attempts with a member on a draining worker or in a drained data centre.
 pub fn drain_records(state: &SchedulerState, now: Time) -> Vec<Record> {
-    if !state.workers().values().any(|w| w.up && w.draining) {
+    let is_draining = state.workers().values().any(|w| w.up && w.draining);
+    if !is_draining && state.drained_centers().is_empty() {
         return Vec::new();
     }
     let grace = state.settings().grace;
     let records = state.jobs().filter_map(|job| {
         let attempt = job.attempt().filter(|a| a.stop.is_none())?;
-        (can_move(job, attempt) && uses_draining_worker(state, attempt)).then(|| {
+        let is_leaving = uses_draining_worker(state, attempt) || state.uses_drained_center(attempt);
+        (can_move(job, attempt) && is_leaving).then(|| {
             let event = lifecycle::stop_event(state, job, attempt, StopReason::Move, grace, now);
             Record::new(now, event)
         })
--- a/crates/bronzespool-schedule/src/policy/lifecycle.rs
+++ b/crates/bronzespool-schedule/src/policy/lifecycle.rs
@@ -68,6 +68,9 @@
         }
         None => {}
     }
+    if attempt.started.is_none() && state.uses_drained_center(attempt) {
+        return stop_event(state, job, attempt, StopReason::Move, Duration::ZERO, now);
+    }
     if attempt.members.iter().all(|m| *m == MemberState::Prepared) {
         return Event::Started { job: name, attempt: number };
     }
--- a/crates/bronzespool-schedule/src/state/apply.rs
+++ b/crates/bronzespool-schedule/src/state/apply.rs
@@ -53,9 +53,7 @@
                 Ok(())
             }
             Event::Prepared { job, attempt, member } => self.prepared(job, *attempt, *member),
-            Event::Started { job, attempt } => {
-                self.change_attempt(job, *attempt, |a| a.started = Some(at))
-            }
+            Event::Started { job, attempt } => self.start(job, *attempt, at),
             Event::Checkpointed { job, attempt } => self.checkpoint(job, *attempt, at),
             Event::Throttled { job, attempt } => {
                 self.change_attempt(job, *attempt, |a| a.throttled = Some(at))
@@ -202,6 +200,7 @@
     fn grant(&mut self, name: &Job, attempt: Attempt, bindings: &[CellBinding]) -> Result<()> {
         let id = self.waiting_job(name)?;
         self.check_workers(&attempt.cells)?;
+        self.check_undrained(&attempt.cells)?;
         self.check_free(&attempt.cells)?;
         let team = self.durable.jobs[&id].spec.team.clone();
         if !attempt.borrowed {
@@ -232,6 +231,13 @@
         }
     }
 
+    fn start(&mut self, name: &Job, number: u32, at: Time) -> Result<()> {
+        let (_, attempt) = self.active_attempt(name, number)?;
+        let cells = attempt.cells.clone();
+        self.check_undrained(&cells)?;
+        self.change_attempt(name, number, |a| a.started = Some(at))
+    }
+
     fn change_attempt(
         &mut self,
         name: &Job,
--- a/crates/bronzespool-schedule/src/state/mod.rs
+++ b/crates/bronzespool-schedule/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod capacity;
+mod drained;
 mod index;
 pub mod occupancy;
 mod overuse;
@@ -43,6 +44,8 @@
     CellInUse(Instance, u32),
     /// worker {0} has more than 64 accelerators
     TooManyAccels(Instance),
+    /// the data centre of worker {0} is drained
+    CenterDrained(Instance),
 }
 
 impl std::error::Error for Error {}
@@ -243,7 +246,8 @@
         self.durable.estimates.get(&key)
     }
 
-    /// The same workers and guarantees with all workers reachable, out of quarantine and idle.
+    /// The same workers and guarantees with all workers reachable, out of quarantine and idle, and
+    /// no data centre drained.
     pub fn idle(&self) -> Self {
         let mut durable =
             DurableState { settings: self.durable.settings.clone(), ..DurableState::default() };
--- a/crates/bronzespool-schedule/src/state/occupancy.rs
+++ b/crates/bronzespool-schedule/src/state/occupancy.rs
@@ -7,6 +7,7 @@
         job::{Attempt, JobNumber, JobState},
     },
     bronzespool_core::{Capacity, Center, HashMap, Instance, Level, Need, Place, Rack, Region},
+    std::collections::BTreeSet,
 };
 
 /// Resources allocated to a team.
@@ -150,6 +151,8 @@
     rack_names: HashMap<(Region, Center, Rack), u32>,
     center_names: HashMap<(Region, Center), u32>,
     region_names: HashMap<Region, u32>,
+    /// Data centres that are drained: nothing new is placed there.
+    pub(super) drained: BTreeSet<Center>,
 }
 
 fn domain<K: std::hash::Hash + Eq>(
@@ -259,12 +262,13 @@
     }
 
     pub(super) fn update(&mut self, worker: &Worker) {
+        let is_open = !self.drained.contains(&worker.place.center);
         let slot = self.slot_mut(worker.slot);
         slot.all = cell::mask(0, worker.capacity.accels);
         slot.cores = u64::from(worker.capacity.cores) * 1_000;
         slot.memory = worker.capacity.memory;
-        slot.schedulable = worker.is_schedulable();
-        slot.probing = worker.accepts_probe();
+        slot.schedulable = is_open && worker.is_schedulable();
+        slot.probing = is_open && worker.accepts_probe();
     }
 
     pub(crate) fn bind(&mut self, binding: &CellBinding) {
--- a/crates/bronzespool-schedule/tests/common/mod.rs
+++ b/crates/bronzespool-schedule/tests/common/mod.rs
@@ -43,9 +43,13 @@
     }
 
     pub(crate) fn add_worker(&mut self, instance: &str, rack: &str, accels: u32) {
+        self.add_worker_in("couva", instance, rack, accels);
+    }
+
+    pub(crate) fn add_worker_in(&mut self, center: &str, instance: &str, rack: &str, accels: u32) {
         let place = Place {
             region: "trinidad".try_into().unwrap(),
-            center: "couva".try_into().unwrap(),
+            center: center.try_into().unwrap(),
             rack: rack.try_into().unwrap(),
             instance: instance.try_into().unwrap(),
         };
