feat(daemon): drain and restore a data centre

Cause: an operator who has to empty a data centre could only drain its instances one by one, and each of these drains ends with the next start of its agent.

Change: the log holds for each data centre whether it is drained, with the index of the entry that changed it as its revision. POST /v1/centers/NAME/drain and /restore compare and set that revision; GET /v1/centers/NAME and status show it and whether every session has it. The order reaches entries and agents through the view. Entries route elsewhere, and refuse requests and queued ones at once with 3015 if no other data centre serves them; agents refuse with 3015; a claim of an agent in a drained data centre is refused when its record is applied. New variants and fields come last, and the fields are written only once a data centre was drained.

--- a/crates/bronzespool-bench/src/capacity/slopes.rs
+++ b/crates/bronzespool-bench/src/capacity/slopes.rs
@@ -217,8 +217,11 @@
         let services = (0..10).map(|s| samples::service(&format!("desk-{s}"), teams.div_ceil(10)));
         let services = services.map(|s| (s.name.clone(), s)).collect();
         let config = Config { revision: 4_711, services };
-        let view = View { index: 123_456, config, endpoints: samples::endpoints(0) };
-        let grant = SessionGrant { incarnation: 1_007, view, tasks: vec![], lease_millis: 5_000 };
+        let endpoints = samples::endpoints(0);
+        let view = View { index: 123_456, config, endpoints, ..View::default() };
+        let drained = view.drained.clone();
+        let grant =
+            SessionGrant { incarnation: 1_007, view, tasks: vec![], lease_millis: 5_000, drained };
         rpc::call(300, frame_len(&grant)).wire_bytes()
     })
 }
--- a/crates/bronzespool-flow/src/admit/admission.rs
+++ b/crates/bronzespool-flow/src/admit/admission.rs
@@ -56,6 +56,7 @@
     attempts: AttemptTable,
     session_end: Time,
     draining: bool,
+    center_drained: bool,
 }
 
 impl Admission {
@@ -64,7 +65,15 @@
     pub fn new(incarnation: Incarnation, capacity: &Capacity, limits: AdmissionLimits) -> Self {
         let slots = Slots::new(capacity);
         let attempts = AttemptTable::default();
-        Self { incarnation, limits, slots, attempts, session_end: Time::ZERO, draining: false }
+        Self {
+            incarnation,
+            limits,
+            slots,
+            attempts,
+            session_end: Time::ZERO,
+            draining: false,
+            center_drained: false,
+        }
     }
 
     /// Incarnation of this agent.
@@ -107,6 +116,12 @@
         self.draining
     }
 
+    /// Sets whether the data centre of the endpoint is drained. Independent of
+    /// [`Admission::drain`]; each of them alone refuses new work.
+    pub const fn set_center_drained(&mut self, drained: bool) {
+        self.center_drained = drained;
+    }
+
     /// Whether no request is running.
     pub const fn idle(&self) -> bool {
         self.slots.running() == 0
@@ -209,6 +224,9 @@
         if self.draining {
             return Err(Code::Draining);
         }
+        if self.center_drained {
+            return Err(Code::CenterDrained);
+        }
         if now >= self.session_end {
             return Err(Code::NoSession);
         }
--- a/crates/bronzespool-flow/src/lib.rs
+++ b/crates/bronzespool-flow/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod burn;
 pub mod claim;
 pub mod config;
+pub mod drain;
 pub mod limit;
 pub mod outlier;
 pub mod retry;
--- a/crates/bronzespool-flow/src/retry/policy.rs
+++ b/crates/bronzespool-flow/src/retry/policy.rs
@@ -105,6 +105,7 @@
         Code::Overloaded
             | Code::NoSession
             | Code::Draining
+            | Code::CenterDrained
             | Code::Fenced
             | Code::Stopping
             | Code::QueueFull
--- a/crates/bronzespool-flow/src/view/delta.rs
+++ b/crates/bronzespool-flow/src/view/delta.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::view::EndpointRecord,
-    bronzespool_core::{Instance, Service, ServiceSpec},
+    bronzespool_core::{Center, Instance, Service, ServiceSpec},
     serde::{Deserialize, Serialize},
     std::collections::VecDeque,
 };
@@ -26,12 +26,19 @@
     Endpoint(Box<EndpointRecord>),
     /// An endpoint's record was removed.
     EndpointRemoved(Instance),
+    /// A data centre was drained or restored.
+    CenterChanged {
+        /// The data centre.
+        center: Center,
+        /// Whether it is drained from now on.
+        drained: bool,
+    },
 }
 
 impl ViewUpdate {
     /// Whether agents need the update as well as entries.
     pub const fn for_agents(&self) -> bool {
-        matches!(self, Self::Config { .. })
+        matches!(self, Self::Config { .. } | Self::CenterChanged { .. })
     }
 }
 
--- a/crates/bronzespool-flow/src/view/routing.rs
+++ b/crates/bronzespool-flow/src/view/routing.rs
@@ -1,11 +1,11 @@
 //! The view and how deltas are applied to it.
 
 use {
-    crate::view::{Delta, EndpointRecord, ViewUpdate},
-    bronzespool_core::{Config, Instance},
+    crate::view::{Delta, EndpointRecord, Presence, ViewUpdate},
+    bronzespool_core::{Center, Code, Config, Instance, Service},
     displaydoc::Display,
     serde::{Deserialize, Serialize},
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// Result of applying a delta.
@@ -34,6 +34,10 @@
     pub config: Config,
     /// Endpoints by instance; empty at an agent.
     pub endpoints: BTreeMap<Instance, EndpointRecord>,
+    /// Data centres that are drained. Messages carry them after the view's other fields, where
+    /// former versions end.
+    #[serde(skip)]
+    pub drained: BTreeSet<Center>,
 }
 
 impl View {
@@ -62,6 +66,27 @@
         Ok(())
     }
 
+    /// The endpoints outside of drained data centres.
+    pub fn open_endpoints(&self) -> impl Iterator<Item = &EndpointRecord> {
+        self.endpoints.values().filter(|e| !self.drained.contains(&e.place.center))
+    }
+
+    /// Checks that some endpoint may get new requests for a service.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::CenterDrained`] if all endpoints that are up are in drained data centres,
+    /// [`Code::NoEndpoint`] if none is up.
+    pub fn check_service(&self, service: &Service) -> std::result::Result<(), Code> {
+        let serves =
+            |e: &EndpointRecord| e.presence == Presence::Up && e.services.contains(service);
+        if self.open_endpoints().any(serves) {
+            return Ok(());
+        }
+        let drained = self.endpoints.values().any(serves);
+        Err(if drained { Code::CenterDrained } else { Code::NoEndpoint })
+    }
+
     fn apply_update(&mut self, update: ViewUpdate) {
         match update {
             ViewUpdate::Config { revision, services, removed } => {
@@ -82,6 +107,12 @@
             ViewUpdate::EndpointRemoved(instance) => {
                 self.endpoints.remove(&instance);
             }
+            ViewUpdate::CenterChanged { center, drained: true } => {
+                self.drained.insert(center);
+            }
+            ViewUpdate::CenterChanged { center, drained: false } => {
+                self.drained.remove(&center);
+            }
         }
     }
 }
--- a/crates/bronzespool-telemetry/src/event/daemon.rs
+++ b/crates/bronzespool-telemetry/src/event/daemon.rs
@@ -94,6 +94,13 @@
         /// The refusal.
         refusal: String,
     }
+    /// The data centre of this agent was drained or restored: with a drain it refuses new requests.
+    CenterDrainSeen: Info, Agent, "the drain of this data centre has changed" {
+        /// The data centre.
+        center: String,
+        /// Whether nothing new starts there.
+        drained: bool,
+    }
     /// A planned stop of this agent was not confirmed by control, or requests were still running:
     /// open claims of the agent are sealed when it starts again.
     LeaveReportFailed: Warn, Agent, "control has not released the agent's claims" {
@@ -204,6 +211,15 @@
         /// The new presence.
         presence: String,
     }
+    /// An operator has drained or restored a data centre.
+    CenterDrainChanged: Info, Leader, "the drain of a data centre has changed" {
+        /// The data centre.
+        center: String,
+        /// Whether nothing new starts there from now on.
+        drained: bool,
+        /// Index of the log entry that made the change.
+        revision: u64,
+    }
     /// The log has not accepted a scheduling decision: it is made again.
     DecisionNotCommitted: Info, Leader, "a decision was not committed" {
         /// The refusal.
--- a/crates/bronzespool-wire/src/message/call.rs
+++ b/crates/bronzespool-wire/src/message/call.rs
@@ -2,12 +2,15 @@
 //! session), and from the hub to the leader.
 
 use {
-    crate::message::{Announce, BurnView, ExplainView, JobView, Report, StatusView},
+    crate::message::{Announce, BurnView, CenterView, ExplainView, JobView, Report, StatusView},
     bronzespool_batch::message as batch,
-    bronzespool_core::{Digest, Instance, Job, Key, Kind, Refusal, Service, ServiceSpec, Target},
+    bronzespool_core::{
+        Center, Digest, Instance, Job, Key, Kind, Refusal, Service, ServiceSpec, Target,
+    },
     bronzespool_flow::{
         burn::WindowCounts,
         claim::{Claim, ClaimId, ClaimRequest, Completion, Incarnation},
+        drain::CenterChange,
         limit,
     },
     bronzespool_schedule::JobSpec,
@@ -110,6 +113,11 @@
         /// sender still waits.
         within_millis: u32,
     },
+    /// Returns the drain of a data centre.
+    Center(Center),
+    /// Drains or restores a data centre. The change names the revision that it is based on, so a
+    /// copy that is held up on its way changes nothing once another change was made.
+    ChangeCenter(CenterChange),
 }
 
 /// Progress of a hub's sessions.
@@ -191,6 +199,8 @@
     ControlMap(batch::ControlMap),
     /// Reply to a call about batch jobs.
     Batch(batch::Reply),
+    /// Reply to [`Call::Center`] and [`Call::ChangeCenter`].
+    Center(CenterView),
 }
 
 /// The reply to a call, or why it was refused.
--- a/crates/bronzespool-wire/src/message/mod.rs
+++ b/crates/bronzespool-wire/src/message/mod.rs
@@ -14,6 +14,6 @@
     job::{ExplainView, HolderView, JobView},
     run::{AgentState, RunMode, RunReply, RunRequest, StatusReply},
     session::{Announce, OpenResult, Role, SessionGrant, SessionRequest, Update},
-    status::{EndpointView, ReplicaView, StatusView},
+    status::{CenterView, EndpointView, ReplicaView, StatusView},
     task::{Assignment, DesiredState, Report, TaskEvent, TaskId, TaskUsage},
 };
--- a/crates/bronzespool-wire/src/message/session.rs
+++ b/crates/bronzespool-wire/src/message/session.rs
@@ -2,10 +2,12 @@
 
 use {
     crate::message::Assignment,
-    bronzespool_core::{Capacity, Instance, Place, Refusal, Service, name::Cluster},
+    bronzespool_core::{
+        Capacity, Center, Instance, Place, Refusal, Service, name::Cluster, trailing,
+    },
     bronzespool_flow::view::{Delta, View},
     serde::{Deserialize, Serialize},
-    std::net::SocketAddr,
+    std::{collections::BTreeSet, net::SocketAddr},
 };
 
 /// Role of the holder of a session.
@@ -60,6 +62,18 @@
     pub tasks: Vec<Assignment>,
     /// Milliseconds for which the session is valid, counted from the time of its request.
     pub lease_millis: u32,
+    /// Data centres that are drained. Hubs of former versions end the message before it.
+    #[serde(skip_serializing_if = "trailing::is_default")]
+    #[serde(deserialize_with = "trailing::read_or_default")]
+    pub drained: BTreeSet<Center>,
+}
+
+impl SessionGrant {
+    /// Takes the complete view out of the grant, with the drained data centres.
+    pub fn take_view(&mut self) -> View {
+        let drained = std::mem::take(&mut self.drained);
+        View { drained, ..std::mem::take(&mut self.view) }
+    }
 }
 
 /// Update that a hub pushes to the holder of a session.
--- a/crates/bronzespool-wire/src/message/status.rs
+++ b/crates/bronzespool-wire/src/message/status.rs
@@ -1,6 +1,7 @@
 //! Views of the cluster for operators.
 
 use {
+    bronzespool_core::trailing,
     bronzespool_schedule::ClusterSummary,
     serde::{Deserialize, Serialize},
 };
@@ -43,6 +44,19 @@
     pub accels: u32,
 }
 
+/// Drain of one data centre.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CenterView {
+    /// Data centre.
+    pub center: String,
+    /// Whether nothing new starts there.
+    pub drained: bool,
+    /// Revision of the last change, zero if there was none.
+    pub revision: u64,
+    /// Whether every session has acknowledged the last change or has ended.
+    pub in_force: bool,
+}
+
 /// State of the cluster as seen by its leader.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StatusView {
@@ -66,4 +80,8 @@
     pub open: u64,
     /// Guarantees, borrowed capacity and fragmentation.
     pub schedule: ClusterSummary,
+    /// Data centres that were ever drained. Leaders of former versions end the message before it.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    #[serde(deserialize_with = "trailing::read_or_default")]
+    pub centers: Vec<CenterView>,
 }
--- a/crates/bronzespoold/src/agent/start.rs
+++ b/crates/bronzespoold/src/agent/start.rs
@@ -117,6 +117,7 @@
         admission: RefCell::default(),
         session_end: Cell::new(Time::ZERO),
         leaving: Cell::new(false),
+        center_drained: Cell::new(false),
         open_reports: Cell::new(0),
         lost_reports: Cell::new(0),
         attempt_finished: Notify::new(),
--- a/crates/bronzespoold/src/agent/state.rs
+++ b/crates/bronzespoold/src/agent/state.rs
@@ -5,6 +5,7 @@
         agent::endpoint::Endpoint,
         client::{SessionClient, Subscriber},
         clock::Clock,
+        telemetry::{Event as _, event},
     },
     bronzespool::{
         core::{Capacity, Instance, Place, Service, Time, name::Cluster},
@@ -41,6 +42,8 @@
     /// End of the session lease: no new work is accepted after it.
     pub(super) session_end: Cell<Time>,
     pub(super) leaving: Cell<bool>,
+    /// Whether the data centre was drained in the view that was applied last.
+    pub(super) center_drained: Cell<bool>,
     /// Number of outcomes that are being reported to control.
     pub(super) open_reports: Cell<u32>,
     /// Number of outcomes that control has not acknowledged in all attempts to report them.
@@ -82,7 +85,26 @@
             revision: self.revision(),
             used,
             slots: self.capacity.slots,
-            accepting: !self.leaving.get() && now < self.session_end.get(),
+            accepting: !self.leaving.get()
+                && !self.is_center_drained()
+                && now < self.session_end.get(),
+        }
+    }
+
+    /// Whether the view shows the agent's data centre as drained.
+    fn is_center_drained(&self) -> bool {
+        self.view.borrow().drained.contains(&self.place.center)
+    }
+
+    /// Applies the drain of the data centre in the current view to admission.
+    fn update_center_drained(&self) {
+        let drained = self.is_center_drained();
+        if let Some(admission) = self.admission.borrow_mut().as_mut() {
+            admission.set_center_drained(drained);
+        }
+        if self.center_drained.replace(drained) != drained {
+            let center = self.place.center.to_string();
+            event::CenterDrainSeen { center, drained }.emit();
         }
     }
 
@@ -167,19 +189,23 @@
         }
     }
 
-    fn apply_grant(&self, grant: SessionGrant) -> bool {
+    fn apply_grant(&self, mut grant: SessionGrant) -> bool {
         let index = grant.view.index;
-        if !self.view.borrow_mut().replace(grant.view) {
+        if !self.view.borrow_mut().replace(grant.take_view()) {
             return false;
         }
         self.reset_admission(grant.incarnation);
+        self.update_center_drained();
         self.set_tasks(index, grant.tasks);
         true
     }
 
     fn apply_update(&self, update: Update) -> view::Result<()> {
         match update {
-            Update::Delta(delta) => self.view.borrow_mut().apply(delta)?,
+            Update::Delta(delta) => {
+                self.view.borrow_mut().apply(delta)?;
+                self.update_center_drained();
+            }
             Update::Tasks { index, tasks } => self.set_tasks(index, tasks),
         }
         Ok(())
--- a/crates/bronzespoold/src/control/hub/sessions.rs
+++ b/crates/bronzespoold/src/control/hub/sessions.rs
@@ -144,8 +144,8 @@
         }
         let pusher = Pusher::new(self, id, hello.role, instance, sink, view.index, &tasks);
         tokio::task::spawn_local(pusher.run());
-        let lease_millis = self.session_millis();
-        Ok((id, SessionGrant { incarnation, view, tasks, lease_millis }))
+        let (lease_millis, drained) = (self.session_millis(), view.drained.clone());
+        Ok((id, SessionGrant { incarnation, view, tasks, lease_millis, drained }))
     }
 
     /// Renews a session. Returns its lease in milliseconds, or zero if the session has ended or
--- a/crates/bronzespoold/src/control/leader/calls.rs
+++ b/crates/bronzespoold/src/control/leader/calls.rs
@@ -103,6 +103,8 @@
             Call::Burn => self.burn_rates(),
             Call::Shares { holder, reports } => self.shares(holder, reports).await,
             Call::Report(report) => self.report(&report).await,
+            Call::Center(center) => self.center(&center).await,
+            Call::ChangeCenter(change) => self.change_center(change).await,
             Call::Batch(call) => self.batch.answer(call).await,
             // Every control instance answers the first call itself; the other one goes to relays.
             Call::LocateControl | Call::Relayed { .. } => Err(Code::Internal.into()),
--- a/crates/bronzespoold/src/control/leader/mod.rs
+++ b/crates/bronzespoold/src/control/leader/mod.rs
@@ -3,6 +3,7 @@
 mod burn;
 mod calls;
 mod cancel;
+mod centers;
 mod checkpoints;
 mod claims;
 mod config;
--- a/crates/bronzespoold/src/control/leader/status.rs
+++ b/crates/bronzespoold/src/control/leader/status.rs
@@ -40,6 +40,7 @@
             claims: state.claims().len() as u64,
             open: state.claims().open() as u64,
             schedule: summarize(state.scheduler()),
+            centers: state.drains().iter().map(|(c, drain)| self.center_view(c, *drain)).collect(),
         })))
     }
 }
--- a/crates/bronzespoold/src/control/replica.rs
+++ b/crates/bronzespoold/src/control/replica.rs
@@ -369,7 +369,7 @@
     }
 
     fn install(&self, snapshot: &Snapshot) {
-        match frame::decode::<State>(&snapshot.state) {
+        match State::from_snapshot(&snapshot.state) {
             Ok(state) => {
                 let mut version = *self.version.borrow();
                 version.index = state.index();
--- a/crates/bronzespoold/src/control/state.rs
+++ b/crates/bronzespoold/src/control/state.rs
@@ -7,14 +7,15 @@
     },
     bronzespool::{
         batch::{self, Ledger},
-        core::{Code, Digest, Instance, Job, Service, Shape, Team, Time},
+        core::{Code, Digest, Instance, Job, Service, Shape, Team, Time, trailing},
         flow::{
             claim::{self, Claims, Incarnation},
             config,
+            drain::{CenterChange, CenterDrains, CenterOutcome},
             view::{self, EndpointRecord, Presence, View, ViewUpdate},
         },
         schedule::{Event, JobSpec, PolicySettings, Record, SchedulerState},
-        wire::message::Announce,
+        wire::{frame, message::Announce},
     },
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, time::Duration},
@@ -65,6 +66,13 @@
     },
     /// Changes batch jobs, their workers or their configuration.
     Batch(batch::Record),
+    /// Drains or restores a data centre.
+    Center {
+        /// Log time.
+        at: Time,
+        /// The change.
+        change: CenterChange,
+    },
 }
 
 /// Result of an applied command.
@@ -80,6 +88,8 @@
     Schedule(Result<(), String>),
     /// Outcomes of the events of a batch record.
     Batch(Vec<batch::EventOutcome>),
+    /// Outcome of a change of a data centre.
+    Center(CenterOutcome),
     /// Applied, with nothing to return.
     Done,
     /// The command does not fit the state.
@@ -103,6 +113,11 @@
     scheduler: SchedulerState,
     submissions: Submissions,
     batch: Ledger,
+    /// Drains of data centres. They come last, since snapshots of former versions end before them;
+    /// fields that are added to the ledger after this one cannot be told from them.
+    #[serde(skip_serializing_if = "trailing::is_default")]
+    #[serde(deserialize_with = "trailing::read_or_default")]
+    drains: CenterDrains,
 }
 
 /// Result of one command, with the changes that the replica announces to watchers.
@@ -138,9 +153,17 @@
             scheduler: SchedulerState::new(settings),
             submissions: Submissions::default(),
             batch: Ledger::default(),
+            drains: CenterDrains::default(),
         }
     }
 
+    /// Reads the state from a snapshot.
+    pub(super) fn from_snapshot(bytes: &[u8]) -> frame::Result<Self> {
+        let mut state: Self = frame::decode(bytes)?;
+        state.scheduler.set_drained_centers(state.drains.drained());
+        Ok(state)
+    }
+
     /// Index of the last entry applied.
     pub(super) const fn index(&self) -> u64 {
         self.index
@@ -181,11 +204,23 @@
         &self.batch
     }
 
+    /// Drains of data centres.
+    pub(super) const fn drains(&self) -> &CenterDrains {
+        &self.drains
+    }
+
+    /// Whether the data centre of an instance is drained.
+    fn is_drained(&self, instance: &Instance) -> bool {
+        let endpoint = self.endpoints.get(instance);
+        endpoint.is_some_and(|e| self.drains.is_drained(&e.place.center))
+    }
+
     /// The view for the process of an entry or, unless `entry` is set, for an agent, which needs no
     /// endpoints.
     pub(super) fn view(&self, entry: bool) -> View {
         let endpoints = if entry { self.endpoints.clone() } else { BTreeMap::new() };
-        View { index: self.index, config: self.config.config().clone(), endpoints }
+        let (config, drained) = (self.config.config().clone(), self.drains.drained());
+        View { index: self.index, config, endpoints, drained }
     }
 
     /// Records that a log entry without a command was applied.
@@ -202,10 +237,7 @@
             Command::Presence { at, instance, incarnation, presence } => {
                 self.presence(*at, instance, *incarnation, *presence)
             }
-            Command::Claim(record) => {
-                self.advance_time(record.at);
-                CommandResult::from_effect(Effect::Claim(self.claims.apply(record)))
-            }
+            Command::Claim(record) => self.claim(record),
             Command::Schedule(records) => self.schedule(records),
             Command::Submit { at, spec, digest, key_retention } => {
                 self.submit(*at, spec, *digest, *key_retention)
@@ -214,6 +246,7 @@
                 self.advance_time(record.at);
                 CommandResult::from_effect(Effect::Batch(self.batch.apply(record)))
             }
+            Command::Center { at, change } => self.change_center(*at, change),
         }
     }
 
@@ -221,6 +254,33 @@
         self.last_time = self.last_time.max(at);
     }
 
+    /// Applies a claim, unless it is a new one whose target is in a drained data centre.
+    fn claim(&mut self, record: &claim::ClaimRecord) -> CommandResult {
+        self.advance_time(record.at);
+        let outcome = match &record.change {
+            claim::ClaimChange::Claimed { target, .. } if self.is_drained(&target.instance) => {
+                claim::ClaimOutcome::Refused(Code::CenterDrained)
+            }
+            _ => self.claims.apply(record),
+        };
+        CommandResult::from_effect(Effect::Claim(outcome))
+    }
+
+    fn change_center(&mut self, at: Time, change: &CenterChange) -> CommandResult {
+        self.advance_time(at);
+        let outcome = self.drains.apply(self.index, change);
+        let CenterOutcome::Changed(current) = outcome else {
+            return CommandResult::from_effect(Effect::Center(outcome));
+        };
+        self.scheduler.set_drained_centers(self.drains.drained());
+        let center = change.center.clone();
+        CommandResult {
+            effect: Effect::Center(outcome),
+            view_change: Some(ViewUpdate::CenterChanged { center, drained: current.drained }),
+            schedule_changed: true,
+        }
+    }
+
     fn configure(&mut self, at: Time, change: &config::ConfigUpdate) -> CommandResult {
         self.advance_time(at);
         let before = self.config.config().revision;
--- a/crates/bronzespoold/src/entry/dispatch/protected.rs
+++ b/crates/bronzespoold/src/entry/dispatch/protected.rs
@@ -137,8 +137,9 @@
         expires,
     };
     let claimed = match call_control(state, request, &Call::Claim(claim)).await {
-        // The agent has left or restarted since the entry's view was made.
-        Err(refusal) if refusal.code == Code::IncarnationGone => {
+        // The agent has left or restarted, or its data centre was drained, since the entry's view
+        // was made.
+        Err(refusal) if matches!(refusal.code, Code::IncarnationGone | Code::CenterDrained) => {
             return Ok(AttemptOutcome::NotRun(refusal));
         }
         claimed => claimed?,
@@ -167,7 +168,11 @@
             Err(Code::KeyReused.into())
         }
         Reply::Claim(Some(existing)) => outcome::follow_claim(state, request, id, &existing).await,
-        _ => Ok(AttemptOutcome::NotRun(Refusal::from(Code::NoEndpoint).retry_after(RETRY_AFTER))),
+        _ => {
+            let code = state.view().check_service(&request.service).err();
+            let refusal = Refusal::from(code.unwrap_or(Code::NoEndpoint));
+            Ok(AttemptOutcome::NotRun(refusal.retry_after(RETRY_AFTER)))
+        }
     }
 }
 
--- a/crates/bronzespoold/src/entry/operators.rs
+++ b/crates/bronzespoold/src/entry/operators.rs
@@ -11,10 +11,11 @@
     },
     bronzespool::{
         core::{
-            Code, Digest, Instance, Key, Refusal, Service,
+            Center, Code, Digest, Instance, Key, Refusal, Service,
             settings::{ServiceFile, merge_services},
         },
-        wire::message::{Call, Reply},
+        flow::drain::CenterChange,
+        wire::message::{Call, CenterView, Reply},
     },
     hyper::body::Incoming,
     serde::{Deserialize, Serialize},
@@ -24,6 +25,8 @@
 
 /// Maximum size of a publication.
 const PUBLISH_MAX_BYTES: u64 = 4 << 20;
+/// Maximum size of an order about a data centre.
+const ORDER_MAX_BYTES: u64 = 1 << 10;
 /// Longest wait for a reply from control.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest wait for a revision to be in force on all entries and agents.
@@ -43,6 +46,21 @@
     wait: bool,
 }
 
+/// Order to drain or restore a data centre.
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct CenterOrder {
+    /// Revision that the order is based on; if absent, the one that this entry reads first.
+    base: Option<u64>,
+}
+
+#[derive(Serialize)]
+struct CenterBody {
+    code: u16,
+    #[serde(flatten)]
+    view: CenterView,
+}
+
 #[derive(Serialize)]
 struct PublishedBody {
     code: u16,
@@ -162,3 +180,50 @@
     call_control(state, &Call::Drain { instance: name, leaving: true }, CALL_TIMEOUT).await?;
     Ok(json_response(Code::Done, &CodeBody { code: Code::Done.number() }))
 }
+
+/// Returns the drain of a data centre.
+pub(super) async fn center(state: &State, center: &str) -> Result<FullResponse> {
+    let view = call_center(state, &Call::Center(parse_center(center)?)).await?;
+    Ok(center_response(view))
+}
+
+/// Drains or restores a data centre. An order without a base is based on the revision that is read
+/// here, so that no copy of the call to control changes anything once another order was carried
+/// out.
+pub(super) async fn change_center(
+    state: &State,
+    center: &str,
+    drained: bool,
+    body: Incoming,
+) -> Result<FullResponse> {
+    let center = parse_center(center)?;
+    let bytes = read_body(body, ORDER_MAX_BYTES).await?;
+    let order = match bytes.is_empty() {
+        true => CenterOrder::default(),
+        false => serde_json::from_slice(&bytes).map_err(|e| {
+            Refusal::new(Code::BodyInvalid, format!("the body cannot be read: {e}"))
+        })?,
+    };
+    let base = match order.base {
+        Some(base) => base,
+        None => call_center(state, &Call::Center(center.clone())).await?.revision,
+    };
+    let change = CenterChange { center, drained, base };
+    let view = call_center(state, &Call::ChangeCenter(change)).await?;
+    Ok(center_response(view))
+}
+
+fn parse_center(text: &str) -> Result<Center> {
+    Center::try_from(text).map_err(|e| Refusal::new(Code::UnknownCenter, format!("{text:?}: {e}")))
+}
+
+async fn call_center(state: &State, call: &Call) -> Result<CenterView> {
+    match call_control(state, call, CALL_TIMEOUT).await? {
+        Reply::Center(view) => Ok(view),
+        _ => Err(Code::Internal.into()),
+    }
+}
+
+fn center_response(view: CenterView) -> FullResponse {
+    json_response(Code::Done, &CenterBody { code: Code::Done.number(), view })
+}
--- a/crates/bronzespoold/src/entry/server.rs
+++ b/crates/bronzespoold/src/entry/server.rs
@@ -117,6 +117,11 @@
             (&Method::POST, ["instances", name, "drain"]) if operators => {
                 operators::drain(state, name).await
             }
+            (&Method::GET, ["centers", name]) if operators => operators::center(state, name).await,
+            (&Method::POST, ["centers", name, order @ ("drain" | "restore")]) if operators => {
+                let drained = *order == "drain";
+                operators::change_center(state, name, drained, request.into_body()).await
+            }
             (&Method::GET, ["report"]) if operators => operators::report(state).await,
             _ => Err(unknown_path(method, request.uri().path())),
         }
--- a/crates/bronzespoold/src/entry/state.rs
+++ b/crates/bronzespoold/src/entry/state.rs
@@ -84,8 +84,9 @@
         }
     }
 
-    fn apply_grant(&self, grant: SessionGrant) -> bool {
-        self.update_view(|view| view.replace(grant.view))
+    fn apply_grant(&self, mut grant: SessionGrant) -> bool {
+        let new = grant.take_view();
+        self.update_view(|view| view.replace(new))
     }
 
     fn apply_update(&self, update: Update) -> view::Result<()> {
--- a/crates/bronzespoold/src/entry/traffic/admission.rs
+++ b/crates/bronzespoold/src/entry/traffic/admission.rs
@@ -16,7 +16,6 @@
             outlier::Sample,
             retry::{FailedAttempt, Failure, RetryDecision},
             route::Router,
-            view::Presence,
         },
     },
     std::{rc::Rc, time::Duration},
@@ -57,6 +56,7 @@
         let services: Vec<_> = self.traffic.borrow().services.keys().cloned().collect();
         for service in &services {
             self.expire_waiting(service);
+            self.refuse_drained(service);
             while self.admit_next(service) {}
         }
         self.traffic.borrow().services.values().any(|s| !s.queue.is_empty())
@@ -121,13 +121,18 @@
         Permit { state: Rc::clone(self), service: service.clone(), team: team.clone() }
     }
 
-    /// Whether any endpoint that is up serves the request's service.
-    pub(super) fn has_endpoint(&self, request: &CheckedRequest) -> bool {
-        let view = self.view();
-        let serves = |p: &bronzespool::flow::view::EndpointRecord| {
-            p.presence == Presence::Up && p.services.contains(&request.service)
-        };
-        view.endpoints.values().any(serves)
+    /// Refuses the queued requests of a service if the view shows that all endpoints which could
+    /// take them are in drained data centres. Lost endpoints may come back within the deadline, but
+    /// a drain has no end.
+    fn refuse_drained(&self, service: &Service) {
+        if self.view().check_service(service) != Err(Code::CenterDrained) {
+            return;
+        }
+        let refused = self.traffic.borrow_mut().service(service).queue.drain(Code::CenterDrained);
+        for refused in refused {
+            let refusal = Refusal::from(refused.code).retry_after(refused.retry_after);
+            let _ = refused.item.grant.send(Err(refusal));
+        }
     }
 
     /// Chooses an endpoint with free slots and reserves them.
@@ -143,7 +148,7 @@
         let view = self.view();
         let mut traffic = self.traffic.borrow_mut();
         let detector = traffic.detector(service, kind);
-        let candidates = Router::candidates(now, service, view.endpoints.values(), detector, tried);
+        let candidates = Router::candidates(now, service, view.open_endpoints(), detector, tried);
         let costs = traffic.route_costs();
         let traffic = &mut *traffic;
         let chosen =
--- a/crates/bronzespoold/src/entry/traffic/admit.rs
+++ b/crates/bronzespoold/src/entry/traffic/admit.rs
@@ -48,7 +48,7 @@
     fn try_admit(&self, request: &CheckedRequest) -> Result<Option<(Permit, SlotReservation)>> {
         let spec = request.spec()?;
         let now = self.0.clock.now();
-        if !self.0.has_endpoint(request) {
+        if let Err(code) = self.0.view().check_service(&request.service) {
             let retry = self
                 .0
                 .traffic
@@ -56,7 +56,7 @@
                 .service(&request.service)
                 .queue
                 .retry_after(&request.team);
-            return Err(Refusal::from(Code::NoEndpoint).retry_after(retry));
+            return Err(Refusal::from(code).retry_after(retry));
         }
         {
             let mut traffic = self.0.traffic.borrow_mut();
--- /dev/null
+++ b/crates/bronzespoold/tests/center_drain.rs
@@ -0,0 +1,178 @@
+//! Drain of a data centre under load and failures: requests go elsewhere and come back.
+
+mod common;
+mod load;
+
+use {
+    bronzespool_fakes::{
+        call::{Answer, Call},
+        cluster::{Cluster, Result},
+    },
+    common::{leader, plan, publish_with_retry, send_request, status, wait_until},
+    load::send_protected,
+    serde_json::{Value, json},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
+};
+
+/// Duration in milliseconds of one request at an endpoint, long enough that some are in flight when
+/// a drain commits.
+const REQUEST_MILLIS: u64 = 50;
+/// Duration of the load.
+const LOAD_TIME: Duration = Duration::from_secs(6);
+/// Result code of a change that is based on another revision.
+const CONFLICT: u16 = 5001;
+/// Result code for a data centre that is not announced.
+const UNKNOWN_CENTER: u16 = 5006;
+/// Result code of work that is refused because of a drain.
+const CENTER_DRAINED: u16 = 3015;
+
+/// A cluster with one worker and one entry in each of two data centres.
+async fn start() -> Result<Cluster> {
+    let mut plan = plan(1).millis(REQUEST_MILLIS);
+    plan.centers.push(("c2".to_owned(), "r1".to_owned(), vec![1]));
+    let cluster = Cluster::start(plan).await?;
+    publish_with_retry(&cluster, Some(0), "op-0", &["check", "ledger"], true).await;
+    Ok(cluster)
+}
+
+async fn order(entry: SocketAddr, center: &str, action: &str, body: &Value) -> Result<Answer> {
+    Call::post(format!("/v1/centers/{center}/{action}"), body).send(entry).await
+}
+
+/// Orders a change through an entry and waits until every session has it.
+async fn change(cluster: &Cluster, entry: usize, center: &str, action: &str) -> Result<u64> {
+    let entry = cluster.entry(entry);
+    let answer = order(entry, center, action, &json!({})).await?;
+    assert!(answer.status.is_success(), "{}", answer.json());
+    let path = format!("/v1/centers/{center}");
+    wait_until("the change is in force", async || {
+        Ok(Call::get(path.clone()).send(entry).await?.json()["in_force"] == true)
+    })
+    .await;
+    Ok(answer.json()["revision"].as_u64().expect("a revision"))
+}
+
+/// Number of requests that an endpoint has started, protected or not.
+async fn starts(cluster: &Cluster, worker: usize) -> Result<u64> {
+    let record = cluster.record(worker).await?;
+    Ok(record.others + record.keys.values().map(|k| k.len() as u64).sum::<u64>())
+}
+
+fn entries(cluster: &Cluster) -> Vec<SocketAddr> {
+    cluster.entries().iter().map(|(_, address)| *address).collect()
+}
+
+/// Guards against requests that reach a drained data centre, against answers "not run" to requests
+/// that were on their way when the drain committed and ran, and against a restore without effect.
+#[tokio::test]
+async fn drained_center_gets_no_requests_until_restored() -> Result<()> {
+    let cluster = start().await?;
+    let entries = entries(&cluster);
+    let end = Instant::now() + LOAD_TIME;
+    let drain = async {
+        sleep(Duration::from_secs(1)).await;
+        assert!(starts(&cluster, 0).await? > 0, "the data centre works before its drain");
+        change(&cluster, 1, "c1", "drain").await?;
+        let then = starts(&cluster, 0).await?;
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(starts(&cluster, 0).await?, then, "requests started after the drain");
+        change(&cluster, 0, "c1", "restore").await?;
+        wait_until("the data centre works again", async || Ok(starts(&cluster, 0).await? > then))
+            .await;
+        Ok(())
+    };
+    let (histories, drained): (_, Result<()>) = tokio::join!(load::run_load(&entries, end), drain);
+    drained?;
+    let summary = load::check_histories(&cluster, &histories).await?;
+    assert_eq!((summary.unknown, summary.unanswered), (0, 0), "{summary:?}");
+    Ok(())
+}
+
+/// Guards against a drain that is lost with its leader or with a restart of all processes, and
+/// against the next start of an agent that ends the drain of its data centre.
+#[tokio::test]
+async fn drain_survives_leader_change_and_restarts() -> Result<()> {
+    let mut cluster = start().await?;
+    let revision = change(&cluster, 0, "c1", "drain").await?;
+    let former = leader(&cluster).await;
+    cluster.process(&former).kill()?;
+    wait_until("another leader", async || {
+        let now = leader(&cluster).await;
+        Ok(!now.is_empty() && now != former)
+    })
+    .await;
+    assert_served_by_second(&cluster, "a").await?;
+    cluster.process(&former).restart()?;
+    let names: Vec<_> = cluster.ids().into_iter().map(|(name, _)| name).collect();
+    for name in names.iter().filter(|name| !name.starts_with("endpoint")) {
+        cluster.process(name).kill()?;
+    }
+    for name in names.iter().filter(|name| !name.starts_with("endpoint")) {
+        cluster.process(name).restart()?;
+    }
+    cluster.wait_ready().await?;
+    assert_served_by_second(&cluster, "b").await?;
+    let row = status(&cluster).await["centers"][0].clone();
+    assert_eq!((&row["drained"], &row["revision"]), (&json!(true), &json!(revision)), "{row}");
+    Ok(())
+}
+
+async fn assert_served_by_second(cluster: &Cluster, prefix: &str) -> Result<()> {
+    let before = starts(cluster, 0).await?;
+    for number in 0..6 {
+        let key = format!("{prefix}-{number}");
+        wait_until("a protected request is served", async || {
+            let answer = send_protected(cluster.entry(number % 2), &key, number).await;
+            Ok(answer.is_some_and(|a| a.status.is_success()))
+        })
+        .await;
+    }
+    assert_eq!(starts(cluster, 0).await?, before, "the drained data centre got requests");
+    Ok(())
+}
+
+/// Guards against orders with more than one outcome: repeats, orders on an old revision, and orders
+/// for data centres that are not announced.
+#[tokio::test]
+async fn orders_have_one_outcome() -> Result<()> {
+    let cluster = start().await?;
+    let (one, two) = (cluster.entry(0), cluster.entry(1));
+    let base = json!({ "base": 0 });
+    let first = order(one, "c1", "drain", &base).await?;
+    let again = order(two, "c1", "drain", &base).await?;
+    assert_eq!(first.json()["revision"], again.json()["revision"], "{}", again.json());
+    let restored = order(one, "c1", "restore", &json!({})).await?;
+    assert_eq!(restored.json()["drained"], false, "{}", restored.json());
+    let late = order(two, "c1", "drain", &base).await?;
+    assert_eq!((late.code(), late.outcome()), (CONFLICT, "not-run"));
+    let unknown = order(one, "c9", "drain", &json!({})).await?;
+    assert_eq!((unknown.status.as_u16(), unknown.code()), (404, UNKNOWN_CENTER));
+    let message = unknown.json()["message"].to_string();
+    assert!(message.contains("c1, c2"), "{message}");
+    Ok(())
+}
+
+/// Guards against requests that wait for their deadline, or run, while all data centres are drained.
+#[tokio::test]
+async fn all_centers_drained_requests_are_refused() -> Result<()> {
+    let cluster = start().await?;
+    change(&cluster, 0, "c1", "drain").await?;
+    change(&cluster, 1, "c2", "drain").await?;
+    for (entry, kind, key) in [(0, "check", None), (1, "ledger", Some("k"))] {
+        let sent = Instant::now();
+        let answer = send_request(&cluster, entry, kind, key).await?;
+        assert_eq!(answer.code(), CENTER_DRAINED, "{}", answer.json());
+        assert!(answer.headers.contains_key("retry-after"), "{:?}", answer.headers);
+        assert!(sent.elapsed() < Duration::from_secs(5), "the deadline is 10 s");
+    }
+    assert_eq!((starts(&cluster, 0).await?, starts(&cluster, 1).await?), (0, 0));
+    change(&cluster, 0, "c2", "restore").await?;
+    let answer = send_request(&cluster, 1, "ledger", Some("k")).await?;
+    assert!(answer.status.is_success(), "{}", answer.json());
+    assert_eq!(cluster.starts("k").await?, 1);
+    Ok(())
+}
