--- a/crates/bronzespool-cli/src/args/help.rs
+++ b/crates/bronzespool-cli/src/args/help.rs
@@ -63,10 +63,18 @@
     },
     CommandHelp {
         name: "drain",
-        usage: "drain INSTANCE",
-        summary: "stop an instance from accepting new work",
-        body: "The instance's agent refuses new work at once and finishes what is in flight.",
-        examples: &["drain sundarban-r1-w2"],
+        usage: "drain INSTANCE | --center NAME [--restore] [--base REV]",
+        summary: "stop an instance or a data centre from accepting new work",
+        body: "The instance's agent refuses new work at once and finishes what is in flight.\n\
+               --center NAME  drain a whole data centre, until it is restored; new work goes to \
+               the others\n\
+               --restore      let the data centre take new work again\n\
+               --base REV     refuse the change if the data centre was changed since this revision",
+        examples: &[
+            "drain sundarban-r1-w2",
+            "drain --center sundarban",
+            "drain --center sundarban --restore",
+        ],
     },
     CommandHelp {
         name: "cancel",
--- a/crates/bronzespool-cli/src/args/mod.rs
+++ b/crates/bronzespool-cli/src/args/mod.rs
@@ -5,7 +5,7 @@
 use {
     crate::error::{Error, Result},
     bronzespool::core::{
-        name::{Instance, Job, Service},
+        name::{Center, Instance, Job, Service},
         settings::value::{Addr, Span},
     },
     pico_args::Arguments,
@@ -56,6 +56,8 @@
     Explain(Job),
     /// Drain an instance: it accepts no new work.
     Drain(Instance),
+    /// Drain or restore a data centre.
+    ChangeCenter(CenterOrder),
     /// Cancel jobs.
     Cancel(Vec<Job>),
     /// Show the burn rates of the service-level targets, or write them to a file.
@@ -94,6 +96,17 @@
     pub wait: bool,
 }
 
+/// Arguments of `drain --center`: one change of a data centre.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CenterOrder {
+    /// The data centre.
+    pub center: Center,
+    /// Whether it is drained or restored.
+    pub drained: bool,
+    /// Revision that the change is based on; the current one if absent.
+    pub base: Option<u64>,
+}
+
 /// Output file of the report.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReportFile {
@@ -147,8 +160,7 @@
         "explain" => {
             required_arg(args, "explain JOB", |text| Job::try_from(text)).map(Command::Explain)
         }
-        "drain" => required_arg(args, "drain INSTANCE", |text| Instance::try_from(text))
-            .map(Command::Drain),
+        "drain" => read_drain(args),
         "cancel" => read_cancel(args),
         "report" => read_report(args),
         "trace" => read_trace(args),
@@ -172,6 +184,21 @@
     Ok(Publish { base, op, remove, wait, paths })
 }
 
+fn read_drain(args: &mut Arguments) -> Result<Command> {
+    let center = |text: &str| Center::try_from(text);
+    let center = args.opt_value_from_fn("--center", center).map_err(usage_error)?;
+    let restore = args.contains("--restore");
+    let base = args.opt_value_from_str("--base").map_err(usage_error)?;
+    match center {
+        Some(center) => Ok(Command::ChangeCenter(CenterOrder { center, drained: !restore, base })),
+        None if restore || base.is_some() => {
+            Err(Error::Usage("--restore and --base need --center NAME".to_owned()))
+        }
+        None => required_arg(args, "drain INSTANCE", |text| Instance::try_from(text))
+            .map(Command::Drain),
+    }
+}
+
 fn read_cancel(args: &mut Arguments) -> Result<Command> {
     let mut jobs = vec![required_arg(args, "cancel JOB…", |text| Job::try_from(text))?];
     while let Some(job) = args.opt_free_from_fn(|text| Job::try_from(text)).map_err(usage_error)? {
--- a/crates/bronzespool-cli/src/command/mod.rs
+++ b/crates/bronzespool-cli/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The commands of the command line.
 
+mod center;
 mod check;
 mod fit;
 mod job;
@@ -41,6 +42,7 @@
             let path = format!("/v1/instances/{instance}/drain");
             client()?.post(&path, &json!({})).await.map(Output::value)
         }
+        Command::ChangeCenter(order) => center::run(client()?, order).await,
         Command::Cancel(jobs) => job::cancel(client()?, jobs).await,
         Command::Report(page) => report::run(client()?, page.as_ref()).await,
         Command::Trace { id, files } => trace::run(id, files),
--- a/crates/bronzespool-cli/tests/operate.rs
+++ b/crates/bronzespool-cli/tests/operate.rs
@@ -53,6 +53,30 @@
     );
 }
 
+/// Guards against an order without the revision that it is based on: a copy that is held up could
+/// drain the data centre again after it was restored.
+#[test]
+fn drain_center_is_based_on_the_revision_read() {
+    let restored = ok(r#"{"code":1000,"center":"couva","drained":false,"revision":12}"#);
+    let drained = ok(r#"{"code":1000,"center":"couva","drained":true,"revision":17}"#);
+    let server = Server::start([restored.clone(), drained.clone()]);
+    assert_eq!(server.run("drain --center couva").exit, Exit::Done);
+    let requests = server.requests();
+    assert_eq!(requests[0].path, "/v1/centers/couva");
+    assert_eq!(requests[1].path, "/v1/centers/couva/drain");
+    assert_eq!(requests[1].body, json!({ "base": 12 }));
+    let server = Server::start([drained]);
+    assert_eq!(server.run("drain --center couva").exit, Exit::Done);
+    assert_eq!(server.requests().len(), 1, "it is drained already");
+    let server = Server::start([error_response(409, 5001, "not-run")]);
+    assert_eq!(server.run("drain --center couva --restore --base 3").exit, Exit::Conflict);
+    let request = &server.requests()[0];
+    assert_eq!(
+        (request.path.as_str(), &request.body["base"]),
+        ("/v1/centers/couva/restore", &json!(3))
+    );
+}
+
 #[test]
 fn drain_lost_response_exits_unknown() {
     assert_eq!(Server::start([Reply::Disconnect]).run("drain w-1").exit, Exit::Unknown);
