--- a/crates/bronzespoold/tests/center_drain.rs
+++ b/crates/bronzespoold/tests/center_drain.rs
@@ -4,18 +4,29 @@
 mod load;
 
 use {
+    bronzespool::{
+        core::{Code, Digest, Instance, Time},
+        flow::claim::{ClaimId, ClaimRequest, Incarnation},
+        wire::{
+            bronzespool_capnp::agent,
+            frame,
+            link::Link,
+            message::{Call as ControlCall, Reply, RunMode, RunReply, RunRequest},
+        },
+    },
     bronzespool_fakes::{
         call::{Answer, Call},
         cluster::{Cluster, Result},
     },
-    common::{leader, plan, publish_with_retry, send_request, status, wait_until},
+    common::{forward_call, leader, plan, publish_with_retry, send_request, status, wait_until},
+    futures::future::join_all,
     load::send_protected,
     serde_json::{Value, json},
     std::{
         net::SocketAddr,
         time::{Duration, Instant},
     },
-    tokio::time::sleep,
+    tokio::{task::LocalSet, time::sleep},
 };
 
 /// Duration in milliseconds of one request at an endpoint, long enough that some are in flight when
@@ -23,6 +34,10 @@
 const REQUEST_MILLIS: u64 = 50;
 /// Duration of the load.
 const LOAD_TIME: Duration = Duration::from_secs(6);
+/// Number of records after which a replica takes a snapshot.
+const SNAPSHOT_RECORDS: usize = 10_000;
+/// Number of calls at a time.
+const CALLS: usize = 50;
 /// Result code of a change that is based on another revision.
 const CONFLICT: u16 = 5001;
 /// Result code for a data centre that is not announced.
@@ -156,6 +171,102 @@
     Ok(())
 }
 
+/// Guards against an entry that has not seen the drain: the agent and control each refuse what it
+/// sends.
+#[tokio::test]
+async fn stale_entry_is_refused_by_agent_and_control() -> Result<()> {
+    LocalSet::new().run_until(stale_entry()).await
+}
+
+async fn stale_entry() -> Result<()> {
+    let cluster = start().await?;
+    change(&cluster, 0, "c1", "drain").await?;
+    let status = status(&cluster).await;
+    let row =
+        status["endpoints"].as_array().and_then(|rows| rows.iter().find(|r| r["center"] == "c1"));
+    let number = row.and_then(|r| r["incarnation"].as_u64()).expect("an incarnation");
+    let request = RunRequest {
+        request: "stale".to_owned(),
+        revision: status["revision"].as_u64().expect("a revision"),
+        incarnation: number,
+        mode: RunMode::Idempotent,
+        team: "club".try_into()?,
+        service: "desk".try_into()?,
+        kind: "check".try_into()?,
+        key: None,
+        digest: Digest::of(b"{}"),
+        slots: 1,
+        timeout_millis: 5_000,
+    };
+    let link: Link<agent::Client> = Link::new(cluster.workers()[0].agent);
+    let reply: RunReply = link
+        .call(Duration::from_secs(10), |client| async move {
+            let mut call = client.run_request();
+            call.get().set_run(&frame::encode(&request));
+            call.get().set_body(b"{}");
+            let response = call.send().promise.await?;
+            Ok(frame::decode(response.get()?.get_reply()?)?)
+        })
+        .await?;
+    let refused = reply.result.map_err(|refusal| refusal.code);
+    assert_eq!((refused, reply.state.accepting), (Err(Code::CenterDrained), false));
+    let instance = cluster.workers()[0].instance.as_str().try_into()?;
+    let id = ClaimId {
+        team: "club".try_into()?,
+        service: "desk".try_into()?,
+        kind: "ledger".try_into()?,
+        key: "k".try_into()?,
+    };
+    let target = Incarnation { instance, number };
+    let expires = Time::from_secs(1);
+    let claim = ClaimRequest { id, digest: Digest::of(b"{}"), target, expires };
+    let address = cluster.controls().iter().find(|(name, _)| status["leader"] == name.as_str());
+    let address = address.expect("the leader's address").1;
+    let claimed = forward_call(address, ControlCall::Claim(claim)).await?;
+    assert_eq!(claimed.map_err(|refusal| refusal.code), Err(Code::CenterDrained));
+    assert_eq!(starts(&cluster, 0).await?, 0);
+    Ok(())
+}
+
+/// Guards against a drain that is missing in the snapshot of control, or that the scheduler and the
+/// view do not get back from it.
+#[tokio::test]
+async fn drain_survives_snapshot() -> Result<()> {
+    LocalSet::new().run_until(snapshot()).await
+}
+
+async fn snapshot() -> Result<()> {
+    let mut cluster = start().await?;
+    change(&cluster, 0, "c1", "drain").await?;
+    let name = leader(&cluster).await;
+    let address = cluster.controls().iter().find(|(n, _)| *n == name).expect("the leader").1;
+    // Records that change nothing, so that each replica takes a snapshot.
+    let instance: Instance = cluster.workers()[0].instance.as_str().try_into()?;
+    for _ in 0..SNAPSHOT_RECORDS / CALLS {
+        let call = || {
+            let former = Incarnation { instance: instance.clone(), number: 0 };
+            forward_call(address, ControlCall::DrainIncarnation(former))
+        };
+        for reply in join_all((0..CALLS).map(|_| call())).await {
+            assert!(matches!(reply?, Ok(Reply::Acknowledged)));
+        }
+    }
+    let controls: Vec<_> = cluster.controls().iter().map(|(name, _)| name.clone()).collect();
+    for name in &controls {
+        let file = cluster.data(name).join("snapshot");
+        wait_until("each replica has taken a snapshot", async || Ok(file.exists())).await;
+        cluster.process(name).kill()?;
+    }
+    for name in &controls {
+        cluster.process(name).restart()?;
+    }
+    cluster.wait_ready().await?;
+    assert_served_by_second(&cluster, "c").await?;
+    let row = status(&cluster).await["centers"][0].clone();
+    assert_eq!((&row["center"], &row["drained"]), (&json!("c1"), &json!(true)), "{row}");
+    Ok(())
+}
+
 /// Guards against requests that wait for their deadline, or run, while all data centres are drained.
 #[tokio::test]
 async fn all_centers_drained_requests_are_refused() -> Result<()> {
