--- a/crates/bronzespool-flow/tests/view.rs
+++ b/crates/bronzespool-flow/tests/view.rs
@@ -81,7 +81,7 @@
         index: u64,
     ) -> arbitrary::Result<Option<ViewUpdate>> {
         let number = u.int_in_range(0..=3)?;
-        Ok(match u.int_in_range(0..=4)? {
+        Ok(match u.int_in_range(0..=5)? {
             0 | 1 => {
                 let revision = self.views.last().unwrap().config.revision + 1;
                 let removed = vec![Service::try_from(format!("desk-{}", 3 - number).as_str())];
@@ -94,6 +94,10 @@
             }
             2 => Some(ViewUpdate::Endpoint(Box::new(endpoint(number, index)))),
             3 => Some(ViewUpdate::EndpointRemoved(instance(number))),
+            4 => {
+                let center = Center::try_from(format!("c-{number}").as_str()).unwrap();
+                Some(ViewUpdate::CenterChanged { center, drained: u.ratio(1, 2)? })
+            }
             _ => None,
         })
     }
--- a/crates/bronzespool-schedule/tests/random.rs
+++ b/crates/bronzespool-schedule/tests/random.rs
@@ -432,7 +432,7 @@
     }
 
     fn inject(&mut self) {
-        match self.rng.u32(..100) {
+        match self.rng.u32(..101) {
             0..50 => self.submit(),
             50..56 => {
                 let name = self.random_instance();
@@ -455,16 +455,27 @@
                 let draining = self.rng.bool();
                 self.record(Event::DrainingChanged { instance, draining });
             }
+            100 => {
+                let is_open = self.sim.state.drained_centers().is_empty();
+                self.drain_center(is_open);
+            }
             96..98 => (0..10).for_each(|_| self.submit()),
             _ => self.check_snapshot(),
         }
     }
 
+    /// Drains or restores the data centre of all workers.
+    fn drain_center(&mut self, drained: bool) {
+        let centers = drained.then(|| "couva".try_into().unwrap());
+        self.sim.state.set_drained_centers(centers.into_iter().collect());
+    }
+
     /// Checks that a replica restored from a snapshot has the same state and indexes as one that
     /// applied the log.
     fn check_snapshot(&self) {
         let bytes = postcard::to_stdvec(&self.sim.state).unwrap();
-        let copy: SchedulerState = postcard::from_bytes(&bytes).unwrap();
+        let mut copy: SchedulerState = postcard::from_bytes(&bytes).unwrap();
+        copy.set_drained_centers(self.sim.state.drained_centers().clone());
         assert!(copy == self.sim.state);
         for (a, b) in copy.occupancy().slots.iter().zip(&self.sim.state.occupancy().slots) {
             let mut a = a.clone();
@@ -481,6 +492,7 @@
     /// withdrawn.
     fn finish(&mut self) {
         self.faulty.clear();
+        self.drain_center(false);
         for name in self.partitioned.clone() {
             self.reconnect(&name);
         }
