--- a/crates/bronzespoold/tests/center_drain.rs
+++ b/crates/bronzespoold/tests/center_drain.rs
@@ -16,9 +16,11 @@
     },
     bronzespool_fakes::{
         call::{Answer, Call},
-        cluster::{Cluster, Result},
+        cluster::{Cluster, Plan, Result, Signal},
+    },
+    common::{
+        DONE, forward_call, leader, plan, publish_with_retry, send_request, status, wait_until,
     },
-    common::{forward_call, leader, plan, publish_with_retry, send_request, status, wait_until},
     futures::future::join_all,
     load::send_protected,
     serde_json::{Value, json},
@@ -32,6 +34,9 @@
 /// Duration in milliseconds of one request at an endpoint, long enough that some are in flight when
 /// a drain commits.
 const REQUEST_MILLIS: u64 = 50;
+/// Duration in milliseconds of one request while others wait in the queue: it is still running when
+/// the drains are in force, and all of them could run before their deadline of 10 s.
+const QUEUED_MILLIS: u64 = 3_000;
 /// Duration of the load.
 const LOAD_TIME: Duration = Duration::from_secs(6);
 /// Number of records after which a replica takes a snapshot.
@@ -45,11 +50,15 @@
 /// Result code of work that is refused because of a drain.
 const CENTER_DRAINED: u16 = 3015;
 
-/// A cluster with one worker and one entry in each of two data centres.
-async fn start() -> Result<Cluster> {
-    let mut plan = plan(1).millis(REQUEST_MILLIS);
+/// One worker and one entry in each of two data centres.
+fn two_centers() -> Plan {
+    let mut plan = plan(1);
     plan.centers.push(("c2".to_owned(), "r1".to_owned(), vec![1]));
-    let cluster = Cluster::start(plan).await?;
+    plan
+}
+
+async fn start() -> Result<Cluster> {
+    let cluster = Cluster::start(two_centers().millis(REQUEST_MILLIS)).await?;
     publish_with_retry(&cluster, Some(0), "op-0", &["check", "ledger"], true).await;
     Ok(cluster)
 }
@@ -228,6 +237,20 @@
     Ok(())
 }
 
+/// Guards against entries that send requests to a drained data centre and rely on the refusal of its
+/// agents: a frozen agent refuses nothing, and each such request would end as unknown.
+#[tokio::test]
+async fn frozen_agent_of_drained_center_gets_no_request() -> Result<()> {
+    let mut cluster = start().await?;
+    change(&cluster, 0, "c1", "drain").await?;
+    cluster.process("agent-1").signal(Signal::STOP)?;
+    for number in 0..12 {
+        let answer = send_protected(cluster.entry(0), &format!("f-{number}"), number).await;
+        assert!(answer.is_some_and(|a| a.status.is_success()), "request {number}");
+    }
+    Ok(())
+}
+
 /// Guards against a drain that is missing in the snapshot of control, or that the scheduler and the
 /// view do not get back from it.
 #[tokio::test]
@@ -262,8 +285,10 @@
     }
     cluster.wait_ready().await?;
     assert_served_by_second(&cluster, "c").await?;
-    let row = status(&cluster).await["centers"][0].clone();
+    let status = status(&cluster).await;
+    let row = &status["centers"][0];
     assert_eq!((&row["center"], &row["drained"]), (&json!("c1"), &json!(true)), "{row}");
+    assert_eq!(status["schedule"]["total"], 8, "accelerators on which work may be placed");
     Ok(())
 }
 
@@ -287,3 +312,29 @@
     assert_eq!(cluster.starts("k").await?, 1);
     Ok(())
 }
+
+/// Guards against queued requests that wait for their deadline when all data centres are drained, and
+/// against running ones that the drain cuts.
+#[tokio::test]
+async fn all_centers_drained_queued_requests_are_refused() -> Result<()> {
+    let mut plan = two_centers().millis(QUEUED_MILLIS);
+    plan.capacity.slots = 1;
+    let cluster = Cluster::start(plan).await?;
+    publish_with_retry(&cluster, Some(0), "op-0", &["check"], true).await;
+    let calls = join_all((0..6).map(|_| send_request(&cluster, 0, "check", None)));
+    let drain = async {
+        wait_until("both endpoints work", async || {
+            Ok(starts(&cluster, 0).await? + starts(&cluster, 1).await? == 2)
+        })
+        .await;
+        change(&cluster, 1, "c1", "drain").await?;
+        change(&cluster, 1, "c2", "drain").await
+    };
+    let (answers, drained) = tokio::join!(calls, drain);
+    drained?;
+    let codes: Result<Vec<_>> = answers.into_iter().map(|a| Ok(a?.code())).collect();
+    let mut codes = codes?;
+    codes.sort_unstable();
+    assert_eq!(codes, [&[DONE; 2][..], &[CENTER_DRAINED; 4]].concat());
+    Ok(())
+}
