--- a/crates/bronzespoold/tests/center_drain.rs
+++ b/crates/bronzespoold/tests/center_drain.rs
@@ -25,6 +25,7 @@
     load::send_protected,
     serde_json::{Value, json},
     std::{
+        fs,
         net::SocketAddr,
         time::{Duration, Instant},
     },
@@ -39,6 +40,10 @@
 const QUEUED_MILLIS: u64 = 3_000;
 /// Duration of the load.
 const LOAD_TIME: Duration = Duration::from_secs(6);
+/// Text of the log line of an entry to which an agent does not answer.
+const AGENT_SILENT: &str = "an agent does not answer";
+/// Time after which log lines are written; they gather for a tenth of a second.
+const LOG_DELAY: Duration = Duration::from_secs(1);
 /// Number of records after which a replica takes a snapshot.
 const SNAPSHOT_RECORDS: usize = 10_000;
 /// Number of calls at a time.
@@ -238,16 +243,20 @@
 }
 
 /// Guards against entries that send requests to a drained data centre and rely on the refusal of its
-/// agents: a frozen agent refuses nothing, and each such request would end as unknown.
+/// agents: a frozen agent refuses nothing, and the entry would find it silent.
 #[tokio::test]
 async fn frozen_agent_of_drained_center_gets_no_request() -> Result<()> {
     let mut cluster = start().await?;
     change(&cluster, 0, "c1", "drain").await?;
     cluster.process("agent-1").signal(Signal::STOP)?;
     for number in 0..12 {
-        let answer = send_protected(cluster.entry(0), &format!("f-{number}"), number).await;
-        assert!(answer.is_some_and(|a| a.status.is_success()), "request {number}");
+        let answer = send_request(&cluster, 0, "check", None).await?;
+        assert_eq!(answer.code(), DONE, "request {number}: {}", answer.json());
     }
+    sleep(LOG_DELAY).await;
+    let log = fs::read_to_string(cluster.folder().join("entry-1.log"))?;
+    let silent: Vec<_> = log.lines().filter(|line| line.contains(AGENT_SILENT)).collect();
+    assert!(silent.is_empty(), "{silent:?}");
     Ok(())
 }
 
