--- a/crates/bronzespoold/tests/center_drain.rs
+++ b/crates/bronzespoold/tests/center_drain.rs
@@ -164,6 +164,34 @@
     Ok(())
 }
 
+/// Guards against an order that is lost or made twice when its leader dies under it: sent again until
+/// it is answered, it has made one change.
+#[tokio::test]
+async fn order_to_killed_leader_is_made_once() -> Result<()> {
+    let mut cluster = start().await?;
+    let name = leader(&cluster).await;
+    let entry = cluster.entry(0);
+    let base = json!({ "base": 0 });
+    let first = order(entry, "c1", "drain", &base);
+    let (first, killed) = tokio::join!(first, async { cluster.process(&name).kill() });
+    killed?;
+    let first = first?;
+    assert!(first.code() != CONFLICT, "{}", first.json());
+    let mut revisions = Vec::new();
+    for _ in 0..2 {
+        wait_until("the order is answered", async || {
+            let answer = order(entry, "c1", "drain", &base).await?;
+            revisions.extend(answer.json()["revision"].as_u64());
+            Ok(answer.code() == DONE)
+        })
+        .await;
+    }
+    revisions.extend(first.json()["revision"].as_u64());
+    revisions.dedup();
+    assert_eq!(revisions.len(), 1, "{revisions:?}");
+    Ok(())
+}
+
 /// Guards against orders with more than one outcome: repeats, orders on an old revision, and orders
 /// for data centres that are not announced.
 #[tokio::test]
