--- a/crates/bronzespool-flow/tests/admission.rs
+++ b/crates/bronzespool-flow/tests/admission.rs
@@ -120,6 +120,22 @@
     assert_eq!(agent.start(NOW, &copy), StartDecision::Refused(Code::Fenced));
 }
 
+/// Guards against a "not run" that becomes untrue when the data centre is restored, and against a
+/// restore that ends the drain of an instance.
+#[test]
+fn start_refused_by_drain_of_center_never_starts() {
+    let mut agent = admission(2, 2);
+    agent.set_center_drained(true);
+    let refused = StartDecision::Refused(Code::CenterDrained);
+    assert_eq!(agent.start(NOW, &copy("a", 1, 20)), refused);
+    agent.set_center_drained(false);
+    assert_eq!(agent.start(NOW, &copy("a", 1, 20)), StartDecision::Refused(Code::Fenced));
+    agent.drain();
+    agent.set_center_drained(true);
+    agent.set_center_drained(false);
+    assert_eq!(agent.admit_unprotected(NOW, 1), Err(Code::Draining));
+}
+
 #[test]
 fn start_draining_is_refused() {
     let mut agent = admission(2, 2);
