feat(batch): detect overload of services

Cause: the leader does not know when a service has more work than it can do in time, so that no decision can depend on it. Change: module overload computes the demand on each service's workers by priority, team, label and shape from the ledger, in time of all workers, and compares it with the wait at which a job still counts in full. A class of work leaves overload at half of that wait. Between the two limits the ledger holds the evidence, so that a new leader finds the same state. The leader assesses it before plans, at most every 100 ms, and tells of it in log lines and gauges. No decision reads it yet.

--- a/crates/bronzespool-batch/src/lib.rs
+++ b/crates/bronzespool-batch/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod id;
 pub mod ledger;
 pub mod message;
+pub mod overload;
 pub mod plan;
 pub mod spec;
 pub mod withdrawal;
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -21,6 +21,8 @@
 mod time_left;
 mod urgency;
 
+pub(crate) use precedence::precedence_of;
+
 pub use {
     group::TaskGroup,
     maintenance::{MaintenancePlanner, Takedown},
@@ -37,13 +39,13 @@
         hold::{HeldPlacements, HoldState},
         place::{Placement, PlacementScope, place},
         places::PlaceIndex,
-        precedence::precedence_of,
         reclaim::{ReleasePlan, ReleaseSearch},
         urgency::Urgency,
     },
     crate::{
         id::{RunId, StepId},
         ledger::{Assignment, Event, Ledger, StopCause},
+        overload::Overload,
     },
     bronzespool_core::{HashMap, HashSet, Time},
     bronzespool_estimate::Estimates,
@@ -85,6 +87,8 @@
     pub permits: Permits,
     /// Learned run times and worker speeds.
     pub estimates: Estimates,
+    /// Services with more work than they can do in time.
+    pub overload: Overload,
 }
 
 /// The scheduling policy, with the placements that it keeps between two plans.
--- a/crates/bronzespool-batch/src/plan/precedence.rs
+++ b/crates/bronzespool-batch/src/plan/precedence.rs
@@ -60,7 +60,7 @@
 
 /// Computes the precedence of all active jobs. Jobs of priority zero are guaranteed in the order of
 /// their submission, as long as all of them fit into their team's guarantee.
-pub(super) fn precedence_of(ledger: &Ledger) -> Precedence {
+pub(crate) fn precedence_of(ledger: &Ledger) -> Precedence {
     let mut precedence = Precedence::default();
     let Some(config) = ledger.config() else { return precedence };
     let mut active: Vec<&Job> = ledger.jobs().filter(|j| j.phase.is_active()).collect();
--- /dev/null
+++ b/crates/bronzespool-batch/tests/overload/main.rs
@@ -0,0 +1,7 @@
+//! Overload: detection, order of waiting work, preemption budget and admission under replayed loads.
+
+#[path = "../common/mod.rs"]
+mod common;
+
+mod detection;
+mod replay;
--- a/crates/bronzespool-telemetry/src/event/control.rs
+++ b/crates/bronzespool-telemetry/src/event/control.rs
@@ -82,6 +82,24 @@
         /// Why the job was refused.
         error: String,
     }
+    /// A service has more work than it can do in time.
+    OverloadEntered: Warn, Leader, "a service is overloaded" {
+        /// The service.
+        service: Arc<str>,
+        /// Priority of the jobs that exceed their limit the most.
+        priority: u32,
+        /// Milliseconds until the work of these jobs that is there now is done.
+        wait_ms: u64,
+        /// Longest wait in milliseconds at which such a job still counts in full.
+        limit_ms: u64,
+        /// Number of these jobs with waiting work.
+        jobs: u32,
+    }
+    /// A service can do its work in time again.
+    OverloadLeft: Info, Leader, "a service is no longer overloaded" {
+        /// The service.
+        service: Arc<str>,
+    }
     /// A caller has cancelled a job.
     JobCancelled: Info, Leader, "a job was cancelled" {
         /// The job.
--- a/crates/bronzespoold/src/control/batch/mod.rs
+++ b/crates/bronzespoold/src/control/batch/mod.rs
@@ -5,6 +5,7 @@
 mod decision_log;
 mod external;
 mod gauges;
+mod overload;
 mod planner;
 mod polls;
 mod requests;
@@ -20,6 +21,7 @@
                 agents::Agents,
                 decision_log::{DecisionLog, PriorState},
                 external::ExternalState,
+                overload::OverloadState,
             },
             replica::{Replica, Result},
             state::{Command, Effect},
@@ -42,6 +44,7 @@
     decision_log: Rc<RefCell<DecisionLog>>,
     external: RefCell<ExternalState>,
     planner: RefCell<Planner>,
+    overload: RefCell<OverloadState>,
     /// Name of this instance.
     instance: Instance,
 }
@@ -59,6 +62,7 @@
             decision_log: Rc::default(),
             external: RefCell::default(),
             planner: RefCell::default(),
+            overload: RefCell::default(),
             instance,
         })
     }
--- a/crates/bronzespoold/src/control/batch/planner.rs
+++ b/crates/bronzespoold/src/control/batch/planner.rs
@@ -49,8 +49,9 @@
         self.agents.borrow_mut().enter_term(self.replica.status().term, self.clock.now());
         let mut events = self.gone_workers();
         let begun = self.clock.now();
-        let planned =
-            self.planner.borrow_mut().plan(self.replica.state().batch(), &self.cluster_view());
+        let mut cluster_view = self.cluster_view();
+        self.assess_overload(&mut cluster_view);
+        let planned = self.planner.borrow_mut().plan(self.replica.state().batch(), &cluster_view);
         events.extend(planned);
         let took = self.clock.now().since(begun);
         metrics::histogram!("bronzespool_batch_plan_seconds").record(took.as_secs_f64());
