feat(batch): budget of preemptions in overload

Cause: a job of a higher priority outside its team's guarantee may stop others again and again. Change: in an overloaded service a stop outside guarantees has to gain more work than it discards, counted since the last checkpoint that was seen, with the stop, the restart and all members of a gang. A task that has been interrupted is not stopped again, and one in eight of the runs of a minute may be. Counters of preempted runs by cause and of withheld ones.

--- a/crates/bronzespool-batch/src/overload/detect.rs
+++ b/crates/bronzespool-batch/src/overload/detect.rs
@@ -8,8 +8,12 @@
 
 use {
     crate::{
+        id::RunId,
         ledger::Ledger,
-        overload::demand::{Demand, Pool},
+        overload::{
+            checkpoints::CheckpointTimes,
+            demand::{Demand, Pool},
+        },
         plan::ClusterView,
     },
     bronzespool_core::{HashSet, Time},
@@ -43,6 +47,7 @@
 struct State {
     demand: Demand,
     classes: BTreeMap<Pool, BTreeMap<u32, ClassState>>,
+    checkpoints: CheckpointTimes,
 }
 
 impl Overload {
@@ -66,7 +71,8 @@
                 classes.entry(pool.clone()).or_default().insert(priority, state);
             }
         }
-        Self { state: Arc::new(State { demand, classes }) }
+        let checkpoints = former.state.checkpoints.updated(ledger, view);
+        Self { state: Arc::new(State { demand, classes, checkpoints }) }
     }
 
     /// Whether any service is overloaded.
@@ -74,6 +80,11 @@
         self.state.classes.values().flat_map(BTreeMap::values).any(|c| c.overloaded)
     }
 
+    /// Returns when a run has saved its latest checkpoint; `None` if it has saved none itself.
+    pub(super) fn saved_at(&self, run: RunId) -> Option<Time> {
+        self.state.checkpoints.of(run)
+    }
+
     /// Returns the demand that the state follows from.
     pub fn demand(&self) -> &Demand {
         &self.state.demand
--- a/crates/bronzespool-batch/src/overload/mod.rs
+++ b/crates/bronzespool-batch/src/overload/mod.rs
@@ -6,6 +6,8 @@
 //! Outside of overload the planner decides as if this module did not exist. Design note 0012 gives
 //! the reasons.
 
+pub mod budget;
+mod checkpoints;
 pub mod demand;
 mod detect;
 mod times;
--- a/crates/bronzespool-batch/src/plan/candidate.rs
+++ b/crates/bronzespool-batch/src/plan/candidate.rs
@@ -7,6 +7,7 @@
     crate::{
         id::{RunId, StepId},
         ledger::Ledger,
+        overload::budget,
         plan::{
             ClusterView, Precedence, TaskGroup,
             capacity::{ClusterCapacity, WorkerSlot, is_eligible},
@@ -229,6 +230,8 @@
     estimate: &mut TimeLeft<'_>,
 ) -> Vec<Candidate> {
     capacity.steps.add_runs(slot.worker.runs.len());
+    let is_limited =
+        view.overload.is_overloaded(&slot.worker.spec.service) && !precedence.is_guaranteed(group);
     let runs = slot.worker.runs.iter().filter(|(run, _)| !capacity.stopping.contains(run));
     let candidates = runs.filter_map(|(run, allocation)| {
         let job = capacity.ledger.job(run.task.step.job)?;
@@ -243,11 +246,14 @@
                 budget_left: None,
             });
         }
-        if !precedence.may_stop(group, job) {
+        if !precedence.may_stop(group, job) || is_limited && budget::was_interrupted(job, *run) {
             return None;
         }
-        let run_loss =
-            lost_millis(capacity, *run, view, spec.checkpoints).saturating_mul(allocation.weight());
+        let lost = match is_limited {
+            true => budget::stop_millis(capacity.ledger, view, *run, spec),
+            false => lost_millis(capacity, *run, view, spec.checkpoints),
+        };
+        let run_loss = lost.saturating_mul(allocation.weight());
         let count = if spec.gang { u64::from(spec.count) } else { 1 };
         let gang = spec.gang.then_some(run.task.step);
         // Of two runs with the same cost, the one with the lower priority is preempted.
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -45,7 +45,10 @@
     crate::{
         id::{RunId, StepId},
         ledger::{Assignment, Event, Ledger, StopCause},
-        overload::Overload,
+        overload::{
+            Overload,
+            budget::{self, PreemptionCounts, StopBudget, Timing},
+        },
     },
     bronzespool_core::{HashMap, HashSet, Time},
     bronzespool_estimate::Estimates,
@@ -96,9 +99,15 @@
 pub struct Planner {
     held: HeldPlacements,
     steps: PlanSteps,
+    stops: StopBudget,
 }
 
 impl Planner {
+    /// Returns the preemptions that all plans have decided.
+    pub const fn preemptions(&self) -> PreemptionCounts {
+        self.stops.counts()
+    }
+
     /// Returns what the latest plan examined.
     pub const fn steps(&self) -> PlanSteps {
         self.steps
@@ -106,7 +115,7 @@
 
     /// Returns the events that the scheduling policy proposes next.
     pub fn plan(&mut self, ledger: &Ledger, view: &ClusterView) -> Vec<Event> {
-        let mut pass = PlanPass::new(ledger, view, &mut self.held);
+        let mut pass = PlanPass::new(ledger, view, &mut self.held, &mut self.stops);
         let broken = group::runs_of_broken_gangs(ledger);
         if !broken.is_empty() {
             pass.events.push(Event::Stopping { runs: broken, cause: StopCause::Broken });
@@ -132,6 +141,7 @@
     candidates: Candidates<'a>,
     places: PlaceIndex,
     held: &'a mut HeldPlacements,
+    stops: &'a mut StopBudget,
     events: Vec<Event>,
     /// Number of tasks started so far.
     starts: usize,
@@ -140,7 +150,12 @@
 }
 
 impl<'a> PlanPass<'a> {
-    fn new(ledger: &'a Ledger, view: &'a ClusterView, held: &'a mut HeldPlacements) -> Self {
+    fn new(
+        ledger: &'a Ledger,
+        view: &'a ClusterView,
+        held: &'a mut HeldPlacements,
+        stops: &'a mut StopBudget,
+    ) -> Self {
         let capacity = ClusterCapacity::new(ledger, view);
         let reservations_left = capacity.slots.len().div_ceil(WORKERS_PER_RESERVATION);
         let precedence = precedence_of(ledger);
@@ -151,6 +166,7 @@
             candidates: Candidates::new(ledger, view),
             places: PlaceIndex::default(),
             held,
+            stops,
             events: Vec::new(),
             starts: 0,
             reservations_left,
@@ -238,6 +254,7 @@
 
     fn start_on(&mut self, group: &TaskGroup<'_>, placement: &Placement) {
         self.starts += placement.len();
+        self.stops.count_starts(group.service, placement.len(), self.view.now);
         self.held.release(group);
         self.capacity.allocate(group, placement);
         self.events.push(Event::Started(assignments(group, placement, self.view)));
@@ -250,6 +267,7 @@
         self.held.hold(group, placement, self.view.now);
         if !victims.is_empty() {
             self.candidates.remove_stopped(&victims, &self.capacity);
+            self.stops.count(victims.len(), self.precedence.is_guaranteed(group));
             let cause = StopCause::Reclaimed(group.step.job);
             self.events.push(Event::Stopping { runs: victims, cause });
         }
@@ -283,9 +301,18 @@
         let count = group.tasks.len() as u64;
         let contributed =
             group.spec.allocation().times(count).weight().saturating_mul(group.spec.estimate);
-        let loss_max = if guaranteed { u64::MAX } else { contributed };
+        let is_limited = !guaranteed && self.view.overload.is_overloaded(group.service);
+        let loss_max = match (guaranteed, is_limited) {
+            (true, _) => u64::MAX,
+            (_, true) => {
+                budget::loss_max(group.job, group.spec, count, self.view, &timing(urgency))
+            }
+            _ => contributed,
+        };
         let (placement, victims, _) = self.release(group, scope, ReleaseMode::Preempt, loss_max)?;
-        Some((placement, victims))
+        let (ledger, service, now) = (self.capacity.ledger, group.service, self.view.now);
+        let allowed = !is_limited || self.stops.take(ledger, service, &victims, now);
+        allowed.then_some((placement, victims))
     }
 
     /// Finds a placement that a large task group can wait for. Without a reservation, small groups
@@ -366,3 +393,9 @@
         };
     group.tasks.iter().zip(placement).map(assign).collect()
 }
+
+/// Returns the durations of a group that decide what its start gains.
+const fn timing(urgency: &Urgency) -> Timing {
+    let Urgency { elapsed, remaining, allowed, .. } = *urgency;
+    Timing { elapsed, remaining, allowed }
+}
--- a/crates/bronzespool-batch/tests/overload/main.rs
+++ b/crates/bronzespool-batch/tests/overload/main.rs
@@ -4,4 +4,5 @@
 mod common;
 
 mod detection;
+mod preemption;
 mod replay;
--- a/crates/bronzespoold/src/control/batch/overload.rs
+++ b/crates/bronzespoold/src/control/batch/overload.rs
@@ -92,4 +92,15 @@
         });
         lost.map(|w| Arc::clone(&w.spec.incarnation.worker)).collect()
     }
+
+    /// Updates the counters of preemptions by cause.
+    pub(super) fn count_preemptions(&self) {
+        let counts = self.planner.borrow().preemptions();
+        let by_cause = [("guarantee", counts.guarantee), ("priority", counts.priority)];
+        for (cause, runs) in by_cause {
+            metrics::counter!("bronzespool_batch_preempted_runs_total", "cause" => cause)
+                .absolute(runs);
+        }
+        metrics::counter!("bronzespool_batch_preemptions_withheld_total").absolute(counts.withheld);
+    }
 }
--- a/crates/bronzespoold/src/control/batch/planner.rs
+++ b/crates/bronzespoold/src/control/batch/planner.rs
@@ -53,6 +53,7 @@
         self.assess_overload(&mut cluster_view);
         let planned = self.planner.borrow_mut().plan(self.replica.state().batch(), &cluster_view);
         events.extend(planned);
+        self.count_preemptions();
         let took = self.clock.now().since(begun);
         metrics::histogram!("bronzespool_batch_plan_seconds").record(took.as_secs_f64());
         if events.is_empty() {
