feat(batch): order of waiting work in overload

Cause: in overload the order of age makes all work late in a burst, and lets a few large teams fill the workers for minutes. Change: within the same precedence of an overloaded class, work that can be in time goes first, then the team whose runs use the least of any resource, with its waiting work that goes before counted in. The largest jobs go first while they are begun less than half as often as the others. Guaranteed work and classes that are not overloaded keep their order.

--- a/crates/bronzespool-batch/src/overload/detect.rs
+++ b/crates/bronzespool-batch/src/overload/detect.rs
@@ -13,6 +13,7 @@
         overload::{
             checkpoints::CheckpointTimes,
             demand::{Demand, Pool},
+            order::lagging_sizes,
         },
         plan::ClusterView,
     },
@@ -47,6 +48,8 @@
 struct State {
     demand: Demand,
     classes: BTreeMap<Pool, BTreeMap<u32, ClassState>>,
+    /// Least size of the largest jobs of each class in which those are begun too rarely.
+    lagging: BTreeMap<(Arc<str>, u32), u64>,
     checkpoints: CheckpointTimes,
 }
 
@@ -71,8 +74,10 @@
                 classes.entry(pool.clone()).or_default().insert(priority, state);
             }
         }
+        let is_any = classes.values().flat_map(BTreeMap::values).any(|c| c.overloaded);
+        let lagging = if is_any { lagging_sizes(ledger, view) } else { BTreeMap::new() };
         let checkpoints = former.state.checkpoints.updated(ledger, view);
-        Self { state: Arc::new(State { demand, classes, checkpoints }) }
+        Self { state: Arc::new(State { demand, classes, lagging, checkpoints }) }
     }
 
     /// Whether any service is overloaded.
@@ -80,6 +85,11 @@
         self.state.classes.values().flat_map(BTreeMap::values).any(|c| c.overloaded)
     }
 
+    /// Returns the least size of the largest jobs of a class if those are begun too rarely.
+    pub(super) fn lagging_size(&self, service: &Arc<str>, priority: u32) -> Option<u64> {
+        self.state.lagging.get(&(Arc::clone(service), priority)).copied()
+    }
+
     /// Returns when a run has saved its latest checkpoint; `None` if it has saved none itself.
     pub(super) fn saved_at(&self, run: RunId) -> Option<Time> {
         self.state.checkpoints.of(run)
--- a/crates/bronzespool-batch/src/overload/mod.rs
+++ b/crates/bronzespool-batch/src/overload/mod.rs
@@ -10,6 +10,7 @@
 mod checkpoints;
 pub mod demand;
 mod detect;
+pub mod order;
 mod times;
 
 pub use {
--- a/crates/bronzespool-batch/src/plan/group.rs
+++ b/crates/bronzespool-batch/src/plan/group.rs
@@ -93,6 +93,20 @@
         })
     }
 
+    /// Splits off pieces of at most `size` groups each, `most` of them at most; the rest stays together.
+    pub(super) fn split(self, size: u32, most: u32) -> impl Iterator<Item = Self> {
+        let pieces = (self.count.max(1) - 1) / size.max(1);
+        let whole = self.count;
+        (0..=pieces.min(most)).map(move |i| {
+            let before = i * size;
+            let mut first = self.first.clone();
+            first.tasks.iter_mut().for_each(|t| t.index += before);
+            let rest = whole - before;
+            let count = if i == pieces.min(most) { rest } else { rest.min(size) };
+            Self { first, count }
+        })
+    }
+
     /// Whether a task of the same step follows these groups and differs in its index only.
     fn is_followed_by(&self, step: StepId, index: usize, task: &Task) -> bool {
         let next = |first: &PendingTask| {
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -8,6 +8,7 @@
 mod candidate;
 mod capacity;
 mod disruption;
+mod fair;
 mod group;
 mod health;
 mod hold;
@@ -47,7 +48,7 @@
         ledger::{Assignment, Event, Ledger, StopCause},
         overload::{
             Overload,
-            budget::{self, PreemptionCounts, StopBudget, Timing},
+            budget::{self, PreemptionCounts, StopBudget},
         },
     },
     bronzespool_core::{HashMap, HashSet, Time},
@@ -127,6 +128,9 @@
             let held = pass.held.contains(&like.first);
             pass.precedence.rank(&like.first, urgency, held)
         });
+        if view.overload.is_any() {
+            waiting = fair::in_fair_order(ledger, view, &pass.precedence, pass.held, waiting);
+        }
         pass.schedule_all(&waiting);
         self.steps = pass.capacity.steps.steps();
         pass.events
@@ -305,7 +309,7 @@
         let loss_max = match (guaranteed, is_limited) {
             (true, _) => u64::MAX,
             (_, true) => {
-                budget::loss_max(group.job, group.spec, count, self.view, &timing(urgency))
+                budget::loss_max(group.job, group.spec, count, self.view, &fair::timing(urgency))
             }
             _ => contributed,
         };
@@ -393,9 +397,3 @@
         };
     group.tasks.iter().zip(placement).map(assign).collect()
 }
-
-/// Returns the durations of a group that decide what its start gains.
-const fn timing(urgency: &Urgency) -> Timing {
-    let Urgency { elapsed, remaining, allowed, .. } = *urgency;
-    Timing { elapsed, remaining, allowed }
-}
--- a/crates/bronzespool-batch/tests/overload/main.rs
+++ b/crates/bronzespool-batch/tests/overload/main.rs
@@ -4,5 +4,6 @@
 mod common;
 
 mod detection;
+mod order;
 mod preemption;
 mod replay;
--- a/crates/bronzespool-batch/tests/overload/replay.rs
+++ b/crates/bronzespool-batch/tests/overload/replay.rs
@@ -1,6 +1,6 @@
 //! Replays a load on a small cluster: runs take their declared duration, stops take 0.9 s.
 
-#![allow(dead_code, unreachable_pub)]
+#![allow(unreachable_pub)]
 
 use {
     crate::common::{self, Cluster, QUEUES, step},
