feat(batch): reject jobs that cannot be served in time

Cause: every job is accepted, also when it is known that it cannot be done before its cutoff. Its caller waits for an answer without value, and its work stands in the way of others. Change: the leader rejects, before anything is proposed, a job that could not be done before its cutoff if it were started next, and in overload one for which the queue ahead takes longer. A job inside its team's guarantee, one in the ledger, one that is being committed, and jobs that are due at times or long-lived are not rejected. The answer is 503 with Retry-After from when the job would be served within its allowed duration, one caller after the other. A returning caller keeps its place. A rejected id is not accepted for 2 s, the time for which an entry tries a call, so that a late copy does not make the rejection untrue. Log line, counter by cause, and explain of a job that waits in overload.

--- a/crates/bronzespool-batch/src/message.rs
+++ b/crates/bronzespool-batch/src/message.rs
@@ -300,6 +300,8 @@
     NoWave,
     /// The job contradicts itself or cannot fit any worker.
     Invalid,
+    /// The job could not be served in time; holds the seconds after which to submit it again.
+    Overloaded(u32),
 }
 
 /// The leader's reply to a call.
--- a/crates/bronzespool-batch/src/overload/demand.rs
+++ b/crates/bronzespool-batch/src/overload/demand.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        id::RunId,
+        id::{JobId, RunId},
         ledger::{ActiveRun, Job, Ledger, StepState, Worker},
         overload::times::{JobTimes, job_times, step_work},
         plan::{ClusterView, Precedence, precedence_of},
@@ -32,6 +32,8 @@
 /// Work of one job that waits in a pool.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WaitingWork {
+    /// The job.
+    pub job: JobId,
     /// When the job was submitted, or its occurrence was due.
     pub since: Time,
     /// Seconds that all workers of the pool need for it.
@@ -229,7 +231,7 @@
         for (pool, (share, seconds)) in by_pool {
             let class = self.class(pool, self.ledger.priority(job));
             let late = waited > times.slack();
-            let work = WaitingWork { since, seconds, late };
+            let work = WaitingWork { job: job.spec.id, since, seconds, late };
             class.waiting.entry(job.spec.team.clone()).or_default().push(work);
             class.share += share;
             class.jobs += 1;
--- a/crates/bronzespool-batch/src/overload/detect.rs
+++ b/crates/bronzespool-batch/src/overload/detect.rs
@@ -8,7 +8,7 @@
 
 use {
     crate::{
-        id::RunId,
+        id::{JobId, RunId},
         ledger::Ledger,
         overload::{
             checkpoints::CheckpointTimes,
@@ -17,7 +17,7 @@
         },
         plan::ClusterView,
     },
-    bronzespool_core::{HashSet, Time},
+    bronzespool_core::{HashMap, HashSet, Time},
     std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
 
@@ -42,6 +42,8 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Overload {
     state: Arc<State>,
+    /// When jobs that were rejected before they were accepted first came.
+    places: Arc<HashMap<JobId, Time>>,
 }
 
 #[derive(Debug, Default, PartialEq)]
@@ -51,6 +53,7 @@
     /// Least size of the largest jobs of each class in which those are begun too rarely.
     lagging: BTreeMap<(Arc<str>, u32), u64>,
     checkpoints: CheckpointTimes,
+    assessed_at: Time,
 }
 
 impl Overload {
@@ -77,7 +80,26 @@
         let is_any = classes.values().flat_map(BTreeMap::values).any(|c| c.overloaded);
         let lagging = if is_any { lagging_sizes(ledger, view) } else { BTreeMap::new() };
         let checkpoints = former.state.checkpoints.updated(ledger, view);
-        Self { state: Arc::new(State { demand, classes, lagging, checkpoints }) }
+        let places = Arc::clone(&former.places);
+        Self {
+            places,
+            state: Arc::new(State { demand, classes, lagging, checkpoints, assessed_at: view.now }),
+        }
+    }
+
+    /// Replaces the times at which jobs first came that were rejected before they were accepted.
+    pub fn set_places(&mut self, places: &Arc<HashMap<JobId, Time>>) {
+        self.places = Arc::clone(places);
+    }
+
+    /// Returns when a job first came if it was rejected before it was accepted.
+    pub(super) fn place(&self, job: JobId) -> Option<Time> {
+        self.places.get(&job).copied()
+    }
+
+    /// Returns when the state was computed.
+    pub fn assessed_at(&self) -> Time {
+        self.state.assessed_at
     }
 
     /// Whether any service is overloaded.
--- a/crates/bronzespool-batch/src/overload/mod.rs
+++ b/crates/bronzespool-batch/src/overload/mod.rs
@@ -6,14 +6,19 @@
 //! Outside of overload the planner decides as if this module did not exist. Design note 0012 gives
 //! the reasons.
 
+pub mod admission;
+mod arrivals;
 pub mod budget;
 mod checkpoints;
 pub mod demand;
 mod detect;
+mod explain;
+mod forecast;
 pub mod order;
 mod times;
 
 pub use {
     detect::{ClassState, Detector, Overload},
+    explain::WaitsInOverload,
     times::{JobTimes, job_times},
 };
--- a/crates/bronzespool-batch/src/overload/order.rs
+++ b/crates/bronzespool-batch/src/overload/order.rs
@@ -13,7 +13,7 @@
         plan::ClusterView,
         spec::{Resources, Step},
     },
-    bronzespool_core::HashMap,
+    bronzespool_core::{HashMap, Time},
     std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
 
@@ -100,6 +100,14 @@
         if elapsed + remaining * slowest / 100 <= allowed { Tier::InTime } else { Tier::Late }
     }
 
+    /// Returns when a group's job first came. It is zero where the class is not overloaded.
+    pub fn arrived(&self, group: &GroupInput<'_>) -> Time {
+        if !self.overload.is_class_overloaded(group.service, group.priority) {
+            return Time::ZERO;
+        }
+        self.overload.place(group.job.spec.id).unwrap_or(group.job.submitted)
+    }
+
     /// Returns the share that a group's team uses, and counts the group in for the next one. It is
     /// zero where the class is not overloaded.
     pub fn take(&mut self, group: &GroupInput<'_>) -> u64 {
--- a/crates/bronzespool-batch/src/plan/fair.rs
+++ b/crates/bronzespool-batch/src/plan/fair.rs
@@ -43,18 +43,22 @@
             let is_held = held.contains(&like.first);
             let (too_late, borrowed, priority, ..) =
                 precedence.rank(&like.first, &urgency, is_held);
-            let tier = shares.tier(&input(&urgency, &like, priority));
-            let tier = borrowed.then_some(tier);
-            ((too_late, borrowed, priority, Reverse(is_held), tier), 0, urgency, like)
+            let group = input(&urgency, &like, priority);
+            let place = borrowed.then(|| (shares.tier(&group), shares.arrived(&group)));
+            let (tier, arrived) = place.unzip();
+            ((too_late, borrowed, priority, Reverse(is_held), tier), arrived, urgency, like)
         })
         .collect();
-    keyed.sort_by_key(|(class, ..)| *class);
-    for (class, share, urgency, like) in &mut keyed {
-        if class.1 {
-            *share = shares.take(&input(urgency, like, class.2));
-        }
-    }
-    keyed.sort_by_key(|(class, share, ..)| (*class, *share));
+    keyed.sort_by_key(|(class, arrived, ..)| (*class, *arrived));
+    let mut keyed: Vec<_> = keyed
+        .into_iter()
+        .map(|(class, _, urgency, like)| {
+            let (borrowed, group) = (class.1, input(&urgency, &like, class.2));
+            let share = if borrowed { shares.take(&group) } else { 0 };
+            ((class, share), urgency, like)
+        })
+        .collect();
+    keyed.sort_by_key(|(key, ..)| *key);
     keyed.into_iter().map(|(.., urgency, like)| (urgency, like)).collect()
 }
 
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -22,7 +22,7 @@
 mod time_left;
 mod urgency;
 
-pub(crate) use precedence::precedence_of;
+pub(crate) use precedence::{precedence_of, would_be_guaranteed};
 
 pub use {
     group::TaskGroup,
--- a/crates/bronzespool-batch/src/plan/precedence.rs
+++ b/crates/bronzespool-batch/src/plan/precedence.rs
@@ -10,6 +10,7 @@
         id::JobId,
         ledger::{Job, Ledger},
         plan::{TaskGroup, urgency::Urgency},
+        spec::JobSpec,
     },
     bronzespool_core::{HashMap, HashSet, Time},
 };
@@ -76,7 +77,7 @@
         precedence.priorities.insert(job.spec.id, priority);
         let Some(team) = job.spec.team.as_deref().filter(|_| priority == 0) else { continue };
         let sum: &mut u64 = used.entry(team).or_default();
-        let need = accelerators(job);
+        let need = accelerators(&job.spec);
         let whole = sum.saturating_add(need);
         if whole <= guaranteed.get(team).copied().unwrap_or(0) {
             *sum = whole;
@@ -86,8 +87,20 @@
     precedence
 }
 
+/// Whether a job that is not in the ledger would be inside its team's guarantee.
+pub(crate) fn would_be_guaranteed(ledger: &Ledger, spec: &JobSpec) -> bool {
+    let Some(config) = ledger.config() else { return false };
+    let priority = config.queue(&spec.queue).map(|q| q.priority);
+    let Some(team) = spec.team.as_deref().filter(|_| priority == Some(0)) else { return false };
+    let precedence = precedence_of(ledger);
+    let of_team = ledger.jobs().filter(|j| j.spec.team.as_deref() == Some(team));
+    let guaranteed = of_team.filter(|j| precedence.is_job_guaranteed(j));
+    let used = guaranteed.map(|j| accelerators(&j.spec)).fold(0, u64::saturating_add);
+    used.saturating_add(accelerators(spec)) <= config.guaranteed(team)
+}
+
 /// Returns the accelerators that all tasks of a job take if they run at once.
-fn accelerators(job: &Job) -> u64 {
-    let each = job.spec.steps.iter().map(|s| s.need.gpu.saturating_mul(u64::from(s.count)));
+fn accelerators(spec: &JobSpec) -> u64 {
+    let each = spec.steps.iter().map(|s| s.need.gpu.saturating_mul(u64::from(s.count)));
     each.fold(0, u64::saturating_add)
 }
--- a/crates/bronzespool-batch/tests/overload/detection.rs
+++ b/crates/bronzespool-batch/tests/overload/detection.rs
@@ -131,3 +131,17 @@
     replay.run_for(Duration::from_millis(100));
     assert!(is_overloaded(&mut replay));
 }
+
+/// Guards against an operator who sees a job wait and no reason.
+#[test]
+fn explain_waiting_job_names_overload() {
+    let mut replay = Replay::new(2, 2, 0);
+    let jobs: Vec<_> = (0..8).map(|_| replay.submit("rangers", 0, vec![gang(4, 4)])).collect();
+    replay.tick();
+    replay.cluster.pass(SECOND / 10);
+    let overload = replay.assess();
+    let explain = |id| overload.explain(&replay.cluster.ledger, id).map(|w| w.to_string());
+    assert_eq!(explain(jobs[0]), None);
+    let text = "desk is overloaded: 6 jobs of priority 0 wait, 9900 ms of 1500";
+    assert_eq!(explain(jobs[7]).as_deref(), Some(text));
+}
--- a/crates/bronzespool-batch/tests/overload/main.rs
+++ b/crates/bronzespool-batch/tests/overload/main.rs
@@ -3,6 +3,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 
+mod admission;
 mod detection;
 mod order;
 mod preemption;
--- a/crates/bronzespool-batch/tests/overload/replay.rs
+++ b/crates/bronzespool-batch/tests/overload/replay.rs
@@ -8,7 +8,11 @@
         Event, JobId, Phase, RunId, Step,
         config::{Config, Team},
         ledger::{RunOutcome, StopCause},
-        overload::{Detector, Overload, job_times},
+        overload::{
+            Detector, Overload,
+            admission::{Admission, Rejection},
+            job_times,
+        },
         spec::JobSpec,
     },
     bronzespool_core::{HashSet, Time},
@@ -35,6 +39,7 @@
 pub struct Replay {
     pub cluster: Cluster,
     pub detector: Detector,
+    pub admission: Admission,
     /// Workers with which contact is lost.
     pub silent: HashSet<Arc<str>>,
     /// Whether the planner is told of overload.
@@ -54,6 +59,7 @@
         Self {
             cluster,
             detector: Detector::default(),
+            admission: Admission::default(),
             silent: HashSet::default(),
             enabled: true,
             ends: BTreeMap::new(),
@@ -94,6 +100,21 @@
         self.submit(team, priority, vec![Step { estimate, ..step(count, 1) }])
     }
 
+    /// Decides on a job as the leader does, without recording it.
+    pub fn decide(&mut self, spec: &JobSpec) -> Result<(), Rejection> {
+        self.cluster.view.overload = self.assess();
+        let Self { cluster, admission, silent, .. } = self;
+        admission.decide(&cluster.ledger, &cluster.view, silent, spec)
+    }
+
+    /// Submits a job if it is admitted.
+    pub fn offer(&mut self, spec: JobSpec) -> Result<JobId, Rejection> {
+        let id = spec.id;
+        self.decide(&spec)?;
+        self.cluster.apply(Event::Submitted(Arc::new(spec)));
+        Ok(id)
+    }
+
     /// Assesses overload as the leader does before a plan.
     pub fn assess(&mut self) -> Overload {
         let Self { cluster, detector, silent, .. } = self;
@@ -106,6 +127,7 @@
         let overload = self.assess();
         if self.enabled {
             self.cluster.view.overload = overload;
+            self.cluster.view.overload.set_places(self.admission.places());
         }
         for event in self.cluster.plan() {
             match event {
--- a/crates/bronzespool-telemetry/src/event/control.rs
+++ b/crates/bronzespool-telemetry/src/event/control.rs
@@ -82,6 +82,28 @@
         /// Why the job was refused.
         error: String,
     }
+    /// A job could not be served in time: nothing was stored, and it never runs unless it is submitted
+    /// again.
+    JobRejected: Info, Leader, "a job was rejected for overload" {
+        /// The job.
+        job: JobId,
+        /// Queue of the job.
+        queue: Arc<str>,
+        /// Team of the job.
+        team: Option<Arc<str>>,
+        /// Why it was rejected.
+        cause: String,
+        /// Milliseconds until it would have been started.
+        wait_ms: u64,
+        /// Milliseconds that it takes from its start.
+        chain_ms: u64,
+        /// Milliseconds after which it has no value.
+        cutoff_ms: u64,
+        /// Milliseconds since it first came.
+        known_ms: u64,
+        /// Seconds after which its caller should come back.
+        retry_s: u64,
+    }
     /// A service has more work than it can do in time.
     OverloadEntered: Warn, Leader, "a service is overloaded" {
         /// The service.
--- a/crates/bronzespoold/src/control/batch/overload.rs
+++ b/crates/bronzespoold/src/control/batch/overload.rs
@@ -6,19 +6,33 @@
         telemetry::{Event as _, event},
     },
     bronzespool::{
-        batch::{Ledger, overload::Detector, plan::ClusterView},
-        core::HashSet,
+        batch::{
+            JobId, Ledger,
+            message::Denial,
+            overload::{
+                Detector,
+                admission::{Admission, Rejection},
+            },
+            plan::ClusterView,
+            spec::JobSpec,
+        },
+        core::{HashMap, HashSet, Time},
     },
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
 };
 
+/// Time without overload after which a service counts as having left it in the log, so that a load
+/// near the limit does not write lines all the time.
+const QUIET: Duration = Duration::from_secs(5);
+
 /// What the leader knows of overload beyond the ledger. It is reset at the start of each term.
 #[derive(Debug, Default)]
 pub(super) struct OverloadState {
     term: u64,
     detector: Detector,
-    /// Services that were overloaded at the latest assessment.
-    overloaded: HashSet<Arc<str>>,
+    admission: Admission,
+    /// When services were overloaded last, until their leaving is logged.
+    overloaded: HashMap<Arc<str>, Time>,
 }
 
 impl OverloadState {
@@ -30,47 +44,58 @@
         }
     }
 
+    /// Brings the state up to date and adds it to a view.
+    fn assess(&mut self, ledger: &Ledger, view: &mut ClusterView, silent: &HashSet<Arc<str>>) {
+        view.overload = self.detector.assess(ledger, view, silent).clone();
+        view.overload.set_places(self.admission.places());
+        self.report(view.now);
+    }
+
     fn report_all_left(&self) {
-        for service in &self.overloaded {
-            metrics::gauge!("bronzespool_batch_overloaded", "service" => service.to_string())
-                .set(0.0);
-        }
+        self.overloaded.keys().for_each(|s| set_gauges(s, Duration::ZERO, false));
     }
 
     /// Logs and measures which services have become overloaded or are so no longer.
-    fn report(&mut self) {
-        let now = self.detector.current().overloaded();
-        for (service, (priority, class)) in &now {
-            let wait_ms = class.wait.as_millis() as u64;
-            metrics::gauge!("bronzespool_batch_overload_wait_seconds", "service" => service.to_string())
-                .set(class.wait.as_secs_f64());
-            if self.overloaded.insert(Arc::clone(service)) {
-                metrics::gauge!("bronzespool_batch_overloaded", "service" => service.to_string())
-                    .set(1.0);
+    fn report(&mut self, now: Time) {
+        let overloaded = self.detector.current().overloaded();
+        for (service, (priority, class)) in &overloaded {
+            set_gauges(service, class.wait, true);
+            if self.overloaded.insert(Arc::clone(service), now).is_none() {
                 event::OverloadEntered {
                     service: Arc::clone(service),
                     priority: *priority,
-                    wait_ms,
-                    limit_ms: class.limit.as_millis() as u64,
+                    wait_ms: millis(class.wait),
+                    limit_ms: millis(class.limit),
                     jobs: class.jobs,
                 }
                 .emit();
             }
         }
-        self.overloaded.retain(|service| {
-            let remains = now.contains_key(service);
-            if !remains {
-                metrics::gauge!("bronzespool_batch_overloaded", "service" => service.to_string())
-                    .set(0.0);
-                metrics::gauge!("bronzespool_batch_overload_wait_seconds", "service" => service.to_string())
-                    .set(0.0);
+        self.overloaded.retain(|service, last| {
+            if *last != now {
+                set_gauges(service, Duration::ZERO, false);
+            }
+            let has_left = now.since(*last) >= QUIET;
+            if has_left {
                 event::OverloadLeft { service: Arc::clone(service) }.emit();
             }
-            remains
+            !has_left
         });
     }
 }
 
+fn set_gauges(service: &Arc<str>, wait: Duration, overloaded: bool) {
+    let service = service.to_string();
+    metrics::gauge!("bronzespool_batch_overloaded", "service" => service.clone())
+        .set(f64::from(u8::from(overloaded)));
+    metrics::gauge!("bronzespool_batch_overload_wait_seconds", "service" => service)
+        .set(wait.as_secs_f64());
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl BatchController {
     /// Adds the overload of all services to a view.
     pub(super) fn assess_overload(&self, view: &mut ClusterView) {
@@ -79,8 +104,28 @@
         let mut state = self.overload.borrow_mut();
         state.enter_term(self.replica.status().term);
         let silent = self.silent_workers(ledger, view);
-        view.overload = state.detector.assess(ledger, view, &silent).clone();
-        state.report();
+        state.assess(ledger, view, &silent);
+    }
+
+    /// Decides whether a job that is not in the ledger is admitted, before anything is proposed.
+    pub(super) fn admit(&self, spec: &JobSpec) -> Result<(), Denial> {
+        let mut view = self.cluster_view();
+        let replica_state = self.replica.state();
+        let ledger = replica_state.batch();
+        let mut state = self.overload.borrow_mut();
+        state.enter_term(self.replica.status().term);
+        let silent = self.silent_workers(ledger, &view);
+        state.assess(ledger, &mut view, &silent);
+        let decision = state.admission.decide(ledger, &view, &silent, spec);
+        decision.map_err(|rejection| reject(spec, &rejection, &view))
+    }
+
+    /// Returns what overload adds to the explanation of a job; empty if it does not wait in one.
+    pub(super) fn explain_overload(&self, id: JobId) -> String {
+        let replica_state = self.replica.state();
+        let state = self.overload.borrow();
+        let waits = state.detector.current().explain(replica_state.batch(), id);
+        waits.map_or_else(String::new, |w| format!("; {w}"))
     }
 
     /// Returns the workers that this leader has heard from and that are no longer in contact.
@@ -104,3 +149,23 @@
         metrics::counter!("bronzespool_batch_preemptions_withheld_total").absolute(counts.withheld);
     }
 }
+
+/// Logs and counts a rejection.
+fn reject(spec: &JobSpec, rejection: &Rejection, view: &ClusterView) -> Denial {
+    let Rejection { cause, retry, wait, times, first } = *rejection;
+    metrics::counter!("bronzespool_batch_rejected_jobs_total", "cause" => cause.name())
+        .increment(1);
+    event::JobRejected {
+        job: spec.id,
+        queue: Arc::clone(&spec.queue),
+        team: spec.team.clone(),
+        cause: cause.to_string(),
+        wait_ms: millis(wait),
+        chain_ms: millis(times.chain),
+        cutoff_ms: millis(times.cutoff),
+        known_ms: millis(view.now.since(first)),
+        retry_s: retry.as_secs(),
+    }
+    .emit();
+    Denial::Overloaded(u32::try_from(retry.as_secs()).unwrap_or(u32::MAX))
+}
--- a/crates/bronzespoold/src/control/batch/requests.rs
+++ b/crates/bronzespoold/src/control/batch/requests.rs
@@ -64,6 +64,9 @@
             event::JobRefused { job: id, error: error.to_string() }.emit();
             return Ok(Reply::Denied(Denial::Invalid));
         }
+        if let Err(denial) = self.admit(&spec) {
+            return Ok(Reply::Denied(denial));
+        }
         let outcome = self.propose_one(Event::Submitted(Arc::new(spec))).await?;
         Ok(match outcome {
             EventOutcome::Applied | EventOutcome::Known => Reply::Done,
@@ -75,7 +78,8 @@
     pub(super) async fn explain(&self, id: JobId) -> Result<Reply> {
         self.replica.read_barrier().await?;
         let explanation = self.replica.state().batch().explain(id);
-        let text = explanation.map(|e| e.to_string());
+        let overload = self.explain_overload(id);
+        let text = explanation.map(|e| format!("{e}{overload}"));
         Ok(text.map_or(Reply::Denied(Denial::NoJob), Reply::Explained))
     }
 
