fix(batch): long tasks do not delay the rest of a queue

Cause: found in a read-through: the wait was the sum of all work. Sums of slack could overflow and end the leader. Change: a task that runs longer than the queue takes its share of the workers for as long, and the others share the rest. Sums and products of durations from declared values saturate.

--- a/crates/bronzespool-batch/src/overload/admission.rs
+++ b/crates/bronzespool-batch/src/overload/admission.rs
@@ -10,7 +10,7 @@
         ledger::Ledger,
         overload::{
             arrivals::{Arrival, Arrivals},
-            demand::{Pool, TaskCapacity, seconds_to_duration},
+            demand::{Pool, TaskCapacity, Tasks, seconds_to_duration},
             forecast::{earliest_start, queue_ahead},
             times::{JobTimes, job_times, step_work},
         },
@@ -80,8 +80,8 @@
     at: Time,
     pub(super) priority: u32,
     pub(super) team: Option<Arc<str>>,
-    /// Share of each pool that its tasks take, and the seconds that the pool needs for them.
-    pub(super) work: BTreeMap<Pool, (f64, f64)>,
+    /// Its tasks by pool.
+    pub(super) work: BTreeMap<Pool, Vec<Tasks>>,
 }
 
 /// A job that is to be admitted.
@@ -91,7 +91,7 @@
     /// When the job first came.
     pub(super) first: Time,
     pub(super) times: JobTimes,
-    pub(super) work: BTreeMap<Pool, (f64, f64)>,
+    pub(super) work: BTreeMap<Pool, Vec<Tasks>>,
 }
 
 /// Decides on submissions on the leader.
@@ -185,7 +185,10 @@
         now: Time,
     ) -> Duration {
         let id = candidate.spec.id;
-        let seconds = candidate.work.values().map(|(_, seconds)| *seconds).fold(0.0, f64::max);
+        let work = |tasks: &Vec<Tasks>| tasks.iter().map(Tasks::work).sum();
+        let seconds: f64 = candidate.work.values().map(work).fold(0.0, f64::max);
+        // The work of one caller does not keep others away for good.
+        let seconds = seconds.min(RETRY_MAX.as_secs_f64());
         let before = seconds_to_duration(self.arrivals.outstanding(service, now));
         let spread = seconds_to_duration(seconds).max(SPREAD_MIN).mul_f64(position(id));
         let due = excess.saturating_add(before).saturating_add(spread);
@@ -223,21 +226,19 @@
     spec.times == 0 && !spec.steps.iter().any(|s| s.long_lived)
 }
 
-/// Returns a job's share of each pool that it needs and the seconds that the pool needs for it.
+/// Returns a job's tasks by the pools that they need.
 fn work_of(
     spec: &JobSpec,
     service: &Arc<str>,
     view: &ClusterView,
     capacity: &mut TaskCapacity<'_>,
-) -> BTreeMap<Pool, (f64, f64)> {
-    let mut by_pool: BTreeMap<Pool, (f64, f64)> = BTreeMap::new();
+) -> BTreeMap<Pool, Vec<Tasks>> {
+    let mut by_pool: BTreeMap<Pool, Vec<Tasks>> = BTreeMap::new();
     for step in &spec.steps {
         let pool = Pool { service: Arc::clone(service), label: step.label.clone() };
         let Some(share) = capacity.share(&pool, step, step.count as usize) else { continue };
         let work = step_work(&spec.queue, step, &view.estimates).expected;
-        let sum = by_pool.entry(pool).or_default();
-        sum.0 += share;
-        sum.1 += share * work.as_secs_f64();
+        by_pool.entry(pool).or_default().push(Tasks { share, seconds: work.as_secs_f64() });
     }
     by_pool
 }
--- a/crates/bronzespool-batch/src/overload/budget.rs
+++ b/crates/bronzespool-batch/src/overload/budget.rs
@@ -48,7 +48,7 @@
     let work = step_work(&job.spec.queue, step, &view.estimates).expected.as_millis() as u64;
     let contributed = step.allocation().times(tasks).weight().saturating_mul(work);
     let stop = Duration::from_millis(STOP_MILLIS);
-    let in_time = timing.elapsed + stop + timing.remaining <= timing.allowed;
+    let in_time = timing.elapsed.saturating_add(stop + timing.remaining) <= timing.allowed;
     let gain = if in_time { contributed } else { contributed / LATE_DIVISOR };
     gain.saturating_sub(1)
 }
--- a/crates/bronzespool-batch/src/overload/demand.rs
+++ b/crates/bronzespool-batch/src/overload/demand.rs
@@ -29,15 +29,56 @@
     pub label: Option<Arc<str>>,
 }
 
-/// Work of one job that waits in a pool.
+/// Sums of shares that exceed the whole by no more than this are the whole.
+const ROUNDING: f64 = 1e-9;
+
+/// Tasks that run or wait in a pool.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tasks {
+    /// Share of the pool that they take if they run at once.
+    pub share: f64,
+    /// Time in seconds that each of them takes, or has left.
+    pub seconds: f64,
+}
+
+impl Tasks {
+    /// Returns the seconds that all workers of the pool need for them.
+    pub fn work(&self) -> f64 {
+        self.share * self.seconds
+    }
+}
+
+/// Returns the time in seconds after which tasks that share the workers of a pool are done, but for
+/// those that run longer: such tasks take their share for as long, and do not delay the others.
+/// It is zero if all of them fit at once.
+pub(super) fn drain_seconds(mut tasks: Vec<Tasks>) -> f64 {
+    tasks.sort_by(|a, b| a.seconds.total_cmp(&b.seconds));
+    let mut running: f64 = tasks.iter().map(|t| t.share).sum();
+    if running <= 1.0 + ROUNDING {
+        return 0.0;
+    }
+    let mut done = 0.0;
+    for task in &tasks {
+        // While none of the remaining tasks ends, the rest of the pool does the work of the others.
+        let end = done / (1.0 - running);
+        if running < 1.0 && end <= task.seconds {
+            return end;
+        }
+        done += task.work();
+        running -= task.share;
+    }
+    done
+}
+
+/// Waiting tasks of one step.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WaitingWork {
     /// The job.
     pub job: JobId,
     /// When the job was submitted, or its occurrence was due.
     pub since: Time,
-    /// Seconds that all workers of the pool need for it.
-    pub seconds: f64,
+    /// The tasks.
+    pub tasks: Tasks,
     /// Whether it can no longer be done within its allowed duration.
     pub late: bool,
 }
@@ -47,10 +88,8 @@
 pub struct ClassDemand {
     /// Work that waits, by team. Work that can no longer be done before its cutoff is left out.
     pub waiting: BTreeMap<Option<Arc<str>>, Vec<WaitingWork>>,
-    /// Seconds that all workers of the pool need for the rest of the running tasks.
-    pub running: f64,
-    /// Share of the pool that waiting and running tasks take if all of them run at once.
-    pub share: f64,
+    /// Tasks that run.
+    pub running: Vec<Tasks>,
     /// Number of jobs with waiting work.
     pub jobs: u32,
     /// Longest wait at which a job still counts in full, summed over these jobs.
@@ -60,9 +99,10 @@
 }
 
 impl ClassDemand {
-    /// Returns the seconds that all workers of the pool need for the waiting work.
-    pub fn waiting_seconds(&self) -> f64 {
-        self.waiting.values().flatten().map(|w| w.seconds).sum()
+    /// Returns all tasks that run and wait.
+    pub fn tasks(&self) -> impl Iterator<Item = Tasks> {
+        let waiting = self.waiting.values().flatten().map(|w| w.tasks);
+        self.running.iter().copied().chain(waiting)
     }
 
     /// Returns the longest wait at which a job of this class still counts in full, as a mean.
@@ -104,12 +144,8 @@
     /// Returns the time until the work of a priority that is waiting and running now is done,
     /// together with all that goes before it; zero if all of it fits on the workers at once.
     pub fn wait(&self, pool: &Pool, priority: u32) -> Duration {
-        let (mut seconds, mut share) = (0.0, 0.0);
-        for class in self.up_to(pool, priority) {
-            seconds += class.running + class.waiting_seconds();
-            share += class.share;
-        }
-        if share > 1.0 { seconds_to_duration(seconds) } else { Duration::ZERO }
+        let tasks = self.up_to(pool, priority).flat_map(ClassDemand::tasks);
+        seconds_to_duration(drain_seconds(tasks.collect()))
     }
 }
 
@@ -187,11 +223,11 @@
         for occurrence in due {
             let since = submitted_or_due(job, occurrence, view);
             let elapsed = view.now.since(since);
-            let is_lost = elapsed + times.chain > times.cutoff;
+            let is_lost = elapsed.saturating_add(times.chain) > times.cutoff;
             if is_lost && !self.precedence.is_job_guaranteed(job) {
                 continue;
             }
-            let mut by_pool: BTreeMap<Pool, (f64, f64)> = BTreeMap::new();
+            let mut by_pool: BTreeMap<Pool, Vec<Tasks>> = BTreeMap::new();
             for (i, step) in job.spec.steps.iter().enumerate() {
                 let count = waiting_tasks(job.step(occurrence, i as u16), step);
                 if count > 0 && !step.long_lived {
@@ -202,22 +238,21 @@
         }
     }
 
-    /// Adds the share and the seconds of a step's waiting tasks in each pool that they may use.
+    /// Adds a step's waiting tasks to each pool that they may use.
     fn add_step(
         &mut self,
         job: &Job,
         step: &Step,
         count: usize,
-        by_pool: &mut BTreeMap<Pool, (f64, f64)>,
+        by_pool: &mut BTreeMap<Pool, Vec<Tasks>>,
     ) {
         let service = self.ledger.service(job);
         let work = step_work(&job.spec.queue, step, &self.view.estimates).expected;
         for label in BTreeSet::from([None, step.label.clone()]) {
             let pool = Pool { service: Arc::clone(service), label };
             let Some(share) = self.capacity.share(&pool, step, count) else { continue };
-            let sum = by_pool.entry(pool).or_default();
-            sum.0 += share;
-            sum.1 += share * work.as_secs_f64();
+            let tasks = Tasks { share, seconds: work.as_secs_f64() };
+            by_pool.entry(pool).or_default().push(tasks);
         }
     }
 
@@ -225,17 +260,20 @@
         &mut self,
         job: &Job,
         (since, times): (Time, &JobTimes),
-        by_pool: BTreeMap<Pool, (f64, f64)>,
+        by_pool: BTreeMap<Pool, Vec<Tasks>>,
     ) {
         let waited = self.view.now.since(since);
-        for (pool, (share, seconds)) in by_pool {
+        let late = waited > times.slack();
+        for (pool, tasks) in by_pool {
             let class = self.class(pool, self.ledger.priority(job));
-            let late = waited > times.slack();
-            let work = WaitingWork { job: job.spec.id, since, seconds, late };
-            class.waiting.entry(job.spec.team.clone()).or_default().push(work);
-            class.share += share;
+            let work = |tasks| WaitingWork { job: job.spec.id, since, tasks, late };
+            class
+                .waiting
+                .entry(job.spec.team.clone())
+                .or_default()
+                .extend(tasks.into_iter().map(work));
             class.jobs += 1;
-            class.slack += times.slack();
+            class.slack = class.slack.saturating_add(times.slack());
             class.late |= late;
         }
     }
@@ -255,22 +293,21 @@
             if self.ledger.is_unwanted(run) {
                 continue;
             }
-            let left = if step.long_lived { None } else { Some(self.left(job, step, run, active)) };
+            let left = if step.long_lived {
+                f64::INFINITY
+            } else {
+                time_left(self.ledger, self.view, (job, step), (run, active)).as_secs_f64()
+            };
             let late = began_late(job, step, run, active, slack, self.view.now);
             for pool in pools.iter().filter(|p| is_member(worker, p)) {
                 let Some(share) = self.capacity.share(pool, step, 1) else { continue };
                 let class = self.class(pool.clone(), priority);
-                class.share += share;
-                class.running += share * left.map_or(0.0, |l| l.as_secs_f64());
+                class.running.push(Tasks { share, seconds: left });
                 class.late |= late;
             }
         }
     }
 
-    fn left(&self, job: &Job, step: &Step, run: RunId, active: &ActiveRun) -> Duration {
-        time_left(self.ledger, self.view, (job, step), (run, active))
-    }
-
     fn class(&mut self, pool: Pool, priority: u32) -> &mut ClassDemand {
         self.demand.pools.entry(pool).or_default().entry(priority).or_default()
     }
@@ -293,7 +330,11 @@
     let speed = agent.map_or(1.0, |a| view.estimates.speed(a).factor);
     let work = step_work(&job.spec.queue, step, &view.estimates).expected.as_secs_f64();
     let whole = seconds_to_duration(work / speed);
-    if done > 0 { whole * (FULL_PERCENT - done) / FULL_PERCENT } else { whole.saturating_sub(age) }
+    if done > 0 {
+        whole.saturating_mul(FULL_PERCENT - done) / FULL_PERCENT
+    } else {
+        whole.saturating_sub(age)
+    }
 }
 
 /// Returns the log time at which a job was submitted, or an occurrence of it was due.
--- a/crates/bronzespool-batch/src/overload/forecast.rs
+++ b/crates/bronzespool-batch/src/overload/forecast.rs
@@ -8,7 +8,8 @@
             Overload,
             admission::{Accepted, Candidate},
             demand::{
-                ClassDemand, Pool, TaskCapacity, WaitingWork, seconds_to_duration, time_left,
+                ClassDemand, Pool, TaskCapacity, Tasks, drain_seconds, seconds_to_duration,
+                time_left,
             },
             times::step_work,
         },
@@ -121,29 +122,27 @@
     places: &HashMap<JobId, Time>,
     candidate: &Candidate<'_>,
 ) -> Option<Duration> {
-    let of_pool = |(pool, (share, seconds)): (&Pool, &(f64, f64))| {
+    let of_pool = |(pool, tasks): (&Pool, &Vec<Tasks>)| {
         let ahead = Ahead::new(overload, accepted, places, candidate, pool);
         let state = overload.class(pool, candidate.priority);
-        let wait = seconds_to_duration(ahead.all);
-        let is_over = ahead.share + share > 1.0;
+        let wait = seconds_to_duration(drain_seconds(ahead.all.clone()));
         let overloaded = state.overloaded || wait > state.limit.max(candidate.times.slack());
-        (is_over && overloaded).then(|| seconds_to_duration(ahead.before(*seconds)))
+        overloaded.then(|| seconds_to_duration(ahead.before(tasks)))
     };
     candidate.work.iter().filter_map(of_pool).max()
 }
 
-/// Work ahead of a job in one pool.
+/// Tasks ahead of a job in one pool.
+#[derive(Default)]
 struct Ahead {
-    /// Seconds of all work of the job's priority and above.
-    all: f64,
-    /// Share of the pool that it takes at once.
-    share: f64,
-    /// Seconds of the running tasks, and of all work of higher priorities.
-    first: f64,
-    /// Seconds of the work of the job's own team that goes before it.
-    own: f64,
-    /// Seconds of the work of the same priority, by other teams.
-    others: BTreeMap<Option<Arc<str>>, f64>,
+    /// All tasks of the job's priority and above.
+    all: Vec<Tasks>,
+    /// The running tasks, and all of higher priorities.
+    first: Vec<Tasks>,
+    /// Tasks of the job's own team that go before it.
+    own: Vec<Tasks>,
+    /// Tasks of the same priority, by other teams.
+    others: BTreeMap<Option<Arc<str>>, Vec<Tasks>>,
 }
 
 impl Ahead {
@@ -154,19 +153,18 @@
         candidate: &Candidate<'_>,
         pool: &Pool,
     ) -> Self {
-        let mut ahead =
-            Self { all: 0.0, share: 0.0, first: 0.0, own: 0.0, others: BTreeMap::new() };
+        let mut ahead = Self::default();
         for (&priority, class) in overload.demand().pools.get(pool).into_iter().flatten() {
             if priority <= candidate.priority {
                 ahead.add_class(priority, class, places, candidate);
             }
         }
         for job in accepted.values().filter(|a| a.priority <= candidate.priority) {
-            let Some((share, seconds)) = job.work.get(pool) else { continue };
-            ahead.all += seconds;
-            ahead.share += share;
             let is_before = job.priority < candidate.priority;
-            ahead.add_work(is_before, &job.team, *seconds, candidate);
+            for tasks in job.work.get(pool).into_iter().flatten() {
+                ahead.all.push(*tasks);
+                ahead.add_tasks(is_before, &job.team, *tasks, candidate);
+            }
         }
         ahead
     }
@@ -178,40 +176,45 @@
         places: &HashMap<JobId, Time>,
         candidate: &Candidate<'_>,
     ) {
-        self.all += class.running + class.waiting_seconds();
-        self.share += class.share;
-        self.first += class.running;
+        self.all.extend(class.tasks());
+        self.first.extend(&class.running);
         let is_before = priority < candidate.priority;
         for (team, waiting) in &class.waiting {
             for work in waiting {
-                let came = |w: &WaitingWork| places.get(&w.job).copied().unwrap_or(w.since);
-                if is_before || *team != candidate.spec.team || came(work) <= candidate.first {
-                    self.add_work(is_before, team, work.seconds, candidate);
+                let came = places.get(&work.job).copied().unwrap_or(work.since);
+                if is_before || *team != candidate.spec.team || came <= candidate.first {
+                    self.add_tasks(is_before, team, work.tasks, candidate);
                 }
             }
         }
     }
 
-    fn add_work(
+    fn add_tasks(
         &mut self,
         is_before: bool,
         team: &Option<Arc<str>>,
-        seconds: f64,
+        tasks: Tasks,
         candidate: &Candidate<'_>,
     ) {
         if is_before {
-            self.first += seconds;
+            self.first.push(tasks);
         } else if *team == candidate.spec.team {
-            self.own += seconds;
+            self.own.push(tasks);
         } else {
-            *self.others.entry(team.clone()).or_default() += seconds;
+            self.others.entry(team.clone()).or_default().push(tasks);
         }
     }
 
-    /// Returns the seconds before a job of `seconds`. While its team's work is served, each other
-    /// team gets as much.
-    fn before(&self, seconds: f64) -> f64 {
-        let each = self.own + seconds;
-        self.first + self.own + self.others.values().map(|w| w.min(each)).sum::<f64>()
+    /// Returns the seconds before a job. While its team's work is served, each other team gets as
+    /// much.
+    fn before(mut self, job: &[Tasks]) -> f64 {
+        let work = |tasks: &[Tasks]| tasks.iter().map(Tasks::work).sum::<f64>();
+        let each = work(&self.own) + work(job);
+        self.first.append(&mut self.own);
+        for tasks in self.others.values() {
+            let part = (each / work(tasks)).min(1.0);
+            self.first.extend(tasks.iter().map(|t| Tasks { share: t.share * part, ..*t }));
+        }
+        drain_seconds(self.first)
     }
 }
--- a/crates/bronzespool-batch/src/overload/order.rs
+++ b/crates/bronzespool-batch/src/overload/order.rs
@@ -97,7 +97,11 @@
         }
         let slowest = if group.step.gang { 100 + GANG_SPREAD_PERCENT } else { 100 };
         let Timing { elapsed, remaining, allowed } = group.timing;
-        if elapsed + remaining * slowest / 100 <= allowed { Tier::InTime } else { Tier::Late }
+        if elapsed.saturating_add(remaining.saturating_mul(slowest) / 100) <= allowed {
+            Tier::InTime
+        } else {
+            Tier::Late
+        }
     }
 
     /// Returns when a group's job first came. It is zero where the class is not overloaded.
--- a/crates/bronzespool-batch/src/overload/times.rs
+++ b/crates/bronzespool-batch/src/overload/times.rs
@@ -52,10 +52,11 @@
     let longest = |ends: &[Duration]| ends.iter().max().copied().unwrap_or_default();
     let (chain, high) = (longest(&expected), longest(&high));
     let allowed = |chain: Duration| {
-        let millis = (chain.as_millis() as u64).saturating_mul(slack) / 1_000;
+        let millis =
+            u64::try_from(chain.as_millis()).unwrap_or(u64::MAX).saturating_mul(slack) / 1_000;
         Duration::from_millis(millis.saturating_add(target))
     };
-    JobTimes { chain, allowed: allowed(chain), cutoff: allowed(high) * CUTOFF_FACTOR }
+    JobTimes { chain, allowed: allowed(chain), cutoff: allowed(high).saturating_mul(CUTOFF_FACTOR) }
 }
 
 /// Returns the estimated duration of a step's tasks.
--- a/crates/bronzespool-batch/tests/overload/detection.rs
+++ b/crates/bronzespool-batch/tests/overload/detection.rs
@@ -145,3 +145,23 @@
     let text = "desk is overloaded: 6 jobs of priority 0 wait, 9900 ms of 1500";
     assert_eq!(explain(jobs[7]).as_deref(), Some(text));
 }
+
+/// Guards against a few long tasks, or one absurd declaration, that make all other work count as
+/// late: they take their accelerators, and the others go on.
+#[test]
+fn assess_long_tasks_do_not_delay_others() {
+    let mut replay = Replay::new(2, 2, 0);
+    replay.submit("mills", 0, vec![Step { estimate: u64::MAX, ..step(2, 1) }]);
+    replay.submit("mills", 0, vec![Step { estimate: 60_000, ..step(2, 1) }]);
+    replay.tick();
+    (0..3).for_each(|_| _ = replay.fill("rangers", 0, 14, SECOND * 2));
+    replay.cluster.pass(SECOND / 10);
+    let wait = replay.assess().classes("desk").next().unwrap().2.wait;
+    // 42 tasks of 2 s on the 28 accelerators that are left.
+    assert!(wait > SECOND * 2 && wait <= Duration::from_millis(3_001), "{wait:?}");
+    let spec = replay.spec("rangers", 0, vec![gang(4, 2)]);
+    assert_eq!(replay.decide(&spec), Ok(()));
+    let absurd = vec![Step { estimate: u64::MAX, ..gang(4, 4) }];
+    (0..300).for_each(|_| _ = replay.submit("mills", 1, absurd.clone()));
+    replay.run_for(SECOND);
+}
