fix(batch): reject a job as hopeless only if it is known

Cause: a job whose declared duration is up to 90 % too low was rejected where all workers are busy for longer than three times its allowed duration by that declaration, also outside of overload. Change: where there is no evidence of its durations, the cutoff of this check follows from ten times the declared ones.

--- a/crates/bronzespool-batch/src/overload/admission.rs
+++ b/crates/bronzespool-batch/src/overload/admission.rs
@@ -154,15 +154,14 @@
         capacity: &TaskCapacity<'_>,
         candidate: &Candidate<'_>,
     ) -> Option<(Cause, Duration)> {
-        let JobTimes { chain, cutoff, .. } = candidate.times;
-        let is_lost = |wait: &Duration| wait.saturating_add(chain) > cutoff;
+        let JobTimes { chain, cutoff, latest, .. } = candidate.times;
         // A job that no worker could run waits for one.
         let start = earliest_start(ledger, view, capacity, candidate)?;
-        if is_lost(&start) {
+        if start.saturating_add(chain) > latest {
             return Some((Cause::Cutoff, start));
         }
         let ahead = queue_ahead(&view.overload, &self.accepted, &self.places, candidate);
-        ahead.filter(is_lost).map(|wait| (Cause::Queue, wait))
+        ahead.filter(|wait| wait.saturating_add(chain) > cutoff).map(|wait| (Cause::Queue, wait))
     }
 
     fn accept(&mut self, candidate: Candidate<'_>, now: Time) {
--- a/crates/bronzespool-batch/src/overload/forecast.rs
+++ b/crates/bronzespool-batch/src/overload/forecast.rs
@@ -11,7 +11,7 @@
                 ClassDemand, Pool, TaskCapacity, Tasks, drain_seconds, seconds_to_duration,
                 time_left,
             },
-            times::step_work,
+            times::{DECLARED_FACTOR, step_work},
         },
         plan::ClusterView,
         spec::{Resources, Step},
@@ -22,10 +22,6 @@
 
 /// Time that a stop takes.
 const STOP_TIME: Duration = Duration::from_millis(900);
-/// Divisor of a declared duration that gives the least one: declared durations are up to 90 % too
-/// high.
-const DECLARED_DIVISOR: u32 = 10;
-
 /// Returns the earliest time at which all first steps of a job could be started if it went next;
 /// `None` if one of them fits on no workers. Runs count with the least time that they may have left,
 /// and those of a lower priority as stopped.
@@ -110,7 +106,7 @@
         let left = time_left(ledger, view, (job, step), (run, active));
         return Some(left.saturating_sub(left / percent.saturating_add(1)));
     }
-    let least = Duration::from_millis(step.estimate) / DECLARED_DIVISOR;
+    let least = Duration::from_millis(step.estimate) / DECLARED_FACTOR;
     Some(least.saturating_sub(view.now.since(active.assigned_at)))
 }
 
--- a/crates/bronzespool-batch/src/overload/times.rs
+++ b/crates/bronzespool-batch/src/overload/times.rs
@@ -14,6 +14,10 @@
 /// Allowed duration for jobs of a removed queue, in thousandths of the longest chain of steps.
 const DEFAULT_SLACK_THOUSANDTHS: u64 = 2_000;
 
+/// Multiple of a declared duration that a task takes at most, since declared durations are up to
+/// 90 % too low, and divisor for the least, since they are up to 90 % too high.
+pub(super) const DECLARED_FACTOR: u32 = 10;
+
 /// Durations of one occurrence of a job, from its submission on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct JobTimes {
@@ -24,6 +28,9 @@
     /// Duration after which the job has no value. It follows from the high estimate of the chain,
     /// so that a job is not given up because its duration was underestimated.
     pub cutoff: Duration,
+    /// Duration after which the job has no value even if its declared durations are as far too low
+    /// as they may be. It is the cutoff where there is evidence of the durations.
+    pub latest: Duration,
 }
 
 impl JobTimes {
@@ -38,25 +45,33 @@
     let queue = ledger.config().and_then(|c| c.queue(&spec.queue));
     let (slack, target) =
         queue.map_or((DEFAULT_SLACK_THOUSANDTHS, 0), |q| (q.slack, q.latency_target));
-    let (mut expected, mut high) = (vec![Duration::ZERO; spec.steps.len()], Vec::new());
-    high.clone_from(&expected);
-    for (i, step) in spec.steps.iter().enumerate() {
-        let work = step_work(&spec.queue, step, estimates);
-        let before = |ends: &[Duration]| {
-            let ends = step.depends_on.iter().filter_map(|s| ends.get(usize::from(*s)));
-            ends.max().copied().unwrap_or_default()
-        };
-        expected[i] = before(&expected).saturating_add(work.expected);
-        high[i] = before(&high).saturating_add(work.high);
-    }
-    let longest = |ends: &[Duration]| ends.iter().max().copied().unwrap_or_default();
-    let (chain, high) = (longest(&expected), longest(&high));
+    let works: Vec<_> = spec.steps.iter().map(|s| step_work(&spec.queue, s, estimates)).collect();
+    let (chain, high) = (
+        longest_chain(&spec.steps, |i| works[i].expected),
+        longest_chain(&spec.steps, |i| works[i].high),
+    );
+    let most = longest_chain(&spec.steps, |i| match works[i].samples {
+        0 => works[i].high.saturating_mul(DECLARED_FACTOR),
+        _ => works[i].high,
+    });
     let allowed = |chain: Duration| {
         let millis =
             u64::try_from(chain.as_millis()).unwrap_or(u64::MAX).saturating_mul(slack) / 1_000;
         Duration::from_millis(millis.saturating_add(target))
     };
-    JobTimes { chain, allowed: allowed(chain), cutoff: allowed(high).saturating_mul(CUTOFF_FACTOR) }
+    let cutoff = |chain| allowed(chain).saturating_mul(CUTOFF_FACTOR);
+    JobTimes { chain, allowed: allowed(chain), cutoff: cutoff(high), latest: cutoff(most) }
+}
+
+/// Returns the duration of the longest chain of steps.
+fn longest_chain(steps: &[Step], duration: impl Fn(usize) -> Duration) -> Duration {
+    let mut ends = vec![Duration::ZERO; steps.len()];
+    for (i, step) in steps.iter().enumerate() {
+        let before = step.depends_on.iter().filter_map(|s| ends.get(usize::from(*s)));
+        let begin = before.max().copied().unwrap_or_default();
+        ends[i] = begin.saturating_add(duration(i));
+    }
+    ends.into_iter().max().unwrap_or_default()
 }
 
 /// Returns the estimated duration of a step's tasks.
--- a/crates/bronzespoold/src/control/batch/overload.rs
+++ b/crates/bronzespoold/src/control/batch/overload.rs
@@ -11,7 +11,7 @@
             message::Denial,
             overload::{
                 Detector,
-                admission::{Admission, Rejection},
+                admission::{Admission, Cause, Rejection},
             },
             plan::ClusterView,
             spec::JobSpec,
@@ -162,7 +162,7 @@
         cause: cause.to_string(),
         wait_ms: millis(wait),
         chain_ms: millis(times.chain),
-        cutoff_ms: millis(times.cutoff),
+        cutoff_ms: millis(if cause == Cause::Cutoff { times.latest } else { times.cutoff }),
         known_ms: millis(view.now.since(first)),
         retry_s: retry.as_secs(),
     }
