merge: overload of jobs of steps, behind a setting

Overload is managed only where the control role's setting says so (--overload managed, overload = managed), so that deployments without it are served as before.

--- a/crates/bronzespool-batch/src/lib.rs
+++ b/crates/bronzespool-batch/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod id;
 pub mod ledger;
 pub mod message;
+pub mod overload;
 pub mod plan;
 pub mod sampling;
 pub mod spec;
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -8,6 +8,7 @@
 mod candidate;
 mod capacity;
 mod disruption;
+mod fair;
 mod group;
 mod headroom;
 mod health;
@@ -23,6 +24,8 @@
 mod time_left;
 mod urgency;
 
+pub(crate) use precedence::{precedence_of, would_be_guaranteed};
+
 pub use {
     group::TaskGroup,
     maintenance::{MaintenancePlanner, Takedown},
@@ -40,7 +43,6 @@
         hold::{HeldPlacements, HoldState},
         place::{Placement, PlacementScope, place},
         places::PlaceIndex,
-        precedence::precedence_of,
         reclaim::{ReleasePlan, ReleaseSearch},
         speed::SpeedNeed,
         urgency::Urgency,
@@ -49,6 +51,10 @@
         cold::ColdWorkers,
         id::{RunId, StepId},
         ledger::{Assignment, Event, Ledger, StopCause},
+        overload::{
+            Overload,
+            budget::{self, PreemptionCounts, StopBudget},
+        },
     },
     bronzespool_core::{HashMap, HashSet, Time},
     bronzespool_estimate::Estimates,
@@ -94,6 +100,8 @@
     pub estimates: Estimates,
     /// Whether runs of lower priorities leave room for urgent jobs, by what these have recently used.
     pub urgent_headroom: bool,
+    /// Services with more work than they can do in time.
+    pub overload: Overload,
 }
 
 /// The scheduling policy, with the placements that it keeps between two plans.
@@ -102,9 +110,15 @@
     held: HeldPlacements,
     urgent: UrgentDemand,
     steps: PlanSteps,
+    stops: StopBudget,
 }
 
 impl Planner {
+    /// Returns the preemptions that all plans have decided.
+    pub const fn preemptions(&self) -> PreemptionCounts {
+        self.stops.counts()
+    }
+
     /// Returns what the latest plan examined.
     pub const fn steps(&self) -> PlanSteps {
         self.steps
@@ -112,7 +126,7 @@
 
     /// Returns the events that the scheduling policy proposes next.
     pub fn plan(&mut self, ledger: &Ledger, view: &ClusterView) -> Vec<Event> {
-        let mut pass = PlanPass::new(ledger, view, &mut self.held);
+        let mut pass = PlanPass::new(ledger, view, &mut self.held, &mut self.stops);
         if view.urgent_headroom {
             pass.headroom = self.urgent.headroom(&pass.precedence, &pass.capacity, view.now);
         }
@@ -127,6 +141,9 @@
             let held = pass.held.contains(&like.first);
             pass.precedence.rank(&like.first, urgency, held)
         });
+        if view.overload.is_any() {
+            waiting = fair::in_fair_order(ledger, view, &pass.precedence, pass.held, waiting);
+        }
         pass.schedule_all(&waiting);
         self.steps = pass.capacity.steps.steps();
         pass.events
@@ -141,6 +158,7 @@
     candidates: Candidates<'a>,
     places: PlaceIndex,
     held: &'a mut HeldPlacements,
+    stops: &'a mut StopBudget,
     events: Vec<Event>,
     /// Accelerators to keep free for urgent jobs, by service.
     headroom: Headroom,
@@ -151,7 +169,12 @@
 }
 
 impl<'a> PlanPass<'a> {
-    fn new(ledger: &'a Ledger, view: &'a ClusterView, held: &'a mut HeldPlacements) -> Self {
+    fn new(
+        ledger: &'a Ledger,
+        view: &'a ClusterView,
+        held: &'a mut HeldPlacements,
+        stops: &'a mut StopBudget,
+    ) -> Self {
         let capacity = ClusterCapacity::new(ledger, view);
         let reservations_left = capacity.slots.len().div_ceil(WORKERS_PER_RESERVATION);
         let precedence = precedence_of(ledger);
@@ -162,6 +185,7 @@
             candidates: Candidates::new(ledger, view),
             places: PlaceIndex::default(),
             held,
+            stops,
             events: Vec::new(),
             headroom: Headroom::default(),
             starts: 0,
@@ -253,6 +277,7 @@
 
     fn start_on(&mut self, group: &TaskGroup<'_>, placement: &Placement) {
         self.starts += placement.len();
+        self.stops.count_starts(group.service, placement.len(), self.view.now);
         self.held.release(group);
         self.capacity.allocate(group, placement);
         self.events.push(Event::Started(assignments(group, placement, self.view)));
@@ -265,6 +290,7 @@
         self.held.hold(group, placement, self.view.now);
         if !victims.is_empty() {
             self.candidates.remove_stopped(&victims, &self.capacity);
+            self.stops.count(victims.len(), self.precedence.is_guaranteed(group));
             let cause = StopCause::Reclaimed(group.step.job);
             self.events.push(Event::Stopping { runs: victims, cause });
         }
@@ -298,10 +324,19 @@
         let count = group.tasks.len() as u64;
         let contributed =
             group.spec.allocation().times(count).weight().saturating_mul(group.spec.estimate);
-        let loss_max = if guaranteed { u64::MAX } else { contributed };
+        let is_limited = !guaranteed && self.view.overload.is_overloaded(group.service);
+        let loss_max = match (guaranteed, is_limited) {
+            (true, _) => u64::MAX,
+            (_, true) => {
+                budget::loss_max(group.job, group.spec, count, self.view, &fair::timing(urgency))
+            }
+            _ => contributed,
+        };
         let (placement, victims, _) =
             self.release(group, urgency, scope, ReleaseMode::Preempt, loss_max)?;
-        Some((placement, victims))
+        let (ledger, service, now) = (self.capacity.ledger, group.service, self.view.now);
+        let allowed = !is_limited || self.stops.take(ledger, service, &victims, now);
+        allowed.then_some((placement, victims))
     }
 
     /// Finds a placement that a large task group can wait for. Without a reservation, small groups
--- a/crates/bronzespool-core/src/settings/mod.rs
+++ b/crates/bronzespool-core/src/settings/mod.rs
@@ -35,8 +35,8 @@
     document::Document,
     fault::{Fault, Faults, Result},
     process::{
-        AgentSettings, ControlSettings, EntrySettings, LogLevel, Peer, ProcessSettings, Role,
-        RunTimes, parse_process, read_process,
+        AgentSettings, ControlSettings, EntrySettings, JobPolicy, LogLevel, Overload, Peer,
+        ProcessSettings, Role, RunTimes, parse_process, read_process,
     },
     service::parse_service,
     service_file::{ServiceFile, merge_services, read_services},
--- a/crates/bronzespool-core/src/settings/process/mod.rs
+++ b/crates/bronzespool-core/src/settings/process/mod.rs
@@ -68,6 +68,26 @@
     Learned,
 }
 
+/// What the leader does about more jobs of steps than can be served in time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum Overload {
+    /// Nothing: all jobs are accepted, and wait in the order of priority and age.
+    #[default]
+    Ignored,
+    /// It rejects what cannot be served in time, orders the rest by the shares of teams, and limits
+    /// preemption.
+    Managed,
+}
+
+/// How jobs of steps are scheduled.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct JobPolicy {
+    /// Run times that decisions use.
+    pub run_times: RunTimes,
+    /// What is done about overload.
+    pub overload: Overload,
+}
+
 /// Settings of one process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ProcessSettings {
@@ -104,6 +124,8 @@
     pub reserve: Option<Shape>,
     /// Run times that decisions on jobs of steps use.
     pub run_times: RunTimes,
+    /// What is done about overload of jobs of steps.
+    pub overload: Overload,
 }
 
 /// Settings of an entry instance.
--- a/crates/bronzespool-core/src/settings/process/schema.rs
+++ b/crates/bronzespool-core/src/settings/process/schema.rs
@@ -58,6 +58,12 @@
             "declared",
             "Run times that decisions on jobs of steps use; the same at all control instances.",
         ),
+        defaulted(
+            "overload",
+            "ignored or managed",
+            "ignored",
+            "What is done about overload of jobs of steps; the same at all control instances.",
+        ),
     ],
 };
 
--- a/crates/bronzespool-core/src/settings/process/sections.rs
+++ b/crates/bronzespool-core/src/settings/process/sections.rs
@@ -57,6 +57,7 @@
     let peers = reader.optional::<List<Peer>>("peers");
     let reserve = reader.get::<Reserve>("reserve");
     let run_times = reader.get("run-times");
+    let overload = reader.get("overload");
     let instance = &identity?.1;
     let (listen, peers) = (listen?, peers?);
     let only_self = || vec![Peer { instance: instance.clone(), addr: listen }];
@@ -64,7 +65,8 @@
     if let Some(message) = check_peers(&peers, instance) {
         reader.push_fault("peers", message);
     }
-    Some(ControlSettings { listen, peers, reserve: reserve?.0, run_times: run_times? })
+    let (run_times, overload) = (run_times?, overload?);
+    Some(ControlSettings { listen, peers, reserve: reserve?.0, run_times, overload })
 }
 
 fn check_peers(peers: &[Peer], instance: &Instance) -> Option<String> {
--- a/crates/bronzespool-core/src/settings/process/value.rs
+++ b/crates/bronzespool-core/src/settings/process/value.rs
@@ -1,7 +1,7 @@
 //! Values that only occur in process settings and deployments.
 
 use {
-    super::{LogLevel, Peer, Role, RunTimes},
+    super::{LogLevel, Overload, Peer, Role, RunTimes},
     crate::{
         name::Instance,
         settings::value::{Error, ReachableAddr, Result},
@@ -54,6 +54,18 @@
     }
 }
 
+impl TryFrom<&str> for Overload {
+    type Error = Error;
+
+    fn try_from(text: &str) -> Result<Self> {
+        match text {
+            "ignored" => Ok(Self::Ignored),
+            "managed" => Ok(Self::Managed),
+            _ => Err(Error::choice(text, "ignored, managed")),
+        }
+    }
+}
+
 impl TryFrom<&str> for LogLevel {
     type Error = Error;
 
--- a/crates/bronzespool-telemetry/src/event/control.rs
+++ b/crates/bronzespool-telemetry/src/event/control.rs
@@ -82,6 +82,46 @@
         /// Why the job was refused.
         error: String,
     }
+    /// A job could not be served in time: nothing was stored, and it never runs unless it is submitted
+    /// again.
+    JobRejected: Info, Leader, "a job was rejected for overload" {
+        /// The job.
+        job: JobId,
+        /// Queue of the job.
+        queue: Arc<str>,
+        /// Team of the job.
+        team: Option<Arc<str>>,
+        /// Why it was rejected.
+        cause: String,
+        /// Milliseconds until it would have been started.
+        wait_ms: u64,
+        /// Milliseconds that it takes from its start.
+        chain_ms: u64,
+        /// Milliseconds after which it has no value.
+        cutoff_ms: u64,
+        /// Milliseconds since it first came.
+        known_ms: u64,
+        /// Seconds after which its caller should come back.
+        retry_s: u64,
+    }
+    /// A service has more work than it can do in time.
+    OverloadEntered: Warn, Leader, "a service is overloaded" {
+        /// The service.
+        service: Arc<str>,
+        /// Priority of the jobs that exceed their limit the most.
+        priority: u32,
+        /// Milliseconds until the work of these jobs that is there now is done.
+        wait_ms: u64,
+        /// Longest wait in milliseconds at which such a job still counts in full.
+        limit_ms: u64,
+        /// Number of these jobs with waiting work.
+        jobs: u32,
+    }
+    /// A service can do its work in time again.
+    OverloadLeft: Info, Leader, "a service is no longer overloaded" {
+        /// The service.
+        service: Arc<str>,
+    }
     /// A caller has cancelled a job.
     JobCancelled: Info, Leader, "a job was cancelled" {
         /// The job.
--- a/crates/bronzespoold/src/batch/role/command.rs
+++ b/crates/bronzespoold/src/batch/role/command.rs
@@ -3,7 +3,7 @@
 use {
     super::{Error, Result},
     crate::telemetry,
-    bronzespool::core::settings::RunTimes,
+    bronzespool::core::settings::{JobPolicy, Overload, RunTimes},
     std::{fmt::Display, process::ExitCode},
     tokio::task::LocalSet,
 };
@@ -25,6 +25,8 @@
   --run-times KIND
                   run times that decisions use: declared (the default) or learned; only the
                   control role reads this, and all its instances need the same
+  --overload KIND what is done about overload: ignored (the default) or managed; only the
+                  control role reads this, and all its instances need the same
   --log LEVEL     lowest level of log lines: off, error, warn, info (the default), debug
   --check         read the settings, report faults and exit
   --help          print this text
@@ -35,8 +37,8 @@
 pub struct RoleFlags {
     /// Port for metrics.
     pub metrics: Option<u16>,
-    /// Run times that decisions use; only the control role reads this.
-    pub run_times: RunTimes,
+    /// How jobs of steps are scheduled; only the control role reads this.
+    pub policy: JobPolicy,
 }
 
 /// Options of the command line.
@@ -51,10 +53,16 @@
     let flags = Flags {
         role: RoleFlags {
             metrics: args.opt_value_from_str("--metrics").map_err(Error::Arguments)?,
-            run_times: args
-                .opt_value_from_fn("--run-times", parse_run_times)
-                .map_err(Error::Arguments)?
-                .unwrap_or_default(),
+            policy: JobPolicy {
+                run_times: args
+                    .opt_value_from_fn("--run-times", parse_run_times)
+                    .map_err(Error::Arguments)?
+                    .unwrap_or_default(),
+                overload: args
+                    .opt_value_from_fn("--overload", parse_overload)
+                    .map_err(Error::Arguments)?
+                    .unwrap_or_default(),
+            },
         },
         log: args.opt_value_from_str("--log").map_err(Error::Arguments)?,
         check: args.contains("--check"),
@@ -70,6 +78,10 @@
     RunTimes::try_from(text).map_err(|e| format!("--run-times: {e}"))
 }
 
+fn parse_overload(text: &str) -> std::result::Result<Overload, String> {
+    Overload::try_from(text).map_err(|e| format!("--overload: {e}"))
+}
+
 impl<S, E: Display> Program<S, E> {
     /// Reads the command line and the settings and runs `serve` with the settings and the options of
     /// the command line.
--- a/crates/bronzespoold/src/batch/role/control.rs
+++ b/crates/bronzespoold/src/batch/role/control.rs
@@ -13,7 +13,7 @@
         limits::Listener,
         telemetry::{Event, event},
     },
-    bronzespool::{batch::message::ExternalCallKind, core::settings::RunTimes},
+    bronzespool::{batch::message::ExternalCallKind, core::settings::JobPolicy},
     std::{net::SocketAddr, path::PathBuf, rc::Rc},
     tokio::{sync::watch, task::spawn_local, time::timeout},
 };
@@ -25,8 +25,8 @@
     pub data: PathBuf,
     /// Whether the instance may bootstrap the cluster with the seeds.
     pub may_bootstrap: bool,
-    /// Run times that decisions use.
-    pub run_times: RunTimes,
+    /// How jobs of steps are scheduled.
+    pub policy: JobPolicy,
 }
 
 /// Runs a control instance until a signal asks the process to stop.
@@ -46,7 +46,7 @@
         control::Options::from_addresses(options.advertised, &options.seeds, control.data)
             .ok_or(Error::Address)?
             .may_bootstrap(control.may_bootstrap)
-            .run_times(control.run_times)
+            .policy(control.policy)
             .listen(options.listen);
     let own = options.advertised;
     let with_own = move |mut seeds: Vec<SocketAddr>| {
--- a/crates/bronzespoold/src/control/batch/mod.rs
+++ b/crates/bronzespoold/src/control/batch/mod.rs
@@ -6,6 +6,7 @@
 mod drain;
 mod external;
 mod gauges;
+mod overload;
 mod planner;
 mod polls;
 mod requests;
@@ -22,6 +23,7 @@
                 agents::Agents,
                 decision_log::{DecisionLog, PriorState},
                 external::ExternalState,
+                overload::OverloadState,
                 run_times::RunTimeLearner,
             },
             replica::{Replica, Result},
@@ -30,7 +32,7 @@
     },
     bronzespool::{
         batch::{Event, EventOutcome, Record, cold::ColdWorkers, message, plan::Planner},
-        core::{Code, Instance, Refusal, settings::RunTimes},
+        core::{Code, Instance, Refusal, settings::JobPolicy},
         wire::message::{CallResult, Reply},
     },
     std::{cell::RefCell, net::SocketAddr, rc::Rc},
@@ -47,6 +49,7 @@
     planner: RefCell<Planner>,
     run_times: Rc<RefCell<RunTimeLearner>>,
     cold: RefCell<ColdWorkers>,
+    overload: RefCell<OverloadState>,
     /// Name of this instance.
     instance: Instance,
 }
@@ -56,7 +59,7 @@
         clock: Clock,
         replica: Rc<Replica>,
         instance: Instance,
-        run_times: RunTimes,
+        policy: JobPolicy,
     ) -> Rc<Self> {
         Rc::new(Self {
             clock,
@@ -65,8 +68,9 @@
             decision_log: Rc::default(),
             external: RefCell::default(),
             planner: RefCell::default(),
-            run_times: Rc::new(RefCell::new(RunTimeLearner::new(run_times))),
+            run_times: Rc::new(RefCell::new(RunTimeLearner::new(policy.run_times))),
             cold: RefCell::default(),
+            overload: RefCell::new(OverloadState::new(policy.overload)),
             instance,
         })
     }
--- a/crates/bronzespoold/src/control/batch/planner.rs
+++ b/crates/bronzespoold/src/control/batch/planner.rs
@@ -51,9 +51,11 @@
         self.run_times.borrow_mut().enter_term(term, self.replica.state().batch());
         let mut events = self.gone_workers();
         let begun = self.clock.now();
-        let planned =
-            self.planner.borrow_mut().plan(self.replica.state().batch(), &self.cluster_view());
+        let mut cluster_view = self.cluster_view();
+        self.assess_overload(&mut cluster_view);
+        let planned = self.planner.borrow_mut().plan(self.replica.state().batch(), &cluster_view);
         events.extend(planned);
+        self.count_preemptions();
         let took = self.clock.now().since(begun);
         metrics::histogram!("bronzespool_batch_plan_seconds").record(took.as_secs_f64());
         if events.is_empty() {
--- a/crates/bronzespoold/src/control/batch/requests.rs
+++ b/crates/bronzespoold/src/control/batch/requests.rs
@@ -64,6 +64,9 @@
             event::JobRefused { job: id, error: error.to_string() }.emit();
             return Ok(Reply::Denied(Denial::Invalid));
         }
+        if let Err(denial) = self.admit(&spec) {
+            return Ok(Reply::Denied(denial));
+        }
         let outcome = self.propose_one(Event::Submitted(Arc::new(spec))).await?;
         Ok(match outcome {
             EventOutcome::Applied | EventOutcome::Known => Reply::Done,
@@ -75,10 +78,11 @@
     pub(super) async fn explain(&self, id: JobId) -> Result<Reply> {
         self.replica.read_barrier().await?;
         let term = self.replica.term();
+        let overload = self.explain_overload(id);
         let state = self.replica.state();
         let explained = state.batch().job(id).zip(state.batch().explain(id));
         let run_times = self.run_times.borrow();
-        let text = explained.map(|(job, e)| run_times.explain(term, job, e.to_string()));
+        let text = explained.map(|(job, e)| run_times.explain(term, job, format!("{e}{overload}")));
         Ok(text.map_or(Reply::Denied(Denial::NoJob), Reply::Explained))
     }
 
--- a/crates/bronzespoold/src/control/leader/calls.rs
+++ b/crates/bronzespoold/src/control/leader/calls.rs
@@ -15,7 +15,7 @@
         telemetry::{Event as _, event},
     },
     bronzespool::{
-        core::{Code, Instance, Refusal, Shape, settings::RunTimes},
+        core::{Code, Instance, Refusal, Shape, settings::JobPolicy},
         flow::{
             claim::{Incarnation, Retention},
             view::Presence,
@@ -56,11 +56,11 @@
         reserve: Option<Shape>,
         lease: Duration,
         own: Instance,
-        run_times: RunTimes,
+        policy: JobPolicy,
     ) -> Rc<Self> {
         Rc::new(Self {
             clock,
-            batch: BatchController::new(clock, Rc::clone(&replica), own, run_times),
+            batch: BatchController::new(clock, Rc::clone(&replica), own, policy),
             replica,
             hubs: RefCell::default(),
             burn_aggregator: RefCell::default(),
--- a/crates/bronzespoold/src/control/start.rs
+++ b/crates/bronzespoold/src/control/start.rs
@@ -17,7 +17,7 @@
     },
     bronzespool::{
         consensus::{self, FileStorage, Settings, Storage},
-        core::{Code, Instance, Shape, name::Cluster, settings::RunTimes},
+        core::{Code, Instance, Shape, name::Cluster, settings::JobPolicy},
         flow::claim::Retention,
         wire::{bronzespool_capnp::control, serve::serve_bounded},
     },
@@ -68,8 +68,8 @@
     pub data_dir: PathBuf,
     /// Capacity that guarantees must leave free.
     pub reserve: Option<Shape>,
-    /// Run times that decisions on jobs of steps use.
-    pub run_times: RunTimes,
+    /// How jobs of steps are scheduled.
+    pub policy: JobPolicy,
     /// Interval between two heartbeats of the leader.
     pub heartbeat_interval: Duration,
     /// Shortest silence of the leader before an election.
@@ -111,7 +111,7 @@
             allow_unlisted: true,
             data_dir,
             reserve: None,
-            run_times: RunTimes::default(),
+            policy: JobPolicy::default(),
             heartbeat_interval: HEARTBEAT,
             election_timeout: ELECTION,
             session_lease: SESSION,
@@ -129,10 +129,10 @@
         self
     }
 
-    /// Sets the run times that decisions on jobs of steps use.
+    /// Sets how jobs of steps are scheduled.
     #[must_use]
-    pub const fn run_times(mut self, run_times: RunTimes) -> Self {
-        self.run_times = run_times;
+    pub const fn policy(mut self, policy: JobPolicy) -> Self {
+        self.policy = policy;
         self
     }
 
@@ -247,7 +247,7 @@
         options.reserve,
         lease,
         options.instance.clone(),
-        options.run_times,
+        options.policy,
     );
     Rc::new(ControlNode {
         clock,
