--- a/crates/bronzespool-batch/src/plan/speed.rs
+++ b/crates/bronzespool-batch/src/plan/speed.rs
@@ -10,9 +10,9 @@
     std::time::Duration,
 };
 
-/// Ratio of the speeds of two neighbouring classes, as a logarithm. Speeds within a class count as
+/// Natural logarithm of the ratio of the speeds of two neighbouring classes. Speeds within a class count as
 /// equal, so that small differences do not spread tasks over more workers.
-const CLASS_WIDTH: f64 = 0.2;
+const CLASS_WIDTH: f64 = 0.5;
 /// Factor by which a task may take longer than expected: tasks of one step differ, the slowest member
 /// ends a gang, and declared durations are rough.
 const DURATION_MARGIN: f64 = 2.0;
