--- a/crates/bronzespool-batch/src/cold.rs
+++ b/crates/bronzespool-batch/src/cold.rs
@@ -1,9 +1,9 @@
 //! Workers that are slow for a while after their start.
 //!
-//! Covers a data centre that is in use again after a drain, of which all workers are idle and some have
-//! just started: they would get all waiting work at once. The share of a cold worker that may be used
-//! rises evenly until it is warm; an idle one may always take one task, so that a task which needs
-//! a whole worker does not wait.
+//! Covers the end of a data centre's drain: all its workers are idle, and without a limit those that
+//! have just started would be assigned waiting work up to their capacity. The usable share of a cold
+//! worker rises linearly until it is warm. An idle one may always take one task, so that a task which
+//! needs a whole worker does not wait.
 
 use {
     crate::{
@@ -16,7 +16,7 @@
     std::time::Duration,
 };
 
-/// Longest time for which a worker counts as cold after a report. It bounds the effect of a wrong one.
+/// Longest time for which a worker counts as cold after a report; bounds the effect of a wrong report.
 const COLD_MAX: Duration = Duration::from_secs(600);
 
 /// A worker's report that it is cold.
@@ -28,7 +28,7 @@
     pub remaining: u64,
 }
 
-/// Times at which a worker was first known as cold, and will be warm.
+/// When a worker was first reported as cold, and when it will be warm.
 #[derive(Clone, Copy, Debug)]
 struct Warming {
     since: Time,
--- a/crates/bronzespool-batch/src/ledger/drain.rs
+++ b/crates/bronzespool-batch/src/ledger/drain.rs
@@ -1,9 +1,9 @@
 //! Drained data centres: nothing more is started there until the drain is revoked.
 //!
 //! Covers an operator who takes a data centre out of use before a power cut or a repair, with commands
-//! that are repeated, cross each other, or are held up on their way. Each command is based on the
-//! revision that it has read, and each command that is applied raises the revision, also one that finds
-//! the state as requested. So a command that was held up never undoes one that was acknowledged later.
+//! that are repeated, concurrent or delayed. Each command is based on the revision that was read for
+//! it, and each command that is applied raises the revision, even if the state is as requested
+//! already. A delayed command therefore never undoes one that was acknowledged after it was sent.
 
 use {
     crate::{
@@ -59,7 +59,7 @@
 pub(super) fn read_or_default<'de, D: Deserializer<'de>>(
     deserializer: D,
 ) -> Result<Drains, D::Error> {
-    // Only the end of the bytes can fail here: they are checksummed, and a rest is refused.
+    // Reading fails only where the bytes end: they have a checksum, and left-over bytes are refused.
     Ok(Drains::deserialize(deserializer).unwrap_or_default())
 }
 
@@ -109,9 +109,9 @@
         waiting_steps(job).find_map(|(spec, count)| self.drains_holding(job, spec, count))
     }
 
-    /// As [`Self::holding_drains`], for tasks of one step that are started together. A step that no
-    /// worker elsewhere could ever hold waits for the drain's end, however full the drained workers
-    /// are.
+    /// As [`Self::holding_drains`], for tasks of one step that are started together. A step for which
+    /// the other workers are too small even when idle counts as held by the drain, also if the drained
+    /// workers are full.
     fn drains_holding(&self, job: &Job, spec: &Step, count: u64) -> Option<BTreeSet<Arc<str>>> {
         let service = self.service(job);
         let label = spec.label.as_ref();
--- a/crates/bronzespool-batch/src/overload/admission.rs
+++ b/crates/bronzespool-batch/src/overload/admission.rs
@@ -1,8 +1,8 @@
-//! Which jobs are rejected, and when their callers should come back.
+//! Which jobs are rejected, and when their callers should retry.
 //!
-//! Covers more work than can be done before its cutoff. A submission is cheap to keep, so a job is
-//! rejected only if it is known that it cannot be served: at once, so that its caller need not wait
-//! to learn it.
+//! Covers more work than can be done before its cutoff. A waiting job costs little, so a job is
+//! rejected only if it is known that it cannot be served. It is rejected at submission, so that its
+//! caller does not wait in vain.
 
 use {
     crate::{
@@ -22,16 +22,15 @@
     std::{collections::BTreeMap, hash::BuildHasher, sync::Arc, time::Duration},
 };
 
-/// Shortest time after which a caller is told to come back, and for which a rejected job is not
-/// accepted. An entry tries a call for as long: a copy of the same submission that is still on its
-/// way would make the rejection untrue.
+/// Shortest time after which a caller is told to retry, and for which a rejected job is not accepted.
+/// An entry retries a call for this long, so a copy of the rejected submission may still arrive. If it
+/// were accepted, the job would run although the answer says that it never runs.
 const RETRY_MIN: Duration = Duration::from_secs(2);
-/// Longest time after which a caller is told to come back. Nothing is known of the load further
-/// ahead.
+/// Longest time after which a caller is told to retry. The load further ahead is unknown.
 const RETRY_MAX: Duration = Duration::from_secs(60);
-/// Shortest time over which a caller's return is spread: Retry-After has whole seconds.
+/// Shortest time over which retries are spread, since Retry-After is in whole seconds.
 const SPREAD_MIN: Duration = Duration::from_secs(1);
-/// Time after which an accepted job that is not in the ledger is forgotten.
+/// Time after which an accepted job that is not in the ledger is no longer counted.
 const COMMIT_MAX: Duration = Duration::from_secs(60);
 
 /// Result of the admission of a job.
@@ -64,13 +63,13 @@
 pub struct Rejection {
     /// The cause.
     pub cause: Cause,
-    /// Time after which the caller should come back, in whole seconds.
+    /// Time after which the caller should retry, in whole seconds.
     pub retry: Duration,
     /// Time until the job would be started.
     pub wait: Duration,
     /// Durations of the job.
     pub times: JobTimes,
-    /// When the job first came.
+    /// When the job was first submitted.
     pub first: Time,
 }
 
@@ -88,7 +87,7 @@
 pub(super) struct Candidate<'a> {
     pub(super) spec: &'a JobSpec,
     pub(super) priority: u32,
-    /// When the job first came.
+    /// When the job was first submitted.
     pub(super) first: Time,
     pub(super) times: JobTimes,
     pub(super) work: BTreeMap<Pool, Vec<Tasks>>,
@@ -141,7 +140,7 @@
         Ok(())
     }
 
-    /// Returns when jobs that were rejected before they were accepted first came.
+    /// Returns when jobs that were rejected before they were accepted were first submitted.
     pub fn places(&self) -> &Arc<HashMap<JobId, Time>> {
         &self.places
     }
@@ -155,7 +154,7 @@
         candidate: &Candidate<'_>,
     ) -> Option<(Cause, Duration)> {
         let JobTimes { chain, cutoff, latest, .. } = candidate.times;
-        // A job that no worker could run waits for one.
+        // A job that no present worker could run is not rejected, since workers may join.
         let start = earliest_start(ledger, view, capacity, candidate)?;
         if start.saturating_add(chain) > latest {
             return Some((Cause::Cutoff, start));
@@ -173,9 +172,9 @@
         self.accepted.insert(spec.id, accepted);
     }
 
-    /// Records a rejection and returns after which time its caller should come back: once it could
-    /// be served within its allowed duration, which is after `excess` and the work of the callers
-    /// that were rejected before. A hash of its identifier spreads callers of the same moment.
+    /// Records a rejection and returns the time after which its caller should retry: when the job
+    /// could be served within its allowed duration, which is after `excess` and the work of jobs that
+    /// were rejected earlier. A hash of the identifier spreads callers that are rejected together.
     fn reject(
         &mut self,
         candidate: &Candidate<'_>,
@@ -186,7 +185,7 @@
         let id = candidate.spec.id;
         let work = |tasks: &Vec<Tasks>| tasks.iter().map(Tasks::work).sum();
         let seconds: f64 = candidate.work.values().map(work).fold(0.0, f64::max);
-        // The work of one caller does not keep others away for good.
+        // Bounds the delay that one large job adds to the retries of all others.
         let seconds = seconds.min(RETRY_MAX.as_secs_f64());
         let before = seconds_to_duration(self.arrivals.outstanding(service, now));
         let spread = seconds_to_duration(seconds).max(SPREAD_MIN).mul_f64(position(id));
@@ -204,8 +203,8 @@
         retry
     }
 
-    /// Forgets accepted jobs that the state of overload contains, and the places of jobs that no
-    /// longer wait.
+    /// Removes accepted jobs that the state of overload contains, and the places of jobs that are no
+    /// longer active.
     fn forget_known(&mut self, ledger: &Ledger, view: &ClusterView) {
         let assessed = view.overload.assessed_at();
         let is_new = |id: &JobId| ledger.job(*id).is_none_or(|j| j.submitted >= assessed);
@@ -242,7 +241,7 @@
     by_pool
 }
 
-/// Returns a number from zero to one that follows from a job's identifier alone.
+/// Returns a number from zero to one that depends on a job's identifier only.
 fn position(id: JobId) -> f64 {
     let hash = HashMap::<JobId, ()>::default().hasher().hash_one(id);
     hash as f64 / u64::MAX as f64
--- a/crates/bronzespool-batch/src/overload/arrivals.rs
+++ b/crates/bronzespool-batch/src/overload/arrivals.rs
@@ -1,7 +1,7 @@
-//! When rejected jobs first came, and when their callers were told to come back.
+//! When rejected jobs were first submitted, and when their callers were told to retry.
 //!
-//! Covers callers that come back: they keep their place before newcomers, and they are told to come
-//! back as fast as the workers can serve them.
+//! Covers callers that retry: they keep their place before jobs that were submitted later, and their
+//! retries are scheduled at the rate at which the workers can serve them.
 
 use {
     crate::id::JobId,
@@ -9,20 +9,20 @@
     std::{collections::VecDeque, sync::Arc, time::Duration},
 };
 
-/// Most jobs that are remembered; one takes some 100 bytes.
+/// Most jobs that are remembered; each takes about 100 bytes.
 const JOBS_MAX: usize = 16_384;
 /// Time after its latest rejection for which a job is remembered: twice the longest time after
-/// which its caller is told to come back.
+/// which its caller is told to retry.
 const RETENTION: Duration = Duration::from_secs(120);
 
 /// A rejected job.
 #[derive(Clone, Debug)]
 pub(super) struct Arrival {
-    /// When the job first came.
+    /// When the job was first submitted.
     pub(super) first: Time,
     /// When it was last rejected.
     pub(super) rejected: Time,
-    /// When its caller was told to come back.
+    /// When its caller was told to retry.
     pub(super) due: Time,
     /// Service whose workers would run it.
     pub(super) service: Arc<str>,
@@ -30,7 +30,7 @@
     pub(super) seconds: f64,
 }
 
-/// The jobs that were rejected lately.
+/// The jobs that were rejected recently.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Arrivals {
     by_job: HashMap<JobId, Arrival>,
@@ -43,12 +43,12 @@
         self.by_job.get(&job)
     }
 
-    /// Forgets a job that is accepted, and returns when it first came.
+    /// Removes a job that is accepted, and returns when it was first submitted.
     pub(super) fn remove(&mut self, job: JobId) -> Option<Time> {
         self.by_job.remove(&job).map(|a| a.first)
     }
 
-    /// Records a rejection. The oldest ones are forgotten if there are too many.
+    /// Records a rejection. Expired ones, and the oldest ones if there are too many, are removed.
     pub(super) fn record(&mut self, job: JobId, arrival: Arrival) {
         let now = arrival.rejected;
         self.order.push_back((now, job));
@@ -64,8 +64,8 @@
         }
     }
 
-    /// Returns the seconds that a service's workers need for the rejected work that is yet to come
-    /// back.
+    /// Returns the seconds that a service's workers need for rejected jobs whose retries are not due
+    /// yet.
     pub(super) fn outstanding(&self, service: &str, now: Time) -> f64 {
         let outstanding = self.by_job.values().filter(|a| &*a.service == service && a.due > now);
         outstanding.map(|a| a.seconds).sum()
--- a/crates/bronzespool-batch/src/overload/budget.rs
+++ b/crates/bronzespool-batch/src/overload/budget.rs
@@ -1,9 +1,9 @@
 //! Budget of preemptions outside guarantees while a service is overloaded.
 //!
-//! Covers bursts of first-priority gangs that are larger than the workers: without a bound each
-//! gang stops the runs that were started for want of the last one, and most work is done twice. A
-//! stop has to gain more work than it discards, no task loses its work twice, and the number of
-//! stops within a minute is bounded. Jobs inside their team's guarantee are not bound by this.
+//! Covers bursts of first-priority gangs that exceed the workers' capacity. Without a bound, each
+//! gang stops the runs that were started since the previous gang ended, and most work is done twice.
+//! A stop has to gain more work than it discards, no task is stopped twice, and the number of stops
+//! within a minute is bounded. Jobs inside their team's guarantee are exempt.
 
 use {
     crate::{
@@ -28,7 +28,7 @@
 const SPAN: Duration = Duration::from_secs(60);
 const SECOND: Duration = Duration::from_secs(1);
 /// Share of a service's runs within the span that may be stopped, as a divisor: callers accept that
-/// one run in eight is stopped while there is trouble.
+/// one run in eight is stopped during an overload or a failure.
 const RUNS_PER_STOP: usize = 8;
 
 /// Durations of a waiting task group that decide what its start gains.
@@ -81,7 +81,7 @@
     pub guarantee: u64,
     /// Runs stopped for jobs of a higher priority.
     pub priority: u64,
-    /// Searches that found runs to stop, of which too many had been stopped within a minute.
+    /// Searches that found runs to stop after the budget of the last minute was spent.
     pub withheld: u64,
 }
 
@@ -119,7 +119,7 @@
         self.add(service, Change { at: now, starts, stops: 0 });
     }
 
-    /// Adds a change to that of the same second, so that the memory is bounded.
+    /// Adds a change, merged with those of the same second to bound the memory.
     fn add(&mut self, service: &Arc<str>, change: Change) {
         let recent = self.recent.entry(Arc::clone(service)).or_default();
         while recent.front().is_some_and(|c| change.at.since(c.at) >= SPAN) {
--- a/crates/bronzespool-batch/src/overload/checkpoints.rs
+++ b/crates/bronzespool-batch/src/overload/checkpoints.rs
@@ -16,7 +16,7 @@
 }
 
 impl CheckpointTimes {
-    /// Returns the times after a new report of all runs.
+    /// Returns the times updated from the progress that is reported now.
     pub(super) fn updated(&self, ledger: &Ledger, view: &ClusterView) -> Self {
         let mut by_run = HashMap::default();
         for (run, progress) in &view.progress {
--- a/crates/bronzespool-batch/src/overload/demand.rs
+++ b/crates/bronzespool-batch/src/overload/demand.rs
@@ -105,7 +105,8 @@
         self.running.iter().copied().chain(waiting)
     }
 
-    /// Returns the longest wait at which a job of this class still counts in full, as a mean.
+    /// Returns the mean, over the jobs of this class, of the longest wait at which each still counts
+    /// in full.
     pub fn mean_slack(&self) -> Duration {
         self.slack.checked_div(self.jobs).unwrap_or_default()
     }
@@ -149,7 +150,7 @@
     }
 }
 
-/// Converts seconds that may exceed what a duration holds.
+/// Converts seconds to a duration; values out of its range are clamped.
 pub(super) fn seconds_to_duration(seconds: f64) -> Duration {
     Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(Duration::MAX)
 }
@@ -352,8 +353,8 @@
     state.tasks.iter().filter(|t| !t.done && t.active_runs.is_empty()).count()
 }
 
-/// Whether a first run has just begun after its job waited for longer than `slack`. Just means
-/// within the last `slack`, so that one such start does not count for long.
+/// Whether a first run began within the last `slack`, after its job had waited for longer than
+/// `slack`. Older starts do not count, so that one late start has no lasting effect.
 fn began_late(
     job: &Job,
     step: &Step,
--- a/crates/bronzespool-batch/src/overload/detect.rs
+++ b/crates/bronzespool-batch/src/overload/detect.rs
@@ -1,10 +1,10 @@
 //! Detection of overload by service.
 //!
 //! Covers bursts and lasting excess of work. A class of work, that is the jobs of one priority in
-//! one pool, is overloaded if new work of it would begin too late to count in full. It stays so
-//! until the wait has fallen to half of that, so that a wait near the limit does not change the
+//! one pool, is overloaded if its new work would begin too late to count in full. It stays overloaded
+//! until the wait has fallen to half of that limit, so that a wait near the limit does not change the
 //! state with each run. Between the two limits a new leader, which does not know the former state,
-//! finds the evidence in the ledger: a job that has waited for too long.
+//! treats a job in the ledger that has waited for too long as evidence of overload.
 
 use {
     crate::{
@@ -21,8 +21,8 @@
     std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
 
-/// Shortest time between two assessments, each of which walks all active jobs. It is short beside
-/// the time within which urgent work has to start.
+/// Shortest time between two assessments, each of which iterates over all active jobs. It is much
+/// shorter than the time within which urgent work has to start.
 const INTERVAL: Duration = Duration::from_millis(100);
 
 /// State of one class of work.
@@ -42,7 +42,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Overload {
     state: Arc<State>,
-    /// When jobs that were rejected before they were accepted first came.
+    /// When jobs that were rejected before they were accepted were first submitted.
     places: Arc<HashMap<JobId, Time>>,
 }
 
@@ -87,12 +87,12 @@
         }
     }
 
-    /// Replaces the times at which jobs first came that were rejected before they were accepted.
+    /// Sets when jobs that were rejected before they were accepted were first submitted.
     pub fn set_places(&mut self, places: &Arc<HashMap<JobId, Time>>) {
         self.places = Arc::clone(places);
     }
 
-    /// Returns when a job first came if it was rejected before it was accepted.
+    /// Returns when a job was first submitted if it was rejected before it was accepted.
     pub(super) fn place(&self, job: JobId) -> Option<Time> {
         self.places.get(&job).copied()
     }
--- a/crates/bronzespool-batch/src/overload/forecast.rs
+++ b/crates/bronzespool-batch/src/overload/forecast.rs
@@ -22,7 +22,8 @@
 
 /// Time that a stop takes.
 const STOP_TIME: Duration = Duration::from_millis(900);
-/// Returns the earliest time at which all first steps of a job could be started if it went next;
+
+/// Returns the earliest time at which all first steps of a job could start if it were served next;
 /// `None` if one of them fits on no workers. Runs count with the least time that they may have left,
 /// and those of a lower priority as stopped.
 pub(super) fn earliest_start(
@@ -201,8 +202,8 @@
         }
     }
 
-    /// Returns the seconds before a job. While its team's work is served, each other team gets as
-    /// much.
+    /// Returns the seconds until a job would start. While its team's work is served, each other team is
+    /// served as much.
     fn before(mut self, job: &[Tasks]) -> f64 {
         let work = |tasks: &[Tasks]| tasks.iter().map(Tasks::work).sum::<f64>();
         let each = work(&self.own) + work(job);
--- a/crates/bronzespool-batch/src/overload/order.rs
+++ b/crates/bronzespool-batch/src/overload/order.rs
@@ -1,9 +1,9 @@
 //! Order of waiting work of the same precedence in an overloaded class.
 //!
 //! Covers a few large teams beside small ones, bursts, and large jobs beside many small ones. Work
-//! that can still be done within its allowed duration goes before work that cannot. Among it, the
-//! team goes first whose runs use the least of the service, its waiting work that goes before
-//! counted in. Age decides within a team. The largest jobs go before all of these while they are
+//! that can still be done within its allowed duration goes before work that cannot. Within each of the
+//! two, the team goes first whose runs, together with its waiting work ordered so far, use the least
+//! of the service. Age decides within a team. The largest jobs go before all of these while they are
 //! begun less than half as often as the others.
 
 use {
@@ -42,7 +42,7 @@
     pub timing: Timing,
 }
 
-/// Group of places: a smaller one comes first.
+/// Tier of the order: a smaller one comes first.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Tier {
     /// One of the largest jobs, while those are begun too rarely.
@@ -50,7 +50,7 @@
     /// Can be done within its allowed duration, or its class is not overloaded.
     #[default]
     InTime,
-    /// Cannot.
+    /// Cannot be done within its allowed duration.
     Late,
 }
 
@@ -104,7 +104,7 @@
         }
     }
 
-    /// Returns when a group's job first came. It is zero where the class is not overloaded.
+    /// Returns when a group's job was first submitted; zero if its class is not overloaded.
     pub fn arrived(&self, group: &GroupInput<'_>) -> Time {
         if !self.overload.is_class_overloaded(group.service, group.priority) {
             return Time::ZERO;
@@ -112,8 +112,8 @@
         self.overload.place(group.job.spec.id).unwrap_or(group.job.submitted)
     }
 
-    /// Returns the share that a group's team uses, and counts the group in for the next one. It is
-    /// zero where the class is not overloaded.
+    /// Returns the share that a group's team uses, and adds the group to it. It is zero if the group's
+    /// class is not overloaded.
     pub fn take(&mut self, group: &GroupInput<'_>) -> u64 {
         if !self.overload.is_class_overloaded(group.service, group.priority) {
             return 0;
@@ -148,7 +148,7 @@
     job.spec.steps.iter().map(size).max().unwrap_or(0)
 }
 
-/// How many jobs of a class were begun, of those that had to be.
+/// How many jobs of a class have begun, of those that should have.
 #[derive(Clone, Copy, Debug, Default)]
 struct Served {
     begun: u64,
--- a/crates/bronzespool-batch/src/overload/times.rs
+++ b/crates/bronzespool-batch/src/overload/times.rs
@@ -1,4 +1,4 @@
-//! Durations that decide what a job's caller still gets from it.
+//! Durations that decide how much a job still counts for its caller.
 
 use {
     crate::{
@@ -28,8 +28,8 @@
     /// Duration after which the job has no value. It follows from the high estimate of the chain,
     /// so that a job is not given up because its duration was underestimated.
     pub cutoff: Duration,
-    /// Duration after which the job has no value even if its declared durations are as far too low
-    /// as they may be. It is the cutoff where there is evidence of the durations.
+    /// Duration after which the job has no value even if its declared durations are too low by the
+    /// largest factor that is expected. It equals the cutoff if there is evidence of the durations.
     pub latest: Duration,
 }
 
--- a/crates/bronzespool-batch/src/plan/fair.rs
+++ b/crates/bronzespool-batch/src/plan/fair.rs
@@ -14,7 +14,7 @@
     std::cmp::Reverse,
 };
 
-/// Most like tasks that stay together, so that those of other teams go between them.
+/// Most like tasks that are ordered as one piece. Tasks of other teams may come between two pieces.
 const PIECE_TASKS: u32 = 8;
 /// Most pieces of like tasks; together they are more than a plan starts.
 const PIECES_MAX: u32 = 32;
@@ -25,8 +25,8 @@
     Timing { elapsed, remaining, allowed }
 }
 
-/// Puts groups that are in the order of their precedence in that of overload. Groups of classes that
-/// are not overloaded, and of guaranteed jobs, keep their order.
+/// Reorders groups, given in the order of their precedence, for an overloaded service. Groups of
+/// classes that are not overloaded, and of guaranteed jobs, keep their order.
 pub(super) fn in_fair_order<'a>(
     ledger: &Ledger,
     view: &ClusterView,
--- a/crates/bronzespool-batch/src/plan/group.rs
+++ b/crates/bronzespool-batch/src/plan/group.rs
@@ -93,7 +93,7 @@
         })
     }
 
-    /// Splits off pieces of at most `size` groups each, `most` of them at most; the rest stays together.
+    /// Splits off at most `most` pieces of at most `size` groups each; the rest is the last piece.
     pub(super) fn split(self, size: u32, most: u32) -> impl Iterator<Item = Self> {
         let pieces = (self.count.max(1) - 1) / size.max(1);
         let whole = self.count;
--- a/crates/bronzespool-batch/src/plan/headroom.rs
+++ b/crates/bronzespool-batch/src/plan/headroom.rs
@@ -1,9 +1,9 @@
 //! Accelerators that are kept free for jobs of the first priority.
 //!
-//! Covers a busy service with an urgent gang every second. Stopping other runs for each of them takes
-//! about as long as an urgent job may be late, and loses their work. While a service is busy, runs of
-//! lower priorities therefore leave as many accelerators free as urgent jobs have recently used at
-//! once beyond what they use now.
+//! Covers a busy service with an urgent gang every second. Stopping other runs for each gang takes
+//! about as long as an urgent job may be late, and discards the work of these runs. While a service is
+//! busy, lower priorities therefore leave accelerators free: the recent peak of what urgent jobs used
+//! at once, less what they use now.
 
 use {
     crate::plan::{Precedence, TaskGroup, capacity::ClusterCapacity},
@@ -11,14 +11,14 @@
     std::{collections::VecDeque, sync::Arc, time::Duration},
 };
 
-/// Time for which a peak of urgent demand is remembered. It covers the pauses between urgent jobs,
-/// and ends soon after the last one so that the capacity does not stay idle.
+/// Time for which a peak of urgent demand counts. It is longer than the pauses between urgent jobs,
+/// and short enough that the capacity is not idle for long after the last one.
 const PEAK_MEMORY: Duration = Duration::from_secs(10);
-/// Length of the intervals of which the highest value is remembered.
+/// Length of the intervals of which the highest value is kept.
 const INTERVAL: Duration = Duration::from_millis(250);
 
-/// Accelerators that urgent jobs have recently used at once, by service. It is kept by the planner, so
-/// that a new leader begins without it and learns it within seconds.
+/// Peak of the accelerators that urgent jobs have recently used at once, by service. It is not
+/// replicated: a new leader starts without it and observes it within seconds.
 #[derive(Clone, Debug, Default)]
 pub(super) struct UrgentDemand {
     by_service: HashMap<Arc<str>, RecentPeak>,
@@ -81,7 +81,7 @@
 
 impl Headroom {
     /// Whether starting a group would use accelerators that are kept free. Jobs of the first priority
-    /// and inside their guarantee may use them, and all others as long as their service is idle.
+    /// and jobs inside their guarantee may use them; other jobs may while their service is idle.
     pub(super) fn is_used_by(
         &self,
         group: &TaskGroup<'_>,
--- a/crates/bronzespool-batch/src/plan/place.rs
+++ b/crates/bronzespool-batch/src/plan/place.rs
@@ -103,8 +103,8 @@
         self.place_anywhere()
     }
 
-    /// Places the group in one rack: where the worst of its workers is best by speed, and of racks
-    /// alike in the fullest one, so that emptier racks stay free for larger gangs.
+    /// Places the group in one rack: the one whose worst-ranked worker ranks best by speed. Of equal
+    /// racks the fullest is chosen, so that emptier racks stay free for larger gangs.
     fn place_in_one_rack(&self) -> Option<Placement> {
         let mut racks: Vec<usize> = (0..self.capacity.racks.len()).collect();
         racks.retain(|r| self.places.free.in_rack(*r) >= self.group.tasks.len() as u64);
@@ -116,7 +116,7 @@
         found.min_by_key(|placement| self.worst_rank(placement))
     }
 
-    /// Returns the rank of the worker by which a gang is held up most.
+    /// Returns the rank of the worker that delays a gang the most.
     fn worst_rank(&self, placement: &Placement) -> Option<SpeedRank> {
         let slots = placement.iter().filter_map(|worker| self.capacity.slot_of(worker));
         slots.map(|slot| self.need.rank(slot.speed)).max()
--- a/crates/bronzespool-batch/src/plan/speed.rs
+++ b/crates/bronzespool-batch/src/plan/speed.rs
@@ -1,9 +1,9 @@
 //! Preference among workers that are not equally fast.
 //!
 //! Covers a service whose workers differ in speed, with urgent gangs beside work that can wait. A gang
-//! ends with its slowest member, so that one slow worker makes all of it late. A task group therefore
-//! takes the slowest workers on which its job still ends in time, so that fast ones stay free for
-//! groups that need them, and the fastest ones if none is fast enough.
+//! ends with its slowest member, so one slow worker delays the whole gang. A task group is therefore
+//! placed on the slowest workers on which its job still ends in time, which keeps fast workers free
+//! for groups that need them. If no worker is fast enough, it is placed on the fastest ones.
 
 use {
     crate::plan::urgency::Urgency, bronzespool_core::Instance, bronzespool_estimate::Estimates,
--- a/crates/bronzespool-batch/src/sampling/contact.rs
+++ b/crates/bronzespool-batch/src/sampling/contact.rs
@@ -1,4 +1,4 @@
-//! Whether the agents of workers were in contact all the time.
+//! Whether the agents of workers have been in contact without a break.
 
 use {
     crate::{
@@ -8,10 +8,10 @@
     bronzespool_core::{HashMap, HashSet, Instance, Time},
 };
 
-/// What a poll says about the contact with its worker.
+/// State of the contact with a worker when a poll arrives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ContactState {
-    /// The first contact in this term, or no longer a pause than a live agent makes.
+    /// The first contact in this term, or a pause of at most [`AGENT_TIMEOUT`].
     Continuous,
     /// The worker was out of contact.
     Restored,
@@ -35,7 +35,7 @@
 }
 
 impl AgentContacts {
-    /// Records a poll. A poll that reports no worker is no contact with it.
+    /// Records a poll. A poll that reports no worker does not count as contact with a worker.
     pub(super) fn record(&mut self, at: Time, poll: &Poll) -> ContactState {
         let new = Contact { since: None, last: at, poll: poll.id };
         let contact = self.contacts.entry(poll.agent.clone()).or_insert(new);
@@ -59,7 +59,7 @@
         self.contacts.get(agent)?.since
     }
 
-    /// Forgets all other agents.
+    /// Removes all agents but the given ones.
     pub(super) fn retain_agents<'a>(&mut self, agents: impl Iterator<Item = &'a Instance>) {
         let agents: HashSet<&Instance> = agents.collect();
         self.contacts.retain(|agent, _| agents.contains(agent));
--- a/crates/bronzespool-batch/src/sampling/evidence.rs
+++ b/crates/bronzespool-batch/src/sampling/evidence.rs
@@ -35,7 +35,7 @@
     runs.filter(move |r| r.run == run.run).map(|r| &r.incarnation)
 }
 
-/// Whether a worker holds a best-effort run. It slows the runs beside it.
+/// Whether a worker holds a best-effort run, which slows down the other runs on the worker.
 pub(super) fn has_best_effort_run(ledger: &Ledger, worker: &Worker) -> bool {
     worker.runs.keys().any(|run| {
         let step = run.task.step;
--- a/crates/bronzespool-batch/src/sampling/expectation.rs
+++ b/crates/bronzespool-batch/src/sampling/expectation.rs
@@ -1,4 +1,4 @@
-//! What the model's estimates say of the steps of a job.
+//! Expected durations of the steps of a job, from the model's estimates.
 
 use {
     crate::{
--- a/crates/bronzespool-batch/src/sampling/learner.rs
+++ b/crates/bronzespool-batch/src/sampling/learner.rs
@@ -16,7 +16,7 @@
 /// Shortest time between two summaries in the log.
 pub const SAVE_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Time between two searches for runs that no worker holds any more. Most are forgotten at their end.
+/// Time between two searches for runs that no worker holds any more. Most are removed at their end.
 const FORGET_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Result of a fit.
@@ -28,8 +28,8 @@
     pub spread: Option<[f64; 3]>,
 }
 
-/// The model of a term with the samples that it learns from. What an earlier term has learned comes
-/// from the summary in the ledger; everything else begins anew.
+/// The model of a term and the samples that it learns from. Of earlier terms, only the summary in the
+/// ledger is used.
 #[derive(Clone, Debug, Default)]
 pub struct Learner {
     term: u64,
@@ -153,7 +153,7 @@
         Some(Event::EstimatesSaved(bytes.into()))
     }
 
-    /// Tells the model in which data centres the workers are.
+    /// Updates the data centres of the workers in the model.
     fn update_centers(&mut self, ledger: &Ledger) {
         let mut centers = HashMap::default();
         for worker in ledger.workers() {
@@ -169,8 +169,8 @@
     }
 }
 
-/// Returns the summary in a ledger. One that cannot be read, since another version has saved it, is
-/// empty.
+/// Returns the summary in a ledger; an empty one if it cannot be read, for example because another
+/// version has saved it.
 fn saved_summary(ledger: &Ledger) -> Summary {
     postcard::from_bytes(ledger.run_times()).unwrap_or_default()
 }
--- a/crates/bronzespool-batch/src/sampling/mod.rs
+++ b/crates/bronzespool-batch/src/sampling/mod.rs
@@ -1,9 +1,9 @@
 //! Samples of run times for the model of [`bronzespool_estimate`], taken from the ledger, from polls
 //! and from ended runs.
 //!
-//! Only runs that show how fast their worker is and how much work their task is are sampled. A run
-//! that was stopped, or slowed by something else than its worker, is left out. All times are log
-//! times, so that they stay comparable after a change of leader.
+//! Only runs that are evidence of the speed of their worker and the work of their task are sampled.
+//! Runs that were stopped, or slowed by something other than their worker, are left out. All times
+//! are log times, which remain comparable after a change of leader.
 
 mod contact;
 mod evidence;
--- a/crates/bronzespool-batch/src/sampling/speeds.rs
+++ b/crates/bronzespool-batch/src/sampling/speeds.rs
@@ -1,4 +1,4 @@
-//! Changes of the workers' speeds that are worth a log line.
+//! Changes of the workers' speeds that are logged.
 
 use {
     crate::ledger::Ledger,
@@ -6,8 +6,8 @@
     bronzespool_estimate::{Estimates, Speed},
 };
 
-/// Ratio of a worker's speed to the reported one from which it is reported as changed. Tasks of one
-/// step differ by up to 30 %, so a smaller change may be chance.
+/// Least ratio between a worker's speed and the last reported one at which a change is reported. Tasks
+/// of one step differ by up to 30 %, so a smaller change may be random.
 const REPORT_RATIO: f64 = 1.5;
 
 /// Whether one of two speeds is a multiple of the other by [`REPORT_RATIO`] or more.
--- a/crates/bronzespool-batch/src/sampling/track.rs
+++ b/crates/bronzespool-batch/src/sampling/track.rs
@@ -6,8 +6,8 @@
     std::time::Duration,
 };
 
-/// Shortest time over which a rate is measured. Polls are up to 0.4 s apart, so a shorter time says
-/// little.
+/// Shortest time over which a rate is measured. Polls are up to 0.4 s apart, so a shorter time gives
+/// an inaccurate rate.
 const SPAN_MIN: Duration = Duration::from_secs(1);
 /// Least progress over which a rate is measured. Progress is in whole percent.
 const RISE_MIN_PERCENT: u32 = 10;
@@ -21,7 +21,7 @@
     percent: u32,
 }
 
-/// What is known of one run.
+/// Observations of one run.
 #[derive(Clone, Debug)]
 pub(super) struct RunTrack {
     /// Instance of the agent beside the worker.
@@ -79,7 +79,7 @@
     pub(super) fn record_progress(&mut self, at: Time, percent: u32) -> Option<Duration> {
         let point = Point { at, percent: percent.min(WHOLE_PERCENT) };
         let first = *self.first.get_or_insert(point);
-        // A gang works only from when all of its members run, which the first rise shows.
+        // A gang makes progress only once all of its members run, so the first rise marks its start.
         let begun = !self.is_gang || point.percent > first.percent;
         if self.base.is_none() && begun {
             self.base = Some(point);
@@ -104,7 +104,7 @@
         if self.is_whole {
             return Some(at.since(self.assigned_at));
         }
-        // The members of a gang end together, though the faster ones have finished before.
+        // The members of a gang end together, but the faster ones reach 100 % earlier.
         let finished_at = self.finished_at.filter(|_| self.is_gang).unwrap_or(at);
         self.extrapolate(Point { at: finished_at, percent: WHOLE_PERCENT })
     }
--- a/crates/bronzespool-estimate/src/fit.rs
+++ b/crates/bronzespool-estimate/src/fit.rs
@@ -18,9 +18,9 @@
 const SWEEPS: usize = 10;
 /// Residual, in standard deviations, beyond which a run counts less.
 pub(crate) const HUBER: f64 = 1.5;
-/// Weight, in runs, with which the effect of a worker without evidence is drawn to a typical one.
-/// It falls with the evidence: a constant weight made workers that are 2.4 times as fast look 2.0
-/// times as fast when jobs mostly stay on workers of one speed.
+/// Weight, in runs, with which the effect of a worker without evidence is shrunk towards a typical
+/// one. It falls with the evidence: with a constant weight, workers that are 2.4 times as fast were
+/// estimated at 2.0 times when jobs mostly stay on workers of one speed.
 const RIDGE: f64 = 0.2;
 /// Factor by which a run counts less than the next later one of its worker.
 const AGING: f64 = 0.92;
@@ -53,7 +53,7 @@
 const CHANGED_WEIGHT: f64 = 3.0;
 /// Range of speeds that are near the typical one, as a logarithm either way.
 const TYPICAL_RANGE: f64 = 0.2;
-/// Share of the workers, as a divisor, that are enough to say what is typical.
+/// Least share of the workers, as a divisor, whose median defines the typical speed.
 const TYPICAL_SHARE: usize = 4;
 /// Passes in which the typical speed moves to the middle of those near it.
 const TYPICAL_PASSES: usize = 3;
@@ -86,7 +86,7 @@
     pub(crate) weight: f64,
     /// Standard deviation of a complete run of this worker.
     pub(crate) noise: f64,
-    /// Number of runs that say something about the speed.
+    /// Number of runs that are evidence of the speed.
     pub(crate) samples: u32,
     /// Whether the speed has changed and few runs have been seen since.
     pub(crate) changed: bool,
@@ -179,8 +179,8 @@
         });
     }
 
-    /// Computes how much each run says about its worker: nothing of what the worker's own runs say
-    /// about the step.
+    /// Computes the share of each run that is evidence of its worker's speed: the part of the step's
+    /// evidence that comes from other workers.
     fn weigh(&mut self, windows: &Windows) {
         let mut whole: Vec<f64> = self.past.iter().map(|(weight, _)| *weight).collect();
         self.rows.iter().for_each(|row| whole[row.step] += row.aged);
@@ -207,7 +207,7 @@
         }
     }
 
-    /// Gives new steps the median of what their runs say.
+    /// Initializes new steps with the median of the work that their runs imply.
     fn start_steps(&mut self) {
         let mut works: Vec<Vec<f64>> = vec![Vec::new(); self.steps.len()];
         for (worker, (rows, _)) in self.workers.iter().zip(&self.ranges) {
@@ -297,7 +297,7 @@
         let effects = fitted.into_iter().filter(|f| *f).count() + workers;
         let free = count.saturating_sub(effects) as f64;
         let sd = MAD_TO_SD * median(&mut sizes).unwrap_or(0.0);
-        // Each fitted effect takes a part of the residuals away.
+        // Each fitted effect takes up one degree of freedom.
         let variance = sd * sd * count as f64 / free.max(1.0);
         let prior = NOISE_PRIOR * NOISE_PRIOR * NOISE_PRIOR_RUNS;
         let noise = ((prior + variance * free) / (NOISE_PRIOR_RUNS + free)).sqrt();
--- a/crates/bronzespool-estimate/src/kind.rs
+++ b/crates/bronzespool-estimate/src/kind.rs
@@ -16,7 +16,7 @@
 const SPREAD_SD: f64 = 0.6;
 /// Number of steps that the prior of the spread counts as.
 const SPREAD_PRIOR_STEPS: f64 = 4.0;
-/// Smallest spread: two identical steps do not make declarations exact.
+/// Smallest spread, so that a few equal steps do not make declarations count as exact.
 const SPREAD_SD_MIN: f64 = 0.05;
 /// Residual, in standard deviations, beyond which a step counts less.
 const HUBER: f64 = 1.0;
@@ -35,8 +35,7 @@
 /// Evidence of a restored fit counts as at most this number of steps, so that a few steps of the
 /// present correct it.
 const RESTORED_STEPS_MAX: f64 = 16.0;
-/// Variance of the logarithm of the declared durations that a fit in the role of a prior is taken
-/// to rest on.
+/// Assumed variance of the logarithms of the declared durations behind a fit that serves as a prior.
 const PRIOR_X_VARIANCE: f64 = 0.3;
 
 /// Fitted line of a kind with the spread around it.
--- a/crates/bronzespool-estimate/src/model.rs
+++ b/crates/bronzespool-estimate/src/model.rs
@@ -54,7 +54,8 @@
         self.changed = true;
     }
 
-    /// Tells in which data centre a worker is. Workers with little evidence take after it.
+    /// Sets the data centre of a worker. The speed of a worker with little evidence follows from that
+    /// of its data centre.
     pub fn set_center(&mut self, instance: &Instance, center: &Center) {
         let prior = self.restored.get(&instance_checksum(instance)).copied();
         let worker = self.windows.worker(instance.clone(), prior);
@@ -62,15 +63,15 @@
         worker.center = Some(center.clone());
     }
 
-    /// Forgets a worker, for example because its machine was replaced under its name.
+    /// Removes a worker, for example because its machine was replaced by another one of the same name.
     pub fn forget(&mut self, instance: &Instance) {
         self.restored.remove(&instance_checksum(instance));
         self.windows.remove_worker(instance);
         self.changed = true;
     }
 
-    /// Fits the effects of workers and steps to the samples. Evidence fades by the number of
-    /// samples, so that the time has no effect on the result.
+    /// Fits the effects of workers and steps to the samples. Evidence is discounted by the number of
+    /// later samples, so the time has no effect on the result.
     pub fn refit(&mut self, _now: Time) {
         if !self.changed {
             return;
@@ -112,7 +113,7 @@
         fit
     }
 
-    /// Adapts what the fit of speeds keeps to a typical worker that is faster by `shift`, in
+    /// Adapts the state of the fit of speeds to a typical worker that is faster by `shift`, in
     /// logarithms.
     fn shift(&mut self, shift: f64) {
         for worker in self.windows.workers.values_mut() {
--- a/crates/bronzespool-estimate/src/sample.rs
+++ b/crates/bronzespool-estimate/src/sample.rs
@@ -19,10 +19,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct StepKey(pub u64);
 
-/// What one run tells about its task and its worker.
+/// Observation of one run, as evidence of the work of its task and the speed of its worker.
 ///
-/// Runs whose duration says nothing about either are not recorded: those that were stopped,
-/// crashed, throttled, cold, away from their data or their gang, or disturbed.
+/// Runs whose duration is evidence of neither are not recorded: those that were stopped, crashed or
+/// throttled, ran on a cold worker or away from their data or gang, or were slowed by other runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Sample {
     /// Identifies the run among those of its step, so that a later sample of it replaces an
--- a/crates/bronzespool-estimate/src/speeds.rs
+++ b/crates/bronzespool-estimate/src/speeds.rs
@@ -1,4 +1,4 @@
-//! Speeds that are reported: shrunken estimates behind a gate.
+//! Speeds that are reported: shrunken estimates of those that are significant.
 //!
 //! A speed stays typical until it differs by more than its uncertainty. How much workers differ in
 //! general is estimated from all of them, so that in a deployment of equal workers every estimate
@@ -15,17 +15,17 @@
 /// Deviation, in standard errors, from which an estimate is reported in full. Between the two it
 /// is reported in part, so that it does not jump.
 const GATE_OPEN: f64 = 3.0;
-/// Deviation, in standard errors, from which a worker is taken for an exception.
-const EXCEPTION: f64 = 4.0;
-/// Deviation, in standard errors, down to which it stays one.
-const EXCEPTION_STAYS: f64 = 2.5;
-/// Fewest runs of an exception: a single run may be in the tail.
-const EXCEPTION_RUNS: u32 = 3;
-/// Prior standard deviation of the logarithm of an exception's speed.
-const EXCEPTION_SD: f64 = 1.0;
+/// Deviation, in standard errors, from which a worker counts as an outlier.
+const OUTLIER_ENTER: f64 = 4.0;
+/// Deviation, in standard errors, down to which it remains an outlier.
+const OUTLIER_LEAVE: f64 = 2.5;
+/// Fewest runs of an outlier: a single run may be in the tail.
+const OUTLIER_RUNS_MIN: u32 = 3;
+/// Prior standard deviation of the logarithm of an outlier's speed.
+const OUTLIER_SD: f64 = 1.0;
 /// Smallest deviation that is reported, as a logarithm: 8 %.
 const DEAD_BAND: f64 = 0.08;
-/// Least evidence, in complete runs, of a worker that says something about the others.
+/// Least evidence, in complete runs, with which a worker counts for the spread and the levels.
 const WEIGHT_MIN: f64 = 0.5;
 /// Standard deviations by which the workers' spread must exceed that of equal workers.
 const SPREAD_SDS: f64 = 2.0;
@@ -89,8 +89,8 @@
     let (mut excess, mut count, mut precision) = (0.0, 0.0, 0.0);
     for (e, middle) in effects.iter().zip(middles).filter(|(e, _)| e.weight >= WEIGHT_MIN) {
         let error = error(e);
-        // The bound keeps one exception from widening the gate of all others.
-        excess += ((e.speed - middle).powi(2) / error).min(EXCEPTION * EXCEPTION);
+        // Bounds the effect of one outlier on the spread, with which all others are reported.
+        excess += ((e.speed - middle).powi(2) / error).min(OUTLIER_ENTER * OUTLIER_ENTER);
         count += 1.0;
         precision += 1.0 / error;
     }
@@ -107,10 +107,10 @@
         return 0.0;
     }
     let (error, deviation) = (error(effect), effect.speed - level);
-    let limit = if effect.atypical { EXCEPTION_STAYS } else { EXCEPTION };
-    let far = deviation.abs() > limit * error.sqrt() && effect.samples >= EXCEPTION_RUNS;
-    let exception = far || effect.changed;
-    let prior = if exception { spread.max(EXCEPTION_SD * EXCEPTION_SD) } else { spread };
+    let limit = if effect.atypical { OUTLIER_LEAVE } else { OUTLIER_ENTER };
+    let far = deviation.abs() > limit * error.sqrt() && effect.samples >= OUTLIER_RUNS_MIN;
+    let outlier = far || effect.changed;
+    let prior = if outlier { spread.max(OUTLIER_SD * OUTLIER_SD) } else { spread };
     let share = prior / (prior + error);
     share * deviation * gate(share.sqrt() * deviation / error.sqrt())
 }
--- a/crates/bronzespool-estimate/src/stats.rs
+++ b/crates/bronzespool-estimate/src/stats.rs
@@ -8,7 +8,8 @@
 /// Number of completed runs whose errors are kept.
 const ERRORS_MAX: usize = 512;
 
-/// Quantiles of the factor by which durations were off, in either direction; 1.0 is exact.
+/// Quantiles of the factor by which expected and observed durations differ, in either direction; 1.0
+/// is exact.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ErrorQuantiles {
     /// Factor that half of the runs do not exceed.
--- a/crates/bronzespool-estimate/src/summary.rs
+++ b/crates/bronzespool-estimate/src/summary.rs
@@ -1,4 +1,4 @@
-//! Small form of a model that outlives its process.
+//! Compact form of a model that is kept when its process ends.
 //!
 //! Names are stored as checksums and numbers in hundredths of logarithms, about one percent. Two
 //! names of one checksum would share an entry until runs correct it.
@@ -63,8 +63,7 @@
         self.workers.is_empty() && self.kinds.is_empty()
     }
 
-    /// Whether another summary says about the same: no speed or line of a kind differs by more
-    /// than 10 %.
+    /// Whether another summary is about equal: no speed or line of a kind differs by more than 10 %.
     pub fn is_near(&self, other: &Self) -> bool {
         let speeds = |s: &Self| s.workers.iter().map(|w| (w.checksum, [w.speed, 0, 0])).collect();
         let lines = |s: &Self| s.kinds.iter().map(|k| (k.checksum, k.line)).collect();
@@ -77,7 +76,7 @@
     let covered = |from: &BTreeMap<_, _>, to: &BTreeMap<_, _>| {
         from.iter().all(|(key, values): (&[u8; 4], &[i16; 3])| {
             let other: [i16; 3] = to.get(key).copied().unwrap_or_default();
-            // The origin of a line says where it was measured, not what was learned.
+            // The origin of a line is only the point at which its intercept holds.
             let skip = usize::from(values[1..] != [0, 0]);
             let pairs = values.iter().zip(other).skip(skip);
             pairs.into_iter().all(|(a, b)| a.abs_diff(b) <= NOTICEABLE as u16)
--- a/crates/bronzespool-estimate/src/window.rs
+++ b/crates/bronzespool-estimate/src/window.rs
@@ -52,7 +52,7 @@
     /// Logarithm of the seconds that were expected at the first sample of the run.
     pub(crate) expected: f64,
     pub(crate) complete: bool,
-    /// Logarithm of the seconds that the first sample of the run showed.
+    /// Logarithm of the observed seconds in the first sample of the run.
     first: f64,
     /// Number of the sample that places the run in time: its first one while it is in progress,
     /// its last one when it is complete.
@@ -97,7 +97,7 @@
 pub(crate) struct WorkerWindow {
     /// Runs, the latest last.
     pub(crate) runs: VecDeque<Run>,
-    /// Logarithm of the speed in the latest fit, before it is shrunk and gated.
+    /// Logarithm of the speed in the latest fit, before it is shrunk for the report.
     pub(crate) speed: f64,
     /// Logarithm of the speed that the latest fit reported.
     pub(crate) reported: Option<f64>,
@@ -130,11 +130,11 @@
     idle: bool,
 }
 
-/// What runs that have left the windows of their workers say about their step.
+/// Evidence of a step's work from runs that have left the windows of their workers.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Past {
-    /// The worker that left first. Its runs are kept apart, because they alone are no evidence of
-    /// its speed.
+    /// Worker of the first run that left its window. Its sums are kept apart, because its own runs are
+    /// no evidence of its speed.
     pub(crate) first: Option<Instance>,
     /// Weight and weighted logarithm of the work by this worker.
     pub(crate) own: (f64, f64),
@@ -171,7 +171,7 @@
         Some(Point { x, log_work, variance })
     }
 
-    /// Logarithm of a run's work divided by that of the step, if enough runs tell the latter.
+    /// Logarithm of a run's work divided by that of the step, if the step has enough runs.
     pub(crate) fn residual(&self, log_work: f64) -> Option<f64> {
         let (step, _) = self.work.filter(|_| self.samples >= RESIDUAL_RUNS_MIN)?;
         Some(log_work - step)
@@ -261,7 +261,7 @@
         oldest.iter().for_each(|run| self.keep_past(run, &instance, speed));
     }
 
-    /// Keeps what a run that leaves the window of its worker says about its step.
+    /// Adds a run that leaves the window of its worker to the past evidence of its step.
     fn keep_past(&mut self, run: &Run, instance: &Instance, speed: f64) {
         let Some(step) = self.steps.get_mut(&run.step) else { return };
         if let Some(effect) = step.effect {
--- a/crates/bronzespoold/src/batch/agent.rs
+++ b/crates/bronzespoold/src/batch/agent.rs
@@ -47,7 +47,7 @@
 const POLL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Longest wait for the leader to record a crash. The poll after it does not wait longer.
 const CRASH_TIMEOUT: Duration = Duration::from_secs(1);
-/// Longest wait for the leader to note that the worker is cold. The poll after it is delayed as long.
+/// Longest wait for the answer to a report that the worker is cold. It delays the next poll.
 const COLD_TIMEOUT: Duration = Duration::from_millis(300);
 /// Polls in flight at once: one that waits for orders, and one that carries a change.
 const POLLS_MAX: usize = 2;
@@ -176,17 +176,17 @@
         }
     }
 
-    /// Handles a worker's word in its check-in that it stays slow for a while after its start.
+    /// Records how long the worker stays cold, as reported in its check-in.
     pub fn note_cold(&self, incarnation: WorkerIncarnation, remaining: Duration) {
         let remaining = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
-        // A worker that is warm earlier than it said is reported once.
+        // The first report without remaining time is sent as well: the worker may be warm early.
         if self.was_cold.replace(remaining > 0) || remaining > 0 {
             self.cold.replace(Some(ColdReport { incarnation, remaining }));
         }
     }
 
-    /// Tells the leader that the worker is cold, before a poll tells it of the worker. A report without
-    /// an answer is not repeated: the next check-in brings another one.
+    /// Reports to the leader that the worker is cold, before a poll reports the worker itself. A report
+    /// without an answer is not repeated, since the next check-in creates another one.
     async fn report_cold(&self) {
         let Some(report) = self.cold.take() else { return };
         let call = Call::ReportCold(report);
--- a/crates/bronzespoold/src/batch/drain.rs
+++ b/crates/bronzespoold/src/batch/drain.rs
@@ -1,11 +1,11 @@
 //! An operator's commands to drain a data centre and to revoke the drain.
 //!
 //! The state is read first, and the command is based on its revision. A copy of the command that is
-//! held up after that changes nothing once another command was applied. A command that has lost to
-//! another one is not tried again on a newer revision: whoever sent it decides.
+//! delayed after that has no effect once another command has been applied. A command that conflicts
+//! with another one is not retried on the newer revision; that is left to its sender.
 //!
-//! A copy that is read late, as by a process that was frozen, would read the newer revision. So a
-//! command whose sender has gone is dropped once the state is read.
+//! A copy that is processed late, for example by a process that was frozen, would read the newer
+//! revision. A command is therefore dropped after the read if its sender has closed the connection.
 
 use {
     crate::{
@@ -38,8 +38,8 @@
     /// # Errors
     ///
     /// [`CallError::Refused`] with [`Code::UnknownCenter`] if neither the settings nor a worker name
-    /// the data centre, with [`Code::DeadlinePassed`] if the sender has gone, and with
-    /// [`Code::Conflict`] if another command came first; else as [`LeaderClient::call`].
+    /// the data centre, with [`Code::DeadlinePassed`] if the sender has closed the connection, and
+    /// with [`Code::Conflict`] if another command came first; else as [`LeaderClient::call`].
     pub async fn set_drained(&self, request: DrainRequest, timeout: Duration) -> Result<()> {
         let end = self.clock().now() + timeout;
         let DrainRequest { center, drained, listed, sender } = request;
--- a/crates/bronzespoold/src/control/batch/drain.rs
+++ b/crates/bronzespoold/src/control/batch/drain.rs
@@ -1,4 +1,4 @@
-//! Drains of data centres that operators order and revoke, and workers that are cold after them.
+//! Operators' commands to drain data centres and to revoke drains, and reports of cold workers.
 
 use {
     crate::control::{batch::BatchController, replica::Result},
@@ -22,8 +22,8 @@
         Ok(Reply::Center { state: state.batch().drains().state(center), known })
     }
 
-    /// Applies a command unless another one has come first. A repetition of the command that did has
-    /// the outcome of the first one.
+    /// Applies a command, unless another one has been applied since its base revision. If that one
+    /// left the state as requested, the answer is success.
     pub(super) async fn set_center(&self, command: CenterCommand) -> Result<Reply> {
         self.replica.read_barrier().await?;
         let CenterCommand { center, drained, base } = command;
@@ -46,7 +46,7 @@
         Err(Refusal::new(Code::Conflict, message))
     }
 
-    /// Notes that a worker is slow for a while. A next leader learns of it by the next check-in.
+    /// Records that a worker is cold. A new leader learns it from the worker's next check-in.
     pub(super) fn record_cold(&self, report: ColdReport) -> Reply {
         self.cold.borrow_mut().record(self.replica.log_time(), report);
         Reply::Done
--- a/crates/bronzespoold/src/control/batch/overload.rs
+++ b/crates/bronzespoold/src/control/batch/overload.rs
@@ -1,4 +1,4 @@
-//! Overload on the leader: detection before each plan, its log lines and its metrics.
+//! Overload on the leader: detection, admission, log lines and metrics.
 
 use {
     crate::{
@@ -21,18 +21,18 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// Time without overload after which a service counts as having left it in the log, so that a load
-/// near the limit does not write lines all the time.
+/// Time without overload after which the end of an overload is logged, so that a load near the limit
+/// does not fill the log.
 const QUIET: Duration = Duration::from_secs(5);
 
-/// What the leader knows of overload beyond the ledger. It is reset at the start of each term.
+/// State of overload that is not in the ledger. It is reset when a term begins.
 #[derive(Debug, Default)]
 pub(super) struct OverloadState {
     policy: Overload,
     term: u64,
     detector: Detector,
     admission: Admission,
-    /// When services were overloaded last, until their leaving is logged.
+    /// When services were last overloaded, until the end of the overload is logged.
     overloaded: HashMap<Arc<str>, Time>,
 }
 
@@ -45,10 +45,10 @@
         self.policy == Overload::Managed
     }
 
-    /// Forgets what was known in an earlier term. Overload follows from the ledger again.
+    /// Resets the state of an earlier term. Overload is computed anew from the ledger.
     fn enter_term(&mut self, term: u64) {
         if self.term != term {
-            self.report_all_left();
+            self.clear_gauges();
             *self = Self { policy: self.policy, term, ..Self::default() };
         }
     }
@@ -60,11 +60,11 @@
         self.report(view.now);
     }
 
-    fn report_all_left(&self) {
+    fn clear_gauges(&self) {
         self.overloaded.keys().for_each(|s| set_gauges(s, Duration::ZERO, false));
     }
 
-    /// Logs and measures which services have become overloaded or are so no longer.
+    /// Logs which services have become overloaded or are no longer overloaded, and sets their gauges.
     fn report(&mut self, now: Time) {
         let overloaded = self.detector.current().overloaded();
         for (service, (priority, class)) in &overloaded {
--- a/crates/bronzespoold/src/control/batch/run_times.rs
+++ b/crates/bronzespoold/src/control/batch/run_times.rs
@@ -60,7 +60,7 @@
     /// Records a poll that arrived at a log time and was not late.
     pub(super) fn record_poll(&mut self, term: u64, at: Time, ledger: &Ledger, poll: &Poll) {
         let Some(learner) = &mut self.learner else { return };
-        // Workers do not report yet that they are cold.
+        // Reports of cold workers are not used here yet.
         let is_cold = false;
         let samples = learner.record_poll(term, at, ledger, poll, is_cold);
         count_samples("progress", samples);
@@ -128,7 +128,7 @@
     }
 
     async fn update_estimates(&self) -> Result<()> {
-        // The planner reports that the barrier fails.
+        // The planner logs a failure of the barrier.
         if self.replica.read_barrier().await.is_err() {
             return Ok(());
         }
--- a/crates/bronzespoold/src/http/presence.rs
+++ b/crates/bronzespoold/src/http/presence.rs
@@ -1,7 +1,7 @@
 //! Whether the caller of a request still waits for the answer.
 //!
-//! A process that was frozen reads requests that their callers gave up long ago. Most are carried out
-//! all the same; one that could undo a later one asks first.
+//! A process that was frozen reads requests whose callers have closed their connections since. Most are
+//! carried out nevertheless; a request that could undo a later one is checked first.
 
 use std::sync::{
     Arc,
