fix(batch): a repeated rejection holds the job again, and cold runs are not evidence of speed

Cause (review, by reading): a submission that was held up could be accepted two seconds after the first rejection, although its caller was told again meanwhile that the job never runs; a job without a declared duration counted as late; cold workers looked slow to the model of run times; an explanation could name the overload of an earlier term. Change: each rejection begins the hold anew; nothing is concluded from a duration of zero; polls of cold workers are marked; the state of overload enters the term before it is read. Test change: decide_copies_get_the_same_answer expected the acceptance one second after a repeated rejection, which is the fault; it now expects a rejection there and the acceptance two seconds after the latest one.

--- a/crates/bronzespool-batch/src/cold.rs
+++ b/crates/bronzespool-batch/src/cold.rs
@@ -50,6 +50,11 @@
         self.warming.entry(report.incarnation).or_insert(new).until = until;
     }
 
+    /// Whether a worker is slow because it has started recently.
+    pub fn is_cold(&self, incarnation: &WorkerIncarnation, now: Time) -> bool {
+        self.warming.get(incarnation).is_some_and(|w| now < w.until)
+    }
+
     /// Returns the resources of a worker that are held back because it is cold; nothing if its data
     /// centre was never drained.
     pub fn held_back(&self, ledger: &Ledger, worker: &Worker, now: Time) -> Resources {
--- a/crates/bronzespool-batch/src/overload/admission.rs
+++ b/crates/bronzespool-batch/src/overload/admission.rs
@@ -120,9 +120,11 @@
         let times = job_times(ledger, spec, &view.estimates);
         let arrival = self.arrivals.get(spec.id);
         let first = arrival.map_or(view.now, |a| a.first);
-        let hold = arrival.map(|a| a.rejected + RETRY_MIN).filter(|until| *until > view.now);
-        if let Some(until) = hold {
-            let (cause, retry) = (Cause::Repeated, whole_seconds(until.since(view.now)));
+        let held = arrival.filter(|a| a.rejected + RETRY_MIN > view.now).cloned();
+        if let Some(arrival) = held {
+            // This caller is told as well that the job never runs, so the hold begins again.
+            self.arrivals.record(spec.id, Arrival { rejected: view.now, ..arrival });
+            let (cause, retry) = (Cause::Repeated, whole_seconds(RETRY_MIN));
             return Err(Rejection { cause, retry, wait: Duration::ZERO, times, first });
         }
         let mut capacity = TaskCapacity::new(ledger, view, silent);
@@ -156,6 +158,10 @@
         let JobTimes { chain, cutoff, latest, .. } = candidate.times;
         // A job that no present worker could run is not rejected, since workers may join.
         let start = earliest_start(ledger, view, capacity, candidate)?;
+        // Nothing is known of a job without a duration, not even that it is late.
+        if chain.is_zero() {
+            return None;
+        }
         if start.saturating_add(chain) > latest {
             return Some((Cause::Cutoff, start));
         }
--- a/crates/bronzespool-batch/tests/overload/admission.rs
+++ b/crates/bronzespool-batch/tests/overload/admission.rs
@@ -125,6 +125,9 @@
     replay.run_for(SECOND);
     assert_eq!(replay.decide(&spec).unwrap_err().cause, Cause::Repeated);
     replay.run_for(SECOND);
+    // The hold counts from the latest rejection, whose caller was told the same.
+    assert_eq!(replay.decide(&spec).unwrap_err().cause, Cause::Repeated);
+    replay.run_for(SECOND * 2);
     assert_eq!(replay.decide(&spec), Ok(()));
     // It is accepted and not in the ledger yet, while the queue grows.
     burst(&mut replay, "rangers", 40);
@@ -257,3 +260,24 @@
     assert_eq!(returns, 12);
     assert!(second_wave <= SECOND * 5, "{second_wave:?}");
 }
+
+/// Guards against a job that runs although its caller was told that it never does: a delayed copy of
+/// the submission arrives after the hold of the first rejection, and within that of the latest one.
+#[test]
+fn decide_repeated_rejection_extends_the_hold() {
+    let mut replay = blocked(Replay::new(2, 2, 0));
+    let spec = replay.spec("rangers", 0, half());
+    assert_eq!(replay.decide(&spec).unwrap_err().cause, Cause::Cutoff);
+    replay.cluster.pass(Duration::from_millis(1_900));
+    assert_eq!(replay.decide(&spec).unwrap_err().cause, Cause::Repeated);
+    replay.cluster.pass(Duration::from_millis(200));
+    assert_eq!(replay.decide(&spec).unwrap_err().cause, Cause::Repeated);
+}
+
+/// Guards against rejecting a job whose duration is unknown because it is not declared.
+#[test]
+fn decide_job_without_duration_is_accepted() {
+    let mut replay = blocked(Replay::new(2, 2, 0));
+    let spec = replay.spec("rangers", 0, vec![Step { estimate: 0, ..gang(4, 4) }]);
+    assert_eq!(replay.decide(&spec), Ok(()));
+}
--- a/crates/bronzespoold/src/control/batch/overload.rs
+++ b/crates/bronzespoold/src/control/batch/overload.rs
@@ -138,7 +138,8 @@
     /// Returns what overload adds to the explanation of a job; empty if it does not wait in one.
     pub(super) fn explain_overload(&self, id: JobId) -> String {
         let replica_state = self.replica.state();
-        let state = self.overload.borrow();
+        let mut state = self.overload.borrow_mut();
+        state.enter_term(self.replica.status().term);
         let waits = state.detector.current().explain(replica_state.batch(), id);
         waits.map_or_else(String::new, |w| format!("; {w}"))
     }
--- a/crates/bronzespoold/src/control/batch/polls.rs
+++ b/crates/bronzespoold/src/control/batch/polls.rs
@@ -85,7 +85,9 @@
     fn sample_poll(&self, poll: &Poll) {
         let (term, at) = (self.replica.term(), self.replica.log_time());
         let state = self.replica.state();
-        self.run_times.borrow_mut().record_poll(term, at, state.batch(), poll);
+        let incarnation = poll.worker.as_ref().map(|w| &w.incarnation);
+        let is_cold = incarnation.is_some_and(|i| self.cold.borrow().is_cold(i, at));
+        self.run_times.borrow_mut().record_poll(term, at, state.batch(), poll, is_cold);
     }
 
     fn record_grant(&self, now: Time, poll: &Poll, incarnation: &WorkerIncarnation) {
--- a/crates/bronzespoold/src/control/batch/run_times.rs
+++ b/crates/bronzespoold/src/control/batch/run_times.rs
@@ -58,10 +58,15 @@
     }
 
     /// Records a poll that arrived at a log time and was not late.
-    pub(super) fn record_poll(&mut self, term: u64, at: Time, ledger: &Ledger, poll: &Poll) {
+    pub(super) fn record_poll(
+        &mut self,
+        term: u64,
+        at: Time,
+        ledger: &Ledger,
+        poll: &Poll,
+        is_cold: bool,
+    ) {
         let Some(learner) = &mut self.learner else { return };
-        // Reports of cold workers are not used here yet.
-        let is_cold = false;
         let samples = learner.record_poll(term, at, ledger, poll, is_cold);
         count_samples("progress", samples);
     }
