fix(batch): report a worker to the leader with its first list

Cause: an agent that starts polls before its worker has checked in. The leader holds that poll for 400 ms, and the first list of the worker did not wake the next poll, so that each worker joined 0.43 s late: after a restart of all machines, and whenever a worker is added.

Change: the first list of an incarnation counts as news.

--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -403,7 +403,7 @@
             return false;
         }
         worker.answers = true;
-        worker.has_list = true;
+        let is_first = !std::mem::replace(&mut worker.has_list, true);
         worker.lease.read(ClockReading { clock: listing.clock, at: now });
         worker.acknowledged = worker.acknowledged.max(request.cursor);
         let cursor = worker.acknowledged;
@@ -416,7 +416,7 @@
         if former_calls_over {
             worker.settle_expired(listing.clock);
         }
-        has_new_ends || finished
+        is_first || has_new_ends || finished
     }
 
     /// Notes that the worker has not answered a request for its list.
--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -772,3 +772,19 @@
     a.list(vec![running(1)], Vec::new());
     assert!(a.reconciler.stray_stops().is_empty());
 }
+
+/// Guards against a worker that joins a poll late: the poll in flight, which does not name it, would
+/// wait at the leader for its full time.
+#[test]
+fn receive_listing_first_of_an_incarnation_is_news() {
+    let mut reconciler =
+        Reconciler::new(Instance::try_from("side-1").unwrap(), 7, LIMITS, at(10_000));
+    reconciler.check_in(at(10_000), spec(1, false), 1);
+    let mut list = |now| {
+        let request = reconciler.list_request(at(now)).unwrap();
+        let listing = Listing { started_at: Some(1), clock: now, ..Listing::default() };
+        reconciler.receive_listing(at(now), &request, listing)
+    };
+    assert!(list(10_001));
+    assert!(!list(10_002));
+}
