feat(batch): runs that a leaving worker would lose start elsewhere

Cause: a worker that is taken away at short notice says when it ends at the earliest (remaining_ms), and nothing used it. Its runs were lost with it, and since its agent goes as well, they counted as ended only when the worker's leases had, 9 s later.

Change: agents report the notice to the leader, which stops runs that are expected to outlast it: those that save their progress just before the end, others at once. They start elsewhere as soon as the stop is acknowledged. Long-lived tasks and workers that give no notice are as before. The notice is not replicated: it comes again with the next check-in. StopCause and Call gain a variant at the end.

--- a/crates/bronzespool-batch/src/ledger/record.rs
+++ b/crates/bronzespool-batch/src/ledger/record.rs
@@ -93,6 +93,8 @@
     Stalled,
     /// Its machine goes down for maintenance.
     Maintenance,
+    /// Its worker has announced that it ends before the run does.
+    Leaving,
 }
 
 /// One change of the ledger.
--- a/crates/bronzespool-batch/src/lib.rs
+++ b/crates/bronzespool-batch/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod config;
 pub mod contact;
 pub mod crash;
+pub mod departure;
 pub mod exchange;
 pub mod grant;
 pub mod id;
--- a/crates/bronzespool-batch/src/message.rs
+++ b/crates/bronzespool-batch/src/message.rs
@@ -5,6 +5,7 @@
         cold::ColdReport,
         config::Config,
         crash::Crash,
+        departure::DepartureReport,
         id::{JobId, RunId, StepId, WorkerIncarnation},
         ledger::{CenterState, Phase, RunEnd, WaveSpec, WorkerSpec},
         spec::JobSpec,
@@ -290,6 +291,8 @@
     SetCenter(CenterCommand),
     /// An agent's report that its worker is slow for a while.
     ReportCold(ColdReport),
+    /// An agent's report that its worker ends soon.
+    ReportDeparture(DepartureReport),
 }
 
 /// An operator's command for a data centre.
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -8,6 +8,7 @@
 mod candidate;
 mod capacity;
 mod disruption;
+mod evacuate;
 mod fair;
 mod group;
 mod headroom;
@@ -49,6 +50,7 @@
     },
     crate::{
         cold::ColdWorkers,
+        departure::Departures,
         id::{RunId, StepId},
         ledger::{Assignment, Event, Ledger, StopCause},
         overload::{
@@ -94,6 +96,8 @@
     pub draining: HashSet<Arc<str>>,
     /// Workers that are slow because they have just started.
     pub cold: ColdWorkers,
+    /// Workers that have announced when they may end.
+    pub departures: Departures,
     /// Permits issued by the advice service.
     pub permits: Permits,
     /// Learned run times and worker speeds.
@@ -134,6 +138,10 @@
         if !broken.is_empty() {
             pass.events.push(Event::Stopping { runs: broken, cause: StopCause::Broken });
         }
+        let leaving = evacuate::runs_to_stop(ledger, view);
+        if !leaving.is_empty() {
+            pass.events.push(Event::Stopping { runs: leaving, cause: StopCause::Leaving });
+        }
         let like_groups = pass.held.set_apart(task_groups(ledger, view));
         let mut waiting = with_urgency(ledger, view, like_groups);
         pass.held.retain_waiting(waiting.iter().map(|(_, like)| like));
--- a/crates/bronzespoold/src/batch/agent.rs
+++ b/crates/bronzespoold/src/batch/agent.rs
@@ -16,6 +16,7 @@
                 StopOutcome,
             },
             cold::ColdReport,
+            departure::DepartureReport,
             ledger::WorkerSpec,
             message::{Call, Orders, Poll, Reply},
         },
@@ -47,8 +48,8 @@
 const POLL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Longest wait for the leader to record a crash. The poll after it does not wait longer.
 const CRASH_TIMEOUT: Duration = Duration::from_secs(1);
-/// Longest wait for the answer to a report that the worker is cold. It delays the next poll.
-const COLD_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest wait for the answer to a report that the worker is cold or ends. It delays the next poll.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Polls in flight at once: one that waits for orders, and one that carries a change.
 const POLLS_MAX: usize = 2;
 /// Shortest time between two polls. The leader answers a poll at once while it has orders, also those
@@ -119,6 +120,8 @@
     cold: RefCell<Option<ColdReport>>,
     /// Whether the worker was cold at its last check-in.
     was_cold: Cell<bool>,
+    /// Report that the worker ends soon, which the leader gets before the next poll.
+    departure: RefCell<Option<DepartureReport>>,
     /// Wakes the poll loop when there is a change to report to the leader.
     poll_wakeup: Notify,
 }
@@ -144,6 +147,7 @@
             next_poll: Cell::new(clock.now()),
             cold: RefCell::default(),
             was_cold: Cell::default(),
+            departure: RefCell::default(),
             poll_wakeup: Notify::new(),
         })
     }
@@ -190,11 +194,27 @@
     async fn report_cold(&self) {
         let Some(report) = self.cold.take() else { return };
         let call = Call::ReportCold(report);
-        if let Err(error) = self.leader_client.call(call, COLD_TIMEOUT).await {
+        if let Err(error) = self.leader_client.call(call, REPORT_TIMEOUT).await {
             log::debug!(error:%; "the leader was not told that the worker is cold");
         }
     }
 
+    /// Records how long the worker goes on at least, as reported in a check-in that announces its end.
+    pub fn note_departure(&self, incarnation: WorkerIncarnation, remaining: Duration) {
+        let remaining = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+        self.departure.replace(Some(DepartureReport { incarnation, remaining }));
+    }
+
+    /// Reports to the leader that the worker ends soon. A report without an answer is not repeated,
+    /// since the next check-in creates another one.
+    async fn report_departure(&self) {
+        let Some(report) = self.departure.take() else { return };
+        let call = Call::ReportDeparture(report);
+        if let Err(error) = self.leader_client.call(call, REPORT_TIMEOUT).await {
+            log::debug!(error:%; "the leader was not told that the worker ends");
+        }
+    }
+
     fn log_crash(&self) {
         let reconciler = self.reconciler.borrow();
         if let Some(crash) = reconciler.crash() {
@@ -312,6 +332,7 @@
         self.poll_slot().await;
         self.report_crashes().await;
         self.report_cold().await;
+        self.report_departure().await;
         let sent = self.clock.now();
         self.polls_sent.set(self.polls_sent.get() + 1);
         let poll = self.reconciler.borrow().poll(sent, self.polls_sent.get());
--- a/crates/bronzespoold/src/control/batch/decision_log.rs
+++ b/crates/bronzespoold/src/control/batch/decision_log.rs
@@ -285,6 +285,7 @@
         StopCause::Reclaimed(job) => ("reclaimed", Some(job)),
         StopCause::Stalled => ("stalled", None),
         StopCause::Maintenance => ("maintenance", None),
+        StopCause::Leaving => ("leaving", None),
     };
     metrics::counter!("bronzespool_batch_stops_total", "cause" => cause).increment(1);
     event::RunStopping { job: run.task.step.job, run, cause, by }.emit();
--- a/crates/bronzespoold/src/control/batch/drain.rs
+++ b/crates/bronzespoold/src/control/batch/drain.rs
@@ -6,6 +6,7 @@
         batch::{
             Event, EventOutcome,
             cold::ColdReport,
+            departure::DepartureReport,
             ledger::CenterState,
             message::{CenterCommand, Reply},
         },
@@ -52,6 +53,13 @@
         Reply::Done
     }
 
+    /// Records that a worker ends soon. A new leader learns it from the worker's next check-in.
+    pub(super) fn record_departure(&self, report: DepartureReport) -> Reply {
+        self.departures.borrow_mut().record(self.replica.log_time(), report);
+        self.replica.batch_wakes().request_plan();
+        Reply::Done
+    }
+
     fn center_state(&self, center: &str) -> CenterState {
         self.replica.state().batch().drains().state(center)
     }
--- a/crates/bronzespoold/src/control/batch/mod.rs
+++ b/crates/bronzespoold/src/control/batch/mod.rs
@@ -31,7 +31,10 @@
         },
     },
     bronzespool::{
-        batch::{Event, EventOutcome, Record, cold::ColdWorkers, message, plan::Planner},
+        batch::{
+            Event, EventOutcome, Record, cold::ColdWorkers, departure::Departures, message,
+            plan::Planner,
+        },
         core::{Code, Instance, Refusal, settings::JobPolicy},
         wire::message::{CallResult, Reply},
     },
@@ -49,6 +52,7 @@
     planner: RefCell<Planner>,
     run_times: Rc<RefCell<RunTimeLearner>>,
     cold: RefCell<ColdWorkers>,
+    departures: RefCell<Departures>,
     overload: RefCell<OverloadState>,
     /// Name of this instance.
     instance: Instance,
@@ -70,6 +74,7 @@
             planner: RefCell::default(),
             run_times: Rc::new(RefCell::new(RunTimeLearner::new(policy.run_times))),
             cold: RefCell::default(),
+            departures: RefCell::default(),
             overload: RefCell::new(OverloadState::new(policy.overload)),
             instance,
         })
@@ -89,6 +94,7 @@
             message::Call::ReadCenter(center) => self.read_center(&center).await?,
             message::Call::SetCenter(command) => self.set_center(command).await?,
             message::Call::ReportCold(report) => self.record_cold(report),
+            message::Call::ReportDeparture(report) => self.record_departure(report),
             message::Call::External(request) => self.external_call(*request).await?,
             message::Call::Ping(relay) => {
                 self.replica.read_barrier().await?;
--- a/crates/bronzespoold/src/control/batch/planner.rs
+++ b/crates/bronzespoold/src/control/batch/planner.rs
@@ -115,6 +115,7 @@
         let external = self.external.borrow();
         cluster_view.draining = external.maintenance.draining_workers().cloned().collect();
         cluster_view.cold = self.cold.borrow().clone();
+        cluster_view.departures = self.departures.borrow().clone();
         cluster_view.permits = external.permits.clone();
         let run_times = self.run_times.borrow();
         cluster_view.urgent_headroom = run_times.is_enabled();
