feat(batch): urgency and time left follow from learned durations

Cause: the order of waiting jobs, the cutoff after which a job goes last, and the choice between waiting for a run and stopping another used declared durations, which are up to 90 % off.

Change: these durations come from the learned estimates, in which tasks of the same step count most. The cutoff follows from the high estimate. With declared run times all decisions are as before.

--- a/crates/bronzespool-batch/src/overload/mod.rs
+++ b/crates/bronzespool-batch/src/overload/mod.rs
@@ -15,7 +15,7 @@
 mod explain;
 mod forecast;
 pub mod order;
-mod times;
+pub(crate) mod times;
 
 pub use {
     detect::{ClassState, Detector, Overload},
--- a/crates/bronzespool-batch/src/overload/times.rs
+++ b/crates/bronzespool-batch/src/overload/times.rs
@@ -2,10 +2,12 @@
 
 use {
     crate::{
+        id::StepId,
         ledger::Ledger,
+        sampling::step_key,
         spec::{JobSpec, Step},
     },
-    bronzespool_estimate::{Estimates, Kind},
+    bronzespool_estimate::{Estimates, Kind, Work},
     std::{sync::Arc, time::Duration},
 };
 
@@ -42,15 +44,20 @@
 
 /// Returns the durations of a job.
 pub fn job_times(ledger: &Ledger, spec: &JobSpec, estimates: &Estimates) -> JobTimes {
+    let works: Vec<_> = spec.steps.iter().map(|s| step_work(&spec.queue, s, estimates)).collect();
+    job_times_of(ledger, spec, &works)
+}
+
+/// Returns the durations of a job whose steps have these estimates.
+pub(crate) fn job_times_of(ledger: &Ledger, spec: &JobSpec, works: &[Work]) -> JobTimes {
     let queue = ledger.config().and_then(|c| c.queue(&spec.queue));
     let (slack, target) =
         queue.map_or((DEFAULT_SLACK_THOUSANDTHS, 0), |q| (q.slack, q.latency_target));
-    let works: Vec<_> = spec.steps.iter().map(|s| step_work(&spec.queue, s, estimates)).collect();
     let (chain, high) = (
-        longest_chain(&spec.steps, |i| works[i].expected),
-        longest_chain(&spec.steps, |i| works[i].high),
+        longest_chain(&spec.steps, 0, |i| works[i].expected),
+        longest_chain(&spec.steps, 0, |i| works[i].high),
     );
-    let most = longest_chain(&spec.steps, |i| match works[i].samples {
+    let most = longest_chain(&spec.steps, 0, |i| match works[i].samples {
         0 => works[i].high.saturating_mul(DECLARED_FACTOR),
         _ => works[i].high,
     });
@@ -63,23 +70,46 @@
     JobTimes { chain, allowed: allowed(chain), cutoff: cutoff(high), latest: cutoff(most) }
 }
 
-/// Returns the duration of the longest chain of steps.
-fn longest_chain(steps: &[Step], duration: impl Fn(usize) -> Duration) -> Duration {
+/// Returns the duration of the longest chain of steps that begins with a step; for the first step, of
+/// the longest chain of all.
+pub(crate) fn longest_chain(
+    steps: &[Step],
+    from: usize,
+    duration: impl Fn(usize) -> Duration,
+) -> Duration {
     let mut ends = vec![Duration::ZERO; steps.len()];
     for (i, step) in steps.iter().enumerate() {
         let before = step.depends_on.iter().filter_map(|s| ends.get(usize::from(*s)));
         let begin = before.max().copied().unwrap_or_default();
-        ends[i] = begin.saturating_add(duration(i));
+        let counts = i == from || !begin.is_zero() || from == 0;
+        ends[i] = if counts { begin.saturating_add(duration(i)) } else { Duration::ZERO };
     }
     ends.into_iter().max().unwrap_or_default()
 }
 
-/// Returns the estimated duration of a step's tasks.
-pub(super) fn step_work(
-    queue: &Arc<str>,
+/// Returns the estimated durations of the tasks of a job's steps in one occurrence. Tasks of a step
+/// that have run count most for the others.
+pub(crate) fn observed_works(spec: &JobSpec, occurrence: u32, estimates: &Estimates) -> Vec<Work> {
+    let of_step = |(i, step): (usize, &Step)| {
+        let id = StepId { job: spec.id, occurrence, step: i as u16 };
+        observed_work(spec, step, id, estimates)
+    };
+    spec.steps.iter().enumerate().map(of_step).collect()
+}
+
+/// Returns the estimated duration of the tasks of one step. Those that have run count most.
+pub(crate) fn observed_work(
+    spec: &JobSpec,
     step: &Step,
+    id: StepId,
     estimates: &Estimates,
-) -> bronzespool_estimate::Work {
+) -> Work {
+    let kind = Kind { queue: Arc::clone(&spec.queue), image: step.image.clone() };
+    estimates.work(&kind, Some(step_key(id)), Duration::from_millis(step.estimate))
+}
+
+/// Returns the estimated duration of a step's tasks.
+pub(super) fn step_work(queue: &Arc<str>, step: &Step, estimates: &Estimates) -> Work {
     let kind = Kind { queue: Arc::clone(queue), image: step.image.clone() };
     estimates.work(&kind, None, Duration::from_millis(step.estimate))
 }
--- a/crates/bronzespool-batch/src/plan/time_left.rs
+++ b/crates/bronzespool-batch/src/plan/time_left.rs
@@ -7,6 +7,7 @@
     crate::{
         id::{RunId, StepId},
         ledger::Ledger,
+        overload::times::observed_work,
         plan::ClusterView,
         spec::Step,
     },
@@ -52,7 +53,7 @@
     }
 
     /// Returns the time that the work of a single run takes, estimated from its progress if that is
-    /// known, else from its declared duration.
+    /// known, else from the durations of other runs, else from its declared duration.
     fn of_task(&self, run: RunId, spec: &Step) -> Duration {
         const FULL_PERCENT: u32 = 100;
         let Some(active) = self.ledger.active_run(run) else { return Duration::ZERO };
@@ -61,11 +62,19 @@
         if done > 0 && active.checkpoint.is_empty() {
             return age * (FULL_PERCENT - done) / done;
         }
-        let whole = Duration::from_millis(spec.estimate);
+        let whole = self.whole(run, spec);
         if done > 0 {
             whole * (FULL_PERCENT - done) / FULL_PERCENT
         } else {
             whole.saturating_sub(age).max(NEARLY_DONE)
         }
     }
+
+    /// Returns the expected duration of a whole run.
+    fn whole(&self, run: RunId, spec: &Step) -> Duration {
+        let Some(job) = self.ledger.job(run.task.step.job) else {
+            return Duration::from_millis(spec.estimate);
+        };
+        observed_work(&job.spec, spec, run.task.step, &self.view.estimates).expected
+    }
 }
