--- a/crates/bronzespool-consensus/tests/election.rs
+++ b/crates/bronzespool-consensus/tests/election.rs
@@ -233,7 +233,7 @@
             node.receive(now, &from, Message { from: sender, ..message(1, body) });
         }
     }
-    node.ready();
+    let _ = node.ready();
     let pre_vote =
         MessageBody::VoteRequest { kind: VoteKind::PreVote, last_index: 1, last_term: 1 };
     node.receive(now, &common::name(1), message(2, pre_vote));
