--- a/crates/bronzespool-batch/src/departure.rs
+++ b/crates/bronzespool-batch/src/departure.rs
@@ -13,7 +13,7 @@
 /// Longest notice that counts; bounds the effect of a wrong report.
 const NOTICE_MAX: Duration = Duration::from_secs(600);
 /// Time after a departure was due for which the report is kept: the worker may end later than it said.
-const KEPT: Duration = Duration::from_secs(60);
+const RETENTION: Duration = Duration::from_secs(60);
 
 /// A worker's report that it ends soon.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,7 +33,7 @@
 impl Departures {
     /// Records a report that arrives at a log time.
     pub fn record(&mut self, now: Time, report: DepartureReport) {
-        self.due.retain(|_, due| now < *due + KEPT);
+        self.due.retain(|_, due| now < *due + RETENTION);
         let notice = Duration::from_millis(report.remaining).min(NOTICE_MAX);
         self.due.insert(report.incarnation, now + notice);
     }
--- a/crates/bronzespool-consensus/src/node/mod.rs
+++ b/crates/bronzespool-consensus/src/node/mod.rs
@@ -67,7 +67,7 @@
     snapshot: Option<Arc<Snapshot>>,
     assembly: Option<SnapshotAssembly>,
     join: JoinState,
-    /// What is known of the peers until a leader is heard from after the start.
+    /// The wait after a start, until a leader is heard from.
     start_wait: Option<StartWait>,
     retired: bool,
 }
--- a/crates/bronzespool-consensus/src/node/start_wait.rs
+++ b/crates/bronzespool-consensus/src/node/start_wait.rs
@@ -12,7 +12,7 @@
     std::time::Duration,
 };
 
-/// What a replica knows of its peers while it has not heard from a leader since it started.
+/// Answers of the voters to a replica that has not heard from a leader since it started.
 #[derive(Debug)]
 pub(super) struct StartWait {
     /// Random number of this start. Answers to an earlier start do not count.
@@ -20,8 +20,8 @@
     /// When the wait ends without answers.
     end: Time,
     next_query: Time,
-    /// Voters that do not lead.
-    followers: HashSet<ReplicaId>,
+    /// Voters that have answered that they do not lead.
+    answered: HashSet<ReplicaId>,
     /// Whether no lease can rely on this replica.
     is_over: bool,
 }
@@ -36,12 +36,12 @@
             start: self.rng.u64(..),
             end: self.now + self.settings.election_timeout,
             next_query: self.now,
-            followers: HashSet::default(),
+            answered: HashSet::default(),
             is_over: false,
         });
     }
 
-    /// Ends the queries because a leader or a candidate has been accepted.
+    /// Ends the wait because a leader has been heard from: from now on its contact counts.
     pub(super) fn end_start_wait(&mut self) {
         self.start_wait = None;
     }
@@ -94,7 +94,7 @@
         if wait.start != start || !is_same_membership {
             return;
         }
-        wait.followers.insert(id);
+        wait.answered.insert(id);
         self.check_start_wait();
     }
 
@@ -124,7 +124,7 @@
             for member in membership.members.iter().filter(|m| membership.is_voter(m.id)) {
                 let is_known = voters.iter().any(|(id, _)| *id == member.id);
                 let is_own = member.id == self.hard_state.id;
-                if !is_known && !is_own && !wait.followers.contains(&member.id) {
+                if !is_known && !is_own && !wait.answered.contains(&member.id) {
                     voters.push((member.id, member.name.clone()));
                 }
             }
