--- a/crates/bronzespool-consensus/tests/election.rs
+++ b/crates/bronzespool-consensus/tests/election.rs
@@ -299,3 +299,23 @@
         }
     }
 }
+
+/// Guards against a restarted replica that votes while the lease of a leader it forgot still lasts.
+#[test]
+fn receive_leadership_query_leader_does_not_answer() {
+    let mut c = Cluster::new(3);
+    c.commit(b"a");
+    let leader = c.elect();
+    for asked in 0..3 {
+        let asker = (asked + 1) % 3;
+        let (from, to) = (c.node(asker).id(), c.node(asked).id());
+        let status = c.node(asked).status();
+        let body = MessageBody::LeadershipQuery { start: 7 };
+        let query = Message { cluster: status.cluster, from, to, term: status.term, body };
+        let now = c.now;
+        c.node(asked).receive(now, &common::name(asker), query);
+        let answers = bodies(c.node(asked).ready());
+        let answered = answers.iter().any(|b| matches!(b, MessageBody::NotLeading { .. }));
+        assert_eq!(answered, asked != leader);
+    }
+}
