--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standin ] || { echo "run review/build.sh first"; exit 2; }
 [ -x target/release/bronzespool-platform ] || { echo "build the deploy file first"; exit 2; }
-exec target/review/standin crashes review/5
+exec target/review/standin pending review/5
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -4,7 +4,7 @@
     crate::{
         Verdict,
         base::{
-            CANCEL_MS, CONTACT_MS, Deployment, HEARTBEAT_MS, STOP_MS, call, note, seconds,
+            CANCEL_MS, CONTACT_MS, Deployment, HEARTBEAT_MS, Json, STOP_MS, call, note, seconds,
             sleep_ms, unix_millis, until,
         },
         worker::{History, Worker, runs_at_once},
@@ -19,7 +19,7 @@
         "schedule" => (|| Deployment::new(3, 2, 4), schedule),
         "foreign" => (|| Deployment::new(3, 1, 3), foreign),
         "deregister" => (|| Deployment::new(3, 1, 2), deregister),
-        "crashes" => (|| Deployment::new(3, 1, 8), crashes),
+        "pending" => (|| Deployment::new(3, 3, 4), pending),
         "withdrawn" => (|| Deployment::new(3, 3, 4), withdrawn),
         _ => return None,
     })
@@ -206,45 +206,60 @@
     ))
 }
 
-/// Two workers crash, one after the other, while the one work unit of a lasting job is there.
-fn crashes(deployment: &Deployment, trouble: bool) -> Verdict {
-    /// How long a crashed worker is down.
-    const DOWN_MS: u64 = 2_000;
-    let (workers, history) = match set_up(deployment) {
+/// The machine of an agent freezes just before jobs for its worker come.
+fn pending(deployment: &Deployment, trouble: bool) -> Verdict {
+    const JOBS: u64 = 4;
+    /// How long the machine is frozen.
+    const FREEZE_S: f64 = 6.4;
+    /// `visible_ms` and 2 s more: from then on a job counts that has not begun.
+    const COUNTED_S: f64 = 5.0;
+    let (_workers, history) = match set_up(deployment) {
         Ok(ready) => ready,
         Err(verdict) => return verdict,
     };
-    let job = r#"{"spec":"lasts","steps":[{"count":1,"cpu":1000,"mem_mb":256,"gpu":8,"estimate_ms":1000,"long_running":true}],"long_running":true}"#;
-    if !deployment.submit(1, job) {
-        return Verdict::NotRun("the job is not accepted".into());
+    let agent = &deployment.sides[0];
+    if trouble {
+        agent.signal("STOP");
     }
-    let runs = |w: &&Arc<Worker>| !w.running().is_empty();
-    for _ in 0..2 {
-        if !until(20_000, || workers.iter().any(|w| runs(&w))) {
-            return Verdict::NotRun("the work unit does not start".into());
+    let frozen = seconds();
+    let mut accepted = Vec::new();
+    for id in 1..=JOBS {
+        if !deployment.submit(id, &job(1, 2, 20_000, "only-0")) {
+            return Verdict::NotRun("a job is not accepted".into());
         }
-        sleep_ms(6_000);
-        if trouble && let Some(worker) = workers.iter().find(runs) {
-            worker.end("crashed");
-            sleep_ms(DOWN_MS);
-            worker.boot_again();
+        accepted.push(seconds());
+    }
+    let mut broken = None;
+    while seconds() < frozen + FREEZE_S - 0.1 {
+        let asked = seconds();
+        let front = (asked * 10.0) as usize;
+        let counted = accepted.iter().filter(|at| asked - **at > COUNTED_S).count();
+        let begun = history.lock().unwrap().iter().filter(|r| r.began < asked + 0.2).count();
+        if let Some((200, body)) = deployment.client(front, "GET", "/quota/", "")
+            && let Some(given) = Json::parse(&body).and_then(|b| b.num("pending"))
+            && begun == 0
+            && given < counted as f64 / 2.0
+        {
+            broken = Some((given, counted));
         }
+        sleep_ms(150);
+    }
+    for id in 1..=JOBS {
+        deployment.state(id, 1);
     }
-    // A lasting work unit has to run again 6 s after its last run at the latest.
-    sleep_ms(20_000);
-    let state = deployment.state(1, 0);
-    let running = workers.iter().any(|w| runs(&w));
+    if trouble {
+        agent.signal("CONT");
+    }
+    sleep_ms(4_000);
     for ran in history.lock().unwrap().iter() {
         note(format!("ran: {ran:?}"));
     }
-    match state.as_deref() {
-        _ if running => Verdict::Held,
-        Some(state) => Verdict::Broken(format!(
-            "the lasting job, which nobody has cancelled, is shown as `{state}` and has nothing running \
-             for 18 s, though all {} workers are up and idle; no run of it has ended `failed`",
-            workers.len()
+    match broken {
+        None => Verdict::Held,
+        Some((given, counted)) => Verdict::Broken(format!(
+            "{given} jobs are given as pending, though {counted} were accepted over 5 s before and have \
+             not begun"
         )),
-        None => Verdict::NotRun("the state of the job cannot be read".into()),
     }
 }
 
