review: case 3 keeps to the share of clients that leave

The one client of the script left; now three others stay until they are answered, so that the share of 0.25 in the site file is kept.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -269,6 +269,10 @@
         Ok(ready) => ready,
         Err(verdict) => return verdict,
     };
+    // Three clients of four stay until they are answered.
+    if !(11..=13).all(|id| deployment.submit(id, &job(1, 1, 3_000, "a"))) {
+        return Verdict::NotRun("the jobs of the other clients are not accepted".into());
+    }
     let entry = &deployment.fronts[0];
     if trouble {
         entry.signal("STOP");
@@ -297,7 +301,8 @@
         note(format!("ran: {ran:?}"));
     }
     let bound = CANCEL_MS as f64 / 1000.0;
-    let late = runs.iter().find(|r| r.began > at + bound);
+    let late =
+        runs.iter().find(|r| r.task.starts_with("0000000000000001.") && r.began > at + bound);
     match late {
         None => Verdict::Held,
         Some(ran) => Verdict::Broken(format!(
