fix(agent): take a check-in only of the process that answers at the worker's address

Cause: a check-in was taken for proof of who stands at the worker's address. Any younger-looking name ended the former incarnation, although that one had answered a moment before. The log shows it: the agent's line names the former one as "Answering with 1 runs" and reports its crash in the same millisecond.

Change: an incarnation that is not the agent's worker yet counts once the process at the worker's address has answered as this name and start time, to a request that extends no lease and acknowledges nothing.

Why it works: the address serves one process, so its answer, and nothing else, tells that the former incarnation has ended.

--- a/crates/bronzespool-batch/src/agent/call.rs
+++ b/crates/bronzespool-batch/src/agent/call.rs
@@ -33,13 +33,23 @@
     pub truncated: bool,
 }
 
+impl Listing {
+    /// Whether the list is one of this incarnation. A worker that reports no start time in its lists
+    /// reports none in its check-ins, where it reads as zero.
+    pub fn identifies(&self, incarnation: &WorkerIncarnation) -> bool {
+        self.started_at.unwrap_or_default() == incarnation.started_at
+    }
+}
+
 /// Why a request for the worker's list has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListFailure {
     /// An open connection was closed before the answer.
     Closed,
-    /// Nothing listens at the address, or another worker answers there.
+    /// Nothing listens at the address.
     Absent,
+    /// Another worker answers at the address.
+    Foreign,
     /// The worker has refused the request, or its answer cannot be read.
     Refused,
     /// Nothing arrived in time.
--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -80,8 +80,20 @@
         }
     }
 
-    /// Takes a worker's check-in. Returns false for a check-in of an older incarnation, or an older
-    /// one of the current incarnation.
+    /// Returns the request by which an incarnation that checks in shows that it is the process at the
+    /// worker's address. It extends no lease and acknowledges nothing.
+    ///
+    /// Anyone can send a check-in. Only an answer from the worker's address is evidence that the former
+    /// incarnation has ended.
+    pub fn identity_request(&self, incarnation: &WorkerIncarnation) -> ListRequest {
+        let epoch = Some(self.fence.current_token());
+        let incarnation = incarnation.clone();
+        ListRequest { epoch, cursor: 0, until: None, incarnation, serial: 0 }
+    }
+
+    /// Takes a check-in of the current incarnation, or of one that has answered its
+    /// [identity request](Self::identity_request). Returns false for a check-in of an older
+    /// incarnation, or an older one of the current incarnation.
     pub fn check_in(&mut self, now: Time, spec: WorkerSpec, seq: u64) -> bool {
         let Some(worker) = &mut self.worker else {
             self.fence.note_incarnation(&spec.incarnation);
--- a/crates/bronzespool-batch/src/agent/worker.rs
+++ b/crates/bronzespool-batch/src/agent/worker.rs
@@ -132,8 +132,8 @@
             // A connection that was open a moment ago ends a silence. A worker that is absent after
             // one may have ended at any time in it.
             (ListFailure::Closed, _) => LastSeen::Closed,
-            (ListFailure::Absent, LastSeen::Answering) => LastSeen::Closed,
-            (ListFailure::Absent, last_seen) => last_seen,
+            (ListFailure::Absent | ListFailure::Foreign, LastSeen::Answering) => LastSeen::Closed,
+            (ListFailure::Absent | ListFailure::Foreign, last_seen) => last_seen,
         };
         if last_seen == LastSeen::Closed && self.last_seen != LastSeen::Closed {
             self.closed_at = now;
--- a/crates/bronzespool-batch/src/exchange.rs
+++ b/crates/bronzespool-batch/src/exchange.rs
@@ -8,13 +8,13 @@
     crate::{
         grant::Grants,
         id::{RunId, WorkerIncarnation},
-        ledger::{ActiveRun, Event, Ledger, RunEnd, Worker},
+        ledger::{ActiveRun, Event, Ledger, RunEnd, Worker, WorkerSpec},
         message::{Orders, Poll, QosClass, Start},
         spec::{Resources, Step},
         withdrawal::Withdrawals,
     },
     bronzespool_core::{HashSet, Time},
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Returns the events for everything in a poll that the ledger does not hold yet. What the poll takes
@@ -22,10 +22,14 @@
 pub fn poll_events(now: Time, ledger: &Ledger, grants: &Grants, poll: &Poll) -> Vec<Event> {
     let mut events = Vec::new();
     let is_newer = |i: &WorkerIncarnation| grants.precede(now, i, poll.id);
-    for incarnation in poll.gone.iter().filter(|i| ledger.worker(i).is_some() && is_newer(i)) {
+    let is_own = |i: &WorkerIncarnation| ledger.worker(i).is_some_and(|w| w.is_beside(&poll.agent));
+    for incarnation in poll.gone.iter().filter(|i| is_own(i) && is_newer(i)) {
         events.push(Event::WorkerGone(incarnation.clone()));
     }
     let Some(spec) = &poll.worker else { return events };
+    if is_held_elsewhere(ledger, poll) {
+        return events;
+    }
     let is_newer = grants.precede_refusals(now, &spec.incarnation, poll.id);
     if let Some(former) = ledger.former_worker(&spec.incarnation) {
         let settled = former_run_events(former, poll, is_newer);
@@ -37,7 +41,9 @@
     }
     let current = ledger.worker(&spec.incarnation);
     // A worker that is leaving does not come back in this incarnation.
-    let has_changed = |w: &Worker| w.spec != *spec && (spec.leaving || !w.spec.leaving);
+    let has_changed = |w: &Worker| {
+        w.spec != *spec && (spec.leaving || !w.spec.leaving) && !loses_service(ledger, w, spec)
+    };
     if !ledger.is_outdated(&spec.incarnation) && current.is_none_or(has_changed) {
         events.push(Event::WorkerUp(Box::new(spec.clone())));
     }
@@ -52,6 +58,24 @@
     events
 }
 
+/// Whether the worker that a poll names stands beside another agent and may hold runs there. Only that
+/// agent can tell of them, until the leases of the worker have ended.
+fn is_held_elsewhere(ledger: &Ledger, poll: &Poll) -> bool {
+    let name = poll.worker.as_ref().map(|w| &w.incarnation.worker);
+    let holder = name.and_then(|n| ledger.worker_named(n));
+    holder.is_some_and(|w| !w.is_beside(&poll.agent) && !w.runs.is_empty())
+}
+
+/// Whether a report of a known incarnation gives another service, which the configuration does not
+/// name, in place of one that it names. The service of an incarnation does not change.
+fn loses_service(ledger: &Ledger, worker: &Worker, reported: &WorkerSpec) -> bool {
+    let Some(config) = ledger.config() else { return false };
+    let is_known = |service: &Arc<str>| config.pools.iter().any(|p| p.name == *service);
+    worker.spec.incarnation == reported.incarnation
+        && is_known(&worker.spec.service)
+        && !is_known(&reported.service)
+}
+
 /// Returns the events for the runs of a worker's former incarnation that cannot start on the current
 /// one any more, because it has acknowledged a stop of them or lists their ends.
 fn former_run_events(former: &Worker, poll: &Poll, is_newer: bool) -> Vec<Event> {
@@ -91,6 +115,9 @@
     };
     let incarnation = poll.worker.as_ref().map(|w| &w.incarnation);
     let incarnation = incarnation.filter(|i| !withdrawals.takes_worker(i));
+    if is_held_elsewhere(ledger, poll) {
+        return orders;
+    }
     if let Some(former) = incarnation.and_then(|i| ledger.former_worker(i)) {
         orders.incarnation = incarnation.cloned();
         orders.stops = unsettled_runs(former, poll).collect();
--- a/crates/bronzespool-batch/src/ledger/mod.rs
+++ b/crates/bronzespool-batch/src/ledger/mod.rs
@@ -111,6 +111,11 @@
         worker.is_some_and(|w| w.spec.incarnation.started_at > incarnation.started_at)
     }
 
+    /// Returns the current incarnation of the worker with a name.
+    pub fn worker_named(&self, name: &str) -> Option<&Worker> {
+        self.workers.get(name)
+    }
+
     /// Returns the worker if this is its current incarnation.
     pub fn worker(&self, incarnation: &WorkerIncarnation) -> Option<&Worker> {
         self.workers.get(&incarnation.worker).filter(|w| w.spec.incarnation == *incarnation)
--- a/crates/bronzespool-batch/src/ledger/worker.rs
+++ b/crates/bronzespool-batch/src/ledger/worker.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{id::RunId, ledger::record::WorkerSpec, spec::Resources},
-    bronzespool_core::Time,
+    bronzespool_core::{Instance, Time},
     serde::{Deserialize, Serialize},
     std::collections::BTreeMap,
 };
@@ -36,6 +36,11 @@
         Self { spec, cursor: 0, runs: BTreeMap::new(), failures: FailureStreak::default() }
     }
 
+    /// Whether the worker stands beside this agent.
+    pub fn is_beside(&self, agent: &Instance) -> bool {
+        self.spec.agent == *agent
+    }
+
     /// Returns the resources that are allocated to runs.
     pub fn used(&self) -> Resources {
         self.runs.values().fold(Resources::default(), |sum, r| sum.plus(r))
--- a/crates/bronzespool-telemetry/src/event/agent.rs
+++ b/crates/bronzespool-telemetry/src/event/agent.rs
@@ -10,6 +10,14 @@
         /// Sequence number of the check-in.
         seq: u64,
     }
+    /// A check-in was ignored, since the process at the worker's address has not answered as this
+    /// incarnation.
+    CheckInUnconfirmed: Warn, Agent, "a check-in is not of the worker at its address" {
+        /// Incarnation that the check-in names.
+        life: WorkerIncarnation,
+        /// Whether another process has answered, or none.
+        verdict: String,
+    }
     /// A new incarnation of the worker has checked in.
     CheckedIn: Info, Agent, "a worker has checked in" {
         /// Incarnation of the worker.
--- a/crates/bronzespoold/src/batch/agent.rs
+++ b/crates/bronzespoold/src/batch/agent/mod.rs
@@ -1,6 +1,10 @@
 //! The agent of one worker: lists the worker's runs, polls the leader for orders and makes the
 //! calls to the worker that remove the difference.
 
+mod check_in;
+
+pub use check_in::{CheckIn, CheckInOutcome};
+
 use {
     crate::{
         batch::leader_client::LeaderClient,
@@ -10,14 +14,12 @@
     },
     bronzespool::{
         batch::{
-            WorkerIncarnation,
             agent::{
                 Action, Limits, ListFailure, ListRequest, Listing, Reconciler, StartOutcome,
                 StopOutcome,
             },
             cold::ColdReport,
             departure::DepartureReport,
-            ledger::WorkerSpec,
             message::{Call, Orders, Poll, Reply},
         },
         core::{Instance, Time},
@@ -122,6 +124,8 @@
     was_cold: Cell<bool>,
     /// Report that the worker ends soon, which the leader gets before the next poll.
     departure: RefCell<Option<DepartureReport>>,
+    /// Number of check-ins whose senders are being asked who they are.
+    identifying: Cell<usize>,
     /// Wakes the poll loop when there is a change to report to the leader.
     poll_wakeup: Notify,
 }
@@ -148,6 +152,7 @@
             cold: RefCell::default(),
             was_cold: Cell::default(),
             departure: RefCell::default(),
+            identifying: Cell::default(),
             poll_wakeup: Notify::new(),
         })
     }
@@ -158,37 +163,6 @@
         spawn_local(Rc::clone(self).run_polls());
     }
 
-    /// Handles a check-in of the worker; `seq` orders the check-ins of one incarnation.
-    pub fn check_in(&self, spec: WorkerSpec, seq: u64) {
-        let before = self.reconciler.borrow().incarnation().cloned();
-        let last_seen = self.reconciler.borrow().last_seen();
-        let was_leaving = self.reconciler.borrow().is_leaving();
-        let incarnation = spec.incarnation.clone();
-        if !self.reconciler.borrow_mut().check_in(self.clock.now(), spec, seq) {
-            event::CheckInLate { life: incarnation, seq }.emit();
-            return;
-        }
-        if before.as_ref() != Some(&incarnation) {
-            let last_seen = last_seen.map(|(l, runs)| format!("{l:?} with {runs} runs"));
-            event::CheckedIn { life: incarnation.clone(), before, last_seen }.emit();
-            self.log_crash();
-        }
-        let is_leaving = self.reconciler.borrow().is_leaving();
-        if is_leaving != was_leaving {
-            event::WorkerDrainingChanged { life: incarnation, leaving: is_leaving }.emit();
-            self.poll_wakeup.notify_one();
-        }
-    }
-
-    /// Records how long the worker stays cold, as reported in its check-in.
-    pub fn note_cold(&self, incarnation: WorkerIncarnation, remaining: Duration) {
-        let remaining = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
-        // The first report without remaining time is sent as well: the worker may be warm early.
-        if self.was_cold.replace(remaining > 0) || remaining > 0 {
-            self.cold.replace(Some(ColdReport { incarnation, remaining }));
-        }
-    }
-
     /// Reports to the leader that the worker is cold, before a poll reports the worker itself. A report
     /// without an answer is not repeated, since the next check-in creates another one.
     async fn report_cold(&self) {
@@ -199,12 +173,6 @@
         }
     }
 
-    /// Records how long the worker goes on at least, as reported in a check-in that announces its end.
-    pub fn note_departure(&self, incarnation: WorkerIncarnation, remaining: Duration) {
-        let remaining = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
-        self.departure.replace(Some(DepartureReport { incarnation, remaining }));
-    }
-
     /// Reports to the leader that the worker ends soon. A report without an answer is not repeated,
     /// since the next check-in creates another one.
     async fn report_departure(&self) {
@@ -271,9 +239,7 @@
                 Some(true)
             }
             ListOutcome::Fenced => {
-                event::WorkerFenced { epoch: request.epoch }.emit();
-                self.reconciler.borrow_mut().fenced(self.clock.now(), request.epoch);
-                self.poll_wakeup.notify_one();
+                self.note_fenced(request.epoch);
                 Some(false)
             }
             ListOutcome::Unanswered(failure) => {
@@ -284,6 +250,13 @@
         }
     }
 
+    /// Takes the worker's word that it has seen a higher fencing token.
+    fn note_fenced(&self, epoch: Option<u64>) {
+        event::WorkerFenced { epoch }.emit();
+        self.reconciler.borrow_mut().fenced(self.clock.now(), epoch);
+        self.poll_wakeup.notify_one();
+    }
+
     /// Polls the leader. A change is sent in a second poll at once: the leader ends the poll in
     /// flight when the next one arrives.
     async fn run_polls(self: Rc<Self>) {
--- a/crates/bronzespoold/src/batch/mod.rs
+++ b/crates/bronzespoold/src/batch/mod.rs
@@ -13,7 +13,7 @@
 mod unconfirmed;
 
 pub use {
-    agent::{Agent, AgentOptions, ListOutcome, Worker},
+    agent::{Agent, AgentOptions, CheckIn, CheckInOutcome, ListOutcome, Worker},
     drain::DrainRequest,
     external::{ExternalServices, run_external_calls},
     leader_client::{CallError, CallerRequest, LeaderClient, Result},
--- a/crates/bronzespoold/tests/batch_agent.rs
+++ b/crates/bronzespoold/tests/batch_agent.rs
@@ -23,7 +23,7 @@
         },
     },
     bronzespoold::{
-        batch::{Agent, AgentOptions, LeaderClient, ListOutcome, Worker},
+        batch::{Agent, AgentOptions, CheckIn, CheckInOutcome, LeaderClient, ListOutcome, Worker},
         clock::Clock,
     },
     std::{
@@ -75,6 +75,10 @@
     }
 }
 
+fn check_in(spec: WorkerSpec, seq: u64) -> CheckIn {
+    CheckIn { spec, seq, cold: Duration::ZERO, notice: None }
+}
+
 /// A ledger with the worker and a job of one task.
 fn ledger() -> Ledger {
     let queue = Queue {
@@ -248,7 +252,7 @@
 fn count_polls(
     answers: Answers,
     change: impl FnOnce(&FakeWorker),
-    message: impl FnOnce(&Agent<Client>),
+    message: impl AsyncFnOnce(&Agent<Client>),
 ) -> u32 {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(LocalSet::new().run_until(async {
@@ -269,13 +273,13 @@
         };
         let leader_client = Rc::new(LeaderClient::new(clock, vec![address]));
         let agent = Agent::new(options, clock, leader_client, Client(Rc::clone(&worker)));
-        agent.check_in(spec(false), 1);
+        agent.check_in(check_in(spec(false), 1)).await;
         agent.start();
         wait_listed(&worker).await;
         change(&worker);
         wait_listed(&worker).await;
         leader.assign();
-        message(&agent);
+        message(&agent).await;
         sleep(ORDERS_WAIT).await;
         let before = leader.polls.get();
         sleep(COUNT_TIME).await;
@@ -295,28 +299,34 @@
 
 #[test]
 fn run_polls_worker_that_starts_runs_polls_with_pauses() {
-    let polls = count_polls(Answers::Starts, |_| {}, |_| {});
+    let polls = count_polls(Answers::Starts, |_| {}, async |_| {});
     assert!(polls <= POLLS_MAX, "{polls} polls in {COUNT_TIME:?}");
 }
 
 // A worker that refused to stop a run was called, and the leader polled, without a pause.
 #[test]
 fn run_polls_worker_that_refuses_stops_polls_with_pauses() {
-    let polls = count_polls(Answers::RefusesStops, |_| {}, |_| {});
+    let polls = count_polls(Answers::RefusesStops, |_| {}, async |_| {});
     assert!(polls <= POLLS_MAX, "{polls} polls in {COUNT_TIME:?}");
 }
 
 // An order to start a run on a worker that had begun to drain was repeated without a pause.
 #[test]
 fn run_polls_draining_worker_polls_with_pauses() {
-    let polls = count_polls(Answers::Starts, |_| {}, |agent| agent.check_in(spec(true), 2));
+    let polls = count_polls(
+        Answers::Starts,
+        |_| {},
+        async |agent| {
+            agent.check_in(check_in(spec(true), 2)).await;
+        },
+    );
     assert!(polls <= POLLS_MAX, "{polls} polls in {COUNT_TIME:?}");
 }
 
 // A worker that could not be connected to was called without a pause until it counted as silent.
 #[test]
 fn run_polls_unreachable_worker_polls_with_pauses() {
-    let polls = count_polls(Answers::Unreachable, |_| {}, |_| {});
+    let polls = count_polls(Answers::Unreachable, |_| {}, async |_| {});
     assert!(polls <= POLLS_MAX, "{polls} polls in {COUNT_TIME:?}");
 }
 
@@ -324,7 +334,7 @@
 // carry out, and polled without a pause.
 #[test]
 fn run_polls_worker_whose_next_incarnation_answers_polls_with_pauses() {
-    let polls = count_polls(Answers::Starts, |worker| worker.started_at.set(2), |_| {});
+    let polls = count_polls(Answers::Starts, |worker| worker.started_at.set(2), async |_| {});
     assert!(polls <= POLLS_MAX, "{polls} polls in {COUNT_TIME:?}");
 }
 
@@ -343,14 +353,44 @@
         let instance = Instance::try_from("side-1").unwrap();
         let options = AgentOptions { instance, limits: LIMITS, relay: None };
         let agent = Agent::new(options, clock, leader_client, Client(Rc::clone(&worker)));
-        agent.check_in(spec(false), 1);
+        agent.check_in(check_in(spec(false), 1)).await;
         agent.start();
         wait_listed(&worker).await;
         assert_eq!(worker.stops.get(), 0);
         worker.started_at.set(2);
-        agent.check_in(WorkerSpec { incarnation: incarnation(2), ..spec(false) }, 1);
+        let next = WorkerSpec { incarnation: incarnation(2), ..spec(false) };
+        agent.check_in(check_in(next, 1)).await;
         wait_listed(&worker).await;
         wait_listed(&worker).await;
         assert_eq!(worker.stops.get(), 1);
     }));
 }
+
+// A check-in of another writer, under a name and start time of its own, made the agent report its sound
+// worker as gone, and the leader start its task a second time.
+#[test]
+fn check_in_another_writer_does_not_replace_the_worker_that_answers() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(LocalSet::new().run_until(async {
+        let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let clock = Clock::start();
+        let leader_client = Rc::new(LeaderClient::new(clock, vec![silent.local_addr().unwrap()]));
+        let (started_at, lists, stops) = (Cell::new(1), Cell::new(0), Cell::new(0));
+        let answers = Answers::Starts;
+        let worker = Rc::new(FakeWorker { answers, clock, started_at, lists, stops });
+        let instance = Instance::try_from("side-1").unwrap();
+        let options = AgentOptions { instance, limits: LIMITS, relay: None };
+        let agent = Agent::new(options, clock, leader_client, Client(Rc::clone(&worker)));
+        let mut foreign = WorkerSpec { incarnation: incarnation(99), ..spec(false) };
+        let outcome = agent.check_in(check_in(foreign.clone(), 1)).await;
+        assert_eq!(outcome, CheckInOutcome::Foreign, "also before the worker's first check-in");
+        assert_eq!(agent.check_in(check_in(spec(false), 1)).await, CheckInOutcome::Noted);
+        for name in ["w0", "other"] {
+            foreign.incarnation.worker = name.into();
+            let outcome = agent.check_in(check_in(foreign.clone(), 1)).await;
+            assert_eq!(outcome, CheckInOutcome::Foreign);
+            let outcome = agent.check_in(check_in(spec(false), 2)).await;
+            assert!(matches!(outcome, CheckInOutcome::Noted | CheckInOutcome::Late));
+        }
+    }));
+}
