fix(agent): a worker that answers after its deregistration has not ended

Cause: a message that names a worker, but not its incarnation, was taken for a fact about the present one, for good. Nothing could take it back, not even the worker's answers.

Change: the message holds calls back only until the worker answers a list that was requested later. That a worker leaves is for its own check-ins to say. The log tells whether the message names the current incarnation, and that a worker goes on.

Why it works: a worker that has ended answers nothing, and is gone once its leases have ended, as before; one that answers runs on and needs its stops.

--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -134,12 +134,24 @@
         true
     }
 
-    /// Takes the worker's message that it ends now.
-    pub fn leave(&mut self, name: &str) {
-        if let Some(worker) = self.worker.as_mut().filter(|w| &*w.spec.incarnation.worker == name) {
-            worker.spec.leaving = true;
-            worker.departed = true;
-        }
+    /// Takes the message of a worker that it ends now, and when that incarnation started, if the
+    /// message says so. Returns whether it may be the current one that ends.
+    ///
+    /// The message of a former incarnation may arrive late, and names the same worker. So it counts
+    /// only until the worker's next answer, and not as an announcement that the worker leaves: that is
+    /// for its check-ins to say.
+    pub fn leave(&mut self, name: &str, started_at: Option<u64>) -> bool {
+        let is_named = |i: &WorkerIncarnation| {
+            &*i.worker == name && started_at.is_none_or(|s| s == i.started_at)
+        };
+        let worker = self.worker.as_mut().filter(|w| is_named(&w.spec.incarnation));
+        worker.map(WorkerState::note_end).is_some()
+    }
+
+    /// Whether the worker was said to end and has not answered since, or another incarnation has
+    /// answered in its place.
+    pub fn has_departed(&self) -> bool {
+        self.worker.as_ref().is_some_and(WorkerState::has_departed)
     }
 
     /// Whether the worker has reported that it accepts nothing new.
@@ -220,7 +232,8 @@
         let alone = self.former_calls_over(now);
         let Some(received) = &mut self.orders else { return Vec::new() };
         let Some(worker) = &mut self.worker else { return Vec::new() };
-        if received.orders.incarnation.as_ref() != Some(&worker.spec.incarnation) || worker.departed
+        if received.orders.incarnation.as_ref() != Some(&worker.spec.incarnation)
+            || worker.has_departed()
         {
             return Vec::new();
         }
@@ -275,7 +288,7 @@
     pub fn stray_stops(&mut self) -> Vec<Action> {
         let Some(worker) = &mut self.worker else { return Vec::new() };
         let incarnation = &worker.spec.incarnation;
-        if worker.has_orders || worker.departed || !self.fence.is_next(incarnation) {
+        if worker.has_orders || worker.has_departed() || !self.fence.is_next(incarnation) {
             return Vec::new();
         }
         let epoch = self.fence.current_token();
@@ -409,12 +422,13 @@
         if let Some(started_at) =
             listing.started_at.filter(|s| *s != request.incarnation.started_at)
         {
-            worker.departed = true;
+            worker.replaced = true;
             let worker = request.incarnation.worker.clone();
             self.fence.note_incarnation(&WorkerIncarnation { worker, started_at });
             return false;
         }
         worker.answers = true;
+        let is_back = worker.note_alive(request.serial);
         let is_first = !std::mem::replace(&mut worker.has_list, true);
         worker.lease.read(ClockReading { clock: listing.clock, at: now });
         worker.acknowledged = worker.acknowledged.max(request.cursor);
@@ -428,7 +442,7 @@
         if former_calls_over {
             worker.settle_expired(listing.clock);
         }
-        is_first || has_new_ends || finished
+        is_first || is_back || has_new_ends || finished
     }
 
     /// Notes that the worker has not answered a request for its list.
@@ -479,7 +493,8 @@
         let Some(worker) = &self.worker else { return false };
         let silent = !worker.answers && worker.is_silent(now, &self.limits);
         let start = self.started_at.max(worker.first_seen);
-        (silent || worker.departed) && worker.lease.has_expired(now, start, self.limits.lease_max)
+        (silent || worker.has_departed())
+            && worker.lease.has_expired(now, start, self.limits.lease_max)
     }
 
     fn current_worker(&mut self, incarnation: &WorkerIncarnation) -> Option<&mut WorkerState> {
--- a/crates/bronzespool-batch/src/agent/worker.rs
+++ b/crates/bronzespool-batch/src/agent/worker.rs
@@ -75,9 +75,11 @@
     closed_at: Time,
     /// When runs were first known to run.
     running_since: HashMap<RunId, Time>,
-    /// Whether the worker has reported that it ends, or another incarnation has answered in its
-    /// place.
-    pub(super) departed: bool,
+    /// Whether another incarnation has answered in its place.
+    pub(super) replaced: bool,
+    /// Serial number of the latest list request when the worker was said to end; none if it has
+    /// answered a later one.
+    ends_after: Option<u64>,
     pub(super) calls: HashMap<RunId, CallState>,
     /// Runs for which a start was sent that may have been carried out, or may still be, each with the
     /// latest end of a lease in these starts, on the worker's clock.
@@ -109,7 +111,8 @@
             last_seen: LastSeen::Answering,
             closed_at: now,
             running_since: HashMap::default(),
-            departed: false,
+            replaced: false,
+            ends_after: None,
             calls: HashMap::default(),
             started: HashMap::default(),
             doubtful: HashSet::default(),
@@ -123,6 +126,24 @@
         now.since(self.last_heartbeat) > limits.heartbeat_interval * SILENT_INTERVALS
     }
 
+    /// Takes the word that the worker ends now. It names no incarnation and may be late, so it holds
+    /// only until the worker answers.
+    pub(super) const fn note_end(&mut self) {
+        self.ends_after = Some(self.list_serial);
+    }
+
+    /// Notes that the worker has answered the list request with a serial number. Returns whether it
+    /// was said to have ended before that.
+    pub(super) fn note_alive(&mut self, serial: u64) -> bool {
+        self.ends_after.take_if(|after| serial > *after).is_some()
+    }
+
+    /// Whether the worker was said to end and has not answered since, or another incarnation has
+    /// answered in its place.
+    pub(super) const fn has_departed(&self) -> bool {
+        self.replaced || self.ends_after.is_some()
+    }
+
     /// Takes a request for the list that had no answer.
     pub(super) fn list_failed(&mut self, now: Time, failure: ListFailure) {
         self.answers = false;
@@ -148,7 +169,8 @@
 
     /// Returns how the incarnation was last seen.
     pub(super) const fn last_seen(&self) -> LastSeen {
-        if self.spec.leaving { LastSeen::Leaving } else { self.last_seen }
+        let leaves = self.spec.leaving || self.ends_after.is_some();
+        if leaves { LastSeen::Leaving } else { self.last_seen }
     }
 
     /// Returns the crash of this incarnation, which has ended by `now`; none if it was not seen to
--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -788,3 +788,48 @@
     assert!(list(10_001));
     assert!(!list(10_002));
 }
+
+// A late message of a former incarnation that it ends was taken for one of the current one, which went on:
+// it was sent no stops any more, and counted as leaving for good.
+#[test]
+fn leave_worker_that_answers_later_is_stopped_and_does_not_leave() {
+    let mut a = Agent::new();
+    a.order(orders(3, vec![start(1)], Vec::new()));
+    a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Present);
+    a.list(vec![running(1)], Vec::new());
+    let asked_before = a.reconciler.list_request(a.now).unwrap();
+    assert!(a.reconciler.leave("w0", None));
+    let listing = Listing { started_at: Some(1), clock: 20_000, ..Listing::default() };
+    a.reconciler.receive_listing(a.now, &asked_before, listing);
+    assert!(a.reconciler.has_departed(), "the answer may be older than the message");
+    assert!(a.order(orders(3, Vec::new(), vec![run(1)])).is_empty());
+    a.list(vec![running(1)], Vec::new());
+    assert!(!a.reconciler.has_departed() && !a.reconciler.is_leaving());
+    let actions = a.order(orders(3, Vec::new(), vec![run(1)]));
+    assert!(matches!(&actions[..], [Action::Stop { run: stopped, .. }] if *stopped == run(1)));
+    assert!(!a.poll().worker.unwrap().leaving);
+}
+
+#[test]
+fn leave_worker_that_answers_no_more_is_gone_once_its_leases_have_ended() {
+    let mut a = Agent::new();
+    a.order(orders(3, Vec::new(), Vec::new()));
+    a.list(Vec::new(), Vec::new());
+    assert!(a.reconciler.leave("w0", Some(1)));
+    a.now += Duration::from_secs(5);
+    let list = a.reconciler.list_request(a.now).unwrap();
+    a.reconciler.list_unanswered(a.now, &list, ListFailure::Absent);
+    assert!(!a.reconciler.expire(a.now), "its leases have not ended");
+    a.now += Duration::from_secs(7);
+    assert!(a.reconciler.expire(a.now));
+    assert!(a.reconciler.crash().is_none());
+}
+
+#[test]
+fn leave_message_of_another_incarnation_changes_nothing() {
+    let mut a = Agent::new();
+    for (name, started_at) in [("w0", Some(0)), ("w0", Some(2)), ("w1", None), ("w1", Some(1))] {
+        assert!(!a.reconciler.leave(name, started_at));
+        assert!(!a.reconciler.has_departed());
+    }
+}
--- a/crates/bronzespool-telemetry/src/event/agent.rs
+++ b/crates/bronzespool-telemetry/src/event/agent.rs
@@ -55,6 +55,13 @@
     WorkerEnds: Info, Agent, "the worker ends" {
         /// Name of the worker.
         worker: String,
+        /// Whether it may be the current incarnation that ends.
+        is_current: bool,
+    }
+    /// The worker has answered after it was said to end: it was a former incarnation that ended.
+    WorkerStays: Info, Agent, "the worker was said to end and goes on" {
+        /// Incarnation of the worker.
+        life: WorkerIncarnation,
     }
     /// The worker has been silent for longer than any lease that it holds.
     LeasesEnded: Warn, Agent, "the worker is gone and its leases have ended" {
--- a/crates/bronzespoold/src/batch/agent/check_in.rs
+++ b/crates/bronzespoold/src/batch/agent/check_in.rs
@@ -1,4 +1,4 @@
-//! Check-ins of the worker.
+//! Check-ins of the worker, and notices that it ends.
 //!
 //! Anyone can send a check-in. One of an incarnation that is not the agent's worker yet counts only
 //! once the process at the worker's address has answered as this incarnation.
@@ -64,6 +64,14 @@
         self.note_check_in(check_in)
     }
 
+    /// Handles the notice that a worker is ending; `started_at` is when it started, if the notice says
+    /// so.
+    pub fn leave(&self, worker: &str, started_at: Option<u64>) {
+        let is_current = self.reconciler.borrow_mut().leave(worker, started_at);
+        event::WorkerEnds { worker: worker.to_owned(), is_current }.emit();
+        self.poll_wakeup.notify_one();
+    }
+
     /// Finds out whether the process at the worker's address is this incarnation.
     async fn identify(&self, incarnation: &WorkerIncarnation) -> CheckInOutcome {
         let before = self.reconciler.borrow().incarnation().cloned();
--- a/crates/bronzespoold/src/batch/agent/mod.rs
+++ b/crates/bronzespoold/src/batch/agent/mod.rs
@@ -195,13 +195,6 @@
         }
     }
 
-    /// Handles the worker's notice that it is ending.
-    pub fn leave(&self, worker: &str) {
-        event::WorkerEnds { worker: worker.to_owned() }.emit();
-        self.reconciler.borrow_mut().leave(worker);
-        self.poll_wakeup.notify_one();
-    }
-
     async fn run_listing(self: Rc<Self>) {
         loop {
             let incarnation = self.reconciler.borrow().incarnation().cloned();
@@ -229,10 +222,7 @@
         let request = self.reconciler.borrow_mut().list_request(self.clock.now())?;
         match self.worker.list(&request, wait).await {
             ListOutcome::Listed(listing) => {
-                if self.reconciler.borrow_mut().receive_listing(self.clock.now(), &request, listing)
-                {
-                    self.poll_wakeup.notify_one();
-                }
+                self.receive_listing(&request, listing);
                 for action in self.reconciler.borrow_mut().pace_actions(self.clock.now()) {
                     spawn_local(Rc::clone(self).pace(action));
                 }
@@ -250,6 +240,18 @@
         }
     }
 
+    fn receive_listing(&self, request: &ListRequest, listing: Listing) {
+        let had_departed = self.reconciler.borrow().has_departed();
+        let has_news =
+            self.reconciler.borrow_mut().receive_listing(self.clock.now(), request, listing);
+        if had_departed && !self.reconciler.borrow().has_departed() {
+            event::WorkerStays { life: request.incarnation.clone() }.emit();
+        }
+        if has_news {
+            self.poll_wakeup.notify_one();
+        }
+    }
+
     /// Takes the worker's word that it has seen a higher fencing token.
     fn note_fenced(&self, epoch: Option<u64>) {
         event::WorkerFenced { epoch }.emit();
