fix(batch): a job that was cancelled before its submission arrives never runs

Cause: "no such job" was answered as a fact of the moment and taken as a promise. Nothing remembered the cancelling, so a submission could take effect however long after it, also after a restart of control.

A submission after it gets 410, at the leader and when its record is applied.

Why it works: whoever's request is late, and however it is delayed, it meets the log; no clock and no presence of a caller is needed.

--- a/crates/bronzespool-batch/src/ledger/apply.rs
+++ b/crates/bronzespool-batch/src/ledger/apply.rs
@@ -75,6 +75,7 @@
         let at = self.log_time;
         let old = |j: &Job| j.finished.is_some_and(|f| at.since(f) > JOB_RETENTION);
         self.jobs.retain(|_, j| !old(j) || j.has_active_run());
+        self.early_cancels.expire(at);
         let jobs = &self.jobs;
         self.crashes.expire(at, |id| jobs.contains_key(&id));
     }
@@ -91,6 +92,9 @@
         if self.jobs.contains_key(&spec.id) {
             return EventOutcome::Known;
         }
+        if self.early_cancels.contains(spec.id) {
+            return EventOutcome::Stale;
+        }
         let queue = self.config.as_ref().and_then(|c| c.queue(&spec.queue));
         let Some(queue) = queue else { return EventOutcome::Stale };
         let job = Job {
@@ -110,7 +114,10 @@
 
     fn cancel(&mut self, id: JobId) -> EventOutcome {
         let at = self.log_time;
-        let Some(job) = self.jobs.get_mut(&id) else { return EventOutcome::Stale };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            self.early_cancels.insert(at, id);
+            return EventOutcome::Stale;
+        };
         if !job.phase.is_active() {
             return EventOutcome::Known;
         }
--- a/crates/bronzespool-batch/src/ledger/mod.rs
+++ b/crates/bronzespool-batch/src/ledger/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod crash;
 mod drain;
+mod early_cancel;
 mod explain;
 mod job;
 mod occurrence;
@@ -14,6 +15,7 @@
 pub use {
     crash::{CrashEvidence, CrashFailure, CrashLog, CrashUnder},
     drain::{CenterState, Drains},
+    early_cancel::EarlyCancels,
     explain::{CenterNames, Explanation, FailureCause},
     job::{ActiveRun, Job, Phase, StepState, Task},
     occurrence::DoneOccurrences,
@@ -59,6 +61,9 @@
     /// Occurrences of recurring jobs that are done.
     #[serde(deserialize_with = "occurrence::read_or_default")]
     done_occurrences: DoneOccurrences,
+    /// Jobs that were cancelled before they were submitted.
+    #[serde(deserialize_with = "early_cancel::read_or_default")]
+    early_cancels: EarlyCancels,
 }
 
 impl Ledger {
--- a/crates/bronzespool-batch/tests/crash.rs
+++ b/crates/bronzespool-batch/tests/crash.rs
@@ -376,9 +376,10 @@
     let mut cluster = Cluster::new(1, 2, 0);
     cluster.submit(1, 0, vec![step(1, 1)]);
     let bytes = postcard::to_stdvec(&cluster.ledger).unwrap();
-    // The run times, the drains and the done occurrences follow the crashes.
+    // These fields follow the crashes.
     let ledger = &cluster.ledger;
-    let tail = (ledger.crashes(), ledger.run_times(), ledger.drains(), ledger.done_occurrences());
+    let later = (ledger.done_occurrences(), ledger.early_cancels());
+    let tail = (ledger.crashes(), ledger.run_times(), ledger.drains(), later);
     let empty = postcard::to_stdvec(&tail).unwrap();
     let former = bytes.strip_suffix(&*empty).unwrap();
     let read: Ledger = postcard::from_bytes(former).unwrap();
--- a/crates/bronzespool-batch/tests/drain.rs
+++ b/crates/bronzespool-batch/tests/drain.rs
@@ -388,7 +388,8 @@
     cluster.submit(1, 0, vec![step(1, 1)]);
     let bytes = postcard::to_stdvec(&cluster.ledger).unwrap();
     let mut later = postcard::to_stdvec(cluster.ledger.drains()).unwrap();
-    later.extend(postcard::to_stdvec(cluster.ledger.done_occurrences()).unwrap());
+    let after = (cluster.ledger.done_occurrences(), cluster.ledger.early_cancels());
+    later.extend(postcard::to_stdvec(&after).unwrap());
     let read: Ledger = postcard::from_bytes(bytes.strip_suffix(&*later).unwrap()).unwrap();
     assert_eq!(read, cluster.ledger);
     set(&mut cluster, "north", true);
--- a/crates/bronzespool-batch/tests/recurring.rs
+++ b/crates/bronzespool-batch/tests/recurring.rs
@@ -160,7 +160,8 @@
     let mut cluster = cluster(recurring(1, 100, 1_000, vec![step(1, 1)]));
     cluster.started();
     let bytes = postcard::to_stdvec(&cluster.ledger).unwrap();
-    let empty = postcard::to_stdvec(cluster.ledger.done_occurrences()).unwrap();
+    let later = (cluster.ledger.done_occurrences(), cluster.ledger.early_cancels());
+    let empty = postcard::to_stdvec(&later).unwrap();
     let read: Ledger = postcard::from_bytes(bytes.strip_suffix(&*empty).unwrap()).unwrap();
     assert_eq!(read, cluster.ledger);
     end_all(&mut cluster, 1);
--- a/crates/bronzespool-telemetry/src/event/control.rs
+++ b/crates/bronzespool-telemetry/src/event/control.rs
@@ -75,13 +75,18 @@
         /// Whether the job is new.
         verdict: EventOutcome,
     }
-    /// A job was refused as inconsistent: nothing was stored.
+    /// A job was refused, as inconsistent or as cancelled before: nothing was stored.
     JobRefused: Info, Leader, "a job was refused" {
         /// The job.
         job: JobId,
         /// Why the job was refused.
         error: String,
     }
+    /// Too many unknown jobs were cancelled: this one was not remembered, and its caller is to repeat it.
+    CancelRefused: Warn, Leader, "a cancelling of an unknown job was refused" {
+        /// The job.
+        job: JobId,
+    }
     /// A job could not be served in time: nothing was stored, and it never runs unless it is submitted
     /// again.
     JobRejected: Info, Leader, "a job was rejected for overload" {
--- a/crates/bronzespoold/src/control/batch/requests.rs
+++ b/crates/bronzespoold/src/control/batch/requests.rs
@@ -16,6 +16,9 @@
     std::sync::Arc,
 };
 
+/// Time after which to repeat a cancelling of an unknown job, of which there are too many.
+const CANCEL_RETRY_SECONDS: u32 = 5;
+
 /// Queue and team of a request.
 struct RequestScope {
     queue: Arc<str>,
@@ -59,6 +62,9 @@
             return Ok(Reply::Done);
         }
         let id = spec.id;
+        if self.is_cancelled_early(id) {
+            return Ok(early_cancel_denial(id));
+        }
         let spec = JobSpec { queue: scope.queue, team: scope.team, ..spec };
         if let Err(error) = spec.check() {
             event::JobRefused { job: id, error: error.to_string() }.emit();
@@ -70,10 +76,16 @@
         let outcome = self.propose_one(Event::Submitted(Arc::new(spec))).await?;
         Ok(match outcome {
             EventOutcome::Applied | EventOutcome::Known => Reply::Done,
+            EventOutcome::Stale if self.is_cancelled_early(id) => early_cancel_denial(id),
             EventOutcome::Stale => Reply::Denied(Denial::NoQueue),
         })
     }
 
+    /// Whether a job was cancelled before it was submitted.
+    fn is_cancelled_early(&self, id: JobId) -> bool {
+        self.replica.state().batch().early_cancels().contains(id)
+    }
+
     /// Tells why a job is in its phase.
     pub(super) async fn explain(&self, id: JobId) -> Result<Reply> {
         self.replica.read_barrier().await?;
@@ -92,12 +104,18 @@
         job.map_or(Reply::Denied(Denial::NoJob), |j| Reply::State(j.phase))
     }
 
+    /// Cancels a job. That there is no such job is in the log before its caller is told: the
+    /// submission may still be on its way.
     async fn cancel(&self, id: JobId) -> Result<Reply> {
         let phase = self.replica.state().batch().job(id).map(|j| j.phase);
         match phase {
-            None => return Ok(Reply::Denied(Denial::NoJob)),
+            None if self.is_cancelled_early(id) => return Ok(Reply::Denied(Denial::NoJob)),
+            None if !self.has_room_for_cancel() => {
+                event::CancelRefused { job: id }.emit();
+                return Ok(Reply::Denied(Denial::Overloaded(CANCEL_RETRY_SECONDS)));
+            }
             Some(phase) if !phase.is_active() => return Ok(Reply::Done),
-            Some(_) => {}
+            _ => {}
         }
         let outcome = self.propose_one(Event::Cancelled(id)).await?;
         Ok(match outcome {
@@ -106,6 +124,10 @@
         })
     }
 
+    fn has_room_for_cancel(&self) -> bool {
+        self.replica.state().batch().early_cancels().has_room(self.replica.log_time())
+    }
+
     /// Puts a configuration in force. A configuration that is not newer than the one in force is
     /// acknowledged and changes nothing.
     pub(super) async fn configure(&self, config: Arc<Config>) -> Result<Reply> {
@@ -127,3 +149,9 @@
         Ok(Reply::Config(state.batch().config().map(|c| c.document.clone())))
     }
 }
+
+/// Denies a submission that comes after the cancelling of its job.
+fn early_cancel_denial(id: JobId) -> Reply {
+    event::JobRefused { job: id, error: "cancelled before it was submitted".into() }.emit();
+    Reply::Denied(Denial::NoJob)
+}
