fix(agent): take a check-in whose sender is identified after it was answered

Cause: after a restart of an agent its worker rejects its calls until the leader has answered a poll. Since a check-in counts only once its sender is identified; where that took longer than the 800 ms for which it waits, the worker stayed unknown until its next check-in.

Change: an agent without a worker asks again for the latest check-in that was not identified, once each round.

--- a/crates/bronzespoold/src/batch/agent/check_in.rs
+++ b/crates/bronzespoold/src/batch/agent/check_in.rs
@@ -59,11 +59,29 @@
         if outcome != CheckInOutcome::Noted {
             let verdict = format!("{outcome:?}");
             event::CheckInUnconfirmed { life: incarnation, verdict }.emit();
+            if outcome == CheckInOutcome::Unidentified {
+                self.unidentified.replace(Some(check_in));
+            }
             return outcome;
         }
         self.note_check_in(check_in)
     }
 
+    /// Handles the latest check-in without an identified sender again. A worker that has seen a higher
+    /// token than this process has is identified once the leader has answered a poll, which may take
+    /// longer than the check-in waits.
+    pub(super) async fn retry_check_in(&self) {
+        let Some(check_in) = self.unidentified.take() else { return };
+        let before = self.reconciler.borrow().incarnation().cloned();
+        let answer = self.ask_identity(&check_in.spec.incarnation).await;
+        let has_changed = before.as_ref() != self.reconciler.borrow().incarnation();
+        if answer == Some(true) && !has_changed {
+            self.note_check_in(check_in);
+        } else if answer.is_none() && self.unidentified.borrow().is_none() {
+            self.unidentified.replace(Some(check_in));
+        }
+    }
+
     /// Handles the notice that a worker is ending; `started_at` is when it started, if the notice says
     /// so.
     pub fn leave(&self, worker: &str, started_at: Option<u64>) {
@@ -82,7 +100,7 @@
             return CheckInOutcome::Unidentified;
         }
         self.identifying.set(self.identifying.get() + 1);
-        let answer = timeout(IDENTITY_TIMEOUT, self.ask_identity(incarnation)).await;
+        let answer = timeout(IDENTITY_TIMEOUT, self.await_identity(incarnation)).await;
         self.identifying.set(self.identifying.get() - 1);
         // The answer may have been held up while another incarnation has answered.
         let has_changed = before.as_ref() != self.reconciler.borrow().incarnation();
@@ -95,20 +113,30 @@
     }
 
     /// Asks until a process at the worker's address answers. Returns whether it is this incarnation.
-    async fn ask_identity(&self, incarnation: &WorkerIncarnation) -> bool {
+    async fn await_identity(&self, incarnation: &WorkerIncarnation) -> bool {
         loop {
-            let request = self.reconciler.borrow().identity_request(incarnation);
-            match self.worker.list(&request, Duration::ZERO).await {
-                ListOutcome::Listed(listing) => return listing.identifies(incarnation),
-                ListOutcome::Unanswered(ListFailure::Foreign) => return false,
-                // A former process of this agent may have used a higher token.
-                ListOutcome::Fenced => self.note_fenced(request.epoch),
-                ListOutcome::Unanswered(_) => {}
+            if let Some(is_same) = self.ask_identity(incarnation).await {
+                return is_same;
             }
             sleep(IDENTITY_RETRY_PAUSE).await;
         }
     }
 
+    /// Asks the process at the worker's address whether it is this incarnation; none if that is still
+    /// unknown.
+    async fn ask_identity(&self, incarnation: &WorkerIncarnation) -> Option<bool> {
+        let request = self.reconciler.borrow().identity_request(incarnation);
+        match self.worker.list(&request, Duration::ZERO).await {
+            ListOutcome::Listed(listing) => Some(listing.identifies(incarnation)),
+            ListOutcome::Unanswered(ListFailure::Foreign) => Some(false),
+            ListOutcome::Fenced => {
+                self.note_fenced(request.epoch);
+                None
+            }
+            ListOutcome::Unanswered(_) => None,
+        }
+    }
+
     /// Takes a check-in of the process at the worker's address.
     fn note_check_in(&self, check_in: CheckIn) -> CheckInOutcome {
         let CheckIn { spec, seq, cold, notice } = check_in;
@@ -120,6 +148,7 @@
             event::CheckInLate { life: incarnation, seq }.emit();
             return CheckInOutcome::Late;
         }
+        self.unidentified.take();
         self.note_cold(&incarnation, cold);
         if let Some(notice) = notice {
             self.note_departure(&incarnation, notice);
--- a/crates/bronzespoold/src/batch/agent/mod.rs
+++ b/crates/bronzespoold/src/batch/agent/mod.rs
@@ -126,6 +126,8 @@
     departure: RefCell<Option<DepartureReport>>,
     /// Number of check-ins whose senders are being asked who they are.
     identifying: Cell<usize>,
+    /// The latest check-in whose sender was not identified in time.
+    unidentified: RefCell<Option<CheckIn>>,
     /// Wakes the poll loop when there is a change to report to the leader.
     poll_wakeup: Notify,
 }
@@ -153,6 +155,7 @@
             was_cold: Cell::default(),
             departure: RefCell::default(),
             identifying: Cell::default(),
+            unidentified: RefCell::default(),
             poll_wakeup: Notify::new(),
         })
     }
@@ -204,6 +207,9 @@
                 self.poll_wakeup.notify_one();
             }
             let answered = self.list(LIST_WAIT).await;
+            if answered.is_none() {
+                self.retry_check_in().await;
+            }
             for action in self.reconciler.borrow_mut().stray_stops() {
                 spawn_local(Rc::clone(&self).execute(action));
             }
--- a/crates/bronzespoold/tests/batch_agent.rs
+++ b/crates/bronzespoold/tests/batch_agent.rs
@@ -6,7 +6,7 @@
         batch::{
             Config, Event, JobId, Ledger, Record, Resources, RunId, Step, StepId, TaskId,
             Withdrawals, WorkerIncarnation,
-            agent::{Action, Limits, ListRequest, Listing, StartOutcome, StopOutcome},
+            agent::{Action, Limits, ListFailure, ListRequest, Listing, StartOutcome, StopOutcome},
             config::{Pool, Queue},
             exchange::{poll_events, poll_orders},
             grant::Grants,
@@ -195,10 +195,12 @@
     Unreachable,
     /// It runs a run, in each incarnation, until it is stopped.
     RunsUntilStopped,
+    /// It answers nothing.
+    Silent,
 }
 
 struct FakeWorker {
-    answers: Answers,
+    answers: Cell<Answers>,
     clock: Clock,
     /// Start time of the incarnation that answers.
     started_at: Cell<u64>,
@@ -211,7 +213,7 @@
 
 impl Worker for Client {
     async fn start(&self, _: &Action) -> StartOutcome {
-        match self.0.answers {
+        match self.0.answers.get() {
             Answers::Unreachable => StartOutcome::Late,
             _ => StartOutcome::Present,
         }
@@ -219,7 +221,7 @@
 
     async fn stop(&self, _: &Action) -> StopOutcome {
         self.0.stops.set(self.0.stops.get() + 1);
-        match self.0.answers {
+        match self.0.answers.get() {
             Answers::RunsUntilStopped => StopOutcome::Noted,
             _ => StopOutcome::Unknown,
         }
@@ -231,12 +233,15 @@
 
     async fn list(&self, _: &ListRequest, wait: Duration) -> ListOutcome {
         sleep(wait).await;
+        if self.0.answers.get() == Answers::Silent {
+            return ListOutcome::Unanswered(ListFailure::Silent);
+        }
         self.0.lists.set(self.0.lists.get() + 1);
         let status = RunStatus { run: run(9), checkpoint: "".into(), percent: 0, usage: 0 };
-        let runs = match self.0.answers {
+        let runs = match self.0.answers.get() {
             Answers::RefusesStops => self.0.started_at.get() == 1,
             Answers::RunsUntilStopped => self.0.stops.get() == 0,
-            Answers::Starts | Answers::Unreachable => false,
+            Answers::Starts | Answers::Unreachable | Answers::Silent => false,
         };
         ListOutcome::Listed(Listing {
             started_at: Some(self.0.started_at.get()),
@@ -265,7 +270,8 @@
         let clock = Clock::start();
         let (started_at, lists) = (Cell::new(1), Cell::new(0));
         let stops = Cell::new(0);
-        let worker = Rc::new(FakeWorker { answers, clock, started_at, lists, stops });
+        let worker =
+            Rc::new(FakeWorker { answers: answers.into(), clock, started_at, lists, stops });
         let options = AgentOptions {
             instance: Instance::try_from("side-1").unwrap(),
             limits: LIMITS,
@@ -349,7 +355,8 @@
         let leader_client = Rc::new(LeaderClient::new(clock, vec![silent.local_addr().unwrap()]));
         let (started_at, lists, stops) = (Cell::new(1), Cell::new(0), Cell::new(0));
         let answers = Answers::RunsUntilStopped;
-        let worker = Rc::new(FakeWorker { answers, clock, started_at, lists, stops });
+        let worker =
+            Rc::new(FakeWorker { answers: answers.into(), clock, started_at, lists, stops });
         let instance = Instance::try_from("side-1").unwrap();
         let options = AgentOptions { instance, limits: LIMITS, relay: None };
         let agent = Agent::new(options, clock, leader_client, Client(Rc::clone(&worker)));
@@ -377,7 +384,8 @@
         let leader_client = Rc::new(LeaderClient::new(clock, vec![silent.local_addr().unwrap()]));
         let (started_at, lists, stops) = (Cell::new(1), Cell::new(0), Cell::new(0));
         let answers = Answers::Starts;
-        let worker = Rc::new(FakeWorker { answers, clock, started_at, lists, stops });
+        let worker =
+            Rc::new(FakeWorker { answers: answers.into(), clock, started_at, lists, stops });
         let instance = Instance::try_from("side-1").unwrap();
         let options = AgentOptions { instance, limits: LIMITS, relay: None };
         let agent = Agent::new(options, clock, leader_client, Client(Rc::clone(&worker)));
@@ -394,3 +402,27 @@
         }
     }));
 }
+
+// After a restart of the agent the worker rejects its calls until the leader has answered a poll. The
+// check-in was lost if that took longer than it waits, and the worker stayed unknown until the next one.
+#[test]
+fn check_in_worker_that_is_identified_late_is_taken() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(LocalSet::new().run_until(async {
+        let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let clock = Clock::start();
+        let leader_client = Rc::new(LeaderClient::new(clock, vec![silent.local_addr().unwrap()]));
+        let (started_at, lists, stops) = (Cell::new(1), Cell::new(0), Cell::new(0));
+        let answers = Answers::Silent;
+        let worker =
+            Rc::new(FakeWorker { answers: answers.into(), clock, started_at, lists, stops });
+        let instance = Instance::try_from("side-1").unwrap();
+        let options = AgentOptions { instance, limits: LIMITS, relay: None };
+        let agent = Agent::new(options, clock, leader_client, Client(Rc::clone(&worker)));
+        agent.start();
+        assert_eq!(agent.check_in(check_in(spec(false), 1)).await, CheckInOutcome::Unidentified);
+        worker.answers.set(Answers::Starts);
+        wait_listed(&worker).await;
+        assert_eq!(agent.check_in(check_in(spec(false), 1)).await, CheckInOutcome::Late, "known");
+    }));
+}
