fix(batch): an invalid job is refused as such, also if it was cancelled before

Cause: since a submission after its job's cancelling was refused with 410 before it was checked, so that an invalid one was not told so; call_entry_refusals_have_their_status failed (410 in place of 400).

Change: the job is checked first. The test passes as it was.

--- a/crates/bronzespoold/src/control/batch/requests.rs
+++ b/crates/bronzespoold/src/control/batch/requests.rs
@@ -62,14 +62,14 @@
             return Ok(Reply::Done);
         }
         let id = spec.id;
-        if self.is_cancelled_early(id) {
-            return Ok(early_cancel_denial(id));
-        }
         let spec = JobSpec { queue: scope.queue, team: scope.team, ..spec };
         if let Err(error) = spec.check() {
             event::JobRefused { job: id, error: error.to_string() }.emit();
             return Ok(Reply::Denied(Denial::Invalid));
         }
+        if self.is_cancelled_early(id) {
+            return Ok(early_cancel_denial(id));
+        }
         if let Err(denial) = self.admit(&spec) {
             return Ok(Reply::Denied(denial));
         }
