--- a/crates/bronzespool-batch/src/agent/lease.rs
+++ b/crates/bronzespool-batch/src/agent/lease.rs
@@ -29,7 +29,7 @@
             return self.clock.saturating_sub(before);
         }
         let passed = now.since(self.at).as_millis() as u64;
-        self.clock + passed * CLOCK_RATE_MIN_PERCENT / 100
+        self.clock.saturating_add(passed * CLOCK_RATE_MIN_PERCENT / 100)
     }
 }
 
@@ -63,8 +63,10 @@
         lease_max: Duration,
     ) -> Option<u64> {
         let reading = self.reading?;
-        let allowed = reading.lower_bound(granted) + span.as_millis() as u64;
-        let limit = reading.lower_bound(now) + lease_max.as_millis() as u64;
+        let after = |at: Time, span: Duration| {
+            reading.lower_bound(at).saturating_add(span.as_millis() as u64)
+        };
+        let (allowed, limit) = (after(granted, span), after(now, lease_max));
         let end = allowed.min(limit);
         if end <= reading.lower_bound(now) {
             return None;
@@ -80,7 +82,8 @@
         let earlier_expired = now.since(start) > lease_duration_max(lease_max);
         match self.reading {
             Some(r) => {
-                earlier_expired && r.lower_bound(now) > self.latest_end + EXPIRY_MARGIN_MILLIS
+                earlier_expired
+                    && r.lower_bound(now) > self.latest_end.saturating_add(EXPIRY_MARGIN_MILLIS)
             }
             None => earlier_expired,
         }
--- a/crates/bronzespool-telemetry/src/event/worker.rs
+++ b/crates/bronzespool-telemetry/src/event/worker.rs
@@ -53,6 +53,22 @@
         /// The error.
         error: String,
     }
+    /// Entries of a list from outside cannot be read: the others count.
+    EntriesUnread: Warn, Process, "a list has entries that cannot be read" {
+        /// What the list names.
+        list: String,
+        /// Number of these entries.
+        count: usize,
+        /// The error of the first one.
+        error: String,
+    }
+    /// A list from outside has more entries than are read: it is left aside.
+    ListTooLong: Warn, Process, "a list has too many entries" {
+        /// What the list names.
+        list: String,
+        /// Most entries that are read.
+        bound: usize,
+    }
     /// The name of an entry of a worker's list is not a task of this system: the entry is ignored,
     /// since another client of the worker made it.
     TaskUnread: Warn, Agent, "a worker lists a task that cannot be read" {
--- a/crates/bronzespoold/src/agent/endpoint.rs
+++ b/crates/bronzespoold/src/agent/endpoint.rs
@@ -185,7 +185,7 @@
 
 const fn error_completion(error: &Error) -> Completion {
     match error {
-        Error::Connect(_) | Error::Refused(_) | Error::Unsent => {
+        Error::Connect(_) | Error::Refused(_) | Error::Unsent | Error::Invalid(_) => {
             Completion::NotRun(Code::NoEndpoint)
         }
         Error::Timeout(_) => Completion::Unknown(Code::InProgress),
--- a/crates/bronzespoold/src/http/client.rs
+++ b/crates/bronzespoold/src/http/client.rs
@@ -1,7 +1,7 @@
 //! HTTP client for services that take and return JSON.
 
 use {
-    crate::http::{Connection, ConnectionPool, FetchedResponse, Result},
+    crate::http::{Connection, ConnectionPool, Error, FetchedResponse, Result},
     bytes::Bytes,
     http_body_util::Full,
     hyper::{header::CONTENT_TYPE, http::request::Builder},
@@ -119,7 +119,7 @@
             .header("Host", self.address.to_string())
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(bytes))
-            .expect("a request of names and numbers is valid");
+            .map_err(Error::Invalid)?;
         connection.exchange(request, ANSWER_MAX_BYTES, time).await
     }
 }
--- a/crates/bronzespoold/src/http/fetch.rs
+++ b/crates/bronzespoold/src/http/fetch.rs
@@ -24,6 +24,8 @@
     Refused(SocketAddr),
     /// the connection ended before the request was sent
     Unsent,
+    /// the request cannot be written: {0}
+    Invalid(hyper::http::Error),
     /// the connection failed: {0}
     Transfer(hyper::Error),
     /// the answer was not read: {0}
@@ -37,7 +39,7 @@
 impl Error {
     /// Whether no byte of the request was sent, so that the request cannot have run.
     pub const fn is_unsent(&self) -> bool {
-        matches!(self, Self::Connect(_) | Self::Refused(_) | Self::Unsent)
+        matches!(self, Self::Connect(_) | Self::Refused(_) | Self::Unsent | Self::Invalid(_))
     }
 
     /// Whether an open connection was closed before the whole answer.
