--- a/crates/bronzespoold/tests/batch_agent.rs
+++ b/crates/bronzespoold/tests/batch_agent.rs
@@ -344,22 +344,28 @@
     assert!(polls <= POLLS_MAX, "{polls} polls in {COUNT_TIME:?}");
 }
 
+/// Returns an agent, its worker, and the address of a leader that answers nothing.
+async fn agent_without_leader(
+    answers: Answers,
+) -> (Rc<Agent<Client>>, Rc<FakeWorker>, TcpListener) {
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let clock = Clock::start();
+    let leader_client = Rc::new(LeaderClient::new(clock, vec![silent.local_addr().unwrap()]));
+    let (started_at, lists, stops) = (Cell::new(1), Cell::new(0), Cell::new(0));
+    let worker = Rc::new(FakeWorker { answers: answers.into(), clock, started_at, lists, stops });
+    let instance = Instance::try_from("side-1").unwrap();
+    let options = AgentOptions { instance, limits: LIMITS, relay: None };
+    let agent = Agent::new(options, clock, leader_client, Client(Rc::clone(&worker)));
+    (agent, worker, silent)
+}
+
 // A start for the former incarnation was carried out by the next one, and ran on while the agent
 // could not reach the leader.
 #[test]
 fn run_listing_next_incarnation_is_stopped_without_the_leader() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(LocalSet::new().run_until(async {
-        let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let clock = Clock::start();
-        let leader_client = Rc::new(LeaderClient::new(clock, vec![silent.local_addr().unwrap()]));
-        let (started_at, lists, stops) = (Cell::new(1), Cell::new(0), Cell::new(0));
-        let answers = Answers::RunsUntilStopped;
-        let worker =
-            Rc::new(FakeWorker { answers: answers.into(), clock, started_at, lists, stops });
-        let instance = Instance::try_from("side-1").unwrap();
-        let options = AgentOptions { instance, limits: LIMITS, relay: None };
-        let agent = Agent::new(options, clock, leader_client, Client(Rc::clone(&worker)));
+        let (agent, worker, _leader) = agent_without_leader(Answers::RunsUntilStopped).await;
         agent.check_in(check_in(spec(false), 1)).await;
         agent.start();
         wait_listed(&worker).await;
@@ -379,16 +385,7 @@
 fn check_in_another_writer_does_not_replace_the_worker_that_answers() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(LocalSet::new().run_until(async {
-        let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let clock = Clock::start();
-        let leader_client = Rc::new(LeaderClient::new(clock, vec![silent.local_addr().unwrap()]));
-        let (started_at, lists, stops) = (Cell::new(1), Cell::new(0), Cell::new(0));
-        let answers = Answers::Starts;
-        let worker =
-            Rc::new(FakeWorker { answers: answers.into(), clock, started_at, lists, stops });
-        let instance = Instance::try_from("side-1").unwrap();
-        let options = AgentOptions { instance, limits: LIMITS, relay: None };
-        let agent = Agent::new(options, clock, leader_client, Client(Rc::clone(&worker)));
+        let (agent, worker, _leader) = agent_without_leader(Answers::Starts).await;
         let mut foreign = WorkerSpec { incarnation: incarnation(99), ..spec(false) };
         let outcome = agent.check_in(check_in(foreign.clone(), 1)).await;
         assert_eq!(outcome, CheckInOutcome::Foreign, "also before the worker's first check-in");
@@ -409,16 +406,7 @@
 fn check_in_worker_that_is_identified_late_is_taken() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(LocalSet::new().run_until(async {
-        let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let clock = Clock::start();
-        let leader_client = Rc::new(LeaderClient::new(clock, vec![silent.local_addr().unwrap()]));
-        let (started_at, lists, stops) = (Cell::new(1), Cell::new(0), Cell::new(0));
-        let answers = Answers::Silent;
-        let worker =
-            Rc::new(FakeWorker { answers: answers.into(), clock, started_at, lists, stops });
-        let instance = Instance::try_from("side-1").unwrap();
-        let options = AgentOptions { instance, limits: LIMITS, relay: None };
-        let agent = Agent::new(options, clock, leader_client, Client(Rc::clone(&worker)));
+        let (agent, worker, _leader) = agent_without_leader(Answers::Silent).await;
         agent.start();
         assert_eq!(agent.check_in(check_in(spec(false), 1)).await, CheckInOutcome::Unidentified);
         worker.answers.set(Answers::Starts);
