test(agent): an unused name in a test of check-ins

Cause: the set-up of the tests returns the worker, which one of them does not use; clippy of the whole script refused it. Change: the name says so.

--- a/crates/bronzespoold/tests/batch_agent.rs
+++ b/crates/bronzespoold/tests/batch_agent.rs
@@ -385,7 +385,7 @@
 fn check_in_another_writer_does_not_replace_the_worker_that_answers() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(LocalSet::new().run_until(async {
-        let (agent, worker, _leader) = agent_without_leader(Answers::Starts).await;
+        let (agent, _worker, _leader) = agent_without_leader(Answers::Starts).await;
         let mut foreign = WorkerSpec { incarnation: incarnation(99), ..spec(false) };
         let outcome = agent.check_in(check_in(foreign.clone(), 1)).await;
         assert_eq!(outcome, CheckInOutcome::Foreign, "also before the worker's first check-in");
