--- a/crates/bronzespoold/tests/center_drain.rs
+++ b/crates/bronzespoold/tests/center_drain.rs
@@ -287,9 +287,12 @@
         }
     }
     let controls: Vec<_> = cluster.controls().iter().map(|(name, _)| name.clone()).collect();
+    // All before the first one is killed: the others may need it for the last records.
     for name in &controls {
         let file = cluster.data(name).join("snapshot");
         wait_until("each replica has taken a snapshot", async || Ok(file.exists())).await;
+    }
+    for name in &controls {
         cluster.process(name).kill()?;
     }
     for name in &controls {
