feat(log): tell on what ground a run is freed

The line that a worker is gone names no job, so that it is on no trace of one, and neither who said so nor what ran there; workers that end since another one is registered in their place had no line at all; and that a run was not started had none on how its agent knows.

Change: the leader logs each run that is freed with its worker, with the worker that took its place, if any (warning, counter _freed_runs_total); when it takes the word of an agent that its worker is gone; and when no lease of a worker can last any more. An agent logs each run that it reports as not started, with its ground: refused, not listed, leases ended, worker leaving. No decision changes.

--- a/crates/bronzespool-batch/src/agent/call.rs
+++ b/crates/bronzespool-batch/src/agent/call.rs
@@ -86,6 +86,19 @@
     Unknown,
 }
 
+/// Why a run that the leader has assigned counts as not started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotStarted {
+    /// The worker has refused the only start that was sent.
+    Refused,
+    /// The worker has acknowledged a start or a stop, and its next list does not name the run.
+    Unlisted,
+    /// The leases in all starts had ended when the worker made a list that does not name the run.
+    Expired,
+    /// The worker is leaving, and no start was sent.
+    Leaving,
+}
+
 /// The worker's answer to a stop or to a change of pace.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StopOutcome {
--- a/crates/bronzespool-batch/src/agent/mod.rs
+++ b/crates/bronzespool-batch/src/agent/mod.rs
@@ -10,7 +10,8 @@
 
 pub use {
     call::{
-        Action, LastSeen, Limits, ListFailure, ListRequest, Listing, StartOutcome, StopOutcome,
+        Action, LastSeen, Limits, ListFailure, ListRequest, Listing, NotStarted, StartOutcome,
+        StopOutcome,
     },
     lease::{ClockReading, Lease, lease_duration_max},
     reconciler::Reconciler,
--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -10,8 +10,8 @@
     crate::{
         agent::{
             call::{
-                Action, LastSeen, Limits, ListFailure, ListRequest, Listing, StartOutcome,
-                StopOutcome,
+                Action, LastSeen, Limits, ListFailure, ListRequest, Listing, NotStarted,
+                StartOutcome, StopOutcome,
             },
             fence::Fence,
             lease::{ClockReading, lease_duration_max},
@@ -170,6 +170,11 @@
         self.worker.as_ref().map(|w| (w.last_seen(), w.started.len()))
     }
 
+    /// Returns the runs that are reported as not started from now on, and why, each once.
+    pub fn take_not_started(&mut self) -> Vec<(RunId, NotStarted)> {
+        self.worker.as_mut().map(WorkerState::take_settled).unwrap_or_default()
+    }
+
     /// Returns a crash that the leader has to be told of, before it is told of the next incarnation.
     pub fn crash(&self) -> Option<&Crash> {
         self.crashes.first().map(|(crash, _)| crash)
@@ -263,7 +268,7 @@
                 continue;
             }
             if leaving && alone && !worker.started.contains_key(&run) {
-                worker.refused.insert(run);
+                worker.settle_refused(run, NotStarted::Leaving);
                 continue;
             }
             if leaving || worker.doubtful.contains(&run) {
--- a/crates/bronzespool-batch/src/agent/worker.rs
+++ b/crates/bronzespool-batch/src/agent/worker.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        agent::{LastSeen, Limits, ListFailure, lease::Lease, pace::Pacer},
+        agent::{LastSeen, Limits, ListFailure, NotStarted, lease::Lease, pace::Pacer},
         crash::{Crash, CrashedRun},
         id::RunId,
         ledger::{RunEnd, WorkerSpec},
@@ -88,6 +88,8 @@
     /// they count as refused.
     pub(super) doubtful: HashSet<RunId>,
     pub(super) refused: HashSet<RunId>,
+    /// Runs that have been settled as refused since they were last taken from here, and why.
+    settled: Vec<(RunId, NotStarted)>,
     pub(super) list_serial: u64,
     pub(super) pacer: Pacer,
 }
@@ -117,6 +119,7 @@
             started: HashMap::default(),
             doubtful: HashSet::default(),
             refused: HashSet::default(),
+            settled: Vec::new(),
             list_serial: 0,
             pacer: Pacer::default(),
         }
@@ -235,7 +238,9 @@
     /// the run can be carried out, the run will not start.
     pub(super) fn start_refused(&mut self, run: RunId) {
         match self.calls.remove(&run) {
-            Some(CallState::StartInFlight { only: true }) => self.settle_refused(run),
+            Some(CallState::StartInFlight { only: true }) => {
+                self.settle_refused(run, NotStarted::Refused);
+            }
             _ if self.lists(run) => {}
             _ => {
                 self.doubtful.insert(run);
@@ -258,10 +263,18 @@
         }
     }
 
-    fn settle_refused(&mut self, run: RunId) {
+    /// Settles a run as refused: it has not started, and will not.
+    pub(super) fn settle_refused(&mut self, run: RunId, ground: NotStarted) {
         self.started.remove(&run);
         self.doubtful.remove(&run);
-        self.refused.insert(run);
+        if self.refused.insert(run) {
+            self.settled.push((run, ground));
+        }
+    }
+
+    /// Takes the runs that have been settled as refused since the last call.
+    pub(super) fn take_settled(&mut self) -> Vec<(RunId, NotStarted)> {
+        std::mem::take(&mut self.settled)
     }
 
     /// Takes the runs of a list.
@@ -308,7 +321,7 @@
             self.doubtful.iter().copied().filter(|r| has_expired(r) && is_open(r)).collect();
         for run in expired {
             self.calls.remove(&run);
-            self.settle_refused(run);
+            self.settle_refused(run, NotStarted::Expired);
         }
     }
 
@@ -330,7 +343,7 @@
             let call = self.calls.remove(run);
             let is_answered = !matches!(call, Some(CallState::Unanswered(_)));
             if is_answered && !self.lists(*run) && !self.ends_truncated {
-                self.settle_refused(*run);
+                self.settle_refused(*run, NotStarted::Unlisted);
             }
         }
         !runs.is_empty()
--- a/crates/bronzespool-telemetry/src/event/agent.rs
+++ b/crates/bronzespool-telemetry/src/event/agent.rs
@@ -1,6 +1,6 @@
 //! Events of agents.
 
-use bronzespool_batch::{RunId, WorkerIncarnation};
+use bronzespool_batch::{JobId, RunId, WorkerIncarnation, agent::NotStarted};
 
 super::events! {
     /// A check-in was ignored, since it is older than the last one or of an earlier incarnation.
@@ -68,6 +68,18 @@
         /// Incarnation of the worker.
         life: Option<WorkerIncarnation>,
     }
+    /// The agent reports from now on that a run which the leader has assigned has not started.
+    RunNotStarted: Info, Agent, "a run counts as not started" {
+        /// The job.
+        job: JobId,
+        /// The run.
+        run: RunId,
+        /// Incarnation of the worker.
+        life: Option<WorkerIncarnation>,
+        /// How the agent knows: the worker has refused it, does not list it, lists it no more after its
+        /// leases, or is leaving.
+        ground: NotStarted,
+    }
     /// The worker has refused the fencing token, since it has seen a higher one.
     WorkerFenced: Info, Agent, "the worker has seen a newer leader" {
         /// The fencing token that was refused.
--- a/crates/bronzespool-telemetry/src/event/control.rs
+++ b/crates/bronzespool-telemetry/src/event/control.rs
@@ -221,6 +221,41 @@
         /// Whether this is a change.
         verdict: EventOutcome,
     }
+    /// An agent reports that the worker beside it has ended with all its runs: a record of it is
+    /// proposed.
+    WorkerReportedGone: Info, Leader, "an agent says that its worker is gone" {
+        /// Incarnation of the worker.
+        life: WorkerIncarnation,
+        /// The agent beside the worker.
+        agent: Instance,
+        /// Number of runs that the ledger holds on the worker.
+        runs: usize,
+    }
+    /// The leases that the leader has granted to a worker have ended: a record that the worker is gone is
+    /// proposed.
+    WorkerLeasesEnded: Info, Leader, "no lease of a worker can last any more" {
+        /// Incarnation of the worker.
+        life: WorkerIncarnation,
+        /// Number of runs that the ledger holds on the worker.
+        runs: usize,
+        /// Age in milliseconds of the last poll of the agent beside the worker, if there was one in
+        /// this term.
+        heard_ms: Option<u64>,
+    }
+    /// A run was freed without an end that its worker has reported: its task may be started again.
+    RunFreed: Warn, Leader, "a run was freed with its worker" {
+        /// The job.
+        job: JobId,
+        /// The run.
+        run: RunId,
+        /// Incarnation of the worker that held it.
+        life: WorkerIncarnation,
+        /// The worker that has taken the place of this one; otherwise the worker was reported as gone, or
+        /// its leases have ended.
+        successor: Option<WorkerIncarnation>,
+        /// Milliseconds from the decision until it was applied.
+        commit_ms: u64,
+    }
     /// A run was assigned to a worker.
     RunAssigned: Info, Leader, "a run was given to a worker" {
         /// The job.
--- a/crates/bronzespool-telemetry/src/event/log_value.rs
+++ b/crates/bronzespool-telemetry/src/event/log_value.rs
@@ -2,7 +2,8 @@
 
 use {
     bronzespool_batch::{
-        EventOutcome, JobId, Phase, RunId, StepId, TaskId, WorkerIncarnation, ledger::RunOutcome,
+        EventOutcome, JobId, Phase, RunId, StepId, TaskId, WorkerIncarnation, agent::NotStarted,
+        ledger::RunOutcome,
     },
     bronzespool_core::Instance,
     log::kv::Value,
@@ -47,7 +48,7 @@
 
 by_value!(bool, u8, u16, u32, u64, usize, &'static str);
 by_display!(JobId, StepId, TaskId, RunId, WorkerIncarnation, Instance, SocketAddr);
-by_debug!(Phase, EventOutcome, RunOutcome, Vec<SocketAddr>);
+by_debug!(Phase, EventOutcome, RunOutcome, NotStarted, Vec<SocketAddr>);
 
 impl LogValue for String {
     fn log_value(&self) -> Value<'_> {
--- a/crates/bronzespoold/src/batch/agent/mod.rs
+++ b/crates/bronzespoold/src/batch/agent/mod.rs
@@ -198,6 +198,15 @@
         }
     }
 
+    /// Logs the runs that are reported as not started from now on.
+    fn log_not_started(&self) {
+        let mut reconciler = self.reconciler.borrow_mut();
+        for (run, ground) in reconciler.take_not_started() {
+            let life = reconciler.incarnation().cloned();
+            event::RunNotStarted { job: run.task.step.job, run, life, ground }.emit();
+        }
+    }
+
     async fn run_listing(self: Rc<Self>) {
         loop {
             let incarnation = self.reconciler.borrow().incarnation().cloned();
@@ -250,6 +259,7 @@
         let had_departed = self.reconciler.borrow().has_departed();
         let has_news =
             self.reconciler.borrow_mut().receive_listing(self.clock.now(), request, listing);
+        self.log_not_started();
         if had_departed && !self.reconciler.borrow().has_departed() {
             event::WorkerStays { life: request.incarnation.clone() }.emit();
         }
@@ -336,6 +346,7 @@
         self.reconciler.borrow_mut().receive_orders(sent, poll, orders);
         self.last_orders.set(self.clock.now());
         let actions = self.reconciler.borrow_mut().actions(self.clock.now());
+        self.log_not_started();
         for action in actions {
             spawn_local(Rc::clone(self).execute(action));
         }
@@ -377,6 +388,7 @@
                     start.run,
                     outcome,
                 );
+                self.log_not_started();
             }
             Action::Stop { run, incarnation, epoch } => {
                 let outcome = self.worker.stop(&action).await;
--- a/crates/bronzespoold/src/control/batch/decision_log.rs
+++ b/crates/bronzespoold/src/control/batch/decision_log.rs
@@ -6,7 +6,7 @@
         batch::{
             Event, EventOutcome, JobId, Ledger, Phase, Record, RunId, WorkerIncarnation,
             crash::Crash,
-            ledger::{Assignment, Job, RunEnd, RunOutcome, StopCause},
+            ledger::{Assignment, Job, RunEnd, RunOutcome, StopCause, Worker, WorkerSpec},
         },
         core::{HashMap, Instance, Time},
     },
@@ -29,6 +29,8 @@
 pub(super) struct PriorState {
     phases: Vec<(JobId, Phase)>,
     unsaved: HashMap<RunId, UnsavedWork>,
+    /// Runs of the workers that a record may end, by worker.
+    held: Vec<(WorkerIncarnation, Vec<RunId>)>,
 }
 
 /// Work that is lost if a run ends without a newer checkpoint.
@@ -52,10 +54,29 @@
         });
         let unsaved =
             ends.flatten().filter_map(|e| Some((e.run, unsaved_work(ledger, e.run)?))).collect();
-        Self { phases, unsaved }
+        let held = ledger.workers().filter(|w| events.iter().any(|e| may_end(e, w)));
+        let runs_of = |w: &Worker| (w.spec.incarnation.clone(), w.runs.keys().copied().collect());
+        Self { phases, unsaved, held: held.map(runs_of).collect() }
     }
 }
 
+/// Whether an event may end a worker: by its name, or since another one has taken its place.
+fn may_end(event: &Event, worker: &Worker) -> bool {
+    let incarnation = &worker.spec.incarnation;
+    match event {
+        Event::WorkerGone(gone) => gone == incarnation,
+        Event::WorkerUp(spec) => succeeds(spec, worker),
+        _ => false,
+    }
+}
+
+/// Whether a worker that is reported stands where another one stood, or has its name.
+fn succeeds(spec: &WorkerSpec, worker: &Worker) -> bool {
+    let is_same_place =
+        worker.is_beside(&spec.agent) || worker.spec.incarnation.worker == spec.incarnation.worker;
+    is_same_place && worker.spec.incarnation != spec.incarnation
+}
+
 fn unsaved_work(ledger: &Ledger, run: RunId) -> Option<UnsavedWork> {
     let active = ledger.active_run(run)?;
     let weight = ledger.job(run.task.step.job)?.step_spec(run.task.step.step)?.need.weight();
@@ -96,6 +117,7 @@
             log_event(ledger, prior_state, event, *outcome, commit_time, &poll_age);
             self.record_metrics(ledger, prior_state, event);
         }
+        log_freed_runs(ledger, prior_state, record, commit_time);
         for (id, before) in &prior_state.phases {
             let Some(job) = ledger.job(*id) else { continue };
             if before.is_active() && !job.phase.is_active() {
@@ -133,6 +155,39 @@
     }
 }
 
+/// Logs each run that a record has freed together with its worker.
+fn log_freed_runs(
+    ledger: &Ledger,
+    prior_state: &PriorState,
+    record: &Record,
+    commit_time: Duration,
+) {
+    let successor_of = |life: &WorkerIncarnation| {
+        let is_gone = record.events.iter().any(|e| matches!(e, Event::WorkerGone(i) if i == life));
+        let mut ups = record.events.iter().filter_map(|e| match e {
+            Event::WorkerUp(spec) if !is_gone => Some(&spec.incarnation),
+            _ => None,
+        });
+        ups.next().cloned()
+    };
+    for (life, runs) in &prior_state.held {
+        if ledger.worker(life).is_some() {
+            continue;
+        }
+        for run in runs {
+            metrics::counter!("bronzespool_batch_freed_runs_total").increment(1);
+            event::RunFreed {
+                job: run.task.step.job,
+                run: *run,
+                life: life.clone(),
+                successor: successor_of(life),
+                commit_ms: commit_time.as_millis() as u64,
+            }
+            .emit();
+        }
+    }
+}
+
 fn log_job_end(ledger: &Ledger, id: JobId, job: &Job) {
     let took = job.finished.map_or(0, |f| f.since(job.submitted).as_millis() as u64);
     metrics::counter!("bronzespool_batch_jobs_total", "phase" => phase_name(job.phase))
--- a/crates/bronzespoold/src/control/batch/planner.rs
+++ b/crates/bronzespoold/src/control/batch/planner.rs
@@ -84,6 +84,13 @@
             let incarnation = &worker.spec.incarnation;
             if agents.leases_ended(now, incarnation) {
                 agents.forget(incarnation);
+                let heard_at = agents.contacts.heard_at(&worker.spec.agent);
+                event::WorkerLeasesEnded {
+                    life: incarnation.clone(),
+                    runs: worker.runs.len(),
+                    heard_ms: heard_at.map(|at| now.since(at).as_millis() as u64),
+                }
+                .emit();
                 gone.push(Event::WorkerGone(incarnation.clone()));
             }
         }
--- a/crates/bronzespoold/src/control/batch/polls.rs
+++ b/crates/bronzespoold/src/control/batch/polls.rs
@@ -1,9 +1,12 @@
 //! Polls of agents: their reports are committed to the log, and the ledger's orders are returned.
 
 use {
-    crate::control::{
-        batch::{BatchController, agents::WORKER_LEASE, gauges::record_tail_latencies},
-        replica::Result,
+    crate::{
+        control::{
+            batch::{BatchController, agents::WORKER_LEASE, gauges::record_tail_latencies},
+            replica::Result,
+        },
+        telemetry::{Event as _, event},
     },
     bronzespool::{
         batch::{
@@ -36,6 +39,7 @@
         let has_events = !events.is_empty();
         self.revoke_permits(&poll);
         if has_events {
+            self.log_reported_gone(&poll, &events);
             self.propose(events).await?;
         }
         let end = self.clock.now() + ORDERS_WAIT;
@@ -115,6 +119,17 @@
         poll_events(now, state.batch(), &self.agents.borrow().grants, poll)
     }
 
+    /// Logs the workers whose end an agent reports.
+    fn log_reported_gone(&self, poll: &Poll, events: &[Event]) {
+        let state = self.replica.state();
+        for event in events {
+            let Event::WorkerGone(life) = event else { continue };
+            let runs = state.batch().worker(life).map_or(0, |w| w.runs.len());
+            let (life, agent) = (life.clone(), poll.agent.clone());
+            event::WorkerReportedGone { life, agent, runs }.emit();
+        }
+    }
+
     fn orders(&self, poll: &Poll) -> Orders {
         let (state, withdrawals) = (self.replica.state(), self.replica.withdrawals());
         let term = self.replica.status().term;
