fix(agent): a rejected identity request leaves orders on the way in force

What callers saw: after a restart of its agent, a worker that had started again under its name four times was not taken for 7.0 s, and its run lapsed.

Cause: since the agent asks the sender of a check-in who it is, every 50 ms, with its current token. The next process of an agent begins its count of restarts anew, so the worker rejects the token. Orders count if they answer a poll that was sent after the rejection, and each repeated rejection voided those on the way: the leader answers an idle poll when the next one arrives, which a rejection sends.

Change: a token that was rejected is left out until the next orders, as in the requests for lists. A rejected request without a token voids nothing.

--- a/crates/bronzespool-batch/src/agent/fence.rs
+++ b/crates/bronzespool-batch/src/agent/fence.rs
@@ -73,6 +73,11 @@
         is_current
     }
 
+    /// Whether the worker has rejected the current token, and no orders have come since.
+    pub(super) const fn is_rejected(&self) -> bool {
+        self.rejected_at.is_some()
+    }
+
     /// Whether orders of a term count, which answer a poll that was sent at `sent`.
     pub(super) fn admit(&mut self, sent: Time, term: u64) -> bool {
         if term < self.term {
@@ -93,6 +98,6 @@
 
     /// Whether orders of this term are the newest and have not been rejected.
     pub(super) const fn is_current(&self, term: u64) -> bool {
-        term >= self.term && self.rejected_at.is_none()
+        term >= self.term && !self.is_rejected()
     }
 }
--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -85,8 +85,11 @@
     ///
     /// Anyone can send a check-in. Only an answer from the worker's address is evidence that the former
     /// incarnation has ended.
+    ///
+    /// It is repeated until there is an answer. A token that the worker has rejected is left out, since
+    /// each rejection voids the orders on the way that would tell the next one.
     pub fn identity_request(&self, incarnation: &WorkerIncarnation) -> ListRequest {
-        let epoch = Some(self.fence.current_token());
+        let epoch = (!self.fence.is_rejected()).then(|| self.fence.current_token());
         let incarnation = incarnation.clone();
         ListRequest { epoch, cursor: 0, until: None, incarnation, serial: 0 }
     }
--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -286,6 +286,26 @@
     assert_eq!(starts(&a.order(orders(4, vec![start(1)], Vec::new()))), 1);
 }
 
+// A restarted agent asks the sender of a check-in again and again who it is. Each rejection voided the
+// orders that were on the way, so that the agent never learnt the token that the worker accepts.
+#[test]
+fn identity_request_that_is_rejected_again_leaves_orders_on_the_way_in_force() {
+    let mut a = Agent::new();
+    a.order(orders(4, Vec::new(), Vec::new()));
+    let ask_rejected = |a: &mut Agent| {
+        a.now += Duration::from_millis(1);
+        let token = a.reconciler.identity_request(&incarnation(1)).epoch;
+        a.reconciler.fenced(a.now, token);
+        a.now += Duration::from_millis(1);
+    };
+    ask_rejected(&mut a);
+    let (sent, poll) = (a.now, a.poll());
+    ask_rejected(&mut a);
+    a.reconciler.receive_orders(sent, &poll, orders(4, Vec::new(), Vec::new()));
+    let token = a.reconciler.identity_request(&incarnation(1)).epoch;
+    assert_eq!(token, Some((1 << 32) + 4));
+}
+
 #[test]
 fn start_answered_fenced_late_leaves_newer_orders_in_force() {
     let mut a = Agent::new();
