--- a/crates/bronzespool-batch/src/agent/call.rs
+++ b/crates/bronzespool-batch/src/agent/call.rs
@@ -29,7 +29,7 @@
     pub running: Vec<RunStatus>,
     /// Ended runs that the worker may not forget yet.
     pub ends: Vec<RunEnd>,
-    /// Whether the worker may hold more ended runs than the list names.
+    /// Whether the worker may hold runs, most often ended ones, that the list does not name.
     pub truncated: bool,
 }
 
