fix(agent): a list that leaves a run out does not show its end

What callers saw: a run was started on another worker while it ran, if one list after the answer to its start did not name it; and a run that was being stopped, before it had ended.

Cause: an answered start or stop and a list without the run counted as a run that will not start. That is so for a run that the worker has not: a stop or the answer "old" keeps it from starting. But a run of which the worker itself has said that it is there, by its answer or in a list, ends with an end that is listed.

Change: the agent keeps in mind which runs the worker has said to be there, until their ends are recorded or the worker answers "old". A list without such a run settles nothing: the start is repeated after a pause, and a stopped run is awaited as long as one that is still listed. Nor does the refusal of a repeated start settle it, also if an earlier process of the agent has sent the first one.

Evidence: three tests of the agent failed before.

--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -363,7 +363,7 @@
                 worker.note_running(now, run);
                 worker.await_list(run);
             }
-            StartOutcome::Old => worker.await_list(run),
+            StartOutcome::Old => worker.note_old(run),
             StartOutcome::Refused => worker.start_refused(run),
             StartOutcome::Late | StartOutcome::Fenced(_) => worker.start_void(run),
             StartOutcome::Unknown => worker.start_unanswered(run),
--- a/crates/bronzespool-batch/src/agent/worker.rs
+++ b/crates/bronzespool-batch/src/agent/worker.rs
@@ -15,8 +15,8 @@
 /// Time after an acknowledged stop from which the run is stopped again if the worker still lists
 /// it.
 const STOP_RETRY_DELAY: Duration = Duration::from_secs(2);
-/// Pause after a stop that was refused or had no answer. A worker that sheds load refuses at once, so
-/// that the agent would repeat the call without end.
+/// Pause after a stop that was refused or had no answer, and after an answered start whose run is not
+/// listed. The worker answers at once, so that the agent would repeat the call without end.
 const CALL_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Time for which connections are closed or refused before the worker's process counts as ended; two
 /// requests for the list are made in it.
@@ -43,7 +43,8 @@
     /// The worker has acknowledged a stop at this time, but the run may take a while to end. The
     /// serial number is that of the first list that can show the outcome.
     Stopping(u64, Time),
-    /// A stop has failed and is not repeated before this time.
+    /// No call for the run is sent before this time: a stop has failed, or the worker contradicts
+    /// itself.
     Paused(Time),
 }
 
@@ -62,8 +63,8 @@
     pub(super) acknowledged: u64,
     /// The runs that the latest list names, as running or as ended.
     listed: HashSet<RunId>,
-    /// Whether the worker may hold more ended runs than its latest list names.
-    pub(super) ends_truncated: bool,
+    /// Whether the worker may hold runs that its latest list does not name.
+    pub(super) truncated: bool,
     pub(super) has_list: bool,
     /// Whether the leader has given orders for this incarnation.
     pub(super) has_orders: bool,
@@ -73,7 +74,8 @@
     last_seen: LastSeen,
     /// When it was first seen to be closed, if it is.
     closed_at: Time,
-    /// When runs were first known to run.
+    /// When runs were first known to run, until their ends are recorded or the worker says that it
+    /// will not run them.
     running_since: HashMap<RunId, Time>,
     /// Whether another incarnation has answered in its place.
     pub(super) replaced: bool,
@@ -106,7 +108,7 @@
             ends: Vec::new(),
             acknowledged: 0,
             listed: HashSet::default(),
-            ends_truncated: false,
+            truncated: false,
             has_list: false,
             has_orders: false,
             answers: false,
@@ -199,6 +201,18 @@
         self.running_since.get(&run).map(|at| now.since(*at).as_millis() as u64)
     }
 
+    /// Whether the worker has said that a run is there, and not since that it will not run it. Only its
+    /// end shows then that it is not there any more.
+    fn has_run(&self, run: RunId) -> bool {
+        self.running_since.contains_key(&run)
+    }
+
+    /// Takes the worker's answer that a run was stopped or has ended there.
+    pub(super) fn note_old(&mut self, run: RunId) {
+        self.running_since.remove(&run);
+        self.await_list(run);
+    }
+
     fn has_ended(&self, run: RunId) -> bool {
         self.ends.iter().any(|e| e.run == run)
     }
@@ -238,10 +252,10 @@
     /// the run can be carried out, the run will not start.
     pub(super) fn start_refused(&mut self, run: RunId) {
         match self.calls.remove(&run) {
+            _ if self.lists(run) || self.has_run(run) => {}
             Some(CallState::StartInFlight { only: true }) => {
                 self.settle_refused(run, NotStarted::Refused);
             }
-            _ if self.lists(run) => {}
             _ => {
                 self.doubtful.insert(run);
             }
@@ -260,6 +274,7 @@
         for end in self.ends.extract_if(.., |e| e.number <= cursor) {
             self.started.remove(&end.run);
             self.doubtful.remove(&end.run);
+            self.running_since.remove(&end.run);
         }
     }
 
@@ -267,6 +282,7 @@
     pub(super) fn settle_refused(&mut self, run: RunId, ground: NotStarted) {
         self.started.remove(&run);
         self.doubtful.remove(&run);
+        self.running_since.remove(&run);
         if self.refused.insert(run) {
             self.settled.push((run, ground));
         }
@@ -287,12 +303,10 @@
     ) {
         self.note_answer();
         self.listed = running.iter().map(|s| s.run).chain(ends.iter().map(|e| e.run)).collect();
-        let (listed, started) = (&self.listed, &self.started);
-        self.running_since.retain(|run, _| listed.contains(run) || started.contains_key(run));
         for status in &running {
             self.running_since.entry(status.run).or_insert(now);
         }
-        (self.running, self.ends, self.ends_truncated) = (running, ends, truncated);
+        (self.running, self.ends, self.truncated) = (running, ends, truncated);
     }
 
     /// Whether the worker's latest list names the run, as running or as ended.
@@ -316,7 +330,7 @@
     /// because the leases in all starts had ended when the worker made its list at `clock`.
     pub(super) fn settle_expired(&mut self, clock: u64) {
         let has_expired = |run: &RunId| self.started.get(run).is_none_or(|until| *until < clock);
-        let is_open = |run: &RunId| !self.lists(*run) && !self.ends_truncated;
+        let is_open = |run: &RunId| !self.lists(*run) && !self.has_run(*run) && !self.truncated;
         let expired: Vec<RunId> =
             self.doubtful.iter().copied().filter(|r| has_expired(r) && is_open(r)).collect();
         for run in expired {
@@ -329,21 +343,29 @@
     /// any.
     pub(super) fn finish_calls(&mut self, now: Time, serial: u64) -> bool {
         let running: HashSet<RunId> = self.running.iter().map(|s| s.run).collect();
+        // A list that leaves out a run which the worker has said to be there is no evidence of its end.
+        let is_missing = |run: &RunId| !self.lists(*run) && self.has_run(*run);
+        let may_run = |run: &RunId| running.contains(run) || is_missing(run);
         let done = |(run, call): (&RunId, &CallState)| match call {
             CallState::StopInFlight | CallState::StartInFlight { .. } | CallState::Paused(_) => {
                 false
             }
             CallState::Answered(from) | CallState::Unanswered(from) => *from <= serial,
             CallState::Stopping(from, at) => {
-                *from <= serial && (!running.contains(run) || now.since(*at) > STOP_RETRY_DELAY)
+                *from <= serial && (!may_run(run) || now.since(*at) > STOP_RETRY_DELAY)
             }
         };
         let runs: Vec<RunId> = self.calls.iter().filter(|d| done(*d)).map(|(r, _)| *r).collect();
         for run in &runs {
-            let call = self.calls.remove(run);
-            let is_answered = !matches!(call, Some(CallState::Unanswered(_)));
-            if is_answered && !self.lists(*run) && !self.ends_truncated {
-                self.settle_refused(*run, NotStarted::Unlisted);
+            match self.calls.remove(run) {
+                Some(CallState::Unanswered(_)) => {}
+                Some(CallState::Answered(_)) if self.has_run(*run) => {
+                    if !self.lists(*run) {
+                        self.calls.insert(*run, CallState::Paused(now + CALL_RETRY_DELAY));
+                    }
+                }
+                _ if self.lists(*run) || self.truncated => {}
+                _ => self.settle_refused(*run, NotStarted::Unlisted),
             }
         }
         !runs.is_empty()
--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -468,6 +468,49 @@
     assert_eq!(poll.ends, [ended(1, RunOutcome::Done)]);
 }
 
+// A list without a run whose start was answered freed the run, which another worker started.
+#[test]
+fn receive_listing_without_a_run_that_the_worker_has_is_no_refusal() {
+    let mut a = Agent::new();
+    a.outlive_former_calls();
+    a.order(orders(3, vec![start(1)], Vec::new()));
+    a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Present);
+    a.list(Vec::new(), Vec::new());
+    assert!(a.poll().refused.is_empty());
+    a.now += Duration::from_millis(100);
+    a.list(Vec::new(), Vec::new());
+    assert_eq!(starts(&a.order(orders(3, vec![start(1)], Vec::new()))), 1);
+    a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Old);
+    a.list(Vec::new(), Vec::new());
+    assert_eq!(a.poll().refused, [run(1)], "the worker itself says that the run is over");
+}
+
+// The next process of an agent did not know of the start, and took the refusal of another one.
+#[test]
+fn start_answered_refused_for_a_run_that_was_listed_is_not_reported() {
+    let mut a = Agent::new();
+    a.outlive_former_calls();
+    a.list(vec![running(1)], Vec::new());
+    a.list(Vec::new(), Vec::new());
+    assert_eq!(starts(&a.order(orders(3, vec![start(1)], Vec::new()))), 1);
+    a.reconciler.start_answered(a.now, &incarnation(1), run(1), StartOutcome::Refused);
+    assert!(a.poll().refused.is_empty());
+}
+
+// A run that was being stopped was freed by a list without it, before it had ended.
+#[test]
+fn stop_answered_run_that_is_not_listed_meanwhile_is_awaited() {
+    let mut a = Agent::new();
+    a.list(vec![running(1)], Vec::new());
+    a.order(orders(3, Vec::new(), vec![run(1)]));
+    a.reconciler.stop_answered(a.now, &incarnation(1), run(1), StopOutcome::Noted);
+    a.list(Vec::new(), Vec::new());
+    assert_eq!((a.poll().refused.len(), a.poll().in_flight.len()), (0, 1));
+    a.now += Duration::from_millis(2_001);
+    a.list(Vec::new(), Vec::new());
+    assert_eq!(a.poll().refused, [run(1)]);
+}
+
 #[test]
 fn stop_answered_run_that_still_ends_is_not_refused() {
     let mut a = Agent::new();
