fix(agent): an end of a run that is listed as running waits

What callers saw: a run was started on another worker while it ran, if one answer listed it as running and as ended.

Cause: the end counted, whatever the other list said.

Change: a run is in one of both lists. The first end of a run that the same answer lists as running, and the ends after it, count once it is not listed as running any more: ends are acknowledged up to a number, so none may be passed over.

--- a/crates/bronzespool-batch/src/agent/call.rs
+++ b/crates/bronzespool-batch/src/agent/call.rs
@@ -6,6 +6,7 @@
         ledger::RunEnd,
         message::{RunStatus, Start},
     },
+    bronzespool_core::HashSet,
     std::time::Duration,
 };
 
@@ -39,6 +40,18 @@
     pub fn identifies(&self, incarnation: &WorkerIncarnation) -> bool {
         self.started_at.unwrap_or_default() == incarnation.started_at
     }
+
+    /// Leaves out the first end of a run that the list also names as running, and the ends after it: a
+    /// run is in one of both lists, and ends are acknowledged up to a number. They count once the run is
+    /// not listed as running any more.
+    pub(super) fn withhold_contradicted_ends(&mut self) {
+        let running: HashSet<RunId> = self.running.iter().map(|s| s.run).collect();
+        let first = self.ends.iter().position(|e| running.contains(&e.run));
+        if let Some(first) = first {
+            self.ends.truncate(first);
+            self.truncated = true;
+        }
+    }
 }
 
 /// Why a request for the worker's list has no answer.
--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -424,7 +424,12 @@
     }
 
     /// Takes the worker's list. Returns whether there is something new for the leader.
-    pub fn receive_listing(&mut self, now: Time, request: &ListRequest, listing: Listing) -> bool {
+    pub fn receive_listing(
+        &mut self,
+        now: Time,
+        request: &ListRequest,
+        mut listing: Listing,
+    ) -> bool {
         let former_calls_over = self.former_calls_over(now);
         let Some(worker) = self.current_worker(&request.incarnation) else { return false };
         if let Some(started_at) =
@@ -440,6 +445,7 @@
         let is_first = !std::mem::replace(&mut worker.has_list, true);
         worker.lease.read(ClockReading { clock: listing.clock, at: now });
         worker.acknowledged = worker.acknowledged.max(request.cursor);
+        listing.withhold_contradicted_ends();
         let cursor = worker.acknowledged;
         let ends: Vec<RunEnd> = listing.ends.into_iter().filter(|e| e.number > cursor).collect();
         let has_new_ends = ends.len() > worker.ends.len()
--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -511,6 +511,18 @@
     assert_eq!(a.poll().refused, [run(1)]);
 }
 
+// A list named a run as running and as ended, and the run was started elsewhere.
+#[test]
+fn receive_listing_end_of_a_run_that_it_names_as_running_is_none_yet() {
+    let mut a = Agent::new();
+    let second = RunEnd { number: 2, ..ended(9, RunOutcome::Done) };
+    let ends = vec![ended(1, RunOutcome::Stopped), second];
+    a.list(vec![running(1)], ends.clone());
+    assert!(a.poll().ends.is_empty(), "the second is not acknowledged before the first");
+    a.list(Vec::new(), ends.clone());
+    assert_eq!(a.poll().ends, ends);
+}
+
 #[test]
 fn stop_answered_run_that_still_ends_is_not_refused() {
     let mut a = Agent::new();
