--- a/crates/bronzespool-batch/tests/grant.rs
+++ b/crates/bronzespool-batch/tests/grant.rs
@@ -183,3 +183,23 @@
     let much_later = Time::from_secs(107);
     assert_eq!(poll_events(much_later, &cluster.ledger, &grants, &refusal), [refused]);
 }
+
+// Three polls of the agent's former process were late, each a little later than the one before, while the
+// next process, which had started the run, could not reach the leader.
+#[test]
+fn poll_events_refusal_after_late_polls_of_a_former_process_in_a_row_is_ignored() {
+    let cluster = cluster();
+    let worker = cluster.ledger.workers().next().map(|w| w.spec.clone());
+    let mut grants = Grants::default();
+    grants.record(NOW, &incarnation(0), PollId::new(PROCESS, 8));
+    grants.record(NOW, &incarnation(0), PollId::new(OTHER_PROCESS, 1));
+    let late = |n| Poll {
+        refused: vec![run(1, 0, 0, 1)],
+        ..poll(PollId::new(PROCESS, n), worker.clone())
+    };
+    for (at, n) in [(Time::from_millis(100_100), 9), (Time::from_millis(101_100), 10), (LATER, 11)]
+    {
+        assert_eq!(poll_events(at, &cluster.ledger, &grants, &late(n)), []);
+        grants.record(at, &incarnation(0), PollId::new(PROCESS, n));
+    }
+}
