fix(control): late polls of an agent's former process free no run

Callers saw a task run twice at once: a run was given out again while its worker ran it.

Cause: polls of an agent's process that has ended may arrive one after the other, each within 1.2 s of the one before, while the next process cannot be heard. They then counted as contact with the agent, and what they report as not started or gone was taken, though the next process had started it since.

If another process of the agent was answered in the term, the word of a process counts only once the leases of the other one have ended. Until then the leader cannot tell which of the two has ended; after that, nothing that the other one has started runs on. A process alone in its term counts as before. The length of a lease moves to where grants are counted.

--- a/crates/bronzespool-batch/src/grant.rs
+++ b/crates/bronzespool-batch/src/grant.rs
@@ -1,10 +1,17 @@
 //! Leases that the leader has granted, and which reports of an agent are newer than them.
 
 use {
-    crate::{contact::AGENT_TIMEOUT, id::WorkerIncarnation, message::PollId},
+    crate::{
+        agent::lease_duration_max, contact::AGENT_TIMEOUT, id::WorkerIncarnation, message::PollId,
+    },
     bronzespool_core::{HashMap, Time},
+    std::time::Duration,
 };
 
+/// Time for which an agent may extend its worker's leases without hearing from the leader. It is
+/// longer than most network partitions.
+pub const WORKER_LEASE: Duration = Duration::from_millis(8_000);
+
 /// The last grant to a worker incarnation.
 #[derive(Clone, Copy, Debug)]
 struct Grant {
@@ -13,16 +20,22 @@
     poll: PollId,
     /// Since when all grants have gone to this process, with no longer pause than a live one makes.
     contact_since: Time,
-    /// Whether such contact has lasted for as long as a live process may be silent.
+    /// When another process was last answered with a grant; none in a term without another one.
+    other_at: Option<Time>,
+    /// Whether such contact has lasted for as long as a live process may be silent, and no lease of
+    /// another process is left.
     settled: bool,
 }
 
 impl Grant {
     /// Whether this process alone was in contact for as long as a live one may be silent. Polls of a
     /// process that has ended can arrive between those of the next one, and tell nothing of what that
-    /// one has started. A few of them, some time apart, are no contact.
-    fn is_settled(&self, now: Time) -> bool {
-        self.settled || !self.has_paused(now) && now.since(self.contact_since) >= AGENT_TIMEOUT
+    /// one has started. A few of them, some time apart, are no contact. Which of two processes has
+    /// ended is not known, so what the other one has started counts until its leases have ended.
+    fn is_settled(&self, now: Time, lease_max: Duration) -> bool {
+        let other_lasts = self.other_at.is_some_and(|at| now.since(at) <= lease_max);
+        let lasts = !self.has_paused(now) && now.since(self.contact_since) >= AGENT_TIMEOUT;
+        self.settled || lasts && !other_lasts
     }
 
     /// Whether the process was not answered for longer than a live one may be silent.
@@ -32,23 +45,36 @@
 }
 
 /// The grants of one term, by worker incarnation.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Grants {
     grants: HashMap<WorkerIncarnation, Grant>,
+    /// Longest true time that a granted lease lasts.
+    lease_max: Duration,
+}
+
+impl Default for Grants {
+    fn default() -> Self {
+        Self::new(WORKER_LEASE)
+    }
 }
 
 impl Grants {
+    /// Creates grants of leases of this length, of which there is none yet.
+    pub fn new(lease: Duration) -> Self {
+        Self { grants: HashMap::default(), lease_max: lease_duration_max(lease) }
+    }
+
     /// Records that a poll is being answered with orders and a lease for a worker incarnation.
     pub fn record(&mut self, now: Time, incarnation: &WorkerIncarnation, poll: PollId) {
-        let new = Grant { at: now, poll, contact_since: now, settled: false };
+        let new = Grant { at: now, poll, contact_since: now, other_at: None, settled: false };
         let grant = self.grants.entry(incarnation.clone()).or_insert(new);
         if grant.poll.process() != poll.process() {
-            *grant = new;
+            *grant = Grant { other_at: Some(grant.at), ..new };
         }
         if grant.has_paused(now) {
             grant.contact_since = now;
         }
-        grant.settled = grant.is_settled(now);
+        grant.settled = grant.is_settled(now, self.lease_max);
         grant.at = now;
         if poll.follows(grant.poll) {
             grant.poll = poll;
@@ -65,7 +91,7 @@
     /// worker has started since. Unknown before the first grant of a term.
     pub fn precede(&self, now: Time, incarnation: &WorkerIncarnation, poll: PollId) -> bool {
         let grant = self.grants.get(incarnation);
-        grant.is_some_and(|g| poll.follows(g.poll) && g.is_settled(now))
+        grant.is_some_and(|g| poll.follows(g.poll) && g.is_settled(now, self.lease_max))
     }
 
     /// Whether a poll may take runs of the worker incarnation away. Unlike a report of the worker as
@@ -77,7 +103,7 @@
         incarnation: &WorkerIncarnation,
         poll: PollId,
     ) -> bool {
-        let is_last = |g: &Grant| poll == g.poll && g.is_settled(now);
+        let is_last = |g: &Grant| poll == g.poll && g.is_settled(now, self.lease_max);
         self.precede(now, incarnation, poll) || self.grants.get(incarnation).is_some_and(is_last)
     }
 
--- a/crates/bronzespool-batch/tests/grant.rs
+++ b/crates/bronzespool-batch/tests/grant.rs
@@ -5,15 +5,16 @@
 use {
     bronzespool_batch::{
         Event,
+        agent::lease_duration_max,
         contact::Contacts,
         exchange::poll_events,
-        grant::Grants,
+        grant::{Grants, WORKER_LEASE},
         ledger::WorkerSpec,
         message::{Poll, PollId},
     },
     bronzespool_core::{Instance, Time},
     common::{Cluster, incarnation, run, step},
-    std::rc::Rc,
+    std::{rc::Rc, time::Duration},
 };
 
 const NOW: Time = Time::from_secs(100);
@@ -203,3 +204,20 @@
         grants.record(at, &incarnation(0), PollId::new(PROCESS, n));
     }
 }
+
+// The word of an agent's next process was never taken, since the former one had been heard in the term.
+#[test]
+fn poll_events_refusal_of_the_next_process_is_taken_after_the_leases_of_the_former_one() {
+    let cluster = cluster();
+    let worker = cluster.ledger.workers().next().map(|w| w.spec.clone());
+    let mut grants = Grants::default();
+    grants.record(NOW, &incarnation(0), PollId::new(OTHER_PROCESS, 1));
+    let refusal = Poll { refused: vec![run(1, 0, 0, 1)], ..poll(PollId::new(PROCESS, 1), worker) };
+    let leases_end = NOW + lease_duration_max(WORKER_LEASE);
+    for millis in (0..9_000).step_by(400) {
+        let at = NOW + Duration::from_millis(millis);
+        let is_taken = !poll_events(at, &cluster.ledger, &grants, &refusal).is_empty();
+        assert_eq!(is_taken, at > leases_end, "after {millis} ms");
+        grants.record(at, &incarnation(0), PollId::new(PROCESS, 1));
+    }
+}
--- a/crates/bronzespool-batch/tests/model/leader.rs
+++ b/crates/bronzespool-batch/tests/model/leader.rs
@@ -87,7 +87,7 @@
             ledger_digest: None,
             epoch: 1,
             leading_since: now,
-            grants: Grants::default(),
+            grants: Grants::new(scope.lease),
             withdrawals: Withdrawals::default(),
             contact: None,
             proposals: Vec::new(),
@@ -365,7 +365,7 @@
         }
         self.epoch += 1;
         self.leading_since = now;
-        self.grants = Grants::default();
+        self.grants = Grants::new(self.lease);
         self.withdrawals.clear();
         self.contact = None;
         self.waiting.clear();
--- a/crates/bronzespool-bench/src/size/leader.rs
+++ b/crates/bronzespool-bench/src/size/leader.rs
@@ -10,7 +10,7 @@
             Event, JobId, Ledger, Phase, Record, RunId, Withdrawals,
             affected::RecordScope,
             exchange::poll_orders,
-            grant::Grants,
+            grant::{Grants, WORKER_LEASE},
             ledger::StopCause,
             message::{Orders, Poll},
             plan::{ClusterView, Planner, Progress},
@@ -26,8 +26,6 @@
 
 /// Fencing token of the leader.
 const EPOCH: u64 = 1;
-/// Time for which an agent may extend its worker's leases, as the leader of the daemon has it.
-const WORKER_LEASE: Duration = Duration::from_secs(8);
 
 /// A poll that waits for orders.
 #[derive(Clone, Debug)]
--- a/crates/bronzespoold/src/control/batch/agents.rs
+++ b/crates/bronzespoold/src/control/batch/agents.rs
@@ -3,7 +3,10 @@
 use {
     bronzespool::{
         batch::{
-            WorkerIncarnation, agent::lease_duration_max, contact::Contacts, grant::Grants,
+            WorkerIncarnation,
+            agent::lease_duration_max,
+            contact::Contacts,
+            grant::{Grants, WORKER_LEASE},
             message::Poll,
         },
         core::{HashMap, Time},
@@ -11,10 +14,6 @@
     std::{net::SocketAddr, time::Duration},
 };
 
-/// Time for which an agent may extend its worker's leases without hearing from the leader. It is
-/// longer than most network partitions.
-pub(super) const WORKER_LEASE: Duration = Duration::from_millis(8_000);
-
 /// Silence after which a process is no longer offered as a relay for calls to the leader.
 const RELAY_TIMEOUT: Duration = Duration::from_secs(2);
 /// Most relays that are offered at once.
--- a/crates/bronzespoold/src/control/batch/polls.rs
+++ b/crates/bronzespoold/src/control/batch/polls.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         control::{
-            batch::{BatchController, agents::WORKER_LEASE, gauges::record_tail_latencies},
+            batch::{BatchController, gauges::record_tail_latencies},
             replica::Result,
         },
         telemetry::{Event as _, event},
@@ -14,6 +14,7 @@
             contact::Arrival,
             crash::Crash,
             exchange::{poll_events, poll_orders},
+            grant::WORKER_LEASE,
             message::{Orders, Poll, Reply},
         },
         core::{Code, Refusal, Time},
