fix(control): a worker that has just registered is not taken for gone

Operators saw a worker leave and come back right after it had registered, and what was planned for it was planned again; in the log, "no lease of a worker can last any more" of a worker whose agent was heard from 5 ms before.

A lease counts from the last grant, or from the start of the term. A worker that registers has no grant until its agent's poll is answered. A plan whose read barrier is answered in the step that applies the registration runs before that answer, and in a term older than the leases it saw a worker whose leases had all ended.

Now a worker without a grant that the agent beside it names, and is in contact, is about to be granted a lease, so it is not gone.

None of the workers held a run: a record that ends one precedes what is planned in it.

--- a/crates/bronzespool-batch/src/contact.rs
+++ b/crates/bronzespool-batch/src/contact.rs
@@ -74,6 +74,13 @@
         self.contacts.get(agent).is_none_or(|c| c.serial != serial)
     }
 
+    /// Whether the agent beside a worker is in contact and names this incarnation.
+    pub fn is_reported(&self, now: Time, worker: &WorkerSpec) -> bool {
+        let contact = self.contacts.get(&worker.agent).filter(|c| c.is_current(now));
+        let named = contact.and_then(|c| c.poll.worker.as_ref());
+        named.is_some_and(|w| w.incarnation == worker.incarnation)
+    }
+
     /// Returns when an agent was last heard from.
     pub fn heard_at(&self, agent: &Instance) -> Option<Time> {
         self.contacts.get(agent).map(|c| c.heard_at)
--- a/crates/bronzespoold/src/control/batch/agents.rs
+++ b/crates/bronzespoold/src/control/batch/agents.rs
@@ -7,6 +7,7 @@
             agent::lease_duration_max,
             contact::Contacts,
             grant::{Grants, WORKER_LEASE},
+            ledger::WorkerSpec,
             message::Poll,
         },
         core::{HashMap, Time},
@@ -68,10 +69,13 @@
     }
 
     /// Whether every lease of a worker incarnation has certainly ended. A leader of an earlier term
-    /// may have granted a lease until this term began.
-    pub(super) fn leases_ended(&self, now: Time, incarnation: &WorkerIncarnation) -> bool {
-        let last = self.grants.last_at(incarnation).unwrap_or(self.term_start);
-        now.since(last.max(self.term_start)) > lease_duration_max(WORKER_LEASE)
+    /// may have granted a lease until this term began. One whose agent waits for the first answer, as
+    /// after its registration, is about to be granted one.
+    pub(super) fn leases_ended(&self, now: Time, worker: &WorkerSpec) -> bool {
+        let granted_at = self.grants.last_at(&worker.incarnation);
+        let is_awaited = granted_at.is_none() && self.contacts.is_reported(now, worker);
+        let last = granted_at.map_or(self.term_start, |at| at.max(self.term_start));
+        !is_awaited && now.since(last) > lease_duration_max(WORKER_LEASE)
     }
 
     /// Forgets a worker incarnation whose leases have ended.
--- a/crates/bronzespoold/src/control/batch/planner.rs
+++ b/crates/bronzespoold/src/control/batch/planner.rs
@@ -82,7 +82,7 @@
         let mut gone = Vec::new();
         for worker in state.batch().workers() {
             let incarnation = &worker.spec.incarnation;
-            if agents.leases_ended(now, incarnation) {
+            if agents.leases_ended(now, &worker.spec) {
                 agents.forget(incarnation);
                 let heard_at = agents.contacts.heard_at(&worker.spec.agent);
                 event::WorkerLeasesEnded {
