fix(agent): a run that a leaving worker has is stopped, not reported as absent

Cause: of a worker that leaves, a run whose start this process has not sent was reported as not started, also if the worker had said before that it is there and only its latest list does not name it: the agent's former process had started it.

Change: such a run is stopped first, like one whose start had no answer, and so is each one while the worker's list does not name all.

Evidence: receive_orders_run_that_was_listed_is_stopped_on_a_leaving_worker failed before; the 56 tests of the agent pass.

--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -270,7 +270,7 @@
             {
                 continue;
             }
-            if leaving && alone && !worker.started.contains_key(&run) {
+            if leaving && alone && worker.is_absent(run) {
                 worker.settle_refused(run, NotStarted::Leaving);
                 continue;
             }
--- a/crates/bronzespool-batch/src/agent/worker.rs
+++ b/crates/bronzespool-batch/src/agent/worker.rs
@@ -207,6 +207,12 @@
         self.running_since.contains_key(&run)
     }
 
+    /// Whether no start of a run was sent and the worker has never said that it is there, in a list that
+    /// names all.
+    pub(super) fn is_absent(&self, run: RunId) -> bool {
+        !self.started.contains_key(&run) && !self.has_run(run) && !self.truncated
+    }
+
     /// Takes the worker's answer that a run was stopped or has ended there.
     pub(super) fn note_old(&mut self, run: RunId) {
         self.running_since.remove(&run);
--- a/crates/bronzespool-batch/tests/agent.rs
+++ b/crates/bronzespool-batch/tests/agent.rs
@@ -497,6 +497,19 @@
     assert!(a.poll().refused.is_empty());
 }
 
+// A worker that leaves had a run of the agent's former process, and one list did not name it.
+#[test]
+fn receive_orders_run_that_was_listed_is_stopped_on_a_leaving_worker() {
+    let mut a = Agent::new();
+    a.outlive_former_calls();
+    a.list(vec![running(1)], Vec::new());
+    assert!(a.reconciler.check_in(a.now, spec(1, true), 9));
+    a.list(Vec::new(), Vec::new());
+    let actions = a.order(orders(3, vec![start(1)], Vec::new()));
+    assert!(matches!(actions[..], [Action::Stop { .. }]), "{actions:?}");
+    assert!(a.poll().refused.is_empty());
+}
+
 // A run that was being stopped was freed by a list without it, before it had ended.
 #[test]
 fn stop_answered_run_that_is_not_listed_meanwhile_is_awaited() {
