fix(log): only runs without a reported end count as freed with their worker

Cause, by a review: at the restart of a worker under its name its former runs end in the same record as it registers, and were logged as freed. A record that was stale, since another one had ended the worker, logged all runs again.

Change: only applied events of a record count, and a run that another event of it ends is left out. The successor is the worker at the same place or of the same name. A run that was assigned while the record was under way is still not logged: what a record may end is captured when it is proposed.

--- a/crates/bronzespoold/src/control/batch/decision_log.rs
+++ b/crates/bronzespoold/src/control/batch/decision_log.rs
@@ -29,8 +29,15 @@
 pub(super) struct PriorState {
     phases: Vec<(JobId, Phase)>,
     unsaved: HashMap<RunId, UnsavedWork>,
-    /// Runs of the workers that a record may end, by worker.
-    held: Vec<(WorkerIncarnation, Vec<RunId>)>,
+    /// Workers that a record may end.
+    held: Vec<Held>,
+}
+
+/// A worker with its runs.
+struct Held {
+    life: WorkerIncarnation,
+    agent: Instance,
+    runs: Vec<RunId>,
 }
 
 /// Work that is lost if a run ends without a newer checkpoint.
@@ -55,26 +62,32 @@
         let unsaved =
             ends.flatten().filter_map(|e| Some((e.run, unsaved_work(ledger, e.run)?))).collect();
         let held = ledger.workers().filter(|w| events.iter().any(|e| may_end(e, w)));
-        let runs_of = |w: &Worker| (w.spec.incarnation.clone(), w.runs.keys().copied().collect());
-        Self { phases, unsaved, held: held.map(runs_of).collect() }
+        Self { phases, unsaved, held: held.map(Held::from).collect() }
+    }
+}
+
+impl From<&Worker> for Held {
+    fn from(worker: &Worker) -> Self {
+        let WorkerSpec { incarnation, agent, .. } = &worker.spec;
+        let runs = worker.runs.keys().copied().collect();
+        Self { life: incarnation.clone(), agent: agent.clone(), runs }
     }
 }
 
 /// Whether an event may end a worker: by its name, or since another one has taken its place.
 fn may_end(event: &Event, worker: &Worker) -> bool {
-    let incarnation = &worker.spec.incarnation;
+    let life = &worker.spec.incarnation;
     match event {
-        Event::WorkerGone(gone) => gone == incarnation,
-        Event::WorkerUp(spec) => succeeds(spec, worker),
+        Event::WorkerGone(gone) => gone == life,
+        Event::WorkerUp(spec) => succeeds(spec, life, &worker.spec.agent),
         _ => false,
     }
 }
 
 /// Whether a worker that is reported stands where another one stood, or has its name.
-fn succeeds(spec: &WorkerSpec, worker: &Worker) -> bool {
-    let is_same_place =
-        worker.is_beside(&spec.agent) || worker.spec.incarnation.worker == spec.incarnation.worker;
-    is_same_place && worker.spec.incarnation != spec.incarnation
+fn succeeds(spec: &WorkerSpec, life: &WorkerIncarnation, agent: &Instance) -> bool {
+    let is_same_place = spec.agent == *agent || spec.incarnation.worker == life.worker;
+    is_same_place && spec.incarnation != *life
 }
 
 fn unsaved_work(ledger: &Ledger, run: RunId) -> Option<UnsavedWork> {
@@ -117,7 +130,7 @@
             log_event(ledger, prior_state, event, *outcome, commit_time, &poll_age);
             self.record_metrics(ledger, prior_state, event);
         }
-        log_freed_runs(ledger, prior_state, record, commit_time);
+        log_freed_runs(ledger, prior_state, (record, outcomes), commit_time);
         for (id, before) in &prior_state.phases {
             let Some(job) = ledger.job(*id) else { continue };
             if before.is_active() && !job.phase.is_active() {
@@ -155,32 +168,32 @@
     }
 }
 
-/// Logs each run that a record has freed together with its worker.
+/// Logs each run that a record has freed together with its worker. A run whose end the worker has
+/// reported in the same record is none of these.
 fn log_freed_runs(
     ledger: &Ledger,
     prior_state: &PriorState,
-    record: &Record,
+    (record, outcomes): (&Record, &[EventOutcome]),
     commit_time: Duration,
 ) {
-    let successor_of = |life: &WorkerIncarnation| {
-        let is_gone = record.events.iter().any(|e| matches!(e, Event::WorkerGone(i) if i == life));
-        let mut ups = record.events.iter().filter_map(|e| match e {
-            Event::WorkerUp(spec) if !is_gone => Some(&spec.incarnation),
+    let applied = record.events.iter().zip(outcomes).filter(|(_, o)| **o == EventOutcome::Applied);
+    let applied: Vec<&Event> = applied.map(|(event, _)| event).collect();
+    for Held { life, agent, runs } in &prior_state.held {
+        let is_gone = applied.iter().any(|e| matches!(e, Event::WorkerGone(i) if i == life));
+        let successor = applied.iter().find_map(|e| match e {
+            Event::WorkerUp(spec) if succeeds(spec, life, agent) => Some(&spec.incarnation),
             _ => None,
         });
-        ups.next().cloned()
-    };
-    for (life, runs) in &prior_state.held {
-        if ledger.worker(life).is_some() {
+        if ledger.worker(life).is_some() || !is_gone && successor.is_none() {
             continue;
         }
-        for run in runs {
+        for run in runs.iter().filter(|r| !applied.iter().any(|e| settles(e, **r))) {
             metrics::counter!("bronzespool_batch_freed_runs_total").increment(1);
             event::RunFreed {
                 job: run.task.step.job,
                 run: *run,
                 life: life.clone(),
-                successor: successor_of(life),
+                successor: successor.filter(|_| !is_gone).cloned(),
                 commit_ms: commit_time.as_millis() as u64,
             }
             .emit();
@@ -188,6 +201,15 @@
     }
 }
 
+/// Whether an event tells what has become of a run.
+fn settles(event: &Event, run: RunId) -> bool {
+    match event {
+        Event::Ended { ends, .. } => ends.iter().any(|e| e.run == run),
+        Event::Refused { run: refused, .. } => *refused == run,
+        _ => false,
+    }
+}
+
 fn log_job_end(ledger: &Ledger, id: JobId, job: &Job) {
     let took = job.finished.map_or(0, |f| f.since(job.submitted).as_millis() as u64);
     metrics::counter!("bronzespool_batch_jobs_total", "phase" => phase_name(job.phase))
