refactor(agent): crash reports in a module of their own

The reconciler held the list of crashes that the leader has not recorded, and the count of failed reports, beside its own state. No behaviour changes; the tests of agent, agent_crash and crash pass.

--- a/crates/bronzespool-batch/src/agent/mod.rs
+++ b/crates/bronzespool-batch/src/agent/mod.rs
@@ -2,6 +2,7 @@
 //! leader's orders.
 
 mod call;
+mod crash_reports;
 mod fence;
 mod lease;
 mod pace;
--- a/crates/bronzespool-batch/src/agent/reconciler.rs
+++ b/crates/bronzespool-batch/src/agent/reconciler.rs
@@ -13,6 +13,7 @@
                 Action, LastSeen, Limits, ListFailure, ListRequest, Listing, NotStarted,
                 StartOutcome, StopOutcome,
             },
+            crash_reports::CrashReports,
             fence::Fence,
             lease::{ClockReading, lease_duration_max},
             worker::{CallState, WorkerState},
@@ -30,10 +31,6 @@
 /// since.
 const ORDERS_AGE_MAX: Duration = Duration::from_millis(900);
 
-/// Failed reports after which a crash is not reported any more. They outlast an election; a leader of
-/// a former version cannot read a report at all, and each one delays a poll.
-const CRASH_REPORTS_MAX: u32 = 10;
-
 /// State of the agent of one worker.
 #[derive(Clone, Debug)]
 pub struct Reconciler {
@@ -44,8 +41,7 @@
     started_at: Time,
     worker: Option<WorkerState>,
     gone: Vec<WorkerIncarnation>,
-    /// Crashes that the leader has not recorded, each with the number of failed reports.
-    crashes: Vec<(Crash, u32)>,
+    crashes: CrashReports,
     /// Incarnations that were dropped because they were silent or had left.
     dropped: Vec<WorkerIncarnation>,
     orders: Option<ReceivedOrders>,
@@ -72,7 +68,7 @@
             started_at: now,
             worker: None,
             gone: Vec::new(),
-            crashes: Vec::new(),
+            crashes: CrashReports::default(),
             dropped: Vec::new(),
             orders: None,
             dropped_at: Time::ZERO,
@@ -123,7 +119,7 @@
             return false;
         }
         if is_younger {
-            self.crashes.extend(crash.map(|c| (c, 0)));
+            self.crashes.add(crash);
         } else {
             self.note_dropped(old.clone());
         }
@@ -180,24 +176,18 @@
 
     /// Returns a crash that the leader has to be told of, before it is told of the next incarnation.
     pub fn crash(&self) -> Option<&Crash> {
-        self.crashes.first().map(|(crash, _)| crash)
+        self.crashes.next()
     }
 
     /// Notes that the leader has recorded the crash of an incarnation.
     pub fn crash_reported(&mut self, incarnation: &WorkerIncarnation) {
-        self.crashes.retain(|(c, _)| c.incarnation != *incarnation);
+        self.crashes.reported(incarnation);
     }
 
     /// Notes that the leader could not be told of the crash of an incarnation. Returns whether it
     /// will be told again.
     pub fn crash_unreported(&mut self, incarnation: &WorkerIncarnation) -> bool {
-        let before = self.crashes.len();
-        for (_, attempts) in self.crashes.iter_mut().filter(|(c, _)| c.incarnation == *incarnation)
-        {
-            *attempts += 1;
-        }
-        self.crashes.retain(|(_, attempts)| *attempts < CRASH_REPORTS_MAX);
-        self.crashes.len() == before
+        self.crashes.unreported(incarnation)
     }
 
     /// Returns the report for the leader. `position` counts the polls of this process.
@@ -482,7 +472,7 @@
             return false;
         }
         if let Some(worker) = self.worker.take() {
-            self.crashes.extend(worker.crash(now).map(|c| (c, 0)));
+            self.crashes.add(worker.crash(now));
             self.note_dropped(worker.spec.incarnation.clone());
             self.gone.push(worker.spec.incarnation);
         }
