test(batch): a late poll with a gone worker that looks younger ends no worker

Needs a clock that was set back between two workers of different names, and a poll of the agent's former process that is held up; not seen with processes.

--- a/crates/bronzespool-batch/tests/foreign_agent.rs
+++ b/crates/bronzespool-batch/tests/foreign_agent.rs
@@ -4,7 +4,7 @@
 
 use {
     bronzespool_batch::{
-        Event, Withdrawals,
+        Event, Record, Withdrawals,
         exchange::{poll_events, poll_orders},
         grant::Grants,
         ledger::WorkerSpec,
@@ -89,3 +89,17 @@
     assert_eq!(report("another-service"), []);
     assert_eq!(report("desk"), []);
 }
+
+// A late poll of an agent's former process named a worker that had ended, and that looked younger since a
+// clock was set back: the runs of the present worker, which went on, were given out again.
+#[test]
+fn poll_events_late_poll_with_a_gone_worker_that_looks_younger_ends_no_worker() {
+    let mut cluster = cluster();
+    let mut gone = spec(&cluster);
+    gone.incarnation.worker = "gone".into();
+    gone.incarnation.started_at = u64::MAX;
+    let late = Poll { id: PollId::new(3, 9), worker: Some(gone), ..poll(0) };
+    let events = poll_events(NOW, &cluster.ledger, &grants(), &late);
+    cluster.ledger.apply(&Record { at: NOW, events });
+    assert!(cluster.ledger.worker(&incarnation(0)).is_some_and(|w| !w.runs.is_empty()));
+}
