--- a/crates/bronzespool-telemetry/src/event/worker.rs
+++ b/crates/bronzespool-telemetry/src/event/worker.rs
@@ -77,7 +77,8 @@
         /// The error.
         error: String,
     }
-    /// A worker reports an end of an unknown kind, which counts as stopped.
+    /// A worker reports an end of an unknown kind, which is ignored: another client of the worker may have
+    /// made it.
     EndUnknown: Warn, Agent, "a worker lists an end of an unknown kind" {
         /// The task.
         task: String,
