Review: show that a task suspected of crashes blocks its worker

A worker with the only copy of a label crashes twice under a long-running task of one accelerator. Afterwards a small job with this label is accepted and never started, although 7 of 8 accelerators there are free.

--- /dev/null
+++ b/review/standin-2/cases.rs
@@ -0,0 +1,207 @@
+//! The cases.
+
+use {
+    crate::{
+        cluster::{Cluster, Route, Team, cannot_run},
+        record::Record,
+    },
+    std::{
+        path::Path,
+        thread::sleep,
+        time::{Duration, Instant},
+    },
+};
+
+/// Plays a case, with or without the disruption. Returns whether the rule held.
+type Case = fn(&Path, Record, bool) -> bool;
+
+pub fn find(name: &str) -> Option<Case> {
+    match name {
+        "6" => Some(blocked_by_suspect),
+        "7" => Some(failed_without_cause),
+        "8" => Some(guarantee_behind_quarantine),
+        "9" => Some(budget_of_new_tasks),
+        _ => None,
+    }
+}
+
+const MIDDLE: Route = Route { prefix: "middle", priority: 1, attempts: 3 };
+const FIRST: Route = Route { prefix: "first", priority: 0, attempts: 3 };
+const LAST: Route = Route { prefix: "last", priority: 2, attempts: 3 };
+const OWNER: Team = Team { key: "key-owner", gpu: 24 };
+const OTHER: Team = Team { key: "key-other", gpu: 0 };
+/// `finish_s`.
+const FINISH: Duration = Duration::from_secs(14);
+/// Time without anything running after which a job counts as lost.
+const IDLE: Duration = Duration::from_secs(3);
+/// `reclaim_ms`.
+const RECLAIM: Duration = Duration::from_millis(3_400);
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+/// Lets the worker that holds the only run of a job crash, and brings it back after a while.
+fn crash_holder(cluster: &mut Cluster, job: u64, down: Duration) {
+    let Some((holder, ..)) = cluster.running(job).first().cloned() else {
+        cannot_run("the job does not run")
+    };
+    cluster.workers[holder].crash();
+    sleep(down);
+    cluster.workers[holder].start();
+}
+
+/// One worker has a label. A lasting task with this label uses one of its eight accelerators, and the
+/// worker crashes twice. A small job with the label has to start there all the same.
+fn blocked_by_suspect(root: &Path, record: Record, trouble: bool) -> bool {
+    const LASTING: u64 = 0x11;
+    const SMALL: u64 = 0x12;
+    let a1: &[&str] = &["a", "r1-1"];
+    let a2: &[&str] = &["a", "r1-2"];
+    let workers = [&["b", "r1-1"], a1, a1, a1, a2, a2, a2];
+    let mut cluster = Cluster::start(root, record, &workers);
+    cluster.configure(1, &[MIDDLE], &[OTHER]);
+    let step = r#"[{"count":1,"cpu":4000,"mem_mb":1000,"gpu":1,"estimate_ms":1000,"constraints":"b","long_running":true}]"#;
+    cluster.submit(OTHER.key, MIDDLE.prefix, LASTING, "long=500", step);
+    for _ in 0..2 {
+        let is_at_work = || cluster.running(LASTING).iter().any(|(.., percent)| *percent == 100);
+        cluster.wait("the lasting task at work", seconds(20), is_at_work);
+        sleep(seconds(2));
+        if trouble {
+            crash_holder(&mut cluster, LASTING, seconds(2));
+        }
+    }
+    let is_at_work = || cluster.running(LASTING).iter().any(|(.., percent)| *percent == 100);
+    cluster.wait("the lasting task at work", seconds(20), is_at_work);
+    // Calm, for longer than `contact_ms`.
+    sleep(seconds(8));
+    let step = r#"[{"count":1,"cpu":4000,"mem_mb":1000,"gpu":1,"estimate_ms":1000,"constraints":"b"}]"#;
+    cluster.submit(OTHER.key, MIDDLE.prefix, SMALL, "ms=1000", step);
+    let first_start = format!("{SMALL:016x}.0.0.0 run 1 starts");
+    let acked = Instant::now();
+    cluster.comes(FINISH + IDLE, || cluster.record.count(&first_start) > 0);
+    let state = cluster.state(OTHER.key, MIDDLE.prefix, SMALL);
+    let begun = cluster.record.count(&first_start) > 0;
+    cluster.record.line(&format!(
+        "check: {} s after its ack the small job is {state}, begun: {begun}; in use are {} tasks of \
+         one accelerator of 56",
+        acked.elapsed().as_secs(),
+        cluster.running(LASTING).len()
+    ));
+    begun
+}
+
+/// The worker under the only task of a job crashes, and so does the one on which it starts next. The
+/// task itself is sound, and no run of it ends as failed.
+fn failed_without_cause(root: &Path, record: Record, trouble: bool) -> bool {
+    const JOB: u64 = 0x21;
+    let (r1, r2): (&[&str], &[&str]) = (&["a", "r1-1"], &["a", "r1-2"]);
+    let mut cluster = Cluster::start(root, record, &[r1, r1, r1, r1, r2, r2, r2]);
+    cluster.configure(1, &[MIDDLE], &[OTHER]);
+    let step = r#"[{"count":1,"cpu":26000,"mem_mb":64000,"gpu":8,"estimate_ms":11000}]"#;
+    cluster.submit(OTHER.key, MIDDLE.prefix, JOB, "ms=11000", step);
+    for _ in 0..2 {
+        cluster.wait("a run of the job", seconds(20), || !cluster.running(JOB).is_empty());
+        sleep(seconds(4));
+        if trouble {
+            crash_holder(&mut cluster, JOB, seconds(2));
+        }
+    }
+    let is_over = || {
+        sleep(Duration::from_millis(500));
+        let state = cluster.state(OTHER.key, MIDDLE.prefix, JOB);
+        ["completed", "failed", "cancelled"].contains(&&*state)
+    };
+    cluster.comes(seconds(40), is_over);
+    let state = cluster.state(OTHER.key, MIDDLE.prefix, JOB);
+    let failed = cluster.record.count("ends failed");
+    cluster.record.line(&format!("check: the job is {state}, {failed} of its runs ended as failed"));
+    state != "failed" || failed >= MIDDLE.attempts as usize
+}
+
+/// Two of four workers hold a small lasting task each, and fail hopeless tasks. Long after that, a
+/// team claims what it is guaranteed.
+fn guarantee_behind_quarantine(root: &Path, record: Record, trouble: bool) -> bool {
+    const LASTING: u64 = 0x31;
+    const SOUND: u64 = 0x100;
+    const HOPELESS: u64 = 0x41;
+    const CLAIM: u64 = 0x51;
+    let (r1, r2): (&[&str], &[&str]) = (&["a", "r1-1"], &["a", "r1-2"]);
+    let cluster = Cluster::start(root, record, &[r1, r1, r2, r2]);
+    cluster.configure(1, &[FIRST, LAST], &[OWNER, OTHER]);
+    let step = r#"[{"count":2,"cpu":4000,"mem_mb":1000,"gpu":1,"estimate_ms":1000,"anti_affinity":1,"long_running":true}]"#;
+    cluster.submit(OTHER.key, LAST.prefix, LASTING, "long=500", step);
+    let at_work = || cluster.running(LASTING).iter().filter(|(.., p)| *p == 100).count() == 2;
+    cluster.wait("the lasting tasks at work", seconds(20), at_work);
+    let step = r#"[{"count":1,"cpu":4000,"mem_mb":1000,"gpu":1,"estimate_ms":1000}]"#;
+    let states = |job, wanted: &str| {
+        sleep(Duration::from_millis(250));
+        cluster.state(OTHER.key, LAST.prefix, job) == wanted
+    };
+    // Two of 42 jobs are hopeless.
+    for job in SOUND..SOUND + 40 {
+        cluster.submit(OTHER.key, LAST.prefix, job, "ms=100", step);
+    }
+    cluster.wait("the end of the sound jobs", seconds(30), || states(SOUND + 39, "completed"));
+    for job in HOPELESS..HOPELESS + 2 {
+        let text = if trouble { "fail=150" } else { "ms=150" };
+        cluster.submit(OTHER.key, LAST.prefix, job, text, step);
+        let wanted = if trouble { "failed" } else { "completed" };
+        cluster.wait("the end of a job", seconds(30), || states(job, wanted));
+    }
+    // Calm, for longer than any suspicion against a worker lasts.
+    sleep(seconds(20));
+    let step = r#"[{"count":3,"cpu":26000,"mem_mb":64000,"gpu":8,"estimate_ms":11000,"long_running":true}]"#;
+    cluster.submit(OWNER.key, FIRST.prefix, CLAIM, "long=500", step);
+    let acked = Instant::now();
+    let begun = || cluster.record.count(&format!("{CLAIM:016x}.0.0.")) >= 3;
+    let in_time = cluster.comes(RECLAIM, begun);
+    cluster.record.line(&format!(
+        "check: {} ms after its ack {} of 3 tasks of the guaranteed job have begun",
+        acked.elapsed().as_millis(),
+        cluster.running(CLAIM).len()
+    ));
+    if in_time {
+        return true;
+    }
+    cluster.comes(seconds(15), begun);
+    cluster.record.line(&format!(
+        "check: {} ms after its ack {} of 3 tasks of the guaranteed job have begun",
+        acked.elapsed().as_millis(),
+        cluster.running(CLAIM).len()
+    ));
+    in_time
+}
+
+/// A guaranteed job comes just after the tasks of a service have come to work, or a while later. The
+/// service bears that one of its tasks is away.
+fn budget_of_new_tasks(root: &Path, record: Record, trouble: bool) -> bool {
+    const BORROWED: u64 = 0x61;
+    const LASTING: u64 = 0x71;
+    const CLAIM: u64 = 0x81;
+    let (r1, r2): (&[&str], &[&str]) = (&["a", "r1-1"], &["a", "r1-2"]);
+    let cluster = Cluster::start(root, record, &[r1, r1, r1, r2, r2]);
+    cluster.configure(1, &[FIRST, LAST], &[OWNER, OTHER]);
+    let step = r#"[{"count":2,"cpu":26000,"mem_mb":64000,"gpu":8,"estimate_ms":60000}]"#;
+    cluster.submit(OTHER.key, LAST.prefix, BORROWED, "ms=60000", step);
+    cluster.wait("the borrowed tasks", seconds(20), || cluster.running(BORROWED).len() == 2);
+    sleep(seconds(8));
+    let step = r#"[{"count":3,"cpu":26000,"mem_mb":64000,"gpu":8,"estimate_ms":1000,"long_running":true,"may_miss":1}]"#;
+    cluster.submit(OTHER.key, LAST.prefix, LASTING, "long=2000", step);
+    let at_work = || cluster.running(LASTING).iter().filter(|(.., p)| *p == 100).count() == 3;
+    cluster.wait("the lasting tasks at work", seconds(20), at_work);
+    if !trouble {
+        sleep(seconds(3));
+    }
+    let step = r#"[{"count":2,"cpu":26000,"mem_mb":64000,"gpu":8,"estimate_ms":11000}]"#;
+    cluster.submit(OWNER.key, FIRST.prefix, CLAIM, "ms=11000", step);
+    sleep(seconds(4));
+    let begun = cluster.record.count(&format!("{CLAIM:016x}.0.0."));
+    cluster.record.line(&format!("check: {begun} of 2 tasks of the guaranteed job have begun"));
+    let stops = (0..3)
+        .map(|i| cluster.record.count(&format!("stop of {LASTING:016x}.0.0.{i} run 1 at 100 %")))
+        .filter(|count| *count > 0)
+        .count();
+    cluster.record.line(&format!("check: {stops} lasting tasks at work were stopped at once"));
+    stops <= 1
+}
