Review: show that workers which advice allows are never asked for

With 36 idle workers, of which the advice service allows two, a job is accepted and never started: each question names the same 30 workers. The case takes number 8; the cases on a guarantee and on a budget of unavailable tasks move to 9 and 10, after the graver ones.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -19,17 +19,20 @@
     match name {
         "6" => Some(blocked_by_suspect),
         "7" => Some(failed_without_cause),
-        "8" => Some(guarantee_behind_quarantine),
-        "9" => Some(budget_of_new_tasks),
+        "8" => Some(allowed_worker_not_asked_for),
+        "9" => Some(guarantee_behind_quarantine),
+        "10" => Some(budget_of_new_tasks),
         _ => None,
     }
 }
 
-const MIDDLE: Route = Route { prefix: "middle", priority: 1, attempts: 3 };
-const FIRST: Route = Route { prefix: "first", priority: 0, attempts: 3 };
-const LAST: Route = Route { prefix: "last", priority: 2, attempts: 3 };
+const MIDDLE: Route = Route { prefix: "middle", priority: 1, attempts: 3, advice: false };
+const FIRST: Route = Route { prefix: "first", priority: 0, attempts: 3, advice: false };
+const LAST: Route = Route { prefix: "last", priority: 2, attempts: 3, advice: false };
+const ADVISED: Route = Route { prefix: "advised", priority: 1, attempts: 3, advice: true };
 const OWNER: Team = Team { key: "key-owner", gpu: 24 };
 const OTHER: Team = Team { key: "key-other", gpu: 0 };
+const RACKS: [&[&str]; 3] = [&["a", "r1-1"], &["a", "r1-2"], &["a", "r1-3"]];
 /// `finish_s`.
 const FINISH: Duration = Duration::from_secs(14);
 /// Time without anything running after which a job counts as lost.
@@ -205,3 +208,28 @@
     cluster.record.line(&format!("check: {stops} lasting tasks at work were stopped at once"));
     stops <= 1
 }
+
+/// Of 36 idle workers, the advice service allows two.
+fn allowed_worker_not_asked_for(root: &Path, record: Record, trouble: bool) -> bool {
+    const JOB: u64 = 0x91;
+    let labels: Vec<&[&str]> = (0..36).map(|i| RACKS[i / 12]).collect();
+    let cluster = Cluster::start(root, record, &labels);
+    let allows = if trouble { |w: &str| w > "w-34" } else { |_: &str| true };
+    let _advice = cluster.start_advice(allows);
+    cluster.configure(1, &[ADVISED], &[OTHER]);
+    // All workers have checked in by then.
+    sleep(seconds(6));
+    let step = r#"[{"count":1,"cpu":4000,"mem_mb":1000,"gpu":1,"estimate_ms":1000}]"#;
+    cluster.submit(OTHER.key, ADVISED.prefix, JOB, "ms=1000 ticket", step);
+    let acked = Instant::now();
+    let first_start = format!("{JOB:016x}.0.0.0 run 1 starts");
+    let has_begun = || cluster.record.count(&first_start) > 0;
+    cluster.comes(FINISH + IDLE, has_begun);
+    let state = cluster.state(OTHER.key, ADVISED.prefix, JOB);
+    cluster.record.line(&format!(
+        "check: {} s after its ack the job is {state}, begun: {}; all 36 workers are idle",
+        acked.elapsed().as_secs(),
+        has_begun()
+    ));
+    has_begun()
+}
--- a/review/standin-2/cluster.rs
+++ b/review/standin-2/cluster.rs
@@ -3,16 +3,17 @@
 
 use {
     crate::{
-        http::{Answer, call},
+        http::{Answer, Request, Server, call},
         json::{Json, quote},
         record::Record,
-        worker::{Host, LEASE_MAX, Worker},
+        worker::{Host, LEASE_MAX, Worker, ticket},
     },
     std::{
         fs,
         net::{SocketAddr, TcpListener},
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
+        sync::Mutex,
         thread,
         time::{Duration, Instant},
     },
@@ -26,6 +27,7 @@
 const CONTROL_PORT: u16 = 8_002;
 const APP_PORT: u16 = 8_003;
 const SERVICES_PORT: u16 = 8_004;
+const SERVICES_OCTET: u8 = 200;
 /// Time after which a case gives up; it ends within two minutes then.
 const CASE_TIME: Duration = Duration::from_secs(95);
 /// Time that a caller waits for an answer, and until it tries again.
@@ -83,6 +85,8 @@
     pub prefix: &'static str,
     pub priority: u32,
     pub attempts: u32,
+    /// Whether an advice service allows only some workers.
+    pub advice: bool,
 }
 
 /// A team of the config, with its key and the GPUs that it is guaranteed.
@@ -128,7 +132,7 @@
             let octet = 21 + i as u8;
             agents.push(starter.process("side", octet, "side"));
             let host = Host {
-                id: format!("w-{}", i + 1),
+                id: format!("w-{:02}", i + 1),
                 service: SERVICE.into(),
                 address: address(&base, octet, APP_PORT),
                 control: address(&base, octet, CONTROL_PORT),
@@ -147,10 +151,14 @@
     /// Sends a config until it is acknowledged.
     pub fn configure(&self, version: u64, routes: &[Route], teams: &[Team]) {
         let route = |r: &Route| {
+            let advice = match r.advice {
+                true => ",\"advice\":{\"decision_ms\":20,\"per_worker_ms\":1,\"validity_ms\":5000}",
+                false => "",
+            };
             format!(
                 "{{\"name\":\"r-{0}\",\"host\":\"{HOST}\",\"path_prefix\":\"/{0}/\",\"kind\":\
                  \"non_idempotent\",\"timeout_ms\":3000,\"target_latency_ms\":1000,\"priority\":{1},\
-                 \"service\":\"{SERVICE}\",\"attempts\":{2},\"slack_factor\":3.0,\"public\":false}}",
+                 \"service\":\"{SERVICE}\",\"attempts\":{2},\"slack_factor\":3.0,\"public\":false{advice}}}",
                 r.prefix, r.priority, r.attempts
             )
         };
@@ -218,6 +226,32 @@
         state
     }
 
+    /// Starts the advice service, which allows the workers that `allows` names. It handles one call at
+    /// a time.
+    pub fn start_advice(&self, allows: fn(&str) -> bool) -> Server {
+        let record = self.record.clone();
+        let turn = Mutex::new(());
+        let handle = move |request: &Request| {
+            let body = Json::parse(&request.body)?;
+            let Some(Json::List(workers)) = body.get("workers") else { return None };
+            let step = body.text("step")?.to_owned();
+            let _turn = turn.lock().unwrap();
+            thread::sleep(Duration::from_millis(20 + workers.len() as u64));
+            let mut rows = Vec::new();
+            for worker in workers {
+                let Json::Text(worker) = worker else { return None };
+                if allows(worker) {
+                    rows.push(format!("[{},{}]", quote(worker), quote(&ticket(&step, worker))));
+                }
+            }
+            let text = format!("advice: {step} on {} workers, {} allowed", workers.len(), rows.len());
+            record.line(&text);
+            Some((200, format!("{{\"allowed\":[{}],\"validity_ms\":5000}}", rows.join(","))))
+        };
+        Server::start(address(&self.base, SERVICES_OCTET, SERVICES_PORT), handle)
+            .unwrap_or_else(|error| cannot_run(&error.to_string()))
+    }
+
     /// Returns where the tasks of a job run: worker, task, run and percentage.
     pub fn running(&self, job: u64) -> Vec<(usize, String, u32, u64)> {
         let name = format!("{job:016x}.");
@@ -298,14 +332,14 @@
             }
             _ => "null".into(),
         };
-        let services = address(self.base, 200, SERVICES_PORT);
+        let services = address(self.base, SERVICES_OCTET, SERVICES_PORT);
         let settings = format!(
             "{{\"node\":\"{node}\",\"role\":\"{class}\",\"machine_class\":\"{class}\",\"serves\":\
              [\"{serves}\"],\"ip\":\"{}\",\"zone\":\"z1\",\"region\":\"r1\",\"zones\":{{\"z1\":\"r1\"}},\
              \"listen\":{{\"front\":\"{}\",\"ready\":\"{}\",\"control\":\"{}\"}},\"internal_ports\":\
              [{INTERNAL_PORT},{}],\"seeds\":[{}],\"bootstrap\":true,\"in_tolerance\":false,\
              \"data_dir\":{data_dir},\"app\":\"{}\",\"service\":\"{SERVICE}\",\"heartbeat_ms\":1500,\
-             \"config_mode\":\"highest\",\"command_mode\":\"invoke\",\"advice\":null,\"cloud\":\
+             \"config_mode\":\"highest\",\"command_mode\":\"invoke\",\"advice\":\"{services}\",\"cloud\":\
              {{\"address\":\"{services}\",\"rate_per_s\":60.0,\"duties\":[],\"duty_per_s\":60.0}},\
              \"bounds\":{{\"max_hold_ms\":{LEASE_MAX},\"grace_s\":6,\"stop_timeout_ms\":900,\
              \"contact_ms\":3000,\"visible_ms\":3000,\"cancel_ms\":3000,\"finish_s\":14,\
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -3,6 +3,7 @@
 //! - `ms=N`: it is done after N milliseconds.
 //! - `fail=N`: it fails after N milliseconds.
 //! - `long=N`: it lasts, and is at work N milliseconds after its start.
+//! - `ticket`: its queue has an advice service, and a start needs that service's ticket.
 
 use {
     crate::{
@@ -44,6 +45,11 @@
     pub gpu: u64,
 }
 
+/// Returns the advice service's ticket for the work units of a step on a worker.
+pub fn ticket(step: &str, worker: &str) -> String {
+    format!("ticket-{step}-{worker}")
+}
+
 #[derive(Clone, Debug)]
 struct Run {
     run: u32,
@@ -178,6 +184,11 @@
             return self.rejection("old");
         }
         let spec = body.text("spec").unwrap_or("").to_owned();
+        let step = task.rsplit_once('.').map_or("", |(step, _)| step);
+        let needs_ticket = spec.split(' ').any(|word| word == "ticket");
+        if needs_ticket && body.text("ticket") != Some(&*ticket(step, &self.host.id)) {
+            return self.rejection("ticket");
+        }
         self.record.line(&format!("{}: {task} run {run} starts", self.host.id));
         let run = Run { run, begun: Instant::now(), spec, stop_at: None };
         state.running.insert(task.to_owned(), run);
