Review: show that the count of pending jobs leaves out those not begun

While the only worker with a label rejects all starts for 6.5 s, six accepted jobs with this label have not begun, and the queue's count of pending jobs is 0: a job counts as running once a run is assigned.

--- a/review/standin-2/cluster.rs
+++ b/review/standin-2/cluster.rs
@@ -226,6 +226,15 @@
         state
     }
 
+    /// Returns the number of a queue's jobs that have not begun, as a client reads it.
+    pub fn pending(&self, key: &str, prefix: &str) -> Option<u64> {
+        let path = format!("/{prefix}/");
+        let answer = self.call(key, "GET", &path, "");
+        self.record.line(&format!("client: GET {path} is answered with {answer:?}"));
+        let (status, body) = answer?;
+        Json::parse(&body)?.number("pending").filter(|_| status == 200)
+    }
+
     /// Starts the advice service, which allows the workers that `allows` names. It handles one call at
     /// a time.
     pub fn start_advice(&self, allows: fn(&str) -> bool) -> Server {
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -90,6 +90,8 @@
     host: Host,
     begun: Instant,
     up: AtomicBool,
+    /// Whether it is unhealthy: it rejects all starts and does nothing for them.
+    sheds: AtomicBool,
     state: Mutex<State>,
     record: Record,
 }
@@ -153,6 +155,11 @@
         }
         match request.path.as_str() {
             "/-/hold" => Some(self.hold(&body)),
+            "/-/run-start" if self.sheds.load(Ordering::SeqCst) => {
+                let task = body.text("task").unwrap_or("");
+                self.record.line(&format!("{}: start of {task} is answered with 503", self.host.id));
+                Some((503, format!("{{\"clock_ms\":{}}}", self.clock())))
+            }
             "/-/run-start" => Some(self.start(&body)),
             "/-/run-stop" => Some(self.stop(&body)),
             "/-/pace" => Some((200, format!("{{\"clock_ms\":{}}}", self.clock()))),
@@ -298,6 +305,7 @@
             host: self.host.clone(),
             begun: Instant::now(),
             up: AtomicBool::new(true),
+            sheds: AtomicBool::new(false),
             state: Mutex::new(state),
             record: self.record.clone(),
         });
@@ -322,6 +330,14 @@
         self.boot = Some((boot, server));
     }
 
+    /// Lets the worker be unhealthy, or healthy again.
+    pub fn shed(&self, sheds: bool) {
+        if let Some((boot, _)) = &self.boot {
+            self.record.line(&format!("{}: rejects starts: {sheds}", self.host.id));
+            boot.sheds.store(sheds, Ordering::SeqCst);
+        }
+    }
+
     /// Lets the worker crash with all that it runs. It tells nobody.
     pub fn crash(&mut self) {
         let held: Vec<String> = self.running().into_iter().map(|(task, ..)| task).collect();
