Review: a task that no worker has begun fails by crashes; restore the budget case

Case 7 showed a job that fails after two workers have crashed under its task. In its place, a job is shown as failed though no worker ever began its task: two starts got no answer, and the workers crashed before they had carried them out.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -7,6 +7,7 @@
     },
     std::{
         path::Path,
+        sync::atomic::Ordering,
         thread::sleep,
         time::{Duration, Instant},
     },
@@ -18,10 +19,10 @@
 pub fn find(name: &str) -> Option<Case> {
     match name {
         "6" => Some(blocked_by_suspect),
-        "7" => Some(failed_without_cause),
+        "7" => Some(failed_before_its_start),
         "8" => Some(allowed_worker_not_asked_for),
         "9" => Some(guarantee_behind_quarantine),
-        "10" => Some(pending_of_rejected_starts),
+        "10" => Some(budget_of_new_tasks),
         _ => None,
     }
 }
@@ -37,10 +38,6 @@
 const FINISH: Duration = Duration::from_secs(14);
 /// Time without anything running after which a job counts as lost.
 const IDLE: Duration = Duration::from_secs(3);
-/// `visible_ms`.
-const VISIBLE: Duration = Duration::from_millis(3_000);
-/// Age that the number of pending jobs may have.
-const PENDING_AGE: Duration = Duration::from_secs(2);
 /// `reclaim_ms`.
 const RECLAIM: Duration = Duration::from_millis(3_400);
 
@@ -98,32 +95,54 @@
     begun
 }
 
-/// The worker under the only task of a job crashes, and so does the one on which it starts next. The
-/// task itself is sound, and no run of it ends as failed.
-fn failed_without_cause(root: &Path, record: Record, trouble: bool) -> bool {
+/// A start gets no answer, and the worker crashes before it has carried it out; the next start fares
+/// alike on another worker. No worker ever ran the task.
+fn failed_before_its_start(root: &Path, record: Record, trouble: bool) -> bool {
+    const SOUND: u64 = 0x100;
     const JOB: u64 = 0x21;
     let (r1, r2): (&[&str], &[&str]) = (&["a", "r1-1"], &["a", "r1-2"]);
     let mut cluster = Cluster::start(root, record, &[r1, r1, r1, r1, r2, r2, r2]);
     cluster.configure(1, &[MIDDLE], &[OTHER]);
-    let step = r#"[{"count":1,"cpu":26000,"mem_mb":64000,"gpu":8,"estimate_ms":11000}]"#;
-    cluster.submit(OTHER.key, MIDDLE.prefix, JOB, "ms=11000", step);
-    for _ in 0..2 {
-        cluster.wait("a run of the job", seconds(20), || !cluster.running(JOB).is_empty());
-        sleep(seconds(4));
-        if trouble {
-            crash_holder(&mut cluster, JOB, seconds(2));
+    sleep(seconds(3));
+    let step = r#"[{"count":1,"cpu":26000,"mem_mb":64000,"gpu":8,"estimate_ms":2000}]"#;
+    // Most starts are answered.
+    for job in SOUND..SOUND + 4 {
+        cluster.submit(OTHER.key, MIDDLE.prefix, job, "ms=1000", step);
+    }
+    let is_done = || cluster.record.count("ends done") == 4;
+    cluster.wait("the end of the sound jobs", seconds(20), is_done);
+    cluster.late.store(usize::from(trouble), Ordering::SeqCst);
+    cluster.submit(OTHER.key, MIDDLE.prefix, JOB, "ms=2000", step);
+    for crashes in 1..=2 {
+        if !trouble {
+            break;
         }
+        let task = format!("start of {JOB:016x}.0.0.0 gets no answer");
+        let holder = || {
+            let is_holder = |id: &str| cluster.record.count(&format!("{id}: {task}")) > 0;
+            let crashed = |id: &str| cluster.record.count(&format!("{id}: the worker crashes")) > 0;
+            cluster.workers.iter().position(|w| is_holder(&w.host.id) && !crashed(&w.host.id))
+        };
+        cluster.wait("a start without an answer", seconds(30), || holder().is_some());
+        let Some(holder) = holder() else { cannot_run("no worker has the start") };
+        sleep(Duration::from_millis(400));
+        cluster.workers[holder].crash();
+        cluster.late.store(usize::from(crashes < 2), Ordering::SeqCst);
+        sleep(seconds(2));
+        cluster.workers[holder].start();
     }
     let is_over = || {
         sleep(Duration::from_millis(500));
         let state = cluster.state(OTHER.key, MIDDLE.prefix, JOB);
         ["completed", "failed", "cancelled"].contains(&&*state)
     };
-    cluster.comes(seconds(40), is_over);
+    cluster.comes(seconds(30), is_over);
     let state = cluster.state(OTHER.key, MIDDLE.prefix, JOB);
-    let failed = cluster.record.count("ends failed");
-    cluster.record.line(&format!("check: the job is {state}, {failed} of its runs ended as failed"));
-    state != "failed" || failed >= MIDDLE.attempts as usize
+    let starts = (1..=9)
+        .map(|run| cluster.record.count(&format!("{JOB:016x}.0.0.0 run {run} starts")))
+        .sum::<usize>();
+    cluster.record.line(&format!("check: the job is {state}, a worker has begun it {starts} times"));
+    state != "failed" || starts > 0
 }
 
 /// Two of four workers hold a small lasting task each, and fail hopeless tasks. Long after that, a
@@ -205,40 +224,35 @@
     has_begun()
 }
 
-/// The only worker with a label is unhealthy for a few seconds: it answers each start with 503. Jobs with
-/// this label do not begin in that time, and count as pending.
-fn pending_of_rejected_starts(root: &Path, record: Record, trouble: bool) -> bool {
-    const FIRST_JOB: u64 = 0xb1;
-    const JOBS: u64 = 6;
-    /// Time for which the worker is unhealthy.
-    const UNHEALTHY: Duration = Duration::from_millis(6_500);
-    let labels: Vec<&[&str]> =
-        (0..10).map(|i| if i == 0 { &["b", "r1-1"] } else { RACKS[i / 4] }).collect();
-    let cluster = Cluster::start(root, record, &labels);
-    cluster.configure(1, &[MIDDLE], &[OTHER]);
-    // All workers have checked in by then.
-    sleep(seconds(4));
-    cluster.workers[0].shed(trouble);
-    let since = Instant::now();
-    let step = r#"[{"count":1,"cpu":4000,"mem_mb":1000,"gpu":1,"estimate_ms":1000,"constraints":"b"}]"#;
-    for job in FIRST_JOB..FIRST_JOB + JOBS {
-        cluster.submit(OTHER.key, MIDDLE.prefix, job, "ms=30000", step);
-    }
-    sleep(VISIBLE + PENDING_AGE + Duration::from_millis(50));
-    if since.elapsed() >= UNHEALTHY {
-        cannot_run("the jobs were accepted too late")
-    }
-    let mut held = true;
-    while since.elapsed() < UNHEALTHY {
-        let pending = cluster.pending(OTHER.key, MIDDLE.prefix);
-        let waiting = JOBS.saturating_sub(cluster.record.count("run 1 starts") as u64);
-        cluster.record.line(&format!("check: {waiting} jobs have not begun, {pending:?} are given"));
-        held &= pending.is_some_and(|p| p * 2 >= waiting);
-        sleep(Duration::from_millis(200));
+/// A guaranteed job comes just after the tasks of a service have come to work, or a while later. The
+/// service bears that one of its tasks is away.
+fn budget_of_new_tasks(root: &Path, record: Record, trouble: bool) -> bool {
+    const BORROWED: u64 = 0x61;
+    const LASTING: u64 = 0x71;
+    const CLAIM: u64 = 0x81;
+    let (r1, r2): (&[&str], &[&str]) = (&["a", "r1-1"], &["a", "r1-2"]);
+    let cluster = Cluster::start(root, record, &[r1, r1, r1, r2, r2]);
+    cluster.configure(1, &[FIRST, LAST], &[OWNER, OTHER]);
+    let step = r#"[{"count":2,"cpu":26000,"mem_mb":64000,"gpu":8,"estimate_ms":60000}]"#;
+    cluster.submit(OTHER.key, LAST.prefix, BORROWED, "ms=60000", step);
+    cluster.wait("the borrowed tasks", seconds(20), || cluster.running(BORROWED).len() == 2);
+    sleep(seconds(8));
+    let step = r#"[{"count":3,"cpu":26000,"mem_mb":64000,"gpu":8,"estimate_ms":1000,"long_running":true,"may_miss":1}]"#;
+    cluster.submit(OTHER.key, LAST.prefix, LASTING, "long=2000", step);
+    let at_work = || cluster.running(LASTING).iter().filter(|(.., p)| *p == 100).count() == 3;
+    cluster.wait("the lasting tasks at work", seconds(20), at_work);
+    if !trouble {
+        sleep(seconds(3));
     }
-    cluster.state(OTHER.key, MIDDLE.prefix, FIRST_JOB);
-    cluster.workers[0].shed(false);
-    let begun = || cluster.running(FIRST_JOB).len() == 1;
-    cluster.wait("the start of a job", seconds(30), begun);
-    held
+    let step = r#"[{"count":2,"cpu":26000,"mem_mb":64000,"gpu":8,"estimate_ms":11000}]"#;
+    cluster.submit(OWNER.key, FIRST.prefix, CLAIM, "ms=11000", step);
+    sleep(seconds(4));
+    let begun = cluster.record.count(&format!("{CLAIM:016x}.0.0."));
+    cluster.record.line(&format!("check: {begun} of 2 tasks of the guaranteed job have begun"));
+    let stops = (0..3)
+        .map(|i| cluster.record.count(&format!("stop of {LASTING:016x}.0.0.{i} run 1 at 100 %")))
+        .filter(|count| *count > 0)
+        .count();
+    cluster.record.line(&format!("check: {stops} lasting tasks at work were stopped at once"));
+    stops <= 1
 }
--- a/review/standin-2/cluster.rs
+++ b/review/standin-2/cluster.rs
@@ -6,7 +6,7 @@
         http::{Answer, Request, Server, call},
         json::{Json, quote},
         record::Record,
-        worker::{Host, LEASE_MAX, Worker, ticket},
+        worker::{Host, LEASE_MAX, Late, Worker, ticket},
     },
     std::{
         fs,
@@ -105,6 +105,8 @@
     pub agents: Vec<Process>,
     pub workers: Vec<Worker>,
     pub record: Record,
+    /// Number of coming starts that workers leave without an answer.
+    pub late: Late,
 }
 
 impl Drop for Cluster {
@@ -127,7 +129,7 @@
         let starter = Starter { base: &base, folder: &folder, commands: &commands, root };
         let controls = (1..=3).map(|i| starter.process("core", i, "control_plane")).collect();
         let front = starter.process("front", 11, "front");
-        let (mut agents, mut workers) = (Vec::new(), Vec::new());
+        let (mut agents, mut workers, late) = (Vec::new(), Vec::new(), Late::default());
         for (i, labels) in labels.iter().enumerate() {
             let octet = 21 + i as u8;
             agents.push(starter.process("side", octet, "side"));
@@ -141,11 +143,11 @@
                 memory: 128_000,
                 gpu: 8,
             };
-            let mut worker = Worker::new(host, record.clone());
+            let mut worker = Worker::new(host, record.clone(), Late::clone(&late));
             worker.start();
             workers.push(worker);
         }
-        Self { base, folder, controls, front, agents, workers, record }
+        Self { base, folder, controls, front, agents, workers, record, late }
     }
 
     /// Sends a config until it is acknowledged.
@@ -226,15 +228,6 @@
         state
     }
 
-    /// Returns the number of a queue's jobs that have not begun, as a client reads it.
-    pub fn pending(&self, key: &str, prefix: &str) -> Option<u64> {
-        let path = format!("/{prefix}/");
-        let answer = self.call(key, "GET", &path, "");
-        self.record.line(&format!("client: GET {path} is answered with {answer:?}"));
-        let (status, body) = answer?;
-        Json::parse(&body)?.number("pending").filter(|_| status == 200)
-    }
-
     /// Starts the advice service, which allows the workers that `allows` names. It handles one call at
     /// a time.
     pub fn start_advice(&self, allows: fn(&str) -> bool) -> Server {
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -16,7 +16,7 @@
         net::SocketAddr,
         sync::{
             Arc, Mutex,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         thread,
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -29,6 +29,8 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(1_500);
 /// Time that a stop takes, below `stop_timeout_ms`.
 const STOP_TIME: Duration = Duration::from_millis(100);
+/// Delay of a start that is carried out late.
+const LATE: Duration = Duration::from_secs(4);
 const TICK: Duration = Duration::from_millis(5);
 
 /// What stays the same when the worker starts again.
@@ -45,6 +47,9 @@
     pub gpu: u64,
 }
 
+/// Number of coming starts, on any worker, that get no answer and are carried out late.
+pub type Late = Arc<AtomicUsize>;
+
 /// Returns the advice service's ticket for the work units of a step on a worker.
 pub fn ticket(step: &str, worker: &str) -> String {
     format!("ticket-{step}-{worker}")
@@ -90,13 +95,18 @@
     host: Host,
     begun: Instant,
     up: AtomicBool,
-    /// Whether it is unhealthy: it rejects all starts and does nothing for them.
-    sheds: AtomicBool,
     state: Mutex<State>,
     record: Record,
+    late: Late,
 }
 
 impl Boot {
+    /// Takes one of the starts that get no answer and are carried out late.
+    fn take_late(&self) -> bool {
+        let take = |left: usize| left.checked_sub(1);
+        self.late.fetch_update(Ordering::SeqCst, Ordering::SeqCst, take).is_ok()
+    }
+
     fn clock(&self) -> u64 {
         self.begun.elapsed().as_millis() as u64 + 1_000
     }
@@ -155,10 +165,14 @@
         }
         match request.path.as_str() {
             "/-/hold" => Some(self.hold(&body)),
-            "/-/run-start" if self.sheds.load(Ordering::SeqCst) => {
+            "/-/run-start" if self.take_late() => {
                 let task = body.text("task").unwrap_or("");
-                self.record.line(&format!("{}: start of {task} is answered with 503", self.host.id));
-                Some((503, format!("{{\"clock_ms\":{}}}", self.clock())))
+                self.record.line(&format!("{}: start of {task} gets no answer", self.host.id));
+                thread::sleep(LATE);
+                if self.up.load(Ordering::SeqCst) {
+                    self.start(&body);
+                }
+                None
             }
             "/-/run-start" => Some(self.start(&body)),
             "/-/run-stop" => Some(self.stop(&body)),
@@ -289,12 +303,13 @@
 pub struct Worker {
     pub host: Host,
     record: Record,
+    late: Late,
     boot: Option<(Arc<Boot>, Server)>,
 }
 
 impl Worker {
-    pub fn new(host: Host, record: Record) -> Self {
-        Self { host, record, boot: None }
+    pub fn new(host: Host, record: Record, late: Late) -> Self {
+        Self { host, record, late, boot: None }
     }
 
     /// Starts the worker, which holds and knows nothing of before.
@@ -305,9 +320,9 @@
             host: self.host.clone(),
             begun: Instant::now(),
             up: AtomicBool::new(true),
-            sheds: AtomicBool::new(false),
             state: Mutex::new(state),
             record: self.record.clone(),
+            late: Arc::clone(&self.late),
         });
         let served = Arc::clone(&boot);
         let address = self.host.address;
@@ -330,14 +345,6 @@
         self.boot = Some((boot, server));
     }
 
-    /// Lets the worker be unhealthy, or healthy again.
-    pub fn shed(&self, sheds: bool) {
-        if let Some((boot, _)) = &self.boot {
-            self.record.line(&format!("{}: rejects starts: {sheds}", self.host.id));
-            boot.sheds.store(sheds, Ordering::SeqCst);
-        }
-    }
-
     /// Lets the worker crash with all that it runs. It tells nobody.
     pub fn crash(&mut self) {
         let held: Vec<String> = self.running().into_iter().map(|(task, ..)| task).collect();
