Review: show that a late poll of a killed agent makes a task run twice

A machine is cut off from control while a worker starts on it whose clock is ahead; agent and worker are killed and start again. The killed agent's last poll arrives after the next worker has begun a task, ends its runs in the ledger, and the task starts on another worker while it runs.

All processes now reach control through proxies of the stand-in.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 mod cluster;
 mod http;
 mod json;
+mod proxy;
 mod record;
 mod worker;
 
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -45,6 +45,8 @@
     pub cpu: u64,
     pub memory: u64,
     pub gpu: u64,
+    /// Milliseconds by which the time of day of the machine is ahead.
+    pub ahead: u64,
 }
 
 /// Number of coming starts, on any worker, that get no answer and are carried out late.
@@ -315,7 +317,7 @@
     /// Starts the worker, which holds and knows nothing of before.
     pub fn start(&mut self) {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let state = State { born: since.as_millis() as u64, ..State::default() };
+        let state = State { born: since.as_millis() as u64 + self.host.ahead, ..State::default() };
         let boot = Arc::new(Boot {
             host: self.host.clone(),
             begun: Instant::now(),
