--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -79,7 +79,8 @@
     cluster.wait("the lasting task at work", seconds(20), is_at_work);
     // Calm, for longer than `contact_ms`.
     sleep(seconds(8));
-    let step = r#"[{"count":1,"cpu":4000,"mem_mb":1000,"gpu":1,"estimate_ms":1000,"constraints":"b"}]"#;
+    let step =
+        r#"[{"count":1,"cpu":4000,"mem_mb":1000,"gpu":1,"estimate_ms":1000,"constraints":"b"}]"#;
     cluster.submit(OTHER.key, MIDDLE.prefix, SMALL, "ms=1000", step);
     let first_start = format!("{SMALL:016x}.0.0.0 run 1 starts");
     let acked = Instant::now();
@@ -141,7 +142,9 @@
     let starts = (1..=9)
         .map(|run| cluster.record.count(&format!("{JOB:016x}.0.0.0 run {run} starts")))
         .sum::<usize>();
-    cluster.record.line(&format!("check: the job is {state}, a worker has begun it {starts} times"));
+    cluster
+        .record
+        .line(&format!("check: the job is {state}, a worker has begun it {starts} times"));
     state != "failed" || starts > 0
 }
 
@@ -278,7 +281,8 @@
         cluster.cut.heal(OLD_DELAY);
         cluster.record.line("network: the cut is healed; old channels get through 2.9 s later");
     }
-    let step = r#"[{"count":1,"cpu":26000,"mem_mb":64000,"gpu":8,"estimate_ms":11000,"constraints":"a"}]"#;
+    let step =
+        r#"[{"count":1,"cpu":26000,"mem_mb":64000,"gpu":8,"estimate_ms":11000,"constraints":"a"}]"#;
     cluster.submit(OTHER.key, MIDDLE.prefix, JOB, "ms=11000", step);
     let (end, mut held) = (Instant::now() + seconds(15), true);
     while Instant::now() < end {
--- a/review/standin-2/cluster.rs
+++ b/review/standin-2/cluster.rs
@@ -128,7 +128,8 @@
     /// Starts three control instances, an entry, and one agent and worker for each list of labels.
     pub fn start(root: &Path, record: Record, labels: &[&[&str]]) -> Self {
         let base = free_base();
-        let folder = std::env::temp_dir().join(format!("bronzespool-review-{}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("bronzespool-review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let commands = Commands::read(root);
         let cut = Arc::new(Cut::default());
@@ -258,7 +259,8 @@
                     rows.push(format!("[{},{}]", quote(worker), quote(&ticket(&step, worker))));
                 }
             }
-            let text = format!("advice: {step} on {} workers, {} allowed", workers.len(), rows.len());
+            let text =
+                format!("advice: {step} on {} workers, {} allowed", workers.len(), rows.len());
             record.line(&text);
             Some((200, format!("{{\"allowed\":[{}],\"validity_ms\":5000}}", rows.join(","))))
         };
@@ -336,11 +338,10 @@
     fn process(&self, class: &str, octet: u8, serves: &str) -> Process {
         let node = node_name(class, octet);
         let at = |port| address(self.base, octet, port);
-        let seeds: Vec<String> =
-            (1..=3)
-                .map(|i| address(self.base, PROXY_OCTET + i, CONTROL_PORT).to_string())
-                .map(|seed| quote(&seed))
-                .collect();
+        let seeds: Vec<String> = (1..=3)
+            .map(|i| address(self.base, PROXY_OCTET + i, CONTROL_PORT).to_string())
+            .map(|seed| quote(&seed))
+            .collect();
         let advertised = if class == "core" { PROXY_OCTET + octet } else { octet };
         let data = self.folder.join(&node);
         let data_dir = match class {
