fix(batch): share the worker of a lasting task after two crashes

With more such tasks than workers the second one never started again, and a service with one on each worker accepted jobs and started none.

For a task that lasts this has no end. The planner counted nothing as free there. Of tasks that had crashed with one worker, each was also started 2 s after the one before, whatever their number.

Change: a suspect has its worker to itself for 2 s after its start, and, after two crashes, until its worker has reported the run, 10 s at most: a start without an answer may be carried out late. Then its worker is chosen last, until the run is 30 s old. What is withheld is kept apart from what is free: a task that has waited 2 s may use it if it lasts or its service is mostly idle, and a suspect that has waited 3 s joins another one. Nothing is withheld for longer than that, whatever the number of suspects.

The promise behind the old rule, that a task which crashes its workers late is given up, is kept in another way: after five crashes under it its job fails, whatever ran beside it. The platform allows two starts after the third crash.

plan_task_under_two_crashes_keeps_its_worker_to_itself asked that nothing is placed beside the task after 10 s although all else is full; this is the fault. It now asks the same of a run that is not reported, after 9 s. Three tests say what holds of a reported one: nothing beside it for 2 s, nothing beside it later while there is other room, and an end after five crashes.

--- a/crates/bronzespool-batch/src/ledger/crash.rs
+++ b/crates/bronzespool-batch/src/ledger/crash.rs
@@ -24,7 +24,7 @@
 const JUST_STARTED: Duration = Duration::from_millis(500);
 /// Age from which a run has shown that its task does not crash workers at its start, so that earlier
 /// crashes were not its fault.
-const SURVIVED: Duration = Duration::from_secs(30);
+pub(crate) const SURVIVED: Duration = Duration::from_secs(30);
 /// Machines on which only one task can have caused a crash, after which its job fails. Two crashes on
 /// one machine may be the machine's fault.
 const MACHINES_MAX: usize = 2;
@@ -34,6 +34,9 @@
 /// Crashes under a task after which its job fails if only it can have caused one of them. The platform
 /// allows no more than two starts after the third crash.
 const CRASHES_MAX: usize = 4;
+/// Crashes under a task after which its job fails whatever ran beside it: a task that crashes its
+/// workers some time after its start may never be alone there.
+const SHARED_CRASHES_MAX: usize = 5;
 /// Time for which a crash is remembered, so that a repeated report of it counts once.
 const REPORT_RETENTION: Duration = Duration::from_secs(600);
 
@@ -96,7 +99,10 @@
         let sole = self.crashes.iter().filter(|c| c.sole);
         let machines: BTreeSet<&Instance> = sole.map(|c| &c.agent).collect();
         let (sole, all) = (self.sole(), self.crashes.len());
-        machines.len() >= MACHINES_MAX || sole >= SOLE_CRASHES_MAX || sole > 0 && all >= CRASHES_MAX
+        machines.len() >= MACHINES_MAX
+            || sole >= SOLE_CRASHES_MAX
+            || sole > 0 && all >= CRASHES_MAX
+            || all >= SHARED_CRASHES_MAX
     }
 }
 
--- a/crates/bronzespool-batch/src/ledger/mod.rs
+++ b/crates/bronzespool-batch/src/ledger/mod.rs
@@ -24,7 +24,7 @@
     worker::{FailureStreak, Worker},
 };
 
-pub(crate) use {job::step_id, occurrence::waiting_max};
+pub(crate) use {crash::SURVIVED, job::step_id, occurrence::waiting_max};
 
 use {
     crate::{
--- a/crates/bronzespool-batch/src/plan/apart.rs
+++ b/crates/bronzespool-batch/src/plan/apart.rs
@@ -4,13 +4,17 @@
 //! task under which a worker has crashed is therefore started on a worker where nothing runs, which
 //! also shows whether it was at fault. While all workers are in use it waits a little, and then takes
 //! the worker on which the least would be lost.
+//!
+//! A worker is closed to other tasks only for a while after such a start. A task that lasts would
+//! otherwise withhold all that it does not use itself for as long as it runs, also from tasks that can
+//! run nowhere else. After that its worker is chosen last.
 
 use {
     crate::{
         id::RunId,
-        ledger::{CrashLog, Ledger, Worker},
+        ledger::{Ledger, SURVIVED, Worker},
         plan::{
-            TaskGroup,
+            ClusterView, TaskGroup,
             capacity::{ClusterCapacity, WorkerSlot, is_eligible},
             place::{Placement, tightness},
         },
@@ -23,23 +27,49 @@
 /// Time after its start for which a task has its worker to itself. It covers a late start, and the
 /// time in which a start crashes its worker.
 const ALONE_TIME: Duration = Duration::from_secs(2);
+/// Longest time for which a task under [`LATE_CRASHES`] has its worker to itself while the worker has
+/// not reported its run: a start without an answer may be carried out this much later.
+const UNREPORTED_MAX: Duration = Duration::from_secs(10);
 /// Waiting time after which a task does not wait for an idle worker any more.
 const IDLE_WAIT: Duration = Duration::from_millis(1_500);
-/// Crashes under a task from which it has its worker to itself for as long as it runs: it may crash
-/// its workers later than at its start.
+/// Waiting time after which a task under which a worker has crashed joins another such task.
+const JOIN_WAIT: Duration = Duration::from_secs(3);
+/// Waiting time after which another task may use what is withheld from it on a closed worker.
+const CLOSED_WAIT: Duration = Duration::from_secs(2);
+/// Crashes under a task from which other tasks avoid its worker: it may crash its workers later than
+/// at its start.
 const LATE_CRASHES: usize = 2;
 
-/// Whether a worker holds a run that has it to itself.
-pub(super) fn is_occupied(ledger: &Ledger, worker: &Worker, now: Time) -> bool {
-    let crashes = ledger.crashes();
-    !crashes.is_empty() && worker.runs.keys().any(|r| is_alone(ledger, crashes, *r, now))
+/// Whether other tasks may be started beside the runs of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Sharing {
+    /// They may.
+    Open,
+    /// They may if there is no other worker for them.
+    Last,
+    /// A run has the worker to itself.
+    Closed,
+}
+
+/// Returns whether other tasks may be started on a worker.
+pub(super) fn sharing(ledger: &Ledger, worker: &Worker, view: &ClusterView) -> Sharing {
+    if ledger.crashes().is_empty() {
+        return Sharing::Open;
+    }
+    let beside = worker.runs.keys().map(|run| sharing_beside(ledger, *run, view));
+    beside.max().unwrap_or(Sharing::Open)
 }
 
-fn is_alone(ledger: &Ledger, crashes: &CrashLog, run: RunId, now: Time) -> bool {
-    let Some(evidence) = crashes.of_task(run.task) else { return false };
-    let started_at = ledger.active_run(run).map(|r| r.assigned_at);
-    let is_new = started_at.is_some_and(|at| now.since(at) < ALONE_TIME);
-    is_new || evidence.crashes.len() >= LATE_CRASHES
+fn sharing_beside(ledger: &Ledger, run: RunId, view: &ClusterView) -> Sharing {
+    let Some(evidence) = ledger.crashes().of_task(run.task) else { return Sharing::Open };
+    let Some(active) = ledger.active_run(run) else { return Sharing::Open };
+    let age = view.now.since(active.assigned_at);
+    let is_late = evidence.crashes.len() >= LATE_CRASHES;
+    let is_unreported = !view.progress.contains_key(&run) && age < UNREPORTED_MAX;
+    if age < ALONE_TIME || is_late && is_unreported {
+        return Sharing::Closed;
+    }
+    if is_late && age < SURVIVED { Sharing::Last } else { Sharing::Open }
 }
 
 /// Whether a group waits for idle workers for now.
@@ -47,6 +77,11 @@
     now.since(group.ready_at) < IDLE_WAIT
 }
 
+/// Whether a group has waited so long that it may use closed workers.
+pub(super) fn may_use_closed(group: &TaskGroup<'_>, now: Time) -> bool {
+    now.since(group.ready_at) >= CLOSED_WAIT
+}
+
 /// A worker that a placement may use.
 struct WorkerOption {
     slot: usize,
@@ -67,6 +102,8 @@
     Elsewhere,
     /// All.
     Any,
+    /// All, also those that another task has to itself.
+    Closed,
 }
 
 /// Places a group on workers on which nothing else runs, or, unless it `waits` for these, on those on
@@ -77,9 +114,11 @@
     now: Time,
     waits: bool,
 ) -> Option<Placement> {
-    let scopes: &[Scope] = match waits {
-        true => &[Scope::IdleElsewhere],
-        false => &[Scope::IdleElsewhere, Scope::Elsewhere, Scope::Any],
+    let may_join = now.since(group.ready_at) >= JOIN_WAIT;
+    let scopes: &[Scope] = match (waits, may_join) {
+        (true, _) => &[Scope::IdleElsewhere],
+        (false, false) => &[Scope::IdleElsewhere, Scope::Elsewhere, Scope::Any],
+        (false, true) => &[Scope::IdleElsewhere, Scope::Elsewhere, Scope::Any, Scope::Closed],
     };
     scopes.iter().find_map(|scope| place_in(group, capacity, now, *scope))
 }
@@ -107,7 +146,11 @@
     let is_in_scope = |slot: &WorkerSlot<'_>| match scope {
         Scope::IdleElsewhere => slot.is_idle() && !has_crashed(slot),
         Scope::Elsewhere => !has_crashed(slot),
-        Scope::Any => true,
+        Scope::Any | Scope::Closed => true,
+    };
+    let free = |slot: &WorkerSlot<'_>| match scope {
+        Scope::Closed => slot.free.plus(&slot.closed),
+        _ => slot.free,
     };
     let usable = |slot: &WorkerSlot<'_>| {
         is_eligible(slot) && capacity.can_run(group, slot) && is_in_scope(slot)
@@ -117,7 +160,7 @@
     let mut options: Vec<WorkerOption> = slots
         .map(|(slot, s)| WorkerOption {
             slot,
-            free: s.free,
+            free: free(s),
             tasks_left: s.remaining_tasks(group),
             chosen: false,
             is_busy: has_new_run(s, capacity.ledger, now),
--- a/crates/bronzespool-batch/src/plan/capacity.rs
+++ b/crates/bronzespool-batch/src/plan/capacity.rs
@@ -5,7 +5,8 @@
         id::{RunId, StepId, WorkerIncarnation},
         ledger::{Ledger, Worker},
         plan::{
-            ClusterView, Permits, TaskGroup, apart,
+            ClusterView, Permits, TaskGroup,
+            apart::{self, Sharing},
             health::{Health, worker_health},
             place::Placement,
             speed::SpeedClass,
@@ -32,6 +33,9 @@
     pub(super) speed: SpeedClass,
     /// Resources that are neither allocated to a run nor reserved.
     pub(super) free: Resources,
+    /// Such resources that are withheld because a task has the worker to itself; they are not part of
+    /// the free ones.
+    pub(super) closed: Resources,
     /// Resources that are held back from all but the first task because the worker is cold.
     held_back: Resources,
     /// Resources of runs that are being stopped, as far as they are not reserved.
@@ -59,6 +63,11 @@
         self.worker.runs.is_empty() && self.free == *self.whole()
     }
 
+    /// Whether a task has the worker to itself, and something is left there.
+    fn is_closed(&self) -> bool {
+        self.closed != Resources::default()
+    }
+
     /// Returns the worker's resources if nothing runs on it.
     pub(super) const fn whole(&self) -> &Resources {
         &self.worker.spec.capacity
@@ -117,6 +126,8 @@
     idle: HashSet<Arc<str>>,
     /// Whether a worker is known to be slower or faster than a typical one.
     pub(super) has_uneven_speeds: bool,
+    /// Whether a task has a worker to itself.
+    pub(super) has_closed: bool,
     /// What the plan has examined so far.
     pub(super) steps: StepCounter,
 }
@@ -142,6 +153,7 @@
             now: view.now,
             idle: HashSet::default(),
             has_uneven_speeds: false,
+            has_closed: false,
             steps: StepCounter::default(),
         };
         for worker in ledger.workers().filter(schedulable) {
@@ -187,20 +199,24 @@
             true => (Resources::default(), cold),
             false => (cold, Resources::default()),
         };
+        let sharing = apart::sharing(self.ledger, worker, view);
+        let health = worker_health(worker, view.now);
         let mut slot = WorkerSlot {
             worker,
             rack: 0,
-            health: worker_health(worker, view.now),
+            health: if sharing == Sharing::Open { health } else { health.max(Health::Suspect) },
             speed: SpeedClass::of_worker(&view.estimates, &worker.spec.agent),
-            free: match apart::is_occupied(self.ledger, worker, view.now) {
-                true => Resources::default(),
-                false => worker.free().minus(&now),
-            },
+            free: worker.free().minus(&now),
+            closed: Resources::default(),
             held_back: later,
             releasing: Resources::default(),
             excess: worker.excess(),
             steps: HashMap::default(),
         };
+        if sharing == Sharing::Closed {
+            slot.closed = std::mem::take(&mut slot.free);
+            self.has_closed = true;
+        }
         self.steps.add_runs(worker.runs.len());
         for (run, allocation) in &worker.runs {
             *slot.steps.entry(run.task.step).or_default() += 1;
@@ -273,9 +289,14 @@
             *slot.steps.entry(group.step).or_default() += 1;
             let probation = slot.health == Health::Probation;
             let held_back = std::mem::take(&mut slot.held_back);
-            let rest = slot.free.minus(&allocation).minus(&held_back);
-            let is_full = probation || group.apart;
-            self.set_free(i, if is_full { Resources::default() } else { rest });
+            let is_closed = slot.is_closed() || group.apart;
+            let left = slot.free.plus(&slot.closed).minus(&allocation).minus(&held_back);
+            let left = if probation { Resources::default() } else { left };
+            let (free, closed) =
+                if is_closed { (Resources::default(), left) } else { (left, Resources::default()) };
+            slot.closed = closed;
+            self.has_closed |= is_closed;
+            self.set_free(i, free);
         }
     }
 
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -403,12 +403,18 @@
     capacity: &ClusterCapacity<'_>,
     view: &ClusterView,
 ) -> &'static [PlacementScope] {
-    if is_starved(group, capacity, view) {
-        &[PlacementScope::Local, PlacementScope::AnyRack, PlacementScope::AnyWorker]
-    } else if urgency.prefers_remote() {
-        &[PlacementScope::Local, PlacementScope::AnyRack]
-    } else {
-        &[PlacementScope::Local]
+    use PlacementScope::{AnyRack, AnyWorker, ClosedWorker, Local};
+    let is_starved = is_starved(group, capacity, view);
+    let may_use_closed = capacity.has_closed && apart::may_use_closed(group, view.now);
+    // One that depends on its rack would run slowly elsewhere for as long as it lasts.
+    let lasts_anywhere =
+        group.spec.long_lived && group.spec.rack.is_none() && !group.spec.single_rack;
+    match (is_starved, may_use_closed) {
+        (true, false) => &[Local, AnyRack, AnyWorker],
+        (true, true) => &[Local, AnyRack, AnyWorker, ClosedWorker],
+        (false, true) if lasts_anywhere => &[Local, ClosedWorker],
+        (false, _) if urgency.prefers_remote() => &[Local, AnyRack],
+        (false, _) => &[Local],
     }
 }
 
--- a/crates/bronzespool-batch/src/plan/place.rs
+++ b/crates/bronzespool-batch/src/plan/place.rs
@@ -28,6 +28,8 @@
     AnyRack,
     /// Also quarantined workers.
     AnyWorker,
+    /// Other racks, and workers that a task has to itself.
+    ClosedWorker,
 }
 
 /// Places a task group into capacity that is free now.
@@ -38,11 +40,13 @@
     index: &mut PlaceIndex,
     scope: PlacementScope,
 ) -> Option<Placement> {
-    let search = Search { group, need, capacity, places: index.of_group(group, capacity) };
+    let places = index.of_group(group, capacity);
+    let search = Search { group, need, capacity, places, scope };
     match scope {
         PlacementScope::Local => search.place_local(),
         PlacementScope::AnyRack => search.place_anywhere(),
         PlacementScope::AnyWorker => search.place_on(0..capacity.slots.len(), |_| true),
+        PlacementScope::ClosedWorker => search.place_on(0..capacity.slots.len(), is_eligible),
     }
 }
 
@@ -78,6 +82,7 @@
     need: SpeedNeed,
     capacity: &'a ClusterCapacity<'b>,
     places: &'a Places,
+    scope: PlacementScope,
 }
 
 impl Search<'_, '_> {
@@ -151,7 +156,11 @@
         });
         let option = |slot: usize| {
             let worker = &capacity.slots[slot];
-            WorkerOption { slot, free: worker.free, tasks_left: worker.remaining_tasks(group) }
+            let free = match self.scope {
+                PlacementScope::ClosedWorker => worker.free.plus(&worker.closed),
+                _ => worker.free,
+            };
+            WorkerOption { slot, free, tasks_left: worker.remaining_tasks(group) }
         };
         let mut options: Vec<WorkerOption> = usable.map(option).collect();
         let mut placement = Vec::with_capacity(group.tasks.len());
--- a/crates/bronzespool-batch/src/plan/reclaim.rs
+++ b/crates/bronzespool-batch/src/plan/reclaim.rs
@@ -45,7 +45,7 @@
         let Self { group, capacity, places, .. } = self;
         match scope {
             PlacementScope::Local => {}
-            PlacementScope::AnyRack => return self.place_anywhere(),
+            PlacementScope::AnyRack | PlacementScope::ClosedWorker => return self.place_anywhere(),
             PlacementScope::AnyWorker => {
                 return self.place_on(0..capacity.slots.len(), |_| true, self.loss_max);
             }
