fix(batch): ask the advice service about all workers in turn

With 36 workers of which two are allowed, each question named the same 30.

Cause: a question named the 30 workers with the most free capacity, and the next one for the step began at the same end of the same order. Nothing was kept of what the service had said. The limit of 30 came with the feature, as the allowed duration of a job counts one question of 30; no incident asked for it.

Of the same cause, found by reading and shown by tests: the most urgent step that was due took each question, so that with more steps than the service can serve in a second the others had none; a step that no worker could run ended the search for a question for all steps; and workers about which the service did not answer were named again.

Change: what the service has said of each incarnation of a worker is kept for each step that waits. The first question names 30 workers as before, each later one up to 100, the most that the service takes, of those that were not named yet. Then permits of allowed workers are renewed before they expire, all in one question where they fit, so that a gang finds all of its permits valid at once. Refused workers are named again, 30 a second, only if there is nothing else to ask. A step that has been due for 2 s goes before more urgent ones. A question is no larger than the service can answer in 2 s and in half the validity of its permits. An answer that may be that of an earlier question refuses nobody. When all workers are refused the log says so. The promise behind the old order, that the workers with the most room are asked about first and a job of the usual kind needs one question, holds as before.

--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -14,6 +14,7 @@
 mod headroom;
 mod health;
 mod hold;
+mod inquiry;
 mod maintenance;
 mod permit;
 mod place;
@@ -29,6 +30,7 @@
 
 pub use {
     group::TaskGroup,
+    inquiry::Inquiries,
     maintenance::{MaintenancePlanner, Takedown},
     permit::Permits,
     precedence::Precedence,
--- a/crates/bronzespool-batch/tests/drain.rs
+++ b/crates/bronzespool-batch/tests/drain.rs
@@ -12,7 +12,7 @@
         exchange::poll_orders,
         ledger::{Assignment, CenterState, RunOutcome, StopCause, WorkerSpec},
         message::{Orders, Poll, PollId, RunStatus},
-        plan::Permits,
+        plan::Inquiries,
     },
     bronzespool_core::Instance,
     common::{Cluster, SECOND, WORKER_CAPACITY, config, gang, incarnation, run, step},
@@ -367,7 +367,7 @@
     cluster.submit(1, 2, vec![step(1, 1)]);
     set(&mut cluster, "north", true);
     set(&mut cluster, "west", true);
-    let question = Permits::default().next_question(&cluster.ledger, &cluster.view).unwrap();
+    let question = Inquiries::default().next_question(&cluster.ledger, &cluster.view).unwrap();
     assert_eq!(question.workers.into_iter().collect::<BTreeSet<_>>(), names(&[2, 3]));
 }
 
--- a/crates/bronzespool-batch/tests/permit.rs
+++ b/crates/bronzespool-batch/tests/permit.rs
@@ -3,11 +3,23 @@
 mod common;
 
 use {
-    bronzespool_batch::{Event, StepId, config::Advice, message::Question, plan::Permits},
-    common::{Cluster, SECOND, config, incarnation, run, step},
-    std::{sync::Arc, time::Duration},
+    bronzespool_batch::{
+        Event, JobId, Step, StepId, WorkerIncarnation,
+        config::Advice,
+        ledger::WorkerSpec,
+        message::Question,
+        plan::{Inquiries, Permits},
+    },
+    bronzespool_core::HashSet,
+    common::{Cluster, SECOND, config, gang, incarnation, run, step},
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
 };
 
+/// Most workers that the advice service takes in a question.
+const WORKERS_MAX: usize = 100;
+/// Time from an answer until the next question, as far as they are asked one after the other.
+const ROUND_TRIP: Duration = Duration::from_millis(50);
+
 /// Three workers, and a queue that requires permits with a job of one task.
 fn cluster_with_permits() -> Cluster {
     let mut cluster = Cluster::new(1, 3, 0);
@@ -22,11 +34,9 @@
     run(1, 0, 0, 1).task.step
 }
 
-fn next_question(cluster: &mut Cluster) -> Option<Question> {
-    let mut permits = std::mem::take(&mut cluster.view.permits);
-    let question = permits.next_question(&cluster.ledger, &cluster.view);
-    cluster.view.permits = permits;
-    question
+/// Asks the next question.
+fn next_question(inquiries: &mut Inquiries, cluster: &Cluster) -> Option<Question> {
+    inquiries.next_question(&cluster.ledger, &cluster.view)
 }
 
 fn record_permit(cluster: &mut Cluster, worker: usize, span: Duration) {
@@ -37,8 +47,9 @@
 #[test]
 fn plan_step_without_permit_waits() {
     let mut cluster = cluster_with_permits();
+    let mut inquiries = Inquiries::default();
     assert!(cluster.started().is_empty());
-    let question = next_question(&mut cluster).expect("a question");
+    let question = next_question(&mut inquiries, &cluster).expect("a question");
     assert_eq!(question.step, step_id());
     assert_eq!(question.workers.len(), 3);
     record_permit(&mut cluster, 1, SECOND * 3);
@@ -58,30 +69,32 @@
 #[test]
 fn plan_queue_without_advice_needs_no_permit() {
     let mut cluster = cluster_with_permits();
+    let mut inquiries = Inquiries::default();
     cluster.submit(2, 1, vec![step(1, 1)]);
     assert_eq!(cluster.started().len(), 1);
-    assert!(next_question(&mut cluster).is_some_and(|q| q.step == step_id()));
+    assert!(next_question(&mut inquiries, &cluster).is_some_and(|q| q.step == step_id()));
 }
 
 #[test]
 fn next_question_step_is_asked_about_once_at_a_time() {
     let mut cluster = cluster_with_permits();
-    assert!(next_question(&mut cluster).is_some());
+    let mut inquiries = Inquiries::default();
+    assert!(next_question(&mut inquiries, &cluster).is_some());
     cluster.pass(SECOND);
-    assert!(next_question(&mut cluster).is_none(), "the answer may still come");
+    assert!(next_question(&mut inquiries, &cluster).is_none(), "the answer may still come");
     cluster.pass(SECOND * 3);
-    assert!(next_question(&mut cluster).is_some(), "it does not come any more");
+    assert!(next_question(&mut inquiries, &cluster).is_some(), "it does not come any more");
 }
 
 #[test]
 fn next_question_answered_step_that_still_waits_is_asked_about_again() {
     let mut cluster = cluster_with_permits();
-    next_question(&mut cluster);
-    let until = cluster.view.now + SECOND * 3;
-    cluster.view.permits.record(step_id(), until, []);
-    assert!(next_question(&mut cluster).is_none());
+    let mut inquiries = Inquiries::default();
+    next_question(&mut inquiries, &cluster);
+    inquiries.record(cluster.view.now, step_id(), &HashSet::default());
+    assert!(next_question(&mut inquiries, &cluster).is_none());
     cluster.pass(SECOND);
-    assert!(next_question(&mut cluster).is_some(), "the service may name others now");
+    assert!(next_question(&mut inquiries, &cluster).is_some(), "the service may name others now");
 }
 
 #[test]
@@ -102,3 +115,215 @@
     cluster.view.permits = permits;
     assert!(cluster.started().is_empty());
 }
+
+/// An advice service with a policy, and what the leader has asked it.
+struct Service<'a> {
+    inquiries: Inquiries,
+    allows: &'a dyn Fn(&str) -> bool,
+    advice: Advice,
+    /// Workers named for each step.
+    named: BTreeSet<(StepId, Arc<str>)>,
+    questions: usize,
+}
+
+impl<'a> Service<'a> {
+    fn new(advice: Advice, allows: &'a dyn Fn(&str) -> bool) -> Self {
+        let (named, questions) = (BTreeSet::new(), 0);
+        Self { inquiries: Inquiries::default(), allows, advice, named, questions }
+    }
+
+    /// Asks the next question, if there is one, and answers it after the time that it takes.
+    fn turn(&mut self, cluster: &mut Cluster) -> Option<Question> {
+        cluster.pass(ROUND_TRIP);
+        let question = next_question(&mut self.inquiries, cluster)?;
+        assert!(question.workers.len() <= WORKERS_MAX, "{}", question.workers.len());
+        self.questions += 1;
+        let millis = self.advice.call + self.advice.per_worker * question.workers.len() as u64;
+        let validity = Duration::from_millis(self.advice.validity);
+        cluster.pass(Duration::from_millis(millis));
+        let allowed = question.workers.iter().filter(|w| (self.allows)(w));
+        let allowed: HashSet<WorkerIncarnation> =
+            allowed.map(|w| WorkerIncarnation { worker: w.clone(), started_at: 1 }).collect();
+        let permits = allowed.iter().map(|w| (w.clone(), "ticket".into()));
+        cluster.view.permits.record(question.step, cluster.view.now + validity, permits);
+        self.inquiries.record(cluster.view.now, question.step, &allowed);
+        self.named.extend(question.workers.iter().map(|w| (question.step, w.clone())));
+        Some(question)
+    }
+
+    /// Lets the leader plan and ask until nothing waits; returns the time that this took, none if
+    /// something waits after `most`.
+    fn start_all(&mut self, cluster: &mut Cluster, most: Duration) -> Option<Duration> {
+        let begun = cluster.view.now;
+        while cluster.view.now.since(begun) < most {
+            cluster.plan();
+            if cluster.ledger.jobs().all(|j| cluster.ledger.pending(&j.spec.queue) == 0) {
+                return Some(cluster.view.now.since(begun));
+            }
+            self.turn(cluster);
+        }
+        None
+    }
+}
+
+/// A cluster with an advised queue.
+fn advised_cluster(racks: usize, each: usize, advice: Advice) -> Cluster {
+    let mut cluster = Cluster::new(racks, each, 0);
+    let mut config = config(2, 0);
+    config.queues[2].advice = Some(advice);
+    cluster.apply(Event::Configured(Arc::new(config)));
+    cluster
+}
+
+const ADVICE: Advice = Advice { call: 50, per_worker: 5, validity: 3_000 };
+/// Number of workers that the platform is designed for.
+const RACKS: usize = 89;
+const WORKERS_PER_RACK: usize = 10;
+
+// Each question named the same workers, and the allowed ones were never among them.
+#[test]
+fn next_question_all_workers_have_their_turn() {
+    for allowed in ["w0", "w17", "w35", "w5"] {
+        let mut cluster = advised_cluster(3, 12, ADVICE);
+        cluster.submit(1, 2, vec![step(1, 1)]);
+        let allows = |w: &str| w == allowed;
+        let mut service = Service::new(ADVICE, &allows);
+        let took = service.start_all(&mut cluster, SECOND * 3);
+        assert!(took.is_some_and(|t| t <= SECOND), "{allowed}: {took:?}");
+        assert!(service.questions <= 2, "{allowed}: {} questions", service.questions);
+    }
+}
+
+#[test]
+fn next_question_one_allowed_worker_of_890_is_found() {
+    let mut cluster = advised_cluster(RACKS, WORKERS_PER_RACK, ADVICE);
+    cluster.submit(1, 2, vec![step(1, 1)]);
+    let mut service = Service::new(ADVICE, &|w| w == "w777");
+    // The service needs 4.9 s for all workers.
+    let took = service.start_all(&mut cluster, SECOND * 20);
+    assert!(took.is_some_and(|t| t < SECOND * 7), "{took:?}");
+}
+
+// The permits of the first workers expire while the last ones are asked about.
+#[test]
+fn next_question_gang_of_64_starts_on_the_allowed_workers_of_890() {
+    let mut cluster = advised_cluster(RACKS, WORKERS_PER_RACK, ADVICE);
+    cluster.submit(1, 2, vec![gang(64, 8)]);
+    let number = |w: &str| w[1..].parse::<usize>().unwrap();
+    let allows = move |w: &str| number(w) % 13 == 5;
+    let mut service = Service::new(ADVICE, &allows);
+    let took = service.start_all(&mut cluster, SECOND * 30);
+    assert!(took.is_some_and(|t| t < SECOND * 15), "{took:?}");
+}
+
+// The most urgent step took all questions.
+#[test]
+fn next_question_steps_that_wait_take_turns() {
+    const STEPS: u64 = 40;
+    let mut cluster = advised_cluster(3, 12, ADVICE);
+    for id in 1..=STEPS {
+        cluster.submit(id, 2, vec![step(1, 1)]);
+    }
+    let allows = |_: &str| false;
+    let mut service = Service::new(ADVICE, &allows);
+    let begun = cluster.view.now;
+    // 40 first questions of 250 ms each, and as many about the other six workers.
+    let all = STEPS as usize * 36;
+    while service.named.len() < all && cluster.view.now.since(begun) < SECOND * 25 {
+        service.turn(&mut cluster);
+    }
+    let steps: BTreeSet<_> = service.named.iter().map(|(step, _)| *step).collect();
+    assert_eq!(steps.len() as u64, STEPS);
+    assert_eq!(service.named.len() as u64, STEPS * 36, "all workers for each step");
+    assert_eq!(service.questions as u64, STEPS * 2, "no worker twice before that");
+}
+
+// A step that no worker could run kept all others from being asked about.
+#[test]
+fn next_question_step_without_workers_holds_up_no_other() {
+    let mut cluster = advised_cluster(1, 3, ADVICE);
+    let unknown = Step { label: Some("none".into()), ..step(1, 1) };
+    cluster.submit(1, 2, vec![unknown]);
+    cluster.submit(2, 2, vec![step(1, 1)]);
+    let mut inquiries = Inquiries::default();
+    let question = next_question(&mut inquiries, &cluster);
+    assert_eq!(question.map(|q| q.step.job), Some(JobId(2)));
+}
+
+// Workers about which the service does not answer were named again and again.
+#[test]
+fn next_question_without_an_answer_names_other_workers_next() {
+    let mut cluster = advised_cluster(3, 20, ADVICE);
+    cluster.submit(1, 2, vec![step(1, 1)]);
+    let mut inquiries = Inquiries::default();
+    let first = next_question(&mut inquiries, &cluster).unwrap();
+    cluster.pass(SECOND * 3);
+    let second = next_question(&mut inquiries, &cluster).unwrap();
+    assert_eq!(first.workers.len() + second.workers.len(), 60);
+    assert!(!first.workers.iter().any(|w| second.workers.contains(w)));
+    // The answer to the first question is late: it says nothing of the workers of the second one.
+    inquiries.record(cluster.view.now, step_id(), &HashSet::default());
+    cluster.pass(SECOND);
+    let third = next_question(&mut inquiries, &cluster).unwrap();
+    assert_eq!(third.workers.len(), 60, "none of them is known to be refused");
+}
+
+// The service does not refuse a worker for a step at one time and allow it at another, and a step
+// may wait for room on allowed workers for long.
+#[test]
+fn next_question_renews_permits_before_it_names_refused_workers() {
+    let mut cluster = advised_cluster(3, 20, ADVICE);
+    cluster.submit(9, 0, vec![Step { long_lived: true, ..step(60, 8) }]);
+    assert_eq!(cluster.started().len(), 60);
+    cluster.submit(1, 2, vec![step(1, 1)]);
+    let allows = |w: &str| w == "w3" || w == "w44";
+    let mut service = Service::new(ADVICE, &allows);
+    while service.named.len() < 60 {
+        service.turn(&mut cluster);
+    }
+    cluster.pass(SECOND * 3);
+    let question = service.turn(&mut cluster).unwrap();
+    assert_eq!(question.workers, ["w3".into(), "w44".into()]);
+}
+
+// The permits of a slow service expired before they came.
+#[test]
+fn next_question_of_a_slow_service_is_small() {
+    for (per_worker, most) in [(50, 29), (400, 3), (2_000, 1)] {
+        let advice = Advice { per_worker, ..ADVICE };
+        let mut cluster = advised_cluster(3, 20, advice);
+        cluster.submit(1, 2, vec![step(1, 1)]);
+        let mut inquiries = Inquiries::default();
+        let question = next_question(&mut inquiries, &cluster).unwrap();
+        assert_eq!(question.workers.len(), most, "{per_worker} ms");
+    }
+}
+
+// Another incarnation may be of another kind.
+#[test]
+fn next_question_names_a_refused_worker_that_has_started_again() {
+    let mut cluster = advised_cluster(1, 3, ADVICE);
+    cluster.submit(1, 2, vec![step(1, 1)]);
+    let mut inquiries = Inquiries::default();
+    next_question(&mut inquiries, &cluster).unwrap();
+    inquiries.record(cluster.view.now, step_id(), &HashSet::default());
+    let spec = cluster.ledger.worker(&incarnation(2)).unwrap().spec.clone();
+    let next = WorkerIncarnation { started_at: 2, ..incarnation(2) };
+    cluster.apply(Event::WorkerUp(Box::new(WorkerSpec { incarnation: next, ..spec })));
+    let question = next_question(&mut inquiries, &cluster).unwrap();
+    assert_eq!(question.workers, ["w2".into()]);
+}
+
+#[test]
+fn record_all_workers_refused_is_told_once() {
+    let mut cluster = advised_cluster(1, 3, ADVICE);
+    cluster.submit(1, 2, vec![step(1, 1)]);
+    let mut inquiries = Inquiries::default();
+    let mut told = Vec::new();
+    for _ in 0..3 {
+        next_question(&mut inquiries, &cluster).unwrap();
+        told.push(inquiries.record(cluster.view.now, step_id(), &HashSet::default()));
+        cluster.pass(SECOND);
+    }
+    assert_eq!(told, [Some(3), None, None]);
+}
--- a/crates/bronzespool-telemetry/src/event/control.rs
+++ b/crates/bronzespool-telemetry/src/event/control.rs
@@ -2,7 +2,7 @@
 
 use {
     bronzespool_batch::{
-        EventOutcome, JobId, Phase, RunId, TaskId, WorkerIncarnation, ledger::RunOutcome,
+        EventOutcome, JobId, Phase, RunId, StepId, TaskId, WorkerIncarnation, ledger::RunOutcome,
     },
     bronzespool_core::Instance,
     std::sync::Arc,
@@ -167,6 +167,15 @@
         /// Number of these that nothing else on the worker can have caused.
         sole: usize,
     }
+    /// The advice service was asked about all workers that could run a step, and allows none.
+    StepNotPermitted: Warn, Leader, "no worker is permitted to run a step" {
+        /// The job.
+        job: JobId,
+        /// The step.
+        step: StepId,
+        /// Number of workers that could run it.
+        workers: usize,
+    }
     /// The machine of a worker was taken down for maintenance, so that its end is no crash.
     WorkerTakenDown: Info, Leader, "a worker was taken down" {
         /// Name of the worker.
--- a/crates/bronzespoold/src/control/batch/external.rs
+++ b/crates/bronzespoold/src/control/batch/external.rs
@@ -15,7 +15,7 @@
                 Denial, ExternalCall, ExternalCallKind, ExternalCallRequest, ExternalResult,
                 Permitted, Question, Reply, TakedownResult,
             },
-            plan::{MaintenancePlanner, Permits},
+            plan::{Inquiries, MaintenancePlanner, Permits},
         },
         core::{Code, HashSet, Refusal, Time},
     },
@@ -39,6 +39,7 @@
     /// When this replica became leader of the term, on the process's clock.
     term_start: Time,
     pub(super) permits: Permits,
+    pub(super) inquiries: Inquiries,
     pub(super) maintenance: MaintenancePlanner,
 }
 
@@ -133,15 +134,23 @@
 
     fn record_permits(&self, permitted: Permitted) {
         let Permitted { step, tickets, valid } = permitted;
-        let until = self.replica.log_time() + Duration::from_millis(valid);
+        let now = self.replica.log_time();
+        let until = now + Duration::from_millis(valid);
         let state = self.replica.state();
         let incarnation_of = |worker: &str| {
             let worker = state.batch().workers().find(|w| &*w.spec.incarnation.worker == worker);
             worker.map(|w| w.spec.incarnation.clone())
         };
-        let permits =
-            tickets.into_iter().filter_map(|(w, permit)| Some((incarnation_of(&w)?, permit)));
-        self.external.borrow_mut().permits.record(step, until, permits);
+        let permits: Vec<_> = tickets
+            .into_iter()
+            .filter_map(|(w, permit)| Some((incarnation_of(&w)?, permit)))
+            .collect();
+        let allowed = permits.iter().map(|(incarnation, _)| incarnation.clone()).collect();
+        let external = &mut *self.external.borrow_mut();
+        external.permits.record(step, until, permits);
+        if let Some(workers) = external.inquiries.record(now, step, &allowed) {
+            event::StepNotPermitted { job: step.job, step, workers }.emit();
+        }
     }
 
     /// The next question for the advice service, waiting up to [`QUESTION_WAIT`] for one.
@@ -161,9 +170,10 @@
     }
 
     fn try_question(&self) -> Option<Question> {
+        self.external.borrow_mut().permits.expire(self.replica.log_time());
         let cluster_view = self.cluster_view();
         let state = self.replica.state();
-        self.external.borrow_mut().permits.next_question(state.batch(), &cluster_view)
+        self.external.borrow_mut().inquiries.next_question(state.batch(), &cluster_view)
     }
 
     /// The next order for a machine, or a request to list all machines, for the process beside the
