feat(batch): tell why a step waits, in explain and the log

What callers saw: a job that waited was explained as "no task has started yet", and the log had no line on it, whether the only worker for it was kept for another task, the advice service had not named the right one, or no worker could ever run it.

Change: explain of a job of steps adds why its first waiting step waits: no worker, no label, too small, away, how far the advice service was asked and how many it allows, that it is too slow for any start, a worker kept for a suspect, quarantine, or no room. The leader logs "a step waits" with the cause once a step has waited for 3 s, and again for another cause, and counts it in bronzespool_batch_long_waits_total{cause}. It examines four steps a second in turn, so that a backlog costs no more. Work that no worker could ever run stays accepted, since a worker may join, and is now said to be so.

Evidence: the tests of waiting.rs, explain_wait_* of permit.rs, and advised_step_that_no_worker_may_run_says_so with processes.

--- a/crates/bronzespool-batch/src/plan/inquiry.rs
+++ b/crates/bronzespool-batch/src/plan/inquiry.rs
@@ -9,7 +9,7 @@
 use {
     crate::{
         config::Advice,
-        id::{StepId, WorkerIncarnation},
+        id::{JobId, StepId, WorkerIncarnation},
         ledger::{Ledger, Worker},
         message::Question,
         plan::{
@@ -18,6 +18,7 @@
         spec::Resources,
     },
     bronzespool_core::{HashMap, HashSet, Time},
+    displaydoc::Display,
     std::{cmp::Reverse, sync::Arc, time::Duration},
 };
 
@@ -349,3 +350,52 @@
     let in_time = time_max.saturating_sub(advice.call).checked_div(advice.per_worker);
     in_time.map_or(limit, |n| limit.min(usize::try_from(n).unwrap_or(limit))).max(1)
 }
+
+/// How far the advice service has been asked about a step that waits.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum PermitWait {
+    /// the advice service has not been asked about step {0} yet
+    Unasked(StepId),
+    /// the advice service has been asked about {asked} of {all} workers that could run step {step}, and allows {allowed}
+    Asked {
+        /// The step.
+        step: StepId,
+        /// Workers that it was asked about.
+        asked: usize,
+        /// Workers that it allows.
+        allowed: usize,
+        /// Workers that could run the step.
+        all: usize,
+    },
+    /// the advice service allows none of the {1} workers that could run step {0}
+    Refused(StepId, usize),
+    /// the advice service needs {1} ms for one worker, which is too long to start step {0}
+    TooSlow(StepId, u64),
+}
+
+impl Inquiries {
+    /// Returns how far the service has been asked about the first step of a job that waits for a
+    /// permit; none if no step does.
+    pub fn explain(&self, ledger: &Ledger, view: &ClusterView, id: JobId) -> Option<PermitWait> {
+        let mut groups = task_groups(ledger, view).into_iter().map(|like| like.first);
+        let group = groups.find(|g| g.step.job == id && g.needs_permit)?;
+        let step = group.step;
+        let advice = advice_of(ledger, &group)?;
+        let shortest = answer_time(&advice, 1);
+        if shortest >= ANSWER_TIMEOUT.min(Duration::from_millis(advice.validity)) {
+            return Some(PermitWait::TooSlow(step, shortest.as_millis() as u64));
+        }
+        let all: Vec<&Worker> = candidates(ledger, view, &group).collect();
+        let Some(inquiry) = self.steps.get(&step).filter(|i| !i.answers.is_empty()) else {
+            return (!all.is_empty()).then_some(PermitWait::Unasked(step));
+        };
+        let verdict = |w: &&Worker| inquiry.answers.get(&w.spec.incarnation).map(|a| a.verdict);
+        let verdicts: Vec<Verdict> = all.iter().filter_map(verdict).collect();
+        let count = |wanted| verdicts.iter().filter(|v| **v == wanted).count();
+        if !all.is_empty() && count(Verdict::Refused) == all.len() {
+            return Some(PermitWait::Refused(step, all.len()));
+        }
+        let (asked, allowed) = (verdicts.len(), count(Verdict::Allowed));
+        Some(PermitWait::Asked { step, asked, allowed, all: all.len() })
+    }
+}
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -25,16 +25,18 @@
 mod steps;
 mod time_left;
 mod urgency;
+mod wait;
 
 pub(crate) use precedence::{precedence_of, would_be_guaranteed};
 
 pub use {
     group::TaskGroup,
-    inquiry::Inquiries,
+    inquiry::{Inquiries, PermitWait},
     maintenance::{MaintenancePlanner, Takedown},
     permit::Permits,
     precedence::Precedence,
     steps::PlanSteps,
+    wait::{Wait, WaitReport, WaitingStep, Workers, explain_wait},
 };
 
 use {
--- a/crates/bronzespool-batch/tests/permit.rs
+++ b/crates/bronzespool-batch/tests/permit.rs
@@ -8,7 +8,8 @@
         config::Advice,
         ledger::WorkerSpec,
         message::Question,
-        plan::{Inquiries, Permits},
+        plan::{Inquiries, PermitWait, Permits, Wait, explain_wait},
+        spec::Resources,
     },
     bronzespool_core::HashSet,
     common::{Cluster, SECOND, config, gang, incarnation, run, step},
@@ -314,6 +315,27 @@
     assert_eq!(question.workers, ["w2".into()]);
 }
 
+fn wait(cluster: &Cluster, inquiries: &Inquiries) -> Option<Wait> {
+    explain_wait(&cluster.ledger, &cluster.view, inquiries, JobId(1)).map(|w| w.cause)
+}
+
+#[test]
+fn explain_wait_tells_how_far_the_advice_service_was_asked() {
+    let mut cluster = advised_cluster(3, 12, ADVICE);
+    cluster.submit(1, 2, vec![step(1, 1)]);
+    let allows = |_: &str| false;
+    let mut service = Service::new(ADVICE, &allows);
+    let unasked = wait(&cluster, &service.inquiries);
+    assert_eq!(unasked, Some(Wait::Permit(PermitWait::Unasked(step_id()))));
+    service.turn(&mut cluster);
+    let asked = PermitWait::Asked { step: step_id(), asked: 30, allowed: 0, all: 36 };
+    assert_eq!(wait(&cluster, &service.inquiries), Some(Wait::Permit(asked)));
+    service.turn(&mut cluster);
+    let refused = wait(&cluster, &service.inquiries).unwrap();
+    assert_eq!(refused, Wait::Permit(PermitWait::Refused(step_id(), 36)));
+    assert!(refused.to_string().contains("allows none of the 36 workers"), "{refused}");
+}
+
 #[test]
 fn record_all_workers_refused_is_told_once() {
     let mut cluster = advised_cluster(1, 3, ADVICE);
@@ -327,3 +349,29 @@
     }
     assert_eq!(told, [Some(3), None, None]);
 }
+
+#[test]
+fn explain_wait_service_that_is_too_slow_is_named() {
+    let advice = Advice { call: 3_500, ..ADVICE };
+    let mut cluster = advised_cluster(1, 3, advice);
+    cluster.submit(1, 2, vec![step(1, 1)]);
+    let cause = wait(&cluster, &Inquiries::default()).unwrap();
+    assert_eq!(cause, Wait::Permit(PermitWait::TooSlow(step_id(), 3_505)));
+}
+
+#[test]
+fn explain_wait_names_what_no_worker_has() {
+    let text = |spec: Step| {
+        let mut cluster = Cluster::new(1, 3, 0);
+        cluster.submit(1, 1, vec![spec]);
+        wait(&cluster, &Inquiries::default()).map(|w| w.to_string())
+    };
+    let labelled = Step { label: Some("b".into()), ..step(1, 1) };
+    assert_eq!(text(labelled).unwrap(), "no worker of service desk has the label b");
+    let large = "all workers that could run it together are too small for it";
+    assert_eq!(text(step(1, 9)).unwrap(), large);
+    assert_eq!(text(gang(4, 8)).unwrap(), large);
+    assert_eq!(text(gang(3, 8)), None, "the next plan starts it");
+    let need = Resources { cpu: 1_000, memory: 1_000_000, gpu: 0 };
+    assert_eq!(text(Step { need, ..step(1, 0) }).unwrap(), large);
+}
--- a/crates/bronzespool-telemetry/src/event/control.rs
+++ b/crates/bronzespool-telemetry/src/event/control.rs
@@ -167,6 +167,17 @@
         /// Number of these that nothing else on the worker can have caused.
         sole: usize,
     }
+    /// A step has waited for long since it could have started, or goes on waiting for another cause.
+    StepWaits: Info, Leader, "a step waits" {
+        /// The job.
+        job: JobId,
+        /// The step.
+        step: StepId,
+        /// Milliseconds since its job was submitted or its last run ended.
+        waited_ms: u64,
+        /// Why it waits.
+        cause: String,
+    }
     /// The advice service was asked about all workers that could run a step, and allows none.
     StepNotPermitted: Warn, Leader, "no worker is permitted to run a step" {
         /// The job.
--- a/crates/bronzespoold/src/control/batch/mod.rs
+++ b/crates/bronzespoold/src/control/batch/mod.rs
@@ -11,6 +11,7 @@
 mod polls;
 mod requests;
 mod run_times;
+mod waits;
 mod wakes;
 
 pub(in crate::control) use wakes::Wakes;
@@ -32,8 +33,11 @@
     },
     bronzespool::{
         batch::{
-            Event, EventOutcome, Record, cold::ColdWorkers, departure::Departures, message,
-            plan::Planner,
+            Event, EventOutcome, Record,
+            cold::ColdWorkers,
+            departure::Departures,
+            message,
+            plan::{Planner, WaitReport},
         },
         core::{Code, Instance, Refusal, settings::JobPolicy},
         wire::message::{CallResult, Reply},
@@ -54,6 +58,7 @@
     cold: RefCell<ColdWorkers>,
     departures: RefCell<Departures>,
     overload: RefCell<OverloadState>,
+    waits: RefCell<WaitReport>,
     /// Name of this instance.
     instance: Instance,
 }
@@ -76,6 +81,7 @@
             cold: RefCell::default(),
             departures: RefCell::default(),
             overload: RefCell::new(OverloadState::new(policy.overload)),
+            waits: RefCell::default(),
             instance,
         })
     }
--- a/crates/bronzespoold/src/control/batch/planner.rs
+++ b/crates/bronzespoold/src/control/batch/planner.rs
@@ -56,6 +56,7 @@
         let planned = self.planner.borrow_mut().plan(self.replica.state().batch(), &cluster_view);
         events.extend(planned);
         self.count_preemptions();
+        self.report_waits(&cluster_view);
         let took = self.clock.now().since(begun);
         metrics::histogram!("bronzespool_batch_plan_seconds").record(took.as_secs_f64());
         if events.is_empty() {
--- a/crates/bronzespoold/src/control/batch/requests.rs
+++ b/crates/bronzespoold/src/control/batch/requests.rs
@@ -91,10 +91,12 @@
         self.replica.read_barrier().await?;
         let term = self.replica.term();
         let overload = self.explain_overload(id);
+        let wait = self.explain_wait(id);
         let state = self.replica.state();
         let explained = state.batch().job(id).zip(state.batch().explain(id));
         let run_times = self.run_times.borrow();
-        let text = explained.map(|(job, e)| run_times.explain(term, job, format!("{e}{overload}")));
+        let text =
+            explained.map(|(job, e)| run_times.explain(term, job, format!("{e}{wait}{overload}")));
         Ok(text.map_or(Reply::Denied(Denial::NoJob), Reply::Explained))
     }
 
