test(fakes): wait until every fake worker answers

What was seen: job_failing_everywhere_is_refused failed in 2 of 2 runs of plain cargo test on an x86-64 machine with "connection refused", both tests of its file in one process, and passed alone.

Cause, as far as a run shows it: a cluster counted as started once its agents had sessions. An agent has one whether the worker beside it answers or not, and the test's first call goes to each of the four workers. With a fake that binds its worker interface 4 s late (a mutation in a scratch copy), both tests of the file fail with this error. That this is what happened on the x86-64 machine is suspected: this machine is arm64, where both passed in 1 of 1 run before the change.

Change: the start of a cluster waits for the workers as well, as long as for the rest.

Measured: with the mutation, 2 of 2 tests failed before and passed after the change.

--- a/crates/bronzespool-fakes/src/cluster/system.rs
+++ b/crates/bronzespool-fakes/src/cluster/system.rs
@@ -59,7 +59,8 @@
 }
 
 impl Cluster {
-    /// Starts all processes and waits until every entry is ready and every agent has a session.
+    /// Starts all processes and waits until every entry is ready, every agent has a session and every
+    /// fake worker answers.
     pub async fn start(plan: Plan) -> Result<Self> {
         let folder = TempDir::with_prefix("bronzespool-")?;
         let mut cluster = Self {
@@ -75,6 +76,7 @@
         cluster.start_workers()?;
         cluster.start_entries()?;
         cluster.wait_ready().await?;
+        cluster.wait_workers().await?;
         Ok(cluster)
     }
 
@@ -224,6 +226,21 @@
         }
     }
 
+    /// Waits until every fake worker answers: an agent has its session whether it does or not.
+    async fn wait_workers(&self) -> Result<()> {
+        let end = Instant::now() + WAIT_MAX;
+        for worker in &self.workers {
+            while let Err(error) = Call::get("/record").send(worker.worker).await {
+                if Instant::now() > end {
+                    let name = &worker.instance;
+                    return Err(format!("{name}: {error}\n{}", self.log_tails()).into());
+                }
+                sleep(POLL_INTERVAL).await;
+            }
+        }
+        Ok(())
+    }
+
     /// The last lines of all logs, for an error message: the folder is deleted with the cluster.
     fn log_tails(&self) -> String {
         let tail = |name: &String| {
