fix(batch): renew no more permits than one question names

A queue whose configuration gives no validity was asked about one worker at a time, and one whose permits last no longer than an order takes was not said to be hopeless.

Change: with a hundred valid permits only workers with room are renewed; the map of permits is shared between views; an unknown validity bounds nothing; explain names a service whose permits cannot be used in time.

--- a/crates/bronzespool-batch/src/plan/inquiry.rs
+++ b/crates/bronzespool-batch/src/plan/inquiry.rs
@@ -13,7 +13,8 @@
         ledger::{Ledger, Worker},
         message::Question,
         plan::{
-            ClusterView, TaskGroup, group::task_groups, precedence::precedence_of, urgency::Urgency,
+            ClusterView, TaskGroup, group::task_groups, permit::ORDER_DELAY,
+            precedence::precedence_of, urgency::Urgency,
         },
         spec::Resources,
     },
@@ -230,29 +231,26 @@
     let advice = advice_of(ledger, group)?;
     let most = |limit| question_size(&advice, limit);
     let candidates = candidates(ledger, view, group);
+    let need = group.spec.allocation();
     let mut new: Vec<&Worker> = Vec::new();
     let mut repeats = Repeats::default();
+    let mut permitted = 0;
     for worker in candidates {
         let incarnation = &worker.spec.incarnation;
         let Some(answer) = inquiry.answers.get(incarnation) else {
             new.push(worker);
             continue;
         };
-        let is_permitted = || {
-            let expected = view.now + answer_time(&advice, FIRST_WORKERS_MAX);
-            view.permits.get(group.step, incarnation, expected).is_some()
-        };
-        if view.now.since(answer.asked_at) >= REPEAT_INTERVAL {
-            match answer.verdict {
-                Verdict::Unknown => repeats.unknown.push((answer.asked_at, worker)),
-                Verdict::Refused => repeats.refused.push((answer.asked_at, worker)),
-                Verdict::Allowed if !is_permitted() => {
-                    repeats.expiring.push((answer.asked_at, worker));
-                }
-                Verdict::Allowed => {}
-            }
+        let renewed_at = view.now + answer_time(&advice, FIRST_WORKERS_MAX);
+        if view.permits.get(group.step, incarnation, renewed_at).is_some() {
+            permitted += 1;
+        } else if view.now.since(answer.asked_at) >= REPEAT_INTERVAL {
+            repeats.of(answer.verdict).push((answer.asked_at, worker));
         }
     }
+    if permitted >= WORKERS_MAX {
+        repeats.expiring.retain(|(_, worker)| worker.free().fits(&need));
+    }
     if !new.is_empty() {
         let limit = if inquiry.answers.is_empty() { FIRST_WORKERS_MAX } else { WORKERS_MAX };
         let is_last = new.len() <= most(limit);
@@ -274,6 +272,14 @@
 }
 
 impl<'a> Repeats<'a> {
+    const fn of(&mut self, verdict: Verdict) -> &mut Vec<(Time, &'a Worker)> {
+        match verdict {
+            Verdict::Unknown => &mut self.unknown,
+            Verdict::Allowed => &mut self.expiring,
+            Verdict::Refused => &mut self.refused,
+        }
+    }
+
     /// Returns the workers of one kind: a worker about which the service does not answer does not hold
     /// up the others. Those that were refused are named if there are no others.
     fn choose(
@@ -342,11 +348,18 @@
     Duration::from_millis(advice.call.saturating_add(advice.per_worker * workers as u64))
 }
 
+/// Time for which permits are valid, as far as the configuration says.
+const fn validity(advice: &Advice) -> Duration {
+    match advice.validity {
+        0 => Duration::MAX,
+        millis => Duration::from_millis(millis),
+    }
+}
+
 /// Returns how many workers a question may name, at least one: the answer has to come long before its
 /// permits expire.
 fn question_size(advice: &Advice, limit: usize) -> usize {
-    let validity = Duration::from_millis(advice.validity);
-    let time_max = QUESTION_TIME_MAX.min(validity / 2).as_millis() as u64;
+    let time_max = QUESTION_TIME_MAX.min(validity(advice) / 2).as_millis() as u64;
     let in_time = time_max.saturating_sub(advice.call).checked_div(advice.per_worker);
     in_time.map_or(limit, |n| limit.min(usize::try_from(n).unwrap_or(limit))).max(1)
 }
@@ -382,7 +395,7 @@
         let step = group.step;
         let advice = advice_of(ledger, &group)?;
         let shortest = answer_time(&advice, 1);
-        if shortest >= ANSWER_TIMEOUT.min(Duration::from_millis(advice.validity)) {
+        if shortest >= ANSWER_TIMEOUT || shortest + ORDER_DELAY >= validity(&advice) {
             return Some(PermitWait::TooSlow(step, shortest.as_millis() as u64));
         }
         let all: Vec<&Worker> = candidates(ledger, view, &group).collect();
--- a/crates/bronzespool-batch/src/plan/permit.rs
+++ b/crates/bronzespool-batch/src/plan/permit.rs
@@ -7,7 +7,7 @@
 };
 
 /// Time until a start order reaches its worker; a permit that expires sooner is not used.
-const ORDER_DELAY: Duration = Duration::from_millis(400);
+pub(super) const ORDER_DELAY: Duration = Duration::from_millis(400);
 
 /// A permit for the tasks of a step on one worker incarnation.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,7 +20,8 @@
 /// The permits. This state is not replicated: each new leader starts without it.
 #[derive(Clone, Debug, Default)]
 pub struct Permits {
-    permits: HashMap<(StepId, WorkerIncarnation), Permit>,
+    /// Shared with the views of the cluster, of which each plan has its own.
+    permits: Arc<HashMap<(StepId, WorkerIncarnation), Permit>>,
 }
 
 impl Permits {
@@ -31,19 +32,20 @@
         until: Time,
         permits: impl IntoIterator<Item = (WorkerIncarnation, Arc<str>)>,
     ) {
+        let known = Arc::make_mut(&mut self.permits);
         for (incarnation, value) in permits {
-            self.permits.insert((step, incarnation), Permit { value, until });
+            known.insert((step, incarnation), Permit { value, until });
         }
     }
 
     /// Removes a permit that the worker has refused.
     pub fn revoke(&mut self, step: StepId, incarnation: &WorkerIncarnation) {
-        self.permits.remove(&(step, incarnation.clone()));
+        Arc::make_mut(&mut self.permits).remove(&(step, incarnation.clone()));
     }
 
     /// Removes the permits that have expired.
     pub fn expire(&mut self, now: Time) {
-        self.permits.retain(|_, permit| now < permit.until);
+        Arc::make_mut(&mut self.permits).retain(|_, permit| now < permit.until);
     }
 
     /// Returns the permit for a step on a worker if it stays valid for the time that an order
--- a/crates/bronzespool-batch/tests/permit.rs
+++ b/crates/bronzespool-batch/tests/permit.rs
@@ -6,7 +6,7 @@
     bronzespool_batch::{
         Event, JobId, Step, StepId, WorkerIncarnation,
         config::Advice,
-        ledger::WorkerSpec,
+        ledger::{RunOutcome, WorkerSpec},
         message::Question,
         plan::{Inquiries, PermitWait, Permits, Wait, explain_wait},
         spec::Resources,
@@ -290,8 +290,11 @@
 // The permits of a slow service expired before they came.
 #[test]
 fn next_question_of_a_slow_service_is_small() {
-    for (per_worker, most) in [(50, 29), (400, 3), (2_000, 1)] {
-        let advice = Advice { per_worker, ..ADVICE };
+    // The last queue does not say how long its permits are valid.
+    for (per_worker, validity, most) in
+        [(50, 3_000, 29), (400, 3_000, 3), (2_000, 3_000, 1), (5, 0, 30)]
+    {
+        let advice = Advice { per_worker, validity, ..ADVICE };
         let mut cluster = advised_cluster(3, 20, advice);
         cluster.submit(1, 2, vec![step(1, 1)]);
         let mut inquiries = Inquiries::default();
@@ -352,11 +355,14 @@
 
 #[test]
 fn explain_wait_service_that_is_too_slow_is_named() {
-    let advice = Advice { call: 3_500, ..ADVICE };
-    let mut cluster = advised_cluster(1, 3, advice);
-    cluster.submit(1, 2, vec![step(1, 1)]);
-    let cause = wait(&cluster, &Inquiries::default()).unwrap();
-    assert_eq!(cause, Wait::Permit(PermitWait::TooSlow(step_id(), 3_505)));
+    let slow = Advice { call: 3_500, validity: 9_000, ..ADVICE };
+    let short = Advice { validity: 450, ..ADVICE };
+    for (advice, needed) in [(slow, 3_505), (short, 55)] {
+        let mut cluster = advised_cluster(1, 3, advice);
+        cluster.submit(1, 2, vec![step(1, 1)]);
+        let cause = wait(&cluster, &Inquiries::default()).unwrap();
+        assert_eq!(cause, Wait::Permit(PermitWait::TooSlow(step_id(), needed)));
+    }
 }
 
 #[test]
@@ -375,3 +381,26 @@
     let need = Resources { cpu: 1_000, memory: 1_000_000, gpu: 0 };
     assert_eq!(text(Step { need, ..step(1, 0) }).unwrap(), large);
 }
+
+// A step that waits for room renewed the permits of all workers that may run it.
+#[test]
+fn next_question_renews_as_many_permits_as_one_question_names() {
+    let mut cluster = advised_cluster(RACKS, WORKERS_PER_RACK, ADVICE);
+    cluster.submit(9, 0, vec![step(890, 8)]);
+    while !cluster.started().is_empty() {}
+    cluster.submit(1, 2, vec![step(1, 1)]);
+    let mut service = Service::new(ADVICE, &|_| true);
+    while service.named.len() < 890 {
+        service.turn(&mut cluster);
+    }
+    let (begun, before) = (cluster.view.now, service.questions);
+    while cluster.view.now.since(begun) < SECOND * 30 {
+        service.turn(&mut cluster);
+    }
+    let questions = service.questions - before;
+    assert!(questions <= 20, "{questions} questions in 30 s");
+    // Once there is room, the worker is asked about although a hundred others have permits.
+    cluster.end(run(9, 0, 7, 1), RunOutcome::Done);
+    let took = service.start_all(&mut cluster, SECOND * 4);
+    assert!(took.is_some_and(|t| t <= SECOND * 2), "{took:?}");
+}
