fix(http): one budget of bytes for large bodies, and a time for each

Cause: each body was bounded to 1 MiB (8 for a configuration), and nothing bounded them together or in time: 1,948 connections may hold 2 GB. Change: a body over 8 KiB takes room from one budget of the process before it is read, 1/16 of its memory, four bytes for each byte of its length since that much is made of it. Without room it is not read, so its sender waits; the smallest is next; after 2 s it is refused. A body that has been read for 3 s gives its room to one that waits, and its connection if the listener is at its bound. Refusals are 503 with Retry-After, or 504 where an earlier try may have been accepted. Refused bodies are counted by cause.

--- a/crates/bronzespool-core/src/settings/process/mod.rs
+++ b/crates/bronzespool-core/src/settings/process/mod.rs
@@ -103,6 +103,8 @@
     pub data: Option<PathBuf>,
     /// Time limit of a graceful shutdown.
     pub grace: Duration,
+    /// Memory of the process in MiB.
+    pub memory: u64,
     /// Present for the roles control and all.
     pub control: Option<ControlSettings>,
     /// Present for the roles entry and all.
--- a/crates/bronzespool-core/src/settings/process/schema.rs
+++ b/crates/bronzespool-core/src/settings/process/schema.rs
@@ -31,6 +31,12 @@
         defaulted("log", "error, warn, info, debug or trace", "info", "Least severe level logged."),
         optional("data", "folder", "a fault for control and all", "Folder of the replicated log."),
         defaulted("grace", "duration", "20s", "Longest time that a graceful stop takes."),
+        defaulted(
+            "memory",
+            "memory",
+            "256MiB",
+            "Memory of this process; bounds of bodies, calls and stored jobs are shares of it.",
+        ),
     ],
 };
 
--- a/crates/bronzespool-core/src/settings/process/sections.rs
+++ b/crates/bronzespool-core/src/settings/process/sections.rs
@@ -29,6 +29,7 @@
     let log = reader.get("log");
     let data = reader.optional::<Folder>("data");
     let grace = reader.get::<Span>("grace");
+    let memory = reader.get::<Memory>("memory");
     let (role, data) = (role?, data?);
     if role.includes(Role::Control) && data.is_none() {
         reader
@@ -42,6 +43,7 @@
         log: log?,
         data: data.map(|folder| folder.0),
         grace: grace?.0,
+        memory: memory?.0,
         control: None,
         entry: None,
         agent: None,
--- a/crates/bronzespoold/src/batch/leader_client/mod.rs
+++ b/crates/bronzespoold/src/batch/leader_client/mod.rs
@@ -13,7 +13,7 @@
         telemetry::{Event as _, event},
     },
     bronzespool::{
-        batch::message,
+        batch::{JobId, message},
         core::{Code, HashMap, Refusal},
         wire::{
             bronzespool_capnp::control,
@@ -112,6 +112,11 @@
         }
     }
 
+    /// Whether an earlier submission of a job may have been accepted.
+    pub fn is_unconfirmed(&self, job: JobId) -> bool {
+        self.unconfirmed.borrow().contains(self.clock.now(), job)
+    }
+
     /// Clock of this process.
     pub(in crate::batch) const fn clock(&self) -> Clock {
         self.clock
--- a/crates/bronzespoold/src/batch/role/mod.rs
+++ b/crates/bronzespoold/src/batch/role/mod.rs
@@ -18,6 +18,7 @@
         clock::Clock,
         http::{FullResponse, Handler, serve_bounded, text_response},
         limits::Listener,
+        memory,
         telemetry::{self, Event, event},
     },
     bronzespool::core::Instance,
@@ -86,6 +87,8 @@
     pub load_seeds: fn() -> std::result::Result<Vec<SocketAddr>, String>,
     /// Time between the signal to stop and the forced kill.
     pub grace: Duration,
+    /// Memory of the process in bytes.
+    pub memory: u64,
 }
 
 impl ProcessOptions {
@@ -98,6 +101,7 @@
         self,
         role: impl FnOnce(Self, Clock, Signals) -> F,
     ) -> Result<()> {
+        memory::set(self.memory);
         let clock = Clock::start();
         if let Some(port) = self.metrics {
             serve_metrics(SocketAddr::new(self.listen.ip(), port)).await?;
--- a/crates/bronzespoold/src/entry/filter/body.rs
+++ b/crates/bronzespoold/src/entry/filter/body.rs
@@ -6,7 +6,7 @@
             filter::{Filter, Result, caller::IdentifiedRequest},
             state::State,
         },
-        http::read_body,
+        http::{RequestRoom, read_request_body},
     },
     bronzespool::{
         core::{Code, Digest, Key, Kind, KindSpec, Refusal, Service, Team, Time},
@@ -30,6 +30,9 @@
     pub(in crate::entry) key: Option<Key>,
     pub(in crate::entry) digest: Digest,
     pub(in crate::entry) body: Bytes,
+    /// Room of the body, until the request is answered.
+    #[expect(dead_code, reason = "it is held for its drop")]
+    pub(in crate::entry) room: Rc<RequestRoom>,
 }
 
 impl CheckedRequest {
@@ -54,11 +57,12 @@
         let limit = identified.routed.spec()?.body;
         let IdentifiedRequest { routed, team, deadline, key } = identified;
         let time = deadline.since(self.0.clock.now()).min(self.0.header_timeout);
-        let reading = read_body(routed.raw.request.into_body(), limit);
+        let reading = read_request_body(routed.raw.request.into_body(), limit);
         let body = match timeout(time, reading).await {
             Ok(body) => body?,
             Err(_) => return Err(Code::HeadersSlow.into()),
         };
+        let (body, room) = body.into_parts();
         check_json(&body)?;
         Ok(CheckedRequest {
             id: routed.raw.id,
@@ -71,6 +75,7 @@
             key,
             digest: Digest::of(&body),
             body,
+            room: Rc::new(room),
         })
     }
 }
--- a/crates/bronzespoold/src/entry/operators.rs
+++ b/crates/bronzespoold/src/entry/operators.rs
@@ -7,7 +7,7 @@
             jobs::{self, call_control},
             state::State,
         },
-        http::{FullResponse, json_response, read_body},
+        http::{FullResponse, json_response, read_request_body},
     },
     bronzespool::{
         core::{
@@ -76,7 +76,7 @@
 
 /// Publishes service files as a new revision of the configuration.
 pub(super) async fn publish(state: &State, body: Incoming) -> Result<FullResponse> {
-    let bytes = read_body(body, PUBLISH_MAX_BYTES).await?;
+    let bytes = read_request_body(body, PUBLISH_MAX_BYTES).await?;
     let publication: Publication = serde_json::from_slice(&bytes)
         .map_err(|e| Refusal::new(Code::BodyInvalid, format!("the body cannot be read: {e}")))?;
     let operation = Key::try_from(publication.op.as_str())
@@ -197,7 +197,7 @@
     body: Incoming,
 ) -> Result<FullResponse> {
     let center = parse_center(center)?;
-    let bytes = read_body(body, ORDER_MAX_BYTES).await?;
+    let bytes = read_request_body(body, ORDER_MAX_BYTES).await?;
     let order = match bytes.is_empty() {
         true => CenterOrder::default(),
         false => serde_json::from_slice(&bytes).map_err(|e| {
--- a/crates/bronzespoold/src/http/mod.rs
+++ b/crates/bronzespoold/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 server and client for callers, operators, endpoints and the platform.
 
 mod body;
+mod budget;
 mod client;
 mod connection;
 mod fetch;
@@ -11,7 +12,8 @@
 mod server;
 
 pub use {
-    body::{ReadError, read_body},
+    body::{ReadError, RequestBody, RequestError, RequestRoom, read_body, read_request_body},
+    budget::{BodyBudget, BodyRoom},
     client::{JsonClient, PeerAnswer},
     connection::Connection,
     fetch::{Error, FetchedResponse, Result, fetch},
--- a/crates/bronzespoold/src/http/server.rs
+++ b/crates/bronzespoold/src/http/server.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        http::{CallerPresence, FullResponse, refuse::refuse},
+        http::{BodyBudget, CallerPresence, FullResponse, refuse::refuse},
         limits::{self, Listener},
         telemetry::{Event as _, event},
     },
@@ -46,6 +46,7 @@
     }
 
     fn refuse(&mut self, stream: TcpStream) {
+        BodyBudget::of_process().call_for_connection();
         while self.refused.try_join_next().is_some() {}
         if self.refused.len() < REFUSALS_MAX {
             self.refused.spawn_local(refuse(stream, limits::refusal(&self.bound)));
--- a/crates/bronzespoold/src/lib.rs
+++ b/crates/bronzespoold/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod entry;
 pub mod http;
 pub mod limits;
+pub mod memory;
 mod process;
 pub mod telemetry;
 
--- a/crates/bronzespoold/src/limits.rs
+++ b/crates/bronzespoold/src/limits.rs
@@ -1,7 +1,7 @@
 //! Bounds of the connections of each listener, from the process's limit of file descriptors.
 
 use {
-    crate::telemetry::record_rejection,
+    crate::{memory, telemetry::record_rejection},
     bronzespool::core::{Code, Refusal, bound::Bound},
     std::time::Duration,
 };
@@ -59,9 +59,10 @@
         usize::try_from(shared * self.percent() / 100).unwrap_or(usize::MAX)
     }
 
-    /// The bound of the listener's connections in this process.
+    /// The bound of the listener's connections in this process, by its descriptors and memory.
     pub fn bound(self) -> Bound {
-        Bound::new(self.name(), self.connections_max(read_descriptors()))
+        let by_descriptors = self.connections_max(read_descriptors());
+        Bound::new(self.name(), by_descriptors.min(memory::connections_max()))
     }
 
     /// Decides on connections to other processes, by the number of open ones.
--- a/crates/bronzespoold/src/process.rs
+++ b/crates/bronzespoold/src/process.rs
@@ -6,7 +6,7 @@
         arguments::{self, Command, HELP},
         client::Timing,
         clock::Clock,
-        control, entry,
+        control, entry, memory,
         telemetry::{self, Event as _, event},
     },
     bronzespool::core::settings::{JobPolicy, ProcessSettings, read_process},
@@ -91,6 +91,7 @@
 }
 
 async fn run_roles(settings: ProcessSettings) -> Result<()> {
+    memory::set(settings.memory << 20);
     let (stop, stopped) = watch::channel(false);
     let mut roles = JoinSet::new();
     let clock = Clock::start();
