fix(http): bound unread answers and the requests of callers that have left

Seen by reading: a caller that never reads its answer kept its connection and the answer for ever; the request of a caller that had left went on without counting for any bound; and a refusal was often lost, since a close with unread bytes resets the connection. Shown: the tests of `crowd` pass with it; none fails without it alone. Tried and dropped: receive buffers of 32 KiB for callers' connections. What callers have sent and nobody reads is in the kernel's buffers, which nothing here bounds.

--- a/crates/bronzespoold/src/http/mod.rs
+++ b/crates/bronzespoold/src/http/mod.rs
@@ -10,6 +10,7 @@
 mod refuse;
 mod response;
 mod server;
+mod stream;
 
 pub use {
     body::{ReadError, RequestBody, RequestError, RequestRoom, read_body, read_request_body},
--- a/crates/bronzespoold/src/http/server.rs
+++ b/crates/bronzespoold/src/http/server.rs
@@ -2,17 +2,17 @@
 
 use {
     crate::{
-        http::{BodyBudget, CallerPresence, FullResponse, refuse::refuse},
+        http::{BodyBudget, CallerPresence, FullResponse, refuse::refuse, stream::CallerStream},
         limits::{self, Listener},
         telemetry::{Event as _, event},
     },
     bronzespool::core::bound::Bound,
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
-    std::{convert::Infallible, rc::Rc, time::Duration},
+    std::{cell::RefCell, convert::Infallible, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::watch,
+        sync::{oneshot, watch},
         task::{JoinSet, spawn_local},
     },
 };
@@ -109,12 +109,20 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let _ = stream.set_nodelay(true);
+    let last_work = Rc::new(RefCell::new(None));
+    let newest_work = Rc::clone(&last_work);
     let service = service_fn(move |mut request: Request<Incoming>| {
         let presence = CallerPresence::default();
         let guard = presence.guard();
         request.extensions_mut().insert(presence);
         // A separate task, so that the request is still handled if the caller disconnects.
-        let work = spawn_local(Rc::clone(&handler).handle(request));
+        let (working, worked) = oneshot::channel::<Infallible>();
+        newest_work.borrow_mut().replace(worked);
+        let answer = Rc::clone(&handler).handle(request);
+        let work = spawn_local(async move {
+            let _working = working;
+            answer.await
+        });
         async move {
             let _guard = guard;
             Ok::<_, Infallible>(task_response(work.await))
@@ -124,15 +132,22 @@
         .timer(TokioTimer::new())
         .header_read_timeout(head_timeout)
         .max_buf_size(HEAD_BYTES_MAX)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
+        .serve_connection(TokioIo::new(CallerStream::new(stream)), service);
+    let mut connection = Box::pin(connection);
     tokio::select! {
         _ = connection.as_mut() => {}
         _ = stop.wait_for(|s| *s) => {
             connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+            let _ = connection.as_mut().await;
         }
     }
+    // The request in flight sees that its caller is gone.
+    drop(connection);
+    // Until it is handled, the request of a caller that has left counts for the bound of connections.
+    let worked = last_work.borrow_mut().take();
+    if let Some(worked) = worked {
+        let _ = worked.await;
+    }
 }
 
 fn task_response(result: Result<FullResponse, tokio::task::JoinError>) -> FullResponse {
