fix(control): bound what is stored before it is accepted

Seen: jobs of legal size were accepted without end. A job of 100 bytes may have 20,000 tasks, 100 bytes each or more once it has started. Change: the leader counts what the ledger holds, with its copies and tasks (reckoned, see docs/operations/limits.md), and what is on its way into it. It is no rule of the log: replicas of several versions apply the same records alike.

--- a/crates/bronzespool-batch/src/ledger/mod.rs
+++ b/crates/bronzespool-batch/src/ledger/mod.rs
@@ -30,6 +30,7 @@
     crate::{
         config::Config,
         id::{JobId, RunId, WorkerIncarnation},
+        spec::{ENDED_TASK_BYTES, TASK_BYTES},
     },
     bronzespool_core::Time,
     serde::{Deserialize, Serialize},
@@ -142,6 +143,18 @@
         self.jobs.values().filter(waits).count()
     }
 
+    /// Bytes that each replica holds for jobs and waves, about.
+    pub fn stored_bytes(&self) -> usize {
+        let job = |job: &Job| {
+            let tasks = job.spec.task_count() * job.occurrences.len().max(1);
+            let of_task = if job.phase.is_active() { TASK_BYTES } else { ENDED_TASK_BYTES };
+            job.spec.description_bytes() + tasks * of_task
+        };
+        let jobs: usize = self.jobs.values().map(job).sum();
+        let waves: usize = self.waves.values().map(|w| w.spec.stored_bytes()).sum();
+        jobs + waves
+    }
+
     /// Returns the service whose workers currently run a job.
     pub fn service<'a>(&'a self, job: &'a Job) -> &'a Arc<str> {
         let queue = self.config.as_ref().and_then(|c| c.queue(&job.spec.queue));
--- a/crates/bronzespool-batch/src/ledger/wave.rs
+++ b/crates/bronzespool-batch/src/ledger/wave.rs
@@ -29,6 +29,16 @@
 impl std::error::Error for Error {}
 
 impl WaveSpec {
+    /// Bytes that each replica holds for the wave, about.
+    pub fn stored_bytes(&self) -> usize {
+        const WAVE_BYTES: usize = 200;
+        const NAME_BYTES: usize = 120;
+        const NAME_COPIES: usize = 4;
+        let name = |m: &Arc<str>| NAME_BYTES + m.len() * NAME_COPIES;
+        let names: usize = self.machines.iter().map(name).sum();
+        WAVE_BYTES + names
+    }
+
     /// Rejects a wave that could never finish.
     pub const fn check(&self) -> Result<(), Error> {
         if self.down_max == 0 && !self.machines.is_empty() { Err(Error::DownMax) } else { Ok(()) }
--- a/crates/bronzespool-batch/src/spec.rs
+++ b/crates/bronzespool-batch/src/spec.rs
@@ -16,6 +16,20 @@
 /// Longest payload of a job in bytes.
 pub const TEXT_MAX_BYTES: usize = 4_000;
 
+/// How often a replica holds each byte of a text: in the ledger, the last snapshot, the next one while it
+/// is made, and the log.
+const COPIES: usize = 4;
+/// Bytes that a job takes beside its texts and steps, with its copies (reckoned).
+const JOB_BYTES: usize = 700;
+/// Bytes that a step takes beside its names (reckoned).
+const STEP_BYTES: usize = 370;
+/// Bytes that a step takes for each step that it depends on (reckoned).
+const DEPENDENCY_BYTES: usize = 8;
+/// Bytes that a task takes, with a run (reckoned).
+pub(crate) const TASK_BYTES: usize = 540;
+/// Bytes that a task of a job that has ended takes (reckoned).
+pub(crate) const ENDED_TASK_BYTES: usize = 160;
+
 /// Result of checking a job.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -197,6 +211,27 @@
         }
     }
 
+    /// Number of tasks of one occurrence.
+    pub fn task_count(&self) -> usize {
+        self.steps.iter().map(|s| s.count as usize).sum()
+    }
+
+    /// Bytes that each replica holds for the job with one occurrence, about.
+    pub fn stored_bytes(&self) -> usize {
+        self.description_bytes() + self.task_count() * TASK_BYTES
+    }
+
+    /// Bytes that each replica holds for the job without its tasks, about.
+    pub(crate) fn description_bytes(&self) -> usize {
+        let name = |n: &Option<Arc<str>>| n.as_ref().map_or(0, |n| n.len());
+        let step = |s: &Step| {
+            let names = name(&s.label) + name(&s.rack) + name(&s.image);
+            STEP_BYTES + names * COPIES + s.depends_on.len() * DEPENDENCY_BYTES
+        };
+        let steps: usize = self.steps.iter().map(step).sum();
+        JOB_BYTES + self.text.len() * COPIES + steps
+    }
+
     /// Returns the number of occurrences, at least one.
     pub fn occurrences(&self) -> u32 {
         self.times.max(1)
--- a/crates/bronzespoold/src/control/batch/external.rs
+++ b/crates/bronzespoold/src/control/batch/external.rs
@@ -59,6 +59,8 @@
         }
         self.replica.read_barrier().await?;
         if self.replica.state().batch().wave(spec.id).is_none() {
+            let room = self.take_storage(spec.stored_bytes());
+            let _room = room.ok_or_else(|| Refusal::from(Code::BoundReached))?;
             self.propose_one(Event::WaveOrdered(spec)).await?;
         }
         Ok(Reply::Done)
--- a/crates/bronzespoold/src/control/batch/mod.rs
+++ b/crates/bronzespoold/src/control/batch/mod.rs
@@ -11,6 +11,7 @@
 mod polls;
 mod requests;
 mod run_times;
+mod storage;
 mod waits;
 mod wakes;
 
@@ -26,6 +27,7 @@
                 external::ExternalState,
                 overload::OverloadState,
                 run_times::RunTimeLearner,
+                storage::Storage,
             },
             replica::{Replica, Result},
             state::{Command, Effect},
@@ -59,6 +61,7 @@
     departures: RefCell<Departures>,
     overload: RefCell<OverloadState>,
     waits: RefCell<WaitReport>,
+    storage: RefCell<Storage>,
     /// Name of this instance.
     instance: Instance,
 }
@@ -82,6 +85,7 @@
             departures: RefCell::default(),
             overload: RefCell::new(OverloadState::new(policy.overload)),
             waits: RefCell::default(),
+            storage: RefCell::default(),
             instance,
         })
     }
--- a/crates/bronzespoold/src/control/batch/requests.rs
+++ b/crates/bronzespoold/src/control/batch/requests.rs
@@ -73,6 +73,10 @@
         if let Err(denial) = self.admit(&spec) {
             return Ok(Reply::Denied(denial));
         }
+        let _room = match self.take_job_storage(&spec) {
+            Ok(room) => room,
+            Err(denial) => return Ok(Reply::Denied(denial)),
+        };
         let outcome = self.propose_one(Event::Submitted(Arc::new(spec))).await?;
         Ok(match outcome {
             EventOutcome::Applied | EventOutcome::Known => Reply::Done,
