fix(control): bound the calls that others pass on

Seen by reading, and in the users' figures (a relay at 166 MB beside the crowd): an entry's calls wait at the leader and in relays with their messages, what is decoded and what is made of them, from all entries together. Hosts, paths and keys of up to 32 KiB went with each call. Change: calls of callers and operators count three times their bytes and 2 KiB each; beyond 1/8 of the memory the newest is refused with 3014, which says that it was not carried out. An entry answers 503, or 504 if an earlier attempt may have run. Reports of agents and replicas are not bounded so. Not shown by a test of its own: no crowd of these tests reaches it behind the entry's budget.

--- a/crates/bronzespoold/src/batch/leader_client/mod.rs
+++ b/crates/bronzespoold/src/batch/leader_client/mod.rs
@@ -167,6 +167,9 @@
                     maybe_run = true;
                     self.leader.set(None);
                 }
+                Some(Err(refusal)) if maybe_run && refusal.code == Code::BoundReached => {
+                    return Err(CallError::Unknown);
+                }
                 Some(Err(refusal)) => return Err(CallError::Refused(refusal)),
                 None => maybe_run = true,
             }
--- a/crates/bronzespoold/src/batch/mod.rs
+++ b/crates/bronzespoold/src/batch/mod.rs
@@ -6,12 +6,15 @@
 mod explain;
 mod external;
 mod leader_client;
+mod passed_calls;
 mod ready;
 mod relay;
 pub mod role;
 mod seeds;
 mod unconfirmed;
 
+pub(crate) use passed_calls::PassedCalls;
+
 pub use {
     agent::{Agent, AgentOptions, CheckIn, CheckInOutcome, ListOutcome, Worker},
     drain::DrainRequest,
--- a/crates/bronzespoold/src/batch/relay.rs
+++ b/crates/bronzespoold/src/batch/relay.rs
@@ -2,7 +2,10 @@
 //! off from control while they still reach each other.
 
 use {
-    crate::{batch::leader_client::LeaderClient, limits::Listener},
+    crate::{
+        batch::{PassedCalls, leader_client::LeaderClient},
+        limits::Listener,
+    },
     bronzespool::wire::{bronzespool_capnp::control, frame, message::Call, serve::serve_bounded},
     std::rc::Rc,
     tokio::net::TcpListener,
@@ -10,11 +13,15 @@
 
 /// Serves calls to be relayed, until the returned future is dropped.
 pub async fn serve_relay(listener: TcpListener, leader_client: Rc<LeaderClient>) {
-    let server: control::Client = capnp_rpc::new_client(Relay(leader_client));
+    let server: control::Client =
+        capnp_rpc::new_client(Relay { leader_client, passed: PassedCalls::default() });
     serve_bounded(listener, server, Listener::Peers.admission()).await;
 }
 
-struct Relay(Rc<LeaderClient>);
+struct Relay {
+    leader_client: Rc<LeaderClient>,
+    passed: PassedCalls,
+}
 
 impl control::Server for Relay {
     async fn forward(
@@ -22,9 +29,12 @@
         params: control::ForwardParams,
         mut results: control::ForwardResults,
     ) -> Result<(), capnp::Error> {
-        let call: Call = frame::decode(params.get()?.get_call()?)
-            .map_err(|e| capnp::Error::failed(e.to_string()))?;
-        let result = self.0.relay(call).await;
+        let bytes = params.get()?.get_call()?;
+        let call: Call = frame::decode(bytes).map_err(|e| capnp::Error::failed(e.to_string()))?;
+        let result = match self.passed.admit(&call, bytes.len()) {
+            Ok(_passed) => self.leader_client.relay(call).await,
+            Err(refusal) => Err(refusal),
+        };
         results.get().set_reply(&frame::encode(&result));
         Ok(())
     }
--- a/crates/bronzespoold/src/control/server.rs
+++ b/crates/bronzespoold/src/control/server.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        batch::PassedCalls,
         clock::Clock,
         control::{
             addresses::Addresses,
@@ -56,6 +57,7 @@
     pub(super) links: RefCell<HashMap<Instance, Link<control::Client>>>,
     pub(super) progress_interval: Duration,
     pub(super) stopping: Cell<bool>,
+    pub(super) passed: PassedCalls,
 }
 
 impl ControlNode {
@@ -243,8 +245,12 @@
         params: control::ForwardParams,
         mut results: control::ForwardResults,
     ) -> Result {
-        let call: Call = frame::decode(params.get()?.get_call()?).map_err(|e| rpc_error(&e))?;
-        let answered = self.0.answer_forwarded(call).await;
+        let bytes = params.get()?.get_call()?;
+        let call: Call = frame::decode(bytes).map_err(|e| rpc_error(&e))?;
+        let answered = match self.0.passed.admit(&call, bytes.len()) {
+            Ok(_passed) => self.0.answer_forwarded(call).await,
+            Err(refusal) => Err(refusal),
+        };
         results.get().set_reply(&frame::encode(&answered));
         Ok(())
     }
--- a/crates/bronzespoold/src/control/start.rs
+++ b/crates/bronzespoold/src/control/start.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        batch::PassedCalls,
         clock::Clock,
         control::{
             addresses::{Addresses, name_from_address},
@@ -258,5 +259,6 @@
         links: RefCell::default(),
         progress_interval: options.renew_interval / 2,
         stopping: Cell::new(false),
+        passed: PassedCalls::default(),
     })
 }
