--- a/crates/bronzespool-consensus/src/log.rs
+++ b/crates/bronzespool-consensus/src/log.rs
@@ -96,6 +96,21 @@
         self.memberships.retain(|(index, _)| *index < from || *index <= self.base);
     }
 
+    /// The least index from `from` up to `to` after which the entries up to `to` have at most `max`
+    /// bytes.
+    pub(crate) fn trailing_start(&self, from: Index, to: Index, max: usize) -> Index {
+        let mut size = 0;
+        let mut start = to;
+        while start > from {
+            size += self.get(start).map_or(0, Entry::size);
+            if size > max {
+                break;
+            }
+            start -= 1;
+        }
+        start
+    }
+
     /// Removes the entries up to and including `to`, which becomes the base.
     pub(crate) fn compact(&mut self, to: Index) {
         let Some(term) = self.term(to) else { return };
--- a/crates/bronzespool-consensus/src/node/mod.rs
+++ b/crates/bronzespool-consensus/src/node/mod.rs
@@ -250,7 +250,8 @@
         self.push_write(StorageWrite::Snapshot(snapshot.clone()));
         self.snapshot = Some(snapshot);
         self.log.reset_bytes();
-        self.log.compact(index.saturating_sub(self.settings.trailing_entries).max(self.log.base()));
+        let by_count = index.saturating_sub(self.settings.trailing_entries).max(self.log.base());
+        self.log.compact(self.log.trailing_start(by_count, index, self.settings.trailing_bytes));
     }
 
     /// Returns the output since the previous call. See [`Ready`].
--- a/crates/bronzespool-consensus/src/settings.rs
+++ b/crates/bronzespool-consensus/src/settings.rs
@@ -42,6 +42,8 @@
     pub threshold_bytes: usize,
     /// Number of entries before a snapshot that stay in memory for followers slightly behind.
     pub trailing_entries: u64,
+    /// Maximum size of these entries.
+    pub trailing_bytes: usize,
     /// Maximum size of one snapshot chunk.
     pub chunk_bytes: usize,
     /// Seed of the random election timeouts. Must differ between replicas.
@@ -70,6 +72,7 @@
             threshold_entries: 10_000,
             threshold_bytes: 16 * KIB * KIB,
             trailing_entries: 1_000,
+            trailing_bytes: 4 * KIB * KIB,
             chunk_bytes: 128 * KIB,
             seed,
             identity: ReplicaId(rng.u64(1..)),
