fix(batch): order starts in answers of a bounded size

Seen by reading: an answer to an agent held all starts, each with the text of its job. A job of 4 KB with 20,000 tasks that need nothing makes 80 MB of it once an agent has started again and holds none of them. Change: an answer has 1 MiB of texts, checkpoints and permits at most; the next one has the rest. Shown: `poll_orders_starts_with_long_texts_come_in_several_answers`.

--- a/crates/bronzespool-batch/src/exchange.rs
+++ b/crates/bronzespool-batch/src/exchange.rs
@@ -17,6 +17,10 @@
     std::{sync::Arc, time::Duration},
 };
 
+/// Most bytes of texts, checkpoints and permits in the starts of one answer. Each task carries the text of
+/// its job; what is left out is ordered by the next answer.
+const STARTS_MAX_BYTES: usize = 1 << 20;
+
 /// Returns the events for everything in a poll that the ledger does not hold yet. What the poll takes
 /// away counts only if it is newer than the `grants`.
 pub fn poll_events(now: Time, ledger: &Ledger, grants: &Grants, poll: &Poll) -> Vec<Event> {
@@ -144,6 +148,7 @@
     let is_over = worker.excess() != Resources::default();
     let is_drained = ledger.is_worker_drained(worker);
     let mut room = worker.spec.capacity.minus(&present_resources(ledger, worker, poll));
+    let mut start_bytes = 0;
     for run in unsettled_runs(worker, poll) {
         if ledger.is_unwanted(run) {
             orders.stops.push(run);
@@ -151,7 +156,9 @@
             let need = worker.runs.get(&run).copied().unwrap_or_default();
             if !is_drained && (!is_over || room.fits(&need)) {
                 room = room.minus(&need);
-                orders.starts.extend(start(ledger, run));
+                let ready = start(ledger, run).filter(|_| start_bytes < STARTS_MAX_BYTES);
+                start_bytes += ready.as_ref().map_or(0, text_bytes);
+                orders.starts.extend(ready);
             } else {
                 orders.stops.push(run);
             }
@@ -198,6 +205,11 @@
     worker.runs.keys().filter_map(class).collect()
 }
 
+fn text_bytes(start: &Start) -> usize {
+    let permit = start.permit.as_ref().map_or(0, |p| p.len());
+    start.text.len() + start.checkpoint.len() + permit
+}
+
 fn start(ledger: &Ledger, run: RunId) -> Option<Start> {
     let job = ledger.job(run.task.step.job)?;
     let active: &ActiveRun = ledger.active_run(run)?;
--- a/crates/bronzespool-batch/tests/capacity.rs
+++ b/crates/bronzespool-batch/tests/capacity.rs
@@ -4,15 +4,15 @@
 
 use {
     bronzespool_batch::{
-        Event, EventOutcome, Phase, RunId, Withdrawals,
+        Event, EventOutcome, JobId, Phase, RunId, Step, Withdrawals,
         exchange::poll_orders,
         ledger::{Assignment, RunOutcome, StopCause, WorkerSpec},
         message::{Orders, Poll, PollId, RunStatus},
-        spec::Resources,
+        spec::{JobSpec, Resources},
     },
     bronzespool_core::Instance,
-    common::{Cluster, SECOND, WORKER_CAPACITY, incarnation, run, step},
-    std::collections::BTreeSet,
+    common::{Cluster, QUEUES, SECOND, WORKER_CAPACITY, incarnation, run, step},
+    std::{collections::BTreeSet, sync::Arc},
 };
 
 /// Changes the accelerators of a worker.
@@ -62,6 +62,35 @@
     orders.starts.iter().map(|s| s.run).collect()
 }
 
+// An agent that starts again holds none of its worker's runs. All were ordered in one answer, each with the
+// text of its job: 8 MB for these.
+#[test]
+fn poll_orders_starts_with_long_texts_come_in_several_answers() {
+    const TASKS: u32 = 2_000;
+    let mut cluster = Cluster::new(1, 1, 0);
+    let text = "t".repeat(4_000);
+    let spec = JobSpec {
+        id: JobId(1),
+        queue: QUEUES[0].into(),
+        team: None,
+        text: text.into(),
+        steps: vec![Step { count: TASKS, ..Step::default() }],
+        times: 0,
+        start: 0,
+        interval: 0,
+    };
+    assert_eq!(cluster.apply(Event::Submitted(Arc::new(spec))), EventOutcome::Applied);
+    assign(&mut cluster, 1, 0..TASKS, 0);
+    let mut running = Vec::new();
+    while running.len() < TASKS as usize {
+        let ordered = orders(&cluster, 0, &running, &[]).starts;
+        let bytes: usize = ordered.iter().map(|s| s.text.len()).sum();
+        assert!(bytes <= (1 << 20) + 4_000, "{bytes} bytes of texts");
+        assert!(!ordered.is_empty());
+        running.extend(ordered.iter().map(|s| s.run));
+    }
+}
+
 // A run that was assigned before its worker shrank was started over the capacity that is left.
 #[test]
 fn poll_orders_run_that_no_longer_fits_is_withdrawn() {
