fix(batch): estimate the steps of a job once a plan, not once a step

Seen: three jobs of 256 steps kept the leader's plan busy for longer than an election takes: 155 changes of standing in a minute, polls without an answer for 58 s (control_large_jobs_accepted, debug build, before this commit; it passed in a release build). Stacks of the leader showed `step_key` below `Urgency::of`. Cause: the urgency of each step estimated all steps of its job: 65,536 digests a job and plan. Change: the groups of one occurrence share the estimates. No decision changes. Shown: control_large_jobs_accepted passes (control 50 MiB at most, in a debug build); the recorded decisions of the package's tests are unchanged.

--- a/crates/bronzespool-batch/src/plan/inquiry.rs
+++ b/crates/bronzespool-batch/src/plan/inquiry.rs
@@ -14,7 +14,7 @@
         message::Question,
         plan::{
             ClusterView, TaskGroup, group::task_groups, permit::ORDER_DELAY,
-            precedence::precedence_of, urgency::Urgency,
+            precedence::precedence_of, urgency::Urgencies,
         },
         spec::Resources,
     },
@@ -200,6 +200,7 @@
         let precedence = precedence_of(ledger);
         let mut due = Vec::new();
         let mut seen = HashSet::default();
+        let mut urgencies = Urgencies::new(ledger, view);
         for group in task_groups(ledger, view).into_iter().map(|like| like.first) {
             if !group.needs_permit || !seen.insert(group.step) {
                 continue;
@@ -210,7 +211,7 @@
                 let waited = now.since(inquiry.due_at);
                 let is_refused = inquiry.is_refused && waited < REFUSED_WAIT_MAX;
                 let since = (waited >= OVERDUE).then_some(inquiry.due_at);
-                let rank = precedence.rank(&group, &Urgency::of(ledger, &group, view), false);
+                let rank = precedence.rank(&group, &urgencies.of(&group), false);
                 due.push(((is_refused, since.is_none(), since, rank), group));
             }
         }
--- a/crates/bronzespool-batch/src/plan/mod.rs
+++ b/crates/bronzespool-batch/src/plan/mod.rs
@@ -50,7 +50,7 @@
         places::PlaceIndex,
         reclaim::{ReleasePlan, ReleaseSearch},
         speed::SpeedNeed,
-        urgency::Urgency,
+        urgency::{Urgencies, Urgency},
     },
     crate::{
         cold::ColdWorkers,
@@ -390,10 +390,11 @@
     view: &ClusterView,
     groups: Vec<LikeGroups<'a>>,
 ) -> Vec<(Urgency, LikeGroups<'a>)> {
+    let mut urgencies = Urgencies::new(ledger, view);
     let mut known: Option<(StepId, Urgency)> = None;
     let of_step = |like: LikeGroups<'a>| {
         let same = known.filter(|(step, _)| *step == like.first.step);
-        let urgency = same.map_or_else(|| Urgency::of(ledger, &like.first, view), |(_, u)| u);
+        let urgency = same.map_or_else(|| urgencies.of(&like.first), |(_, u)| u);
         known = Some((like.first.step, urgency));
         (urgency, like)
     };
--- a/crates/bronzespool-batch/src/plan/urgency.rs
+++ b/crates/bronzespool-batch/src/plan/urgency.rs
@@ -9,10 +9,12 @@
 
 use {
     crate::{
+        id::JobId,
         ledger::{Job, Ledger},
-        overload::times::{job_times_of, longest_chain, observed_works},
+        overload::times::{JobTimes, job_times_of, longest_chain, observed_works},
         plan::{ClusterView, TaskGroup},
     },
+    bronzespool_estimate::Work,
     std::time::Duration,
 };
 
@@ -36,23 +38,50 @@
     pub(super) cutoff: Duration,
 }
 
-impl Urgency {
-    pub(super) fn of(ledger: &Ledger, group: &TaskGroup<'_>, view: &ClusterView) -> Self {
-        let job = group.job;
-        let steps = &job.spec.steps;
-        let works = observed_works(&job.spec, group.step.occurrence, &view.estimates);
-        let times = job_times_of(ledger, &job.spec, &works);
+/// Finds the urgency of task groups one after the other. The groups of one occurrence of a job follow
+/// each other and share the estimates of all its steps: a job may have hundreds of steps that are ready
+/// at once.
+pub(super) struct Urgencies<'a> {
+    ledger: &'a Ledger,
+    view: &'a ClusterView,
+    last: Option<OccurrenceTimes>,
+}
+
+/// Estimates for one occurrence of a job.
+struct OccurrenceTimes {
+    id: (JobId, u32),
+    works: Vec<Work>,
+    times: JobTimes,
+}
+
+impl<'a> Urgencies<'a> {
+    pub(super) const fn new(ledger: &'a Ledger, view: &'a ClusterView) -> Self {
+        Self { ledger, view, last: None }
+    }
+
+    pub(super) fn of(&mut self, group: &TaskGroup<'_>) -> Urgency {
+        let (job, occurrence) = (group.job, group.step.occurrence);
+        let id = (job.spec.id, occurrence);
+        let last = self.last.take().filter(|last| last.id == id);
+        let known = last.unwrap_or_else(|| {
+            let works = observed_works(&job.spec, occurrence, &self.view.estimates);
+            let times = job_times_of(self.ledger, &job.spec, &works);
+            OccurrenceTimes { id, works, times }
+        });
+        let known = self.last.insert(known);
         let own = usize::from(group.step.step);
-        let expected = |i: usize| works[i].expected;
-        Self {
-            elapsed: elapsed(job, group.step.occurrence, view),
-            remaining: longest_chain(steps, own, expected),
+        let expected = |i: usize| known.works[i].expected;
+        Urgency {
+            elapsed: elapsed(job, occurrence, self.view),
+            remaining: longest_chain(&job.spec.steps, own, expected),
             step_duration: expected(own),
-            allowed: times.allowed,
-            cutoff: times.cutoff,
+            allowed: known.times.allowed,
+            cutoff: known.times.cutoff,
         }
     }
+}
 
+impl Urgency {
     /// Whether the job can no longer finish before its cutoff, wherever it is placed.
     pub(super) fn misses_cutoff(&self) -> bool {
         self.elapsed + self.remaining > self.cutoff
