fix(wire): bound the large messages that are being read

Seen: 300 peers that announced messages of 8 MiB and stopped after 1 MiB took 2,417 MiB at a control instance. Cause: the size stands at the beginning of a message, and the library allocates all of it then; nothing bounded them together, and nothing ended a message that did not go on. Tried and dropped: 1/8 of the memory.

--- a/crates/bronzespool-wire/src/lib.rs
+++ b/crates/bronzespool-wire/src/lib.rs
@@ -13,6 +13,7 @@
 //! ```
 
 pub mod frame;
+mod inbound;
 pub mod link;
 pub mod message;
 pub mod serve;
--- a/crates/bronzespool-wire/src/serve.rs
+++ b/crates/bronzespool-wire/src/serve.rs
@@ -1,6 +1,9 @@
 //! Accepts connections and serves a bootstrap capability on each of them.
 
+pub use crate::inbound::InboundBudget;
+
 use {
+    crate::inbound::InboundReader,
     capnp::capability::{Client, FromClientHook},
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
     futures::future::{AbortHandle, Abortable},
@@ -34,24 +37,43 @@
 /// As [`serve`], for a bounded number of connections. `admit` is given the number of open
 /// connections and says whether one more is accepted. Calls on a refused connection fail with
 /// [`Error::is_unsent`](crate::link::Error::is_unsent).
-pub async fn serve_bounded<C>(
+pub async fn serve_bounded<C>(listener: TcpListener, bootstrap: C, admit: impl FnMut(usize) -> bool)
+where
+    C: FromClientHook + Clone + 'static,
+{
+    serve_within(listener, bootstrap, admit, InboundBudget::default()).await;
+}
+
+/// As [`serve_bounded`], with a budget for the bytes of large messages that are being read. A connection
+/// whose message finds no room ends.
+pub async fn serve_within<C>(
     listener: TcpListener,
     bootstrap: C,
     mut admit: impl FnMut(usize) -> bool,
+    inbound: InboundBudget,
 ) where
     C: FromClientHook + Clone + 'static,
 {
+    let accept = |connections: &OpenConnections, stream, peer, client: Client, time_max| {
+        accept(connections, stream, peer, (client, inbound.clone()), time_max);
+    };
     let open = OpenConnections::default();
     let refused = OpenConnections::default();
     loop {
         match listener.accept().await {
             Ok((stream, peer)) if admit(open.len()) => {
-                accept(&open, stream, peer, bootstrap.clone(), None);
+                accept(
+                    &open,
+                    stream,
+                    peer,
+                    Client::new(bootstrap.clone().into_client_hook()),
+                    None,
+                );
             }
             Ok((stream, peer)) if refused.len() < REFUSALS_MAX => {
                 let error = capnp::Error::overloaded(CONNECTION_REFUSED.to_owned());
-                let bootstrap = capnp_rpc::new_broken_cap(error);
-                accept(&refused, stream, peer, bootstrap, Some(REFUSAL_TIME));
+                let client: Client = capnp_rpc::new_broken_cap(error);
+                accept(&refused, stream, peer, client, Some(REFUSAL_TIME));
             }
             Ok((_, peer)) => log::debug!(peer:%; "connection closed without a refusal"),
             Err(error) => {
@@ -83,18 +105,23 @@
     }
 }
 
-fn accept<C: FromClientHook>(
+fn accept(
     open: &OpenConnections,
     stream: TcpStream,
     peer: SocketAddr,
-    bootstrap: C,
+    (client, inbound): (Client, InboundBudget),
     time_max: Option<Duration>,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:%, peer:%; "cannot set TCP_NODELAY");
     }
-    let network = network(stream, Side::Server);
-    let client = Client::new(bootstrap.into_client_hook());
+    let (reader, writer) = stream.into_split();
+    let network = VatNetwork::new(
+        InboundReader::new(reader.compat(), inbound),
+        writer.compat_write(),
+        Side::Server,
+        capnp::message::ReaderOptions::new(),
+    );
     let system = RpcSystem::new(Box::new(network), Some(client));
     let (handle, registration) = AbortHandle::new_pair();
     open.0.borrow_mut().push(handle.clone());
@@ -114,7 +141,7 @@
     });
 }
 
-/// The Cap'n Proto network over a stream.
+/// The Cap'n Proto network over a stream to a peer that this process has connected to.
 pub(crate) fn network(
     stream: TcpStream,
     side: Side,
--- a/crates/bronzespoold/src/agent/start.rs
+++ b/crates/bronzespoold/src/agent/start.rs
@@ -13,12 +13,13 @@
         client::{SessionClient, Timing},
         clock::Clock,
         limits::Listener,
+        memory,
         telemetry::{Event as _, event},
     },
     bronzespool::{
         core::{Capacity, Code, Place, Refusal, Service, Time, name::Cluster},
         flow::view::View,
-        wire::{bronzespool_capnp::agent, message::Call, serve::serve_bounded},
+        wire::{bronzespool_capnp::agent, message::Call, serve::serve_within},
     },
     std::{
         cell::{Cell, RefCell},
@@ -84,7 +85,12 @@
         SessionClient::new(clock, options.timing, &options.hubs, Rc::clone(&state));
     *state.session_client.borrow_mut() = Some(Rc::clone(&session_client));
     let server: agent::Client = capnp_rpc::new_client(Server { state: Rc::clone(&state) });
-    let server_task = spawn_local(serve_bounded(listener, server, Listener::Peers.admission()));
+    let server_task = spawn_local(serve_within(
+        listener,
+        server,
+        Listener::Peers.admission(),
+        memory::inbound_budget(),
+    ));
     let session_task = spawn_local(Rc::clone(&session_client).run());
     if let Some(address) = options.worker {
         let worker = Worker::new(address);
--- a/crates/bronzespoold/src/batch/relay.rs
+++ b/crates/bronzespoold/src/batch/relay.rs
@@ -5,8 +5,9 @@
     crate::{
         batch::{PassedCalls, leader_client::LeaderClient},
         limits::Listener,
+        memory,
     },
-    bronzespool::wire::{bronzespool_capnp::control, frame, message::Call, serve::serve_bounded},
+    bronzespool::wire::{bronzespool_capnp::control, frame, message::Call, serve::serve_within},
     std::rc::Rc,
     tokio::net::TcpListener,
 };
@@ -15,7 +16,8 @@
 pub async fn serve_relay(listener: TcpListener, leader_client: Rc<LeaderClient>) {
     let server: control::Client =
         capnp_rpc::new_client(Relay { leader_client, passed: PassedCalls::default() });
-    serve_bounded(listener, server, Listener::Peers.admission()).await;
+    let budget = memory::inbound_budget();
+    serve_within(listener, server, Listener::Peers.admission(), budget).await;
 }
 
 struct Relay {
--- a/crates/bronzespoold/src/control/start.rs
+++ b/crates/bronzespoold/src/control/start.rs
@@ -14,13 +14,14 @@
             writer::Writer,
         },
         limits::Listener,
+        memory,
         telemetry::{Event as _, event},
     },
     bronzespool::{
         consensus::{self, FileStorage, Settings, Storage},
         core::{Code, Instance, Shape, name::Cluster, settings::JobPolicy},
         flow::claim::Retention,
-        wire::{bronzespool_capnp::control, serve::serve_bounded},
+        wire::{bronzespool_capnp::control, serve::serve_within},
     },
     displaydoc::Display,
     std::{
@@ -171,7 +172,12 @@
     let addresses = Addresses::new(&options.peers);
     let transport = Transport::new(&options.instance, addresses, options.election_timeout / 2);
     let server: control::Client = capnp_rpc::new_client(Server(Rc::clone(&node)));
-    let serving = spawn_local(serve_bounded(listener, server, Listener::Peers.admission()));
+    let serving = spawn_local(serve_within(
+        listener,
+        server,
+        Listener::Peers.admission(),
+        memory::inbound_budget(),
+    ));
     spawn_local(Rc::clone(&node).run_progress());
     spawn_local(Rc::clone(&node.leader).run_scheduler());
     spawn_local(Rc::clone(&node.leader).run_controllers());
--- a/crates/bronzespoold/src/memory.rs
+++ b/crates/bronzespoold/src/memory.rs
@@ -3,7 +3,7 @@
 //! Connections, bodies and calls of others take no more than their shares together. The rest is for the
 //! process's own state and for what the allocator cannot reuse.
 
-use std::cell::Cell;
+use {bronzespool::wire::serve::InboundBudget, std::cell::Cell};
 
 /// Memory that is counted on if the settings name none: that of the smallest machine.
 pub const MEMORY_DEFAULT_BYTES: u64 = 128 << 20;
@@ -13,6 +13,8 @@
 const BODIES_DIVISOR: u64 = 16;
 /// Part of the memory for submissions that other processes pass on, with what is made of them.
 const CALLS_DIVISOR: u64 = 8;
+/// Part of the memory for large messages of other processes that are being read.
+const INBOUND_DIVISOR: u64 = 4;
 /// Part of the memory for jobs and waves that are stored, in eighths. It counts the copies in the log and
 /// in two snapshots.
 const STORED_EIGHTHS: u64 = 3;
@@ -44,6 +46,11 @@
     share(CALLS_DIVISOR)
 }
 
+/// Budget for large messages of other processes that are being read.
+pub fn inbound_budget() -> InboundBudget {
+    InboundBudget::new(share(INBOUND_DIVISOR))
+}
+
 /// Most bytes of jobs and waves that are stored.
 pub fn stored_max() -> usize {
     share(8) * STORED_EIGHTHS as usize
