fix(control): deliver messages to replicas in pieces of bounded size

Seen: a delivery held all messages that wait for a replica, up to 256 of any size. 16 copies of an entry of 3 MiB are 48 MiB in one message, more than a listener with little memory takes at once; of 8 MiB, more than the library takes at all. Change: a delivery has 4 MiB of messages, at least one; 16 MiB wait for a replica, at least one. Consensus sends again what is dropped.

--- a/crates/bronzespoold/src/control/transport.rs
+++ b/crates/bronzespoold/src/control/transport.rs
@@ -20,6 +20,9 @@
 /// Most messages that wait for one replica. Older ones are dropped, since the consensus protocol
 /// sends them again.
 const QUEUE_LEN_MAX: usize = 256;
+/// Most bytes of these messages, and of those that are delivered at once; one of any size is among them.
+const QUEUE_MAX_BYTES: usize = 16 << 20;
+const BATCH_MAX_BYTES: usize = 4 << 20;
 /// Delay after a failed delivery.
 const RETRY_DELAY: Duration = Duration::from_millis(30);
 
@@ -77,7 +80,10 @@
 impl Outbox {
     fn push(&self, bytes: Vec<u8>) {
         let mut queue = self.queue.borrow_mut();
-        if queue.len() >= QUEUE_LEN_MAX {
+        let size = |queue: &VecDeque<Vec<u8>>| queue.iter().map(Vec::len).sum::<usize>();
+        while queue.len() >= QUEUE_LEN_MAX
+            || !queue.is_empty() && size(&queue) + bytes.len() > QUEUE_MAX_BYTES
+        {
             queue.pop_front();
         }
         queue.push_back(bytes);
@@ -86,7 +92,7 @@
 
     async fn run(self: Rc<Self>) {
         loop {
-            let batch: Vec<_> = self.queue.borrow_mut().drain(..).collect();
+            let batch = self.next_batch();
             if batch.is_empty() {
                 self.queued.notified().await;
                 continue;
@@ -98,6 +104,18 @@
         }
     }
 
+    /// Takes the messages that are delivered next.
+    fn next_batch(&self) -> Vec<Vec<u8>> {
+        let mut queue = self.queue.borrow_mut();
+        let mut size = 0;
+        let fits = |bytes: &&Vec<u8>| {
+            size += bytes.len();
+            size <= BATCH_MAX_BYTES
+        };
+        let count = queue.iter().take_while(fits).count().max(1).min(queue.len());
+        queue.drain(..count).collect()
+    }
+
     async fn deliver(&self, batch: &[Vec<u8>]) -> Result<()> {
         let sender = self.sender.as_str();
         self.link
