fix(limits): count 64 KiB of memory for a connection

With the default memory of 128 MiB the new bound by memory, at 80 KiB a connection, admitted 1,638 of the 1,948 connections that the descriptors allow. Change: 64 KiB. The crowds at the bound took 48 KiB a connection at most (105 MiB for 1,948 heads of 32 KiB, less with bodies). In no deployment does the constant decide: fronts of 120 MB have 3,075 descriptors, 1,437 connections.

--- a/crates/bronzespoold/src/memory.rs
+++ b/crates/bronzespoold/src/memory.rs
@@ -20,7 +20,7 @@
 const STORED_EIGHTHS: u64 = 3;
 /// Memory that one connection of a caller takes: the head of a request and its buffer, a body that is
 /// not large, and what is made of it.
-const CONNECTION_BYTES: u64 = 80 << 10;
+const CONNECTION_BYTES: u64 = 64 << 10;
 
 thread_local! {
     /// Each process runs on one thread.
