Add review case 15: lasting task waits for a full rack

A task that lasts names the rack of its data, which is full of other lasting work. It stays queued beside an idle worker of another rack, as if the work would end and its duration mattered.

--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -27,6 +27,7 @@
         "12" => lasting_headroom(trouble, record),
         "13" => upkeep_budget(trouble, record),
         "14" => upkeep_restart(trouble, record),
+        "15" => full_rack(trouble, record),
         _ => Err(format!("there is no case {case}")),
     }
 }
@@ -393,3 +394,40 @@
     availability.watch_for(&cluster, seconds(12.0));
     Ok(availability.broken())
 }
+
+/// Two workers of the rack `r1-1`, and one of another rack.
+fn two_racks(worker: usize) -> Vec<&'static str> {
+    vec!["a", if worker < 2 { "r1-1" } else { "r1-2" }]
+}
+
+/// The data of a work unit that lasts is in a rack that is full of other work that lasts; the worker of the
+/// other rack is idle.
+fn full_rack(trouble: bool, record: &Record) -> Result<Broken> {
+    const OTHERS: u64 = 0xaff1_0000_0000_0001;
+    const JOB: u64 = 0xaff1_0000_0000_0002;
+    let plan = Plan { workers: 3, labels: two_racks, advice: None };
+    let cluster = Cluster::start(&plan, record, Arc::new(|_, _, _| {}))?;
+    cluster.submit(
+        OTHERS,
+        r#"{"spec":"last","steps":[{"count":2,"cpu":32000,"mem_mb":64000,"gpu":8,"estimate_ms":60000,"long_running":true,"affinity":"r1-1"}]}"#,
+    )?;
+    wait_for("work in the full rack", seconds(12.0), || {
+        cluster.workers[..2].iter().all(|w| !w.runs().is_empty())
+    })?;
+    thread::sleep(seconds(5.0));
+    let affinity = if trouble { r#","affinity":"r1-1""# } else { "" };
+    cluster.submit(
+        JOB,
+        &format!(
+            r#"{{"spec":"last","steps":[{{"count":1,"cpu":8000,"mem_mb":16000,"gpu":2,"estimate_ms":60000,"long_running":true{affinity}}}]}}"#
+        ),
+    )?;
+    let mut missing = Missing::new(&format!("{JOB:016x}.0.0.0"), &cluster.workers[2], record);
+    let end = Instant::now() + seconds(45.0);
+    while Instant::now() < end {
+        missing.look(2);
+        thread::sleep(Duration::from_millis(50));
+    }
+    record.line(&format!("client: GET of {JOB:016x} answered {}", cluster.state(JOB)));
+    Ok(missing.broken.into_iter().collect())
+}
